Start the project: build, core types and the design

Cause: an empty repository; the parts can only be built side by side once they agree on core types, runtime headers and the protocol of the platform. Conclusion: the shared ground stands; nothing serves yet.

--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,25 @@
+# One program per topic: tests/src/unit-TOPIC.cpp and tests/src/fuzz-TOPIC.cpp test the
+# decision logic on a paused clock; tests/src/process-TOPIC.cpp drive real processes.
+enable_testing()
+file(GLOB test_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/src/unit-*.cpp
+                                         ${CMAKE_SOURCE_DIR}/tests/src/fuzz-*.cpp
+                                         ${CMAKE_SOURCE_DIR}/tests/src/process-*.cpp)
+if(NOT test_sources)
+  return()
+endif()
+find_library(RAPIDCHECK rapidcheck REQUIRED)
+add_library(gypsumdale_test_main OBJECT ${CMAKE_SOURCE_DIR}/tests/src/main.cpp)
+target_link_libraries(gypsumdale_test_main PUBLIC gypsumdale_options)
+foreach(source IN LISTS test_sources)
+  get_filename_component(name ${source} NAME_WE)
+  add_executable(${name} ${source})
+  target_link_libraries(${name} PRIVATE gypsumdale_options gypsumdale_test_main ${RAPIDCHECK})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/tests)
+  gypsumdale_link_modules(${name} ${DECISION_MODULES} generated runtime)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202;GYPSUMDALE_BIN=${CMAKE_BINARY_DIR};GYPSUMDALE_SAMPLES=${CMAKE_SOURCE_DIR}/samples")
+  if(name MATCHES "^process-")
+    set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE TIMEOUT 300)
+    add_dependencies(${name} gypsumdaled gypsumctl gypsumdale-standin)
+  endif()
+endforeach()
--- /dev/null
+++ b/include/gypsumdale/core/names.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <array> // array
+#include <cstddef> // size_t
+#include <optional> // optional
+#include <string_view> // string_view
+#include <utility> // pair
+
+namespace gypsumdale {
+
+/// A table that gives each value of an enumeration its name on the wire, in settings and in logs.
+template <typename Enum, std::size_t Size>
+using NameTable = std::array<std::pair<Enum, std::string_view>, Size>;
+
+/// Returns the name of a value, or "unknown" for one that the table lacks. Linear in the table.
+template <typename Enum, std::size_t Size>
+constexpr std::string_view nameIn(const NameTable<Enum, Size> &table, Enum value)
+{
+    for (const auto &[entry, name] : table) {
+        if (entry == value)
+            return name;
+    }
+    return "unknown";
+}
+
+/// Returns the value that carries a name, or nothing for a name the table lacks. Linear in the
+/// table.
+template <typename Enum, std::size_t Size>
+constexpr std::optional<Enum> valueIn(const NameTable<Enum, Size> &table, std::string_view name)
+{
+    for (const auto &[entry, entryName] : table) {
+        if (entryName == name)
+            return entry;
+    }
+    return std::nullopt;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/result.hpp>
+#include <gypsumdale/runtime/fiber_loop.hpp>
+#include <gypsumdale/runtime/http_message.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // uint16_t
+#include <memory> // unique_ptr
+#include <optional> // optional
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Where a server listens, by IP number.
+struct Endpoint
+{
+    std::string m_address;
+    std::uint16_t m_port = 0;
+
+    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+};
+
+/// How far a call got before it failed. Only NothingSent allows the claim that the request was not
+/// run: from the first byte handed to the kernel on, the other side may have read it, however the
+/// connection behaved afterwards.
+enum class SendPhase {
+    NothingSent,
+    MayHaveBeenRead,
+    AnswerBegun,
+};
+
+/// Why a call has no whole answer.
+struct CallFailure
+{
+    Error m_error;
+    SendPhase m_phase = SendPhase::NothingSent;
+};
+
+template <typename T>
+using CallResult = std::variant<T, CallFailure>;
+
+/// A request to send.
+struct HttpCall
+{
+    Endpoint m_endpoint;
+    std::string m_method = "GET";
+    std::string m_target = "/";
+    HttpHeaders m_headers;
+    std::string m_body;
+    /// Time to connect.
+    Duration m_connectTimeout = std::chrono::milliseconds(500);
+    /// Time from the request's last byte to the answer's header.
+    Duration m_headerTimeout = std::chrono::seconds(30);
+    /// Longest silence between two pieces of the body.
+    Duration m_silenceTimeout = std::chrono::seconds(30);
+    /// Opens a connection of its own and never takes a pooled one, which may have gone silent while
+    /// it idled. Required for requests that must not run twice.
+    bool m_freshConnection = false;
+    std::size_t m_maxBodyBytes = 8 * 1024 * 1024;
+};
+
+/// An answer that is being read piece by piece. Destroying it before the end closes the connection,
+/// which tells the other side to cancel. All calls are made from fibers of the client's loop, but
+/// cancel() may be called from another fiber of the same loop while one waits in read().
+class HttpExchange
+{
+public:
+    ~HttpExchange();
+    HttpExchange(HttpExchange &&) noexcept;
+    HttpExchange &operator=(HttpExchange &&) noexcept;
+
+    int status() const;
+    const HttpHeaders &headers() const;
+
+    /// Returns the next piece of the body as soon as there is one, or nothing at the proper end. A
+    /// connection that closes before the end of the message is a failure (AnswerTruncated), never
+    /// an end; silence past the limit is UpstreamSilent; after cancel() it is Cancelled.
+    CallResult<std::optional<std::string>> read();
+
+    /// Closes the connection; a fiber that waits in read() returns at once with Cancelled.
+    void cancel();
+
+private:
+    friend class HttpClient;
+    struct State;
+    explicit HttpExchange(std::unique_ptr<State> state);
+    std::unique_ptr<State> m_state;
+};
+
+/// Calls HTTP servers from the fibers of one loop. Keeps connections for reuse; a pooled connection
+/// that proves closed before any byte of the answer is not retried by the client itself.
+class HttpClient
+{
+public:
+    explicit HttpClient(FiberLoop &loop);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// Sends a request and returns once the answer's header has come.
+    CallResult<HttpExchange> open(const HttpCall &call);
+
+    /// Sends a request and returns the whole answer.
+    CallResult<HttpReply> call(const HttpCall &call);
+
+    /// Closes all pooled connections to an endpoint, after one of them proved silent. Linear in
+    /// them.
+    void forget(const Endpoint &endpoint);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/runtime/http_message.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <optional> // optional
+#include <string> // string
+#include <string_view> // string_view
+#include <utility> // pair
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// Header fields in the order they came. Names compare without regard to case.
+class HttpHeaders
+{
+public:
+    void add(std::string name, std::string value);
+    /// Returns the first value of that name, or nothing. Linear.
+    std::optional<std::string_view> find(std::string_view name) const;
+    /// Returns the first value of that name, or an empty text. Linear.
+    std::string_view value(std::string_view name) const;
+    const std::vector<std::pair<std::string, std::string>> &fields() const { return m_fields; }
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+/// A request as the server received it, body whole. The target keeps its query, as in
+/// "/v1/jobs/7?offset=3".
+struct HttpRequest
+{
+    std::string m_method;
+    std::string m_target;
+    HttpHeaders m_headers;
+    std::string m_body;
+    std::string m_remoteAddress;
+
+    /// Returns the target without its query. Linear.
+    std::string_view path() const;
+    /// Returns one decoded parameter of the query, or nothing. Linear.
+    std::optional<std::string> parameter(std::string_view name) const;
+};
+
+/// A whole answer.
+struct HttpReply
+{
+    int m_status = 200;
+    HttpHeaders m_headers;
+    std::string m_body;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/result.hpp>
+#include <gypsumdale/runtime/fiber_loop.hpp>
+#include <gypsumdale/runtime/http_message.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // uint16_t
+#include <functional> // function
+#include <memory> // unique_ptr
+#include <string> // string
+#include <string_view> // string_view
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// Writes the answer to one request, from the fiber that handles it. Each call suspends the fiber
+/// until the bytes are with the kernel, so a slow caller slows its own answer only.
+class HttpResponder
+{
+public:
+    virtual ~HttpResponder() = default;
+
+    /// Sends a whole answer. Returns false if the caller has gone.
+    virtual bool send(const HttpReply &reply) = 0;
+
+    /// Begins a streamed (chunked) answer. Returns false if the caller has gone.
+    virtual bool begin(int status, const HttpHeaders &headers) = 0;
+
+    /// Sends one chunk of a streamed answer at once. Returns false if the caller has gone.
+    virtual bool write(std::string_view chunk) = 0;
+
+    /// Ends a streamed answer. A stream that is never finished is cut, so that its reader sees a
+    /// truncated body and no false end. Returns false if the caller has gone.
+    virtual bool finish() = 0;
+
+    /// Tells whether the caller has closed its connection, as far as is known. Constant.
+    virtual bool callerGone() const = 0;
+
+    /// Registers what to do, on the loop's thread, when the caller closes its connection while the
+    /// answer is still owed. Used to cancel work upstream. Pass nullptr to unregister.
+    virtual void onCallerGone(std::function<void()> action) = 0;
+};
+
+using HttpHandler = std::function<void(const HttpRequest &, HttpResponder &)>;
+
+/// Bounds on what a caller may send and how slowly.
+struct HttpLimits
+{
+    std::size_t m_headerBytes = 16 * 1024;
+    std::size_t m_bodyBytes = 1024 * 1024;
+    std::size_t m_connections = 4096;
+    /// Time for one request to arrive whole, from its first byte.
+    Duration m_readTimeout = std::chrono::seconds(15);
+    /// Time a kept-alive connection may idle between requests.
+    Duration m_idleTimeout = std::chrono::seconds(60);
+    /// Time for one write to be taken by the caller's side.
+    Duration m_writeTimeout = std::chrono::seconds(30);
+};
+
+/// An HTTP/1.1 server on one or several loops; each connection stays on one loop, and each request
+/// is handled by a fiber there. Malformed, oversized and slow requests are answered with 400, 413,
+/// 431 or 408 and a JSON error body without reaching the handler.
+class HttpServer
+{
+public:
+    ~HttpServer();
+    HttpServer(HttpServer &&) noexcept;
+    HttpServer &operator=(HttpServer &&) noexcept;
+
+    /// Returns the port in use, also where 0 was asked for.
+    std::uint16_t port() const;
+
+    /// Closes the listening socket and idle connections; answers under way go on, each saying
+    /// "Connection: close". Safe from any thread.
+    void stopAccepting();
+
+    /// Returns the number of requests whose answer is not finished. Safe from any thread.
+    std::size_t requestsInFlight() const;
+
+    /// Returns the number of open connections. Safe from any thread.
+    std::size_t connections() const;
+
+private:
+    friend class HttpServerBuilder;
+    struct State;
+    explicit HttpServer(std::shared_ptr<State> state);
+    std::shared_ptr<State> m_state;
+};
+
+/// Builds an HttpServer: `HttpServerBuilder().listenOn("127.0.0.1",
+/// 0).runOn({&loop}).handleWith(f)`.
+class HttpServerBuilder
+{
+public:
+    HttpServerBuilder &listenOn(std::string address, std::uint16_t port);
+    HttpServerBuilder &runOn(std::vector<FiberLoop *> loops);
+    HttpServerBuilder &handleWith(HttpHandler handler);
+    HttpServerBuilder &limitTo(HttpLimits limits);
+
+    /// Opens the socket and begins to accept. The loops may be started before or after. Fails with
+    /// AddressInUse, leaving nothing open.
+    Result<HttpServer> build();
+
+private:
+    std::string m_address = "127.0.0.1";
+    std::uint16_t m_port = 0;
+    std::vector<FiberLoop *> m_loops;
+    HttpHandler m_handler;
+    HttpLimits m_limits;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/scripts/install-deps.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Installs what gypsumdale builds with, by name from Debian. Does nothing if all is there.
+set -euo pipefail
+packages=(
+    build-essential ccache clang-format clang-tidy cmake ninja-build pkg-config git
+    libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev libboost-url1.81-dev
+    libthrift-dev libcxxopts-dev libfmt-dev libyaml-cpp-dev libssl-dev libxxhash-dev libpcg-cpp-dev
+    nlohmann-json3-dev catch2 librapidcheck-dev
+)
+missing=()
+for package in "${packages[@]}"; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done
+if [ "${#missing[@]}" -eq 0 ]; then
+    exit 0
+fi
+sudo=()
+[ "$(id -u)" -eq 0 ] || sudo=(sudo)
+"${sudo[@]}" apt-get update -qq
+DEBIAN_FRONTEND=noninteractive "${sudo[@]}" apt-get install -y -qq "${missing[@]}"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the product's sources, several files at a time.
+# Usage: lint.sh BUILD_FOLDER
+set -euo pipefail
+cd "$(dirname "$0")/.."
+jobs=$(( ($(nproc) * 3 + 3) / 4 ))
+git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' \
+    | xargs -P "$jobs" -n 1 clang-tidy -p "$1" --quiet
--- /dev/null
+++ b/tests/src/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
