--- /dev/null
+++ b/include/gypsumdale/policy/admission.hpp
@@ -0,0 +1,249 @@
+#pragma once
+
+#include <gypsumdale/core/error.hpp>
+#include <gypsumdale/policy/fair_queue.hpp>
+#include <gypsumdale/policy/outlier.hpp>
+#include <gypsumdale/policy/routing.hpp>
+#include <gypsumdale/policy/service_rate.hpp>
+#include <gypsumdale/policy/slot_share.hpp>
+
+#include <pcg_random.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // uint32_t, uint64_t
+#include <map> // map
+#include <optional> // optional
+#include <unordered_map> // unordered_map
+#include <variant> // variant
+#include <vector> // vector
+
+namespace gypsumdale {
+
+struct AdmissionSettings
+{
+    FairQueueSettings m_queue;
+    SlotShareSettings m_slots;
+    OutlierSettings m_outlier;
+    /// How many requests may wait here at most, of all members and of one.
+    std::size_t m_maxWaiting = 2000;
+    std::size_t m_maxWaitingPerMember = 1000;
+    /// A peer whose last heartbeat is older counts with its lent share.
+    Duration m_peerMaxAge = std::chrono::milliseconds(750);
+    /// An upstream whose last report is older is used only up to what the entry VMs know of.
+    Duration m_reportMaxAge = std::chrono::seconds(10);
+    /// A retry-after is never shorter or longer than these.
+    Duration m_minRetryAfter = std::chrono::milliseconds(200);
+    Duration m_maxRetryAfter = std::chrono::seconds(60);
+};
+
+/// A member's part in a service.
+struct MemberShare
+{
+    MemberId m_member;
+    double m_weight = 1.0;
+    /// Requests in flight from this entry VM at most; 0 for no limit.
+    std::uint32_t m_maxInFlight = 0;
+};
+
+/// What is known of an upstream from its probes, the VM list and the price list.
+struct UpstreamState
+{
+    UpstreamId m_upstream;
+    /// Counts the upstream's restarts; a new one forgets what was measured and cached.
+    std::uint64_t m_incarnation = 0;
+    DataCentreId m_dataCentre;
+    RegionId m_region;
+    std::uint32_t m_slots = 1;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_queued = 0;
+    /// When the upstream made the report, on this process's clock; min() while there is none.
+    TimePoint m_reportedAt = TimePoint::min();
+    double m_pricePerHour = 0.0;
+    bool m_isReclaimable = false;
+    double m_reclaimRisk = 0.0;
+    bool m_isLeaving = false;
+};
+
+/// What an entry VM tells its data centre's others in each heartbeat, for one service.
+struct NodeLoad
+{
+    TokenCounts m_tokens;
+    std::map<UpstreamId, std::uint32_t> m_inFlight;
+};
+
+/// Send the request to the upstream now.
+struct Dispatch
+{
+    WaitingRequest m_request;
+    UpstreamId m_upstream;
+};
+
+/// Answer the request now with this error and the time to come back.
+struct Refuse
+{
+    RequestId m_request;
+    ErrorId m_error = ErrorId::Internal;
+    Duration m_retryAfter{};
+};
+
+using AdmissionCommand = std::variant<Dispatch, Refuse>;
+using AdmissionCommands = std::vector<AdmissionCommand>;
+
+/// How an attempt at an upstream ended, for the limits.
+enum class AttemptEnd {
+    /// The whole answer came.
+    Completed,
+    /// The upstream failed or went silent: counts against it.
+    Failed,
+    /// It refused before it started: counts against it as well.
+    Refused,
+    /// The caller went away or the deadline passed: says nothing of the upstream.
+    Abandoned,
+};
+
+/// Decides for one service on one entry VM which request goes to which upstream and when, and which
+/// is refused. Every request submitted ends in exactly one Dispatch or Refuse, or in cancel().
+class AdmissionController
+{
+public:
+    class Builder;
+
+    /// Sets the members' weights and limits; members not named weigh 1 and have no limit.
+    void setMembers(const std::vector<MemberShare> &members);
+
+    /// Sets the live entry VMs of the own data centre; this one counts also if not named.
+    void setNodes(std::vector<NodeId> nodes);
+
+    /// Takes an upstream's state, new or changed. Leaving is never undone for an incarnation.
+    /// Logarithmic.
+    void updateUpstream(const UpstreamState &state, TimePoint now);
+    void removeUpstream(const UpstreamId &upstream);
+
+    /// Takes a peer's heartbeat; one of an older incarnation is ignored. Linear in the load.
+    void mergePeer(const NodeId &peer, std::uint64_t incarnation, const NodeLoad &load,
+                   TimePoint now);
+    void noteCacheEvent(const CacheEvent &event, TimePoint now);
+
+    /// Takes a request in: it is dispatched, refused, or waits. May bring commands for others too.
+    AdmissionCommands submit(WaitingRequest request, TimePoint now);
+
+    /// Looks at what waits: to be called after every change, and every few tens of milliseconds.
+    AdmissionCommands poll(TimePoint now);
+
+    /// The caller went away. Waiting requests leave the queue; one in flight has to be ended with
+    /// attemptEnded().
+    bool cancel(const RequestId &request);
+
+    /// Tells of progress of a dispatched request; unknown ids are ignored. Constant.
+    void firstToken(const RequestId &request, TimePoint now);
+    void tokens(const RequestId &request, std::uint32_t count, TimePoint now);
+
+    /// Ends a dispatched attempt and frees its slot; unknown ids are ignored, so a doubled end does
+    /// no harm. To try again, submit the request with the upstream added to m_tried.
+    AdmissionCommands attemptEnded(const RequestId &request, AttemptEnd end, TimePoint now);
+
+    /// Refuses all that waits and all that comes from now on.
+    AdmissionCommands drain(TimePoint now);
+
+    /// Returns what to put into the heartbeat.
+    NodeLoad ownLoad() const;
+
+    /// Estimates how long a new request of this member and class would wait for its dispatch.
+    Duration waitEstimate(const MemberId &member, int priority, TimePoint now) const;
+
+    const FairQueue &queue() const { return m_queue; }
+    std::size_t inFlight() const { return m_running.size(); }
+    std::size_t inFlight(const MemberId &member) const;
+    std::uint32_t inFlightAt(const UpstreamId &upstream) const;
+    /// Returns the upstreams as the routing sees them, for the operators' interface. Linear.
+    std::vector<Candidate> candidates(TimePoint now) const;
+    /// Tells whether an upstream is ejected because it failed too often.
+    bool isEjected(const UpstreamId &upstream, TimePoint now) const;
+
+private:
+    struct Upstream
+    {
+        UpstreamState m_state;
+        std::uint32_t m_own = 0;
+        std::uint32_t m_peers = 0;
+        RecentDispatches m_recent;
+        double m_firstTokenSeconds = 0.0;
+        double m_betweenTokensSeconds = 0.0;
+        double m_failures = 0.0;
+        TimePoint m_failuresAt{};
+    };
+    struct Running
+    {
+        MemberId m_member;
+        UpstreamId m_upstream;
+        std::uint64_t m_incarnation = 0;
+        TimePoint m_dispatchedAt{};
+        std::optional<TimePoint> m_lastTokenAt;
+        std::uint64_t m_promptTokens = 0;
+        std::uint64_t m_generated = 0;
+    };
+    struct Peer
+    {
+        std::uint64_t m_incarnation = 0;
+        std::map<UpstreamId, std::uint32_t> m_inFlight;
+        TimePoint m_heardAt{};
+    };
+
+    explicit AdmissionController(const Builder &builder);
+
+    bool mayRun(const MemberId &member) const;
+    bool hasSlot(Upstream &upstream, TimePoint now);
+    bool hasReportedRoom(const Upstream &upstream, std::uint32_t recent, TimePoint now) const;
+    std::uint32_t rank() const;
+    std::uint32_t chargedPeers(const UpstreamState &state, TimePoint now) const;
+    Candidate candidate(const Upstream &upstream, TimePoint now) const;
+    std::vector<Candidate> freeCandidates(TimePoint now);
+    RoutingRequest routingRequest(const WaitingRequest &request, TimePoint now) const;
+    std::optional<Refuse> refusal(const WaitingRequest &request, TimePoint now) const;
+    Dispatch dispatch(WaitingRequest request, const UpstreamId &upstream, TimePoint now);
+    void noteEnd(Upstream &upstream, AttemptEnd end, TimePoint now);
+    bool hasUsableUpstream() const;
+    Duration clampRetryAfter(Duration duration) const;
+
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    RegionId m_region;
+    AdmissionSettings m_settings;
+    RoutingPolicy m_routing;
+    pcg32 m_random;
+    FairQueue m_queue;
+    ServiceRate m_rate;
+    OutlierDetector m_outlier;
+    std::vector<NodeId> m_nodes;
+    std::map<MemberId, MemberShare> m_members;
+    std::map<MemberId, std::uint32_t> m_memberInFlight;
+    std::map<UpstreamId, Upstream> m_upstreams;
+    std::unordered_map<RequestId, Running> m_running;
+    std::map<NodeId, Peer> m_peers;
+    bool m_isDraining = false;
+};
+
+/// Makes an AdmissionController; node and data centre are needed, the rest has defaults.
+class AdmissionController::Builder
+{
+public:
+    Builder &node(NodeId node);
+    Builder &dataCentre(DataCentreId dataCentre);
+    Builder &region(RegionId region);
+    Builder &settings(AdmissionSettings settings);
+    Builder &routing(RoutingPolicy routing);
+    Builder &seed(std::uint64_t seed);
+    AdmissionController build() const;
+
+private:
+    friend class AdmissionController;
+
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    RegionId m_region;
+    AdmissionSettings m_settings;
+    RoutingPolicy m_routing = PrefixAffinity{};
+    std::uint64_t m_seed = 0;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/policy/service_rate.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+
+#include <cstdint> // uint64_t
+
+namespace gypsumdale {
+
+/// Measures how many tokens a second a queue's dispatches stand for while something waits, and how
+/// long first tokens take after dispatch.
+class ServiceRate
+{
+public:
+    explicit ServiceRate(Duration halfLife = std::chrono::seconds(3));
+
+    /// Notes work dispatched. Time in which nothing waits says nothing of the capacity and is left
+    /// out. Constant.
+    void served(std::uint64_t tokens, TimePoint now, bool isBacklogged);
+
+    /// Notes the time from dispatch to first token. Constant.
+    void firstToken(Duration taken);
+
+    /// Returns tokens a second, or 0 while too little was seen.
+    double tokensPerSecond() const;
+    /// Returns the smoothed time from dispatch to first token, or zero while unknown.
+    Duration firstTokenTime() const { return m_firstToken; }
+
+private:
+    double m_halfLife;
+    double m_tokens = 0.0;
+    double m_seconds = 0.0;
+    TimePoint m_lastAt{};
+    bool m_wasBacklogged = false;
+    Duration m_firstToken{};
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/policy/slot_share.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+
+#include <cstdint> // uint32_t
+#include <deque> // deque
+
+namespace gypsumdale {
+
+struct SlotShareSettings
+{
+    /// Which part of an idle peer's share is left to it; the rest can be borrowed.
+    double m_peerReserve = 0.5;
+    /// Twice the age that a peer's report may have; dispatches within it count as unseen by peers.
+    Duration m_window = std::chrono::milliseconds(1500);
+    /// Which part of the slots an entry VM of another data centre may use.
+    double m_spillShare = 0.5;
+};
+
+/// What the entry VMs of a data centre know of an upstream's slots.
+struct SlotView
+{
+    std::uint32_t m_slots = 0;
+    /// Live entry VMs of the upstream's data centre, this one included.
+    std::uint32_t m_nodes = 1;
+    /// This process's place among them, from 0, for what doesn't divide evenly.
+    std::uint32_t m_rank = 0;
+    std::uint32_t m_own = 0;
+    /// For each peer its last reported in-flight, at least its reserve; see peersCharge().
+    std::uint32_t m_peers = 0;
+    /// Own dispatches within the window.
+    std::uint32_t m_recent = 0;
+};
+
+/// Returns the slots lent to the process of this rank: an even share of them all. Constant.
+std::uint32_t lentSlots(std::uint32_t slots, std::uint32_t nodes, std::uint32_t rank);
+
+/// Returns what to count for a peer: its last report, or the reserve of its share if that is more.
+std::uint32_t peerCharge(const SlotShareSettings &settings, std::uint32_t reported,
+                         std::uint32_t lent);
+
+/// Tells whether the process may have one more request at the upstream. Within its lent share
+/// always; beyond that, only if all nodes doing as it did within the window would still fit.
+bool mayDispatch(const SlotView &view);
+
+/// Returns how far all nodes together can pass the slots at the worst, see
+/// docs/policy-limits-and-retries.md. Constant.
+std::uint32_t overshootBound(const SlotShareSettings &settings, std::uint32_t slots,
+                             std::uint32_t nodes);
+
+/// The times of the own dispatches to one upstream within a window.
+class RecentDispatches
+{
+public:
+    void add(TimePoint now) { m_times.push_back(now); }
+    /// Returns how many came after now less the window. Amortised constant.
+    std::uint32_t countSince(TimePoint now, Duration window);
+
+private:
+    std::deque<TimePoint> m_times;
+};
+
+} // namespace gypsumdale
