Add the headers of configuration store and writer

One platform kind carries all objects, so that one list and one watch cover them and one number (completeTo) says what a node knows. Weighed: per-object floors at peers and acknowledgements per push; a prefix of the store's versions says both in one number and fits a heartbeat.

--- /dev/null
+++ b/include/gypsumdale/fleet/config_message.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/fleet/config_object.hpp>
+
+#include <cstdint> // uint64_t
+#include <string_view> // string_view
+
+namespace gypsumdale {
+
+/// The number of one life of a node. A node's later life has a higher one.
+using Incarnation = std::uint64_t;
+
+/// What a node knows of the configuration, small enough for each heartbeat.
+struct ConfigDigest
+{
+    /// The node knows the platform's configuration as it was at this version of the store; 0 means
+    /// that it has read none yet.
+    ConfigVersion m_completeTo = 0;
+    /// Hash over kind, name and version of all objects that are not deleted, and their count.
+    std::uint64_t m_hash = 0;
+    std::uint64_t m_count = 0;
+    /// The highest version among them.
+    ConfigVersion m_highest = 0;
+    /// The highest store version that the node knows any node of its data centre to have reached.
+    ConfigVersion m_floor = 0;
+    /// A time, by the clock of the relay that spoke to the platform, at which the platform is known
+    /// to have held nothing newer. 0 means unknown.
+    WallMillis m_confirmedAsOf = 0;
+    /// Whether the node knows that it has at least what its former lives had in force.
+    bool m_ready = false;
+};
+
+/// A digest with its sender.
+struct ConfigDigestFrom
+{
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    Incarnation m_incarnation = 0;
+    ConfigDigest m_digest;
+};
+
+/// Asks for every change after a version; 0 asks for everything.
+struct ConfigAsk
+{
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    Incarnation m_incarnation = 0;
+    ConfigVersion m_from = 0;
+};
+
+/// The changes after `m_from` up to `m_upTo`, with deletions. With `m_from` 0 it is a snapshot: an
+/// object that it lacks didn't exist at `m_upTo`.
+struct ConfigChanges
+{
+    ConfigVersion m_from = 0;
+    ConfigVersion m_upTo = 0;
+    ConfigObjects m_objects;
+};
+
+/// Changes from a peer, as the answer to a question or unasked.
+struct ConfigUpdate
+{
+    ConfigDigestFrom m_sender;
+    ConfigChanges m_changes;
+    /// The asker and its life for an answer; empty and 0 for changes sent unasked.
+    NodeId m_answerTo;
+    Incarnation m_answerToIncarnation = 0;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/fleet/config_object.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <gypsumdale/settings/fleet_settings.hpp>
+#include <gypsumdale/settings/member.hpp>
+#include <gypsumdale/settings/profile.hpp>
+#include <gypsumdale/settings/settings_kind.hpp>
+
+#include <compare> // strong_ordering
+#include <cstdint> // uint64_t
+#include <optional> // optional
+#include <string> // string
+#include <string_view> // string_view
+#include <variant> // variant
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// A version of the platform's store. One counter serves the whole store, so versions of different
+/// objects compare too, and "everything up to version V" means something.
+using ConfigVersion = std::uint64_t;
+
+/// The platform's kind of all configuration objects. One kind for all of them lets one list and one
+/// watch cover the whole configuration.
+inline constexpr std::string_view configPlatformKind = "settings";
+
+struct ConfigKey
+{
+    SettingsKind m_kind = SettingsKind::Profile;
+    std::string m_name;
+
+    friend bool operator==(const ConfigKey &, const ConfigKey &) = default;
+    friend std::strong_ordering operator<=>(const ConfigKey &, const ConfigKey &) = default;
+};
+
+/// Returns the object's name in the platform, such as "profile/quote-draft".
+std::string platformName(const ConfigKey &key);
+
+/// Reads a name in the platform back; nothing for one that isn't a configuration object's.
+std::optional<ConfigKey> configKeyOf(std::string_view platformName);
+
+/// One version of one object as the platform has it. A deleted one has no body.
+struct ConfigObject
+{
+    ConfigKey m_key;
+    ConfigVersion m_version = 0;
+    std::string m_body;
+    bool m_deleted = false;
+};
+
+using ConfigObjects = std::vector<ConfigObject>;
+
+/// What a body says; empty for a deleted object.
+using ConfigValue = std::variant<std::monostate, Profile, FleetSettings, Member>;
+
+/// Reads the body of an object with the checker of its kind. Findings name the object as document.
+Checked<ConfigValue> checkConfigBody(const ConfigKey &key, std::string_view body);
+
+} // namespace gypsumdale
