--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -25,6 +25,8 @@
 struct NodeSuspicion {
   1: string node
   2: i64 incarnation
+  // The sender holds this incarnation for dead; the node itself answers with a higher one.
+  3: bool dead
 }
 
 struct ServiceCapacity {
@@ -46,6 +48,26 @@
   6: list<ServiceCapacity> services
 }
 
+struct VmEntry {
+  1: string vm
+  2: string address
+  3: string zone
+  4: string vmClass
+  5: bool reclaimable
+  6: bool leaving
+  7: string serviceName
+  8: i32 port
+}
+
+// What a reader of the cloud's VM list tells its data centre.
+struct VmListPush {
+  1: i64 readAtMillis
+  2: bool full
+  3: list<VmEntry> entries
+  4: list<string> gone
+  5: i64 digest
+}
+
 struct InFlight {
   1: i64 upstream
   2: i32 count
@@ -111,6 +133,8 @@
   22: i64 sentAtMillis
   // The versions above count from this incarnation of the receiver.
   23: i64 receiverIncarnation
+  24: i64 inFlightVersion
+  25: i64 inFlightSeen
 }
 
 struct ObjectVersion {
@@ -229,6 +253,7 @@
   9: JobLocate jobLocate
   10: ClaimForward claimForward
   11: DecisionsAsk decisionsAsk
+  12: VmListPush vmListPush
 }
 
 union PeerReplyBody {
--- /dev/null
+++ b/include/gypsumdale/fleet/change_log.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <map> // map
+#include <unordered_map> // unordered_map
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// The keys that changed after a version, oldest change first, and the version they lead up to.
+template <typename Key>
+struct Changes
+{
+    std::vector<Key> m_keys;
+    std::int64_t m_upTo = 0;
+};
+
+/// Remembers in which order keys changed, so that a peer is sent only what changed since the
+/// version it confirmed. Each key is kept once, at its latest change: memory is linear in the keys
+/// however often they change. Values are the caller's and must be absolute, since a change may be
+/// sent twice.
+template <typename Key>
+class ChangeLog
+{
+public:
+    /// Notes a change of the key. Logarithmic.
+    void touch(const Key &key)
+    {
+        ++m_version;
+        const auto [entry, isNew] = m_versionOf.try_emplace(key, m_version);
+        if (!isNew) {
+            m_keyAt.erase(entry->second);
+            entry->second = m_version;
+        }
+        m_keyAt.emplace(m_version, key);
+    }
+
+    /// Returns at most `limit` keys that changed after `version`. Linear in what is returned.
+    Changes<Key> since(std::int64_t version, std::size_t limit) const
+    {
+        Changes<Key> result;
+        result.m_upTo = m_version;
+        for (auto entry = m_keyAt.upper_bound(version); entry != m_keyAt.end(); ++entry) {
+            if (result.m_keys.size() == limit)
+                return result;
+            result.m_keys.push_back(entry->second);
+            result.m_upTo = result.m_keys.size() == limit ? entry->first : m_version;
+        }
+        return result;
+    }
+
+    std::int64_t version() const { return m_version; }
+
+private:
+    std::int64_t m_version = 0;
+    std::unordered_map<Key, std::int64_t> m_versionOf;
+    std::map<std::int64_t, Key> m_keyAt;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/fleet/node.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/core/names.hpp>
+
+#include <cstdint> // int64_t, uint16_t
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Grows whenever a process of that name starts anew, or has to show that it is not dead.
+using Incarnation = std::int64_t;
+
+enum class NodeState { Alive, Suspect, Dead, Leaving };
+
+inline constexpr NameTable<NodeState, 4> nodeStateNames = {{
+        {NodeState::Alive, "alive"},
+        {NodeState::Suspect, "suspect"},
+        {NodeState::Dead, "dead"},
+        {NodeState::Leaving, "leaving"},
+}};
+
+/// Who a node is and where its peers reach it. The incarnation is 0 until the node was heard.
+struct NodeIdentity
+{
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    RegionId m_region;
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    Incarnation m_incarnation = 0;
+};
+
+/// What this node holds of another one. Of nodes in other data centres only the summaries tell:
+/// m_lastHeard is then the summary's time.
+struct NodeView
+{
+    NodeIdentity m_identity;
+    NodeState m_state = NodeState::Suspect;
+    TimePoint m_stateSince;
+    TimePoint m_lastHeard;
+    std::string m_reason;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/fleet/peer_exchange.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <gypsumdale/fleet/change_log.hpp>
+#include <gypsumdale/fleet/membership.hpp>
+#include <gypsumdale/fleet/upstream_table.hpp>
+#include <gypsumdale/wire/peer_codec.hpp>
+
+#include <map> // map
+#include <string> // string
+#include <variant> // variant
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// Send a request to a peer and give its answer to PeerExchange::onReply (heartbeats only; other
+/// requests are answered Accepted), or call onSendFailed.
+struct SendToPeer
+{
+    NodeIdentity m_to;
+    wire::PeerRequestBody m_body;
+};
+
+/// A peer's cumulative count of tokens served to a member, in that incarnation of the peer.
+struct TokensReported
+{
+    NodeId m_node;
+    Incarnation m_incarnation = 0;
+    MemberId m_member;
+    std::int64_t m_tokens = 0;
+};
+
+/// The configuration a peer holds, from its heartbeat.
+struct ConfigDigestSeen
+{
+    NodeId m_node;
+    DataCentreId m_dataCentre;
+    wire::ConfigDigest m_digest;
+};
+
+using ExchangeCommand =
+        std::variant<SendToPeer, NodeStateChanged, OwnIncarnationRaised, ProbeUpstream,
+                     UpstreamStateChanged, TokensReported, ConfigDigestSeen>;
+using ExchangeCommands = std::vector<ExchangeCommand>;
+
+/// Joins membership, upstreams, tokens and the digest of the configuration into the heartbeats of
+/// one node. The daemon drives this class; Membership and UpstreamTable are read through it.
+///
+/// Differences travel against a version that the receiver names: each heartbeat says how far its
+/// sender has those of the receiver, in which incarnation. A lost message therefore costs a
+/// repetition and never a difference.
+class PeerExchange
+{
+public:
+    PeerExchange(MembershipSettings membership, UpstreamTableSettings upstreams, TimePoint now);
+
+    /// Moves all parts on to `now`: call it every 50 ms or so.
+    ExchangeCommands tick(TimePoint now, WallMillis wallNow);
+
+    /// What arrived from a peer, with the answer to send.
+    struct Answered
+    {
+        wire::PeerReplyBody m_reply;
+        ExchangeCommands m_commands;
+    };
+    Answered onHeartbeat(const wire::Heartbeat &heartbeat, TimePoint now, WallMillis wallNow);
+    ExchangeCommands onReply(const wire::Heartbeat &heartbeat, TimePoint now, WallMillis wallNow);
+    /// Notices from a peer, asked for or not.
+    ExchangeCommands onNotices(const wire::LeavingNotices &notices, const NodeId &from,
+                               TimePoint now, WallMillis wallNow);
+    void onSendFailed(const NodeId &node) { m_membership.onSendFailed(node); }
+
+    /// A notice from the cloud that this node read.
+    ExchangeCommands onNotice(const LeavingNotice &notice, TimePoint now, WallMillis wallNow);
+    /// An operator's drain of an upstream.
+    ExchangeCommands drainUpstream(const UpstreamId &upstream, TimePoint now, WallMillis wallNow);
+    /// The cloud's VM list: the system's own VMs and those of upstreams.
+    ExchangeCommands onVmList(const std::vector<ListedNode> &nodes,
+                              const std::vector<ListedUpstream> &upstreams, TimePoint now,
+                              WallMillis wallNow);
+    ExchangeCommands setStatic(const std::vector<UpstreamDeclaration> &declared, TimePoint now);
+    ExchangeCommands onLoad(const UpstreamId &upstream, const UpstreamLoad &load, TimePoint now);
+    ExchangeCommands onProbeFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
+    ExchangeCommands onRequestFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
+    ExchangeCommands onRequestSucceeded(const UpstreamId &upstream, TimePoint now);
+
+    /// Sets the tokens this node served to a member so far, a count that only grows.
+    void setOwnTokens(const MemberId &member, std::int64_t tokens);
+    void setConfigDigest(wire::ConfigDigest digest) { m_config = digest; }
+    void setInFlight(const UpstreamId &upstream, int count)
+    {
+        m_upstreams.setInFlight(upstream, count);
+    }
+    void setDraining() { m_membership.setDraining(); }
+
+    /// Says how many bytes a heartbeat took on the wire, as encoded.
+    void noteHeartbeatBytes(std::size_t bytes) { m_membership.noteHeartbeatBytes(bytes); }
+
+    const Membership &membership() const { return m_membership; }
+    const UpstreamTable &upstreams() const { return m_upstreams; }
+
+private:
+    /// How far this node and a peer have each other's differences.
+    struct PeerCursor
+    {
+        Incarnation m_incarnation = 0;
+        std::int64_t m_upstreamsSeen = 0;
+        std::int64_t m_tokensSeen = 0;
+        std::int64_t m_inFlightSeen = 0;
+        std::int64_t m_theirUpstreamsSeen = 0;
+        std::int64_t m_theirTokensSeen = 0;
+        std::int64_t m_theirInFlightSeen = 0;
+        TimePoint m_noticesSentAt;
+        bool m_sentNotices = false;
+    };
+
+    wire::Heartbeat compose(const MembershipMessage &message, const NodeIdentity &to, TimePoint now,
+                            WallMillis wallNow);
+    void takeRest(const wire::Heartbeat &heartbeat, TimePoint now, WallMillis wallNow,
+                  ExchangeCommands &commands);
+    void takeDifferences(const wire::Heartbeat &heartbeat, TimePoint now,
+                         ExchangeCommands &commands);
+    void repairNotices(const wire::Heartbeat &heartbeat, TimePoint now, ExchangeCommands &commands);
+    void spread(const SpreadNotice &notice, ExchangeCommands &commands);
+    void forward(MembershipCommands &&from, TimePoint now, WallMillis wallNow,
+                 ExchangeCommands &commands);
+    void forward(UpstreamCommands &&from, ExchangeCommands &commands);
+    void forwardNotice(const LeavingNotice &notice, NoticeSource source, TimePoint now,
+                       WallMillis wallNow, ExchangeCommands &commands);
+    PeerCursor &cursorOf(const NodeId &node, Incarnation incarnation);
+    bool isOwnDataCentre(const std::string &dataCentre) const;
+
+    Membership m_membership;
+    UpstreamTable m_upstreams;
+    std::map<NodeId, PeerCursor> m_cursors;
+    std::map<MemberId, std::int64_t> m_ownTokens;
+    ChangeLog<MemberId> m_tokenChanges;
+    wire::ConfigDigest m_config;
+};
+
+} // namespace gypsumdale
