Add counters, fair queue, slot shares, outliers and retry rules

Cause: counts that never fall can't be corrected downward, and idle members were lifted by what one node sees, which peers don't share. Ruled out: marking members as served elsewhere, since a trickle there would hold the virtual time back for ever. Change: corrections are set off against later charges, and a member that comes back is at most m_maxCredit behind the most served one.

--- a/include/gypsumdale/policy/admission.hpp
+++ b/include/gypsumdale/policy/admission.hpp
@@ -31,6 +31,8 @@
     Duration m_peerMaxAge = std::chrono::milliseconds(750);
     /// An upstream whose last report is older is used only up to what the entry VMs know of.
     Duration m_reportMaxAge = std::chrono::seconds(10);
+    /// Other regions are used only once what waits here would take longer than this.
+    Duration m_spillAfter = std::chrono::milliseconds(200);
     /// A retry-after is never shorter or longer than these.
     Duration m_minRetryAfter = std::chrono::milliseconds(200);
     Duration m_maxRetryAfter = std::chrono::seconds(60);
@@ -138,6 +140,10 @@
     void firstToken(const RequestId &request, TimePoint now);
     void tokens(const RequestId &request, std::uint32_t count, TimePoint now);
 
+    /// Tells the real token numbers of a dispatched request once the upstream reports them; the
+    /// difference to what was charged is corrected. Logarithmic.
+    void usage(const RequestId &request, std::uint32_t promptTokens, std::uint32_t generated);
+
     /// Ends a dispatched attempt and frees its slot; unknown ids are ignored, so a doubled end does
     /// no harm. To try again, submit the request with the upstream added to m_tried.
     AdmissionCommands attemptEnded(const RequestId &request, AttemptEnd end, TimePoint now);
@@ -158,7 +164,7 @@
     /// Returns the upstreams as the routing sees them, for the operators' interface. Linear.
     std::vector<Candidate> candidates(TimePoint now) const;
     /// Tells whether an upstream is ejected because it failed too often.
-    bool isEjected(const UpstreamId &upstream, TimePoint now) const;
+    bool isEjected(const UpstreamId &upstream) const;
 
 private:
     struct Upstream
--- a/include/gypsumdale/policy/fair_queue.hpp
+++ b/include/gypsumdale/policy/fair_queue.hpp
@@ -41,6 +41,10 @@
     /// By how many tokens of service a member may be ahead of the least served one and still have a
     /// request of a higher class go before the other's lower ones.
     double m_priorityLead = 2000.0;
+    /// How many tokens of service a member that comes back may be behind the most served one; about
+    /// two seconds of the data centre's tokens. Peers lift their idle members by their own view, so
+    /// this bounds what the views can differ by.
+    double m_maxCredit = 50000.0;
 };
 
 /// A request that left the queue because it could no longer be served in time.
@@ -64,9 +68,10 @@
 
     void setWeight(const MemberId &member, double weight);
 
-    /// Adds a request. A member that had none waiting or running is lifted to the virtual time,
-    /// which follows the least served active member of the data centre. An id that waits already is
-    /// left as it is. Logarithmic in the members.
+    /// Adds a request, behind those of its member and class that arrived before it. A member that
+    /// had none waiting is lifted to the virtual time, which follows the least served waiting
+    /// member, and to the most credit allowed against the most served one. An id that waits already
+    /// is left as it is. Linear in the requests that arrived later.
     void enqueue(WaitingRequest request, TimePoint now);
 
     /// Takes out the request to serve next, charges its prompt and returns it; nothing if none
@@ -74,10 +79,6 @@
     std::optional<WaitingRequest> next(TimePoint now);
     std::optional<WaitingRequest> next(TimePoint now, const MemberFilter &mayRun);
 
-    /// Puts back a request that next() handed out but no upstream took; it keeps its place and is
-    /// not charged a second time. Linear in the member's waiting requests.
-    void putBack(WaitingRequest request);
-
     /// Takes out every request that can't have its first token in time any more, judged by the
     /// work ahead of it and the rate in tokens a second (0 while unknown: then only by the clock).
     /// The time to come back is when that work is likely to be done. Linear in the waiting ones.
@@ -93,11 +94,11 @@
     /// Charges tokens as they come. Logarithmic.
     void charge(const MemberId &member, std::uint64_t tokens);
 
-    /// Tells that a request handed out by next() has ended. Logarithmic.
-    void finished(const MemberId &member);
+    /// Corrects an earlier charge, see TokenCounters.
+    void correct(const MemberId &member, std::uint64_t charged, std::uint64_t actual);
 
     void mergePeer(const NodeId &peer, std::uint64_t incarnation, const TokenCounts &counts);
-    void peerGone(const NodeId &peer);
+
     const TokenCounts &ownCounts() const { return m_counters.ownCounts(); }
     double service(const MemberId &member) const { return m_counters.service(member); }
 
@@ -121,22 +122,28 @@
     struct Member
     {
         std::map<int, Lane> m_lanes;
-        std::size_t m_running = 0;
         std::size_t m_waiting = 0;
     };
 
-    bool isActive(const Member &member) const;
-    void advanceVirtualTime();
-    int chooseLane(const Member &member, TimePoint now) const;
+    /// What expire() judges by.
+    struct Outlook
+    {
+        TimePoint m_now;
+        double m_tokensPerSecond;
+        double m_allTokens;
+        const FirstTokenEstimate &m_firstToken;
+    };
+
+    std::optional<MemberId> chooseMember(const MemberFilter &mayRun);
+    int chooseLane(const Member &member) const;
     int chooseByCredit(const Member &member) const;
     int chooseByAge(const Member &member) const;
     void settleCredits(Member &member, int chosen, std::uint64_t cost) const;
-    double shareFactor(const MemberId &member) const;
-    std::optional<MemberId> chooseMember(TimePoint now, const MemberFilter &mayRun) const;
     WaitingRequest take(const MemberId &id, int priority);
-    void expireLane(Lane &lane, TimePoint now, double tokensPerSecond, double ownFactor,
-                    double &own, const FirstTokenEstimate &firstToken,
+    void forget(Member &member, Lane &lane, const WaitingRequest &request);
+    void expireLane(Member &member, Lane &lane, const Outlook &outlook, double factor, double &own,
                     std::vector<GivenUp> &result);
+    double shareFactor(const MemberId &member) const;
 
     FairQueueSettings m_settings;
     TokenCounters m_counters;
--- a/include/gypsumdale/policy/outlier.hpp
+++ b/include/gypsumdale/policy/outlier.hpp
@@ -13,7 +13,7 @@
 {
     /// Failures in a row that eject an upstream.
     std::uint32_t m_failuresToEject = 5;
-    /// Silence while requests run there, without any answer, that counts as one failure each.
+    /// Silence while requests run there that ejects an upstream at once; zero for never.
     Duration m_silence = std::chrono::seconds(10);
     /// How long the first ejection lasts; each further one doubles it up to the longest.
     Duration m_ejection = std::chrono::seconds(5);
@@ -34,6 +34,8 @@
 
     /// Notes a dispatch; for an upstream on probation it is the probe. Constant.
     void dispatched(const UpstreamId &upstream, TimePoint now);
+    /// Notes that some byte of an answer came: the upstream isn't silent. Constant.
+    void heard(const UpstreamId &upstream, TimePoint now);
     /// Notes that an attempt brought an answer: ends probation and clears the failures. Constant.
     void succeeded(const UpstreamId &upstream, TimePoint now);
     /// Notes a failure; may eject. Linear in the ejected ones.
@@ -46,7 +48,7 @@
 
     /// Tells whether a request may go there: not ejected, or due for a probe with none under way.
     bool mayUse(const UpstreamId &upstream, TimePoint now) const;
-    bool isEjected(const UpstreamId &upstream, TimePoint now) const;
+    bool isEjected(const UpstreamId &upstream) const;
     std::size_t ejectedCount() const;
 
 private:
--- a/include/gypsumdale/policy/retry_budget.hpp
+++ b/include/gypsumdale/policy/retry_budget.hpp
@@ -85,6 +85,9 @@
     /// The answer so far can be given to another upstream to go on from.
     bool m_canResume = false;
     bool m_allowsHedging = false;
+    /// An accepted job has to finish: a spent budget doesn't stop it, but slows it to the longest
+    /// backoff.
+    bool m_mustFinish = false;
     std::uint32_t m_maxAttempts = 3;
     Duration m_baseBackoff = std::chrono::milliseconds(25);
     Duration m_maxBackoff = std::chrono::seconds(2);
@@ -141,6 +144,10 @@
 /// own number of attempts if that is less. Constant.
 AttemptInfo firstAttemptInfo(const RetryProfile &profile, const std::optional<AttemptInfo> &caller);
 
+/// Returns what to tell the layer below: the attempt and the time left, but no further attempts of
+/// its own, since this layer makes them; attempts would multiply otherwise. Constant.
+AttemptInfo infoForBelow(const AttemptInfo &info, TimePoint deadline, TimePoint now);
+
 /// Decides whether a failed attempt is tried again, and takes one out of the budget if so. A
 /// request that must not repeat is tried again only where it can't have run. Constant.
 RetryDecision decideRetry(const AttemptState &attempt, const RetryProfile &profile,
--- a/include/gypsumdale/policy/token_counters.hpp
+++ b/include/gypsumdale/policy/token_counters.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint> // uint64_t
 #include <map> // map
-#include <set> // set
 
 namespace gypsumdale {
 
@@ -24,6 +23,11 @@
     /// Adds tokens served by this process. Logarithmic.
     void charge(const MemberId &member, std::uint64_t tokens);
 
+    /// Corrects an earlier charge once the real number is known. Too little is charged now; too
+    /// much is kept and set off against the member's next charges, since the counts never fall.
+    /// Logarithmic.
+    void correct(const MemberId &member, std::uint64_t charged, std::uint64_t actual);
+
     /// Takes over what a peer has served in all since its start. Counts that fell are late messages
     /// and ignored; a higher incarnation starts from its counts as new service, while the service
     /// known from the old one stays; a lower one is ignored. The first message ever heard from a
@@ -31,14 +35,6 @@
     /// one jump. Linear in the counts.
     void mergePeer(const NodeId &peer, std::uint64_t incarnation, const TokenCounts &counts);
 
-    /// Tells that a peer is no longer there: what it served stays counted, but it serves nobody
-    /// now.
-    void peerGone(const NodeId &peer);
-
-    /// Tells whether some peer's last message showed new service for the member. Linear in the
-    /// peers.
-    bool isServedElsewhere(const MemberId &member) const;
-
     /// Lifts a member that comes back from idleness to at least this service, so that it can't draw
     /// on the time it was away. Logarithmic.
     void lift(const MemberId &member, double service);
@@ -46,6 +42,9 @@
     /// Returns the virtual service of a member: its tokens by weight and its lifts. Logarithmic.
     double service(const MemberId &member) const;
 
+    /// Returns the service of the member that had most. Constant.
+    double highestService() const { return m_highest; }
+
     /// Returns what this process has served in all, for its heartbeats.
     const TokenCounts &ownCounts() const { return m_own; }
 
@@ -54,12 +53,12 @@
     {
         double m_weight = 1.0;
         double m_service = 0.0;
+        std::uint64_t m_overcharged = 0;
     };
     struct Peer
     {
         std::uint64_t m_incarnation = 0;
         TokenCounts m_counts;
-        std::set<MemberId> m_grown;
     };
 
     void add(const MemberId &member, std::uint64_t tokens);
@@ -67,6 +66,7 @@
     std::map<MemberId, Member> m_members;
     std::map<NodeId, Peer> m_peers;
     TokenCounts m_own;
+    double m_highest = 0.0;
 };
 
 } // namespace gypsumdale
--- /dev/null
+++ b/src/policy/fair_queue.cpp
@@ -0,0 +1,300 @@
+#include <gypsumdale/policy/fair_queue.hpp>
+
+#include <algorithm> // clamp, find_if, max, min, upper_bound
+#include <iterator> // make_move_iterator
+#include <limits> // numeric_limits
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+/// A reserved share of one would mean that higher classes get nothing.
+constexpr double LARGEST_RESERVED_SHARE = 0.9;
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+bool arrivedBefore(const WaitingRequest &left, const WaitingRequest &right)
+{
+    return left.m_arrivedAt < right.m_arrivedAt;
+}
+
+} // namespace
+
+FairQueue::FairQueue(FairQueueSettings settings)
+    : m_settings(settings)
+{
+    m_settings.m_reservedShare =
+            std::clamp(m_settings.m_reservedShare, 0.0, LARGEST_RESERVED_SHARE);
+}
+
+void FairQueue::setWeight(const MemberId &member, double weight)
+{
+    m_counters.setWeight(member, weight);
+}
+
+void FairQueue::enqueue(WaitingRequest request, TimePoint)
+{
+    const MemberId id = request.m_member;
+    if (!m_index.try_emplace(request.m_id, id).second)
+        return;
+    Member &member = m_members[id];
+    if (member.m_waiting == 0) {
+        const double mostCredit = m_counters.highestService() - m_settings.m_maxCredit;
+        m_counters.lift(id, std::max(m_virtualTime, mostCredit));
+    }
+    const std::uint64_t cost = expectedCost(request);
+    Lane &lane = member.m_lanes[request.m_priority];
+    lane.m_tokens += cost;
+    m_waitingTokens += cost;
+    ++member.m_waiting;
+    const auto place = std::upper_bound(lane.m_requests.begin(), lane.m_requests.end(), request,
+                                        arrivedBefore);
+    lane.m_requests.insert(place, std::move(request));
+}
+
+std::optional<WaitingRequest> FairQueue::next(TimePoint now)
+{
+    return next(now, [](const MemberId &) { return true; });
+}
+
+std::optional<WaitingRequest> FairQueue::next(TimePoint, const MemberFilter &mayRun)
+{
+    const std::optional<MemberId> id = chooseMember(mayRun);
+    if (!id)
+        return std::nullopt;
+    Member &member = m_members[*id];
+    const int priority = chooseLane(member);
+    settleCredits(member, priority, expectedCost(member.m_lanes[priority].m_requests.front()));
+    WaitingRequest request = take(*id, priority);
+    m_counters.charge(*id, request.m_promptTokens);
+    return request;
+}
+
+std::optional<MemberId> FairQueue::chooseMember(const MemberFilter &mayRun)
+{
+    double least = std::numeric_limits<double>::max();
+    std::vector<const MemberId *> ready;
+    for (const auto &[id, member] : m_members) {
+        if (member.m_waiting == 0 || !mayRun(id))
+            continue;
+        ready.push_back(&id);
+        least = std::min(least, m_counters.service(id));
+    }
+    if (ready.empty())
+        return std::nullopt;
+    m_virtualTime = std::max(m_virtualTime, least);
+    const MemberId *best = nullptr;
+    int bestPriority = 0;
+    for (const MemberId *id : ready) {
+        const double service = m_counters.service(*id);
+        if (service > least + m_settings.m_priorityLead)
+            continue;
+        const int priority = chooseLane(m_members.at(*id));
+        const bool isBetter = best == nullptr || priority < bestPriority
+                              || (priority == bestPriority && service < m_counters.service(*best));
+        if (!isBetter)
+            continue;
+        best = id;
+        bestPriority = priority;
+    }
+    return *best;
+}
+
+int FairQueue::chooseLane(const Member &member) const
+{
+    switch (m_settings.m_classOrder) {
+    case ClassOrder::Ageing:
+        return chooseByAge(member);
+    case ClassOrder::ReservedShare:
+        return chooseByCredit(member);
+    case ClassOrder::Strict:
+        break;
+    }
+    return member.m_lanes.begin()->first;
+}
+
+int FairQueue::chooseByCredit(const Member &member) const
+{
+    for (const auto &[priority, lane] : member.m_lanes) {
+        if (lane.m_credit >= static_cast<double>(expectedCost(lane.m_requests.front()))
+            && lane.m_credit > 0.0)
+            return priority;
+    }
+    return member.m_lanes.begin()->first;
+}
+
+int FairQueue::chooseByAge(const Member &member) const
+{
+    int best = member.m_lanes.begin()->first;
+    TimePoint bestKey = TimePoint::max();
+    for (const auto &[priority, lane] : member.m_lanes) {
+        const TimePoint key =
+                lane.m_requests.front().m_arrivedAt + m_settings.m_ageingStep * priority;
+        if (key >= bestKey)
+            continue;
+        best = priority;
+        bestKey = key;
+    }
+    return best;
+}
+
+void FairQueue::settleCredits(Member &member, int chosen, std::uint64_t cost) const
+{
+    const auto tokens = static_cast<double>(cost);
+    Lane &lane = member.m_lanes[chosen];
+    lane.m_credit = std::max(0.0, lane.m_credit - tokens);
+    const auto lower = member.m_lanes.upper_bound(chosen);
+    const auto count = static_cast<double>(std::distance(lower, member.m_lanes.end()));
+    if (count == 0.0)
+        return;
+    const double share = m_settings.m_reservedShare;
+    const double each = tokens * share / (1.0 - share) / count;
+    for (auto at = lower; at != member.m_lanes.end(); ++at)
+        at->second.m_credit += each;
+}
+
+WaitingRequest FairQueue::take(const MemberId &id, int priority)
+{
+    Member &member = m_members[id];
+    Lane &lane = member.m_lanes[priority];
+    WaitingRequest request = std::move(lane.m_requests.front());
+    lane.m_requests.pop_front();
+    forget(member, lane, request);
+    if (lane.m_requests.empty())
+        member.m_lanes.erase(priority);
+    return request;
+}
+
+void FairQueue::forget(Member &member, Lane &lane, const WaitingRequest &request)
+{
+    const std::uint64_t cost = expectedCost(request);
+    lane.m_tokens -= cost;
+    m_waitingTokens -= cost;
+    --member.m_waiting;
+    m_index.erase(request.m_id);
+}
+
+std::vector<GivenUp> FairQueue::expire(TimePoint now, double tokensPerSecond,
+                                       const FirstTokenEstimate &firstToken)
+{
+    std::vector<GivenUp> result;
+    const Outlook outlook{now, tokensPerSecond, static_cast<double>(m_waitingTokens), firstToken};
+    for (auto &[id, member] : m_members) {
+        const double factor = shareFactor(id);
+        double own = 0.0;
+        for (auto &[priority, lane] : member.m_lanes)
+            expireLane(member, lane, outlook, factor, own, result);
+        std::erase_if(member.m_lanes,
+                      [](const auto &entry) { return entry.second.m_requests.empty(); });
+    }
+    return result;
+}
+
+void FairQueue::expireLane(Member &member, Lane &lane, const Outlook &outlook, double factor,
+                           double &own, std::vector<GivenUp> &result)
+{
+    std::deque<WaitingRequest> kept;
+    for (WaitingRequest &request : lane.m_requests) {
+        const double ahead = std::min(own * factor, outlook.m_allTokens);
+        const Duration wait = outlook.m_tokensPerSecond > 0.0
+                                      ? fromSeconds(ahead / outlook.m_tokensPerSecond)
+                                      : Duration{};
+        const Duration answer = outlook.m_firstToken ? outlook.m_firstToken(request) : Duration{};
+        if (request.m_firstTokenBy - outlook.m_now > wait + answer) {
+            own += static_cast<double>(expectedCost(request));
+            kept.push_back(std::move(request));
+            continue;
+        }
+        result.push_back(GivenUp{request.m_id, wait});
+        forget(member, lane, request);
+    }
+    lane.m_requests = std::move(kept);
+}
+
+std::vector<WaitingRequest> FairQueue::takeAll()
+{
+    std::vector<WaitingRequest> result;
+    for (auto &[id, member] : m_members) {
+        for (auto &[priority, lane] : member.m_lanes)
+            result.insert(result.end(), std::make_move_iterator(lane.m_requests.begin()),
+                          std::make_move_iterator(lane.m_requests.end()));
+        member = Member{};
+    }
+    m_index.clear();
+    m_waitingTokens = 0;
+    return result;
+}
+
+bool FairQueue::cancel(const RequestId &request)
+{
+    const auto found = m_index.find(request);
+    if (found == m_index.end())
+        return false;
+    Member &member = m_members[found->second];
+    for (auto &[priority, lane] : member.m_lanes) {
+        const auto at = std::find_if(
+                lane.m_requests.begin(), lane.m_requests.end(),
+                [&request](const WaitingRequest &waiting) { return waiting.m_id == request; });
+        if (at == lane.m_requests.end())
+            continue;
+        const WaitingRequest taken = std::move(*at);
+        lane.m_requests.erase(at);
+        forget(member, lane, taken);
+        if (lane.m_requests.empty())
+            member.m_lanes.erase(priority);
+        return true;
+    }
+    return false;
+}
+
+void FairQueue::charge(const MemberId &member, std::uint64_t tokens)
+{
+    m_counters.charge(member, tokens);
+}
+
+void FairQueue::correct(const MemberId &member, std::uint64_t charged, std::uint64_t actual)
+{
+    m_counters.correct(member, charged, actual);
+}
+
+void FairQueue::mergePeer(const NodeId &peer, std::uint64_t incarnation, const TokenCounts &counts)
+{
+    m_counters.mergePeer(peer, incarnation, counts);
+}
+
+std::size_t FairQueue::waiting(const MemberId &member) const
+{
+    const auto found = m_members.find(member);
+    return found == m_members.end() ? 0 : found->second.m_waiting;
+}
+
+double FairQueue::shareFactor(const MemberId &member) const
+{
+    const double own = m_counters.weight(member);
+    double all = own;
+    for (const auto &[id, entry] : m_members) {
+        if (entry.m_waiting > 0 && id != member)
+            all += m_counters.weight(id);
+    }
+    return all / own;
+}
+
+double FairQueue::tokensAhead(const MemberId &member, int priority) const
+{
+    const auto found = m_members.find(member);
+    if (found == m_members.end())
+        return 0.0;
+    std::uint64_t own = 0;
+    for (const auto &[lanePriority, lane] : found->second.m_lanes) {
+        if (lanePriority <= priority)
+            own += lane.m_tokens;
+    }
+    const double scaled = static_cast<double>(own) * shareFactor(member);
+    return std::min(scaled, static_cast<double>(m_waitingTokens));
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/policy/token_counters.cpp
@@ -0,0 +1,83 @@
+#include <gypsumdale/policy/token_counters.hpp>
+
+#include <algorithm> // max, min
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr double SMALLEST_WEIGHT = 0.001;
+
+} // namespace
+
+void TokenCounters::setWeight(const MemberId &member, double weight)
+{
+    m_members[member].m_weight = std::max(weight, SMALLEST_WEIGHT);
+}
+
+double TokenCounters::weight(const MemberId &member) const
+{
+    const auto found = m_members.find(member);
+    return found == m_members.end() ? 1.0 : found->second.m_weight;
+}
+
+void TokenCounters::charge(const MemberId &member, std::uint64_t tokens)
+{
+    Member &entry = m_members[member];
+    const std::uint64_t setOff = std::min(tokens, entry.m_overcharged);
+    entry.m_overcharged -= setOff;
+    m_own[member] += tokens - setOff;
+    add(member, tokens - setOff);
+}
+
+void TokenCounters::correct(const MemberId &member, std::uint64_t charged, std::uint64_t actual)
+{
+    if (actual >= charged) {
+        charge(member, actual - charged);
+        return;
+    }
+    m_members[member].m_overcharged += charged - actual;
+}
+
+void TokenCounters::mergePeer(const NodeId &peer, std::uint64_t incarnation,
+                              const TokenCounts &counts)
+{
+    const auto [found, isNew] = m_peers.try_emplace(peer);
+    Peer &known = found->second;
+    if (isNew) {
+        known = Peer{incarnation, counts};
+        return;
+    }
+    if (incarnation < known.m_incarnation)
+        return;
+    if (incarnation > known.m_incarnation)
+        known = Peer{incarnation, {}};
+    for (const auto &[member, total] : counts) {
+        std::uint64_t &seen = known.m_counts[member];
+        if (total <= seen)
+            continue;
+        add(member, total - seen);
+        seen = total;
+    }
+}
+
+void TokenCounters::lift(const MemberId &member, double service)
+{
+    Member &entry = m_members[member];
+    entry.m_service = std::max(entry.m_service, service);
+}
+
+double TokenCounters::service(const MemberId &member) const
+{
+    const auto found = m_members.find(member);
+    return found == m_members.end() ? 0.0 : found->second.m_service;
+}
+
+void TokenCounters::add(const MemberId &member, std::uint64_t tokens)
+{
+    Member &entry = m_members[member];
+    entry.m_service += static_cast<double>(tokens) / entry.m_weight;
+    m_highest = std::max(m_highest, entry.m_service);
+}
+
+} // namespace gypsumdale
