--- /dev/null
+++ b/include/gypsumdale/core/log_level.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <gypsumdale/core/names.hpp>
+
+namespace gypsumdale {
+
+/// How much a log line matters. Settings name the least level that is written.
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+inline constexpr NameTable<LogLevel, 4> logLevelNames = {{
+        {LogLevel::Debug, "debug"},
+        {LogLevel::Info, "info"},
+        {LogLevel::Warning, "warning"},
+        {LogLevel::Error, "error"},
+}};
+
+} // namespace gypsumdale
--- a/include/gypsumdale/observe/log.hpp
+++ b/include/gypsumdale/observe/log.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/error.hpp>
+#include <gypsumdale/core/log_level.hpp>
 #include <gypsumdale/observe/log_field.hpp>
 
 #include <cstddef> // size_t
@@ -9,20 +10,11 @@
 #include <functional> // function
 #include <initializer_list> // initializer_list
 #include <memory> // unique_ptr
-#include <optional> // optional
 #include <string> // string
 #include <string_view> // string_view
 
 namespace gypsumdale {
 
-enum class LogLevel { Debug, Info, Warning, Error };
-
-/// Returns the name of a level as settings and lines carry it: debug, info, warning, error.
-std::string_view logLevelName(LogLevel level);
-
-/// Returns the level of that name, or nothing.
-std::optional<LogLevel> logLevelFrom(std::string_view name);
-
 /// The name of a kind of event, such as "upstream-left". Made from a literal at compile time only,
 /// so that the names are few, carry nothing of a caller's and can be counted one by one.
 class LogEvent
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -49,7 +49,8 @@
     Signal,
     Place,
     Suppressed,
-    Event,
+    SuppressedEvent,
+    Truncated,
 };
 
 /// Returns the key that stands in the line, such as "data_centre". Linear in the keys.
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -72,10 +72,13 @@
     OperatorCallsRefused,
     LogLinesSuppressed,
     LogLinesLost,
+    ControlProcessorMillis,
+    TrafficProcessorMillis,
 };
-constexpr std::size_t counterCount = 35;
+constexpr std::size_t counterCount = 37;
 
-/// What is measured of the process at the moment.
+/// What is measured of the process at the moment. A gauge that was never set is not shown, so that
+/// no reader takes a missing measurement for a zero.
 enum class Gauge {
     Ready,
     Draining,
@@ -95,11 +98,9 @@
     ClaimShards,
     VmsLive,
     CostPerHourMicros,
-    ControlProcessorMillis,
-    TrafficProcessorMillis,
     ResidentBytes,
 };
-constexpr std::size_t gaugeCount = 21;
+constexpr std::size_t gaugeCount = 19;
 
 /// Return the names that the exposition carries, such as "gypsumdale_retries_total". Linear in
 /// the names of that kind.
--- a/include/gypsumdale/observe/metrics.hpp
+++ b/include/gypsumdale/observe/metrics.hpp
@@ -64,7 +64,7 @@
     /// Sets what is measured at the moment. Constant, no lock, any thread.
     void set(Gauge gauge, std::int64_t value);
 
-    /// Counts an answer that ended in this error. Linear in the errors, no lock, any thread.
+    /// Counts an answer that ended in this error. Constant, no lock, any thread.
     void countError(ErrorId id);
 
     /// Returns the series of a member and class, which lives as long as this object. Takes a lock;
--- a/include/gypsumdale/settings/node_settings.hpp
+++ b/include/gypsumdale/settings/node_settings.hpp
@@ -2,7 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
-#include <gypsumdale/core/names.hpp>
+#include <gypsumdale/core/log_level.hpp>
 #include <gypsumdale/settings/checker.hpp>
 
 #include <chrono> // milliseconds, seconds
@@ -14,20 +14,6 @@
 
 namespace gypsumdale {
 
-enum class LogLevel {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
-inline constexpr NameTable<LogLevel, 4> logLevelNames = {{
-        {LogLevel::Debug, "debug"},
-        {LogLevel::Info, "info"},
-        {LogLevel::Warning, "warning"},
-        {LogLevel::Error, "error"},
-}};
-
 /// An IP number and a port, written "127.0.0.1:8080" or "[::1]:8080".
 struct Address
 {
--- /dev/null
+++ b/src/observe/detail/exposition.cpp
@@ -0,0 +1,71 @@
+#include <observe/detail/exposition.hpp>
+
+#include <fmt/format.h>
+
+#include <chrono> // duration
+#include <iterator> // back_inserter
+
+namespace gypsumdale::detail {
+
+namespace {
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string braced(std::string_view labels)
+{
+    return labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
+}
+
+} // namespace
+
+std::string escapeLabel(std::string_view value)
+{
+    std::string result;
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            result += '\\';
+        if (letter == '\n')
+            result += "\\n";
+        else
+            result += letter >= ' ' && letter <= '~' ? letter : '_';
+    }
+    return result;
+}
+
+void Exposition::begin(std::string_view name, std::string_view type, std::string_view help)
+{
+    fmt::format_to(std::back_inserter(m_text), "# HELP {0} {1}\n# TYPE {0} {2}\n", name, help,
+                   type);
+}
+
+void Exposition::sample(std::string_view name, std::string_view labels, std::uint64_t value)
+{
+    fmt::format_to(std::back_inserter(m_text), "{}{} {}\n", name, braced(labels), value);
+}
+
+void Exposition::sample(std::string_view name, std::string_view labels, std::int64_t value)
+{
+    fmt::format_to(std::back_inserter(m_text), "{}{} {}\n", name, braced(labels), value);
+}
+
+void Exposition::histogram(std::string_view name, std::string_view labels,
+                           const LatencySnapshot &counts)
+{
+    const auto out = std::back_inserter(m_text);
+    const std::string_view comma = labels.empty() ? "" : ",";
+    std::uint64_t cumulated = 0;
+    for (std::size_t bucket = 0; bucket < counts.m_upper.size(); ++bucket) {
+        cumulated += counts.m_counts[bucket];
+        fmt::format_to(out, "{}_bucket{{{}{}le=\"{}\"}} {}\n", name, labels, comma,
+                       toSeconds(counts.m_upper[bucket]), cumulated);
+    }
+    const std::uint64_t count = counts.count();
+    fmt::format_to(out, "{}_bucket{{{}{}le=\"+Inf\"}} {}\n", name, labels, comma, count);
+    fmt::format_to(out, "{}_sum{} {}\n", name, braced(labels), toSeconds(counts.m_sum));
+    sample(fmt::format("{}_count", name), labels, count);
+}
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/observe/detail/log_limiter.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/observe/log.hpp>
+
+#include <cstdint> // uint64_t
+#include <map> // map
+#include <string_view> // string_view
+#include <utility> // pair
+#include <vector> // vector
+
+namespace gypsumdale::detail {
+
+/// Holds the lines of each event to a rate (a token bucket for each event name). Its size is
+/// bounded by the number of event names, which are literals.
+class LogLimiter
+{
+public:
+    explicit LogLimiter(LogRate rate)
+        : m_rate(rate)
+    {}
+
+    /// Tells whether a line of the event may be written now, and counts it as suppressed if not.
+    /// Logarithmic in the events.
+    bool admit(std::string_view event, TimePoint now);
+
+    /// Returns the number of lines suppressed since the last call, and starts again from zero.
+    std::uint64_t takeSuppressed(std::string_view event);
+
+    /// Returns the same for all events that have any.
+    std::vector<std::pair<std::string_view, std::uint64_t>> takeAllSuppressed();
+
+    /// Returns the number of lines ever suppressed.
+    std::uint64_t totalSuppressed() const { return m_total; }
+
+private:
+    struct Bucket
+    {
+        double m_tokens = 0;
+        TimePoint m_filledAt;
+        std::uint64_t m_suppressed = 0;
+    };
+
+    void refill(Bucket &bucket, TimePoint now) const;
+
+    LogRate m_rate;
+    std::map<std::string_view, Bucket> m_buckets;
+    std::uint64_t m_total = 0;
+};
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/observe/detail/log_line.cpp
@@ -0,0 +1,94 @@
+#include <gypsumdale/core/names.hpp>
+#include <gypsumdale/core/result.hpp>
+
+#include <observe/detail/log_line.hpp>
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm> // all_of
+#include <ctime> // time_t
+
+namespace gypsumdale::detail {
+
+namespace {
+
+constexpr std::string_view truncatedMark = " truncated=true";
+constexpr std::string_view cutMark = "...";
+constexpr WallMillis millisPerSecond = 1000;
+
+std::string writeTime(WallMillis at)
+{
+    const auto seconds = static_cast<std::time_t>(at / millisPerSecond);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), at % millisPerSecond);
+}
+
+bool isBareLetter(char letter)
+{
+    return letter > ' ' && letter <= '~' && letter != '"' && letter != '=' && letter != '\\';
+}
+
+std::string writeText(std::string_view text)
+{
+    // Cut before redaction: a credential is known by what stands before it, so that its first part
+    // is still found when the cut takes away the rest.
+    std::string result = redactSecrets(text.substr(0, maxLogTextBytes));
+    if (text.size() > maxLogTextBytes)
+        result += cutMark;
+    return quoteLogText(result);
+}
+
+} // namespace
+
+std::string quoteLogText(std::string_view text)
+{
+    if (!text.empty() && std::all_of(text.begin(), text.end(), isBareLetter))
+        return std::string(text);
+    constexpr bool escapeNonAscii = true;
+    return nlohmann::json(text).dump(-1, ' ', escapeNonAscii,
+                                     nlohmann::json::error_handler_t::replace);
+}
+
+std::string writeLogItem(const LogItem &item)
+{
+    const std::string value =
+            std::visit(Overloaded{[](std::string_view text) { return writeText(text); },
+                                  [](std::int64_t number) { return fmt::format("{}", number); },
+                                  [](double number) { return fmt::format("{:.6g}", number); },
+                                  [](bool flag) {
+                                      return std::string(flag ? "true" : "false");
+                                  }},
+                       item.m_value);
+    return fmt::format(" {}={}", logFieldName(item.m_field), value);
+}
+
+LogLine::LogLine(WallMillis at, LogLevel level, std::string_view event)
+    : m_text(fmt::format("time={} level={} event={}", writeTime(at), nameIn(logLevelNames, level),
+                         event))
+{}
+
+void LogLine::add(const LogItem &item)
+{
+    addRaw(writeLogItem(item));
+}
+
+void LogLine::addRaw(std::string_view pairs)
+{
+    const std::size_t reserved = truncatedMark.size() + 1;
+    if (m_text.size() + pairs.size() + reserved > maxLogLineBytes) {
+        m_truncated = true;
+        return;
+    }
+    m_text += pairs;
+}
+
+std::string LogLine::finish()
+{
+    if (m_truncated)
+        m_text += truncatedMark;
+    m_text += '\n';
+    return std::move(m_text);
+}
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/observe/detail/metric_texts.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <gypsumdale/observe/metric_names.hpp>
+
+#include <string_view> // string_view
+
+namespace gypsumdale::detail {
+
+/// Return the sentence that the exposition's HELP line carries.
+std::string_view latencyHelp(Latency latency);
+std::string_view requestCounterHelp(RequestCounter counter);
+std::string_view counterHelp(Counter counter);
+std::string_view gaugeHelp(Gauge gauge);
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,158 @@
+#include <gypsumdale/observe/log.hpp>
+
+#include <observe/detail/log_limiter.hpp>
+#include <observe/detail/log_line.hpp>
+
+#include <mutex> // lock_guard, mutex
+#include <utility> // move
+
+namespace gypsumdale {
+
+struct Logger::State
+{
+    State(const Clock &clock, LogLevel level, LogRate rate, LogSink sink)
+        : m_clock(clock)
+        , m_level(level)
+        , m_sink(std::move(sink))
+        , m_limiter(rate)
+    {}
+
+    /// Begins a line with what all lines of the process share.
+    detail::LogLine begin(LogLevel level, std::string_view event) const
+    {
+        detail::LogLine line(m_clock.wallNow(), level, event);
+        line.addRaw(m_origin);
+        return line;
+    }
+
+    void hand(detail::LogLine line)
+    {
+        if (!m_sink(line.finish()))
+            ++m_lost;
+    }
+
+    const Clock &m_clock;
+    LogLevel m_level;
+    LogSink m_sink;
+    std::string m_origin;
+    mutable std::mutex m_mutex;
+    detail::LogLimiter m_limiter;
+    std::uint64_t m_lost = 0;
+};
+
+Logger::Logger(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{}
+
+Logger::~Logger() = default;
+
+void Logger::write(LogLevel level, LogEvent event, std::initializer_list<LogItem> fields)
+{
+    if (!isEnabled(level))
+        return;
+    const std::lock_guard lock(m_state->m_mutex);
+    if (!m_state->m_limiter.admit(event.name(), m_state->m_clock.now()))
+        return;
+    detail::LogLine line = m_state->begin(level, event.name());
+    for (const LogItem &field : fields)
+        line.add(field);
+    const std::uint64_t suppressed = m_state->m_limiter.takeSuppressed(event.name());
+    if (suppressed > 0)
+        line.add({LogField::Suppressed, suppressed});
+    m_state->hand(std::move(line));
+}
+
+void Logger::debug(LogEvent event, std::initializer_list<LogItem> fields)
+{
+    write(LogLevel::Debug, event, fields);
+}
+
+void Logger::info(LogEvent event, std::initializer_list<LogItem> fields)
+{
+    write(LogLevel::Info, event, fields);
+}
+
+void Logger::warning(LogEvent event, std::initializer_list<LogItem> fields)
+{
+    write(LogLevel::Warning, event, fields);
+}
+
+void Logger::error(LogEvent event, std::initializer_list<LogItem> fields)
+{
+    write(LogLevel::Error, event, fields);
+}
+
+void Logger::reportSuppressed()
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    for (const auto &[event, count] : m_state->m_limiter.takeAllSuppressed()) {
+        detail::LogLine line = m_state->begin(LogLevel::Warning, "log-suppressed");
+        line.add({LogField::SuppressedEvent, event});
+        line.add({LogField::Suppressed, count});
+        m_state->hand(std::move(line));
+    }
+}
+
+bool Logger::isEnabled(LogLevel level) const
+{
+    return level >= m_state->m_level;
+}
+
+std::uint64_t Logger::suppressedLines() const
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    return m_state->m_limiter.totalSuppressed();
+}
+
+std::uint64_t Logger::lostLines() const
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    return m_state->m_lost;
+}
+
+LoggerBuilder::LoggerBuilder(const Clock &clock)
+    : m_clock(clock)
+    , m_sink(standardErrorSink())
+{}
+
+LoggerBuilder &LoggerBuilder::level(LogLevel least)
+{
+    m_level = least;
+    return *this;
+}
+
+LoggerBuilder &LoggerBuilder::node(NodeId node)
+{
+    m_node = std::move(node);
+    return *this;
+}
+
+LoggerBuilder &LoggerBuilder::dataCentre(DataCentreId dataCentre)
+{
+    m_dataCentre = std::move(dataCentre);
+    return *this;
+}
+
+LoggerBuilder &LoggerBuilder::rate(LogRate rate)
+{
+    m_rate = rate;
+    return *this;
+}
+
+LoggerBuilder &LoggerBuilder::sink(LogSink sink)
+{
+    m_sink = std::move(sink);
+    return *this;
+}
+
+std::unique_ptr<Logger> LoggerBuilder::build() const
+{
+    auto state = std::make_unique<Logger::State>(m_clock, m_level, m_rate, m_sink);
+    if (!m_node.isEmpty())
+        state->m_origin += detail::writeLogItem(m_node);
+    if (!m_dataCentre.isEmpty())
+        state->m_origin += detail::writeLogItem(m_dataCentre);
+    return std::unique_ptr<Logger>(new Logger(std::move(state)));
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/observe/log_field.cpp
@@ -0,0 +1,57 @@
+#include <gypsumdale/core/names.hpp>
+#include <gypsumdale/observe/log_field.hpp>
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr NameTable<LogField, 39> logFieldNames = {{
+        {LogField::Node, "node"},
+        {LogField::DataCentre, "data_centre"},
+        {LogField::Region, "region"},
+        {LogField::Peer, "peer"},
+        {LogField::Vm, "vm"},
+        {LogField::Upstream, "upstream"},
+        {LogField::Service, "service"},
+        {LogField::Member, "member"},
+        {LogField::Profile, "profile"},
+        {LogField::Request, "request"},
+        {LogField::Attempt, "attempt"},
+        {LogField::Job, "job"},
+        {LogField::Epoch, "epoch"},
+        {LogField::Offset, "offset"},
+        {LogField::Tokens, "tokens"},
+        {LogField::Shard, "shard"},
+        {LogField::Incarnation, "incarnation"},
+        {LogField::Kind, "kind"},
+        {LogField::Name, "name"},
+        {LogField::Version, "version"},
+        {LogField::ErrorNumber, "error"},
+        {LogField::ErrorName, "error_name"},
+        {LogField::Text, "text"},
+        {LogField::Reason, "reason"},
+        {LogField::State, "state"},
+        {LogField::Plugin, "plugin"},
+        {LogField::Address, "address"},
+        {LogField::Port, "port"},
+        {LogField::Method, "method"},
+        {LogField::Status, "status"},
+        {LogField::Count, "count"},
+        {LogField::Bytes, "bytes"},
+        {LogField::Millis, "millis"},
+        {LogField::DeadlineMillis, "deadline_millis"},
+        {LogField::Signal, "signal"},
+        {LogField::Place, "place"},
+        {LogField::Suppressed, "suppressed"},
+        {LogField::SuppressedEvent, "suppressed_event"},
+        {LogField::Truncated, "truncated"},
+}};
+
+} // namespace
+
+std::string_view logFieldName(LogField field)
+{
+    return nameIn(logFieldNames, field);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/observe/metric_names.cpp
@@ -0,0 +1,217 @@
+#include <gypsumdale/observe/metric_names.hpp>
+
+#include <observe/detail/metric_texts.hpp>
+
+#include <array> // array
+
+namespace gypsumdale {
+
+namespace {
+
+/// The name and the HELP text of one metric.
+template <typename Enum>
+struct MetricText
+{
+    Enum m_metric;
+    std::string_view m_name;
+    std::string_view m_help;
+};
+
+template <typename Enum, std::size_t Size>
+using MetricTexts = std::array<MetricText<Enum>, Size>;
+
+template <typename Enum, std::size_t Size>
+const MetricText<Enum> &textOf(const MetricTexts<Enum, Size> &texts, Enum metric)
+{
+    return texts[static_cast<std::size_t>(metric)];
+}
+
+/// Tells whether each text stands at the place of its metric, which textOf() relies on.
+template <typename Enum, std::size_t Size>
+constexpr bool isInOrder(const MetricTexts<Enum, Size> &texts)
+{
+    for (std::size_t place = 0; place < Size; ++place) {
+        if (texts[place].m_metric != static_cast<Enum>(place))
+            return false;
+    }
+    return true;
+}
+
+constexpr MetricTexts<Latency, latencyCount> latencyTexts = {{
+        {Latency::FirstToken, "gypsumdale_time_to_first_token_seconds",
+         "Time from the arrival of a request to its first token."},
+        {Latency::BetweenTokens, "gypsumdale_time_between_tokens_seconds",
+         "Time between two tokens of an answer."},
+        {Latency::Queueing, "gypsumdale_queueing_seconds",
+         "Time from admission to the choice of an upstream."},
+        {Latency::Total, "gypsumdale_request_seconds",
+         "Time from the arrival of a request to the end of its answer."},
+}};
+static_assert(isInOrder(latencyTexts));
+
+constexpr MetricTexts<RequestCounter, requestCounterCount> requestCounterTexts = {{
+        {RequestCounter::Received, "gypsumdale_requests_received_total", "Requests received."},
+        {RequestCounter::Done, "gypsumdale_requests_done_total", "Requests answered whole."},
+        {RequestCounter::Refused, "gypsumdale_requests_refused_total",
+         "Requests refused at admission."},
+        {RequestCounter::Failed, "gypsumdale_requests_failed_total",
+         "Requests that ended in an error after admission."},
+        {RequestCounter::NotRun, "gypsumdale_requests_not_run_total",
+         "Requests answered as not run."},
+        {RequestCounter::OutcomeUnknown, "gypsumdale_requests_outcome_unknown_total",
+         "Requests whose outcome could not be learned."},
+        {RequestCounter::Cancelled, "gypsumdale_requests_cancelled_total",
+         "Requests whose caller went away."},
+        {RequestCounter::WithinTarget, "gypsumdale_requests_within_target_total",
+         "Requests answered within the response time of their profile."},
+        {RequestCounter::BeyondTarget, "gypsumdale_requests_beyond_target_total",
+         "Requests answered later than the response time of their profile."},
+        {RequestCounter::PromptTokens, "gypsumdale_prompt_tokens_total",
+         "Tokens of prompts processed."},
+        {RequestCounter::GeneratedTokens, "gypsumdale_generated_tokens_total",
+         "Tokens generated for callers."},
+        {RequestCounter::RecomputedTokens, "gypsumdale_recomputed_tokens_total",
+         "Tokens computed again because progress was lost."},
+}};
+static_assert(isInOrder(requestCounterTexts));
+
+constexpr MetricTexts<Counter, counterCount> counterTexts = {{
+        {Counter::Retries, "gypsumdale_retries_total", "Attempts after the first."},
+        {Counter::RetriesDenied, "gypsumdale_retries_denied_total",
+         "Retries that the retry budget denied."},
+        {Counter::StrayEvents, "gypsumdale_stray_events_total",
+         "Events of an answer dropped because they were late or belonged to another attempt."},
+        {Counter::TruncatedAnswers, "gypsumdale_truncated_answers_total",
+         "Answers of upstreams that ended before their end marker."},
+        {Counter::ClaimsWritten, "gypsumdale_claims_written_total",
+         "Claims of idempotency keys written to the platform."},
+        {Counter::ClaimConflicts, "gypsumdale_claim_conflicts_total",
+         "Claims that met a record of another node."},
+        {Counter::JobsAccepted, "gypsumdale_jobs_accepted_total", "Durable jobs accepted."},
+        {Counter::JobsFinished, "gypsumdale_jobs_finished_total", "Durable jobs finished."},
+        {Counter::JobTakeovers, "gypsumdale_job_takeovers_total",
+         "Durable jobs taken over from another node."},
+        {Counter::Checkpoints, "gypsumdale_checkpoints_total",
+         "Checkpoints of durable jobs written."},
+        {Counter::CheckpointBytes, "gypsumdale_checkpoint_bytes_total",
+         "Bytes of checkpoints written."},
+        {Counter::PlatformCalls, "gypsumdale_platform_calls_total", "Calls to the platform."},
+        {Counter::PlatformFailures, "gypsumdale_platform_failures_total",
+         "Calls to the platform without an answer or with a server error."},
+        {Counter::PlatformConflicts, "gypsumdale_platform_conflicts_total",
+         "Conditional writes that the platform refused."},
+        {Counter::PlatformLimited, "gypsumdale_platform_limited_total",
+         "Calls that the platform refused because its rate was spent."},
+        {Counter::PeerFramesSent, "gypsumdale_peer_frames_sent_total", "Frames sent to peers."},
+        {Counter::PeerFramesReceived, "gypsumdale_peer_frames_received_total",
+         "Frames received from peers."},
+        {Counter::PeerBytesSent, "gypsumdale_peer_bytes_sent_total", "Bytes sent to peers."},
+        {Counter::PeerBytesReceived, "gypsumdale_peer_bytes_received_total",
+         "Bytes received from peers."},
+        {Counter::PeerFramesRefused, "gypsumdale_peer_frames_refused_total",
+         "Frames of peers that were malformed or not allowed."},
+        {Counter::ReclaimNotices, "gypsumdale_reclaim_notices_total", "Reclaim notices received."},
+        {Counter::UpstreamsJoined, "gypsumdale_upstreams_joined_total", "Upstreams that joined."},
+        {Counter::UpstreamsLeft, "gypsumdale_upstreams_left_total", "Upstreams that left."},
+        {Counter::UpstreamsSuspected, "gypsumdale_upstreams_suspected_total",
+         "Times an upstream became suspect."},
+        {Counter::OrdersSent, "gypsumdale_orders_sent_total", "Orders sent to engines."},
+        {Counter::OrdersRefused, "gypsumdale_orders_refused_total", "Orders that engines refused."},
+        {Counter::VmsRented, "gypsumdale_vms_rented_total", "VMs rented."},
+        {Counter::VmsRefused, "gypsumdale_vms_refused_total", "VMs that the cloud refused."},
+        {Counter::VmsReleased, "gypsumdale_vms_released_total", "VMs given back."},
+        {Counter::SettingsAdopted, "gypsumdale_settings_adopted_total",
+         "Versions of settings put in force."},
+        {Counter::SettingsRefused, "gypsumdale_settings_refused_total",
+         "Versions of settings refused because of findings."},
+        {Counter::OperatorCalls, "gypsumdale_operator_calls_total",
+         "Calls to the admin interface."},
+        {Counter::OperatorCallsRefused, "gypsumdale_operator_calls_refused_total",
+         "Calls to the admin interface with a wrong credential."},
+        {Counter::LogLinesSuppressed, "gypsumdale_log_lines_suppressed_total",
+         "Log lines held back by the rate of their event."},
+        {Counter::LogLinesLost, "gypsumdale_log_lines_lost_total",
+         "Log lines that standard error did not take."},
+        {Counter::ControlProcessorMillis, "gypsumdale_control_processor_milliseconds_total",
+         "Processor time of the control thread."},
+        {Counter::TrafficProcessorMillis, "gypsumdale_traffic_processor_milliseconds_total",
+         "Processor time of the traffic threads."},
+}};
+static_assert(isInOrder(counterTexts));
+
+constexpr MetricTexts<Gauge, gaugeCount> gaugeTexts = {{
+        {Gauge::Ready, "gypsumdale_ready", "1 while the node takes requests."},
+        {Gauge::Draining, "gypsumdale_draining",
+         "1 while the node finishes its requests before it stops."},
+        {Gauge::PlatformUp, "gypsumdale_platform_up", "1 while the platform answers."},
+        {Gauge::ConfigVersion, "gypsumdale_config_version",
+         "Highest version of settings in force."},
+        {Gauge::RequestsInFlight, "gypsumdale_requests_in_flight",
+         "Requests whose answer is not finished."},
+        {Gauge::RequestsWaiting, "gypsumdale_requests_waiting",
+         "Requests that wait for an upstream."},
+        {Gauge::CallerConnections, "gypsumdale_caller_connections", "Open connections of callers."},
+        {Gauge::PeersLive, "gypsumdale_peers_live", "Peers whose heartbeats arrive."},
+        {Gauge::PeersSuspected, "gypsumdale_peers_suspected",
+         "Peers whose heartbeats are missing."},
+        {Gauge::UpstreamsLive, "gypsumdale_upstreams_live", "Upstreams that take requests."},
+        {Gauge::UpstreamsSuspected, "gypsumdale_upstreams_suspected",
+         "Upstreams that missed probes."},
+        {Gauge::UpstreamsLeaving, "gypsumdale_upstreams_leaving",
+         "Upstreams that finish their requests before they stop."},
+        {Gauge::UpstreamSlots, "gypsumdale_upstream_slots", "Slots of the upstreams known."},
+        {Gauge::UpstreamSlotsUsed, "gypsumdale_upstream_slots_used",
+         "Slots in use by requests of this node."},
+        {Gauge::JobsOwned, "gypsumdale_jobs_owned", "Durable jobs that this node runs."},
+        {Gauge::ClaimShards, "gypsumdale_claim_shards",
+         "Shards of idempotency keys that this node prefers to write."},
+        {Gauge::VmsLive, "gypsumdale_vms_live", "VMs of the fleet that run."},
+        {Gauge::CostPerHourMicros, "gypsumdale_cost_per_hour_micros",
+         "Price of the VMs that run, in millionths of the currency per hour."},
+        {Gauge::ResidentBytes, "gypsumdale_resident_bytes", "Memory of the process."},
+}};
+static_assert(isInOrder(gaugeTexts));
+
+} // namespace
+
+std::string_view latencyName(Latency latency)
+{
+    return textOf(latencyTexts, latency).m_name;
+}
+
+std::string_view detail::latencyHelp(Latency latency)
+{
+    return textOf(latencyTexts, latency).m_help;
+}
+
+std::string_view requestCounterName(RequestCounter counter)
+{
+    return textOf(requestCounterTexts, counter).m_name;
+}
+
+std::string_view detail::requestCounterHelp(RequestCounter counter)
+{
+    return textOf(requestCounterTexts, counter).m_help;
+}
+
+std::string_view counterName(Counter counter)
+{
+    return textOf(counterTexts, counter).m_name;
+}
+
+std::string_view detail::counterHelp(Counter counter)
+{
+    return textOf(counterTexts, counter).m_help;
+}
+
+std::string_view gaugeName(Gauge gauge)
+{
+    return textOf(gaugeTexts, gauge).m_name;
+}
+
+std::string_view detail::gaugeHelp(Gauge gauge)
+{
+    return textOf(gaugeTexts, gauge).m_help;
+}
+
+} // namespace gypsumdale
