Check settings documents by tables of their keys

Each key is declared once; reading, nearest-name hints and the reference page come from the declaration.

--- a/include/gypsumdale/settings/account_table.hpp
+++ b/include/gypsumdale/settings/account_table.hpp
@@ -35,7 +35,8 @@
     void remove(const MemberId &member);
 
     /// Returns the member that holds the key. Fails with CredentialRefused and one and the same
-    /// text, whether the key is unknown, or its member disabled. Linear in all keys.
+    /// text, whether the key is unknown, its member is disabled or two members hold it. Linear in
+    /// all keys.
     Result<MemberId> authenticate(std::string_view key) const;
 
 private:
--- a/include/gypsumdale/settings/checker.hpp
+++ b/include/gypsumdale/settings/checker.hpp
@@ -33,6 +33,9 @@
 
 using KeyReferences = std::vector<KeyReference>;
 
+/// Writes keys as the table that docs/CONFIGURATION.md carries. Linear.
+std::string toMarkdown(const KeyReferences &keys);
+
 /// Tells whether a text can name an object or an upstream: 1 to 63 lower-case letters, digits, '-'
 /// and '.', with a letter or digit at both ends. Linear.
 bool isValidName(std::string_view text);
