--- /dev/null
+++ b/standins/lifetime.cpp
@@ -0,0 +1,37 @@
+#include "standins/lifetime.hpp"
+
+#include <algorithm> // min
+
+namespace gypsumdale::standins {
+
+namespace {
+
+constexpr Duration step = std::chrono::milliseconds(50);
+constexpr Duration longestHang = std::chrono::minutes(10);
+
+} // namespace
+
+bool Lifetime::wait(Duration duration, const HttpResponder &responder) const
+{
+    while (duration > Duration::zero()) {
+        if (!isAlive() || responder.callerGone())
+            return false;
+        const Duration part = std::min(duration, step);
+        sleepFiber(part);
+        duration -= part;
+    }
+    return isAlive() && !responder.callerGone();
+}
+
+void Lifetime::waitUntilGone(const HttpResponder &responder) const
+{
+    Duration left = longestHang;
+    while (left > Duration::zero()) {
+        if (state() == LifeState::Stopped || responder.callerGone())
+            return;
+        sleepFiber(step);
+        left -= step;
+    }
+}
+
+} // namespace gypsumdale::standins
