Add routing policies and the admission controller

Cause: the daemon needs one place that decides which request goes where. Ruled out: counting every peer's slots anew on each heartbeat, which costs nodes times upstreams; only what changed is counted. Constants in the case that the linter asks for.

--- a/include/gypsumdale/policy/admission.hpp
+++ b/include/gypsumdale/policy/admission.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/error.hpp>
 #include <gypsumdale/policy/fair_queue.hpp>
+#include <gypsumdale/policy/first_token_times.hpp>
 #include <gypsumdale/policy/outlier.hpp>
 #include <gypsumdale/policy/routing.hpp>
 #include <gypsumdale/policy/service_rate.hpp>
@@ -170,7 +171,9 @@
     struct Upstream
     {
         UpstreamState m_state;
+        bool m_isRemoved = false;
         std::uint32_t m_own = 0;
+        /// What the live peers count for, see peerCharge().
         std::uint32_t m_peers = 0;
         RecentDispatches m_recent;
         double m_firstTokenSeconds = 0.0;
@@ -181,35 +184,50 @@
     struct Running
     {
         MemberId m_member;
+        ProfileId m_profile;
         UpstreamId m_upstream;
         std::uint64_t m_incarnation = 0;
         TimePoint m_dispatchedAt{};
         std::optional<TimePoint> m_lastTokenAt;
-        std::uint64_t m_promptTokens = 0;
-        std::uint64_t m_generated = 0;
+        /// Tokens charged so far for prompt and answer.
+        std::uint64_t m_charged = 0;
     };
     struct Peer
     {
         std::uint64_t m_incarnation = 0;
         std::map<UpstreamId, std::uint32_t> m_inFlight;
         TimePoint m_heardAt{};
+        bool m_isStale = true;
     };
 
     explicit AdmissionController(const Builder &builder);
 
     bool mayRun(const MemberId &member) const;
-    bool hasSlot(Upstream &upstream, TimePoint now);
-    bool hasReportedRoom(const Upstream &upstream, std::uint32_t recent, TimePoint now) const;
-    std::uint32_t rank() const;
-    std::uint32_t chargedPeers(const UpstreamState &state, TimePoint now) const;
+    bool isUsable(const Upstream &upstream, TimePoint now) const;
+    bool hasUsableUpstream() const;
+    bool hasSlot(const Upstream &upstream, TimePoint now) const;
+    bool hasLocalSlot(const Upstream &upstream, TimePoint now) const;
+    bool hasForeignSlot(const Upstream &upstream, TimePoint now) const;
+    std::uint32_t rankOf(std::size_t node, const UpstreamId &upstream) const;
+    std::uint32_t chargeOf(std::size_t node, const Upstream &upstream) const;
+    void recountPeers(Upstream &upstream) const;
+    void recountAll();
+    void addCharges(std::size_t node, const std::map<UpstreamId, std::uint32_t> &touched, int sign);
+    void refreshStalePeers(TimePoint now);
     Candidate candidate(const Upstream &upstream, TimePoint now) const;
-    std::vector<Candidate> freeCandidates(TimePoint now);
-    RoutingRequest routingRequest(const WaitingRequest &request, TimePoint now) const;
-    std::optional<Refuse> refusal(const WaitingRequest &request, TimePoint now) const;
+    std::vector<Candidate> freeCandidates(TimePoint now) const;
+    std::optional<Refuse> refuseAtOnce(const WaitingRequest &request);
+    bool makeRoom(const MemberId &member, AdmissionCommands &commands);
+    void dispatchWaiting(TimePoint now, AdmissionCommands &commands);
+    AdmissionCommand route(WaitingRequest request, std::vector<Candidate> &free, TimePoint now);
     Dispatch dispatch(WaitingRequest request, const UpstreamId &upstream, TimePoint now);
+    void expire(TimePoint now, double tokensPerSecond, AdmissionCommands &commands);
+    Refuse fullRefusal(const WaitingRequest &request, ErrorId error, TimePoint now);
+    void refuseWaiting(ErrorId error, Duration wait, AdmissionCommands &commands);
+    RoutingRequest routingRequest(const WaitingRequest &request, TimePoint now) const;
+    static double fadedFailures(const Upstream &upstream, TimePoint now);
     void noteEnd(Upstream &upstream, AttemptEnd end, TimePoint now);
-    bool hasUsableUpstream() const;
-    Duration clampRetryAfter(Duration duration) const;
+    Duration retryAfter(Duration wait);
 
     NodeId m_node;
     DataCentreId m_dataCentre;
@@ -219,8 +237,11 @@
     pcg32 m_random;
     FairQueue m_queue;
     ServiceRate m_rate;
+    FirstTokenTimes m_firstTokens;
     OutlierDetector m_outlier;
+    /// The live entry VMs of the data centre in order, this one among them.
     std::vector<NodeId> m_nodes;
+    std::size_t m_ownIndex = 0;
     std::map<MemberId, MemberShare> m_members;
     std::map<MemberId, std::uint32_t> m_memberInFlight;
     std::map<UpstreamId, Upstream> m_upstreams;
--- a/include/gypsumdale/policy/fair_queue.hpp
+++ b/include/gypsumdale/policy/fair_queue.hpp
@@ -25,7 +25,7 @@
     ReservedShare,
 };
 
-inline constexpr NameTable<ClassOrder, 3> CLASS_ORDER_NAMES = {{
+inline constexpr NameTable<ClassOrder, 3> classOrderNames = {{
         {ClassOrder::Strict, "strict"},
         {ClassOrder::Ageing, "ageing"},
         {ClassOrder::ReservedShare, "reserved-share"},
@@ -88,6 +88,11 @@
     /// Takes out all waiting requests, for a drain. Linear.
     std::vector<WaitingRequest> takeAll();
 
+    /// Takes out the request that is to make room for a new one of a member: the last one of the
+    /// member with the most waiting for its weight. Nothing if that is the new one's own member.
+    /// Linear in the members.
+    std::optional<WaitingRequest> makeRoomFor(const MemberId &member);
+
     /// Forgets a waiting request; false if it doesn't wait. Linear in the member's requests.
     bool cancel(const RequestId &request);
 
--- a/include/gypsumdale/policy/retry_budget.hpp
+++ b/include/gypsumdale/policy/retry_budget.hpp
@@ -14,7 +14,7 @@
 namespace gypsumdale {
 
 /// Header that tells the next layer which attempt this is and how many it may still add.
-inline constexpr std::string_view ATTEMPT_HEADER = "X-Gypsumdale-Attempt";
+inline constexpr std::string_view attemptHeader = "X-Gypsumdale-Attempt";
 
 struct RetryBudgetSettings
 {
@@ -71,7 +71,7 @@
     BrokenAnswer,
 };
 
-inline constexpr NameTable<AttemptOutcome, 4> ATTEMPT_OUTCOME_NAMES = {{
+inline constexpr NameTable<AttemptOutcome, 4> attemptOutcomeNames = {{
         {AttemptOutcome::NothingSent, "nothing-sent"},
         {AttemptOutcome::RefusedBeforeStart, "refused-before-start"},
         {AttemptOutcome::SentNoAnswer, "sent-no-answer"},
@@ -114,7 +114,7 @@
     TooEarly,
 };
 
-inline constexpr NameTable<NoRetryReason, 7> NO_RETRY_REASON_NAMES = {{
+inline constexpr NameTable<NoRetryReason, 7> noRetryReasonNames = {{
         {NoRetryReason::NotRepeatable, "not-repeatable"},
         {NoRetryReason::AnswerBegan, "answer-began"},
         {NoRetryReason::AttemptsSpent, "attempts-spent"},
--- a/include/gypsumdale/policy/service_rate.hpp
+++ b/include/gypsumdale/policy/service_rate.hpp
@@ -6,8 +6,7 @@
 
 namespace gypsumdale {
 
-/// Measures how many tokens a second a queue's dispatches stand for while something waits, and how
-/// long first tokens take after dispatch.
+/// Measures how many tokens a second a queue's dispatches stand for while something waits.
 class ServiceRate
 {
 public:
@@ -17,13 +16,8 @@
     /// out. Constant.
     void served(std::uint64_t tokens, TimePoint now, bool isBacklogged);
 
-    /// Notes the time from dispatch to first token. Constant.
-    void firstToken(Duration taken);
-
     /// Returns tokens a second, or 0 while too little was seen.
     double tokensPerSecond() const;
-    /// Returns the smoothed time from dispatch to first token, or zero while unknown.
-    Duration firstTokenTime() const { return m_firstToken; }
 
 private:
     double m_halfLife;
@@ -31,7 +25,6 @@
     double m_seconds = 0.0;
     TimePoint m_lastAt{};
     bool m_wasBacklogged = false;
-    Duration m_firstToken{};
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/policy/slot_share.hpp
+++ b/include/gypsumdale/policy/slot_share.hpp
@@ -40,7 +40,8 @@
                          std::uint32_t lent);
 
 /// Tells whether the process may have one more request at the upstream. Within its lent share
-/// always; beyond that, only if all nodes doing as it did within the window would still fit.
+/// always; beyond that, only if all nodes doing as it did within the window would still fit. A
+/// process with no lent slot at all may have one where a slot looks free. Constant.
 bool mayDispatch(const SlotView &view);
 
 /// Returns how far all nodes together can pass the slots at the worst, see
@@ -48,13 +49,14 @@
 std::uint32_t overshootBound(const SlotShareSettings &settings, std::uint32_t slots,
                              std::uint32_t nodes);
 
-/// The times of the own dispatches to one upstream within a window.
+/// The times of the own dispatches to one upstream in the recent past.
 class RecentDispatches
 {
 public:
-    void add(TimePoint now) { m_times.push_back(now); }
-    /// Returns how many came after now less the window. Amortised constant.
-    std::uint32_t countSince(TimePoint now, Duration window);
+    /// Notes a dispatch and forgets those that are older than the time to keep. Amortised constant.
+    void add(TimePoint now, Duration keep);
+    /// Returns how many came after a time. Logarithmic.
+    std::uint32_t countAfter(TimePoint since) const;
 
 private:
     std::deque<TimePoint> m_times;
--- /dev/null
+++ b/src/policy/detail/routing_filter.cpp
@@ -0,0 +1,67 @@
+#include "policy/detail/routing_filter.hpp"
+
+#include <algorithm> // any_of, copy_if, find, max
+#include <iterator> // back_inserter
+
+namespace gypsumdale::detail {
+
+namespace {
+
+template <typename Predicate>
+CandidatePointers filtered(const CandidatePointers &candidates, Predicate predicate)
+{
+    CandidatePointers result;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(result), predicate);
+    return result;
+}
+
+bool canServe(const RoutingRequest &request, const Candidate &candidate)
+{
+    return estimatedLoad(candidate) < candidate.m_slots
+           && candidate.m_firstToken <= request.m_firstTokenIn;
+}
+
+bool someCanServe(const RoutingRequest &request, const CandidatePointers &candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [&request](const Candidate *one) { return canServe(request, *one); });
+}
+
+bool wasTried(const RoutingRequest &request, const Candidate &candidate)
+{
+    const auto &tried = request.m_tried;
+    return std::find(tried.begin(), tried.end(), candidate.m_upstream) != tried.end();
+}
+
+} // namespace
+
+CandidatePointers eligible(const RoutingRequest &request, std::span<const Candidate> candidates)
+{
+    CandidatePointers staying;
+    for (const Candidate &candidate : candidates) {
+        if (!candidate.m_isLeaving)
+            staying.push_back(&candidate);
+    }
+    CandidatePointers fresh = filtered(
+            staying, [&request](const Candidate *one) { return !wasTried(request, *one); });
+    if (fresh.empty())
+        fresh = staying;
+    CandidatePointers near = filtered(fresh, [&request](const Candidate *one) {
+        return one->m_dataCentre == request.m_dataCentre;
+    });
+    if (someCanServe(request, near))
+        return near;
+    CandidatePointers region = filtered(
+            fresh, [&request](const Candidate *one) { return one->m_region == request.m_region; });
+    if (someCanServe(request, region))
+        return region;
+    return fresh;
+}
+
+double relativeLoad(const Candidate &candidate)
+{
+    const double slots = std::max(candidate.m_slots, 1U);
+    return (estimatedLoad(candidate) + candidate.m_recentFailures) / slots;
+}
+
+} // namespace gypsumdale::detail
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,7 +1,7 @@
 #include <gypsumdale/policy/fair_queue.hpp>
 
 #include <algorithm> // clamp, find_if, max, min, upper_bound
-#include <iterator> // make_move_iterator
+#include <iterator> // distance, make_move_iterator, prev
 #include <limits> // numeric_limits
 #include <utility> // move
 
@@ -10,7 +10,7 @@
 namespace {
 
 /// A reserved share of one would mean that higher classes get nothing.
-constexpr double LARGEST_RESERVED_SHARE = 0.9;
+constexpr double largestReservedShare = 0.9;
 
 Duration fromSeconds(double seconds)
 {
@@ -27,8 +27,7 @@
 FairQueue::FairQueue(FairQueueSettings settings)
     : m_settings(settings)
 {
-    m_settings.m_reservedShare =
-            std::clamp(m_settings.m_reservedShare, 0.0, LARGEST_RESERVED_SHARE);
+    m_settings.m_reservedShare = std::clamp(m_settings.m_reservedShare, 0.0, largestReservedShare);
 }
 
 void FairQueue::setWeight(const MemberId &member, double weight)
@@ -229,6 +228,31 @@
     return result;
 }
 
+std::optional<WaitingRequest> FairQueue::makeRoomFor(const MemberId &member)
+{
+    const auto load = [this](const MemberId &id) {
+        return static_cast<double>(waiting(id)) / m_counters.weight(id);
+    };
+    MemberId longest = member;
+    double longestLoad = load(member) + 1.0 / m_counters.weight(member);
+    for (const auto &[id, entry] : m_members) {
+        if (load(id) <= longestLoad)
+            continue;
+        longest = id;
+        longestLoad = load(id);
+    }
+    if (longest == member)
+        return std::nullopt;
+    Member &entry = m_members[longest];
+    const auto lane = std::prev(entry.m_lanes.end());
+    WaitingRequest request = std::move(lane->second.m_requests.back());
+    lane->second.m_requests.pop_back();
+    forget(entry, lane->second, request);
+    if (lane->second.m_requests.empty())
+        entry.m_lanes.erase(lane);
+    return request;
+}
+
 bool FairQueue::cancel(const RequestId &request)
 {
     const auto found = m_index.find(request);
--- /dev/null
+++ b/src/policy/first_token_times.cpp
@@ -0,0 +1,38 @@
+#include <gypsumdale/policy/first_token_times.hpp>
+
+#include <cmath> // exp2
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr double gain = 0.1;
+constexpr double fadingHalfLifeSeconds = 2.0;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void FirstTokenTimes::note(const ProfileId &profile, Duration taken, TimePoint now)
+{
+    const auto [found, isNew] = m_entries.try_emplace(profile);
+    Entry &entry = found->second;
+    const double seconds = toSeconds(taken);
+    entry.m_seconds = isNew ? seconds : entry.m_seconds + gain * (seconds - entry.m_seconds);
+    entry.m_notedAt = now;
+}
+
+Duration FirstTokenTimes::estimate(const ProfileId &profile, TimePoint now) const
+{
+    const auto found = m_entries.find(profile);
+    if (found == m_entries.end())
+        return Duration{};
+    const double age = toSeconds(now - found->second.m_notedAt);
+    const double seconds = found->second.m_seconds * std::exp2(-age / fadingHalfLifeSeconds);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace gypsumdale
--- a/src/policy/outlier.cpp
+++ b/src/policy/outlier.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Keeps the doubling of ejection times from overflowing.
-constexpr std::uint32_t MOST_DOUBLINGS = 16;
+constexpr std::uint32_t mostDoublings = 16;
 
 } // namespace
 
@@ -112,7 +112,7 @@
 void OutlierDetector::eject(Entry &entry, TimePoint now)
 {
     const Duration length =
-            m_settings.m_ejection * (1U << std::min(entry.m_ejections, MOST_DOUBLINGS));
+            m_settings.m_ejection * (1U << std::min(entry.m_ejections, mostDoublings));
     entry.m_ejectedUntil = now + std::min(length, m_settings.m_longestEjection);
     ++entry.m_ejections;
     entry.m_isEjected = true;
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr std::uint32_t MOST_DOUBLINGS = 20;
-constexpr double LEAST_JITTER = 0.5;
+constexpr std::uint32_t mostDoublings = 20;
+constexpr double leastJitter = 0.5;
 /// A time left beyond this is written as none.
-constexpr std::int64_t LONGEST_MILLIS = 7LL * 24 * 3600 * 1000;
+constexpr std::int64_t longestMillis = 7LL * 24 * 3600 * 1000;
 
 std::optional<NoRetryReason> reasonFromOutcome(AttemptOutcome outcome, const RetryProfile &profile)
 {
@@ -30,10 +30,10 @@
 
 Duration backoffBefore(std::uint32_t attempt, const RetryProfile &profile, pcg32 &random)
 {
-    const std::uint32_t doublings = std::min(attempt - std::min(attempt, 1U), MOST_DOUBLINGS);
+    const std::uint32_t doublings = std::min(attempt - std::min(attempt, 1U), mostDoublings);
     const Duration full = std::min(profile.m_baseBackoff * (1U << doublings), profile.m_maxBackoff);
     const double fraction = random() / static_cast<double>(pcg32::max());
-    const double jitter = LEAST_JITTER + (1.0 - LEAST_JITTER) * fraction;
+    const double jitter = leastJitter + (1.0 - leastJitter) * fraction;
     return Duration(static_cast<Duration::rep>(static_cast<double>(full.count()) * jitter));
 }
 
@@ -82,7 +82,7 @@
 std::string toHeader(const AttemptInfo &info)
 {
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(info.m_timeLeft);
-    if (millis.count() > LONGEST_MILLIS)
+    if (millis.count() > longestMillis)
         return fmt::format("attempt={};left={}", info.m_attempt, info.m_attemptsLeft);
     return fmt::format("attempt={};left={};ms={}", info.m_attempt, info.m_attemptsLeft,
                        std::max<std::int64_t>(millis.count(), 0));
@@ -98,7 +98,7 @@
     if (text.find("ms=") == std::string_view::npos)
         return info;
     const auto millis = numberAfter<std::int64_t>(text, "ms=");
-    if (!millis || *millis < 0 || *millis > LONGEST_MILLIS)
+    if (!millis || *millis < 0 || *millis > longestMillis)
         return std::nullopt;
     info.m_timeLeft = std::chrono::milliseconds(*millis);
     return info;
--- /dev/null
+++ b/src/policy/routing_prefix_affinity.cpp
@@ -0,0 +1,92 @@
+#include <gypsumdale/policy/routing.hpp>
+
+#include "policy/detail/routing_filter.hpp"
+
+#include <algorithm> // max, min
+#include <chrono> // duration
+#include <limits> // numeric_limits
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr double tokensPerRisk = 1000.0;
+
+} // namespace
+
+PrefixAffinity::PrefixAffinity(RoutingSettings settings)
+    : m_settings(settings)
+    , m_memory(settings.m_blocksPerUpstream, settings.m_prefixMaxAge)
+{}
+
+std::optional<UpstreamId> PrefixAffinity::choose(const RoutingRequest &request,
+                                                 std::span<const Candidate> candidates,
+                                                 TimePoint now, pcg32 &random)
+{
+    const detail::CandidatePointers left = detail::eligible(request, candidates);
+    if (left.empty())
+        return std::nullopt;
+    const Candidate *best = nullptr;
+    double bestScore = std::numeric_limits<double>::max();
+    const auto consider = [&](const Candidate *one) {
+        const double candidateScore = score(request, *one, now);
+        if (candidateScore >= bestScore)
+            return;
+        best = one;
+        bestScore = candidateScore;
+    };
+    const auto count = static_cast<std::uint32_t>(left.size());
+    for (std::size_t draw = 0; draw < std::max<std::size_t>(m_settings.m_choices, 1); ++draw)
+        consider(left[random(count)]);
+    for (const Candidate *one : left) {
+        if (m_memory.match(one->m_upstream, request.m_prefixBlocks, now) > 0)
+            consider(one);
+    }
+    return best->m_upstream;
+}
+
+void PrefixAffinity::dispatched(const UpstreamId &upstream, const RoutingRequest &request,
+                                TimePoint now)
+{
+    m_memory.remember(upstream, request.m_prefixBlocks, now);
+}
+
+void PrefixAffinity::cacheEvent(const CacheEvent &event, TimePoint now)
+{
+    if (event.m_isAfterGap)
+        m_memory.distrust(event.m_upstream, now);
+    m_memory.evict(event.m_upstream, event.m_evicted);
+    m_memory.remember(event.m_upstream, event.m_added, now);
+}
+
+void PrefixAffinity::forget(const UpstreamId &upstream)
+{
+    m_memory.forget(upstream);
+}
+
+double PrefixAffinity::score(const RoutingRequest &request, const Candidate &candidate,
+                             TimePoint now) const
+{
+    const std::size_t blocks = m_memory.match(candidate.m_upstream, request.m_prefixBlocks, now);
+    const double cached = std::min(static_cast<double>(blocks * m_settings.m_blockTokens),
+                                   static_cast<double>(request.m_promptTokens));
+    const double prefill = (request.m_promptTokens - cached) / m_settings.m_prefillTokensPerSecond;
+    const double step = std::chrono::duration<double>(m_settings.m_queueingStep).count();
+    const double queueing = step * estimatedLoad(candidate);
+    const double price = m_settings.m_priceWeight * candidate.m_pricePerHour;
+    const double answer = request.m_expectedTokens / tokensPerRisk;
+    const double reclaim = m_settings.m_reclaimWeight * candidate.m_reclaimRisk * answer;
+    const double failures = m_settings.m_failureWeight * candidate.m_recentFailures;
+    return prefill + queueing + price + reclaim + failures;
+}
+
+namespace {
+
+const Registration<RoutingPolicy, RoutingSettings> registration{
+        "prefix-affinity", [](const RoutingSettings &settings) {
+            return PrefixAffinity(settings);
+        }};
+
+} // namespace
+
+} // namespace gypsumdale
--- a/src/policy/service_rate.cpp
+++ b/src/policy/service_rate.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 /// Below this much observed time a rate is noise.
-constexpr double LEAST_SECONDS = 0.25;
-constexpr double FIRST_TOKEN_GAIN = 0.1;
+constexpr double leastSeconds = 0.25;
 
 } // namespace
 
@@ -28,19 +27,9 @@
     m_wasBacklogged = isBacklogged;
 }
 
-void ServiceRate::firstToken(Duration taken)
-{
-    if (m_firstToken == Duration{}) {
-        m_firstToken = taken;
-        return;
-    }
-    const auto change = static_cast<double>((taken - m_firstToken).count()) * FIRST_TOKEN_GAIN;
-    m_firstToken += Duration(static_cast<Duration::rep>(change));
-}
-
 double ServiceRate::tokensPerSecond() const
 {
-    return m_seconds < LEAST_SECONDS ? 0.0 : m_tokens / m_seconds;
+    return m_seconds < leastSeconds ? 0.0 : m_tokens / m_seconds;
 }
 
 } // namespace gypsumdale
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -1,7 +1,8 @@
 #include <gypsumdale/policy/slot_share.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // max, min, upper_bound
 #include <cmath> // floor
+#include <iterator> // distance
 
 namespace gypsumdale {
 
@@ -22,10 +23,13 @@
 
 bool mayDispatch(const SlotView &view)
 {
-    if (view.m_own < lentSlots(view.m_slots, view.m_nodes, view.m_rank))
+    const std::uint32_t lent = lentSlots(view.m_slots, view.m_nodes, view.m_rank);
+    if (view.m_own < lent)
         return true;
     const std::uint32_t seenByPeers = view.m_own - std::min(view.m_own, view.m_recent);
     const std::uint64_t known = std::uint64_t{seenByPeers} + view.m_peers;
+    if (lent == 0 && view.m_own == 0 && known < view.m_slots)
+        return true;
     const std::uint64_t unseen = std::uint64_t{view.m_nodes} * (view.m_recent + 1);
     return known + unseen <= view.m_slots;
 }
@@ -38,14 +42,21 @@
         const std::uint32_t lent = lentSlots(slots, nodes, rank);
         bound += lent - std::min(lent, peerCharge(settings, 0, lent));
     }
-    return bound;
+    const std::uint32_t withoutSlot = nodes - std::min(nodes, slots);
+    return bound + withoutSlot;
 }
 
-std::uint32_t RecentDispatches::countSince(TimePoint now, Duration window)
+void RecentDispatches::add(TimePoint now, Duration keep)
 {
-    while (!m_times.empty() && m_times.front() <= now - window)
+    while (!m_times.empty() && m_times.front() <= now - keep)
         m_times.pop_front();
-    return static_cast<std::uint32_t>(m_times.size());
+    m_times.push_back(now);
+}
+
+std::uint32_t RecentDispatches::countAfter(TimePoint since) const
+{
+    const auto first = std::upper_bound(m_times.begin(), m_times.end(), since);
+    return static_cast<std::uint32_t>(std::distance(first, m_times.end()));
 }
 
 } // namespace gypsumdale
--- a/src/policy/token_counters.cpp
+++ b/src/policy/token_counters.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr double SMALLEST_WEIGHT = 0.001;
+constexpr double smallestWeight = 0.001;
 
 } // namespace
 
 void TokenCounters::setWeight(const MemberId &member, double weight)
 {
-    m_members[member].m_weight = std::max(weight, SMALLEST_WEIGHT);
+    m_members[member].m_weight = std::max(weight, smallestWeight);
 }
 
 double TokenCounters::weight(const MemberId &member) const
