Add membership, the upstream table, graceful shutdown and the peers' codec

Change: the decision logic behind the interfaces. Silence is measured in the time this process listened, so that its own pause ages nobody; dead needs a second witness or the VM list; notices are sticky and repaired by digest. Weighed: a phi detector (needs a history for each pair; a fixed multiple of the interval is enough while the interval follows the size of the data centre). Ruled out: believing one VM list that misses a VM, since two reads may come from copies of different age.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,17 +1,22 @@
 // What the processes of the system say to each other. Frames carry one PeerRequest or PeerReply in
 // the compact protocol. Upstreams travel as 40-bit keys (see fleet/upstream_key.hpp), records of
 // jobs and claims as opaque bytes. Fields are only ever added, with new numbers.
+include "jobs.thrift"
+
 namespace cpp gypsumdale.wire
 
 const i16 PROTOCOL_VERSION = 1
 
+// See fleet/config_message.hpp for what each number promises.
 struct ConfigDigest {
   1: i64 highestVersion
   2: i64 hash
-  3: i32 count
+  3: i64 count
   // UTC milliseconds at which the platform last confirmed this state.
   4: i64 confirmedAsOfMillis
   5: i64 floor
+  6: i64 completeTo
+  7: bool ready
 }
 
 struct NodeRecord {
@@ -137,32 +142,37 @@
   25: i64 inFlightSeen
 }
 
-struct ObjectVersion {
-  1: string kind
-  2: string name
-  3: i64 version
-}
-
 struct ConfigObject {
-  1: string kind
+  // SettingsKind as a number.
+  1: i8 kind
   2: string name
   3: i64 version
   4: binary body
   5: bool deleted
 }
 
-struct ConfigAsk {
-  1: list<ObjectVersion> known
+// A digest with its sender, on its own instead of in a heartbeat.
+struct ConfigDigestFrom {
+  1: string node
+  2: string dataCentre
+  3: i64 incarnation
+  4: ConfigDigest digest
 }
 
-struct ConfigObjects {
-  1: list<ConfigObject> objects
-  2: ConfigDigest digest
+struct ConfigAsk {
+  1: string node
+  2: string dataCentre
+  3: i64 incarnation
+  4: i64 fromVersion
 }
 
-struct ConfigPush {
-  1: list<ConfigObject> objects
-  2: ConfigDigest digest
+struct ConfigUpdate {
+  1: ConfigDigestFrom sender
+  2: i64 fromVersion
+  3: i64 upToVersion
+  4: list<ConfigObject> objects
+  5: string answerTo
+  6: i64 answerToIncarnation
 }
 
 struct LeavingNotices {
@@ -172,47 +182,51 @@
 struct NoticesAsk {
 }
 
-struct JobHold {
-  1: string job
-  2: binary record
-}
-
-struct JobRelease {
-  1: list<string> jobs
-}
-
-struct JobHandOver {
-  1: list<binary> records
-  2: string reason
-}
-
+// Where a durable job is: asked by an entry VM that does not have it.
 struct JobLocate {
   1: string job
 }
 
 struct JobLocated {
   1: string job
-  2: bool held
+  2: bool known
+  // The node that owns it, as far as the answering one knows.
   3: string owner
-  4: i64 epoch
-  5: binary record
 }
 
+// A keyed request that the receiver shall claim for the sender, who alone may run it.
 struct ClaimForward {
-  1: i32 shard
-  2: binary keyDigest
+  1: string member
+  2: string key
   3: binary bodyDigest
   4: string attempt
-  5: i64 expiryMillis
-  6: binary record
+  5: i64 timeLeftMillis
+}
+
+enum ClaimVerdict {
+  Granted = 1
+  AlreadyDone = 2
+  InProgressOrUnknown = 3
+  KeyReused = 4
+  NotRun = 5
 }
 
-struct ClaimResult {
-  // A result of the ledger as a number; the ledger's codec names them.
-  1: i16 outcome
+struct ClaimForwarded {
+  1: ClaimVerdict verdict
   2: string attempt
-  3: binary record
-  4: string reason
+  // For AlreadyDone.
+  3: i32 status
+  4: string contentType
+  5: optional binary body
+  // For NotRun: NotRunReason as a number, and when to come back.
+  6: i8 reason
+  7: i64 retryAfterMillis
+}
+
+// The outcome of a forwarded claim, for the log of its shard.
+struct ClaimRecordForward {
+  1: i32 shard
+  2: binary record
 }
 
 struct DecisionsAsk {
@@ -244,27 +258,31 @@
 union PeerRequestBody {
   1: Heartbeat heartbeat
   2: ConfigAsk configAsk
-  3: ConfigPush configPush
+  3: ConfigUpdate configUpdate
   4: LeavingNotices leavingNotices
   5: NoticesAsk noticesAsk
-  6: JobHold jobHold
-  7: JobRelease jobRelease
-  8: JobHandOver jobHandOver
+  6: jobs.JobHold jobHold
+  7: jobs.JobRelease jobRelease
+  8: jobs.JobHandOver jobHandOver
   9: JobLocate jobLocate
   10: ClaimForward claimForward
   11: DecisionsAsk decisionsAsk
   12: VmListPush vmListPush
+  13: ConfigDigestFrom configDigest
+  14: ClaimRecordForward claimRecord
 }
 
 union PeerReplyBody {
   1: Heartbeat heartbeat
-  2: ConfigObjects configObjects
+  2: ConfigUpdate configUpdate
   3: LeavingNotices leavingNotices
   4: JobLocated jobLocated
-  5: ClaimResult claimResult
+  5: ClaimForwarded claimForwarded
   6: Decisions decisions
   7: Accepted accepted
   8: Refusal refusal
+  9: jobs.JobHoldAnswer jobHoldAnswer
+  10: jobs.JobHandOverAnswer jobHandOverAnswer
 }
 
 struct PeerRequest {
--- a/include/gypsumdale/fleet/change_log.hpp
+++ b/include/gypsumdale/fleet/change_log.hpp
@@ -36,6 +36,16 @@
         m_keyAt.emplace(m_version, key);
     }
 
+    /// Drops a key that no longer exists. Logarithmic.
+    void forget(const Key &key)
+    {
+        const auto entry = m_versionOf.find(key);
+        if (entry == m_versionOf.end())
+            return;
+        m_keyAt.erase(entry->second);
+        m_versionOf.erase(entry);
+    }
+
     /// Returns at most `limit` keys that changed after `version`. Linear in what is returned.
     Changes<Key> since(std::int64_t version, std::size_t limit) const
     {
--- a/include/gypsumdale/fleet/data_centre_summary.hpp
+++ b/include/gypsumdale/fleet/data_centre_summary.hpp
@@ -34,6 +34,8 @@
 {
     DataCentreSummary m_summary;
     TimePoint m_receivedAt;
+    /// When the list of nodes it holds was made; the list is kept from summary to summary.
+    WallMillis m_nodesMadeAt = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -127,15 +127,15 @@
     bool isDraining() const { return m_isDraining; }
 
     /// The time between exchanges with a node, as the number of nodes and the budget make it.
-    Duration heartbeatInterval() const;
+    Duration heartbeatInterval() const { return m_interval; }
 
     /// Returns all known nodes but the own, own data centre's first. Linear.
     std::vector<NodeView> nodes() const;
     const NodeView *find(const NodeId &node) const;
 
-    /// Names of the nodes of the own data centre that duties are shared among: itself unless
-    /// draining, and those alive or merely suspect. Suspects stay in, so that a moment of silence
-    /// moves no duty. In order of names. Linear.
+    /// Names of the nodes of the own data centre that duties are shared among: itself and the alive
+    /// ones, without those that are leaving as long as others are left. Duties are such that two
+    /// holders at a time do no harm. In order of names. Linear.
     std::vector<NodeId> dutyNodes() const;
 
     /// Alive nodes of a data centre, without the own one. Linear.
@@ -157,12 +157,16 @@
         TimePoint m_lastExchange;
         TimePoint m_lastSent;
         std::vector<NodeSuspicion> m_suspicions;
+        /// The times of the summaries that this node last spread to the peer.
         std::map<DataCentreId, WallMillis> m_summariesSent;
         std::int64_t m_nodesDigest = 0;
         TimePoint m_nodesSentAt;
+        /// Listed by the cloud once, and by its last list.
         bool m_wasListed = false;
         bool m_isListed = false;
         bool m_isSeed = false;
+        /// Whether this node is the one of the pair that starts their exchanges.
+        bool m_isInitiator = false;
     };
 
     struct RemoteLink
@@ -175,22 +179,31 @@
 
     Peer &ensure(const NodeIdentity &identity, TimePoint now);
     Received take(const MembershipMessage &message, TimePoint now);
-    void takeNodes(const std::vector<NodeIdentity> &nodes, TimePoint now);
-    void takeSummary(const DataCentreSummary &summary, bool isDirect, TimePoint now);
+    bool adoptSender(const MembershipMessage &message, TimePoint now, MembershipCommands &commands);
+    void takeRemoteNodes(const DataCentreSummary &summary, TimePoint now,
+                         MembershipCommands &commands);
+    void takeSummary(const DataCentreSummary &summary, bool isDirect, TimePoint now,
+                     MembershipCommands &commands);
     void takeSelfSuspicion(const MembershipMessage &message, MembershipCommands &commands);
     void setState(Peer &peer, NodeState state, std::string reason, TimePoint now,
                   MembershipCommands &commands);
     void judge(Peer &peer, TimePoint now, MembershipCommands &commands);
-    bool isConfirmedSilent(const Peer &peer) const;
+    void judgeRemote(Peer &peer, TimePoint now, MembershipCommands &commands);
+    /// The node that cannot hear the peer either; nothing if there is none.
+    std::optional<NodeId> confirmerOf(const Peer &peer) const;
     bool isHeartbeatDue(const Peer &peer, TimePoint now) const;
+    Duration affordableInterval() const;
     bool initiatesTo(const NodeId &node) const;
+    /// Tells whether a data centre that is heard no longer lists the node.
+    bool isLeftOut(const Peer &peer, TimePoint now) const;
     void forgetOldDead(TimePoint now);
     void sendSummaries(TimePoint now, WallMillis wallNow, MembershipCommands &commands);
     std::optional<NodeIdentity> summaryTarget(const DataCentreId &dataCentre,
                                               const RemoteLink &link) const;
-    DataCentreSummary ownSummary(WallMillis wallNow, bool withNodes) const;
+    DataCentreSummary ownSummary(RemoteLink &link, WallMillis wallNow) const;
+    void attachSummaries(Peer &peer, MembershipMessage &message);
+    void attachNodes(Peer &peer, MembershipMessage &message, TimePoint now);
     std::vector<NodeIdentity> ownNodes() const;
-    std::int64_t ownNodesDigest() const;
     MembershipMessage baseMessage();
     MembershipMessage messageFor(Peer &peer, TimePoint now);
     bool isOwn(const DataCentreId &dataCentre) const;
@@ -208,6 +221,8 @@
     /// m_longestTickGap. Silence is measured in it, so that a pause of the observer, which shows as
     /// one long gap, ages nobody.
     Duration m_listened{};
+    /// As of the last tick.
+    Duration m_interval;
     std::int64_t m_sequence = 0;
     double m_heartbeatBytes = 150;
     bool m_isDraining = false;
--- a/include/gypsumdale/fleet/peer_exchange.hpp
+++ b/include/gypsumdale/fleet/peer_exchange.hpp
@@ -109,29 +109,30 @@
         std::int64_t m_theirUpstreamsSeen = 0;
         std::int64_t m_theirTokensSeen = 0;
         std::int64_t m_theirInFlightSeen = 0;
-        TimePoint m_noticesSentAt;
-        bool m_sentNotices = false;
     };
 
     wire::Heartbeat compose(const MembershipMessage &message, const NodeIdentity &to, TimePoint now,
                             WallMillis wallNow);
-    void takeRest(const wire::Heartbeat &heartbeat, TimePoint now, WallMillis wallNow,
-                  ExchangeCommands &commands);
+    void takeRest(const wire::Heartbeat &heartbeat, TimePoint now, ExchangeCommands &commands);
     void takeDifferences(const wire::Heartbeat &heartbeat, TimePoint now,
                          ExchangeCommands &commands);
     void repairNotices(const wire::Heartbeat &heartbeat, TimePoint now, ExchangeCommands &commands);
-    void spread(const SpreadNotice &notice, ExchangeCommands &commands);
+    ExchangeCommands takeNotices(const std::vector<LeavingNotice> &notices, NoticeSource source,
+                                 TimePoint now, WallMillis wallNow);
+    void spread(const std::vector<LeavingNotice> &notices, bool toOtherDataCentres,
+                ExchangeCommands &commands);
     void forward(MembershipCommands &&from, TimePoint now, WallMillis wallNow,
                  ExchangeCommands &commands);
     void forward(UpstreamCommands &&from, ExchangeCommands &commands);
-    void forwardNotice(const LeavingNotice &notice, NoticeSource source, TimePoint now,
-                       WallMillis wallNow, ExchangeCommands &commands);
+    void forgetCursors();
     PeerCursor &cursorOf(const NodeId &node, Incarnation incarnation);
     bool isOwnDataCentre(const std::string &dataCentre) const;
 
     Membership m_membership;
     UpstreamTable m_upstreams;
     std::map<NodeId, PeerCursor> m_cursors;
+    std::map<NodeId, TimePoint> m_noticesSentAt;
+    TimePoint m_capacityAt;
     std::map<MemberId, std::int64_t> m_ownTokens;
     ChangeLog<MemberId> m_tokenChanges;
     wire::ConfigDigest m_config;
--- a/include/gypsumdale/fleet/upstream_table.hpp
+++ b/include/gypsumdale/fleet/upstream_table.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono> // milliseconds
 #include <map> // map
+#include <optional> // optional
 #include <set> // set
 #include <string> // string
 #include <unordered_map> // unordered_map
@@ -41,6 +42,10 @@
     int m_suspectAfterFailures = 2;
     /// How long this node avoids an upstream that failed one of its own requests.
     Duration m_failurePenalty = std::chrono::seconds(2);
+    /// An owner tells of an upstream at least this often, changed or not.
+    Duration m_shareInterval = std::chrono::seconds(5);
+    /// Silence after which nobody's word on an upstream counts any more: it is suspect.
+    Duration m_longestSilence = std::chrono::seconds(20);
     /// Silence after which a VM that the list no longer shows counts as gone.
     Duration m_goneAfter = std::chrono::seconds(3);
     /// How long the VM list may lag: a VM first seen so soon after its zone's notice is held back.
@@ -143,6 +148,13 @@
     Duration m_age{};
 };
 
+/// Observations and the version they lead up to.
+struct ObservationBatch
+{
+    std::vector<UpstreamObservation> m_observations;
+    std::int64_t m_upTo = 0;
+};
+
 /// Requests that one node has at an upstream.
 struct InFlightReport
 {
@@ -215,11 +227,14 @@
     /// Sets the number of this node's requests at the upstream. Constant.
     void setInFlight(const UpstreamId &upstream, int count);
 
-    /// What the owner's peers have not heard yet. At most `limit` entries.
-    std::vector<UpstreamObservation> observationsSince(std::int64_t version, std::size_t limit,
-                                                       TimePoint now, std::int64_t &upTo) const;
-    /// This node's own requests at upstreams that `owner` probes and that changed since `version`.
+    /// What this node observed as an owner since a version, oldest first and at most `limit` of it.
+    /// Linear in what is returned.
+    ObservationBatch observationsSince(std::int64_t version, std::size_t limit,
+                                       TimePoint now) const;
+    /// This node's own requests at upstreams that `owner` probes and that changed since `version`;
+    /// it leads up to inFlightVersion(). Linear in the changes.
     std::vector<InFlightReport> inFlightFor(const NodeId &owner, std::int64_t version) const;
+    std::int64_t inFlightVersion() const { return m_inFlightChanges.version(); }
     std::int64_t version() const { return m_changes.version(); }
 
     /// Takes in what a node of the own data centre observed. Logarithmic.
@@ -278,54 +293,75 @@
         bool m_isOwned = false;
         bool m_isStatic = false;
         bool m_isListed = false;
+        /// The last list that did not show it, in a row; 0 while listed.
+        int m_missedLists = 0;
         TimePoint m_nextProbe;
         int m_failedProbes = 0;
+        /// When the upstream last answered, to this node or to an owner who said so.
         TimePoint m_lastAnswer;
         TimePoint m_penaltyUntil;
-        /// The incarnation that an operator drained; 0 if none.
-        Incarnation m_drained = 0;
-        bool m_isDrained = false;
-        /// Held back since it appeared right after its zone's notice.
+        std::set<NodeId> m_suspectedBy;
+        /// The VM itself goes: no incarnation on it gets new work.
+        bool m_isVmLeaving = false;
+        /// The process goes: it stays leaving until a higher incarnation answers. 0 means the first
+        /// incarnation to answer.
+        std::optional<Incarnation> m_leavingIncarnation;
+        /// Held back since it appeared right after its zone's notice; the clock's start if not.
         TimePoint m_heldUntil;
         UpstreamLoad m_sharedLoad;
         UpstreamState m_sharedState = UpstreamState::Gone;
-        std::map<NodeId, int> m_inFlightOf;
+        TimePoint m_sharedAt;
+        TimePoint m_firstOwnerSpokeAt;
+        std::unordered_map<NodeId, int> m_inFlightOf;
     };
 
     struct KeptNotice
     {
         LeavingNotice m_notice;
         TimePoint m_receivedAt;
+        /// Until when a VM of the zone that shows up is held back.
+        TimePoint m_heldUntil;
         TimePoint m_expiresAt;
     };
 
     using ServiceGroup = std::pair<ServiceId, DataCentreId>;
 
-    Entry &insert(const UpstreamDeclaration &declaration, TimePoint now, WallMillis wallNow);
+    Entry &insert(const UpstreamDeclaration &declaration, TimePoint now);
     void remove(const UpstreamId &upstream);
-    void place(const UpstreamId &upstream, Entry &entry, const UpstreamDeclaration &declaration);
+    void redeclare(Entry &entry, const UpstreamDeclaration &declaration);
+    void takeMissing(bool isMassive, const std::set<UpstreamId> &listed, TimePoint now,
+                     UpstreamCommands &commands);
     void chooseOwners(Entry &entry);
     void setState(Entry &entry, UpstreamState state, std::string reason, TimePoint now,
                   UpstreamCommands &commands);
     void setLeaving(Entry &entry, const LeavingNotice &notice, TimePoint now,
                     UpstreamCommands &commands);
-    void takeLoad(Entry &entry, const UpstreamLoad &load, TimePoint observedAt, TimePoint now,
-                  UpstreamCommands &commands);
-    bool applyKeptNotices(Entry &entry, TimePoint now, UpstreamCommands &commands);
+    void applyKeptNotices(Entry &entry, TimePoint now, UpstreamCommands &commands);
     void applyNotice(const LeavingNotice &notice, TimePoint now, UpstreamCommands &commands);
-    void share(Entry &entry);
+    bool takeLoad(Entry &entry, const UpstreamLoad &load, TimePoint observedAt);
+    void reviveIfRestarted(Entry &entry, TimePoint now, UpstreamCommands &commands);
+    void reviveIfHeard(Entry &entry, TimePoint now, UpstreamCommands &commands);
+    void shareIfDue(Entry &entry, TimePoint now);
+    void share(Entry &entry, TimePoint now);
     void probeIfDue(Entry &entry, Duration interval, TimePoint now, UpstreamCommands &commands);
     void settle(Entry &entry, TimePoint now, WallMillis wallNow, UpstreamCommands &commands);
-    void forgetOldNotices(TimePoint now);
+    void settleLeaving(Entry &entry, TimePoint now, WallMillis wallNow, UpstreamCommands &commands);
+    void settleOpen(Entry &entry, TimePoint now, UpstreamCommands &commands);
+    void forgetOld(TimePoint now);
     Duration probeInterval() const;
-    int totalInFlight(const Entry &entry) const;
+    void sumInFlight(Entry &entry);
+    Entry *entryOf(const UpstreamId &upstream);
     Entry *entryOf(std::int64_t key);
+    bool isOwnDataCentre(const Entry &entry) const;
 
     UpstreamTableSettings m_settings;
     std::unordered_map<UpstreamId, Entry> m_entries;
     std::map<ServiceGroup, std::set<UpstreamId>> m_byService;
     std::unordered_map<std::int64_t, UpstreamId> m_byKey;
     std::map<std::string, KeptNotice> m_notices;
+    /// Ids of notices that ran out, with the time to forget them: a peer that kept one longer must
+    /// not bring it back.
+    std::map<std::string, TimePoint> m_expiredNotices;
     std::int64_t m_noticesDigest = 0;
     std::vector<NodeId> m_nodes;
     std::size_t m_ownedCount = 0;
