Let the parts' names live side by side

Cause: a source file that includes all headers did not compile: two types named UpstreamState, two named LogEvent, Incarnation as two integer types, and the job messages declared in two IDL files of one namespace. Ruled out: a namespace for each part, which every call would have to name. Conclusion: the daemon can include all parts.

--- a/include/gypsumdale/fleet/config_message.hpp
+++ b/include/gypsumdale/fleet/config_message.hpp
@@ -3,15 +3,13 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/fleet/config_object.hpp>
+#include <gypsumdale/fleet/node.hpp>
 
 #include <cstdint> // uint64_t
 #include <string_view> // string_view
 
 namespace gypsumdale {
 
-/// The number of one life of a node. A node's later life has a higher one.
-using Incarnation = std::uint64_t;
-
 /// What a node knows of the configuration, small enough for each heartbeat.
 struct ConfigDigest
 {
@@ -23,7 +21,7 @@
     std::uint64_t m_count = 0;
     /// The highest version among them.
     ConfigVersion m_highest = 0;
-    /// The highest store version that the node knows any node of its data centre to have reached.
+    /// The highest version that the node knows any node of its data centre to have put in force.
     ConfigVersion m_floor = 0;
     /// A time, by the clock of the relay that spoke to the platform, at which the platform is known
     /// to have held nothing newer. 0 means unknown.
