Write the durable jobs' table, assembler, event reader and epochs

Changed since the headers: a takeover names the offset at which its epoch begins and is applied only there, in place of carrying the whole job; a hand-over's epoch is drawn by the receiver, so that one delivered twice never gives two generations the same epoch.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -41,14 +41,13 @@
   1: JobSnapshot snapshot
 }
 
-/** Text behind the byte offset fromBytes, where fromTokens tokens end. */
+/** Tokens from the offset fromTokens on. */
 struct JobProgress {
   1: string job
   2: i64 epoch
   3: i64 fromTokens
-  4: i64 fromBytes
-  5: binary text
-  6: binary tokenLengths
+  4: binary text
+  5: binary tokenLengths
 }
 
 struct JobFinished {
@@ -58,14 +57,15 @@
   4: i64 wholeTokens
 }
 
-/** Takes effect only while the job's epoch is still previousEpoch. */
+/** Takes effect only while the job's epoch is still previousEpoch and its answer has `offset`
+ * tokens, where the new epoch begins. */
 struct JobTakeover {
   1: string job
   2: i64 previousEpoch
   3: i64 epoch
-  4: JobOwner newOwner
-  5: string reason
-  6: optional JobSnapshot snapshot
+  4: i64 offset
+  5: JobOwner newOwner
+  6: string reason
 }
 
 struct JobRemoved {
@@ -99,10 +99,10 @@
   1: string job
 }
 
-/** Owner to its successor: from now on the job is yours. The answer names the epoch taken. */
+/** Owner to its successor: from now on the job is yours. The successor begins an epoch of its own
+ * at the end of the answer so far, and names it in its answer. */
 struct JobHandOver {
   1: JobSnapshot snapshot
-  2: i64 previousEpoch
 }
 
 struct JobHandOverAnswer {
--- a/include/gypsumdale/jobs/checkpoint_policy.hpp
+++ b/include/gypsumdale/jobs/checkpoint_policy.hpp
@@ -30,6 +30,7 @@
 {
     /// Tokens generated and not yet written, over all jobs of the node.
     std::int64_t m_unsavedTokens = 0;
+    std::int64_t m_runningJobs = 0;
     /// Tokens a second over all jobs of the node.
     double m_tokensPerSecond = 0;
     /// Since the last checkpoint write of the node.
--- a/include/gypsumdale/jobs/epoch_history.hpp
+++ b/include/gypsumdale/jobs/epoch_history.hpp
@@ -65,8 +65,8 @@
         friend bool operator==(const Start &, const Start &) = default;
     };
 
-    /// Begins an epoch at an offset. Epochs that began at or behind that offset keep their entry:
-    /// their callers are cut back to it. Constant, amortised.
+    /// Begins an epoch at an offset. Epochs that began behind that offset keep their entry, so that
+    /// their callers are known and cut back to it. Constant, amortised.
     void begin(std::int64_t epoch, std::int64_t offset);
 
     /// Tells how a caller at (epoch, offset) goes on. `end` is the number of tokens of the answer
--- a/include/gypsumdale/jobs/job.hpp
+++ b/include/gypsumdale/jobs/job.hpp
@@ -15,13 +15,25 @@
 namespace gypsumdale {
 
 /// Where a job stands at its owner.
-enum class JobState { Offered, Held, Running, HandingOver, Finished, Failed, Expired };
+enum class JobState {
+    Offered, ///< Not held anywhere yet; an attempt may run already.
+    Held, ///< Accepted, waiting for its next attempt.
+    Running,
+    TakingOver, ///< Of a dead owner; this node's takeover is not in the log yet.
+    HandingOver, ///< Stopped; its successor has not answered yet.
+    Withdrawn, ///< Refused; its offer is being taken back.
+    Finished,
+    Failed,
+    Expired,
+};
 
-inline constexpr NameTable<JobState, 7> k_jobStateNames{{
+inline constexpr NameTable<JobState, 9> k_jobStateNames{{
         {JobState::Offered, "offered"},
         {JobState::Held, "held"},
         {JobState::Running, "running"},
+        {JobState::TakingOver, "taking-over"},
         {JobState::HandingOver, "handing-over"},
+        {JobState::Withdrawn, "withdrawn"},
         {JobState::Finished, "finished"},
         {JobState::Failed, "failed"},
         {JobState::Expired, "expired"},
--- a/include/gypsumdale/jobs/job_log_state.hpp
+++ b/include/gypsumdale/jobs/job_log_state.hpp
@@ -3,7 +3,6 @@
 #include <gypsumdale/jobs/job.hpp>
 
 #include <cstddef> // size_t
-#include <cstdint> // uint64_t
 #include <deque> // deque
 #include <unordered_map> // unordered_map
 #include <unordered_set> // unordered_set
@@ -38,8 +37,9 @@
 
     const std::unordered_map<JobId, Job> &jobs() const { return m_jobs; }
 
-    /// Returns records that rebuild the jobs on an empty state, to shorten a log. Linear.
-    std::vector<wire::JobRecord> asRecords() const;
+    /// Tells whether a job was in the log and is no longer. The last ten thousand are remembered.
+    /// Constant.
+    bool wasRemoved(const JobId &job) const { return m_removed.contains(job); }
 
 private:
     RecordEffect applyOffered(const wire::JobOffered &record);
--- a/include/gypsumdale/jobs/sse_parser.hpp
+++ b/include/gypsumdale/jobs/sse_parser.hpp
@@ -40,7 +40,7 @@
 private:
     Result<Done> takeLine(std::string_view line,
                           const std::function<Result<Done>(std::string_view)> &onData);
-    Result<Done> fail(std::string text);
+    Result<Done> fail(Error error);
 
     std::size_t m_limit;
     std::string m_partialLine;
--- /dev/null
+++ b/src/jobs/checkpoint_policy.cpp
@@ -0,0 +1,86 @@
+#include <gypsumdale/jobs/checkpoint_policy.hpp>
+
+#include <gypsumdale/core/result.hpp>
+
+#include <algorithm> // max, min
+#include <cmath> // sqrt
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr double k_secondsPerHour = 3600;
+/// A day: longer than any job, so that a rate of zero asks for no checkpoint.
+constexpr double k_longestSeconds = 86'400;
+
+Duration fromSeconds(double seconds)
+{
+    const double bounded = std::min(seconds, k_longestSeconds);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+}
+
+CheckpointPolicy makeEveryTokens(const CheckpointSettings &settings)
+{
+    return EveryTokens{settings.m_everyTokens};
+}
+
+CheckpointPolicy makeEveryInterval(const CheckpointSettings &settings)
+{
+    return EveryInterval{settings.m_interval};
+}
+
+CheckpointPolicy makeCostAware(const CheckpointSettings &settings)
+{
+    const double shortest =
+            settings.m_writesPerSecond > 0 ? 1 / settings.m_writesPerSecond : k_longestSeconds;
+    return CostAware{settings.m_lossesPerHour / k_secondsPerHour, settings.m_writeCost,
+                     settings.m_tokenCost, fromSeconds(shortest)};
+}
+
+CheckpointPolicy makeAtEndOnly(const CheckpointSettings & /*settings*/)
+{
+    return AtEndOnly{};
+}
+
+const Registration<CheckpointPolicy, const CheckpointSettings &> everyTokens{"every-tokens",
+                                                                             makeEveryTokens};
+const Registration<CheckpointPolicy, const CheckpointSettings &> everyInterval{"every-interval",
+                                                                               makeEveryInterval};
+const Registration<CheckpointPolicy, const CheckpointSettings &> costAware{"cost-aware",
+                                                                           makeCostAware};
+const Registration<CheckpointPolicy, const CheckpointSettings &> atEnd{"at-end", makeAtEndOnly};
+
+} // namespace
+
+Duration optimalInterval(const CostAware &policy, double tokensPerSecond)
+{
+    const double lossPerSecondSquared =
+            policy.m_lossesPerSecond * policy.m_tokenCost * tokensPerSecond;
+    if (lossPerSecondSquared <= 0)
+        return fromSeconds(k_longestSeconds);
+    const Duration optimum = fromSeconds(std::sqrt(2 * policy.m_writeCost / lossPerSecondSquared));
+    return std::max(optimum, policy.m_shortest);
+}
+
+bool isCheckpointDue(const CheckpointPolicy &policy, const CheckpointLoad &load)
+{
+    if (load.m_unsavedTokens <= 0)
+        return false;
+    return std::visit(Overloaded{
+                              [&load](const EveryTokens &every) {
+                                  return load.m_unsavedTokens
+                                         >= every.m_tokens * load.m_runningJobs;
+                              },
+                              [&load](const EveryInterval &every) {
+                                  return load.m_sinceLastWrite >= every.m_interval;
+                              },
+                              [&load](const CostAware &aware) {
+                                  return load.m_sinceLastWrite
+                                         >= optimalInterval(aware, load.m_tokensPerSecond);
+                              },
+                              [](const AtEndOnly &) { return false; },
+                      },
+                      policy);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/jobs/job_table.cpp
@@ -0,0 +1,368 @@
+#include <gypsumdale/jobs/job_table.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm> // min
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr std::uint64_t k_stream = 0x6a6f6273;
+constexpr int k_wordBits = 32;
+
+WallMillis toWallMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+std::string attemptName(const JobId &job, std::int64_t epoch, std::uint64_t attempt)
+{
+    return fmt::format("{}/{:x}/{:x}", job.text(), epoch, attempt);
+}
+
+JobTable::JobTable(JobTableSettings settings)
+    : m_settings(std::move(settings))
+    , m_ownLog(logOf(m_settings.m_self))
+    , m_random(m_settings.m_seed, k_stream)
+{}
+
+JobState JobTable::stateOf(const OwnedJob &owned) const
+{
+    switch (owned.m_mode) {
+    case Mode::TakingOver:
+        return JobState::TakingOver;
+    case Mode::HandingOver:
+        return JobState::HandingOver;
+    case Mode::Withdrawn:
+        return JobState::Withdrawn;
+    case Mode::Normal:
+        break;
+    }
+    if (!owned.m_isAccepted)
+        return JobState::Offered;
+    switch (owned.m_job.m_phase) {
+    case wire::JobPhase::Finished:
+        return JobState::Finished;
+    case wire::JobPhase::Failed:
+        return JobState::Failed;
+    case wire::JobPhase::Expired:
+        return JobState::Expired;
+    case wire::JobPhase::Running:
+        break;
+    }
+    return owned.m_attempt == 0 ? JobState::Held : JobState::Running;
+}
+
+std::vector<JobId> JobTable::ownedIds() const
+{
+    std::vector<JobId> ids;
+    ids.reserve(m_owned.size());
+    for (const auto &[id, owned] : m_owned)
+        ids.push_back(id);
+    return ids;
+}
+
+JobTable::OwnedJob *JobTable::findOwned(const JobId &job)
+{
+    const auto found = m_owned.find(job);
+    return found == m_owned.end() ? nullptr : &found->second;
+}
+
+JobTable::OwnedJob *JobTable::findAttempt(const JobId &job, std::uint64_t attempt)
+{
+    OwnedJob *owned = findOwned(job);
+    // An attempt that was cancelled goes on sending until its connection is closed: its events are
+    // known by their number and must not get into the answer of the one that took its place.
+    if (owned == nullptr || owned->m_attempt != attempt || attempt == 0) {
+        ++m_counters.m_lateEvents;
+        return nullptr;
+    }
+    return owned;
+}
+
+Result<JobId> JobTable::offer(const JobRequest &request, TimePoint now)
+{
+    ++m_counters.m_offered;
+    if (m_notice) {
+        ++m_counters.m_refused;
+        return Error{ErrorId::Draining, "this node is about to be reclaimed"};
+    }
+    OwnedJob owned;
+    const bool hasPlace = m_platformUp || !chooseHolder(owned).isEmpty();
+    if (!hasPlace || m_owned.size() >= m_settings.m_maximumJobs) {
+        ++m_counters.m_refused;
+        return Error{ErrorId::JobNotHeld, hasPlace ? "too many jobs run on this node"
+                                                   : "neither the platform nor another data centre "
+                                                     "can hold the job"};
+    }
+    const std::uint64_t salt = (static_cast<std::uint64_t>(m_random()) << k_wordBits) | m_random();
+    const JobId id = makeJobId(m_settings.m_self, m_nextNumber++, salt);
+    owned.m_job.m_id = id;
+    owned.m_job.m_request = request;
+    const WallMillis latest = request.m_created + toWallMillis(m_settings.m_maximumLife);
+    owned.m_job.m_request.m_deadline = std::min(request.m_deadline, latest);
+    owned.m_job.m_owner = m_settings.m_self;
+    owned.m_job.m_epochs.begin(nextEpoch(0, m_random()), 0);
+    owned.m_offeredAt = now;
+    OwnedJob &added = m_owned.emplace(id, std::move(owned)).first->second;
+    startAttempt(added, now);
+    service(id, now);
+    return id;
+}
+
+void JobTable::startAttempt(OwnedJob &owned, TimePoint now)
+{
+    owned.m_attempt = m_nextAttempt++;
+    owned.m_nextAttemptAt = now;
+    if (!owned.m_job.m_answer.isEmpty())
+        ++m_counters.m_resumed;
+    emit(StartAttempt{owned.m_job.m_id, owned.m_attempt, owned.m_job.m_epochs.current(),
+                      owned.m_job.m_request, owned.m_job.m_answer});
+}
+
+void JobTable::cancelAttempt(OwnedJob &owned)
+{
+    if (owned.m_attempt == 0)
+        return;
+    emit(CancelAttempt{owned.m_job.m_id, owned.m_attempt});
+    owned.m_attempt = 0;
+}
+
+void JobTable::accept(OwnedJob &owned)
+{
+    if (owned.m_isAccepted || owned.m_mode != Mode::Normal)
+        return;
+    owned.m_isAccepted = true;
+    ++m_counters.m_accepted;
+    emit(TellAccepted{owned.m_job.m_id});
+}
+
+void JobTable::refuse(OwnedJob &owned, Error error, TimePoint now)
+{
+    cancelAttempt(owned);
+    ++m_counters.m_refused;
+    emit(TellRefused{owned.m_job.m_id, std::move(error)});
+    releaseCopies(owned, {});
+    owned.m_holder.reset();
+    owned.m_mode = Mode::Withdrawn;
+    // The offer may take effect later, when nobody waits for it: a removal follows it in the log.
+    service(owned.m_job.m_id, now);
+}
+
+void JobTable::finish(OwnedJob &owned, wire::JobPhase::type phase, const std::string &reason,
+                      TimePoint now)
+{
+    owned.m_attempt = 0;
+    owned.m_job.m_phase = phase;
+    owned.m_job.m_finishReason = reason;
+    if (phase == wire::JobPhase::Finished)
+        ++m_counters.m_finished;
+    else if (phase == wire::JobPhase::Failed)
+        ++m_counters.m_failed;
+    else
+        ++m_counters.m_expired;
+    service(owned.m_job.m_id, now);
+}
+
+void JobTable::tellOver(OwnedJob &owned)
+{
+    if (owned.m_isToldOver || !owned.m_isAccepted)
+        return;
+    owned.m_isToldOver = true;
+    emit(TellOver{owned.m_job.m_id, stateOf(owned)});
+}
+
+void JobTable::onTokens(const JobId &job, std::uint64_t attempt, std::int64_t firstToken,
+                        const AnswerText &tokens, TimePoint /*now*/)
+{
+    OwnedJob *owned = findAttempt(job, attempt);
+    if (owned == nullptr)
+        return;
+    const std::int64_t had = owned->m_job.m_answer.tokens();
+    if (firstToken > had || firstToken + tokens.tokens() <= had) {
+        ++m_counters.m_lateEvents;
+        return;
+    }
+    owned->m_job.m_answer.append(firstToken == had ? tokens : tokens.from(had - firstToken));
+    m_tokensSinceCheckpoint += owned->m_job.m_answer.tokens() - had;
+}
+
+void JobTable::onAttemptFinished(const JobId &job, std::uint64_t attempt, std::int64_t wholeTokens,
+                                 const std::string &finishReason, TimePoint now)
+{
+    OwnedJob *owned = findAttempt(job, attempt);
+    if (owned == nullptr)
+        return;
+    // Tokens that got lost on the way here must not be missing from an answer that is said whole.
+    if (owned->m_job.m_answer.tokens() != wholeTokens) {
+        onAttemptFailed(job, attempt, false, now);
+        return;
+    }
+    finish(*owned, wire::JobPhase::Finished, finishReason, now);
+}
+
+void JobTable::onAttemptFailed(const JobId &job, std::uint64_t attempt, bool isPermanent,
+                               TimePoint now)
+{
+    OwnedJob *owned = findAttempt(job, attempt);
+    if (owned == nullptr)
+        return;
+    if (isPermanent) {
+        finish(*owned, wire::JobPhase::Failed, "failed", now);
+        return;
+    }
+    owned->m_attempt = 0;
+    owned->m_nextAttemptAt = now + m_settings.m_attemptBackoff;
+}
+
+void JobTable::onUpstreamLeaving(const JobId &job, std::uint64_t attempt, TimePoint now)
+{
+    OwnedJob *owned = findAttempt(job, attempt);
+    if (owned == nullptr)
+        return;
+    cancelAttempt(*owned);
+    startAttempt(*owned, now);
+}
+
+void JobTable::onNotice(NoticeScope scope, TimePoint now)
+{
+    const bool isWider = scope == NoticeScope::OwnDataCentre && m_notice == NoticeScope::OwnVm;
+    if (m_notice && !isWider)
+        return;
+    m_notice = scope;
+    for (const JobId &id : ownedIds()) {
+        OwnedJob &owned = m_owned.at(id);
+        if (owned.m_mode == Mode::TakingOver)
+            m_owned.erase(id); // Its copy, if there is one, is transferred below.
+        else if (!owned.m_isAccepted && owned.m_mode == Mode::Normal)
+            refuse(owned, Error{ErrorId::Draining, "this node is about to be reclaimed"}, now);
+        else if (owned.m_mode != Mode::Withdrawn)
+            beginHandOver(owned, now);
+    }
+    transferCopies();
+}
+
+void JobTable::service(const JobId &job, TimePoint now)
+{
+    OwnedJob *owned = findOwned(job);
+    if (owned == nullptr)
+        return;
+    FollowedLog *log = writableLog(*logOf(job), now);
+    if (log != nullptr) {
+        if (!reconcile(job, *log, now))
+            return;
+        appendMissing(*owned, *log, now);
+    }
+    const bool neverAppended = owned->m_mode == Mode::Withdrawn && !owned->m_appended;
+    if (neverAppended) {
+        m_owned.erase(job);
+        return;
+    }
+    syncToHolder(*owned, now);
+}
+
+void JobTable::tickJob(const JobId &job, TimePoint now, WallMillis wallNow)
+{
+    OwnedJob *owned = findOwned(job);
+    if (owned == nullptr)
+        return;
+    const bool isRunnable = owned->m_mode == Mode::Normal && !owned->m_job.isOver();
+    if (isRunnable && !owned->m_isAccepted
+        && now - owned->m_offeredAt >= m_settings.m_acceptTimeout) {
+        refuse(*owned,
+               Error{ErrorId::JobNotHeld, "the job could not be held outside its data centre"},
+               now);
+        return;
+    }
+    if (isRunnable && wallNow >= owned->m_job.m_request.m_deadline) {
+        cancelAttempt(*owned);
+        finish(*owned, wire::JobPhase::Expired, "expired", now);
+        return;
+    }
+    if (isRunnable && owned->m_attempt == 0 && now >= owned->m_nextAttemptAt)
+        startAttempt(*owned, now);
+    if (owned->m_mode == Mode::HandingOver)
+        driveHandOver(*owned, now);
+    service(job, now);
+}
+
+void JobTable::tick(TimePoint now, WallMillis wallNow)
+{
+    checkpoint(now);
+    for (const JobId &id : ownedIds())
+        tickJob(id, now, wallNow);
+    tickLogs(now);
+    removeFinished(now);
+    for (auto copy = m_copyOwners.begin(); copy != m_copyOwners.end();) {
+        const Job *job = m_copies.find(copy->first);
+        const WallMillis useless = toWallMillis(m_settings.m_retention)
+                                   + (job == nullptr ? 0 : job->m_request.m_deadline);
+        if (job != nullptr && wallNow < useless) {
+            ++copy;
+            continue;
+        }
+        m_copies.forget(copy->first);
+        copy = m_copyOwners.erase(copy);
+    }
+}
+
+void JobTable::checkpoint(TimePoint now)
+{
+    CheckpointLoad load;
+    for (const auto &[id, owned] : m_owned) {
+        if (owned.m_mode != Mode::Normal || owned.m_job.isOver())
+            continue;
+        ++load.m_runningJobs;
+        load.m_unsavedTokens += owned.m_job.m_answer.tokens() - owned.m_checkpointTo;
+    }
+    load.m_sinceLastWrite = now - m_lastCheckpoint;
+    const double seconds = std::chrono::duration<double>(load.m_sinceLastWrite).count();
+    load.m_tokensPerSecond =
+            seconds > 0 ? static_cast<double>(m_tokensSinceCheckpoint) / seconds : 0;
+    if (load.m_unsavedTokens == 0) {
+        m_lastCheckpoint = now;
+        m_tokensSinceCheckpoint = 0;
+        return;
+    }
+    if (!isCheckpointDue(m_settings.m_checkpoints, load))
+        return;
+    m_lastCheckpoint = now;
+    m_tokensSinceCheckpoint = 0;
+    for (auto &[id, owned] : m_owned)
+        owned.m_checkpointTo = owned.m_job.m_answer.tokens();
+}
+
+void JobTable::removeFinished(TimePoint now)
+{
+    while (!m_finished.empty()) {
+        const FinishedJob &oldest = m_finished.front();
+        const bool isKept = now - oldest.m_at < m_settings.m_retention
+                            && m_finished.size() <= m_settings.m_maximumFinished
+                            && m_finishedBytes <= m_settings.m_maximumFinishedBytes;
+        if (isKept || !m_platformUp)
+            return;
+        wire::JobRecord record;
+        wire::JobRemoved removed;
+        removed.job = oldest.m_job.text();
+        removed.epoch = oldest.m_epoch;
+        record.__set_removed(removed);
+        emit(AppendRecord{*logOf(oldest.m_job), std::move(record)});
+        m_finishedBytes -= oldest.m_bytes;
+        m_finished.pop_front();
+    }
+}
+
+bool JobTable::isDrained() const
+{
+    return m_owned.empty();
+}
+
+JobCommands JobTable::takeCommands()
+{
+    return std::exchange(m_commands, {});
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/jobs/job_table_log.cpp
@@ -0,0 +1,380 @@
+#include <gypsumdale/jobs/job_table.hpp>
+
+#include <algorithm> // find_if, max, min
+
+namespace gypsumdale {
+
+namespace {
+
+/// Progress is cut into records of about this many bytes of text; a log bounds its records.
+constexpr std::size_t k_recordText = std::size_t{16} * 1024;
+
+std::size_t indexOfEpoch(const EpochHistory &history, std::int64_t epoch)
+{
+    const auto &starts = history.starts();
+    const auto found =
+            std::find_if(starts.begin(), starts.end(), [epoch](const EpochHistory::Start &start) {
+                return start.m_epoch == epoch;
+            });
+    return static_cast<std::size_t>(found - starts.begin());
+}
+
+/// Returns the offset up to which tokens from `from` on fit into one record; at least one token.
+std::int64_t recordEnd(const AnswerText &answer, std::int64_t from, std::int64_t to)
+{
+    const std::size_t start = answer.bytesBefore(from);
+    if (answer.bytesBefore(to) - start <= k_recordText)
+        return to;
+    std::int64_t low = from + 1;
+    std::int64_t high = to;
+    while (low < high) {
+        const std::int64_t middle = low + (high - low + 1) / 2;
+        if (answer.bytesBefore(middle) - start <= k_recordText)
+            low = middle;
+        else
+            high = middle - 1;
+    }
+    return low;
+}
+
+} // namespace
+
+JobTable::FollowedLog &JobTable::follow(const JobLogId &log, TimePoint now)
+{
+    const auto [entry, isNew] = m_logs.try_emplace(log);
+    entry->second.m_usedAt = now;
+    if (isNew)
+        emit(FollowLog{log});
+    return entry->second;
+}
+
+JobTable::FollowedLog *JobTable::writableLog(const JobLogId &log, TimePoint now)
+{
+    if (!m_platformUp)
+        return nullptr;
+    FollowedLog &followed = follow(log, now);
+    // What another wrote must be known first: only then is it clear what the log lacks.
+    return followed.m_isCaughtUp ? &followed : nullptr;
+}
+
+void JobTable::onPlatform(bool up, TimePoint now)
+{
+    if (up == m_platformUp)
+        return;
+    m_platformUp = up;
+    if (!up)
+        return;
+    m_platformUpSince = now;
+    follow(m_ownLog, now);
+    for (const JobId &id : ownedIds())
+        service(id, now);
+}
+
+void JobTable::onLogCaughtUp(const JobLogId &log, TimePoint now)
+{
+    const auto found = m_logs.find(log);
+    if (found == m_logs.end())
+        return;
+    found->second.m_isCaughtUp = true;
+    for (const JobId &id : ownedIds()) {
+        if (logOf(id) == log)
+            service(id, now);
+    }
+}
+
+void JobTable::onAppendLost(const JobLogId &log, TimePoint /*now*/)
+{
+    for (auto &[id, owned] : m_owned) {
+        if (logOf(id) == log)
+            owned.m_appended.reset();
+    }
+}
+
+void JobTable::onRecordApplied(const JobLogId &log, const wire::JobRecord &record, TimePoint now)
+{
+    const auto found = m_logs.find(log);
+    if (found == m_logs.end())
+        return;
+    FollowedLog &followed = found->second;
+    const RecordEffect effect = followed.m_state.apply(record);
+    const JobId job = jobOf(record);
+    if (effect != RecordEffect::Applied || !followed.m_isCaughtUp)
+        return;
+    if (m_owned.contains(job)) {
+        reconcile(job, followed, now);
+        service(job, now);
+        return;
+    }
+    const Job *logged = followed.m_state.find(job);
+    const bool isOurs = record.__isset.takeover && logged != nullptr
+                        && logged->m_owner == m_settings.m_self && !m_handedTo.contains(job);
+    if (!isOurs)
+        return;
+    OwnedJob owned;
+    owned.m_job.m_id = job;
+    OwnedJob &added = m_owned.emplace(job, std::move(owned)).first->second;
+    adoptLogged(added, *logged, now);
+}
+
+/// Brings what this node thinks of a job in line with its log. Tells whether the node still has the
+/// job.
+bool JobTable::reconcile(const JobId &job, FollowedLog &log, TimePoint now)
+{
+    OwnedJob &owned = m_owned.at(job);
+    if (log.m_state.wasRemoved(job)) {
+        cancelAttempt(owned);
+        releaseCopies(owned, {});
+        m_owned.erase(job);
+        return false;
+    }
+    const Job *logged = log.m_state.find(job);
+    if (logged == nullptr)
+        return true;
+    if (!reconcileEpoch(owned, *logged, now))
+        return false;
+    settle(owned, *logged, now);
+    return m_owned.contains(job);
+}
+
+bool JobTable::reconcileEpoch(OwnedJob &owned, const Job &logged, TimePoint now)
+{
+    const auto &starts = owned.m_job.m_epochs.starts();
+    const std::int64_t epoch = logged.m_epochs.current();
+    const std::size_t index = indexOfEpoch(owned.m_job.m_epochs, epoch);
+    const bool isLast = index + 1 == starts.size();
+    const bool isKnown = index < starts.size()
+                         && (isLast || logged.m_answer.tokens() <= starts[index + 1].m_offset);
+    if (!isKnown) {
+        if (logged.m_owner == m_settings.m_self && !logged.isOver()) {
+            adoptLogged(owned, logged, now);
+            return true;
+        }
+        // Somebody took the job over while this node was paused or cut off. It goes on believing
+        // that it owns the job until it reads so here; what it appended meanwhile names an old
+        // epoch and counts for nothing.
+        fence(owned, logged.m_owner.m_node);
+        return false;
+    }
+    const bool hasMore = logged.m_answer.tokens() > owned.m_job.m_answer.tokens();
+    const bool isOver = logged.isOver() && !owned.m_job.isOver();
+    if (owned.m_mode == Mode::TakingOver && isLast && (hasMore || isOver)) {
+        // The owner was not dead yet when its death was reported: the takeover on its way names an
+        // offset that the log has passed, and a new one is needed.
+        owned.m_job = logged;
+        owned.m_appended.reset();
+        owned.m_takeoverEpoch = 0;
+    }
+    return true;
+}
+
+void JobTable::adoptLogged(OwnedJob &owned, const Job &logged, TimePoint now)
+{
+    cancelAttempt(owned);
+    owned.m_job = logged;
+    owned.m_mode = Mode::Normal;
+    owned.m_isAccepted = true;
+    owned.m_appended.reset();
+    owned.m_takeoverEpoch = 0;
+    owned.m_checkpointTo = logged.m_answer.tokens();
+    ++m_counters.m_takenOver;
+    forgetCopy(logged.m_id);
+    if (m_notice)
+        beginHandOver(owned, now);
+    else
+        startAttempt(owned, now);
+}
+
+void JobTable::fence(OwnedJob &owned, const NodeId &owner)
+{
+    const JobId job = owned.m_job.m_id;
+    cancelAttempt(owned);
+    releaseCopies(owned, {});
+    if (owned.m_mode == Mode::Normal) {
+        ++m_counters.m_fenced;
+        if (owned.m_appended)
+            m_counters.m_tokensLost += static_cast<std::uint64_t>(std::max<std::int64_t>(
+                    0, owned.m_job.m_answer.tokens() - owned.m_appended->m_tokens));
+    }
+    if (owned.m_mode == Mode::Normal || owned.m_mode == Mode::HandingOver)
+        emit(TellReattach{job, owner});
+    m_owned.erase(job);
+}
+
+void JobTable::settle(OwnedJob &owned, const Job &logged, TimePoint now)
+{
+    const JobId job = owned.m_job.m_id;
+    if (logged.m_epochs.current() != owned.m_job.m_epochs.current())
+        return;
+    accept(owned);
+    if (owned.m_mode == Mode::Normal && logged.m_answer.tokens() >= owned.m_checkpointTo
+        && logged.isOver() == owned.m_job.isOver()) {
+        releaseCopies(owned, {});
+        owned.m_holder.reset();
+    }
+    if (!logged.isOver())
+        return;
+    if (owned.m_mode == Mode::TakingOver || owned.m_mode == Mode::HandingOver) {
+        forgetCopy(job);
+        if (owned.m_mode == Mode::HandingOver)
+            tellOver(owned);
+        m_owned.erase(job);
+        return;
+    }
+    if (owned.m_mode != Mode::Normal)
+        return;
+    tellOver(owned);
+    const std::size_t bytes = logged.memory();
+    m_finished.push_back({job, logged.m_epochs.current(), bytes, now});
+    m_finishedBytes += bytes;
+    m_owned.erase(job);
+}
+
+void JobTable::appendMissing(OwnedJob &owned, const FollowedLog &log, TimePoint now)
+{
+    const Job *logged = log.m_state.find(owned.m_job.m_id);
+    if (owned.m_appended && now - owned.m_appended->m_changedAt >= m_settings.m_appendTimeout)
+        owned.m_appended.reset();
+    if (!owned.m_appended) {
+        if (owned.m_mode == Mode::Withdrawn && logged == nullptr)
+            return;
+        owned.m_appended = Replica{.m_changedAt = now};
+        if (logged != nullptr) {
+            owned.m_appended->m_epoch = logged->m_epochs.current();
+            owned.m_appended->m_tokens = logged->m_answer.tokens();
+            owned.m_appended->m_isOver = logged->isOver();
+        } else {
+            appendOffer(owned);
+        }
+    }
+    const std::size_t before = m_commands.size();
+    if (owned.m_mode == Mode::Withdrawn) {
+        if (!owned.m_appended->m_isRemoved) {
+            wire::JobRecord record;
+            wire::JobRemoved removed;
+            removed.job = owned.m_job.m_id.text();
+            removed.epoch = owned.m_job.m_epochs.current();
+            record.__set_removed(removed);
+            appendRecord(owned, std::move(record));
+            owned.m_appended->m_isRemoved = true;
+        }
+    } else {
+        appendEarlierEpochs(owned);
+        const bool isAll = owned.m_mode != Mode::Normal || owned.m_job.isOver();
+        appendProgress(owned, isAll ? owned.m_job.m_answer.tokens() : owned.m_checkpointTo);
+        appendFinish(owned);
+        appendTakeover(owned);
+    }
+    // As long as there is nothing on its way, there is nothing that could be lost.
+    const bool isSettled = logged != nullptr && owned.m_mode == Mode::Normal
+                           && owned.m_appended->m_epoch == logged->m_epochs.current()
+                           && owned.m_appended->m_tokens == logged->m_answer.tokens()
+                           && owned.m_appended->m_isOver == logged->isOver();
+    if (m_commands.size() != before || isSettled)
+        owned.m_appended->m_changedAt = now;
+}
+
+void JobTable::appendRecord(OwnedJob &owned, wire::JobRecord record)
+{
+    emit(AppendRecord{*logOf(owned.m_job.m_id), std::move(record)});
+}
+
+void JobTable::appendOffer(OwnedJob &owned)
+{
+    Job bare = owned.m_job;
+    bare.m_answer = {};
+    bare.m_phase = wire::JobPhase::Running;
+    bare.m_finishReason.clear();
+    wire::JobOffered offered;
+    offered.snapshot = toWire(bare);
+    wire::JobRecord record;
+    record.__set_offered(offered);
+    appendRecord(owned, std::move(record));
+    owned.m_appended->m_epoch = owned.m_job.m_epochs.current();
+}
+
+/// Hand-overs made while the platform was out are not in the log yet: each one follows as a
+/// takeover at the offset where it happened.
+void JobTable::appendEarlierEpochs(OwnedJob &owned)
+{
+    const auto &starts = owned.m_job.m_epochs.starts();
+    for (std::size_t next = indexOfEpoch(owned.m_job.m_epochs, owned.m_appended->m_epoch) + 1;
+         next < starts.size(); ++next) {
+        appendProgress(owned, starts[next].m_offset);
+        wire::JobTakeover takeover;
+        takeover.job = owned.m_job.m_id.text();
+        takeover.previousEpoch = owned.m_appended->m_epoch;
+        takeover.epoch = starts[next].m_epoch;
+        takeover.offset = starts[next].m_offset;
+        takeover.newOwner = toWire(owned.m_job.m_owner);
+        takeover.reason = "handed-over";
+        wire::JobRecord record;
+        record.__set_takeover(takeover);
+        appendRecord(owned, std::move(record));
+        owned.m_appended->m_epoch = starts[next].m_epoch;
+    }
+}
+
+wire::JobProgress JobTable::progressOf(const Job &job, std::int64_t epoch, std::int64_t from,
+                                       std::int64_t to) const
+{
+    AnswerText piece = job.m_answer;
+    piece.cutTo(to);
+    wire::JobProgress progress;
+    progress.job = job.m_id.text();
+    progress.epoch = epoch;
+    progress.fromTokens = from;
+    progress.text = std::string(piece.textFrom(from));
+    progress.tokenLengths = piece.encodedLengths(from);
+    return progress;
+}
+
+void JobTable::appendProgress(OwnedJob &owned, std::int64_t tokens)
+{
+    Replica &appended = *owned.m_appended;
+    while (appended.m_tokens < tokens) {
+        const std::int64_t end = recordEnd(owned.m_job.m_answer, appended.m_tokens, tokens);
+        wire::JobRecord record;
+        record.__set_progress(progressOf(owned.m_job, appended.m_epoch, appended.m_tokens, end));
+        ++m_counters.m_checkpointRecords;
+        m_counters.m_checkpointBytes +=
+                record.progress.text.size() + record.progress.tokenLengths.size();
+        appendRecord(owned, std::move(record));
+        appended.m_tokens = end;
+    }
+}
+
+void JobTable::appendFinish(OwnedJob &owned)
+{
+    Replica &appended = *owned.m_appended;
+    if (!owned.m_job.isOver() || appended.m_isOver)
+        return;
+    wire::JobFinished finished;
+    finished.rest = progressOf(owned.m_job, appended.m_epoch, appended.m_tokens, appended.m_tokens);
+    finished.phase = owned.m_job.m_phase;
+    finished.finishReason = owned.m_job.m_finishReason;
+    finished.wholeTokens = owned.m_job.m_answer.tokens();
+    wire::JobRecord record;
+    record.__set_finished(finished);
+    appendRecord(owned, std::move(record));
+    appended.m_isOver = true;
+}
+
+void JobTable::appendTakeover(OwnedJob &owned)
+{
+    if (owned.m_mode != Mode::TakingOver || owned.m_takeoverEpoch != 0 || owned.m_job.isOver())
+        return;
+    const std::int64_t previous = owned.m_job.m_epochs.current();
+    owned.m_takeoverEpoch = nextEpoch(previous, m_random());
+    wire::JobTakeover takeover;
+    takeover.job = owned.m_job.m_id.text();
+    takeover.previousEpoch = previous;
+    takeover.epoch = owned.m_takeoverEpoch;
+    takeover.offset = owned.m_job.m_answer.tokens();
+    takeover.newOwner = toWire(m_settings.m_self);
+    takeover.reason = "owner-dead";
+    wire::JobRecord record;
+    record.__set_takeover(takeover);
+    appendRecord(owned, std::move(record));
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/jobs/job_table_takeover.cpp
@@ -0,0 +1,132 @@
+#include <gypsumdale/jobs/job_table.hpp>
+
+#include "detail/rendezvous.hpp"
+
+#include <algorithm> // any_of
+
+namespace gypsumdale {
+
+void JobTable::onPeers(std::vector<JobPeer> peers, TimePoint now)
+{
+    std::vector<ProcessRef> replaced;
+    for (const JobPeer &peer : peers) {
+        m_dead.erase(peer.m_process);
+        const JobPeer *known = findPeer(peer.m_process.m_node);
+        // A restarted process has nothing of what its former self had in memory.
+        if (known != nullptr && known->m_process != peer.m_process)
+            replaced.push_back(known->m_process);
+    }
+    m_peers = std::move(peers);
+    for (const ProcessRef &process : replaced)
+        onPeerDead(process, now);
+    for (auto &[id, owned] : m_owned) {
+        if (!owned.m_holder)
+            continue;
+        const JobPeer *holder = findPeer(owned.m_holder->m_node);
+        if (holder != nullptr && holder->m_leaving)
+            failHolder(owned);
+    }
+}
+
+void JobTable::onPeerDead(const ProcessRef &process, TimePoint now)
+{
+    m_dead.insert(process);
+    for (const auto &[id, owner] : m_copyOwners) {
+        const Job *copy = m_copies.find(id);
+        if (owner == process && copy != nullptr && !m_owned.contains(id))
+            takeOver(*copy, now);
+    }
+    if (isCaretaker(logOf(process)))
+        follow(logOf(process), now);
+    for (auto &[log, followed] : m_logs)
+        followed.m_takeOverAt = now + m_settings.m_successorDelay;
+    for (auto &[id, owned] : m_owned) {
+        if (owned.m_holder && owned.m_holder->m_node == process.m_node)
+            failHolder(owned);
+    }
+}
+
+void JobTable::onLogsListed(const std::vector<JobLogId> &logs, TimePoint now)
+{
+    std::map<JobLogId, TimePoint> orphans;
+    for (const JobLogId &log : logs) {
+        const std::optional<ProcessRef> origin = processOf(log);
+        if (!origin || *origin == m_settings.m_self)
+            continue;
+        const JobPeer *peer = findPeer(origin->m_node);
+        if (peer != nullptr && peer->m_process == *origin)
+            continue;
+        const auto known = m_orphanSince.find(log);
+        const TimePoint since = known == m_orphanSince.end() ? now : known->second;
+        orphans.emplace(log, since);
+        const bool isReplaced = peer != nullptr || origin->m_node == m_settings.m_self.m_node;
+        if ((isReplaced || now - since >= m_settings.m_orphanDelay) && isCaretaker(log)) {
+            m_dead.insert(*origin);
+            follow(log, now).m_takeOverAt = now;
+        }
+    }
+    m_orphanSince = std::move(orphans);
+}
+
+/// The process that began a log takes care of it; once that is gone, the live node that rendezvous
+/// hashing prefers. Two nodes that disagree on who lives may both try: the log decides.
+bool JobTable::isCaretaker(const JobLogId &log) const
+{
+    if (m_notice)
+        return false;
+    const std::optional<ProcessRef> origin = processOf(log);
+    if (!origin || *origin == m_settings.m_self)
+        return origin.has_value();
+    const std::uint64_t own = detail::rendezvousWeight(log.text(), m_settings.m_self.m_node);
+    return !std::any_of(m_peers.begin(), m_peers.end(), [&](const JobPeer &peer) {
+        const bool isDead = m_dead.contains(peer.m_process);
+        if (isDead || peer.m_leaving)
+            return false;
+        return peer.m_process == *origin
+               || detail::rendezvousWeight(log.text(), peer.m_process.m_node) > own;
+    });
+}
+
+void JobTable::takeOver(const Job &job, TimePoint now)
+{
+    OwnedJob owned;
+    owned.m_job = job;
+    owned.m_mode = Mode::TakingOver;
+    owned.m_isAccepted = true;
+    m_owned.emplace(job.m_id, std::move(owned));
+    service(job.m_id, now);
+}
+
+void JobTable::takeOverLog(const JobLogId &log, FollowedLog &followed, TimePoint now)
+{
+    followed.m_takeOverAt.reset();
+    if (!isCaretaker(log))
+        return;
+    std::vector<JobId> orphaned;
+    for (const auto &[id, job] : followed.m_state.jobs()) {
+        if (!job.isOver() && m_dead.contains(job.m_owner) && !m_owned.contains(id))
+            orphaned.push_back(id);
+    }
+    for (const JobId &id : orphaned)
+        takeOver(*followed.m_state.find(id), now);
+}
+
+void JobTable::tickLogs(TimePoint now)
+{
+    std::vector<JobLogId> idle;
+    for (auto &[log, followed] : m_logs) {
+        const bool isDue = followed.m_takeOverAt && now >= *followed.m_takeOverAt;
+        if (isDue && m_platformUp && followed.m_isCaughtUp)
+            takeOverLog(log, followed, now);
+        const bool isUsed = log == m_ownLog || followed.m_takeOverAt
+                            || now - followed.m_usedAt < m_settings.m_logIdle;
+        if (!isUsed)
+            idle.push_back(log);
+    }
+    for (const JobLogId &log : idle) {
+        emit(LeaveLog{log});
+        m_logs.erase(log);
+    }
+}
+
+} // namespace gypsumdale
