--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -100,20 +100,20 @@
     const JobId job = jobOf(record);
     if (effect != RecordEffect::Applied || !followed.m_isCaughtUp)
         return;
+    const Job *changed = followed.m_state.find(job);
+    if (changed != nullptr && !changed->isOver() && m_dead.contains(changed->m_owner))
+        followed.m_takeOverAt = now + m_settings.m_successorDelay;
     if (m_owned.contains(job)) {
         reconcile(job, followed, now);
         service(job, now);
         return;
     }
-    const Job *logged = followed.m_state.find(job);
-    const bool isOurs = record.__isset.takeover && logged != nullptr
-                        && logged->m_owner == m_settings.m_self && !m_handedTo.contains(job);
+    const bool isOurs = record.__isset.takeover && changed != nullptr && !changed->isOver()
+                        && changed->m_owner == m_settings.m_self && !m_handedTo.contains(job);
     if (!isOurs)
         return;
-    OwnedJob owned;
-    owned.m_job.m_id = job;
-    OwnedJob &added = m_owned.emplace(job, std::move(owned)).first->second;
-    adoptLogged(added, *logged, now);
+    OwnedJob &added = m_owned[job];
+    adoptLogged(added, *changed, now);
 }
 
 /// Brings what this node thinks of a job in line with its log. Tells whether the node still has the
@@ -130,7 +130,7 @@
     const Job *logged = log.m_state.find(job);
     if (logged == nullptr)
         return true;
-    if (!reconcileEpoch(owned, *logged, now))
+    if (!reconcileEpoch(owned, *logged, now) || !m_owned.contains(job))
         return false;
     settle(owned, *logged, now);
     return m_owned.contains(job);
@@ -175,6 +175,7 @@
     owned.m_isAccepted = true;
     owned.m_appended.reset();
     owned.m_takeoverEpoch = 0;
+    owned.m_holder.reset();
     owned.m_checkpointTo = logged.m_answer.tokens();
     ++m_counters.m_takenOver;
     forgetCopy(logged.m_id);
@@ -195,6 +196,8 @@
             m_counters.m_tokensLost += static_cast<std::uint64_t>(std::max<std::int64_t>(
                     0, owned.m_job.m_answer.tokens() - owned.m_appended->m_tokens));
     }
+    if (owned.m_mode == Mode::TakingOver)
+        forgetCopy(job);
     if (owned.m_mode == Mode::Normal || owned.m_mode == Mode::HandingOver)
         emit(TellReattach{job, owner});
     m_owned.erase(job);
@@ -215,7 +218,8 @@
         return;
     if (owned.m_mode == Mode::TakingOver || owned.m_mode == Mode::HandingOver) {
         forgetCopy(job);
-        if (owned.m_mode == Mode::HandingOver)
+        const bool isOwn = std::exchange(owned.m_mode, Mode::Normal) == Mode::HandingOver;
+        if (isOwn)
             tellOver(owned);
         m_owned.erase(job);
         return;
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -2,7 +2,7 @@
 
 #include "detail/rendezvous.hpp"
 
-#include <algorithm> // find_if, min
+#include <algorithm> // find_if, min, none_of
 
 namespace gypsumdale {
 
@@ -152,11 +152,17 @@
     const bool isWanted = owned != nullptr && owned->m_mode == Mode::Normal && owned->m_holder
                           && owned->m_holder->m_node == peer;
     if (!isWanted) {
-        // The answer to a question given up on: the copy would otherwise be kept for nobody.
         const bool isCopy = owned != nullptr && owned->m_copies.contains(peer);
-        if (answer.held && !isCopy)
+        const bool isHeld = owned != nullptr && owned->m_holder && owned->m_holder->m_isHeld;
+        if (answer.held && !isCopy) {
+            // The answer to a question given up on: the copy would be kept for nobody.
             emit(ReleaseAtPeer{peer, job});
-        return;
+            return;
+        }
+        if (!answer.held || isHeld || owned->m_mode != Mode::Normal)
+            return;
+        // A slow peer that was given up on holds the job before the next one does.
+        owned->m_holder = Holder{.m_node = peer};
     }
     Holder &holder = *owned->m_holder;
     if (!answer.held || answer.epoch != owned->m_job.m_epochs.current()) {
@@ -199,12 +205,8 @@
     const bool isRefused = m_notice || m_owned.contains(job)
                            || (copy == nullptr && m_copyOwners.size() >= m_settings.m_maximumJobs);
     if (!isRefused) {
-        if (hold.record.__isset.offered && copy != nullptr) {
-            const auto &epochs = hold.record.offered.snapshot.epochs;
-            // A message of the owner before may come behind one of its successor.
-            if (!epochs.empty() && epochs.back().epoch >= copy->m_epochs.current())
-                m_copies.forget(job);
-        }
+        if (hold.record.__isset.offered && replacesCopy(hold.record.offered.snapshot))
+            m_copies.forget(job);
         const RecordEffect effect = m_copies.apply(hold.record);
         if (hold.record.__isset.offered && effect == RecordEffect::Applied)
             m_copyOwners[job] = fromWire(hold.owner);
@@ -223,6 +225,20 @@
     emit(AnswerHold{peer, std::move(answer)});
 }
 
+/// Tells whether an owner's snapshot is at least as new as the copy of the job. Messages may come
+/// late: one of the owner before behind one of its successor, or an old one behind a newer.
+bool JobTable::replacesCopy(const wire::JobSnapshot &snapshot) const
+{
+    const Job *copy = m_copies.find(JobId(snapshot.job));
+    if (copy == nullptr || snapshot.epochs.empty())
+        return false;
+    const std::int64_t epoch = snapshot.epochs.back().epoch;
+    if (epoch != copy->m_epochs.current())
+        return epoch > copy->m_epochs.current();
+    const bool isShorter = snapshot.text.size() < copy->m_answer.text().size();
+    return !isShorter && !copy->isOver();
+}
+
 void JobTable::onReleaseRequest(const NodeId &peer, const JobId &job, TimePoint /*now*/)
 {
     const auto owner = m_copyOwners.find(job);
@@ -319,7 +335,7 @@
         return;
     }
     ++m_counters.m_handedOver;
-    m_handedTo[job] = peer;
+    m_handedTo[job] = {peer, owned->m_job.m_request.m_member};
     releaseCopies(*owned, peer);
     emit(TellReattach{job, peer});
     m_owned.erase(job);
@@ -331,7 +347,7 @@
     const JobId job(handOver.snapshot.job);
     wire::JobHandOverAnswer answer;
     answer.job = job.text();
-    answer.taken = m_handedTo.contains(job);
+    answer.taken = m_handedTo.contains(job) || hasMovedOn(handOver.snapshot);
     OwnedJob *owned = findOwned(job);
     if (owned != nullptr && owned->m_mode != Mode::TakingOver) {
         answer.taken = true;
@@ -349,6 +365,27 @@
     service(job, now);
 }
 
+/// Tells whether the log already knows of a later owner or of the end. A hand-over may be delivered
+/// again long after it was done.
+bool JobTable::hasMovedOn(const wire::JobSnapshot &snapshot) const
+{
+    const std::optional<JobLogId> log = logOf(JobId(snapshot.job));
+    if (!log)
+        return false;
+    const auto followed = m_logs.find(*log);
+    if (followed == m_logs.end())
+        return false;
+    const JobLogState &state = followed->second.m_state;
+    const Job *logged = state.find(JobId(snapshot.job));
+    if (logged == nullptr)
+        return state.wasRemoved(JobId(snapshot.job));
+    const std::int64_t current = logged->m_epochs.current();
+    return logged->isOver()
+           || std::none_of(
+                   snapshot.epochs.begin(), snapshot.epochs.end(),
+                   [current](const wire::JobEpochStart &start) { return start.epoch == current; });
+}
+
 void JobTable::adopt(Job job, TimePoint now)
 {
     const JobId id = job.m_id;
--- a/src/jobs/job_table_read.cpp
+++ b/src/jobs/job_table_read.cpp
@@ -60,8 +60,11 @@
         const bool isTold = owned->m_isToldOver || !owned->m_job.isOver();
         return serve(owned->m_job, isTold ? stateOf(*owned) : JobState::Running, position);
     }
-    if (const auto handed = m_handedTo.find(job); handed != m_handedTo.end())
-        return AskNode{handed->second};
+    if (const auto handed = m_handedTo.find(job); handed != m_handedTo.end()) {
+        if (handed->second.m_member != member)
+            return unknownJob();
+        return AskNode{handed->second.m_node};
+    }
     if (const auto copy = m_copyOwners.find(job); copy != m_copyOwners.end()) {
         const Job *held = m_copies.find(job);
         if (held == nullptr || held->m_request.m_member != member)
--- a/src/jobs/job_table_takeover.cpp
+++ b/src/jobs/job_table_takeover.cpp
@@ -30,14 +30,17 @@
 
 void JobTable::onPeerDead(const ProcessRef &process, TimePoint now)
 {
-    m_dead.insert(process);
+    m_dead.emplace(process, now);
     for (const auto &[id, owner] : m_copyOwners) {
         const Job *copy = m_copies.find(id);
         if (owner == process && copy != nullptr && !m_owned.contains(id))
             takeOver(*copy, now);
     }
-    if (isCaretaker(logOf(process)))
-        follow(logOf(process), now);
+    // The death of a caretaker leaves the logs of those that died before it to the next one.
+    for (const auto &[dead, since] : m_dead) {
+        if (isCaretaker(logOf(dead)))
+            follow(logOf(dead), now);
+    }
     for (auto &[log, followed] : m_logs)
         followed.m_takeOverAt = now + m_settings.m_successorDelay;
     for (auto &[id, owned] : m_owned) {
@@ -61,7 +64,7 @@
         orphans.emplace(log, since);
         const bool isReplaced = peer != nullptr || origin->m_node == m_settings.m_self.m_node;
         if ((isReplaced || now - since >= m_settings.m_orphanDelay) && isCaretaker(log)) {
-            m_dead.insert(*origin);
+            m_dead.emplace(*origin, now);
             follow(log, now).m_takeOverAt = now;
         }
     }
@@ -116,9 +119,12 @@
     std::vector<JobLogId> idle;
     for (auto &[log, followed] : m_logs) {
         const bool isDue = followed.m_takeOverAt && now >= *followed.m_takeOverAt;
-        if (isDue && m_platformUp && followed.m_isCaughtUp)
+        // After an outage, live owners and holders get to append what they have first.
+        const bool isSettled =
+                m_platformUp && now - m_platformUpSince >= m_settings.m_successorDelay;
+        if (isDue && isSettled && followed.m_isCaughtUp)
             takeOverLog(log, followed, now);
-        const bool isUsed = log == m_ownLog || followed.m_takeOverAt
+        const bool isUsed = log == m_ownLog || followed.m_takeOverAt || !m_platformUp
                             || now - followed.m_usedAt < m_settings.m_logIdle;
         if (!isUsed)
             idle.push_back(log);
@@ -127,6 +133,9 @@
         emit(LeaveLog{log});
         m_logs.erase(log);
     }
+    std::erase_if(m_dead, [&](const auto &entry) {
+        return now - entry.second > m_settings.m_maximumLife + m_settings.m_retention;
+    });
 }
 
 } // namespace gypsumdale
