--- a/src/observe/detail/log_line.cpp
+++ b/src/observe/detail/log_line.cpp
@@ -1,14 +1,13 @@
 #include <gypsumdale/core/names.hpp>
 #include <gypsumdale/core/result.hpp>
+#include <gypsumdale/observe/utc_text.hpp>
 
 #include <observe/detail/log_line.hpp>
 
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm> // all_of
-#include <ctime> // time_t
 
 namespace gypsumdale::detail {
 
@@ -16,13 +15,6 @@
 
 constexpr std::string_view truncatedMark = " truncated=true";
 constexpr std::string_view cutMark = "...";
-constexpr WallMillis millisPerSecond = 1000;
-
-std::string writeTime(WallMillis at)
-{
-    const auto seconds = static_cast<std::time_t>(at / millisPerSecond);
-    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), at % millisPerSecond);
-}
 
 bool isBareLetter(char letter)
 {
@@ -64,7 +56,7 @@
 }
 
 LogLine::LogLine(WallMillis at, LogLevel level, std::string_view event)
-    : m_text(fmt::format("time={} level={} event={}", writeTime(at), nameIn(logLevelNames, level),
+    : m_text(fmt::format("time={} level={} event={}", toUtcText(at), nameIn(logLevelNames, level),
                          event))
 {}
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -4,7 +4,9 @@
 #include <observe/detail/log_line.hpp>
 
 #include <mutex> // lock_guard, mutex
+#include <span> // span
 #include <utility> // move
+#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -25,6 +27,8 @@
         return line;
     }
 
+    void write(LogLevel level, LogEvent event, std::span<const LogItem> fields);
+
     void hand(detail::LogLine line)
     {
         if (!m_sink(line.finish()))
@@ -40,6 +44,22 @@
     std::uint64_t m_lost = 0;
 };
 
+void Logger::State::write(LogLevel level, LogEvent event, std::span<const LogItem> fields)
+{
+    if (level < m_level)
+        return;
+    const std::lock_guard lock(m_mutex);
+    if (!m_limiter.admit(event.name(), m_clock.now()))
+        return;
+    detail::LogLine line = begin(level, event.name());
+    for (const LogItem &field : fields)
+        line.add(field);
+    const std::uint64_t suppressed = m_limiter.takeSuppressed(event.name());
+    if (suppressed > 0)
+        line.add({LogField::Suppressed, suppressed});
+    hand(std::move(line));
+}
+
 Logger::Logger(std::unique_ptr<State> state)
     : m_state(std::move(state))
 {}
@@ -48,18 +68,16 @@
 
 void Logger::write(LogLevel level, LogEvent event, std::initializer_list<LogItem> fields)
 {
-    if (!isEnabled(level))
-        return;
-    const std::lock_guard lock(m_state->m_mutex);
-    if (!m_state->m_limiter.admit(event.name(), m_state->m_clock.now()))
-        return;
-    detail::LogLine line = m_state->begin(level, event.name());
-    for (const LogItem &field : fields)
-        line.add(field);
-    const std::uint64_t suppressed = m_state->m_limiter.takeSuppressed(event.name());
-    if (suppressed > 0)
-        line.add({LogField::Suppressed, suppressed});
-    m_state->hand(std::move(line));
+    m_state->write(level, event, fields);
+}
+
+void Logger::failure(LogEvent event, const Error &error, std::initializer_list<LogItem> fields)
+{
+    std::vector<LogItem> items = {{LogField::ErrorNumber, static_cast<int>(error.m_id)},
+                                  {LogField::ErrorName, errorName(error.m_id)},
+                                  {LogField::Text, error.m_text}};
+    items.insert(items.end(), fields.begin(), fields.end());
+    m_state->write(LogLevel::Error, event, items);
 }
 
 void Logger::debug(LogEvent event, std::initializer_list<LogItem> fields)
--- /dev/null
+++ b/tests/src/unit-metrics.cpp
@@ -0,0 +1,123 @@
+#include <gypsumdale/observe/metrics.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string> // string, to_string
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool contains(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("latency histogram")
+{
+    LatencyHistogram histogram;
+
+    SECTION("counts a duration at a bound within that bound, as le means")
+    {
+        histogram.record(51ms);
+        histogram.record(51ms + 1ns);
+        histogram.record(-1ms);
+        const LatencySnapshot counts = histogram.snapshot();
+        CHECK(counts.m_upper.at(8) == 51ms);
+        CHECK(counts.m_counts.at(8) == 1);
+        CHECK(counts.m_counts.at(9) == 1);
+        CHECK(counts.m_counts.at(0) == 1);
+        CHECK(counts.m_sum == 102ms + 1ns);
+    }
+
+    SECTION("keeps what exceeds every bound in the last bucket")
+    {
+        histogram.record(1h);
+        CHECK(histogram.snapshot().m_counts.back() == 1);
+        CHECK(histogram.snapshot().quantile(0.5) == 300s);
+    }
+
+    SECTION("gives quantiles within the width of a bucket")
+    {
+        for (int millis = 1; millis <= 1000; ++millis)
+            histogram.record(std::chrono::milliseconds(millis));
+        const LatencySnapshot counts = histogram.snapshot();
+        CHECK(counts.quantile(0.95) == 950ms);
+        CHECK(counts.quantile(0.0) == 0ms);
+        CHECK(counts.quantile(1.0) == 1000ms);
+        CHECK(counts.shareWithin(350ms) == Approx(0.35));
+        CHECK(counts.shareWithin(1h) == Approx(1.0));
+        CHECK(LatencySnapshot().quantile(0.95) == 0ms);
+    }
+}
+
+TEST_CASE("metrics exposition")
+{
+    Metrics metrics;
+
+    SECTION("writes a histogram with cumulated buckets, sum and count")
+    {
+        RequestSeries &series = metrics.series(MemberId("acme"), ProfileId("phone"));
+        series.record(Latency::FirstToken, 300ms);
+        series.record(Latency::FirstToken, 1500ms);
+        const std::string text = metrics.expose();
+        const std::string name = "gypsumdale_time_to_first_token_seconds";
+        const std::string labels = "member=\"acme\",profile=\"phone\"";
+        CHECK(contains(text, "# HELP " + name + " "));
+        CHECK(contains(text, "# TYPE " + name + " histogram\n"));
+        CHECK(contains(text, name + "_bucket{" + labels + ",le=\"0.25\"} 0\n"));
+        CHECK(contains(text, name + "_bucket{" + labels + ",le=\"0.35\"} 1\n"));
+        CHECK(contains(text, name + "_bucket{" + labels + ",le=\"1.5\"} 2\n"));
+        CHECK(contains(text, name + "_bucket{" + labels + ",le=\"+Inf\"} 2\n"));
+        CHECK(contains(text, name + "_sum{" + labels + "} 1.8\n"));
+        CHECK(contains(text, name + "_count{" + labels + "} 2\n"));
+        CHECK(metrics.total(Latency::FirstToken).count() == 2);
+    }
+
+    SECTION("writes counters, errors and only the gauges that were set")
+    {
+        metrics.add(Counter::Retries, 2);
+        metrics.assign(Counter::LogLinesLost, 9);
+        metrics.countError(ErrorId::QueueFull);
+        metrics.set(Gauge::PeersLive, -1);
+        metrics.series(MemberId("acme"), ProfileId("phone")).add(RequestCounter::Done);
+        const std::string text = metrics.expose();
+        CHECK(contains(text,
+                       "# TYPE gypsumdale_retries_total counter\ngypsumdale_retries_total 2"));
+        CHECK(contains(text, "\ngypsumdale_log_lines_lost_total 9\n"));
+        CHECK(contains(text, "\ngypsumdale_errors_total{error=\"queue-full\"} 1\n"));
+        CHECK(contains(text, "\ngypsumdale_peers_live -1\n"));
+        CHECK(contains(text,
+                       "gypsumdale_requests_done_total{member=\"acme\",profile=\"phone\"} 1\n"));
+        CHECK_FALSE(contains(text, "gypsumdale_ready"));
+    }
+
+    SECTION("escapes labels")
+    {
+        metrics.series(MemberId("a\"b\\c\nd\x01"), ProfileId("p"));
+        CHECK(contains(metrics.expose(), "{member=\"a\\\"b\\\\c\\nd_\",profile=\"p\"}"));
+    }
+}
+
+TEST_CASE("metrics cardinality")
+{
+    // A deployment script creates a member for each shop visitor. Without a cap each adds hundreds
+    // of samples until the process or the monitoring tool runs out of memory.
+    Metrics metrics({2, 1});
+    RequestSeries &first = metrics.series(MemberId("m-0"), ProfileId("p-0"));
+    for (int i = 0; i < 100; ++i) {
+        const std::string number = std::to_string(i);
+        metrics.series(MemberId("m-" + number), ProfileId("p-" + number))
+                .add(RequestCounter::Received);
+    }
+    CHECK(metrics.seriesCount() == 3);
+    const std::string text = metrics.expose();
+    const std::string name = "gypsumdale_requests_received_total";
+    CHECK(contains(text, name + "{member=\"m-0\",profile=\"p-0\"} 1\n"));
+    CHECK(contains(text, name + "{member=\"m-1\",profile=\"other\"} 1\n"));
+    CHECK(contains(text, name + "{member=\"other\",profile=\"other\"} 98\n"));
+    CHECK(&first == &metrics.series(MemberId("m-0"), ProfileId("p-0")));
+}
