Write gypsumctl

Its main() stands in src/ctl/program, the rest is a module that unit-ctl links, so that tables, replies, conflicts and lost answers are tested without sockets.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -32,6 +32,9 @@
 gypsumdale_module(runtime Boost::fiber Boost::context Boost::url OpenSSL::Crypto)
 gypsumdale_module(kernel Boost::fiber Boost::context Boost::url PkgConfig::THRIFT PkgConfig::YAMLCPP)
 
+# What the command-line tool does, apart from its main(), so that a test can link it.
+gypsumdale_module(ctl Boost::url PkgConfig::YAMLCPP)
+
 function(gypsumdale_link_modules target)
   foreach(name IN LISTS ARGN)
     if(TARGET gypsumdale_${name})
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -12,7 +12,7 @@
 
 set(DECISION_MODULES core settings policy ledger jobs fleet observe)
 gypsumdale_program(gypsumdaled src/daemon ${DECISION_MODULES} generated runtime kernel)
-gypsumdale_program(gypsumctl src/ctl core settings observe runtime)
+gypsumdale_program(gypsumctl src/ctl/program core settings observe runtime ctl)
 # The stand-ins without their main(), so that unit-standins can test their logic.
 file(GLOB standin_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/*.cpp)
 list(FILTER standin_sources EXCLUDE REGEX "/main\\.cpp$")
--- /dev/null
+++ b/src/ctl/admin_client.cpp
@@ -0,0 +1,128 @@
+#include <ctl/admin_client.hpp>
+#include <ctl/admin_reply.hpp>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+#include <fmt/format.h>
+
+#include <charconv> // from_chars
+#include <cstdint> // uint16_t
+#include <optional> // optional
+#include <utility> // move
+#include <variant> // get_if
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+constexpr auto connectTimeout = std::chrono::seconds(2);
+constexpr auto answerTimeout = std::chrono::seconds(15);
+
+/// Tells whether an entry refused a call because of its own state, before it did anything.
+bool refusesForNow(const HttpReply &reply)
+{
+    const std::optional<ErrorReply> error = readErrorReply(reply);
+    return error && (error->m_id == ErrorId::NotReady || error->m_id == ErrorId::Draining);
+}
+
+} // namespace
+
+AdminClient::AdminClient(std::vector<Endpoint> entries, std::string credential, Transport transport)
+    : m_entries(std::move(entries))
+    , m_credential(std::move(credential))
+    , m_transport(std::move(transport))
+{}
+
+CallResult<HttpReply> AdminClient::send(const Endpoint &entry, const AdminCall &call) const
+{
+    HttpCall request;
+    request.m_endpoint = entry;
+    request.m_method = call.m_method;
+    request.m_target = call.m_target;
+    request.m_body = call.m_body;
+    request.m_connectTimeout = connectTimeout;
+    request.m_headerTimeout = answerTimeout;
+    request.m_silenceTimeout = answerTimeout;
+    request.m_freshConnection = call.m_resend == Resend::IfUnread;
+    request.m_headers.add("Authorization", "Bearer " + m_credential);
+    return m_transport(request);
+}
+
+AdminResult AdminClient::call(const AdminCall &call)
+{
+    AdminFailure failure;
+    std::optional<HttpReply> refusal;
+    for (std::size_t tried = 0; tried < m_entries.size(); ++tried) {
+        const std::size_t place = (m_current + tried) % m_entries.size();
+        CallResult<HttpReply> result = send(m_entries[place], call);
+        if (auto *reply = std::get_if<HttpReply>(&result)) {
+            if (!refusesForNow(*reply)) {
+                m_current = place;
+                return std::move(*reply);
+            }
+            refusal = std::move(*reply);
+            continue;
+        }
+        const CallFailure &reason = std::get<CallFailure>(result);
+        failure.m_text +=
+                fmt::format("{}: {}\n", entryText(m_entries[place]), reason.m_error.m_text);
+        const bool mayBeRead = reason.m_phase != SendPhase::NothingSent;
+        if (mayBeRead && call.m_resend == Resend::IfUnread) {
+            failure.m_mayHaveActed = true;
+            return failure;
+        }
+    }
+    if (refusal)
+        return std::move(*refusal);
+    return failure;
+}
+
+AdminResult AdminClient::get(const std::string &target)
+{
+    return call({"GET", target, "", Resend::Always});
+}
+
+std::string AdminClient::currentEntry() const
+{
+    return m_entries.empty() ? std::string() : entryText(m_entries[m_current]);
+}
+
+Result<Endpoint> parseEntry(std::string_view text)
+{
+    const Error failure{ErrorId::RequestMalformed,
+                        fmt::format("'{}' is not ADDRESS:PORT with an IP number, such as "
+                                    "127.0.0.1:8081 or [::1]:8081",
+                                    text)};
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return failure;
+    std::string_view host = text.substr(0, colon);
+    const std::string_view digits = text.substr(colon + 1);
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (isBracketed)
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code badAddress;
+    const auto address = boost::asio::ip::make_address(std::string(host), badAddress);
+    std::uint16_t port = 0;
+    const auto [stop, badPort] =
+            std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    const bool isPort = badPort == std::errc() && stop == digits.data() + digits.size();
+    if (badAddress || address.is_v6() != isBracketed || !isPort || port == 0)
+        return failure;
+    return Endpoint{std::string(host), port};
+}
+
+std::string entryText(const Endpoint &entry)
+{
+    const bool isV6 = entry.m_address.find(':') != std::string::npos;
+    const std::string host = isV6 ? '[' + entry.m_address + ']' : entry.m_address;
+    return fmt::format("{}:{}", host, entry.m_port);
+}
+
+std::string encodeSegment(std::string_view text)
+{
+    return boost::urls::encode(text, boost::urls::unreserved_chars);
+}
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/admin_reply.cpp
@@ -0,0 +1,125 @@
+#include <ctl/admin_reply.hpp>
+#include <ctl/json_text.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm> // all_of
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::optional<VersionedBody> versionedBodyIn(const Json &object)
+{
+    const auto version = integerAt(object, "version");
+    const Json &body = memberAt(object, "body");
+    if (!version || !body.is_string())
+        return std::nullopt;
+    return VersionedBody{*version, body.get<std::string>()};
+}
+
+Finding findingIn(const Json &object, const std::string &document)
+{
+    const auto number = integerAt(object, "id").value_or(static_cast<int>(ErrorId::Internal));
+    const int line = static_cast<int>(integerAt(object, "line").value_or(0));
+    const int column = static_cast<int>(integerAt(object, "column").value_or(0));
+    return {static_cast<ErrorId>(number),
+            {document, line, column},
+            textAt(object, "message"),
+            textAt(object, "hint")};
+}
+
+DataCentreRollout dataCentreIn(const Json &object)
+{
+    DataCentreRollout result{textAt(object, "dataCentre"), {}};
+    for (const Json &node : listAt(object, "nodes"))
+        result.m_nodes.push_back({textAt(node, "node"), integerAt(node, "version").value_or(0)});
+    return result;
+}
+
+} // namespace
+
+bool DataCentreRollout::has(std::int64_t version) const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [version](const NodeVersion &node) { return node.m_version >= version; });
+}
+
+bool Rollout::has(std::int64_t version) const
+{
+    return !m_dataCentres.empty()
+           && std::all_of(m_dataCentres.begin(), m_dataCentres.end(),
+                          [version](const DataCentreRollout &part) { return part.has(version); });
+}
+
+std::optional<ErrorReply> readErrorReply(const HttpReply &reply)
+{
+    const Json document = parseJson(reply.m_body);
+    const Json &error = memberAt(document, "error");
+    const auto number = integerAt(error, "id");
+    if (isSuccess(reply.m_status) || !number)
+        return std::nullopt;
+    return ErrorReply{static_cast<ErrorId>(*number), textAt(error, "name"),
+                      textAt(error, "message")};
+}
+
+ExitCode exitCodeFor(const HttpReply &reply)
+{
+    if (isSuccess(reply.m_status))
+        return ExitCode::Ok;
+    const auto error = readErrorReply(reply);
+    return error ? exitCodeFor(error->m_id) : exitCodeForStatus(reply.m_status);
+}
+
+std::string errorText(const HttpReply &reply)
+{
+    const auto error = readErrorReply(reply);
+    if (!error)
+        return fmt::format("status {} without an error body", reply.m_status);
+    return fmt::format("error {} ({}): {}", static_cast<int>(error->m_id), error->m_name,
+                       error->m_message);
+}
+
+std::optional<VersionedBody> readVersionedBody(const HttpReply &reply)
+{
+    return versionedBodyIn(parseJson(reply.m_body));
+}
+
+std::optional<VersionedBody> readConflict(const HttpReply &reply)
+{
+    const Json document = parseJson(reply.m_body);
+    return versionedBodyIn(memberAt(document, "current"));
+}
+
+std::optional<std::int64_t> readVersion(const HttpReply &reply)
+{
+    return integerAt(parseJson(reply.m_body), "version");
+}
+
+Findings readFindings(const HttpReply &reply, const std::string &document)
+{
+    Findings findings;
+    const Json answer = parseJson(reply.m_body);
+    for (const Json &finding : listAt(answer, "findings"))
+        findings.push_back(findingIn(finding, document));
+    return findings;
+}
+
+std::optional<Rollout> readRollout(const HttpReply &reply)
+{
+    const Json document = parseJson(reply.m_body);
+    const auto version = integerAt(document, "version");
+    if (!version)
+        return std::nullopt;
+    Rollout rollout{*version, {}};
+    for (const Json &dataCentre : listAt(document, "dataCentres"))
+        rollout.m_dataCentres.push_back(dataCentreIn(dataCentre));
+    return rollout;
+}
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/command.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <ctl/admin_client.hpp>
+#include <ctl/exit_code.hpp>
+#include <ctl/invocation.hpp>
+
+#include <cstddef> // size_t
+#include <functional> // function
+#include <optional> // optional
+#include <string> // string
+#include <string_view> // string_view
+#include <vector> // vector
+
+namespace gypsumdale::ctl {
+
+/// What the tool needs of the machine; tests put fakes in its place.
+struct Surroundings
+{
+    std::function<void(std::string_view)> m_print;
+    std::function<void(std::string_view)> m_complain;
+    std::function<Result<std::string>(const std::string &path)> m_readFile;
+    std::function<std::string()> m_readInput;
+    std::function<std::optional<std::string>(const std::string &name)> m_environment;
+    std::function<std::string(std::size_t bytes)> m_randomBytes;
+    std::function<TimePoint()> m_now;
+    std::function<void(Duration)> m_pause;
+    Transport m_transport;
+};
+
+/// What one run of a command works with.
+struct Session
+{
+    const Invocation &m_invocation;
+    const Surroundings &m_surroundings;
+    AdminClient m_client;
+};
+
+/// Which options a command takes besides --help.
+enum class OptionGroup {
+    /// --entry, --operator-key-file, --json
+    Entry,
+    /// --file, --kind, --name
+    Document,
+    /// --base-version
+    Version,
+    /// --wait
+    Wait,
+    /// --timeout
+    Timeout,
+};
+
+/// One subcommand: how it is called, what it does and the function that does it.
+struct Command
+{
+    std::string_view m_name;
+    std::string_view m_usage;
+    std::string_view m_summary;
+    /// What the help says besides, with examples.
+    std::string_view m_help;
+    std::vector<OptionGroup> m_options;
+    std::size_t m_leastWords = 0;
+    std::size_t m_mostWords = 0;
+    ExitCode (*m_run)(Session &session) = nullptr;
+
+    bool takes(OptionGroup group) const;
+};
+
+/// Returns all commands in the order of the help.
+const std::vector<Command> &commands();
+
+/// Returns the command of that name, or null. Linear.
+const Command *findCommand(std::string_view name);
+
+/// Runs one command line from its reading to its exit code.
+ExitCode runTool(const std::vector<std::string> &arguments, const Surroundings &surroundings);
+
+/// Tells why no entry answered, and returns how to end on it.
+ExitCode complain(const Session &session, const AdminFailure &failure);
+
+/// Tells what is wrong with an answer that is an error, and returns how to end on it.
+ExitCode complain(const Session &session, const HttpReply &reply);
+
+ExitCode runStatus(Session &session);
+ExitCode runNodes(Session &session);
+ExitCode runUpstreams(Session &session);
+ExitCode runMembers(Session &session);
+ExitCode runJobs(Session &session);
+ExitCode runGet(Session &session);
+ExitCode runApply(Session &session);
+ExitCode runDiff(Session &session);
+ExitCode runWatch(Session &session);
+ExitCode runCheck(Session &session);
+ExitCode runExplain(Session &session);
+ExitCode runDrain(Session &session);
+ExitCode runKeys(Session &session);
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,195 @@
+#include <ctl/command.hpp>
+
+// A comma is part of a file's name here, not a separator.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <array> // array
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+constexpr std::string_view versionText = "gypsumctl 0.1.0\n";
+constexpr std::string_view helpHint = "; see `gypsumctl help`";
+constexpr const char *defaultTimeoutSeconds = "30";
+/// Longest --timeout, a day.
+constexpr std::int64_t maxTimeoutSeconds = 24 * 60 * 60;
+
+struct OptionInGroup
+{
+    const char *m_name;
+    OptionGroup m_group;
+};
+
+/// Which command takes which option; --help is for all.
+constexpr std::array<OptionInGroup, 9> groupedOptions = {{
+        {"entry", OptionGroup::Entry},
+        {"operator-key-file", OptionGroup::Entry},
+        {"json", OptionGroup::Entry},
+        {"file", OptionGroup::Document},
+        {"kind", OptionGroup::Document},
+        {"name", OptionGroup::Document},
+        {"base-version", OptionGroup::Version},
+        {"wait", OptionGroup::Wait},
+        {"timeout", OptionGroup::Timeout},
+}};
+
+cxxopts::Options makeOptions()
+{
+    using Texts = std::vector<std::string>;
+    cxxopts::Options options("gypsumctl");
+    options.add_options()("help", "")("version", "")("words", "", cxxopts::value<Texts>())(
+            "entry", "", cxxopts::value<Texts>())("operator-key-file", "",
+                                                  cxxopts::value<std::string>())("json", "")(
+            "f,file", "", cxxopts::value<Texts>())("kind", "", cxxopts::value<std::string>())(
+            "name", "", cxxopts::value<std::string>())("base-version", "",
+                                                       cxxopts::value<std::int64_t>())("wait", "")(
+            "timeout", "", cxxopts::value<std::int64_t>()->default_value(defaultTimeoutSeconds));
+    options.parse_positional("words");
+    return options;
+}
+
+Error usageError(std::string text)
+{
+    return {ErrorId::RequestMalformed, std::move(text) + std::string(helpHint)};
+}
+
+std::string generalHelp()
+{
+    std::string text = "gypsumctl drives and explains a gypsumdale fleet.\n\n"
+                       "Usage: gypsumctl COMMAND [WORDS] [OPTIONS]\n\nCommands:\n";
+    for (const Command &command : commands())
+        text += fmt::format("  {:<30}{}\n", command.m_usage, command.m_summary);
+    text += "\n"
+            "`gypsumctl help COMMAND` teaches one of them. What every call to a node needs:\n"
+            "  --entry ADDRESS:PORT        admin address of an entry VM; repeat it, and they are\n"
+            "                              tried in order (or GYPSUMDALE_ENTRY, with spaces)\n"
+            "  --operator-key-file PATH    file with the credential (or GYPSUMDALE_OPERATOR_KEY)\n"
+            "  --json                      print what the node answered\n\n"
+            "Exit codes:";
+    for (const auto &[code, name] : exitCodeNames)
+        text += fmt::format(" {} {}{}", static_cast<int>(code), name,
+                            code == exitCodeNames.back().first ? "\n" : ",");
+    return text;
+}
+
+std::string helpOf(const Command &command)
+{
+    return fmt::format("Usage: gypsumctl {}\n\n{}\n\n{}", command.m_usage, command.m_summary,
+                       command.m_help);
+}
+
+Result<Invocation> helpFor(const std::string &name)
+{
+    Invocation invocation;
+    if (name.empty()) {
+        invocation.m_text = generalHelp();
+        return invocation;
+    }
+    const Command *command = findCommand(name);
+    if (command == nullptr)
+        return usageError(fmt::format("there is no command '{}'", name));
+    invocation.m_text = helpOf(*command);
+    return invocation;
+}
+
+template <typename Value>
+Value optionOr(const cxxopts::ParseResult &parsed, const char *name, Value fallback)
+{
+    return parsed.count(name) > 0 ? parsed[name].as<Value>() : fallback;
+}
+
+std::string firstForeignOption(const cxxopts::ParseResult &parsed, const Command &command)
+{
+    for (const auto &[name, group] : groupedOptions) {
+        if (parsed.count(name) > 0 && !command.takes(group))
+            return name;
+    }
+    return {};
+}
+
+Result<Invocation> takeWords(Invocation invocation)
+{
+    const Command &command = *invocation.m_command;
+    if (command.takes(OptionGroup::Document)) {
+        // "-f *.yaml" leaves all files but the first as words.
+        invocation.m_files.insert(invocation.m_files.end(), invocation.m_words.begin(),
+                                  invocation.m_words.end());
+        invocation.m_words.clear();
+        if (invocation.m_files.empty())
+            return usageError(fmt::format("'{}' needs -f FILE", command.m_name));
+        return invocation;
+    }
+    const std::size_t count = invocation.m_words.size();
+    if (count < command.m_leastWords || count > command.m_mostWords)
+        return usageError(fmt::format("usage: gypsumctl {}", command.m_usage));
+    return invocation;
+}
+
+Result<Invocation> readOptions(const cxxopts::ParseResult &parsed, const Command &command,
+                               std::vector<std::string> words)
+{
+    using Texts = std::vector<std::string>;
+    const std::string foreign = firstForeignOption(parsed, command);
+    if (!foreign.empty())
+        return usageError(fmt::format("'{}' takes no --{}", command.m_name, foreign));
+    const auto timeout = parsed["timeout"].as<std::int64_t>();
+    if (timeout < 0 || timeout > maxTimeoutSeconds)
+        return usageError(fmt::format("--timeout is 0 to {} seconds", maxTimeoutSeconds));
+    if (parsed.count("base-version") > 0 && parsed["base-version"].as<std::int64_t>() < 0)
+        return usageError("--base-version is the version that was edited, or 0 to create");
+    Invocation invocation;
+    invocation.m_command = &command;
+    invocation.m_words = std::move(words);
+    invocation.m_files = optionOr(parsed, "file", Texts());
+    invocation.m_entries = optionOr(parsed, "entry", Texts());
+    invocation.m_keyFile = optionOr(parsed, "operator-key-file", std::string());
+    invocation.m_document.m_kind = optionOr(parsed, "kind", std::string());
+    invocation.m_document.m_name = optionOr(parsed, "name", std::string());
+    if (parsed.count("base-version") > 0)
+        invocation.m_document.m_version = parsed["base-version"].as<std::int64_t>();
+    invocation.m_json = parsed.count("json") > 0;
+    invocation.m_wait = parsed.count("wait") > 0;
+    const bool isEndless = command.m_run == runWatch && parsed.count("timeout") == 0;
+    invocation.m_timeout = isEndless ? Duration::zero() : std::chrono::seconds(timeout);
+    return takeWords(std::move(invocation));
+}
+
+Result<Invocation> readParsed(const cxxopts::ParseResult &parsed)
+{
+    auto words = optionOr(parsed, "words", std::vector<std::string>());
+    if (parsed.count("version") > 0) {
+        Invocation invocation;
+        invocation.m_text = versionText;
+        return invocation;
+    }
+    if (!words.empty() && words.front() == "help")
+        return helpFor(words.size() > 1 ? words[1] : std::string());
+    if (parsed.count("help") > 0)
+        return helpFor(words.empty() ? std::string() : words.front());
+    if (words.empty())
+        return usageError("no command given");
+    const Command *command = findCommand(words.front());
+    if (command == nullptr)
+        return usageError(fmt::format("there is no command '{}'", words.front()));
+    words.erase(words.begin());
+    return readOptions(parsed, *command, std::move(words));
+}
+
+} // namespace
+
+Result<Invocation> readCommandLine(const std::vector<std::string> &arguments)
+{
+    std::vector<const char *> raw = {"gypsumctl"};
+    for (const std::string &argument : arguments)
+        raw.push_back(argument.c_str());
+    try {
+        return readParsed(makeOptions().parse(static_cast<int>(raw.size()), raw.data()));
+    } catch (const cxxopts::exceptions::exception &failure) {
+        return usageError(failure.what());
+    }
+}
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/command_show.cpp
@@ -0,0 +1,133 @@
+#include <gypsumdale/observe/decision.hpp>
+
+#include <ctl/admin_reply.hpp>
+#include <ctl/command.hpp>
+#include <ctl/view.hpp>
+
+#include <fmt/format.h>
+
+#include <variant> // get_if
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+using Formatter = std::function<std::string(const Json &)>;
+
+/// Reads a target and prints the answer, for people or as it came.
+ExitCode show(Session &session, const std::string &target, const Formatter &format)
+{
+    const AdminResult result = session.m_client.get(target);
+    if (const auto *failure = std::get_if<AdminFailure>(&result))
+        return complain(session, *failure);
+    const HttpReply &reply = std::get<HttpReply>(result);
+    if (exitCodeFor(reply) != ExitCode::Ok)
+        return complain(session, reply);
+    if (session.m_invocation.m_json)
+        session.m_surroundings.m_print(reply.m_body + '\n');
+    else
+        session.m_surroundings.m_print(format(parseJson(reply.m_body)));
+    return ExitCode::Ok;
+}
+
+ExitCode showList(Session &session, const std::string &target, const ListView &view)
+{
+    return show(session, target,
+                [&view](const Json &answer) { return formatTable(tableOf(answer, view)); });
+}
+
+ExitCode showObjects(Session &session, const std::string &kind)
+{
+    return show(session, "/admin/v1/config", [&kind](const Json &answer) {
+        Json chosen = Json::object();
+        chosen["objects"] = Json::array();
+        for (const Json &object : listAt(answer, "objects")) {
+            if (kind.empty() || textAt(object, "kind") == kind)
+                chosen["objects"].push_back(object);
+        }
+        return formatTable(tableOf(chosen, objectsView()));
+    });
+}
+
+} // namespace
+
+ExitCode runStatus(Session &session)
+{
+    return show(session, "/admin/v1/status", formatStatus);
+}
+
+ExitCode runNodes(Session &session)
+{
+    return showList(session, "/admin/v1/nodes", nodesView());
+}
+
+ExitCode runUpstreams(Session &session)
+{
+    return showList(session, "/admin/v1/upstreams", upstreamsView());
+}
+
+ExitCode runMembers(Session &session)
+{
+    return showList(session, "/admin/v1/members", membersView());
+}
+
+ExitCode runJobs(Session &session)
+{
+    return showList(session, "/admin/v1/jobs", jobsView());
+}
+
+ExitCode runGet(Session &session)
+{
+    const auto &words = session.m_invocation.m_words;
+    if (words.size() < 2)
+        return showObjects(session, words.empty() ? std::string() : words[0]);
+    const std::string target =
+            fmt::format("/admin/v1/config/{}/{}", encodeSegment(words[0]), encodeSegment(words[1]));
+    return show(session, target, [&words](const Json &answer) {
+        const std::string body = memberAt(answer, "body").is_string()
+                                         ? memberAt(answer, "body").get<std::string>()
+                                         : std::string();
+        return writeDocument(words[0], words[1], integerAt(answer, "version").value_or(0), body);
+    });
+}
+
+ExitCode runExplain(Session &session)
+{
+    const auto &words = session.m_invocation.m_words;
+    if (!decisionSubjectFrom(words[0])) {
+        session.m_surroundings.m_complain("gypsumctl: explain request ID, or upstream ID\n");
+        return ExitCode::Usage;
+    }
+    return showList(session,
+                    fmt::format("/admin/v1/explain/{}/{}", words[0], encodeSegment(words[1])),
+                    eventsView());
+}
+
+ExitCode runDrain(Session &session)
+{
+    const auto &words = session.m_invocation.m_words;
+    if (words[0] != "upstream" && words[0] != "node") {
+        session.m_surroundings.m_complain("gypsumctl: drain upstream ID, or node ID\n");
+        return ExitCode::Usage;
+    }
+    // A second drain of the same thing changes nothing, so that it may be sent again.
+    const Json body = {{words[0], words[1]}};
+    constexpr bool escapeNonAscii = true;
+    const AdminResult result = session.m_client.call(
+            {"POST", "/admin/v1/drain",
+             body.dump(-1, ' ', escapeNonAscii, Json::error_handler_t::replace), Resend::Always});
+    if (const auto *failure = std::get_if<AdminFailure>(&result))
+        return complain(session, *failure);
+    const HttpReply &reply = std::get<HttpReply>(result);
+    if (exitCodeFor(reply) != ExitCode::Ok)
+        return complain(session, reply);
+    if (session.m_invocation.m_json)
+        session.m_surroundings.m_print(reply.m_body + '\n');
+    else
+        session.m_surroundings.m_print(fmt::format(
+                "{} {} takes no new requests; `gypsumctl {}s` shows when it has finished\n",
+                words[0], printable(words[1]), words[0]));
+    return ExitCode::Ok;
+}
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/command_table.cpp
@@ -0,0 +1,173 @@
+#include <ctl/command.hpp>
+
+#include <algorithm> // find, find_if
+
+namespace gypsumdale::ctl {
+
+bool Command::takes(OptionGroup group) const
+{
+    return std::find(m_options.begin(), m_options.end(), group) != m_options.end();
+}
+
+const std::vector<Command> &commands()
+{
+    using enum OptionGroup;
+    static const std::vector<Command> table = {
+            {"status",
+             "status",
+             "Show how the entry VM that answers is doing.",
+             "Example:\n"
+             "  gypsumctl --entry 10.0.1.4:8081 status\n",
+             {Entry},
+             0,
+             0,
+             runStatus},
+            {"nodes",
+             "nodes",
+             "List the entry VMs and what is known of them.",
+             "HEARD is the time since the node was last heard of.\n\n"
+             "Example:\n"
+             "  gypsumctl nodes\n",
+             {Entry},
+             0,
+             0,
+             runNodes},
+            {"upstreams",
+             "upstreams",
+             "List the upstreams, their state, load and why.",
+             "Example:\n"
+             "  gypsumctl upstreams\n",
+             {Entry},
+             0,
+             0,
+             runUpstreams},
+            {"members",
+             "members",
+             "List the members with their share of the fleet.",
+             "Example:\n"
+             "  gypsumctl members\n",
+             {Entry},
+             0,
+             0,
+             runMembers},
+            {"jobs",
+             "jobs",
+             "List the durable jobs and which node runs them.",
+             "Example:\n"
+             "  gypsumctl jobs --json\n",
+             {Entry},
+             0,
+             0,
+             runJobs},
+            {"get",
+             "get [KIND [NAME]]",
+             "Show settings: the list, or one document.",
+             "KIND is profile, fleet or member. A document is printed with the version that was\n"
+             "read, so that `apply` notices if somebody else changed it in between.\n\n"
+             "Examples:\n"
+             "  gypsumctl get\n"
+             "  gypsumctl get profile phone > phone.yaml\n",
+             {Entry},
+             0,
+             2,
+             runGet},
+            {"apply",
+             "apply -f FILE... [--wait]",
+             "Put documents in force.",
+             "A document says what it is by the lines `kind:` and `name:`, or by --kind and "
+             "--name.\n"
+             "With a `version:` line (or --base-version) it is refused if somebody else changed\n"
+             "the object since that version; without one it replaces what is current. All files\n"
+             "are checked first, and nothing is sent if one has findings.\n"
+             "--wait ends when every data centre has the version in force, or at --timeout.\n\n"
+             "Examples:\n"
+             "  gypsumctl get profile phone > phone.yaml\n"
+             "  vi phone.yaml\n"
+             "  gypsumctl apply -f phone.yaml --wait --timeout 30\n",
+             {Entry, Document, Version, Wait, Timeout},
+             0,
+             1000,
+             runApply},
+            {"diff",
+             "diff -f FILE...",
+             "Show what `apply` would change.",
+             "Lines of the current version begin with '-', lines of the file with '+'.\n\n"
+             "Example:\n"
+             "  gypsumctl diff -f phone.yaml\n",
+             {Entry, Document},
+             0,
+             1000,
+             runDiff},
+            {"watch",
+             "watch KIND NAME",
+             "Follow which version is in force where.",
+             "Prints a line whenever it changes, until --timeout; without one, until interrupted.\n"
+             "\n"
+             "Example:\n"
+             "  gypsumctl watch profile phone --timeout 60\n",
+             {Entry, Timeout},
+             2,
+             2,
+             runWatch},
+            {"check",
+             "check -f FILE...",
+             "Check documents without any node, as nodes do.",
+             "Also checks the settings file of a node, with --kind node.\n\n"
+             "Examples:\n"
+             "  gypsumctl check -f phone.yaml fleet.yaml\n"
+             "  gypsumctl check --kind node -f olten-a-1.yaml\n",
+             {Document},
+             0,
+             1000,
+             runCheck},
+            {"explain",
+             "explain request|upstream ID",
+             "Show what was decided, when and why.",
+             "Nodes remember the latest decisions only. The id of a request stands in its "
+             "answer's\n"
+             "header and in the logs.\n\n"
+             "Examples:\n"
+             "  gypsumctl explain request q-8f21\n"
+             "  gypsumctl explain upstream runner-7\n",
+             {Entry},
+             2,
+             2,
+             runExplain},
+            {"drain",
+             "drain upstream|node ID",
+             "Let it finish its requests and take no new ones.",
+             "It cuts off no request in flight.\n\n"
+             "Examples:\n"
+             "  gypsumctl drain upstream runner-7\n"
+             "  gypsumctl drain node olten-a-1\n",
+             {Entry},
+             2,
+             2,
+             runDrain},
+            {"keys",
+             "keys new|hash",
+             "Make a key, or the hash of one for a member's document.",
+             "`keys new` prints a random key. `keys hash` reads a key from standard input and\n"
+             "prints its line for the list `key-hashes` of a member's document. The key itself is\n"
+             "stored nowhere.\n\n"
+             "Example:\n"
+             "  gypsumctl keys new > acme.key\n"
+             "  gypsumctl keys hash < acme.key\n",
+             {},
+             1,
+             1,
+             runKeys},
+    };
+    return table;
+}
+
+const Command *findCommand(std::string_view name)
+{
+    const auto &table = commands();
+    const auto found = std::find_if(table.begin(), table.end(), [name](const Command &command) {
+        return command.m_name == name;
+    });
+    return found == table.end() ? nullptr : &*found;
+}
+
+} // namespace gypsumdale::ctl
--- /dev/null
+++ b/src/ctl/rollout.cpp
@@ -0,0 +1,72 @@
+#include <ctl/rollout.hpp>
+#include <ctl/table.hpp>
+
+#include <fmt/format.h>
+
+#include <variant> // get_if
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+constexpr auto pollInterval = std::chrono::milliseconds(500);
+
+/// Returns the nodes that have an older version, as "olten-a-1 (version 11)".
+std::string laggards(const DataCentreRollout &dataCentre, std::int64_t version)
+{
+    std::string text;
+    for (const NodeVersion &node : dataCentre.m_nodes) {
+        if (node.m_version < version)
+            text += fmt::format("{}{} (version {})", text.empty() ? "" : ", ", node.m_node,
+                                node.m_version);
+    }
+    return text;
+}
+
+} // namespace
+
+std::string objectTarget(std::string_view resource, std::string_view kind, std::string_view name)
+{
+    return fmt::format("/admin/v1/{}/{}/{}", resource, encodeSegment(kind), encodeSegment(name));
+}
+
+std::string formatRollout(const Rollout &rollout, std::int64_t version)
+{
+    Table table{{{"DATA CENTRE"}, {"IN FORCE"}, {"MISSING ON"}}, {}};
+    for (const DataCentreRollout &dataCentre : rollout.m_dataCentres) {
+        const bool isInForce = dataCentre.has(version);
+        table.m_rows.push_back(
+                {dataCentre.m_dataCentre, isInForce ? "yes" : "no", laggards(dataCentre, version)});
+    }
+    return formatTable(table);
+}
+
+ExitCode waitForRollout(Session &session, const Document &document, std::int64_t version)
+{
+    const Surroundings &surroundings = session.m_surroundings;
+    const TimePoint end = surroundings.m_now() + session.m_invocation.m_timeout;
+    const std::string target =
+            objectTarget("rollout", nameIn(documentKindNames, document.m_kind), document.m_name);
+    std::string shown = "nothing is known of the rollout\n";
+    while (true) {
+        const AdminResult result = session.m_client.get(target);
+        const auto *reply = std::get_if<HttpReply>(&result);
+        const auto rollout = reply != nullptr ? readRollout(*reply) : std::nullopt;
+        if (rollout)
+            shown = formatRollout(*rollout, version);
+        if (rollout && rollout->has(version)) {
+            surroundings.m_print(fmt::format("{} version {} is in force in every data centre\n{}",
+                                             document.title(), version, shown));
+            return ExitCode::Ok;
+        }
+        if (surroundings.m_now() >= end)
+            break;
+        surroundings.m_pause(pollInterval);
+    }
+    surroundings.m_complain(fmt::format("gypsumctl: {} version {} is accepted but not yet in force "
+                                        "everywhere\n{}",
+                                        document.title(), version, shown));
+    return ExitCode::Timeout;
+}
+
+} // namespace gypsumdale::ctl
