--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -192,6 +192,9 @@
   2: bool known
   // The node that owns it, as far as the answering one knows.
   3: string owner
+  // Where the answering node takes callers' requests.
+  4: string callerAddress
+  5: i32 callerPort
 }
 
 // A keyed request that the receiver shall claim for the sender, who alone may run it.
@@ -270,6 +273,9 @@
   12: VmListPush vmListPush
   13: ConfigDigestFrom configDigest
   14: ClaimRecordForward claimRecord
+  // Answers that come later than the message they answer.
+  15: jobs.JobHoldAnswer jobHoldAnswer
+  16: jobs.JobHandOverAnswer jobHandOverAnswer
 }
 
 union PeerReplyBody {
--- /dev/null
+++ b/include/gypsumdale/kernel/claim_driver.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <gypsumdale/kernel/control_context.hpp>
+#include <gypsumdale/kernel/fleet_driver.hpp>
+#include <gypsumdale/ledger/claim_ledger.hpp>
+
+#include <boost/fiber/future/promise.hpp>
+
+#include <cstdint> // uint64_t
+#include <map> // map
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Drives the ClaimLedger against the platform and forwards claims to the node that writes their
+/// shard best. Lives on the control loop.
+class ClaimDriver
+{
+public:
+    ClaimDriver(ControlContext &context, FleetDriver &fleet);
+
+    /// Begins to carry out commands; to be called in a fiber of the control loop.
+    void start();
+
+    /// Claims a key and waits for the result. On Granted the attempt named in it may be sent once
+    /// startAttempt() agreed. Suspends the calling fiber.
+    ClaimResult claim(const MemberId &member, const std::string &key, const Digest &bodyDigest,
+                      TimePoint deadline);
+
+    /// Tells whether a granted attempt may be sent now; true once at most.
+    bool startAttempt(const AttemptId &attempt);
+    void finish(const AttemptId &attempt, Outcome outcome, const StoredAnswer &answer);
+
+    wire::ClaimForwarded onForward(const NodeId &sender, const wire::ClaimForward &forward);
+    void onRecord(const wire::ClaimRecordForward &record);
+
+    const ClaimLedger &ledger() const { return m_ledger; }
+
+private:
+    ClaimResult await(ClaimTicket ticket);
+    ClaimResult claimHere(const ClaimRequest &request);
+    ClaimResult claimAt(const NodeIdentity &peer, const ClaimRequest &request);
+    std::optional<NodeIdentity> preferredPeer(ShardNumber shard) const;
+    AttemptId nextAttempt();
+    void pump();
+    void takeEvents();
+    void execute(const ClaimDecided &event);
+    void execute(const OutcomeRecorded &event);
+    void execute(const RecordToForward &event);
+    void execute(const ShardTrouble &event);
+    void runTimer();
+
+    ControlContext &m_context;
+    FleetDriver &m_fleet;
+    ClaimLedger m_ledger;
+    std::map<ClaimTicket, ClaimResult> m_decided;
+    std::map<ClaimTicket, boost::fibers::promise<ClaimResult>> m_waiting;
+    std::uint64_t m_attempts = 0;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/config_driver.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <gypsumdale/fleet/config_store.hpp>
+#include <gypsumdale/fleet/config_writer.hpp>
+#include <gypsumdale/kernel/control_context.hpp>
+#include <gypsumdale/kernel/settings_view.hpp>
+
+#include <functional> // function
+#include <optional> // optional
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// Carries out the commands of the ConfigStore against the platform and the peers, and keeps the
+/// SettingsView at what is in force. Lives on the control loop.
+class ConfigDriver
+{
+public:
+    /// Returns where a node listens to its peers, or nothing for a node nobody knows.
+    using Directory = std::function<std::optional<NodeIdentity>(const NodeId &)>;
+    using ChangeListener = std::function<void(const ConfigKey &)>;
+
+    ConfigDriver(ControlContext &context, Directory directory);
+
+    /// Begins; to be called in a fiber of the control loop once peers can reach this process.
+    void start();
+
+    /// Calls the listener after each change that came into force.
+    void onChange(ChangeListener listener) { m_listener = std::move(listener); }
+
+    void onLiveNodes(const std::vector<NodeId> &nodes);
+    void onDigest(const ConfigDigestFrom &digest);
+    void onAsk(const ConfigAsk &ask);
+    void onUpdate(const ConfigUpdate &update);
+
+    /// Carries an operator's edit through to a settled outcome; suspends the calling fiber.
+    ConfigWriterStep edit(ConfigEdit edit);
+
+    const ConfigStore &store() const { return m_store; }
+    const SettingsView &view() const { return m_view; }
+
+private:
+    void run(const ConfigCommands &commands);
+    void execute(const ReadPlatform &command);
+    void execute(const WatchPlatform &command);
+    void execute(const AskPeer &command);
+    void execute(const SendUpdate &command);
+    void execute(const SendDigest &command);
+    void execute(const InForce &command);
+    void execute(const BodyRefused &command);
+    void execute(const ConfigReady &command);
+    void runTimer();
+    void send(const NodeId &peer, wire::PeerRequestBody body);
+    ConfigWriterStep perform(ConfigWriter &writer, const PutObject &step);
+    ConfigWriterStep perform(ConfigWriter &writer, const DeleteObject &step);
+    ConfigWriterStep perform(ConfigWriter &writer, const ReadObject &step);
+
+    ControlContext &m_context;
+    Directory m_directory;
+    ChangeListener m_listener;
+    ConfigStore m_store;
+    SettingsView m_view;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/control.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <gypsumdale/core/result.hpp>
+#include <gypsumdale/fleet/drain.hpp>
+#include <gypsumdale/kernel/admission_driver.hpp>
+#include <gypsumdale/kernel/claim_driver.hpp>
+#include <gypsumdale/kernel/config_driver.hpp>
+#include <gypsumdale/kernel/control_context.hpp>
+#include <gypsumdale/kernel/fleet_driver.hpp>
+#include <gypsumdale/kernel/job_driver.hpp>
+#include <gypsumdale/kernel/request_context.hpp>
+
+#include <functional> // function
+#include <string> // string
+
+namespace gypsumdale {
+
+/// All control state of one process, joined: what one driver learns the others are told. Lives on
+/// the control loop; other threads reach it through FiberLoop::call and spawn.
+class Control
+{
+public:
+    /// What the process does at the steps of its shutdown.
+    struct ShutdownHooks
+    {
+        std::function<void()> m_stopAccepting;
+        std::function<std::size_t()> m_requestsInFlight;
+        std::function<void(const UnfinishedWork &)> m_exit;
+    };
+
+    Control(ControlContext context, RunAttempt runAttempt);
+
+    /// Opens the peers' address and begins all duties; to be called in a fiber of the loop.
+    Result<Done> start();
+
+    /// Finds out who asks and under which promises. Fails with CredentialRefused, ProfileUnknown or
+    /// ServiceUnknown; the texts say nothing of what exists for others.
+    Result<RequestContext> resolve(const CallerClaim &claim, RequestId id);
+
+    /// Tells why requests are not taken now, or nothing.
+    std::optional<Error> notReady() const;
+
+    /// Begins the graceful shutdown.
+    void shutDown(DrainCause cause, std::optional<TimePoint> deadline);
+    void setShutdownHooks(ShutdownHooks hooks) { m_hooks = std::move(hooks); }
+
+    ControlContext &context() { return m_context; }
+    ConfigDriver &config() { return m_config; }
+    FleetDriver &fleet() { return m_fleet; }
+    AdmissionDriver &admission() { return m_admission; }
+    ClaimDriver &claims() { return m_claims; }
+    JobDriver &jobs() { return m_jobs; }
+    const Drain &drain() const { return m_drain; }
+
+private:
+    void listenToFleet();
+    wire::PeerReplyBody answerPeer(const NodeId &sender, const wire::PeerRequest &request);
+    void onNodeChanged(const NodeStateChanged &change);
+    void onOwnNotice(const LeavingNotice &notice);
+    void run(const DrainCommands &commands);
+    void execute(const FailReadiness &command);
+    void execute(const StopAccepting &command);
+    void execute(const HandOverJobs &command);
+    void execute(const CutRemaining &command);
+    void execute(const CloseConnections &command);
+    void execute(const ExitProcess &command);
+    void runDrain();
+    void refreshGauges();
+    std::vector<NodeId> liveLocalNodes() const;
+
+    ControlContext m_context;
+    FleetDriver m_fleet;
+    ConfigDriver m_config;
+    AdmissionDriver m_admission;
+    ClaimDriver m_claims;
+    JobDriver m_jobs;
+    Drain m_drain;
+    ShutdownHooks m_hooks;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/fleet_driver.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <gypsumdale/fleet/peer_exchange.hpp>
+#include <gypsumdale/kernel/control_context.hpp>
+
+#include <functional> // function
+#include <map> // map
+#include <optional> // optional
+#include <string> // string
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// What one peer last said of its own work: tokens served by member and requests in flight by
+/// upstream, both absolute.
+struct PeerLoad
+{
+    Incarnation m_incarnation = 0;
+    std::map<MemberId, std::uint64_t> m_tokens;
+    std::map<UpstreamId, std::uint32_t> m_inFlight;
+};
+
+/// Who wants to hear of what changes in the fleet. Called on the control loop.
+struct FleetListeners
+{
+    std::function<void(const NodeStateChanged &)> m_nodeChanged;
+    std::function<void(const UpstreamStateChanged &)> m_upstreamChanged;
+    std::function<void(const ConfigDigestSeen &)> m_configSeen;
+    std::function<void(const NodeId &, const PeerLoad &)> m_peerLoad;
+    /// A reclaim notice that concerns this node's own VM or data centre.
+    std::function<void(const LeavingNotice &)> m_ownNotice;
+};
+
+/// Drives PeerExchange: heartbeats, probes of upstreams, the cloud's list and notices. Lives on the
+/// control loop.
+class FleetDriver
+{
+public:
+    explicit FleetDriver(ControlContext &context);
+
+    void listen(FleetListeners listeners) { m_listeners = std::move(listeners); }
+
+    /// Begins to tick, probe and read the cloud; to be called in a fiber of the control loop.
+    void start();
+
+    wire::Heartbeat onHeartbeat(const NodeId &sender, const wire::Heartbeat &heartbeat);
+    void onNotices(const NodeId &sender, const wire::LeavingNotices &notices);
+    wire::LeavingNotices notices() const;
+
+    /// Drains an upstream at an operator's word. False if there is none of that name.
+    bool drainUpstream(const UpstreamId &upstream);
+    void onRequestFailed(const UpstreamId &upstream, const std::string &reason);
+    void onRequestSucceeded(const UpstreamId &upstream);
+
+    PeerExchange &exchange() { return m_exchange; }
+    const Membership &membership() const { return m_exchange.membership(); }
+    const UpstreamTable &upstreams() const { return m_exchange.upstreams(); }
+
+    /// Returns where a node listens to its peers, if it is known.
+    std::optional<NodeIdentity> find(const NodeId &node) const;
+
+    /// Returns what settings say of an upstream beyond its place, or null for one that only the
+    /// cloud's list names.
+    const StaticUpstream *declared(const UpstreamId &upstream) const;
+
+private:
+    void run(const ExchangeCommands &commands);
+    void execute(const SendToPeer &command);
+    void execute(const NodeStateChanged &command);
+    void execute(const OwnIncarnationRaised &command);
+    void execute(const ProbeUpstream &command);
+    void execute(const UpstreamStateChanged &command);
+    void execute(const TokensReported &command);
+    void execute(const ConfigDigestSeen &command);
+    void probe(const ProbeUpstream &command);
+    void takeInFlight(const NodeId &sender, const wire::Heartbeat &heartbeat);
+    void runTicks();
+    void readNotices();
+    void readVmList();
+    void takeNotice(const LeavingNotice &notice);
+
+    ControlContext &m_context;
+    FleetListeners m_listeners;
+    PeerExchange m_exchange;
+    std::map<UpstreamId, StaticUpstream> m_declared;
+    std::map<std::int64_t, UpstreamId> m_upstreamOfKey;
+    std::map<NodeId, PeerLoad> m_loads;
+    std::int64_t m_lastNotice = 0;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <gypsumdale/jobs/job_table.hpp>
+#include <gypsumdale/kernel/control_context.hpp>
+#include <gypsumdale/kernel/fleet_driver.hpp>
+#include <gypsumdale/kernel/job_feed.hpp>
+#include <gypsumdale/ledger/platform_log.hpp>
+
+#include <functional> // function
+#include <map> // map
+#include <memory> // shared_ptr, unique_ptr
+#include <optional> // optional
+#include <set> // set
+#include <string> // string
+#include <utility> // pair
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// Runs attempts of jobs on the traffic loops. Both functions return at once.
+struct RunAttempt
+{
+    std::function<void(const StartAttempt &)> m_start;
+    std::function<void(const CancelAttempt &)> m_cancel;
+};
+
+/// Drives the JobTable: its logs in the platform, its messages to peers, its attempts and the feeds
+/// of callers. Lives on the control loop.
+class JobDriver
+{
+public:
+    JobDriver(ControlContext &context, FleetDriver &fleet, RunAttempt runAttempt);
+
+    /// Begins all duties; to be called in a fiber of the control loop.
+    void start();
+
+    /// Offers a job and subscribes its caller. Fails as JobTable::offer does.
+    Result<std::pair<JobId, std::shared_ptr<JobFeed>>> offer(const JobRequest &request);
+
+    /// A caller comes back at a position. Waits while a log has to be read, for at most a few
+    /// seconds. ServeFrom of a job under way comes with a feed of what follows.
+    std::pair<ReattachAnswer, std::shared_ptr<JobFeed>> reattach(const JobId &job,
+                                                                 const MemberId &member,
+                                                                 const AnswerPosition &position);
+
+    /// Asks the others who has a job that this node does not know.
+    std::optional<wire::JobLocated> locate(const JobId &job, const std::optional<NodeId> &first);
+    wire::JobLocated onLocate(const wire::JobLocate &ask) const;
+
+    // From the attempts on the traffic loops, through spawn().
+    void onTokens(const JobId &job, std::uint64_t attempt, std::int64_t epoch,
+                  std::int64_t firstToken, const AnswerText &tokens);
+    void onAttemptFinished(const JobId &job, std::uint64_t attempt, std::int64_t wholeTokens,
+                           const std::string &finishReason);
+    void onAttemptFailed(const JobId &job, std::uint64_t attempt, bool isPermanent);
+    void onAttemptPlaced(const JobId &job, std::uint64_t attempt, const UpstreamId &upstream);
+
+    void onUpstreamLeaving(const UpstreamId &upstream);
+    void onNodesChanged();
+    void onNodeDead(const NodeStateChanged &change);
+    void onNotice(NoticeScope scope);
+
+    wire::JobHoldAnswer onHold(const NodeId &sender, const wire::JobHold &hold);
+    void onRelease(const NodeId &sender, const wire::JobRelease &release);
+    wire::JobHandOverAnswer onHandOver(const NodeId &sender, const wire::JobHandOver &handOver);
+    void onHoldAnswer(const NodeId &sender, const wire::JobHoldAnswer &answer);
+    void onHandOverAnswer(const NodeId &sender, const wire::JobHandOverAnswer &answer);
+
+    const JobTable &table() const { return m_table; }
+    /// Jobs that this node owns and that are not over.
+    std::size_t unfinished() const;
+
+private:
+    struct Log
+    {
+        std::unique_ptr<PlatformLog> m_log;
+        bool m_isOwn = false;
+        bool m_isLeft = false;
+    };
+
+    struct Running
+    {
+        std::uint64_t m_attempt = 0;
+        UpstreamId m_upstream;
+    };
+
+    void run();
+    void execute(const AppendRecord &command);
+    void execute(const FollowLog &command);
+    void execute(const LeaveLog &command);
+    void execute(const HoldAtPeer &command);
+    void execute(const ReleaseAtPeer &command);
+    void execute(const AnswerHold &command);
+    void execute(const HandOver &command);
+    void execute(const AnswerHandOver &command);
+    void execute(const StartAttempt &command);
+    void execute(const CancelAttempt &command);
+    void execute(const TellAccepted &command);
+    void execute(const TellRefused &command);
+    void execute(const TellReattach &command);
+    void execute(const TellOver &command);
+    void tell(const JobId &job, const FeedEvent &event, bool isLast);
+    Log &logNamed(const JobLogId &id);
+    void pump(const JobLogId &id);
+    void takeLogEvents(const JobLogId &id);
+    void runTicks();
+    void runListing();
+    std::shared_ptr<JobFeed> subscribe(const JobId &job);
+
+    ControlContext &m_context;
+    FleetDriver &m_fleet;
+    RunAttempt m_runAttempt;
+    JobTable m_table;
+    std::map<JobLogId, Log> m_logs;
+    std::set<JobLogId> m_behind;
+    std::map<JobId, Running> m_running;
+    std::map<JobId, std::vector<std::weak_ptr<JobFeed>>> m_feeds;
+    std::optional<wire::JobHoldAnswer> m_holdAnswer;
+    std::optional<wire::JobHandOverAnswer> m_handOverAnswer;
+    NodeId m_answering;
+    bool m_isRunning = false;
+    bool m_platformUp = false;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/job_feed.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/core/result.hpp>
+#include <gypsumdale/jobs/job_commands.hpp>
+
+#include <boost/fiber/buffered_channel.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <memory> // shared_ptr
+
+namespace gypsumdale {
+
+/// New tokens of a job's answer, from the offset named.
+struct FeedTokens
+{
+    std::int64_t m_epoch = 0;
+    std::int64_t m_firstToken = 0;
+    AnswerText m_tokens;
+};
+
+/// The job is held and will finish.
+struct FeedAccepted
+{};
+
+struct FeedRefused
+{
+    Error m_error;
+};
+
+/// The next tokens come from another node: reattach at the position reached.
+struct FeedMoved
+{
+    NodeId m_node;
+};
+
+struct FeedOver
+{
+    JobState m_state = JobState::Finished;
+};
+
+using FeedEvent = std::variant<FeedTokens, FeedAccepted, FeedRefused, FeedMoved, FeedOver>;
+
+/// What one caller of a job is told, from the control loop to the traffic fiber that writes to it.
+/// Bounded: a caller that reads too slowly loses its feed, not the job, and reattaches.
+class JobFeed
+{
+public:
+    /// Adds an event without waiting; closes the feed if it is full. From the control loop.
+    void push(FeedEvent event)
+    {
+        const auto status = m_channel.try_push(std::move(event));
+        if (status == boost::fibers::channel_op_status::full)
+            m_channel.close();
+    }
+
+    /// Waits for the next event; nothing once the feed is closed and empty. From any fiber.
+    std::optional<FeedEvent> next()
+    {
+        FeedEvent event;
+        if (m_channel.pop(event) != boost::fibers::channel_op_status::success)
+            return std::nullopt;
+        return event;
+    }
+
+    void close() { m_channel.close(); }
+    bool isClosed() const { return m_channel.is_closed(); }
+
+private:
+    static constexpr std::size_t capacity = 1024;
+    boost::fibers::buffered_channel<FeedEvent> m_channel{capacity};
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/request_context.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/observe/metrics.hpp>
+#include <gypsumdale/settings/fleet_settings.hpp>
+#include <gypsumdale/settings/member.hpp>
+#include <gypsumdale/settings/profile.hpp>
+
+#include <memory> // shared_ptr
+
+namespace gypsumdale {
+
+/// Who asks for what under which promises: resolved once when a request arrives. The settings are
+/// those in force at that moment.
+struct RequestContext
+{
+    RequestId m_id;
+    std::shared_ptr<const Member> m_member;
+    std::shared_ptr<const Profile> m_profile;
+    ServiceId m_service;
+    ServiceKind m_kind = ServiceKind::Model;
+    TimePoint m_arrivedAt{};
+    TimePoint m_deadline{};
+    RequestSeries *m_series = nullptr;
+};
+
+/// What a caller says of itself, in headers.
+struct CallerClaim
+{
+    std::string m_credential;
+    ProfileId m_profile;
+    ServiceId m_service;
+    ServiceKind m_kind = ServiceKind::Model;
+};
+
+} // namespace gypsumdale
--- a/src/fleet/peer_codec.cpp
+++ b/src/fleet/peer_codec.cpp
@@ -23,7 +23,7 @@
     return set.heartbeat || set.configAsk || set.configUpdate || set.configDigest
            || set.leavingNotices || set.noticesAsk || set.jobHold || set.jobRelease
            || set.jobHandOver || set.jobLocate || set.claimForward || set.claimRecord
-           || set.decisionsAsk || set.vmListPush;
+           || set.decisionsAsk || set.vmListPush || set.jobHoldAnswer || set.jobHandOverAnswer;
 }
 
 bool hasBody(const PeerReplyBody &body)
--- /dev/null
+++ b/src/kernel/control.cpp
@@ -0,0 +1,285 @@
+#include <gypsumdale/kernel/config_codec.hpp>
+#include <gypsumdale/kernel/control.hpp>
+
+#include <algorithm> // ranges::sort
+#include <chrono> // milliseconds
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr Duration drainTick = std::chrono::milliseconds(50);
+
+Endpoint endpointOf(const Address &address)
+{
+    return {address.m_ip, address.m_port};
+}
+
+DrainSettings drainSettingsOf(const FleetSettings &fleet)
+{
+    DrainSettings settings;
+    settings.m_balancerWait = fleet.m_drain.m_readinessLead;
+    settings.m_budget = fleet.m_drain.m_node;
+    return settings;
+}
+
+} // namespace
+
+Control::Control(ControlContext context, RunAttempt runAttempt)
+    : m_context(context)
+    , m_fleet(m_context)
+    , m_config(m_context, [this](const NodeId &node) { return m_fleet.find(node); })
+    , m_admission(m_context, m_fleet, m_config.view())
+    , m_claims(m_context, m_fleet)
+    , m_jobs(m_context, m_fleet, std::move(runAttempt))
+    , m_drain(DrainSettings())
+{}
+
+Result<Done> Control::start()
+{
+    const auto listening = m_context.m_peers.listen(
+            endpointOf(m_context.m_settings.m_peerListen),
+            [this](const NodeId &sender, const wire::PeerRequest &request) {
+                return answerPeer(sender, request);
+            });
+    if (!succeeded(listening))
+        return listening;
+    m_context.m_peers.setIncarnation(m_context.m_incarnation);
+    m_config.onChange([this](const ConfigKey &) { m_admission.onSettingsChanged(); });
+    listenToFleet();
+    m_fleet.start();
+    m_config.start();
+    m_admission.start();
+    m_claims.start();
+    m_jobs.start();
+    m_context.m_loop.spawn([this] { runDrain(); });
+    return Done{};
+}
+
+void Control::listenToFleet()
+{
+    FleetListeners listeners;
+    listeners.m_nodeChanged = [this](const NodeStateChanged &change) { onNodeChanged(change); };
+    listeners.m_upstreamChanged = [this](const UpstreamStateChanged &change) {
+        m_admission.onUpstreamChanged(change);
+        if (change.m_state == UpstreamState::Leaving || change.m_state == UpstreamState::Gone)
+            m_jobs.onUpstreamLeaving(change.m_upstream);
+    };
+    listeners.m_configSeen = [this](const ConfigDigestSeen &seen) {
+        ConfigDigestFrom digest;
+        digest.m_node = seen.m_node;
+        digest.m_dataCentre = seen.m_dataCentre;
+        const auto identity = m_fleet.find(seen.m_node);
+        digest.m_incarnation = identity ? identity->m_incarnation : 0;
+        digest.m_digest = wire::fromWire(seen.m_digest);
+        m_config.onDigest(digest);
+    };
+    listeners.m_peerLoad = [this](const NodeId &node, const PeerLoad &load) {
+        m_admission.onPeerLoad(node, load);
+    };
+    listeners.m_ownNotice = [this](const LeavingNotice &notice) { onOwnNotice(notice); };
+    m_fleet.listen(std::move(listeners));
+}
+
+std::vector<NodeId> Control::liveLocalNodes() const
+{
+    std::vector<NodeId> nodes{m_context.m_settings.m_node};
+    for (const NodeIdentity &node :
+         m_fleet.membership().aliveNodes(m_context.m_settings.m_dataCentre))
+        nodes.push_back(node.m_node);
+    std::ranges::sort(nodes);
+    return nodes;
+}
+
+void Control::onNodeChanged(const NodeStateChanged &change)
+{
+    m_config.onLiveNodes(liveLocalNodes());
+    m_admission.onNodesChanged();
+    m_jobs.onNodesChanged();
+    if (change.m_state == NodeState::Dead)
+        m_jobs.onNodeDead(change);
+}
+
+Result<RequestContext> Control::resolve(const CallerClaim &claim, RequestId id)
+{
+    const SettingsView &view = m_config.view();
+    const Result<MemberId> memberId = view.accounts().authenticate(claim.m_credential);
+    if (!succeeded(memberId))
+        return errorOf(memberId);
+    RequestContext context;
+    context.m_id = std::move(id);
+    context.m_member = view.member(valueOf(memberId));
+    context.m_profile = view.profile(claim.m_profile);
+    context.m_service = claim.m_service;
+    context.m_kind = claim.m_kind;
+    context.m_arrivedAt = m_context.now();
+    // What a member may not use looks like what does not exist.
+    const bool mayUseProfile = context.m_profile && context.m_member
+            && context.m_member->allowsProfile(claim.m_profile)
+            && context.m_profile->allowsService(claim.m_service);
+    if (!mayUseProfile)
+        return Error{ErrorId::ProfileUnknown, "no such profile for this service"};
+    const ServiceSettings *service = view.fleet()->service(claim.m_service);
+    const bool mayUseService = service && service->m_kind == claim.m_kind
+            && context.m_member->allowsService(claim.m_service);
+    if (!mayUseService)
+        return Error{ErrorId::ServiceUnknown, "no such service"};
+    context.m_deadline = context.m_arrivedAt + context.m_profile->m_latency.m_deadline;
+    context.m_series = &m_context.m_metrics.series(valueOf(memberId), claim.m_profile);
+    context.m_series->add(RequestCounter::Received);
+    m_context.m_journal.record(m_context.wallNow(), context.m_id, Decision::Received,
+                               DecisionReason::Profile, claim.m_profile.text());
+    return context;
+}
+
+std::optional<Error> Control::notReady() const
+{
+    if (!m_drain.isAccepting())
+        return Error{ErrorId::Draining, "this process is shutting down"};
+    if (!m_config.store().isReady())
+        return Error{ErrorId::NotReady, m_config.store().notReadyReason()};
+    return std::nullopt;
+}
+
+wire::PeerReplyBody Control::answerPeer(const NodeId &sender, const wire::PeerRequest &request)
+{
+    const wire::PeerRequestBody &body = request.body;
+    wire::PeerReplyBody reply;
+    if (body.__isset.heartbeat)
+        reply.__set_heartbeat(m_fleet.onHeartbeat(sender, body.heartbeat));
+    else if (body.__isset.noticesAsk)
+        reply.__set_leavingNotices(m_fleet.notices());
+    else if (body.__isset.jobHold)
+        reply.__set_jobHoldAnswer(m_jobs.onHold(sender, body.jobHold));
+    else if (body.__isset.jobHandOver)
+        reply.__set_jobHandOverAnswer(m_jobs.onHandOver(sender, body.jobHandOver));
+    else if (body.__isset.jobLocate)
+        reply.__set_jobLocated(m_jobs.onLocate(body.jobLocate));
+    else if (body.__isset.claimForward)
+        reply.__set_claimForwarded(m_claims.onForward(sender, body.claimForward));
+    else
+        reply.__set_accepted(wire::Accepted());
+
+    if (body.__isset.configAsk)
+        m_config.onAsk(wire::fromWire(body.configAsk));
+    if (body.__isset.configUpdate)
+        m_config.onUpdate(wire::fromWire(body.configUpdate));
+    if (body.__isset.configDigest)
+        m_config.onDigest(wire::fromWire(body.configDigest));
+    if (body.__isset.leavingNotices)
+        m_fleet.onNotices(sender, body.leavingNotices);
+    if (body.__isset.jobRelease)
+        m_jobs.onRelease(sender, body.jobRelease);
+    if (body.__isset.jobHoldAnswer)
+        m_jobs.onHoldAnswer(sender, body.jobHoldAnswer);
+    if (body.__isset.jobHandOverAnswer)
+        m_jobs.onHandOverAnswer(sender, body.jobHandOverAnswer);
+    if (body.__isset.claimRecord)
+        m_claims.onRecord(body.claimRecord);
+    return reply;
+}
+
+void Control::onOwnNotice(const LeavingNotice &notice)
+{
+    std::optional<TimePoint> deadline;
+    if (notice.m_deadline != 0) {
+        const auto left = std::chrono::milliseconds(notice.m_deadline - m_context.wallNow());
+        deadline = m_context.now() + left;
+    }
+    const bool isZone = notice.m_cause == LeavingCause::ZoneReclaim;
+    // Jobs move at once: the notice may be shorter than it says.
+    m_jobs.onNotice(isZone ? NoticeScope::OwnDataCentre : NoticeScope::OwnVm);
+    shutDown(isZone ? DrainCause::ZoneReclaim : DrainCause::VmReclaim, deadline);
+}
+
+void Control::shutDown(DrainCause cause, std::optional<TimePoint> deadline)
+{
+    if (m_drain.phase() == DrainPhase::Serving)
+        m_drain = Drain(drainSettingsOf(*m_config.view().fleet()));
+    m_context.m_log.info("shutdown-begins", {{LogField::Reason, nameIn(drainCauseNames, cause)}});
+    run(m_drain.begin(cause, deadline, m_context.now()));
+}
+
+void Control::runDrain()
+{
+    for (;;) {
+        refreshGauges();
+        m_fleet.exchange().setConfigDigest(wire::toWire(m_config.store().digest().m_digest));
+        if (m_drain.phase() != DrainPhase::Serving) {
+            UnfinishedWork work;
+            work.m_requests = m_hooks.m_requestsInFlight ? m_hooks.m_requestsInFlight() : 0;
+            work.m_jobs = m_jobs.unfinished();
+            m_drain.setUnfinished(work);
+            run(m_drain.tick(m_context.now()));
+        }
+        sleepFiber(drainTick);
+    }
+}
+
+void Control::refreshGauges()
+{
+    Metrics &metrics = m_context.m_metrics;
+    metrics.set(Gauge::Ready, notReady() ? 0 : 1);
+    metrics.set(Gauge::Draining, m_drain.phase() == DrainPhase::Serving ? 0 : 1);
+    metrics.set(Gauge::PlatformUp, m_context.m_platform.isUp() ? 1 : 0);
+    metrics.set(Gauge::RequestsWaiting, static_cast<std::int64_t>(m_admission.waiting()));
+    metrics.set(Gauge::PeersLive, static_cast<std::int64_t>(liveLocalNodes().size()) - 1);
+    const FrameTraffic traffic = m_context.m_peers.traffic();
+    metrics.assign(Counter::PeerFramesSent, traffic.m_framesSent);
+    metrics.assign(Counter::PeerFramesReceived, traffic.m_framesReceived);
+    metrics.assign(Counter::PeerBytesSent, traffic.m_bytesSent);
+    metrics.assign(Counter::PeerBytesReceived, traffic.m_bytesReceived);
+    const PlatformCalls &calls = m_context.m_platform.calls();
+    metrics.assign(Counter::PlatformCalls, calls.m_reads + calls.m_writes + calls.m_watches);
+    metrics.assign(Counter::PlatformFailures, calls.m_failures);
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_context.m_loop.processorTime());
+    metrics.assign(Counter::ControlProcessorMillis, static_cast<std::uint64_t>(millis.count()));
+}
+
+void Control::run(const DrainCommands &commands)
+{
+    for (const DrainCommand &command : commands)
+        std::visit([this](const auto &value) { execute(value); }, command);
+}
+
+void Control::execute(const FailReadiness &command)
+{
+    m_context.m_log.info("readiness-fails", {{LogField::Reason, command.m_reason}});
+    m_fleet.exchange().setDraining();
+}
+
+void Control::execute(const StopAccepting &command)
+{
+    m_context.m_log.info("accepting-stops", {{LogField::Reason, command.m_reason}});
+    m_admission.drain();
+    if (m_hooks.m_stopAccepting)
+        m_hooks.m_stopAccepting();
+}
+
+void Control::execute(const HandOverJobs &command)
+{
+    m_context.m_log.info("jobs-handed-over", {{LogField::Reason, command.m_reason}});
+    m_jobs.onNotice(NoticeScope::OwnVm);
+}
+
+void Control::execute(const CutRemaining &command)
+{
+    m_context.m_log.error("requests-cut", {{LogField::Count, command.m_work.m_requests},
+                                           {LogField::Reason, command.m_reason}});
+}
+
+void Control::execute(const CloseConnections &)
+{
+    m_context.m_loop.spawn([this] { run(m_drain.closed(m_context.now())); });
+}
+
+void Control::execute(const ExitProcess &command)
+{
+    m_context.m_log.info("shutdown-ends", {{LogField::Reason, command.m_reason},
+                                           {LogField::Count, command.m_cut.m_requests}});
+    if (m_hooks.m_exit)
+        m_hooks.m_exit(command.m_cut);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/kernel/job_driver.cpp
@@ -0,0 +1,512 @@
+#include <gypsumdale/kernel/job_driver.hpp>
+#include <gypsumdale/kernel/log_io.hpp>
+
+#include <fmt/format.h>
+
+#include <functional> // hash
+#include <random> // random_device
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr std::string_view jobsKind = "jobs";
+constexpr Duration tickInterval = std::chrono::milliseconds(50);
+constexpr Duration listInterval = std::chrono::seconds(5);
+constexpr Duration peerTimeout = std::chrono::seconds(1);
+constexpr Duration logWait = std::chrono::seconds(5);
+constexpr Duration logPoll = std::chrono::milliseconds(20);
+
+JobTableSettings settingsOf(const ControlContext &context)
+{
+    JobTableSettings settings;
+    settings.m_self = {context.m_settings.m_node, context.m_incarnation};
+    settings.m_dataCentre = context.m_settings.m_dataCentre;
+    // Job names must not be guessable, and no two processes may draw the same.
+    std::random_device device;
+    settings.m_seed = (std::uint64_t{device()} << 32U) | device();
+    return settings;
+}
+
+} // namespace
+
+JobDriver::JobDriver(ControlContext &context, FleetDriver &fleet, RunAttempt runAttempt)
+    : m_context(context)
+    , m_fleet(fleet)
+    , m_runAttempt(std::move(runAttempt))
+    , m_table(settingsOf(context))
+{}
+
+void JobDriver::start()
+{
+    onNodesChanged();
+    m_context.m_loop.spawn([this] { runTicks(); });
+    m_context.m_loop.spawn([this] { runListing(); });
+}
+
+void JobDriver::runTicks()
+{
+    for (;;) {
+        const bool isUp = m_context.m_platform.isUp();
+        if (isUp != m_platformUp) {
+            m_platformUp = isUp;
+            m_context.m_log.info("platform-state", {{LogField::State, isUp ? "up" : "down"}});
+            m_table.onPlatform(isUp, m_context.now());
+        }
+        m_table.tick(m_context.now(), m_context.wallNow());
+        run();
+        for (auto &[id, log] : m_logs)
+            pump(id);
+        std::erase_if(m_logs, [](const auto &entry) {
+            return entry.second.m_isLeft && !entry.second.m_log->hasOutstanding();
+        });
+        sleepFiber(tickInterval);
+    }
+}
+
+void JobDriver::runListing()
+{
+    for (;;) {
+        const auto result = m_context.m_platform.list(jobsKind, "", false);
+        if (const auto *objects = std::get_if<PlatformObjects>(&result)) {
+            std::set<JobLogId> names;
+            for (const PlatformObject &object : objects->m_objects)
+                names.insert(JobLogId(object.m_name.substr(0, object.m_name.rfind('/'))));
+            m_table.onLogsListed({names.begin(), names.end()}, m_context.now());
+            run();
+        }
+        sleepFiber(listInterval);
+    }
+}
+
+Result<std::pair<JobId, std::shared_ptr<JobFeed>>> JobDriver::offer(const JobRequest &request)
+{
+    const Result<JobId> job = m_table.offer(request, m_context.now());
+    if (!succeeded(job))
+        return errorOf(job);
+    auto feed = subscribe(valueOf(job));
+    run();
+    return std::pair(valueOf(job), std::move(feed));
+}
+
+std::shared_ptr<JobFeed> JobDriver::subscribe(const JobId &job)
+{
+    auto feed = std::make_shared<JobFeed>();
+    m_feeds[job].push_back(feed);
+    return feed;
+}
+
+std::pair<ReattachAnswer, std::shared_ptr<JobFeed>>
+JobDriver::reattach(const JobId &job, const MemberId &member, const AnswerPosition &position)
+{
+    const TimePoint until = m_context.now() + logWait;
+    for (;;) {
+        ReattachAnswer answer = m_table.reattach(job, member, position, m_context.now());
+        run();
+        const bool mustWait = std::holds_alternative<AwaitLog>(answer);
+        if (mustWait && m_context.now() < until) {
+            sleepFiber(logPoll);
+            continue;
+        }
+        std::shared_ptr<JobFeed> feed;
+        const auto *serve = std::get_if<ServeFrom>(&answer);
+        const bool goesOn = serve && serve->m_state != JobState::Finished
+                && serve->m_state != JobState::Failed && serve->m_state != JobState::Expired;
+        if (goesOn)
+            feed = subscribe(job);
+        return {std::move(answer), std::move(feed)};
+    }
+}
+
+std::optional<wire::JobLocated> JobDriver::locate(const JobId &job,
+                                                  const std::optional<NodeId> &first)
+{
+    std::vector<NodeIdentity> peers;
+    if (first) {
+        if (const auto identity = m_fleet.find(*first))
+            peers.push_back(*identity);
+    }
+    for (const NodeView &view : m_fleet.membership().nodes()) {
+        const bool isFirst = first && view.m_identity.m_node == *first;
+        if (!isFirst && view.m_state == NodeState::Alive)
+            peers.push_back(view.m_identity);
+    }
+    for (const NodeIdentity &peer : peers) {
+        wire::JobLocate ask;
+        ask.job = job.text();
+        wire::PeerRequestBody body;
+        body.__set_jobLocate(ask);
+        const auto reply = m_context.m_peers.ask(peer, std::move(body), peerTimeout);
+        if (succeeded(reply) && valueOf(reply).body.jobLocated.known)
+            return valueOf(reply).body.jobLocated;
+    }
+    return std::nullopt;
+}
+
+wire::JobLocated JobDriver::onLocate(const wire::JobLocate &ask) const
+{
+    wire::JobLocated located;
+    located.job = ask.job;
+    located.callerAddress = m_context.m_settings.m_callerListen.m_ip;
+    located.callerPort = m_context.m_settings.m_callerListen.m_port;
+    for (const JobSummary &summary : m_table.summaries()) {
+        const bool isMine = summary.m_owner == m_context.m_settings.m_node;
+        if (summary.m_job.text() != ask.job || !isMine)
+            continue;
+        located.known = true;
+        located.owner = summary.m_owner.text();
+    }
+    return located;
+}
+
+void JobDriver::onTokens(const JobId &job, std::uint64_t attempt, std::int64_t epoch,
+                         std::int64_t firstToken, const AnswerText &tokens)
+{
+    m_table.onTokens(job, attempt, firstToken, tokens, m_context.now());
+    const auto running = m_running.find(job);
+    // Events of an attempt that was given up must not reach the callers either.
+    if (running != m_running.end() && running->second.m_attempt == attempt)
+        tell(job, FeedTokens{epoch, firstToken, tokens}, false);
+    run();
+}
+
+void JobDriver::onAttemptFinished(const JobId &job, std::uint64_t attempt, std::int64_t wholeTokens,
+                                  const std::string &finishReason)
+{
+    m_table.onAttemptFinished(job, attempt, wholeTokens, finishReason, m_context.now());
+    run();
+}
+
+void JobDriver::onAttemptFailed(const JobId &job, std::uint64_t attempt, bool isPermanent)
+{
+    m_table.onAttemptFailed(job, attempt, isPermanent, m_context.now());
+    run();
+}
+
+void JobDriver::onAttemptPlaced(const JobId &job, std::uint64_t attempt, const UpstreamId &upstream)
+{
+    const auto running = m_running.find(job);
+    if (running != m_running.end() && running->second.m_attempt == attempt)
+        running->second.m_upstream = upstream;
+}
+
+void JobDriver::onUpstreamLeaving(const UpstreamId &upstream)
+{
+    const auto running = m_running;
+    for (const auto &[job, attempt] : running) {
+        if (attempt.m_upstream == upstream)
+            m_table.onUpstreamLeaving(job, attempt.m_attempt, m_context.now());
+    }
+    run();
+}
+
+void JobDriver::onNodesChanged()
+{
+    std::vector<JobPeer> peers;
+    for (const NodeView &view : m_fleet.membership().nodes()) {
+        const bool isLive = view.m_state == NodeState::Alive || view.m_state == NodeState::Leaving;
+        const NodeIdentity &identity = view.m_identity;
+        if (isLive && identity.m_incarnation != 0) {
+            peers.push_back({{identity.m_node, identity.m_incarnation}, identity.m_dataCentre,
+                             view.m_state == NodeState::Leaving});
+        }
+    }
+    m_table.onPeers(std::move(peers), m_context.now());
+    run();
+}
+
+void JobDriver::onNodeDead(const NodeStateChanged &change)
+{
+    m_table.onPeerDead({change.m_node, change.m_incarnation}, m_context.now());
+    run();
+}
+
+void JobDriver::onNotice(NoticeScope scope)
+{
+    m_table.onNotice(scope, m_context.now());
+    run();
+}
+
+wire::JobHoldAnswer JobDriver::onHold(const NodeId &sender, const wire::JobHold &hold)
+{
+    m_holdAnswer.reset();
+    m_answering = sender;
+    m_table.onHoldRequest(sender, hold, m_context.now());
+    run();
+    m_answering = NodeId();
+    return m_holdAnswer.value_or(wire::JobHoldAnswer());
+}
+
+void JobDriver::onRelease(const NodeId &sender, const wire::JobRelease &release)
+{
+    m_table.onReleaseRequest(sender, JobId(release.job), m_context.now());
+    run();
+}
+
+wire::JobHandOverAnswer JobDriver::onHandOver(const NodeId &sender,
+                                              const wire::JobHandOver &handOver)
+{
+    m_handOverAnswer.reset();
+    m_answering = sender;
+    m_table.onHandOverRequest(sender, handOver, m_context.now());
+    run();
+    m_answering = NodeId();
+    return m_handOverAnswer.value_or(wire::JobHandOverAnswer());
+}
+
+void JobDriver::onHoldAnswer(const NodeId &sender, const wire::JobHoldAnswer &answer)
+{
+    m_table.onHoldAnswered(sender, answer, m_context.now());
+    run();
+}
+
+void JobDriver::onHandOverAnswer(const NodeId &sender, const wire::JobHandOverAnswer &answer)
+{
+    m_table.onHandOverAnswered(sender, answer, m_context.now());
+    run();
+}
+
+std::size_t JobDriver::unfinished() const
+{
+    return m_table.isDrained() ? 0 : m_table.summaries().size();
+}
+
+void JobDriver::run()
+{
+    // Carrying out a command may leave further ones; the outer call takes them.
+    if (m_isRunning)
+        return;
+    m_isRunning = true;
+    for (;;) {
+        const JobCommands commands = m_table.takeCommands();
+        if (commands.empty())
+            break;
+        for (const JobCommand &command : commands)
+            std::visit([this](const auto &value) { execute(value); }, command);
+    }
+    m_isRunning = false;
+}
+
+JobDriver::Log &JobDriver::logNamed(const JobLogId &id)
+{
+    Log &log = m_logs[id];
+    if (!log.m_log) {
+        PlatformLogSettings settings;
+        settings.m_writer = fmt::format("{}.{:x}", m_context.m_settings.m_node.text(),
+                                        m_context.m_incarnation);
+        log.m_log = std::make_unique<PlatformLog>(settings);
+    }
+    log.m_isLeft = false;
+    return log;
+}
+
+void JobDriver::execute(const AppendRecord &command)
+{
+    Log &log = logNamed(command.m_log);
+    const auto ticket = log.m_log->append(wire::encode(command.m_record));
+    if (!succeeded(ticket)) {
+        m_context.m_log.failure("job-record-not-appended", errorOf(ticket));
+        m_table.onAppendLost(command.m_log, m_context.now());
+    }
+    pump(command.m_log);
+}
+
+void JobDriver::execute(const FollowLog &command)
+{
+    logNamed(command.m_log).m_log->refresh();
+    pump(command.m_log);
+}
+
+void JobDriver::execute(const LeaveLog &command)
+{
+    const auto found = m_logs.find(command.m_log);
+    if (found != m_logs.end())
+        found->second.m_isLeft = true;
+}
+
+void JobDriver::pump(const JobLogId &id)
+{
+    const auto found = m_logs.find(id);
+    if (found == m_logs.end())
+        return;
+    auto command = found->second.m_log->next(m_context.moment());
+    if (!command)
+        return;
+    m_context.m_loop.spawn([this, id, command = std::move(*command)] {
+        const LogAnswer answer = performLogCommand(m_context.m_platform, jobsKind, id.text(),
+                                                   command);
+        const auto log = m_logs.find(id);
+        if (log == m_logs.end())
+            return;
+        log->second.m_log->onAnswer(answer, m_context.moment());
+        takeLogEvents(id);
+        run();
+        pump(id);
+    });
+}
+
+void JobDriver::takeLogEvents(const JobLogId &id)
+{
+    for (const PlatformLogEvent &event : m_logs.at(id).m_log->takeEvents()) {
+        if (const auto *applied = std::get_if<RecordApplied>(&event)) {
+            const auto record = wire::decode<wire::JobRecord>(applied->m_record);
+            if (succeeded(record))
+                m_table.onRecordApplied(id, valueOf(record), m_context.now());
+            else
+                m_context.m_log.failure("job-record-malformed", errorOf(record));
+        }
+        if (std::holds_alternative<LogCaughtUp>(event))
+            m_table.onLogCaughtUp(id, m_context.now());
+        if (const auto *corrupt = std::get_if<LogCorrupt>(&event))
+            m_context.m_log.error("job-log-corrupt", {{LogField::Text, corrupt->m_reason}});
+    }
+}
+
+void JobDriver::execute(const HoldAtPeer &command)
+{
+    m_context.m_loop.spawn([this, command] {
+        const auto identity = m_fleet.find(command.m_peer);
+        wire::PeerRequestBody body;
+        body.__set_jobHold(command.m_hold);
+        const auto reply = identity
+                ? m_context.m_peers.ask(*identity, std::move(body), peerTimeout)
+                : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
+        if (succeeded(reply) && valueOf(reply).body.__isset.jobHoldAnswer)
+            m_table.onHoldAnswered(command.m_peer, valueOf(reply).body.jobHoldAnswer,
+                                   m_context.now());
+        else
+            m_table.onPeerFailed(command.m_peer, m_context.now());
+        run();
+    });
+}
+
+void JobDriver::execute(const ReleaseAtPeer &command)
+{
+    m_context.m_loop.spawn([this, command] {
+        const auto identity = m_fleet.find(command.m_peer);
+        if (!identity)
+            return;
+        wire::JobRelease release;
+        release.job = command.m_job.text();
+        wire::PeerRequestBody body;
+        body.__set_jobRelease(release);
+        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+    });
+}
+
+void JobDriver::execute(const AnswerHold &command)
+{
+    if (command.m_peer == m_answering) {
+        m_holdAnswer = command.m_answer;
+        return;
+    }
+    m_context.m_loop.spawn([this, command] {
+        const auto identity = m_fleet.find(command.m_peer);
+        if (!identity)
+            return;
+        wire::PeerRequestBody body;
+        body.__set_jobHoldAnswer(command.m_answer);
+        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+    });
+}
+
+void JobDriver::execute(const HandOver &command)
+{
+    m_context.m_loop.spawn([this, command] {
+        const auto identity = m_fleet.find(command.m_peer);
+        wire::PeerRequestBody body;
+        body.__set_jobHandOver(command.m_handOver);
+        const auto reply = identity
+                ? m_context.m_peers.ask(*identity, std::move(body), peerTimeout)
+                : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
+        if (succeeded(reply) && valueOf(reply).body.__isset.jobHandOverAnswer)
+            m_table.onHandOverAnswered(command.m_peer, valueOf(reply).body.jobHandOverAnswer,
+                                       m_context.now());
+        else
+            m_table.onPeerFailed(command.m_peer, m_context.now());
+        run();
+    });
+}
+
+void JobDriver::execute(const AnswerHandOver &command)
+{
+    if (command.m_peer == m_answering) {
+        m_handOverAnswer = command.m_answer;
+        return;
+    }
+    m_context.m_loop.spawn([this, command] {
+        const auto identity = m_fleet.find(command.m_peer);
+        if (!identity)
+            return;
+        wire::PeerRequestBody body;
+        body.__set_jobHandOverAnswer(command.m_answer);
+        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+    });
+}
+
+void JobDriver::execute(const StartAttempt &command)
+{
+    m_running[command.m_job] = {command.m_attempt, UpstreamId()};
+    if (!command.m_soFar.isEmpty())
+        m_context.m_journal.record(m_context.wallNow(), RequestId(command.m_job.text()),
+                                   Decision::Resumed, DecisionReason::None,
+                                   fmt::format("at token {}", command.m_soFar.tokens()));
+    m_runAttempt.m_start(command);
+}
+
+void JobDriver::execute(const CancelAttempt &command)
+{
+    const auto running = m_running.find(command.m_job);
+    if (running != m_running.end() && running->second.m_attempt == command.m_attempt)
+        m_running.erase(running);
+    m_runAttempt.m_cancel(command);
+}
+
+void JobDriver::execute(const TellAccepted &command)
+{
+    m_context.m_metrics.add(Counter::JobsAccepted);
+    m_context.m_journal.record(m_context.wallNow(), RequestId(command.m_job.text()),
+                               Decision::Accepted);
+    tell(command.m_job, FeedAccepted{}, false);
+}
+
+void JobDriver::execute(const TellRefused &command)
+{
+    tell(command.m_job, FeedRefused{command.m_error}, true);
+}
+
+void JobDriver::execute(const TellReattach &command)
+{
+    tell(command.m_job, FeedMoved{command.m_node}, true);
+}
+
+void JobDriver::execute(const TellOver &command)
+{
+    if (command.m_state == JobState::Finished)
+        m_context.m_metrics.add(Counter::JobsFinished);
+    m_context.m_journal.record(m_context.wallNow(), RequestId(command.m_job.text()),
+                               command.m_state == JobState::Finished ? Decision::Done
+                                                                     : Decision::Failed);
+    m_running.erase(command.m_job);
+    tell(command.m_job, FeedOver{command.m_state}, true);
+}
+
+void JobDriver::tell(const JobId &job, const FeedEvent &event, bool isLast)
+{
+    const auto found = m_feeds.find(job);
+    if (found == m_feeds.end())
+        return;
+    std::erase_if(found->second, [&](const std::weak_ptr<JobFeed> &entry) {
+        const auto feed = entry.lock();
+        if (!feed || feed->isClosed())
+            return true;
+        feed->push(event);
+        if (isLast)
+            feed->close();
+        return isLast;
+    });
+    if (found->second.empty())
+        m_feeds.erase(found);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/kernel/platform_client.cpp
@@ -0,0 +1,235 @@
+#include <gypsumdale/kernel/platform_client.hpp>
+
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/pchars.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv> // from_chars
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
+constexpr int statusNoContent = 204;
+constexpr int statusNotFound = 404;
+constexpr int statusGone = 410;
+constexpr int statusPreconditionFailed = 412;
+constexpr int statusTooManyRequests = 429;
+/// What a watch may take beyond the time it was asked to wait.
+constexpr Duration watchGrace = std::chrono::seconds(2);
+
+std::string encoded(std::string_view text)
+{
+    // '/' stays: it separates the parts of a name.
+    return boost::urls::encode(text, boost::urls::pchars + '/');
+}
+
+std::string quoted(ObjectVersion version)
+{
+    return fmt::format("\"{}\"", version);
+}
+
+ObjectVersion versionIn(std::string_view etag)
+{
+    ObjectVersion version = 0;
+    while (!etag.empty() && etag.front() == '"')
+        etag.remove_prefix(1);
+    std::from_chars(etag.data(), etag.data() + etag.size(), version);
+    return version;
+}
+
+Duration retryAfterOf(const HttpReply &reply)
+{
+    const std::string_view text = reply.m_headers.value("Retry-After");
+    int seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+PlatformFailure failureOf(const HttpReply &reply)
+{
+    const std::string text = fmt::format("the platform answered {}", reply.m_status);
+    switch (reply.m_status) {
+    case statusNotFound:
+        return {PlatformTrouble::NotFound, {ErrorId::PlatformNotFound, text}, {}};
+    case statusGone:
+        return {PlatformTrouble::TooOld, {ErrorId::PlatformRefused, text}, {}};
+    case statusPreconditionFailed:
+        return {PlatformTrouble::Conflict, {ErrorId::PlatformConflict, text}, {}};
+    case statusTooManyRequests:
+        return {PlatformTrouble::NoEffect, {ErrorId::PlatformRefused, text}, retryAfterOf(reply)};
+    default:
+        // A 5xx says nothing about whether a write took effect.
+        return {PlatformTrouble::AnswerLost, {ErrorId::PlatformUnreachable, text},
+                retryAfterOf(reply)};
+    }
+}
+
+PlatformFailure failureOf(const CallFailure &failure)
+{
+    if (failure.m_phase == SendPhase::NothingSent) {
+        return {PlatformTrouble::NoEffect,
+                {ErrorId::PlatformUnreachable, failure.m_error.m_text}, {}};
+    }
+    return {PlatformTrouble::AnswerLost, {ErrorId::PlatformAnswerLost, failure.m_error.m_text}, {}};
+}
+
+PlatformFailure malformed()
+{
+    return {PlatformTrouble::AnswerLost,
+            {ErrorId::PlatformUnreachable, "the platform's answer is not what docs/PLATFORM.md says"},
+            {}};
+}
+
+PlatformObject objectFrom(const nlohmann::json &entry)
+{
+    PlatformObject object;
+    object.m_name = entry.value("name", "");
+    object.m_version = entry.value("version", ObjectVersion{0});
+    object.m_body = entry.value("body", "");
+    object.m_deleted = entry.value("deleted", false);
+    return object;
+}
+
+PlatformResult<PlatformObjects> objectsFrom(const std::string &body, const char *listName)
+{
+    // Exceptions of the JSON library end here.
+    try {
+        const nlohmann::json document = nlohmann::json::parse(body);
+        PlatformObjects result;
+        result.m_version = document.at("version").get<ObjectVersion>();
+        for (const nlohmann::json &entry : document.at(listName))
+            result.m_objects.push_back(objectFrom(entry));
+        return result;
+    } catch (const nlohmann::json::exception &) {
+        return malformed();
+    }
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(HttpClient &client, Endpoint endpoint, Duration timeout)
+    : m_client(client)
+    , m_endpoint(std::move(endpoint))
+    , m_timeout(timeout)
+{}
+
+PlatformResult<PlatformObject> PlatformClient::read(std::string_view kind, std::string_view name)
+{
+    ++m_calls.m_reads;
+    const auto result = send(makeCall("GET", fmt::format("/v1/objects/{}/{}", kind, encoded(name))));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return *failure;
+    const HttpReply &reply = std::get<HttpReply>(result);
+    PlatformObject object;
+    object.m_name = name;
+    object.m_version = versionIn(reply.m_headers.value("ETag"));
+    object.m_body = reply.m_body;
+    return object;
+}
+
+PlatformResult<PlatformObjects> PlatformClient::list(std::string_view kind, std::string_view prefix,
+                                                     bool withBodies)
+{
+    ++m_calls.m_reads;
+    const auto result = send(makeCall("GET", fmt::format("/v1/objects/{}?prefix={}{}", kind,
+                                                         encoded(prefix),
+                                                         withBodies ? "&bodies=1" : "")));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return *failure;
+    return objectsFrom(std::get<HttpReply>(result).m_body, "objects");
+}
+
+PlatformResult<ObjectVersion> PlatformClient::create(std::string_view kind, std::string_view name,
+                                                     std::string body)
+{
+    return put(kind, name, std::move(body), "If-None-Match", "*");
+}
+
+PlatformResult<ObjectVersion> PlatformClient::update(std::string_view kind, std::string_view name,
+                                                     ObjectVersion version, std::string body)
+{
+    return put(kind, name, std::move(body), "If-Match", quoted(version));
+}
+
+PlatformResult<Done> PlatformClient::remove(std::string_view kind, std::string_view name,
+                                            std::optional<ObjectVersion> version)
+{
+    ++m_calls.m_writes;
+    HttpCall call = makeCall("DELETE", fmt::format("/v1/objects/{}/{}", kind, encoded(name)));
+    if (version)
+        call.m_headers.add("If-Match", quoted(*version));
+    const auto result = send(std::move(call));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return *failure;
+    return Done{};
+}
+
+PlatformResult<PlatformObjects> PlatformClient::watch(std::string_view kind, ObjectVersion after,
+                                                      Duration patience)
+{
+    ++m_calls.m_watches;
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
+    HttpCall call = makeCall("GET", fmt::format("/v1/watch/{}?after={}&timeoutMs={}", kind, after,
+                                                millis));
+    call.m_headerTimeout = patience + watchGrace;
+    const auto result = send(std::move(call));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return *failure;
+    return objectsFrom(std::get<HttpReply>(result).m_body, "events");
+}
+
+PlatformResult<ObjectVersion> PlatformClient::put(std::string_view kind, std::string_view name,
+                                                  std::string body, std::string condition,
+                                                  std::string conditionValue)
+{
+    ++m_calls.m_writes;
+    HttpCall call = makeCall("PUT", fmt::format("/v1/objects/{}/{}", kind, encoded(name)));
+    call.m_headers.add("Content-Type", "application/octet-stream");
+    call.m_headers.add(std::move(condition), std::move(conditionValue));
+    call.m_body = std::move(body);
+    const auto result = send(std::move(call));
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return *failure;
+    return versionIn(std::get<HttpReply>(result).m_headers.value("ETag"));
+}
+
+PlatformResult<HttpReply> PlatformClient::send(HttpCall call)
+{
+    auto result = m_client.call(call);
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        // Failure guarded against: a pooled connection that something between the two ends has
+        // forgotten stays silent while new ones work. It shows as a timeout; without this the next
+        // call would take its sibling from the pool and wait as long again.
+        m_client.forget(m_endpoint);
+        ++m_calls.m_failures;
+        m_isUp = false;
+        return failureOf(*failure);
+    }
+    HttpReply &reply = std::get<HttpReply>(result);
+    const bool isAnswered = reply.m_status < 500;
+    m_isUp = isAnswered;
+    if (reply.m_status == statusOk || reply.m_status == statusCreated
+        || reply.m_status == statusNoContent)
+        return std::move(reply);
+    if (!isAnswered)
+        ++m_calls.m_failures;
+    return failureOf(reply);
+}
+
+HttpCall PlatformClient::makeCall(std::string method, std::string target) const
+{
+    HttpCall call;
+    call.m_endpoint = m_endpoint;
+    call.m_method = std::move(method);
+    call.m_target = std::move(target);
+    call.m_connectTimeout = m_timeout;
+    call.m_headerTimeout = m_timeout;
+    call.m_silenceTimeout = m_timeout;
+    return call;
+}
+
+} // namespace gypsumdale
