--- /dev/null
+++ b/src/runtime/detail/http_connection.cpp
@@ -0,0 +1,282 @@
+#include <runtime/detail/http_connection.hpp>
+
+#include <runtime/detail/message_writer.hpp>
+
+#include <algorithm> // min
+#include <array> // array
+#include <cstdint> // uint32_t
+#include <exception> // exception
+#include <utility> // exchange, move
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <fmt/format.h>
+
+namespace gypsumdale::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// Time that a connection without a first request is left after the server stopped accepting.
+constexpr Duration lastChance = std::chrono::seconds(1);
+
+constexpr std::string_view chunkEnd = "\r\n";
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
+
+asio::const_buffer bufferOf(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+HttpReply errorReply(int status, ErrorId id, std::string_view message)
+{
+    HttpReply reply;
+    reply.m_status = status;
+    reply.m_headers.add("Content-Type", "application/json");
+    reply.m_body = fmt::format(R"({{"error":{{"id":{},"name":"{}","message":"{}"}}}})",
+                               static_cast<int>(id), errorName(id), message);
+    return reply;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(std::shared_ptr<Stream> stream, HttpService &service)
+    : m_stream(std::move(stream))
+    , m_service(service)
+{
+    ++m_service.m_connections;
+}
+
+HttpConnection::~HttpConnection()
+{
+    m_stream->close();
+    --m_service.m_connections;
+}
+
+void HttpConnection::serve()
+{
+    while (serveOne())
+        ++m_served;
+}
+
+void HttpConnection::closeIfIdle()
+{
+    if (!m_isIdle)
+        return;
+    if (m_served == 0)
+        m_stream->shortenDeadline(std::chrono::steady_clock::now() + lastChance);
+    else if (m_stream->isQuietAndOpen())
+        m_stream->close();
+}
+
+bool HttpConnection::serveOne()
+{
+    if (!awaitFirstByte())
+        return false;
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_service.m_limits.m_headerBytes));
+    parser.body_limit(m_service.m_limits.m_bodyBytes);
+    if (!readRequest(parser))
+        return false;
+    HttpRequest request;
+    request.m_method = parser.method();
+    request.m_target = parser.target();
+    request.m_headers = std::move(parser.headers());
+    request.m_body = parser.takeBody();
+    request.m_remoteAddress = m_stream->remoteAddress();
+    m_isHead = request.m_method == "HEAD";
+    m_callerKeepsAlive = parser.keep_alive();
+    m_callerReadsChunks = parser.version() >= 11;
+    handle(request);
+    return m_answer == AnswerState::Complete && !m_saidClose && !m_callerGone;
+}
+
+/// Waits for a request's first byte. Returns false if there will be none.
+bool HttpConnection::awaitFirstByte()
+{
+    if (m_stream->input().size() > 0)
+        return true;
+    const bool stopping = m_service.m_stopping;
+    if (stopping && m_served > 0)
+        return false;
+    const Duration limit = stopping ? lastChance : m_service.m_limits.m_idleTimeout;
+    m_isIdle = true;
+    const StreamStatus status = m_stream->fill(std::chrono::steady_clock::now() + limit);
+    m_isIdle = false;
+    return status == StreamStatus::Good;
+}
+
+/// Reads one request whole. On failure it has answered where an answer is due.
+bool HttpConnection::readRequest(Parser &parser)
+{
+    const SteadyTime deadline = std::chrono::steady_clock::now() + m_service.m_limits.m_readTimeout;
+    bool askedToContinue = false;
+    for (;;) {
+        boost::beast::error_code error;
+        const std::size_t used = parser.put(m_stream->input().data(), error);
+        m_stream->input().consume(used);
+        if (error && error != http::error::need_more) {
+            refuse(error);
+            return false;
+        }
+        if (parser.is_done())
+            return true;
+        if (parser.is_header_done() && !std::exchange(askedToContinue, true)) {
+            if (!sendContinueIfAsked(parser))
+                return false;
+        }
+        const StreamStatus status = m_stream->fill(deadline);
+        if (status == StreamStatus::TimedOut)
+            refuse(408, ErrorId::RequestTooSlow, "the request did not arrive in time");
+        if (status != StreamStatus::Good)
+            return false;
+    }
+}
+
+bool HttpConnection::sendContinueIfAsked(Parser &parser)
+{
+    if (!boost::beast::iequals(parser.headers().value("Expect"), "100-continue"))
+        return true;
+    std::array<asio::const_buffer, 1> buffers = {bufferOf(continueHead)};
+    return m_stream->write(buffers, m_service.m_limits.m_writeTimeout) == StreamStatus::Good;
+}
+
+void HttpConnection::refuse(const boost::beast::error_code &error)
+{
+    if (error == http::error::header_limit)
+        refuse(431, ErrorId::RequestTooLarge, "the header is too large");
+    else if (error == http::error::body_limit)
+        refuse(413, ErrorId::RequestTooLarge, "the body is too large");
+    else
+        refuse(400, ErrorId::RequestMalformed, "the request is malformed");
+}
+
+void HttpConnection::refuse(int status, ErrorId id, std::string_view message)
+{
+    m_answer = AnswerState::Owed;
+    m_callerKeepsAlive = false;
+    m_isHead = false;
+    if (send(errorReply(status, id, message)))
+        m_stream->closeGently();
+}
+
+void HttpConnection::handle(const HttpRequest &request)
+{
+    m_answer = AnswerState::Owed;
+    m_saidClose = false;
+    ++m_service.m_requestsInFlight;
+    m_stream->watch([this] { noteCallerGone(); });
+    try {
+        m_service.m_handler(request, *this);
+    } catch (const std::exception &) {
+        // Guards the other connections against a handler's mistake, which would end the process.
+        // The caller sees status 500 or a cut answer, never a false end.
+    }
+    m_onCallerGone = nullptr;
+    if (m_answer == AnswerState::Owed)
+        send(errorReply(500, ErrorId::Internal, "the request was not answered"));
+    m_stream->watch(nullptr);
+    --m_service.m_requestsInFlight;
+}
+
+void HttpConnection::noteCallerGone()
+{
+    m_callerGone = true;
+    if (const std::function<void()> action = std::exchange(m_onCallerGone, nullptr))
+        action();
+}
+
+void HttpConnection::onCallerGone(std::function<void()> action)
+{
+    m_onCallerGone = std::move(action);
+    if (m_callerGone && m_onCallerGone)
+        noteCallerGone();
+}
+
+bool HttpConnection::send(const HttpReply &reply)
+{
+    if (m_answer != AnswerState::Owed)
+        return false;
+    m_answer = AnswerState::Complete;
+    m_saidClose = !keepsAlive();
+    const std::string head = answerHead(reply.m_status, reply.m_headers,
+                                        BodyLength{reply.m_body.size()}, !m_saidClose);
+    const bool hasBody = !m_isHead && !isBodyless(reply.m_status);
+    std::array<asio::const_buffer, 2> buffers = {
+            bufferOf(head), bufferOf(hasBody ? std::string_view(reply.m_body) : "")};
+    return writeAll(buffers);
+}
+
+bool HttpConnection::begin(int status, const HttpHeaders &headers)
+{
+    if (m_answer != AnswerState::Owed)
+        return false;
+    if (!m_callerReadsChunks) {
+        // Without chunks a cut answer would look like a whole one, so a caller of HTTP/1.0 gets the
+        // answer in one piece with its length.
+        m_collected = HttpReply{status, headers, std::string()};
+        m_answer = AnswerState::Collecting;
+        return !m_callerGone;
+    }
+    m_answer = AnswerState::Streaming;
+    m_saidClose = !keepsAlive();
+    const std::string head = answerHead(status, headers, BodyLength{}, !m_saidClose);
+    std::array<asio::const_buffer, 1> buffers = {bufferOf(head)};
+    return writeAll(buffers);
+}
+
+bool HttpConnection::write(std::string_view chunk)
+{
+    if (m_answer == AnswerState::Collecting) {
+        m_collected.m_body += chunk;
+        return !m_callerGone;
+    }
+    if (m_answer != AnswerState::Streaming)
+        return false;
+    // A chunk of no bytes would be the end mark.
+    if (chunk.empty() || m_isHead)
+        return !m_callerGone;
+    std::array<char, 20> head;
+    const auto headEnd = fmt::format_to_n(head.data(), head.size(), "{:x}\r\n", chunk.size());
+    std::array<asio::const_buffer, 3> buffers = {asio::buffer(head.data(), headEnd.size),
+                                                 bufferOf(chunk), bufferOf(chunkEnd)};
+    return writeAll(buffers);
+}
+
+bool HttpConnection::finish()
+{
+    if (m_answer == AnswerState::Collecting) {
+        m_answer = AnswerState::Owed;
+        return send(std::exchange(m_collected, HttpReply()));
+    }
+    if (m_answer != AnswerState::Streaming)
+        return false;
+    m_answer = AnswerState::Complete;
+    if (m_isHead)
+        return !m_callerGone;
+    std::array<asio::const_buffer, 1> buffers = {bufferOf(lastChunk)};
+    return writeAll(buffers);
+}
+
+bool HttpConnection::writeAll(std::span<asio::const_buffer> buffers)
+{
+    if (m_callerGone)
+        return false;
+    const StreamStatus status = m_stream->write(buffers, m_service.m_limits.m_writeTimeout);
+    if (status == StreamStatus::Good)
+        return true;
+    // Part of a message may be out, so nothing else can follow on this connection.
+    m_callerGone = true;
+    m_stream->close();
+    return false;
+}
+
+bool HttpConnection::keepsAlive() const
+{
+    return m_callerKeepsAlive && !m_service.m_stopping;
+}
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/runtime/detail/http_connection.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <gypsumdale/runtime/http_server.hpp>
+
+#include <runtime/detail/message_parser.hpp>
+#include <runtime/detail/stream.hpp>
+
+#include <atomic> // atomic
+#include <cstddef> // size_t
+#include <functional> // function
+#include <memory> // shared_ptr
+#include <span> // span
+#include <string> // string
+#include <string_view> // string_view
+
+#include <boost/intrusive/list.hpp>
+
+namespace gypsumdale::detail {
+
+/// What the connections of one server share.
+struct HttpService
+{
+    HttpHandler m_handler;
+    HttpLimits m_limits;
+    std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_requestsInFlight = 0;
+    std::atomic<bool> m_stopping = false;
+};
+
+/// One connection of a server, served by one fiber. It is also the responder of the request that it
+/// handles at the time.
+class HttpConnection final
+    : public HttpResponder
+    , public boost::intrusive::list_base_hook<
+              boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    HttpConnection(std::shared_ptr<Stream> stream, HttpService &service);
+    ~HttpConnection() override;
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    /// Serves requests until the connection ends.
+    void serve();
+
+    /// Closes the connection if it is between requests. One that has not brought a first request
+    /// yet is given a moment for it.
+    void closeIfIdle();
+
+    /// Closes the connection whatever it does.
+    void close() { m_stream->close(); }
+
+    bool send(const HttpReply &reply) override;
+    bool begin(int status, const HttpHeaders &headers) override;
+    bool write(std::string_view chunk) override;
+    bool finish() override;
+    bool callerGone() const override { return m_callerGone; }
+    void onCallerGone(std::function<void()> action) override;
+
+private:
+    using Parser = MessageParser<true>;
+
+    /// How far the answer to the current request is.
+    enum class AnswerState {
+        Owed,
+        Streaming,
+        Collecting,
+        Complete,
+    };
+
+    bool serveOne();
+    bool awaitFirstByte();
+    bool readRequest(Parser &parser);
+    bool sendContinueIfAsked(Parser &parser);
+    void refuse(int status, ErrorId id, std::string_view message);
+    void refuse(const boost::beast::error_code &error);
+    void handle(const HttpRequest &request);
+    void noteCallerGone();
+    bool writeAll(std::span<boost::asio::const_buffer> buffers);
+    bool keepsAlive() const;
+
+    std::shared_ptr<Stream> m_stream;
+    HttpService &m_service;
+    std::function<void()> m_onCallerGone;
+    HttpReply m_collected;
+    AnswerState m_answer = AnswerState::Owed;
+    std::size_t m_served = 0;
+    bool m_isIdle = false;
+    bool m_callerGone = false;
+    bool m_callerKeepsAlive = false;
+    bool m_callerReadsChunks = true;
+    bool m_isHead = false;
+    bool m_saidClose = false;
+};
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/runtime/detail/listener.cpp
@@ -0,0 +1,127 @@
+#include <runtime/detail/listener.hpp>
+
+#include <runtime/detail/async_wait.hpp>
+
+#include <cerrno> // errno
+#include <chrono> // milliseconds
+#include <utility> // move
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace gypsumdale::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int backlog = 1024;
+/// Pause after the process has run out of descriptors, which accept() reports again and again.
+constexpr Duration exhaustedPause = std::chrono::milliseconds(20);
+
+bool isExhaustion(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+} // namespace
+
+NativeSocket::~NativeSocket()
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+}
+
+Listener::Listener(FiberLoop &loop)
+    : m_loop(loop)
+    , m_acceptor(loop.context())
+{}
+
+Result<std::shared_ptr<Listener>> Listener::open(FiberLoop &loop, const std::string &address,
+                                                 std::uint16_t port)
+{
+    const auto fail = [&](const boost::system::error_code &error) {
+        return Error{ErrorId::AddressInUse,
+                     fmt::format("cannot listen on {}:{}: {}", address, port, error.message())};
+    };
+    boost::system::error_code error;
+    const auto parsed = asio::ip::make_address(address, error);
+    if (error)
+        return fail(error);
+    const asio::ip::tcp::endpoint endpoint(parsed, port);
+    auto listener = std::make_shared<Listener>(loop);
+    asio::ip::tcp::acceptor &acceptor = listener->m_acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (error)
+        return fail(error);
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+    if (error)
+        return fail(error);
+    acceptor.listen(backlog, error);
+    if (error)
+        return fail(error);
+    acceptor.non_blocking(true, error);
+    listener->m_port = acceptor.local_endpoint(error).port();
+    return listener;
+}
+
+void Listener::accept(Acceptance acceptance)
+{
+    m_loop.spawn([self = shared_from_this(), acceptance = std::move(acceptance)] {
+        self->run(acceptance);
+    });
+}
+
+void Listener::run(const Acceptance &acceptance)
+{
+    m_acceptance = &acceptance;
+    LoopCore::current()->m_closables.push_back(*this);
+    while (m_acceptor.is_open()) {
+        if (!acceptPending()) {
+            sleepFiber(exhaustedPause);
+            continue;
+        }
+        AsyncWait wait;
+        m_acceptor.async_wait(asio::ip::tcp::acceptor::wait_read, wait.handler());
+        wait.wait();
+    }
+    m_acceptance = nullptr;
+}
+
+/// Returns false if the process has no room for more connections.
+bool Listener::acceptPending()
+{
+    for (;;) {
+        const int native = ::accept4(m_acceptor.native_handle(), nullptr, nullptr,
+                                     SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (native >= 0) {
+            (*m_acceptance)(std::make_shared<NativeSocket>(native));
+            continue;
+        }
+        if (errno == ECONNABORTED || errno == EINTR)
+            continue;
+        return !isExhaustion(errno);
+    }
+}
+
+void Listener::close()
+{
+    if (!m_acceptor.is_open())
+        return;
+    if (m_acceptance && !LoopCore::current()->m_stopping)
+        acceptPending();
+    boost::system::error_code error;
+    m_acceptor.close(error);
+}
+
+void Listener::closeSoon()
+{
+    asio::post(m_loop.context(), [self = shared_from_this()] { self->close(); });
+}
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/runtime/detail/stream.cpp
@@ -0,0 +1,280 @@
+#include <runtime/detail/stream.hpp>
+
+#include <algorithm> // clamp, max
+#include <utility> // move
+
+#include <sys/socket.h>
+
+#include <boost/asio/error.hpp>
+
+namespace gypsumdale::detail {
+
+namespace {
+
+using boost::system::error_code;
+namespace asio = boost::asio;
+
+constexpr std::size_t smallestRead = 4 * 1024;
+constexpr std::size_t largestRead = 64 * 1024;
+/// Input that may collect unparsed while a connection is watched.
+constexpr std::size_t mostReadAhead = 64 * 1024;
+constexpr Duration gentleCloseTime = std::chrono::seconds(1);
+constexpr std::size_t gentleCloseBytes = 1024 * 1024;
+
+std::size_t totalSize(std::span<const asio::const_buffer> buffers)
+{
+    std::size_t size = 0;
+    for (const asio::const_buffer &buffer : buffers)
+        size += buffer.size();
+    return size;
+}
+
+/// Removes the bytes written from the front of a sequence of buffers.
+void consume(std::span<asio::const_buffer> &buffers, std::size_t bytes)
+{
+    while (!buffers.empty() && bytes >= buffers.front().size()) {
+        bytes -= buffers.front().size();
+        buffers = buffers.subspan(1);
+    }
+    if (!buffers.empty())
+        buffers.front() += bytes;
+}
+
+} // namespace
+
+Stream::Stream(LoopCore &core)
+    : m_socket(core.m_context)
+    , m_timer(core.m_context)
+    , m_readSize(smallestRead)
+{
+    core.m_closables.push_back(*this);
+}
+
+bool Stream::adopt(int nativeSocket)
+{
+    error_code error;
+    m_socket.assign(asio::ip::tcp::v4(), nativeSocket, error);
+    if (error)
+        return false;
+    m_socket.non_blocking(true, error);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    return true;
+}
+
+StreamStatus Stream::connect(const asio::ip::tcp::endpoint &endpoint, Duration timeout)
+{
+    error_code error;
+    m_socket.open(endpoint.protocol(), error);
+    if (error)
+        return StreamStatus::Broken;
+    m_socket.non_blocking(true, error);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    startDeadline(std::chrono::steady_clock::now() + timeout);
+    AsyncWait wait;
+    m_socket.async_connect(endpoint, wait.handler());
+    error = wait.wait();
+    stopDeadline();
+    return statusOf(error);
+}
+
+StreamStatus Stream::fill(SteadyTime deadline)
+{
+    if (m_closed)
+        return StreamStatus::Closed;
+    if (m_ahead && (m_ahead->m_active || m_ahead->m_failed))
+        return awaitReadAhead(deadline);
+    startDeadline(deadline);
+    AsyncWait wait;
+    m_socket.async_read_some(m_input.prepare(m_readSize), wait.handler());
+    const error_code error = wait.wait();
+    stopDeadline();
+    m_input.commit(wait.bytes());
+    if (wait.bytes() == m_readSize)
+        m_readSize = std::min(2 * m_readSize, largestRead);
+    return statusOf(error);
+}
+
+StreamStatus Stream::awaitReadAhead(SteadyTime deadline)
+{
+    if (m_ahead->m_active) {
+        startDeadline(deadline);
+        AsyncWait wait;
+        m_aheadWaiter = &wait;
+        wait.wait();
+        m_aheadWaiter = nullptr;
+        stopDeadline();
+    }
+    if (!m_ahead->m_failed)
+        return StreamStatus::Good;
+    return statusOf(m_ahead->m_error);
+}
+
+StreamStatus Stream::write(std::span<asio::const_buffer> buffers, Duration timeout)
+{
+    std::size_t remaining = totalSize(buffers);
+    while (remaining > 0) {
+        if (m_closed)
+            return StreamStatus::Closed;
+        error_code error;
+        const std::size_t written = m_socket.write_some(buffers, error);
+        consume(buffers, written);
+        remaining -= written;
+        if (!error)
+            continue;
+        if (error != asio::error::would_block)
+            return statusOf(error);
+        startDeadline(std::chrono::steady_clock::now() + timeout);
+        AsyncWait wait;
+        m_socket.async_wait(asio::ip::tcp::socket::wait_write, wait.handler());
+        error = wait.wait();
+        stopDeadline();
+        if (error)
+            return statusOf(error);
+    }
+    return StreamStatus::Good;
+}
+
+void Stream::watch(std::function<void()> onEnd)
+{
+    m_onEnd = std::move(onEnd);
+    if (!m_onEnd || m_closed)
+        return;
+    if (!m_ahead)
+        m_ahead = std::make_unique<ReadAhead>();
+    if (!m_ahead->m_active && !m_ahead->m_failed)
+        beginReadAhead();
+}
+
+void Stream::beginReadAhead()
+{
+    m_ahead->m_active = true;
+    m_socket.async_read_some(
+            asio::buffer(m_ahead->m_bytes),
+            [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                self->finishReadAhead(error, bytes);
+            });
+}
+
+void Stream::finishReadAhead(const error_code &error, std::size_t bytes)
+{
+    m_ahead->m_active = false;
+    const std::size_t copied =
+            asio::buffer_copy(m_input.prepare(bytes), asio::buffer(m_ahead->m_bytes), bytes);
+    m_input.commit(copied);
+    m_ahead->m_error = error;
+    m_ahead->m_failed = static_cast<bool>(error);
+    if (m_aheadWaiter) {
+        m_aheadWaiter->handler()(error, bytes);
+        return;
+    }
+    if (!m_onEnd)
+        return;
+    if (m_ahead->m_failed)
+        std::exchange(m_onEnd, nullptr)();
+    else if (m_input.size() < mostReadAhead)
+        beginReadAhead();
+}
+
+bool Stream::isQuietAndOpen()
+{
+    if (m_closed || m_input.size() > 0)
+        return false;
+    char byte = 0;
+    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void Stream::closeGently()
+{
+    error_code error;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    const SteadyTime deadline = std::chrono::steady_clock::now() + gentleCloseTime;
+    std::size_t discarded = 0;
+    while (discarded < gentleCloseBytes) {
+        discarded += m_input.size();
+        m_input.clear();
+        if (fill(deadline) != StreamStatus::Good)
+            break;
+    }
+    close();
+}
+
+void Stream::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_onEnd = nullptr;
+    error_code error;
+    m_socket.close(error);
+    m_timer.cancel();
+}
+
+std::string Stream::remoteAddress() const
+{
+    error_code error;
+    const asio::ip::tcp::endpoint endpoint = m_socket.remote_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string();
+}
+
+StreamStatus Stream::statusOf(const error_code &error) const
+{
+    if (!error)
+        return StreamStatus::Good;
+    if (m_closed)
+        return StreamStatus::Closed;
+    if (m_timedOut)
+        return StreamStatus::TimedOut;
+    if (error == asio::error::eof)
+        return StreamStatus::Ended;
+    return StreamStatus::Broken;
+}
+
+void Stream::startDeadline(SteadyTime deadline)
+{
+    m_timedOut = false;
+    m_deadline = deadline;
+    // A timer that runs out earlier is left alone; it is set anew when it finds the deadline moved.
+    if (deadline < m_timerAt)
+        armTimer(deadline);
+}
+
+void Stream::shortenDeadline(SteadyTime deadline)
+{
+    if (deadline < m_deadline)
+        startDeadline(deadline);
+}
+
+void Stream::stopDeadline()
+{
+    m_deadline = SteadyTime::max();
+}
+
+void Stream::armTimer(SteadyTime at)
+{
+    m_timerAt = at;
+    m_timer.expires_at(at);
+    m_timer.async_wait([weak = weak_from_this()](const error_code &error) {
+        if (error)
+            return;
+        if (const std::shared_ptr<Stream> self = weak.lock())
+            self->onTimer();
+    });
+}
+
+void Stream::onTimer()
+{
+    m_timerAt = SteadyTime::max();
+    if (m_deadline == SteadyTime::max() || m_closed)
+        return;
+    if (std::chrono::steady_clock::now() < m_deadline) {
+        armTimer(m_deadline);
+        return;
+    }
+    m_timedOut = true;
+    m_deadline = SteadyTime::max();
+    error_code error;
+    m_socket.cancel(error);
+}
+
+} // namespace gypsumdale::detail
--- /dev/null
+++ b/src/runtime/http_client.cpp
@@ -0,0 +1,322 @@
+#include <gypsumdale/runtime/http_client.hpp>
+
+#include <runtime/detail/connection_pool.hpp>
+#include <runtime/detail/message_parser.hpp>
+#include <runtime/detail/message_writer.hpp>
+#include <runtime/detail/stream.hpp>
+
+#include <array> // array
+#include <utility> // exchange, move
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <fmt/format.h>
+
+namespace gypsumdale {
+
+namespace {
+
+using detail::Stream;
+using detail::StreamStatus;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t largestAnswerHeader = 64 * 1024;
+/// Answers of status 1xx come before the answer proper.
+constexpr int interimStatusClass = 1;
+
+std::string nameOf(const Endpoint &endpoint)
+{
+    const bool isVersion6 = endpoint.m_address.find(':') != std::string::npos;
+    if (isVersion6)
+        return fmt::format("[{}]:{}", endpoint.m_address, endpoint.m_port);
+    return fmt::format("{}:{}", endpoint.m_address, endpoint.m_port);
+}
+
+CallFailure failure(SendPhase phase, ErrorId id, const Endpoint &endpoint, std::string_view what)
+{
+    return CallFailure{Error{id, fmt::format("{}: {}", nameOf(endpoint), what)}, phase};
+}
+
+/// Describes a connection that did not come about.
+CallFailure connectFailure(const Endpoint &endpoint, StreamStatus status)
+{
+    if (status == StreamStatus::TimedOut)
+        return failure(SendPhase::NothingSent, ErrorId::Timeout, endpoint, "connecting timed out");
+    if (status == StreamStatus::Closed)
+        return failure(SendPhase::NothingSent, ErrorId::Cancelled, endpoint, "cancelled");
+    return failure(SendPhase::NothingSent, ErrorId::UpstreamUnreachable, endpoint,
+                   "cannot connect");
+}
+
+} // namespace
+
+/// An exchange from the request's first byte to the answer's last.
+struct HttpExchange::State
+{
+    using Parser = detail::MessageParser<false>;
+
+    State(const HttpCall &call, std::shared_ptr<Stream> stream,
+          const std::shared_ptr<detail::ConnectionPool> &pool);
+    ~State();
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+
+    std::optional<CallFailure> send(const HttpCall &call);
+    std::optional<CallFailure> readHeader(Duration timeout);
+    CallResult<std::optional<std::string>> read();
+    void cancel();
+
+    /// Parses what has come. Returns a failure if it is no HTTP.
+    std::optional<CallFailure> parse();
+    CallFailure fail(ErrorId id, std::string_view what);
+    CallFailure fail(StreamStatus status);
+    void finish();
+
+    Endpoint m_endpoint;
+    std::shared_ptr<Stream> m_stream;
+    std::weak_ptr<detail::ConnectionPool> m_pool;
+    std::unique_ptr<Parser> m_parser;
+    Duration m_silenceTimeout;
+    SendPhase m_phase = SendPhase::NothingSent;
+    bool m_isHead;
+    bool m_finished = false;
+    bool m_cancelled = false;
+    /// The first failure, which every later read repeats.
+    std::optional<CallFailure> m_failure;
+};
+
+HttpExchange::State::State(const HttpCall &call, std::shared_ptr<Stream> stream,
+                           const std::shared_ptr<detail::ConnectionPool> &pool)
+    : m_endpoint(call.m_endpoint)
+    , m_stream(std::move(stream))
+    , m_pool(pool)
+    , m_silenceTimeout(call.m_silenceTimeout)
+    , m_isHead(call.m_method == "HEAD")
+{}
+
+/// Guards the next request of a connection against the rest of an answer that nobody read: unless
+/// the message has ended, the connection goes.
+HttpExchange::State::~State()
+{
+    if (!m_finished)
+        m_stream->close();
+}
+
+std::optional<CallFailure> HttpExchange::State::send(const HttpCall &call)
+{
+    const std::string head = detail::requestHead(call.m_method, call.m_target, nameOf(m_endpoint),
+                                                 call.m_headers, call.m_body.size());
+    std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(call.m_body)};
+    // A write that fails proves nothing about what the other side has read.
+    m_phase = SendPhase::MayHaveBeenRead;
+    const StreamStatus status = m_stream->write(buffers, call.m_headerTimeout);
+    if (status != StreamStatus::Good)
+        return fail(status);
+    return std::nullopt;
+}
+
+std::optional<CallFailure> HttpExchange::State::readHeader(Duration timeout)
+{
+    const detail::SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+    do {
+        m_parser = std::make_unique<Parser>();
+        m_parser->header_limit(largestAnswerHeader);
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_isHead);
+        while (!m_parser->is_header_done()) {
+            if (m_stream->input().size() == 0 || m_parser->got_some()) {
+                const StreamStatus status = m_stream->fill(deadline);
+                if (status != StreamStatus::Good)
+                    return fail(status);
+                m_phase = SendPhase::AnswerBegun;
+            }
+            if (const std::optional<CallFailure> malformed = parse())
+                return malformed;
+        }
+    } while (m_parser->status() / 100 == interimStatusClass);
+    return std::nullopt;
+}
+
+std::optional<CallFailure> HttpExchange::State::parse()
+{
+    boost::beast::error_code error;
+    const std::size_t used = m_parser->put(m_stream->input().data(), error);
+    m_stream->input().consume(used);
+    if (error && error != http::error::need_more)
+        return fail(ErrorId::UpstreamFailed, "the answer is malformed: " + error.message());
+    if (m_parser->is_done() && m_parser->status() / 100 != interimStatusClass)
+        finish();
+    return std::nullopt;
+}
+
+CallResult<std::optional<std::string>> HttpExchange::State::read()
+{
+    for (;;) {
+        if (m_parser->hasBody())
+            return m_parser->takeBody();
+        if (m_finished)
+            return std::nullopt;
+        if (m_cancelled)
+            return fail(StreamStatus::Closed);
+        if (m_failure)
+            return *m_failure;
+        const StreamStatus status =
+                m_stream->fill(std::chrono::steady_clock::now() + m_silenceTimeout);
+        if (status != StreamStatus::Good)
+            return fail(status);
+        if (const std::optional<CallFailure> malformed = parse(); malformed && !m_parser->hasBody())
+            return *malformed;
+    }
+}
+
+void HttpExchange::State::cancel()
+{
+    if (m_finished)
+        return;
+    m_cancelled = true;
+    m_stream->close();
+}
+
+CallFailure HttpExchange::State::fail(StreamStatus status)
+{
+    if (m_cancelled || status == StreamStatus::Closed)
+        return fail(ErrorId::Cancelled, "cancelled");
+    if (status == StreamStatus::TimedOut)
+        return fail(ErrorId::UpstreamSilent, "no answer in time");
+    if (m_phase == SendPhase::AnswerBegun)
+        return fail(ErrorId::AnswerTruncated, "the connection closed within the answer");
+    return fail(ErrorId::ConnectionClosed, "the connection closed before the answer");
+}
+
+CallFailure HttpExchange::State::fail(ErrorId id, std::string_view what)
+{
+    m_stream->close();
+    if (!m_failure)
+        m_failure = failure(m_phase, id, m_endpoint, what);
+    return *m_failure;
+}
+
+/// Gives the connection back after the message's proper end, unless it may not be used again.
+void HttpExchange::State::finish()
+{
+    if (m_finished)
+        return;
+    m_finished = true;
+    const std::shared_ptr<detail::ConnectionPool> pool = m_pool.lock();
+    const bool isReusable = m_parser->keep_alive() && m_stream->input().size() == 0;
+    if (pool && isReusable && !m_cancelled)
+        pool->keep(m_endpoint, m_stream);
+    else
+        m_stream->close();
+}
+
+HttpExchange::HttpExchange(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{}
+
+HttpExchange::~HttpExchange() = default;
+HttpExchange::HttpExchange(HttpExchange &&) noexcept = default;
+HttpExchange &HttpExchange::operator=(HttpExchange &&) noexcept = default;
+
+int HttpExchange::status() const
+{
+    return m_state->m_parser->status();
+}
+
+const HttpHeaders &HttpExchange::headers() const
+{
+    return m_state->m_parser->headers();
+}
+
+CallResult<std::optional<std::string>> HttpExchange::read()
+{
+    return m_state->read();
+}
+
+void HttpExchange::cancel()
+{
+    m_state->cancel();
+}
+
+struct HttpClient::State
+{
+    FiberLoop &m_loop;
+    std::shared_ptr<detail::ConnectionPool> m_pool;
+};
+
+HttpClient::HttpClient(FiberLoop &loop)
+    : m_state(std::make_shared<State>(State{loop, nullptr}))
+{}
+
+HttpClient::~HttpClient()
+{
+    if (!m_state->m_pool)
+        return;
+    asio::post(m_state->m_loop.context(), [pool = m_state->m_pool] { pool->close(); });
+}
+
+CallResult<HttpExchange> HttpClient::open(const HttpCall &call)
+{
+    detail::LoopCore &core = *detail::LoopCore::current();
+    const std::shared_ptr<State> state = m_state;
+    if (!state->m_pool)
+        state->m_pool = std::make_shared<detail::ConnectionPool>(core);
+    std::shared_ptr<Stream> stream;
+    if (!call.m_freshConnection)
+        stream = state->m_pool->take(call.m_endpoint);
+    if (!stream) {
+        boost::system::error_code error;
+        const auto address = asio::ip::make_address(call.m_endpoint.m_address, error);
+        if (error)
+            return connectFailure(call.m_endpoint, StreamStatus::Broken);
+        stream = std::make_shared<Stream>(core);
+        const StreamStatus status =
+                stream->connect({address, call.m_endpoint.m_port}, call.m_connectTimeout);
+        if (status != StreamStatus::Good) {
+            stream->close();
+            return connectFailure(call.m_endpoint, status);
+        }
+    }
+    auto exchange = std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool);
+    if (const std::optional<CallFailure> failed = exchange->send(call))
+        return *failed;
+    if (const std::optional<CallFailure> failed = exchange->readHeader(call.m_headerTimeout))
+        return *failed;
+    return HttpExchange(std::move(exchange));
+}
+
+CallResult<HttpReply> HttpClient::call(const HttpCall &call)
+{
+    CallResult<HttpExchange> opened = open(call);
+    if (auto *failed = std::get_if<CallFailure>(&opened))
+        return std::move(*failed);
+    auto &exchange = std::get<HttpExchange>(opened);
+    HttpReply reply;
+    reply.m_status = exchange.status();
+    reply.m_headers = exchange.headers();
+    for (;;) {
+        auto piece = exchange.read();
+        if (auto *failed = std::get_if<CallFailure>(&piece))
+            return std::move(*failed);
+        auto &text = std::get<std::optional<std::string>>(piece);
+        if (!text)
+            return reply;
+        if (reply.m_body.size() + text->size() > call.m_maxBodyBytes)
+            return failure(SendPhase::AnswerBegun, ErrorId::UpstreamFailed, call.m_endpoint,
+                           "the answer is too large");
+        if (reply.m_body.empty())
+            reply.m_body = std::move(*text);
+        else
+            reply.m_body += *text;
+    }
+}
+
+void HttpClient::forget(const Endpoint &endpoint)
+{
+    if (m_state->m_pool)
+        m_state->m_pool->forget(endpoint);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/runtime/http_server.cpp
@@ -0,0 +1,159 @@
+#include <gypsumdale/runtime/http_server.hpp>
+
+#include <runtime/detail/http_connection.hpp>
+#include <runtime/detail/listener.hpp>
+#include <runtime/detail/stream.hpp>
+
+#include <utility> // move
+
+#include <boost/asio/post.hpp>
+
+namespace gypsumdale {
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+    using Connections = boost::intrusive::list<detail::HttpConnection,
+                                               boost::intrusive::constant_time_size<false>>;
+
+    /// The connections of one loop, touched on its thread only.
+    struct Share
+    {
+        FiberLoop *m_loop = nullptr;
+        Connections m_connections;
+    };
+
+    void takeIn(std::shared_ptr<detail::NativeSocket> socket);
+    void serve(Share &share, detail::NativeSocket &socket);
+    template <typename Action>
+    void onEachConnection(Action action);
+
+    detail::HttpService m_service;
+    std::vector<Share> m_shares;
+    std::shared_ptr<detail::Listener> m_listener;
+    std::size_t m_nextShare = 0;
+};
+
+/// Hands a new connection to the next loop in turn. On the listener's loop.
+void HttpServer::State::takeIn(std::shared_ptr<detail::NativeSocket> socket)
+{
+    Share &share = m_shares[m_nextShare];
+    m_nextShare = (m_nextShare + 1) % m_shares.size();
+    share.m_loop->spawn([self = shared_from_this(), &share, socket = std::move(socket)] {
+        self->serve(share, *socket);
+    });
+}
+
+void HttpServer::State::serve(Share &share, detail::NativeSocket &socket)
+{
+    const auto stream = std::make_shared<detail::Stream>(*detail::LoopCore::current());
+    const bool isFull = m_service.m_connections >= m_service.m_limits.m_connections;
+    if (isFull || !stream->adopt(socket.get()))
+        return;
+    socket.release();
+    detail::HttpConnection connection(stream, m_service);
+    share.m_connections.push_back(connection);
+    connection.serve();
+}
+
+/// Calls the action with each connection, on the connection's loop, some time after the return.
+template <typename Action>
+void HttpServer::State::onEachConnection(Action action)
+{
+    for (Share &share : m_shares) {
+        boost::asio::post(share.m_loop->context(), [self = shared_from_this(), &share, action] {
+            for (detail::HttpConnection &connection : share.m_connections)
+                action(connection);
+        });
+    }
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{}
+
+HttpServer::~HttpServer()
+{
+    if (!m_state)
+        return;
+    stopAccepting();
+    m_state->onEachConnection([](detail::HttpConnection &connection) { connection.close(); });
+}
+
+HttpServer::HttpServer(HttpServer &&) noexcept = default;
+
+HttpServer &HttpServer::operator=(HttpServer &&other) noexcept
+{
+    HttpServer taken(std::move(other));
+    m_state.swap(taken.m_state);
+    return *this;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_state->m_listener->port();
+}
+
+void HttpServer::stopAccepting()
+{
+    if (m_state->m_service.m_stopping.exchange(true))
+        return;
+    m_state->m_listener->closeSoon();
+    m_state->onEachConnection([](detail::HttpConnection &connection) { connection.closeIfIdle(); });
+}
+
+std::size_t HttpServer::requestsInFlight() const
+{
+    return m_state->m_service.m_requestsInFlight;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_state->m_service.m_connections;
+}
+
+HttpServerBuilder &HttpServerBuilder::listenOn(std::string address, std::uint16_t port)
+{
+    m_address = std::move(address);
+    m_port = port;
+    return *this;
+}
+
+HttpServerBuilder &HttpServerBuilder::runOn(std::vector<FiberLoop *> loops)
+{
+    m_loops = std::move(loops);
+    return *this;
+}
+
+HttpServerBuilder &HttpServerBuilder::handleWith(HttpHandler handler)
+{
+    m_handler = std::move(handler);
+    return *this;
+}
+
+HttpServerBuilder &HttpServerBuilder::limitTo(HttpLimits limits)
+{
+    m_limits = limits;
+    return *this;
+}
+
+Result<HttpServer> HttpServerBuilder::build()
+{
+    if (m_loops.empty() || !m_handler)
+        return Error{ErrorId::Internal, "an HTTP server needs a loop and a handler"};
+    auto opened = detail::Listener::open(*m_loops.front(), m_address, m_port);
+    if (!succeeded(opened))
+        return errorOf(opened);
+    auto state = std::make_shared<HttpServer::State>();
+    state->m_service.m_handler = std::move(m_handler);
+    state->m_service.m_limits = m_limits;
+    state->m_shares = std::vector<HttpServer::State::Share>(m_loops.size());
+    for (std::size_t index = 0; index < m_loops.size(); ++index)
+        state->m_shares[index].m_loop = m_loops[index];
+    state->m_listener = valueOf(opened);
+    state->m_listener->accept([state](std::shared_ptr<detail::NativeSocket> socket) {
+        state->takeIn(std::move(socket));
+    });
+    return HttpServer(std::move(state));
+}
+
+} // namespace gypsumdale
