Add the platform log and the ledger of claims

Cause: requests that must not repeat need a claim that outlives every node, and nothing but the platform keeps anything.

Ruled out: a segment that is merely absent as proof of the log's end. After trimming, an old number is free again, and a writer that slept through it would take it. A writer that has not seen the end for a minute lists first; one that was held up around its create checks that its segment is the last or is named by the next one, and withdraws it otherwise.

The change: PlatformLog (group commit, read-back of lost answers, same number and body again, trimming, corrupt segments stop it), ClaimLedger on shards of it, with restated keys so that a replay stays short.

The ledger of claims is not tested yet in this commit.

--- a/idl/ledger.thrift
+++ b/idl/ledger.thrift
@@ -41,9 +41,24 @@
   8: i64 expiry
 }
 
+// What the log says of a key so far, written again so that older segments can go.
+struct RestatedRecord {
+  1: binary key
+  2: binary body
+  3: string attempt
+  4: bool hasOutcome
+  5: WireOutcome outcome
+  6: i32 status
+  7: bool answerKept
+  8: binary answer
+  9: string contentType
+  10: i64 expiry
+}
+
 union LedgerRecord {
   1: ClaimRecord claim
   2: OutcomeRecord outcome
+  3: RestatedRecord restated
 }
 
 // The body of the object that holds a data centre's lease for orders.
@@ -51,7 +66,7 @@
   // Unique for each life of a process.
   1: string holder
   // Counts the holder's writes, so that a lost answer can be settled by reading.
-  2: i64 write
+  2: i64 revision
   3: i64 durationMillis
   4: bool released
 }
--- a/include/gypsumdale/ledger/claim_ledger.hpp
+++ b/include/gypsumdale/ledger/claim_ledger.hpp
@@ -15,6 +15,8 @@
 
 namespace gypsumdale::detail {
 class ClaimShard;
+struct ClaimAttempt;
+enum class ClaimRole;
 } // namespace gypsumdale::detail
 
 namespace gypsumdale {
@@ -40,7 +42,17 @@
     /// A shard's state is dropped after this long without use, and replayed when next needed.
     Duration m_idleShard = std::chrono::minutes(30);
     /// The least time between two writes to one shard.
-    Duration m_writeInterval = std::chrono::milliseconds(50);
+    Duration m_writeInterval = std::chrono::milliseconds(200);
+    /// Segments of a shard above which its keys are restated, so that older segments can go and a
+    /// replay stays short.
+    std::size_t m_compactAbove = 512;
+    /// A segment stays for at least this long, counted from when the node that deletes it saw it.
+    /// Far above m_trustEnd: a create that was held up for less meets the segment.
+    Duration m_trimDelay = std::chrono::minutes(10);
+    /// For how long the end of a log, once seen, is taken to be not trimmed away.
+    Duration m_trustEnd = std::chrono::minutes(1);
+    /// Bytes of kept answers in the memory of one shard.
+    std::size_t m_maxAnswerMemory = 512 * 1024;
 };
 
 /// Runs keyed requests at most once, over any number of nodes that share nothing but the platform.
@@ -93,6 +105,10 @@
     void finish(const AttemptId &attempt, Outcome outcome, const StoredAnswer &answer,
                 Moment moment);
 
+    /// Appends a record that another node forwarded here (RecordToForward). Fails with
+    /// PeerMalformed for bytes that are not such a record, and with QueueFull.
+    Result<Done> appendForPeer(ShardNumber number, std::string_view record, Moment moment);
+
     /// Returns a command to carry out now, if any; call it until it returns nothing. Each command
     /// needs exactly one onAnswer().
     std::optional<ShardCommand> next(Moment moment);
@@ -116,15 +132,36 @@
     std::size_t loadedShards() const { return m_loaded.size(); }
 
 private:
-    struct Pending;
-    struct Attempt;
-
-    detail::ClaimShard &shard(ShardNumber number, Moment moment);
+    detail::ClaimShard &shard(ShardNumber number);
+    detail::ClaimAttempt *find(ClaimTicket ticket);
+    detail::ClaimAttempt *find(const AttemptId &attempt);
+    ClaimTicket add(const ClaimRequest &request, detail::ClaimRole role, Moment moment);
+    void tryClaim(detail::ClaimAttempt &attempt, bool isFresh, Moment moment);
+    void appendClaim(detail::ClaimAttempt &attempt, Moment moment);
+    void decide(detail::ClaimAttempt &attempt, ClaimResult result);
+    void grant(detail::ClaimAttempt &attempt, Moment moment);
+    void giveUp(detail::ClaimAttempt &attempt, const NotRun &result, Moment moment);
+    void appendNotRun(const detail::ClaimAttempt &attempt, Moment moment);
+    void recordOutcome(const detail::ClaimAttempt &attempt, Outcome outcome,
+                       const StoredAnswer &answer, Moment moment);
+    void handle(ShardNumber number, const RecordApplied &event, Moment moment);
+    void handle(ShardNumber number, const RecordDropped &event, Moment moment);
+    void handle(ShardNumber number, const LogCaughtUp &event, Moment moment);
+    void handle(ShardNumber number, const LogGap &event, Moment moment);
+    void handle(ShardNumber number, const LogStray &event, Moment moment);
+    void handle(ShardNumber number, const LogCorrupt &event, Moment moment);
+    void claimApplied(detail::ClaimAttempt &attempt, bool stands, Moment moment);
+    void refuseWaiting(ShardNumber number, const NotRun &result, Moment moment);
+    void expireAttempts(Moment moment);
+    void dropIdleShards(Moment moment);
+    void forgetEnded();
+    template <typename Trouble>
+    void reportTrouble(ShardNumber number, const Trouble &trouble);
 
     ClaimLedgerSettings m_settings;
     std::map<ShardNumber, std::unique_ptr<detail::ClaimShard>> m_loaded;
-    std::map<ClaimTicket, ShardNumber> m_tickets;
-    std::map<AttemptId, ShardNumber> m_attempts;
+    std::map<AttemptId, std::unique_ptr<detail::ClaimAttempt>> m_attempts;
+    std::map<ClaimTicket, AttemptId> m_tickets;
     ClaimTicket m_lastTicket = 0;
     ShardNumber m_lastServed = 0;
     std::vector<ClaimEvent> m_events;
@@ -188,6 +225,30 @@
         return *this;
     }
 
+    ClaimLedgerBuilder &compactAbove(std::size_t value)
+    {
+        m_settings.m_compactAbove = value;
+        return *this;
+    }
+
+    ClaimLedgerBuilder &trimDelay(Duration value)
+    {
+        m_settings.m_trimDelay = value;
+        return *this;
+    }
+
+    ClaimLedgerBuilder &trustEnd(Duration value)
+    {
+        m_settings.m_trustEnd = value;
+        return *this;
+    }
+
+    ClaimLedgerBuilder &maxAnswerMemory(std::size_t value)
+    {
+        m_settings.m_maxAnswerMemory = value;
+        return *this;
+    }
+
     ClaimLedger build() const { return ClaimLedger(m_settings); }
 
 private:
--- a/include/gypsumdale/ledger/claim_messages.hpp
+++ b/include/gypsumdale/ledger/claim_messages.hpp
@@ -119,10 +119,19 @@
 struct ShardTrouble
 {
     ShardNumber m_shard = 0;
-    std::variant<LogGap, LogCorrupt> m_what;
+    std::variant<LogGap, LogStray, LogCorrupt> m_what;
 };
 
-using ClaimEvent = std::variant<ClaimDecided, OutcomeRecorded, ShardTrouble>;
+/// A record for the log of a shard that another node writes: the outcome of an attempt whose claim
+/// was forwarded. To be sent to the preferred node's appendForPeer(), or to one's own if that
+/// fails.
+struct RecordToForward
+{
+    ShardNumber m_shard = 0;
+    std::string m_record;
+};
+
+using ClaimEvent = std::variant<ClaimDecided, OutcomeRecorded, RecordToForward, ShardTrouble>;
 
 /// A command for the log of one shard, whose objects are `claims/<shardName>/<segmentName>`.
 struct ShardCommand
--- a/include/gypsumdale/ledger/log_messages.hpp
+++ b/include/gypsumdale/ledger/log_messages.hpp
@@ -116,15 +116,22 @@
 struct LogCaughtUp
 {};
 
-/// Segments are gone unread: trimmed, so that all their records had expired, or removed by an
-/// operator.
+/// Segments are gone unread: trimmed, so that their records had expired or stand again in
+/// later ones, or removed by an operator.
 struct LogGap
 {
     SegmentNumber m_first = 0;
     SegmentNumber m_last = 0;
 };
 
-/// A segment that can't be read as one, or does not follow the one before. The log stops in front
+/// A segment that was applied turned out not to belong to the log: a writer that had been paused
+/// for longer than records are kept put it where a trimmed one had been. Its records had expired.
+struct LogStray
+{
+    SegmentNumber m_number = 0;
+};
+
+/// A segment that can't be read as one, or an end of the log that is gone. The log stops in front
 /// of it, and reads it again from time to time, until it is mended or removed.
 struct LogCorrupt
 {
@@ -132,6 +139,7 @@
     std::string m_reason;
 };
 
-using LogEvent = std::variant<RecordApplied, RecordDropped, LogCaughtUp, LogGap, LogCorrupt>;
+using PlatformLogEvent =
+        std::variant<RecordApplied, RecordDropped, LogCaughtUp, LogGap, LogStray, LogCorrupt>;
 
 } // namespace gypsumdale
--- a/include/gypsumdale/ledger/outcome.hpp
+++ b/include/gypsumdale/ledger/outcome.hpp
@@ -4,6 +4,10 @@
 
 namespace gypsumdale {
 
+// g++ 12 takes the names of a scoped enumeration for a shadowing of gypsumdale::Done.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+
 /// What is known of a request that must not run twice.
 enum class Outcome {
     Done, ///< It ran, once, and its answer arrived.
@@ -11,6 +15,8 @@
     Unknown, ///< It may have run.
 };
 
+#pragma GCC diagnostic pop
+
 inline constexpr NameTable<Outcome, 3> outcomeNames = {{
         {Outcome::Done, "done"},
         {Outcome::NotRun, "not-run"},
--- a/include/gypsumdale/ledger/platform_log.hpp
+++ b/include/gypsumdale/ledger/platform_log.hpp
@@ -7,7 +7,6 @@
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <deque> // deque
-#include <map> // map
 #include <optional> // optional
 #include <set> // set
 #include <string> // string
@@ -44,8 +43,8 @@
     /// The least time between two creates, so that a node stays within its share of writes.
     Duration m_writeInterval = std::chrono::milliseconds(50);
     /// For how long the end of the log, once seen, is taken to be not trimmed away. Far below the
-    /// time that records are kept.
-    Duration m_trustEnd = std::chrono::minutes(10);
+    /// time for which segments are kept.
+    Duration m_trustEnd = std::chrono::minutes(1);
     /// Between two readings of a corrupt segment.
     Duration m_corruptRetry = std::chrono::seconds(10);
 };
@@ -75,8 +74,9 @@
     /// Asks for a reading up to the end; LogCaughtUp follows.
     void refresh();
 
-    /// Permits to delete all segments below a number, whose records must all have expired. The last
-    /// segment stays, so that numbers are never used twice.
+    /// Permits to delete all segments below a number. Their records must have expired or stand
+    /// again in later ones, and each segment must have been there for far longer than the end of
+    /// the log is trusted. The last segment stays, so that numbers are never used twice.
     void trimBefore(SegmentNumber number);
 
     /// Returns the command to carry out now, if any. Constant but for a segment's encoding.
@@ -86,7 +86,7 @@
     void onAnswer(const LogAnswer &answer, Moment moment);
 
     /// Returns what happened since the last call, in order.
-    std::vector<LogEvent> takeEvents();
+    std::vector<PlatformLogEvent> takeEvents();
 
     /// Returns when next() may have something to do without any further event, or nothing.
     std::optional<TimePoint> nextWake() const;
@@ -105,7 +105,14 @@
 
 private:
     enum class Waiting { Nothing, List, Read, Create, Delete };
-    enum class Settled { No, ReadBack, VerifyByList, VerifyByNext };
+
+    /// What is still to be found out about a create of ours.
+    enum class Settling {
+        Nothing,
+        ReadBack, ///< Its answer was lost.
+        ByList, ///< It took effect, but the end was seen too long ago.
+        ByNext, ///< As ByList, and a next segment exists, which names the one it follows.
+    };
 
     struct Entry
     {
@@ -121,34 +128,37 @@
         std::vector<Entry> m_entries;
         std::string m_body;
         WallMillis m_writtenAt = 0;
-        /// No create of it can have taken effect so far.
-        bool m_neverSent = true;
-        Settled m_settling = Settled::No;
+        /// A create of it may have taken effect, or may yet.
+        bool m_inDoubt = false;
+        Settling m_settling = Settling::Nothing;
     };
 
-    struct Segment;
-
-    void onListed(SegmentsListed answer, Moment moment);
-    void onRead(const std::string &body, Moment moment);
-    void onMissing(Moment moment);
-    void onCreated(Moment moment);
-    void onConflict(Moment moment);
-    void onDeleted();
-    void onLost(Duration retryAfter, Moment moment);
-    void onRefused(Duration retryAfter, Moment moment);
-
+    void handle(const SegmentsListed &answer, Moment moment);
+    void handle(const SegmentRead &answer, Moment moment);
+    void handle(const SegmentMissing &answer, Moment moment);
+    void handle(const SegmentCreated &answer, Moment moment);
+    void handle(const SegmentConflict &answer, Moment moment);
+    void handle(const SegmentDeleted &answer, Moment moment);
+    void handle(const LogAnswerLost &answer, Moment moment);
+    void handle(const LogRefused &answer, Moment moment);
+
+    std::optional<LogCommand> readCommand(Moment moment);
+    std::optional<LogCommand> writeCommand(Moment moment);
+    LogCommand send(Waiting waiting, LogCommand command, Moment moment);
+    Settling settling() const;
     bool isTrusted(Moment moment) const;
+    bool canTrim() const;
+    bool mustRead() const;
     void confirmEnd(Moment moment);
-    bool needsReading(Moment moment) const;
-    LogCommand createCommand(Moment moment);
+    void verifyByList(const SegmentsListed &answer, Moment moment);
+    void verifyByNext(const std::string &body, Moment moment);
+    void moveToListed();
     void fillBatch(Moment moment);
-    void applySegment(Segment segment, Moment moment);
-    void applyBatch(Moment moment);
+    void applyBatch();
     void returnBatch();
     void settleOwn(Moment moment);
     void voidOwn();
-    void jumpTo(SegmentNumber number);
-    void caughtUp();
+    void backOff(Duration retryAfter, Moment moment);
     void reportCorrupt(std::string reason, Moment moment);
 
     PlatformLogSettings m_settings;
@@ -159,24 +169,30 @@
     std::int64_t m_lastBatch = 0;
 
     SegmentNumber m_next = 1;
-    /// "writer/batch" of segment m_next - 1, if that was read or written here.
+    /// Names segment m_next - 1, if that was read or written here.
     std::optional<std::string> m_previous;
+    /// Segments from m_next on that are known to exist.
     std::set<SegmentNumber> m_listed;
     SegmentNumber m_lowest = 0;
     SegmentNumber m_trimBefore = 0;
+    /// A segment of our own that was created where a trimmed one had been.
+    std::optional<SegmentNumber> m_stray;
+    bool m_positioned = false;
     bool m_listNeeded = true;
     bool m_refresh = false;
-    /// A create met another's segment at m_next.
+    bool m_refreshSent = false;
+    /// A create met a segment at m_next.
     bool m_conflict = false;
     bool m_corrupt = false;
+    /// When m_next was last known to be not trimmed away.
     std::optional<Moment> m_endSeen;
 
     Waiting m_outstanding = Waiting::Nothing;
     Moment m_sentAt;
     std::optional<TimePoint> m_lastCreate;
     TimePoint m_retryAt;
-    bool m_unavailable = false;
-    std::vector<LogEvent> m_events;
+    int m_failures = 0;
+    std::vector<PlatformLogEvent> m_events;
 };
 
 /// Builds a log. Each function sets the setting of PlatformLogSettings that has its name.
--- /dev/null
+++ b/src/ledger/claim_ledger.cpp
@@ -0,0 +1,538 @@
+#include "detail/claim_attempt.hpp"
+#include "detail/claim_records.hpp"
+#include "detail/claim_shard.hpp"
+
+#include <gypsumdale/ledger/claim_ledger.hpp>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm> // max, min, none_of
+#include <cstring> // memcpy
+#include <utility> // exchange, move
+
+namespace gypsumdale {
+
+using detail::ClaimAttempt;
+using detail::ClaimEntry;
+using detail::ClaimRole;
+using detail::ClaimShard;
+using detail::ClaimState;
+
+namespace {
+
+WallMillis millisIn(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+ShardNumber shardOfDigest(const Digest &key, ShardNumber shards)
+{
+    // The end of the digest: its start places the key in the tables.
+    std::uint64_t tail = 0;
+    std::memcpy(&tail, key.data() + key.size() - sizeof(tail), sizeof(tail));
+    return static_cast<ShardNumber>(tail % shards);
+}
+
+/// Returns the answer to a request whose key is taken.
+ClaimResult resultOf(const ClaimEntry &entry, const Digest &body)
+{
+    if (entry.m_body != body)
+        return KeyReused{};
+    if (entry.m_outcome == Outcome::Done)
+        return AlreadyDone{*entry.m_standing, entry.m_answer};
+    return InProgressOrUnknown{*entry.m_standing};
+}
+
+bool isWaiting(const ClaimAttempt &attempt)
+{
+    return attempt.m_state == ClaimState::Refreshing || attempt.m_state == ClaimState::Claiming;
+}
+
+} // namespace
+
+ClaimLedger::ClaimLedger(ClaimLedgerSettings settings)
+    : m_settings(std::move(settings))
+{}
+
+ClaimLedger::~ClaimLedger() = default;
+ClaimLedger::ClaimLedger(ClaimLedger &&) noexcept = default;
+ClaimLedger &ClaimLedger::operator=(ClaimLedger &&) noexcept = default;
+
+ClaimTicket ClaimLedger::begin(const ClaimRequest &request, Moment moment)
+{
+    const ClaimTicket ticket = add(request, ClaimRole::Own, moment);
+    if (ClaimAttempt *attempt = find(ticket))
+        tryClaim(*attempt, false, moment);
+    forgetEnded();
+    return ticket;
+}
+
+ClaimTicket ClaimLedger::beginForPeer(const ClaimRequest &request, const NodeId &peer,
+                                      Moment moment)
+{
+    const ClaimTicket ticket = add(request, ClaimRole::ForPeer, moment);
+    if (ClaimAttempt *attempt = find(ticket)) {
+        attempt->m_node = peer;
+        tryClaim(*attempt, false, moment);
+    }
+    forgetEnded();
+    return ticket;
+}
+
+ClaimTicket ClaimLedger::beginForwarded(const ClaimRequest &request, Moment moment)
+{
+    const ClaimTicket ticket = add(request, ClaimRole::Forwarded, moment);
+    if (ClaimAttempt *attempt = find(ticket))
+        attempt->m_state = ClaimState::Claiming;
+    return ticket;
+}
+
+ClaimTicket ClaimLedger::add(const ClaimRequest &request, ClaimRole role, Moment moment)
+{
+    // A request that was delivered twice: the first one decides.
+    if (find(request.m_attempt) != nullptr) {
+        m_events.emplace_back(ClaimDecided{++m_lastTicket, InProgressOrUnknown{request.m_attempt}});
+        return m_lastTicket;
+    }
+    auto attempt = std::make_unique<ClaimAttempt>();
+    attempt->m_id = request.m_attempt;
+    attempt->m_ticket = ++m_lastTicket;
+    attempt->m_role = role;
+    attempt->m_node = m_settings.m_node;
+    attempt->m_key = keyDigest(request.m_member, request.m_key);
+    attempt->m_body = request.m_bodyDigest;
+    attempt->m_shard = shardOfDigest(attempt->m_key, m_settings.m_shards);
+    attempt->m_deadline = request.m_deadline;
+    attempt->m_giveUpAt = std::min(request.m_deadline, moment.m_now + m_settings.m_patience);
+    m_tickets[m_lastTicket] = request.m_attempt;
+    m_attempts[request.m_attempt] = std::move(attempt);
+    return m_lastTicket;
+}
+
+void ClaimLedger::tryClaim(ClaimAttempt &attempt, bool isFresh, Moment moment)
+{
+    if (moment.m_now >= attempt.m_deadline)
+        return decide(attempt, NotRun{NotRunReason::DeadlinePassed, {}});
+    ClaimShard &target = shard(attempt.m_shard);
+    target.touch(moment.m_now);
+    const ClaimEntry *entry = target.table().find(attempt.m_key);
+    if (entry == nullptr || !entry->m_standing)
+        return appendClaim(attempt, moment);
+    const bool isFinal = isFresh || entry->m_outcome || find(*entry->m_standing) != nullptr;
+    if (isFinal || entry->m_body != attempt.m_body)
+        return decide(attempt, resultOf(*entry, attempt.m_body));
+    const Duration outage = target.log().unavailableFor(moment.m_now);
+    if (outage > Duration::zero())
+        return decide(attempt, NotRun{NotRunReason::PlatformOut, outage});
+    // The attempt that stands may have ended since the log was last read.
+    attempt.m_state = ClaimState::Refreshing;
+    target.log().refresh();
+}
+
+void ClaimLedger::appendClaim(ClaimAttempt &attempt, Moment moment)
+{
+    ClaimShard &target = shard(attempt.m_shard);
+    const Duration outage = target.log().unavailableFor(moment.m_now);
+    if (target.isUnusable() || target.log().state(moment.m_now) == LogState::Corrupt)
+        return decide(attempt, NotRun{NotRunReason::LogCorrupt, m_settings.m_retryAfter});
+    if (outage > Duration::zero())
+        return decide(attempt, NotRun{NotRunReason::PlatformOut, outage});
+    wire::ClaimRecord record;
+    record.key = detail::toBytes(attempt.m_key);
+    record.body = detail::toBytes(attempt.m_body);
+    record.attempt = attempt.m_id.text();
+    record.node = attempt.m_node.text();
+    record.expiry = moment.m_wall + millisIn(m_settings.m_retention);
+    const Result<LogTicket> ticket = target.log().append(detail::encodeRecord(record));
+    if (!succeeded(ticket))
+        return decide(attempt, NotRun{NotRunReason::Overloaded, m_settings.m_retryAfter});
+    attempt.m_state = ClaimState::Claiming;
+    attempt.m_claim = valueOf(ticket);
+    target.link(valueOf(ticket), attempt.m_id);
+}
+
+void ClaimLedger::decide(ClaimAttempt &attempt, ClaimResult result)
+{
+    if (std::holds_alternative<Granted>(result))
+        attempt.m_state = ClaimState::Granted;
+    else if (attempt.m_state != ClaimState::Dead)
+        attempt.m_state = ClaimState::Ended;
+    m_tickets.erase(attempt.m_ticket);
+    m_events.emplace_back(ClaimDecided{attempt.m_ticket, std::move(result)});
+}
+
+void ClaimLedger::grant(ClaimAttempt &attempt, Moment moment)
+{
+    if (moment.m_now >= attempt.m_deadline) {
+        appendNotRun(attempt, moment);
+        return decide(attempt, NotRun{NotRunReason::DeadlinePassed, {}});
+    }
+    decide(attempt, Granted{attempt.m_id});
+    // The peer is told, and only it may send: nothing is left to do here.
+    if (attempt.m_role == ClaimRole::ForPeer)
+        attempt.m_state = ClaimState::Ended;
+}
+
+void ClaimLedger::giveUp(ClaimAttempt &attempt, const NotRun &result, Moment moment)
+{
+    if (attempt.m_role == ClaimRole::Forwarded) {
+        // Failure: the reply to a forwarded claim is lost, and the claim may stand, or may yet. It
+        // shows as a key that is "unknown" until its retention ends. Only this node could send the
+        // attempt, and from here on it never does, so that it may say so in the log.
+        appendNotRun(attempt, moment);
+        return decide(attempt, result);
+    }
+    const bool isGone =
+            !attempt.m_claim
+            || shard(attempt.m_shard).log().abandon(*attempt.m_claim) == Abandoned::NotWritten;
+    if (isGone && attempt.m_claim)
+        shard(attempt.m_shard).unlink(*attempt.m_claim);
+    attempt.m_state = isGone ? ClaimState::Ended : ClaimState::Dead;
+    decide(attempt, result);
+}
+
+void ClaimLedger::appendNotRun(const ClaimAttempt &attempt, Moment moment)
+{
+    recordOutcome(attempt, Outcome::NotRun, {}, moment);
+}
+
+void ClaimLedger::recordOutcome(const ClaimAttempt &attempt, Outcome outcome,
+                                const StoredAnswer &answer, Moment moment)
+{
+    wire::OutcomeRecord record;
+    record.key = detail::toBytes(attempt.m_key);
+    record.attempt = attempt.m_id.text();
+    record.outcome = detail::toWire(outcome);
+    record.status = answer.m_status;
+    record.contentType = answer.m_contentType;
+    record.expiry = moment.m_wall + millisIn(m_settings.m_retention);
+    record.answerKept = answer.m_body && answer.m_body->size() <= m_settings.m_maxAnswerBytes;
+    if (record.answerKept)
+        record.answer = *answer.m_body;
+    std::string bytes = detail::encodeRecord(record);
+    const bool isLoaded = m_loaded.contains(attempt.m_shard);
+    if (attempt.m_role == ClaimRole::Forwarded && !isLoaded) {
+        m_events.emplace_back(RecordToForward{attempt.m_shard, std::move(bytes)});
+        return;
+    }
+    ClaimShard &target = shard(attempt.m_shard);
+    target.touch(moment.m_now);
+    const Result<LogTicket> ticket = target.log().append(std::move(bytes));
+    if (succeeded(ticket))
+        target.link(valueOf(ticket), attempt.m_id);
+}
+
+void ClaimLedger::onForwardResult(ClaimTicket ticket, const ClaimResult &result, Moment moment)
+{
+    ClaimAttempt *attempt = find(ticket);
+    if (attempt == nullptr || attempt->m_role != ClaimRole::Forwarded || !isWaiting(*attempt))
+        return;
+    if (std::holds_alternative<Granted>(result))
+        grant(*attempt, moment);
+    else
+        decide(*attempt, result);
+    forgetEnded();
+}
+
+void ClaimLedger::onForwardLost(ClaimTicket ticket, Moment moment)
+{
+    ClaimAttempt *attempt = find(ticket);
+    if (attempt == nullptr || attempt->m_role != ClaimRole::Forwarded || !isWaiting(*attempt))
+        return;
+    // Loads the shard, so that a claim by this node comes behind the record in the same log.
+    shard(attempt->m_shard);
+    giveUp(*attempt, NotRun{NotRunReason::PlatformOut, m_settings.m_retryAfter}, moment);
+    forgetEnded();
+}
+
+bool ClaimLedger::start(const AttemptId &id, Moment moment)
+{
+    ClaimAttempt *attempt = find(id);
+    if (attempt == nullptr || attempt->m_state != ClaimState::Granted)
+        return false;
+    // Failure: the process was paused between its grant and this call. The caller was told by then
+    // that its deadline passed, and would see the request run after all.
+    if (moment.m_now < attempt->m_deadline) {
+        attempt->m_state = ClaimState::Started;
+        return true;
+    }
+    appendNotRun(*attempt, moment);
+    attempt->m_state = ClaimState::Ended;
+    forgetEnded();
+    return false;
+}
+
+void ClaimLedger::finish(const AttemptId &id, Outcome outcome, const StoredAnswer &answer,
+                         Moment moment)
+{
+    ClaimAttempt *attempt = find(id);
+    if (attempt == nullptr)
+        return;
+    const bool wasGranted = attempt->m_state == ClaimState::Granted;
+    if (attempt->m_state != ClaimState::Started && !wasGranted)
+        return;
+    const Outcome recorded = wasGranted ? Outcome::NotRun : outcome;
+    recordOutcome(*attempt, recorded, answer, moment);
+    attempt->m_state = ClaimState::Ended;
+    forgetEnded();
+}
+
+Result<Done> ClaimLedger::appendForPeer(ShardNumber number, std::string_view bytes, Moment moment)
+{
+    const Result<wire::LedgerRecord> decoded = detail::decodeRecord(bytes);
+    if (!succeeded(decoded))
+        return errorOf(decoded);
+    const wire::LedgerRecord &record = valueOf(decoded);
+    const bool isOutcome = record.__isset.outcome;
+    if (!isOutcome || number >= m_settings.m_shards
+        || shardOfDigest(*detail::toDigest(record.outcome.key), m_settings.m_shards) != number)
+        return Error{ErrorId::PeerMalformed, "not an outcome of this shard"};
+    ClaimShard &target = shard(number);
+    target.touch(moment.m_now);
+    const Result<LogTicket> ticket = target.log().append(std::string(bytes));
+    if (!succeeded(ticket))
+        return errorOf(ticket);
+    return Done{};
+}
+
+std::optional<ShardCommand> ClaimLedger::next(Moment moment)
+{
+    // From behind the shard that was served last, so that none waits for ever.
+    auto shardAt = m_loaded.upper_bound(m_lastServed);
+    for (std::size_t seen = 0; seen < m_loaded.size(); ++seen) {
+        if (shardAt == m_loaded.end())
+            shardAt = m_loaded.begin();
+        std::optional<LogCommand> command = shardAt->second->log().next(moment);
+        if (command) {
+            m_lastServed = shardAt->first;
+            return ShardCommand{shardAt->first, std::move(*command)};
+        }
+        ++shardAt;
+    }
+    return std::nullopt;
+}
+
+void ClaimLedger::onAnswer(ShardNumber number, const LogAnswer &answer, Moment moment)
+{
+    const auto found = m_loaded.find(number);
+    if (found == m_loaded.end())
+        return;
+    ClaimShard &target = *found->second;
+    target.log().onAnswer(answer, moment);
+    for (const PlatformLogEvent &event : target.log().takeEvents())
+        std::visit([this, number, moment](const auto &what) { handle(number, what, moment); },
+                   event);
+    const Duration outage = target.log().unavailableFor(moment.m_now);
+    if (outage > Duration::zero())
+        refuseWaiting(number, NotRun{NotRunReason::PlatformOut, outage}, moment);
+    target.maintain(moment);
+    forgetEnded();
+}
+
+void ClaimLedger::handle(ShardNumber number, const RecordApplied &event, Moment moment)
+{
+    ClaimShard &target = *m_loaded.at(number);
+    const Result<bool> stands = target.apply(event, moment);
+    if (!succeeded(stands)) {
+        reportTrouble(number, LogCorrupt{event.m_number, errorOf(stands).m_text});
+        return refuseWaiting(number, NotRun{NotRunReason::LogCorrupt, m_settings.m_retryAfter},
+                             moment);
+    }
+    if (!event.m_ticket)
+        return;
+    const std::optional<AttemptId> id = target.unlink(*event.m_ticket);
+    if (!id)
+        return;
+    ClaimAttempt *attempt = find(*id);
+    if (attempt != nullptr && attempt->m_claim == event.m_ticket)
+        return claimApplied(*attempt, valueOf(stands), moment);
+    m_events.emplace_back(OutcomeRecorded{*id});
+}
+
+void ClaimLedger::claimApplied(ClaimAttempt &attempt, bool stands, Moment moment)
+{
+    attempt.m_claim.reset();
+    if (attempt.m_state == ClaimState::Dead) {
+        // The caller was told "not run" while the claim was under way; nobody else can know that.
+        if (stands)
+            appendNotRun(attempt, moment);
+        attempt.m_state = ClaimState::Ended;
+        return;
+    }
+    if (attempt.m_state != ClaimState::Claiming)
+        return;
+    if (stands)
+        return grant(attempt, moment);
+    const ClaimEntry *entry = shard(attempt.m_shard).table().find(attempt.m_key);
+    if (entry != nullptr && entry->m_standing)
+        return decide(attempt, resultOf(*entry, attempt.m_body));
+    decide(attempt, NotRun{NotRunReason::DeadlinePassed, m_settings.m_retryAfter});
+}
+
+void ClaimLedger::handle(ShardNumber number, const RecordDropped &event, Moment)
+{
+    const std::optional<AttemptId> id = m_loaded.at(number)->unlink(event.m_ticket);
+    ClaimAttempt *attempt = id ? find(*id) : nullptr;
+    if (attempt != nullptr && attempt->m_claim == event.m_ticket)
+        attempt->m_state = ClaimState::Ended;
+}
+
+void ClaimLedger::handle(ShardNumber number, const LogCaughtUp &, Moment moment)
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt->m_shard == number && attempt->m_state == ClaimState::Refreshing)
+            tryClaim(*attempt, true, moment);
+    }
+}
+
+void ClaimLedger::handle(ShardNumber number, const LogGap &event, Moment)
+{
+    reportTrouble(number, event);
+}
+
+void ClaimLedger::handle(ShardNumber number, const LogStray &event, Moment)
+{
+    reportTrouble(number, event);
+}
+
+void ClaimLedger::handle(ShardNumber number, const LogCorrupt &event, Moment moment)
+{
+    reportTrouble(number, event);
+    refuseWaiting(number, NotRun{NotRunReason::LogCorrupt, m_settings.m_retryAfter}, moment);
+}
+
+template <typename Trouble>
+void ClaimLedger::reportTrouble(ShardNumber number, const Trouble &trouble)
+{
+    m_events.emplace_back(ShardTrouble{number, trouble});
+}
+
+void ClaimLedger::refuseWaiting(ShardNumber number, const NotRun &result, Moment moment)
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        const bool isHere = attempt->m_shard == number && attempt->m_role != ClaimRole::Forwarded;
+        if (isHere && isWaiting(*attempt))
+            giveUp(*attempt, result, moment);
+    }
+}
+
+void ClaimLedger::advance(Moment moment)
+{
+    expireAttempts(moment);
+    for (const auto &[number, loaded] : m_loaded)
+        loaded->maintain(moment);
+    forgetEnded();
+    dropIdleShards(moment);
+}
+
+void ClaimLedger::expireAttempts(Moment moment)
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        if (isWaiting(*attempt) && moment.m_now >= attempt->m_giveUpAt) {
+            const bool isLate = moment.m_now >= attempt->m_deadline;
+            const NotRunReason reason =
+                    isLate ? NotRunReason::DeadlinePassed : NotRunReason::PlatformOut;
+            giveUp(*attempt, NotRun{reason, m_settings.m_retryAfter}, moment);
+            continue;
+        }
+        if (attempt->m_state == ClaimState::Granted && moment.m_now >= attempt->m_deadline) {
+            appendNotRun(*attempt, moment);
+            attempt->m_state = ClaimState::Ended;
+        }
+    }
+}
+
+void ClaimLedger::dropIdleShards(Moment moment)
+{
+    std::erase_if(m_loaded, [this, moment](const auto &loaded) {
+        const ShardNumber number = loaded.first;
+        const auto uses = [number](const auto &attempt) {
+            return attempt.second->m_shard == number;
+        };
+        return loaded.second->isIdle(moment.m_now, m_settings.m_idleShard)
+               && std::none_of(m_attempts.begin(), m_attempts.end(), uses);
+    });
+}
+
+void ClaimLedger::forgetEnded()
+{
+    std::erase_if(m_attempts,
+                  [](const auto &attempt) { return attempt.second->m_state == ClaimState::Ended; });
+}
+
+std::optional<TimePoint> ClaimLedger::nextWake() const
+{
+    std::optional<TimePoint> wake;
+    const auto consider = [&wake](TimePoint at) {
+        wake = wake ? std::min(*wake, at) : at;
+    };
+    for (const auto &[number, loaded] : m_loaded) {
+        const std::optional<TimePoint> at = loaded->log().nextWake();
+        if (at)
+            consider(*at);
+    }
+    for (const auto &[id, attempt] : m_attempts) {
+        if (isWaiting(*attempt))
+            consider(attempt->m_giveUpAt);
+        if (attempt->m_state == ClaimState::Granted)
+            consider(attempt->m_deadline);
+    }
+    return wake;
+}
+
+std::vector<ClaimEvent> ClaimLedger::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+ShardNumber ClaimLedger::shardOf(const MemberId &member, std::string_view key) const
+{
+    return shardOfDigest(keyDigest(member, key), m_settings.m_shards);
+}
+
+std::size_t ClaimLedger::keyCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[number, loaded] : m_loaded)
+        count += loaded->table().size();
+    return count;
+}
+
+ClaimShard &ClaimLedger::shard(ShardNumber number)
+{
+    std::unique_ptr<ClaimShard> &loaded = m_loaded[number];
+    if (!loaded)
+        loaded = std::make_unique<ClaimShard>(m_settings);
+    return *loaded;
+}
+
+ClaimAttempt *ClaimLedger::find(ClaimTicket ticket)
+{
+    const auto found = m_tickets.find(ticket);
+    return found == m_tickets.end() ? nullptr : find(found->second);
+}
+
+ClaimAttempt *ClaimLedger::find(const AttemptId &id)
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : found->second.get();
+}
+
+std::optional<NodeId> preferredNode(ShardNumber shard, std::span<const NodeId> live)
+{
+    std::optional<NodeId> best;
+    XXH64_hash_t bestScore = 0;
+    for (const NodeId &node : live) {
+        const XXH64_hash_t score =
+                XXH3_64bits_withSeed(node.text().data(), node.text().size(), shard);
+        const bool isBetter = !best || score > bestScore || (score == bestScore && node < *best);
+        if (!isBetter)
+            continue;
+        best = node;
+        bestScore = score;
+    }
+    return best;
+}
+
+} // namespace gypsumdale
