--- a/include/gypsumdale/policy/admission.hpp
+++ b/include/gypsumdale/policy/admission.hpp
@@ -49,7 +49,7 @@
 };
 
 /// What is known of an upstream from its probes, the VM list and the price list.
-struct UpstreamState
+struct UpstreamReport
 {
     UpstreamId m_upstream;
     /// Counts the upstream's restarts; a new one forgets what was measured and cached.
@@ -119,7 +119,7 @@
 
     /// Takes an upstream's state, new or changed. Leaving is never undone for an incarnation.
     /// Logarithmic.
-    void updateUpstream(const UpstreamState &state, TimePoint now);
+    void updateUpstream(const UpstreamReport &state, TimePoint now);
     void removeUpstream(const UpstreamId &upstream);
 
     /// Takes a peer's heartbeat; one of an older incarnation is ignored. Linear in the load.
@@ -170,7 +170,7 @@
 private:
     struct Upstream
     {
-        UpstreamState m_state;
+        UpstreamReport m_state;
         bool m_isRemoved = false;
         std::uint32_t m_own = 0;
         /// What the live peers count for, see peerCharge().
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -34,7 +34,7 @@
     return known == 0.0 ? measured : known + gain * (measured - known);
 }
 
-Duration reportAge(const UpstreamState &state, TimePoint now)
+Duration reportAge(const UpstreamReport &state, TimePoint now)
 {
     return state.m_reportedAt == TimePoint::min() ? Duration::max() : now - state.m_reportedAt;
 }
@@ -73,7 +73,7 @@
     recountAll();
 }
 
-void AdmissionController::updateUpstream(const UpstreamState &state, TimePoint)
+void AdmissionController::updateUpstream(const UpstreamReport &state, TimePoint)
 {
     const auto [found, isNew] = m_upstreams.try_emplace(state.m_upstream);
     Upstream &upstream = found->second;
@@ -484,7 +484,7 @@
 
 bool AdmissionController::hasLocalSlot(const Upstream &upstream, TimePoint now) const
 {
-    const UpstreamState &state = upstream.m_state;
+    const UpstreamReport &state = upstream.m_state;
     const bool isFresh = reportAge(state, now) <= m_settings.m_peerMaxAge;
     const std::uint32_t mostQueued = std::max(state.m_slots / queuedPart, 1U);
     if (isFresh && state.m_queued > mostQueued && upstream.m_own > 0)
@@ -501,7 +501,7 @@
 
 bool AdmissionController::hasForeignSlot(const Upstream &upstream, TimePoint now) const
 {
-    const UpstreamState &state = upstream.m_state;
+    const UpstreamReport &state = upstream.m_state;
     if (reportAge(state, now) > m_settings.m_reportMaxAge)
         return false;
     const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
@@ -521,7 +521,7 @@
 
 std::uint32_t AdmissionController::chargeOf(std::size_t node, const Upstream &upstream) const
 {
-    const UpstreamState &state = upstream.m_state;
+    const UpstreamReport &state = upstream.m_state;
     const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
     const std::uint32_t lent = lentSlots(state.m_slots, nodes, rankOf(node, state.m_upstream));
     const auto peer = m_peers.find(m_nodes[node]);
@@ -556,7 +556,7 @@
 
 Candidate AdmissionController::candidate(const Upstream &upstream, TimePoint now) const
 {
-    const UpstreamState &state = upstream.m_state;
+    const UpstreamReport &state = upstream.m_state;
     Candidate result;
     result.m_upstream = state.m_upstream;
     result.m_dataCentre = state.m_dataCentre;
