--- /dev/null
+++ b/src/runtime/detail/frame_stream.cpp
@@ -0,0 +1,75 @@
+#include <runtime/detail/frame_stream.hpp>
+
+#include <array> // array
+#include <cstdint> // uint32_t
+
+#include <boost/endian/conversion.hpp>
+
+namespace gypsumdale::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t prefixBytes = 4;
+/// Capacity that a connection keeps between frames.
+constexpr std::size_t keptCapacity = 256 * 1024;
+
+StreamStatus fillTo(Stream &stream, std::size_t size, SteadyTime deadline)
+{
+    while (stream.input().size() < size) {
+        const StreamStatus status = stream.fill(deadline);
+        if (status != StreamStatus::Good)
+            return status;
+    }
+    return StreamStatus::Good;
+}
+
+} // namespace
+
+FrameTraffic FrameCounters::read() const
+{
+    return FrameTraffic{m_framesSent, m_framesReceived, m_bytesSent, m_bytesReceived};
+}
+
+FrameRead readFrame(Stream &stream, FrameCounters &counters, std::size_t maxBytes,
+                    SteadyTime deadline)
+{
+    boost::beast::flat_buffer &input = stream.input();
+    StreamStatus status = fillTo(stream, prefixBytes, deadline);
+    if (status != StreamStatus::Good)
+        return status;
+    const std::size_t length =
+            boost::endian::load_big_u32(static_cast<const unsigned char *>(input.data().data()));
+    if (length > maxBytes)
+        return FrameTooLong();
+    status = fillTo(stream, prefixBytes + length, deadline);
+    if (status != StreamStatus::Good)
+        return status;
+    const char *begin = static_cast<const char *>(input.data().data()) + prefixBytes;
+    std::string frame(begin, length);
+    input.consume(prefixBytes + length);
+    if (input.capacity() > keptCapacity)
+        input.shrink_to_fit();
+    ++counters.m_framesReceived;
+    counters.m_bytesReceived += prefixBytes + length;
+    return frame;
+}
+
+StreamStatus writeFrame(Stream &stream, FrameCounters &counters, std::string_view frame,
+                        SteadyTime deadline)
+{
+    std::array<unsigned char, prefixBytes> prefix;
+    boost::endian::store_big_u32(prefix.data(), static_cast<std::uint32_t>(frame.size()));
+    std::array<asio::const_buffer, 2> buffers = {asio::buffer(prefix),
+                                                 asio::buffer(frame.data(), frame.size())};
+    const Duration timeout = deadline - std::chrono::steady_clock::now();
+    const StreamStatus status = stream.write(buffers, timeout, deadline);
+    if (status != StreamStatus::Good)
+        return status;
+    ++counters.m_framesSent;
+    counters.m_bytesSent += prefixBytes + frame.size();
+    return status;
+}
+
+} // namespace gypsumdale::detail
--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -67,7 +67,7 @@
     if (!m_isIdle)
         return;
     if (m_served == 0)
-        m_stream->shortenDeadline(std::chrono::steady_clock::now() + lastChance);
+        m_stream->shortenDeadline(deadlineAfter(lastChance));
     else if (m_stream->isQuietAndOpen())
         m_stream->close();
 }
@@ -104,7 +104,7 @@
         return false;
     const Duration limit = stopping ? lastChance : m_service.m_limits.m_idleTimeout;
     m_isIdle = true;
-    const StreamStatus status = m_stream->fill(std::chrono::steady_clock::now() + limit);
+    const StreamStatus status = m_stream->fill(deadlineAfter(limit));
     m_isIdle = false;
     return status == StreamStatus::Good;
 }
@@ -112,7 +112,7 @@
 /// Reads one request whole. On failure it has answered where an answer is due.
 bool HttpConnection::readRequest(Parser &parser)
 {
-    const SteadyTime deadline = std::chrono::steady_clock::now() + m_service.m_limits.m_readTimeout;
+    const SteadyTime deadline = deadlineAfter(m_service.m_limits.m_readTimeout);
     bool askedToContinue = false;
     for (;;) {
         boost::beast::error_code error;
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -1,6 +1,6 @@
 #include <runtime/detail/stream.hpp>
 
-#include <algorithm> // clamp, max
+#include <algorithm> // min
 #include <utility> // move
 
 #include <sys/socket.h>
@@ -69,7 +69,7 @@
         return StreamStatus::Broken;
     m_socket.non_blocking(true, error);
     m_socket.set_option(asio::ip::tcp::no_delay(true), error);
-    startDeadline(std::chrono::steady_clock::now() + timeout);
+    startDeadline(deadlineAfter(timeout));
     AsyncWait wait;
     m_socket.async_connect(endpoint, wait.handler());
     error = wait.wait();
@@ -109,7 +109,8 @@
     return statusOf(m_ahead->m_error);
 }
 
-StreamStatus Stream::write(std::span<asio::const_buffer> buffers, Duration timeout)
+StreamStatus Stream::write(std::span<asio::const_buffer> buffers, Duration timeout,
+                           SteadyTime latest)
 {
     std::size_t remaining = totalSize(buffers);
     while (remaining > 0) {
@@ -123,7 +124,7 @@
             continue;
         if (error != asio::error::would_block)
             return statusOf(error);
-        startDeadline(std::chrono::steady_clock::now() + timeout);
+        startDeadline(std::min(deadlineAfter(timeout), latest));
         AsyncWait wait;
         m_socket.async_wait(asio::ip::tcp::socket::wait_write, wait.handler());
         error = wait.wait();
@@ -188,7 +189,7 @@
 {
     error_code error;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    const SteadyTime deadline = std::chrono::steady_clock::now() + gentleCloseTime;
+    const SteadyTime deadline = deadlineAfter(gentleCloseTime);
     std::size_t discarded = 0;
     while (discarded < gentleCloseBytes) {
         discarded += m_input.size();
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -22,6 +22,13 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+/// Returns the time after a duration from now; a duration too long to be added means never.
+inline SteadyTime deadlineAfter(Duration duration)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    return duration < SteadyTime::max() - now ? now + duration : SteadyTime::max();
+}
+
 /// Why an operation of a stream ended.
 enum class StreamStatus {
     Good,
@@ -56,8 +63,9 @@
     StreamStatus fill(SteadyTime deadline);
 
     /// Writes all of the buffers, gathered; each time the other side takes nothing for the timeout
-    /// ends it. Modifies the buffers.
-    StreamStatus write(std::span<boost::asio::const_buffer> buffers, Duration timeout);
+    /// ends it, and so does the latest time. Modifies the buffers.
+    StreamStatus write(std::span<boost::asio::const_buffer> buffers, Duration timeout,
+                       SteadyTime latest = SteadyTime::max());
 
     /// Begins a read in the background whose outcome the next fill() returns. If it finds the
     /// connection ended or broken, onEnd is called at once from the loop. Pass nullptr to be told
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -119,7 +119,7 @@
 
 std::optional<CallFailure> HttpExchange::State::readHeader(Duration timeout)
 {
-    const detail::SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+    const detail::SteadyTime deadline = detail::deadlineAfter(timeout);
     do {
         m_parser = std::make_unique<Parser>();
         m_parser->header_limit(largestAnswerHeader);
@@ -162,8 +162,7 @@
             return fail(StreamStatus::Closed);
         if (m_failure)
             return *m_failure;
-        const StreamStatus status =
-                m_stream->fill(std::chrono::steady_clock::now() + m_silenceTimeout);
+        const StreamStatus status = m_stream->fill(detail::deadlineAfter(m_silenceTimeout));
         if (status != StreamStatus::Good)
             return fail(status);
         if (const std::optional<CallFailure> malformed = parse(); malformed && !m_parser->hasBody())
