Fuzz the ledger of claims; keep what trimming took too early

Cause: the fuzz of the ledger, three nodes against a platform with faults in any order, found a key that ran twice: a new segment counted as expired until its first record was applied, so that it was taken off the list of segments with live records and could be trimmed together with a live claim.

The change: expired segments are forgotten before the new one is noted. The fuzz failed before (falsified after 24 tests and 27 shrinks) and passes now.

Doubtful: the fuzz models no clock that is wrong by more than the tolerance.

--- a/src/ledger/detail/claim_table.cpp
+++ b/src/ledger/detail/claim_table.cpp
@@ -37,8 +37,8 @@
 void ClaimTable::beginSegment(SegmentNumber number, WallMillis writtenAt, WallMillis wall)
 {
     m_logTime = std::max(m_logTime, writtenAt);
-    m_segments.push_back({number, 0});
     forgetExpired(wall);
+    m_segments.push_back({number, 0});
 }
 
 bool ClaimTable::apply(const wire::ClaimRecord &claim)
