--- a/include/gypsumdale/fleet/config_store.hpp
+++ b/include/gypsumdale/fleet/config_store.hpp
@@ -3,16 +3,16 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/fleet/config_command.hpp>
+#include <gypsumdale/fleet/config_knowledge.hpp>
 #include <gypsumdale/fleet/config_message.hpp>
 #include <gypsumdale/fleet/config_object.hpp>
 
 #include <chrono> // milliseconds, seconds
-#include <cstddef> // size_t
 #include <map> // map
 #include <optional> // optional
-#include <set> // set
 #include <span> // span
 #include <string> // string
+#include <string_view> // string_view
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -44,9 +44,8 @@
 /// Which configuration one node has in force. Holds no clock and no sockets: the kernel passes
 /// events with the time in and carries out the commands that come back, in their order.
 ///
-/// What is *known* is always the platform's state as of one version of its store (`completeTo`):
-/// changes are taken only when they join on, so that one number says what a node knows. What is *in
-/// force* follows the known, object by object, and only rises:
+/// What is *known* is the platform's state as of one version of its store (ConfigKnowledge). What
+/// is *in force* follows the known, object by object, and only rises:
 ///
 /// - A body that its checker refuses stays known, and isn't put in force.
 /// - A version is put in force once another node of the data centre has said that it knows it, or
@@ -97,9 +96,10 @@
 
     ConfigCommands onUpdate(const ConfigUpdate &update, TimePoint now);
 
-    /// No process of that peer runs: its host refused a connection that was tried after `since`, or
-    /// the cloud says that its VM has ended. A silent peer isn't gone. Proof that is older than the
-    /// version in question is no use, so it counts for what was known at `since`.
+    /// No process of that peer ran at some moment after `since`: its host refused a connection that
+    /// was begun then, or the cloud said then that its VM had ended. Silence is no proof: a node
+    /// that is only cut off would be passed over, and could later vouch for an older version. A
+    /// caller that gives up on a silent peer all the same trades that risk for progress.
     ConfigCommands onPeerGone(const NodeId &peer, TimePoint since);
 
     /// Whether the node may serve: it has read the platform in this life; or a peer's knowledge
@@ -131,66 +131,66 @@
     ConfigDigestFrom digest() const;
 
 private:
-    struct Entry
+    /// An object on its way into force.
+    struct Candidate
     {
-        ConfigObject m_known;
+        ConfigObject m_object;
+        ConfigValue m_value;
         TimePoint m_learnedAt;
-        /// The newest known version that the checker accepts, until it is in force.
-        std::optional<ConfigObject> m_candidate;
-        ConfigValue m_candidateValue;
-        TimePoint m_candidateLearnedAt;
-        std::optional<ConfigObject> m_inForce;
-        Findings m_findings;
     };
 
+    /// What is known of another node of the data centre, in its present life.
     struct PeerView
     {
         Incarnation m_incarnation = 0;
         ConfigVersion m_completeTo = 0;
-        /// Whether it answered this life while ready.
+        /// Whether it answered this life while ready itself.
         bool m_answered = false;
-        std::optional<TimePoint> m_goneSince;
-        std::optional<TimePoint> m_askedAt;
+        /// It was proved at or after this time that no process of it ran.
+        TimePoint m_goneAfter = TimePoint::min();
     };
 
-    bool isLocal(const NodeId &node) const;
-    /// Notes a message's sender. Returns false for one from a life that has ended.
-    bool meetPeer(const NodeId &node, Incarnation incarnation);
+    bool isLocal(const NodeId &node) const { return m_peers.contains(node); }
+    bool meetPeer(const ConfigDigestFrom &sender);
+    bool meetLife(const NodeId &node, Incarnation incarnation);
     bool takeChanges(const ConfigChanges &changes, TimePoint now, ConfigCommands &commands);
-    void takeObject(const ConfigObject &object, TimePoint now, ConfigCommands &commands);
-    void endMissing(const ConfigChanges &snapshot, TimePoint now, ConfigCommands &commands);
+    void addCandidate(const ConfigObject &object, TimePoint now, ConfigCommands &commands);
     void confirm(WallMillis time, TimePoint now);
-    void considerPeer(const ConfigDigestFrom &digest, TimePoint now, ConfigCommands &commands);
-    void ask(const NodeId &peer, ConfigVersion from, TimePoint now, ConfigCommands &commands);
-    void askForReadiness(TimePoint now, ConfigCommands &commands);
-    void spread(const ConfigChanges &changes, ConfigCommands &commands) const;
-    void settle(TimePoint now, ConfigCommands &commands);
-    std::optional<std::string> readyReason() const;
-    bool isSafeToUse(const Entry &entry) const;
+    void compare(const ConfigDigestFrom &peer, TimePoint now, ConfigCommands &commands);
+    void noteAnswer(const ConfigUpdate &update);
+    void ask(const NodeId &peer, TimePoint now, ConfigCommands &commands);
+    void askForReadiness(ConfigCommands &commands);
+    void spreadDigest(ConfigCommands &commands) const;
+    void spreadChanges(const ConfigChanges &changes, ConfigCommands &commands) const;
+    void settle(ConfigCommands &commands);
+    void putSafeInForce(ConfigCommands &commands);
+    std::string readyReason() const;
+    bool hasEveryAnswer() const;
+    bool isSafe(const Candidate &candidate) const;
+    void onPlatformAnswer(const ConfigChanges &changes, WallMillis askedAt, TimePoint now,
+                          ConfigCommands &commands);
     void usePlatform(TimePoint now, ConfigCommands &commands);
-    bool mayReadPlatform(TimePoint now) const;
-    ConfigChanges changesAfter(ConfigVersion from) const;
-    void rehash();
+    bool isNewsOverdue(TimePoint now) const;
+    ConfigAsk makeAsk() const;
 
     ConfigStoreSetup m_setup;
-    std::map<ConfigKey, Entry> m_entries;
+    ConfigKnowledge m_known;
+    std::map<ConfigKey, Candidate> m_candidates;
+    std::map<ConfigKey, ConfigObject> m_inForce;
+    std::map<ConfigKey, BodyRefused> m_refused;
     std::map<NodeId, PeerView> m_peers;
     std::vector<NodeId> m_liveNodes;
-    ConfigVersion m_completeTo = 0;
-    /// Deletions after this version are all known as such.
-    ConfigVersion m_historyFrom = 0;
+    /// The highest version that any node of the data centre is known to have put in force.
     ConfigVersion m_floor = 0;
+    ConfigVersion m_highestInForce = 0;
     WallMillis m_confirmedAsOf = 0;
     TimePoint m_confirmedSeenAt;
-    std::uint64_t m_hash = 0;
-    std::uint64_t m_count = 0;
-    ConfigVersion m_highest = 0;
+    TimePoint m_mayAskAt;
     bool m_ready = false;
     bool m_readThisLife = false;
-    bool m_listOut = false;
-    bool m_watchOut = false;
+    bool m_platformCallOut = false;
     bool m_mustList = true;
-    Duration m_backoff{};
+    Duration m_backoff = Duration::zero();
     TimePoint m_platformNotBefore;
     TimePoint m_nextTimer;
 };
@@ -211,8 +211,7 @@
     ConfigStoreSetup m_setup;
 };
 
-/// Returns the node that passes the configuration on in a data centre: the live one with the lowest
-/// rendezvous weight; empty for no nodes. Linear.
-NodeId configRelayOf(std::span<const NodeId> liveNodes);
+/// The key by which rendezvous hashing chooses a data centre's relay.
+inline constexpr std::string_view configRelayKey = "config-relay";
 
 } // namespace gypsumdale
--- a/include/gypsumdale/fleet/config_writer.hpp
+++ b/include/gypsumdale/fleet/config_writer.hpp
@@ -63,6 +63,8 @@
     ConfigVersion m_editedVersion = 0;
     std::string m_body;
     std::optional<ConfigObject> m_current;
+    /// False when the object couldn't be read, so that nothing is known of it.
+    bool m_isRead = true;
 };
 
 /// It can't be told whether the change took effect: no answer in time, or another change has
@@ -118,7 +120,7 @@
 
 private:
     ConfigWriterStep write() const;
-    ConfigWriterStep onReadAfterLoss(const std::optional<ConfigObject> &object);
+    ConfigWriterStep readAgain(const Error &error);
 
     ConfigEdit m_edit;
     bool m_answerLost = false;
--- a/include/gypsumdale/settings/fleet_settings.hpp
+++ b/include/gypsumdale/settings/fleet_settings.hpp
@@ -78,7 +78,7 @@
 {
     std::vector<DataCentreSettings> m_dataCentres;
     std::vector<ServiceSettings> m_services;
-    std::string m_routing = "least-loaded";
+    std::string m_routing = "least-outstanding";
     /// Retries and hedges as a share of first attempts.
     double m_retryRatio = 0.1;
     DrainTimes m_drain;
--- /dev/null
+++ b/src/fleet/config_store.cpp
@@ -0,0 +1,486 @@
+#include <gypsumdale/fleet/config_store.hpp>
+
+#include <gypsumdale/fleet/rendezvous.hpp>
+
+#include <algorithm> // all_of, any_of, find, max, min
+#include <string_view> // string_view
+#include <utility> // move
+
+namespace gypsumdale {
+
+ConfigStore::ConfigStore(ConfigStoreSetup setup)
+    : m_setup(std::move(setup))
+    , m_liveNodes{m_setup.m_node}
+{
+    for (const auto &peer : m_setup.m_localPeers)
+        m_peers[peer];
+}
+
+ConfigCommands ConfigStore::start(TimePoint now)
+{
+    m_confirmedSeenAt = now;
+    m_mayAskAt = now;
+    m_platformNotBefore = now;
+    m_nextTimer = now;
+    return onTimer(now);
+}
+
+ConfigCommands ConfigStore::onTimer(TimePoint now)
+{
+    ConfigCommands commands;
+    if (now < m_nextTimer)
+        return commands;
+    m_nextTimer = now + m_setup.m_askInterval;
+    if (!m_ready)
+        askForReadiness(commands);
+    usePlatform(now, commands);
+    return commands;
+}
+
+TimePoint ConfigStore::nextTimer() const
+{
+    return m_nextTimer;
+}
+
+ConfigCommands ConfigStore::onLiveNodes(std::span<const NodeId> nodes, TimePoint now)
+{
+    ConfigCommands commands;
+    m_liveNodes.assign(nodes.begin(), nodes.end());
+    usePlatform(now, commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onPlatformList(const ConfigChanges &snapshot, WallMillis askedAt,
+                                           TimePoint now)
+{
+    ConfigCommands commands;
+    m_mustList = false;
+    const auto hashBefore = digest().m_digest.m_hash;
+    onPlatformAnswer(snapshot, askedAt, now, commands);
+    if (digest().m_digest.m_hash != hashBefore)
+        spreadDigest(commands);
+    usePlatform(now, commands);
+    settle(commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onPlatformWatch(const ConfigChanges &changes, WallMillis askedAt,
+                                            TimePoint now)
+{
+    ConfigCommands commands;
+    if (!m_known.joins(changes))
+        return onPlatformTooOld(now);
+    onPlatformAnswer(changes, askedAt, now, commands);
+    spreadChanges(changes, commands);
+    usePlatform(now, commands);
+    settle(commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onPlatformTooOld(TimePoint now)
+{
+    ConfigCommands commands;
+    m_platformCallOut = false;
+    m_mustList = true;
+    usePlatform(now, commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onPlatformFailed(TimePoint now)
+{
+    m_platformCallOut = false;
+    m_backoff = std::min(std::max(2 * m_backoff, m_setup.m_firstBackoff), m_setup.m_longestBackoff);
+    m_platformNotBefore = now + m_backoff;
+    return {};
+}
+
+ConfigCommands ConfigStore::onDigest(const ConfigDigestFrom &digest, TimePoint now)
+{
+    ConfigCommands commands;
+    if (!meetPeer(digest))
+        return commands;
+    compare(digest, now, commands);
+    settle(commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onAsk(const ConfigAsk &ask, TimePoint)
+{
+    if (!meetLife(ask.m_node, ask.m_incarnation))
+        return {};
+    ConfigUpdate update{digest(), m_known.changesAfter(ask.m_from), ask.m_node, ask.m_incarnation};
+    return {SendUpdate{ask.m_node, std::move(update)}};
+}
+
+ConfigCommands ConfigStore::onUpdate(const ConfigUpdate &update, TimePoint now)
+{
+    ConfigCommands commands;
+    const auto &sender = update.m_sender;
+    const bool isAnswer = !update.m_answerTo.isEmpty();
+    // An answer to a former life says nothing about this one.
+    const bool isMine = update.m_answerTo == m_setup.m_node
+                        && update.m_answerToIncarnation == m_setup.m_incarnation;
+    if ((isAnswer && !isMine) || !meetPeer(sender))
+        return commands;
+    const bool hasChanged = takeChanges(update.m_changes, now, commands);
+    compare(sender, now, commands);
+    if (isAnswer)
+        noteAnswer(update);
+    else
+        commands.emplace_back(SendDigest{sender.m_node, digest()});
+    if (hasChanged && !isLocal(sender.m_node))
+        spreadDigest(commands);
+    settle(commands);
+    return commands;
+}
+
+ConfigCommands ConfigStore::onPeerGone(const NodeId &peer, TimePoint since)
+{
+    ConfigCommands commands;
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end())
+        return commands;
+    found->second.m_goneAfter = std::max(found->second.m_goneAfter, since);
+    settle(commands);
+    return commands;
+}
+
+/// Notes who sent a digest and what it says of its data centre; false for a life that has ended.
+bool ConfigStore::meetPeer(const ConfigDigestFrom &sender)
+{
+    if (!meetLife(sender.m_node, sender.m_incarnation))
+        return false;
+    if (!isLocal(sender.m_node))
+        return true;
+    auto &view = m_peers[sender.m_node];
+    view.m_completeTo = std::max(view.m_completeTo, sender.m_digest.m_completeTo);
+    m_floor = std::max(m_floor, sender.m_digest.m_floor);
+    return true;
+}
+
+/// Failure guarded against: a peer's late message from before its restart is taken as proof that it
+/// knows a version, which the restart has made it forget; both could then lose it. What a former
+/// life said is dropped as soon as a later life was heard.
+bool ConfigStore::meetLife(const NodeId &node, Incarnation incarnation)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end())
+        return true;
+    auto &view = found->second;
+    if (incarnation < view.m_incarnation)
+        return false;
+    if (incarnation > view.m_incarnation) {
+        const auto goneAfter = view.m_goneAfter;
+        view = {};
+        view.m_incarnation = incarnation;
+        view.m_goneAfter = goneAfter;
+    }
+    return true;
+}
+
+/// Takes changes and makes candidates of what is new. Returns whether anything was.
+bool ConfigStore::takeChanges(const ConfigChanges &changes, TimePoint now, ConfigCommands &commands)
+{
+    const auto news = m_known.take(changes);
+    for (const auto &object : news)
+        addCandidate(object, now, commands);
+    return !news.empty();
+}
+
+void ConfigStore::addCandidate(const ConfigObject &object, TimePoint now, ConfigCommands &commands)
+{
+    const auto &key = object.m_key;
+    ConfigValue value;
+    if (!object.m_deleted) {
+        auto checked = checkConfigBody(key, object.m_body);
+        if (auto *findings = std::get_if<Findings>(&checked)) {
+            m_refused[key] = {key, object.m_version, std::move(*findings)};
+            commands.emplace_back(m_refused[key]);
+            return;
+        }
+        value = std::get<ConfigValue>(std::move(checked));
+    }
+    m_refused.erase(key);
+    m_candidates[key] = {object, std::move(value), now};
+}
+
+void ConfigStore::confirm(WallMillis time, TimePoint now)
+{
+    if (time <= m_confirmedAsOf)
+        return;
+    m_confirmedAsOf = time;
+    m_confirmedSeenAt = now;
+}
+
+/// Sets what a peer knows against what is known here: takes over its confirmation, or asks.
+void ConfigStore::compare(const ConfigDigestFrom &peer, TimePoint now, ConfigCommands &commands)
+{
+    const auto &theirs = peer.m_digest;
+    const bool isSame = m_known.isSame(theirs);
+    if (isSame)
+        m_known.raiseTo(theirs.m_completeTo);
+    if (theirs.m_completeTo > m_known.completeTo()) {
+        ask(peer.m_node, now, commands);
+        return;
+    }
+    // All that the peer knows is known here, so what was confirmed of its knowledge holds here.
+    confirm(theirs.m_confirmedAsOf, now);
+    if (isSame || theirs.m_completeTo < m_known.completeTo())
+        return;
+    // The same version and other objects: one of the two is wrong, and the platform says which.
+    m_mustList = true;
+    usePlatform(now, commands);
+}
+
+void ConfigStore::noteAnswer(const ConfigUpdate &update)
+{
+    const auto &digest = update.m_sender.m_digest;
+    if (!isLocal(update.m_sender.m_node) || !digest.m_ready)
+        return;
+    if (digest.m_completeTo <= m_known.completeTo())
+        m_peers[update.m_sender.m_node].m_answered = true;
+}
+
+ConfigAsk ConfigStore::makeAsk() const
+{
+    return {m_setup.m_node, m_setup.m_dataCentre, m_setup.m_incarnation, m_known.completeTo()};
+}
+
+void ConfigStore::ask(const NodeId &peer, TimePoint now, ConfigCommands &commands)
+{
+    // One question at a time: after a change every peer's digest is ahead, and one answer will do.
+    if (now < m_mayAskAt)
+        return;
+    m_mayAskAt = now + m_setup.m_askInterval;
+    commands.emplace_back(AskPeer{peer, makeAsk()});
+}
+
+void ConfigStore::askForReadiness(ConfigCommands &commands)
+{
+    for (const auto &[node, view] : m_peers) {
+        if (!view.m_answered)
+            commands.emplace_back(AskPeer{node, makeAsk()});
+    }
+}
+
+void ConfigStore::spreadDigest(ConfigCommands &commands) const
+{
+    for (const auto &[node, view] : m_peers)
+        commands.emplace_back(SendDigest{node, digest()});
+}
+
+void ConfigStore::spreadChanges(const ConfigChanges &changes, ConfigCommands &commands) const
+{
+    for (const auto &[node, view] : m_peers)
+        commands.emplace_back(SendUpdate{node, {digest(), changes, {}, 0}});
+}
+
+void ConfigStore::settle(ConfigCommands &commands)
+{
+    const auto reason = m_ready ? std::string() : readyReason();
+    if (!m_ready && reason.empty())
+        return;
+    putSafeInForce(commands);
+    // A node that was ready with half of its configuration would refuse or misjudge requests.
+    if (m_ready || !m_candidates.empty())
+        return;
+    m_ready = true;
+    commands.emplace_back(ConfigReady{reason});
+}
+
+void ConfigStore::putSafeInForce(ConfigCommands &commands)
+{
+    for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
+        if (!isSafe(candidate->second)) {
+            ++candidate;
+            continue;
+        }
+        auto &[object, value, learnedAt] = candidate->second;
+        m_highestInForce = std::max(m_highestInForce, object.m_version);
+        m_floor = std::max(m_floor, object.m_version);
+        const bool wasInForce = m_inForce.erase(object.m_key) > 0;
+        if (!object.m_deleted)
+            m_inForce[object.m_key] = object;
+        if (!object.m_deleted || wasInForce)
+            commands.emplace_back(InForce{std::move(object), std::move(value)});
+        candidate = m_candidates.erase(candidate);
+    }
+}
+
+/// Why the node may become ready, or empty.
+std::string ConfigStore::readyReason() const
+{
+    if (m_readThisLife)
+        return "the platform was read";
+    const auto margin =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_setup.m_clockMargin);
+    if (m_confirmedAsOf > m_setup.m_startedAt + margin.count())
+        return "a peer's configuration was confirmed after the start";
+    if (hasEveryAnswer())
+        return "every node of the data centre has answered";
+    return {};
+}
+
+bool ConfigStore::hasEveryAnswer() const
+{
+    if (m_peers.empty() || m_known.completeTo() < m_floor)
+        return false;
+    const auto hasAnswered = [](const auto &peer) {
+        return peer.second.m_answered;
+    };
+    return std::all_of(m_peers.begin(), m_peers.end(), hasAnswered);
+}
+
+std::string ConfigStore::notReadyReason() const
+{
+    if (m_ready)
+        return {};
+    if (!readyReason().empty())
+        return "the configuration is known, but no node of the data centre has taken note of it";
+    std::string missing;
+    for (const auto &[node, view] : m_peers) {
+        if (!view.m_answered)
+            missing += (missing.empty() ? "" : ", ") + node.text();
+    }
+    if (missing.empty())
+        return "the platform hasn't answered, and the peers know less than what was in force";
+    return "the platform hasn't answered, nor have these nodes while ready: " + missing;
+}
+
+/// Whether another node knows the candidate, or none ran after it was learned; see the class.
+bool ConfigStore::isSafe(const Candidate &candidate) const
+{
+    const auto knowsIt = [&candidate](const auto &peer) {
+        return peer.second.m_completeTo >= candidate.m_object.m_version;
+    };
+    const auto wasGone = [&candidate](const auto &peer) {
+        return peer.second.m_goneAfter >= candidate.m_learnedAt;
+    };
+    return std::any_of(m_peers.begin(), m_peers.end(), knowsIt)
+           || std::all_of(m_peers.begin(), m_peers.end(), wasGone);
+}
+
+void ConfigStore::onPlatformAnswer(const ConfigChanges &changes, WallMillis askedAt, TimePoint now,
+                                   ConfigCommands &commands)
+{
+    m_platformCallOut = false;
+    m_backoff = Duration::zero();
+    takeChanges(changes, now, commands);
+    m_readThisLife = true;
+    confirm(askedAt, now);
+    m_confirmedSeenAt = now;
+}
+
+/// Starts a call to the platform where one is due: the relay's next watch, or a list.
+void ConfigStore::usePlatform(TimePoint now, ConfigCommands &commands)
+{
+    if (m_platformCallOut || now < m_platformNotBefore)
+        return;
+    const bool mustList = m_mustList || !m_readThisLife;
+    if (mustList || (!isRelay() && isNewsOverdue(now))) {
+        m_platformCallOut = true;
+        commands.emplace_back(ReadPlatform{});
+        return;
+    }
+    if (!isRelay())
+        return;
+    m_platformCallOut = true;
+    commands.emplace_back(WatchPlatform{m_known.completeTo(), m_setup.m_watchTimeout});
+}
+
+/// Failure guarded against: the relay lives and serves, but its way to the platform is cut or its
+/// connection has gone silent, and the data centre hears nothing new. The others then read the
+/// platform themselves, the next in rank first, so that not all of them do.
+bool ConfigStore::isNewsOverdue(TimePoint now) const
+{
+    constexpr int mostTurns = 8;
+    const auto order = rendezvousChoice(configRelayKey, m_liveNodes, m_liveNodes.size());
+    const auto self = std::find(order.begin(), order.end(), m_setup.m_node);
+    const auto rank = static_cast<int>(self - order.begin());
+    return now - m_confirmedSeenAt >= m_setup.m_relayPatience * std::min(1 + rank / 2, mostTurns);
+}
+
+bool ConfigStore::isRelay() const
+{
+    return isRendezvousChoice(configRelayKey, m_liveNodes, 1, m_setup.m_node);
+}
+
+ConfigVersion ConfigStore::versionInForce() const
+{
+    return m_highestInForce;
+}
+
+std::vector<ConfigObject> ConfigStore::inForce() const
+{
+    std::vector<ConfigObject> objects;
+    for (const auto &[key, object] : m_inForce)
+        objects.push_back(object);
+    return objects;
+}
+
+std::optional<ConfigObject> ConfigStore::inForce(const ConfigKey &key) const
+{
+    const auto found = m_inForce.find(key);
+    if (found == m_inForce.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::vector<BodyRefused> ConfigStore::refused() const
+{
+    std::vector<BodyRefused> bodies;
+    for (const auto &[key, body] : m_refused)
+        bodies.push_back(body);
+    return bodies;
+}
+
+ConfigDigestFrom ConfigStore::digest() const
+{
+    ConfigDigestFrom from{m_setup.m_node, m_setup.m_dataCentre, m_setup.m_incarnation, {}};
+    m_known.describe(from.m_digest);
+    from.m_digest.m_floor = m_floor;
+    from.m_digest.m_confirmedAsOf = m_confirmedAsOf;
+    from.m_digest.m_ready = m_ready;
+    return from;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::node(NodeId node, DataCentreId dataCentre,
+                                             Incarnation incarnation)
+{
+    m_setup.m_node = std::move(node);
+    m_setup.m_dataCentre = std::move(dataCentre);
+    m_setup.m_incarnation = incarnation;
+    return *this;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::localPeers(std::vector<NodeId> peers)
+{
+    m_setup.m_localPeers = std::move(peers);
+    return *this;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::startedAt(WallMillis time)
+{
+    m_setup.m_startedAt = time;
+    return *this;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::clockMargin(Duration margin)
+{
+    m_setup.m_clockMargin = margin;
+    return *this;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::watchTimeout(Duration timeout)
+{
+    m_setup.m_watchTimeout = timeout;
+    return *this;
+}
+
+ConfigStoreBuilder &ConfigStoreBuilder::relayPatience(Duration patience)
+{
+    m_setup.m_relayPatience = patience;
+    return *this;
+}
+
+} // namespace gypsumdale
--- a/src/settings/detail/schema.hpp
+++ b/src/settings/detail/schema.hpp
@@ -98,10 +98,15 @@
             return;
         }
         for (const auto &rule : m_rules) {
-            if (rule.m_name == name) {
+            if (rule.m_name != name)
+                continue;
+            // The parser places a value that isn't there on a later line.
+            if (value.IsNull())
+                reader.add(ErrorId::SettingsWrongType, key,
+                           fmt::format("the key {} has no value", name));
+            else
                 rule.m_read(value, structure, reader);
-                return;
-            }
+            return;
         }
         reader.add(ErrorId::SettingsUnknownKey, key, fmt::format("unknown key {}", name),
                    nearestHint(name, names()));
--- a/src/settings/profile.cpp
+++ b/src/settings/profile.cpp
@@ -2,7 +2,7 @@
 
 #include <gypsumdale/settings/profile.hpp>
 
-#include <algorithm> // find
+#include <algorithm> // find, min
 
 namespace gypsumdale {
 
@@ -37,7 +37,7 @@
     schema.key("requests", &QueueLimits::m_requests, IntegerKind(0, 100000),
                "requests of the profile that may wait on one node")
             .key("wait", &QueueLimits::m_wait, DurationKind(milliseconds(0), hours(1)),
-                 "the longest wait of a request in the queue");
+                 "the longest wait of a request in the queue; the deadline where that is shorter");
     return schema;
 }
 
@@ -96,11 +96,20 @@
     if (latency.m_firstToken > latency.m_deadline)
         reader.add(ErrorId::SettingsContradiction, nodeAt(root, {"latency", "first-token"}),
                    "the first token's target lies behind the deadline");
-    if (profile.m_queue.m_wait > latency.m_deadline)
-        reader.add(ErrorId::SettingsContradiction, nodeAt(root, {"queue", "wait"}),
+    const auto wait = nodeAt(root, {"queue", "wait"});
+    if (wait.IsScalar() && profile.m_queue.m_wait > latency.m_deadline)
+        reader.add(ErrorId::SettingsContradiction, wait,
                    "the longest wait in the queue lies behind the deadline");
 }
 
+/// Bends defaults that the document's own values rule out.
+void fitDefaults(Profile &profile)
+{
+    if (profile.m_repeatSafety == RepeatSafety::Once)
+        profile.m_retries = 0;
+    profile.m_queue.m_wait = std::min(profile.m_queue.m_wait, profile.m_latency.m_deadline);
+}
+
 } // namespace
 
 bool Profile::allowsService(const ServiceId &service) const
@@ -116,10 +125,8 @@
     Profile profile;
     profile.m_id = id;
     auto checked = checkDocument(profileSchema(), profile, text, document, checkContradictions);
-    // A request that runs once has no second attempt, whatever the default says.
-    auto *read = std::get_if<Profile>(&checked);
-    if (read && read->m_repeatSafety == RepeatSafety::Once)
-        read->m_retries = 0;
+    if (auto *read = std::get_if<Profile>(&checked))
+        fitDefaults(*read);
     return checked;
 }
 
