--- a/include/gypsumdale/policy/admission.hpp
+++ b/include/gypsumdale/policy/admission.hpp
@@ -177,6 +177,7 @@
         std::uint32_t m_peers = 0;
         RecentDispatches m_recent;
         double m_firstTokenSeconds = 0.0;
+        TimePoint m_firstTokenAt{};
         double m_betweenTokensSeconds = 0.0;
         double m_failures = 0.0;
         TimePoint m_failuresAt{};
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double gain = 0.2;
+/// An upstream that was slow would never be tried again if that were not forgotten.
+constexpr double firstTokenHalfLifeSeconds = 2.0;
 constexpr double failureHalfLifeSeconds = 10.0;
 /// How much later than told clients may come back, so that they don't all come at once.
 constexpr double retryJitter = 0.25;
@@ -321,6 +323,7 @@
         return;
     double &known = upstream->second.m_firstTokenSeconds;
     known = smoothed(known, toSeconds(taken));
+    upstream->second.m_firstTokenAt = now;
 }
 
 void AdmissionController::tokens(const RequestId &request, std::uint32_t count, TimePoint now)
@@ -572,7 +575,9 @@
     result.m_isReclaimable = state.m_isReclaimable;
     result.m_reclaimRisk = state.m_reclaimRisk;
     result.m_isLeaving = state.m_isLeaving;
-    result.m_firstToken = fromSeconds(upstream.m_firstTokenSeconds);
+    const double age = toSeconds(now - upstream.m_firstTokenAt);
+    const double faded = std::exp2(-age / firstTokenHalfLifeSeconds);
+    result.m_firstToken = fromSeconds(upstream.m_firstTokenSeconds * faded);
     result.m_betweenTokens = fromSeconds(upstream.m_betweenTokensSeconds);
     result.m_recentFailures = fadedFailures(upstream, now);
     return result;
--- a/src/policy/detail/routing_filter.cpp
+++ b/src/policy/detail/routing_filter.cpp
@@ -15,10 +15,14 @@
     return result;
 }
 
+bool hasFreeSlot(const Candidate &candidate)
+{
+    return estimatedLoad(candidate) < candidate.m_slots;
+}
+
 bool canServe(const RoutingRequest &request, const Candidate &candidate)
 {
-    return estimatedLoad(candidate) < candidate.m_slots
-           && candidate.m_firstToken <= request.m_firstTokenIn;
+    return hasFreeSlot(candidate) && candidate.m_firstToken <= request.m_firstTokenIn;
 }
 
 bool someCanServe(const RoutingRequest &request, const CandidatePointers &candidates)
@@ -49,11 +53,13 @@
     CandidatePointers near = filtered(fresh, [&request](const Candidate *one) {
         return one->m_dataCentre == request.m_dataCentre;
     });
+    // Slow ones near by stay in the choice: left out, they would never be measured again.
     if (someCanServe(request, near))
-        return near;
-    CandidatePointers region = filtered(
-            fresh, [&request](const Candidate *one) { return one->m_region == request.m_region; });
-    if (someCanServe(request, region))
+        return filtered(near, [](const Candidate *one) { return hasFreeSlot(*one); });
+    const CandidatePointers region = filtered(fresh, [&request](const Candidate *one) {
+        return one->m_region == request.m_region && canServe(request, *one);
+    });
+    if (!region.empty())
         return region;
     return fresh;
 }
