--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -140,6 +140,8 @@
   23: i64 receiverIncarnation
   24: i64 inFlightVersion
   25: i64 inFlightSeen
+  // Between data centres: the digest of the receiver's nodes that the sender has.
+  26: i64 heldNodesDigest
 }
 
 struct ConfigObject {
@@ -258,6 +260,15 @@
   2: string text
 }
 
+// Which version of a configuration object is in force at the receiver.
+struct VersionAsk {
+  1: string name
+}
+
+struct VersionInForce {
+  1: i64 version
+}
+
 union PeerRequestBody {
   1: Heartbeat heartbeat
   2: ConfigAsk configAsk
@@ -276,6 +287,7 @@
   // Answers that come later than the message they answer.
   15: jobs.JobHoldAnswer jobHoldAnswer
   16: jobs.JobHandOverAnswer jobHandOverAnswer
+  17: VersionAsk versionAsk
 }
 
 union PeerReplyBody {
@@ -289,6 +301,7 @@
   8: Refusal refusal
   9: jobs.JobHoldAnswer jobHoldAnswer
   10: jobs.JobHandOverAnswer jobHandOverAnswer
+  11: VersionInForce versionInForce
 }
 
 struct PeerRequest {
--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -32,6 +32,9 @@
     std::optional<std::vector<NodeIdentity>> m_nodes;
     std::vector<NodeSuspicion> m_suspicions;
     std::vector<DataCentreSummary> m_summaries;
+    /// Of the receiver's data centre, between data centres: the digest of the list of its nodes
+    /// that the sender has.
+    std::int64_t m_heldNodesDigest = 0;
 };
 
 /// Send a heartbeat and give the answer to Membership::onReply.
@@ -174,7 +177,8 @@
         TimePoint m_lastSent;
         std::size_t m_failures = 0;
         int m_sinceNodeList = 0;
-        std::int64_t m_nodesDigestSent = 0;
+        /// The digest of this data centre's list that the other one said to have.
+        std::int64_t m_heldThere = 0;
     };
 
     Peer &ensure(const NodeIdentity &identity, TimePoint now);
@@ -201,6 +205,8 @@
     std::optional<NodeIdentity> summaryTarget(const DataCentreId &dataCentre,
                                               const RemoteLink &link) const;
     DataCentreSummary ownSummary(RemoteLink &link, WallMillis wallNow) const;
+    MembershipMessage messageAcross(const DataCentreId &dataCentre, WallMillis wallNow);
+    std::int64_t heldNodesDigest(const DataCentreId &dataCentre) const;
     void attachSummaries(Peer &peer, MembershipMessage &message);
     void attachNodes(Peer &peer, MembershipMessage &message, TimePoint now);
     std::vector<NodeIdentity> ownNodes() const;
--- a/include/gypsumdale/fleet/membership_settings.hpp
+++ b/include/gypsumdale/fleet/membership_settings.hpp
@@ -26,7 +26,7 @@
     Duration m_longestTickGap = std::chrono::milliseconds(250);
     Duration m_summaryInterval = std::chrono::seconds(2);
     /// After how many summaries the list of nodes is sent again although it did not change.
-    int m_summariesPerNodeList = 30;
+    int m_summariesPerNodeList = 10;
     /// How long a dead node that neither settings nor the VM list name is remembered.
     Duration m_forgetAfter = std::chrono::minutes(10);
 };
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -270,6 +270,8 @@
                 ensure(node, now);
         }
     }
+    if (isDirect)
+        m_links[message.m_from.m_dataCentre].m_heldThere = message.m_heldNodesDigest;
     for (const DataCentreSummary &summary : message.m_summaries)
         takeSummary(summary, isDirect, now, received.m_commands);
     return received;
@@ -399,10 +401,7 @@
     const DataCentreId &dataCentre = found->second.m_view.m_identity.m_dataCentre;
     if (isOwn(dataCentre))
         return;
-    RemoteLink &link = m_links[dataCentre];
-    ++link.m_failures;
-    // What was sent may not have arrived: the next one brings the list of nodes again.
-    link.m_nodesDigestSent = 0;
+    ++m_links[dataCentre].m_failures;
 }
 
 // --- what is sent -----------------------------------------------------------------------------
@@ -470,8 +469,7 @@
     if (isOwn(sender.m_dataCentre)) {
         reply = messageFor(peer, now);
     } else {
-        reply = baseMessage();
-        reply.m_summaries.push_back(ownSummary(m_links[sender.m_dataCentre], wallNow));
+        reply = messageAcross(sender.m_dataCentre, wallNow);
     }
     // A process whose incarnation is not above one already seen, as after its clock was set back,
     // would never be heard: this makes it raise its own.
@@ -496,9 +494,7 @@
         const std::optional<NodeIdentity> target = summaryTarget(dataCentre, link);
         if (!target)
             continue;
-        MembershipMessage message = baseMessage();
-        message.m_summaries.push_back(ownSummary(link, wallNow));
-        commands.push_back(SendHeartbeat{*target, std::move(message)});
+        commands.push_back(SendHeartbeat{*target, messageAcross(dataCentre, wallNow)});
     }
 }
 
@@ -520,6 +516,21 @@
     return m_peers.at(chosen).m_view.m_identity;
 }
 
+MembershipMessage Membership::messageAcross(const DataCentreId &dataCentre, WallMillis wallNow)
+{
+    MembershipMessage message = baseMessage();
+    message.m_summaries.push_back(ownSummary(m_links[dataCentre], wallNow));
+    message.m_heldNodesDigest = heldNodesDigest(dataCentre);
+    return message;
+}
+
+std::int64_t Membership::heldNodesDigest(const DataCentreId &dataCentre) const
+{
+    const auto held = m_summaries.find(dataCentre);
+    const bool hasList = held != m_summaries.end() && held->second.m_summary.m_nodes;
+    return hasList ? digestOf(*held->second.m_summary.m_nodes) : 0;
+}
+
 DataCentreSummary Membership::ownSummary(RemoteLink &link, WallMillis wallNow) const
 {
     DataCentreSummary summary;
@@ -529,12 +540,11 @@
     summary.m_services = m_services;
     const std::vector<NodeIdentity> nodes = ownNodes();
     summary.m_nodesDigest = digestOf(nodes);
-    const bool isChanged = link.m_nodesDigestSent != summary.m_nodesDigest;
+    const bool isChanged = link.m_heldThere != summary.m_nodesDigest;
     ++link.m_sinceNodeList;
     if (isChanged || link.m_sinceNodeList >= m_settings.m_summariesPerNodeList) {
         summary.m_nodes = nodes;
         link.m_sinceNodeList = 0;
-        link.m_nodesDigestSent = summary.m_nodesDigest;
     }
     return summary;
 }
--- a/src/fleet/peer_codec.cpp
+++ b/src/fleet/peer_codec.cpp
@@ -23,7 +23,8 @@
     return set.heartbeat || set.configAsk || set.configUpdate || set.configDigest
            || set.leavingNotices || set.noticesAsk || set.jobHold || set.jobRelease
            || set.jobHandOver || set.jobLocate || set.claimForward || set.claimRecord
-           || set.decisionsAsk || set.vmListPush || set.jobHoldAnswer || set.jobHandOverAnswer;
+           || set.decisionsAsk || set.vmListPush || set.jobHoldAnswer || set.jobHandOverAnswer
+           || set.versionAsk;
 }
 
 bool hasBody(const PeerReplyBody &body)
@@ -31,7 +32,7 @@
     const auto &set = body.__isset;
     return set.heartbeat || set.configUpdate || set.leavingNotices || set.jobLocated
            || set.claimForwarded || set.decisions || set.accepted || set.refusal
-           || set.jobHoldAnswer || set.jobHandOverAnswer;
+           || set.jobHoldAnswer || set.jobHandOverAnswer || set.versionInForce;
 }
 
 template <typename Message>
@@ -273,6 +274,7 @@
     heartbeat.sequence = message.m_sequence;
     heartbeat.draining = message.m_draining;
     heartbeat.nodesDigest = message.m_nodesDigest;
+    heartbeat.heldNodesDigest = message.m_heldNodesDigest;
     if (message.m_nodes)
         heartbeat.__set_nodes(toWire(*message.m_nodes));
     for (const gypsumdale::NodeSuspicion &suspicion : message.m_suspicions) {
@@ -298,6 +300,7 @@
     message.m_sequence = heartbeat.sequence;
     message.m_draining = heartbeat.draining;
     message.m_nodesDigest = heartbeat.nodesDigest;
+    message.m_heldNodesDigest = heartbeat.heldNodesDigest;
     if (heartbeat.__isset.nodes)
         message.m_nodes = fromWire(heartbeat.nodes, heartbeat.dataCentre, heartbeat.region);
     for (const NodeSuspicion &item : heartbeat.suspicions)
--- a/src/fleet/peer_exchange.cpp
+++ b/src/fleet/peer_exchange.cpp
@@ -71,7 +71,9 @@
 
 void PeerExchange::forgetCursors()
 {
-    const auto isForgotten = [this](const auto &entry) { return !m_membership.find(entry.first); };
+    const auto isForgotten = [this](const auto &entry) {
+        return !m_membership.find(entry.first);
+    };
     std::erase_if(m_cursors, isForgotten);
     std::erase_if(m_noticesSentAt, isForgotten);
 }
@@ -179,9 +181,14 @@
     cursor.m_theirUpstreamsSeen = knowsThis ? heartbeat.upstreamsSeen : 0;
     cursor.m_theirTokensSeen = knowsThis ? heartbeat.tokensSeen : 0;
     cursor.m_theirInFlightSeen = knowsThis ? heartbeat.inFlightSeen : 0;
-    cursor.m_upstreamsSeen = heartbeat.upstreamsVersion;
-    cursor.m_tokensSeen = heartbeat.tokensVersion;
-    cursor.m_inFlightSeen = heartbeat.inFlightVersion;
+    // A heartbeat on its way to the process that ran here before carries what that one lacked, not
+    // what this one does: its values are good, but they are not all up to its version. One that
+    // knew of no process here carries everything.
+    if (knowsThis || heartbeat.receiverIncarnation == 0) {
+        cursor.m_upstreamsSeen = heartbeat.upstreamsVersion;
+        cursor.m_tokensSeen = heartbeat.tokensVersion;
+        cursor.m_inFlightSeen = heartbeat.inFlightVersion;
+    }
 
     for (const wire::UpstreamObservation &item : heartbeat.observations)
         forward(m_upstreams.onObservation(node, wire::fromWire(item), now), commands);
--- /dev/null
+++ b/tests/src/unit-membership.cpp
@@ -0,0 +1,283 @@
+#include "fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm> // any_of, count_if
+
+using namespace gypsumdale;
+using namespace gypsumdale::test;
+
+namespace {
+
+NodeState stateAt(FleetWorld &world, const std::string &observer, const std::string &subject)
+{
+    const NodeView *view = world.exchange(observer).membership().find(NodeId(subject));
+    REQUIRE(view != nullptr);
+    return view->m_state;
+}
+
+bool everHeldDead(FleetWorld &world, const std::string &observer)
+{
+    const auto &changes = world.node(observer).m_nodeChanges;
+    return std::any_of(changes.begin(), changes.end(),
+                       [](const auto &change) { return change.m_state == NodeState::Dead; });
+}
+
+FleetWorld threeNodes()
+{
+    FleetWorld world;
+    for (const char *name : {"banos-1", "banos-2", "banos-3"})
+        world.addNode(name, "banos");
+    return world;
+}
+
+} // namespace
+
+TEST_CASE("Nodes of a data centre find and hear each other")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    CHECK(stateAt(world, "banos-1", "banos-3") == NodeState::Alive);
+    CHECK(stateAt(world, "banos-3", "banos-1") == NodeState::Alive);
+    CHECK(world.exchange("banos-2").membership().dutyNodes().size() == 3);
+
+    SECTION("one that is no seed is learned from a peer's list")
+    {
+        // banos-4 knows all; banos-1 to 3 were started before it and do not name it.
+        world.addNode("banos-4", "banos");
+        world.cut(NodeId("banos-4"), NodeId("banos-1"));
+        world.run(seconds(3));
+        CHECK(world.exchange("banos-1").membership().find(NodeId("banos-4")) != nullptr);
+        world.heal();
+        world.run(seconds(3));
+        CHECK(stateAt(world, "banos-1", "banos-4") == NodeState::Alive);
+    }
+
+    SECTION("an exchange covers both directions")
+    {
+        const std::size_t before = world.m_messages;
+        world.run(seconds(10));
+        // Three pairs, at most five exchanges a second, two messages each; never twice that.
+        CHECK(world.m_messages - before <= 3 * 5 * 10 * 2 + 6);
+    }
+}
+
+// A clerk's report is resumed on another VM only once its node is dead, so a node that merely fell
+// silent to one other must not be taken for dead. The link between two nodes goes silent for good
+// while both still talk with the third; then the node really dies.
+TEST_CASE("Silence makes a suspect, and only a second witness makes it dead")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    world.cut(NodeId("banos-1"), NodeId("banos-2"));
+    world.run(seconds(20));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Suspect);
+    CHECK(stateAt(world, "banos-3", "banos-2") == NodeState::Alive);
+
+    world.pause(world.node("banos-2"));
+    world.run(seconds(5));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Dead);
+    CHECK(stateAt(world, "banos-3", "banos-2") == NodeState::Dead);
+
+    // It was only paused. It may not simply be alive again: its jobs may be others' by now.
+    const Incarnation before = world.node("banos-2").m_identity.m_incarnation;
+    world.heal();
+    world.resume(world.node("banos-2"));
+    world.run(seconds(8));
+    CHECK(stateAt(world, "banos-3", "banos-2") == NodeState::Alive);
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Alive);
+    CHECK(world.node("banos-2").m_identity.m_incarnation > before);
+}
+
+// The host stops a VM for half a minute. When it goes on, its last word from everybody is thirty
+// seconds old. Were that silence, it would hold the whole data centre for dead and take its jobs.
+TEST_CASE("A pause of the observer makes nobody dead")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    world.pause(world.node("banos-1"));
+    world.run(seconds(30));
+    world.resume(world.node("banos-1"));
+    world.run(seconds(5));
+    CHECK_FALSE(everHeldDead(world, "banos-1"));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Alive);
+    CHECK(stateAt(world, "banos-2", "banos-1") == NodeState::Alive);
+}
+
+// A node cut off from all others hears nobody. It is more likely the one that is cut off than the
+// last one alive: nobody can confirm, so it holds nobody for dead.
+TEST_CASE("A node that hears nobody holds nobody for dead")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    world.cut(NodeId("banos-1"), NodeId("banos-2"));
+    world.cut(NodeId("banos-1"), NodeId("banos-3"));
+    world.run(seconds(30));
+    CHECK_FALSE(everHeldDead(world, "banos-1"));
+    CHECK(stateAt(world, "banos-2", "banos-1") == NodeState::Dead);
+}
+
+TEST_CASE("The VM list settles what silence alone does not")
+{
+    FleetWorld world;
+    world.addNode("banos-1", "banos");
+    world.addNode("banos-2", "banos");
+    world.run(seconds(2));
+    auto &exchange = world.exchange("banos-1");
+    const ListedNode listed{world.node("banos-2").m_identity, false};
+    exchange.onVmList({listed}, {}, world.now(), world.wall());
+    exchange.onVmList({}, {}, world.now(), world.wall());
+    world.run(seconds(3));
+    // It is heard, so the list is wrong or late.
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Alive);
+    world.pause(world.node("banos-2"));
+    world.run(seconds(3));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Dead);
+}
+
+TEST_CASE("A draining node says so and loses its duties")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    world.exchange("banos-2").setDraining();
+    world.run(seconds(1));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Leaving);
+    CHECK(world.exchange("banos-1").membership().dutyNodes().size() == 2);
+
+    SECTION("and comes back as a new incarnation")
+    {
+        world.start(world.node("banos-2"));
+        world.run(seconds(2));
+        CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Alive);
+    }
+}
+
+// A VM is replaced under the same name and its clock runs an hour behind. Its incarnation is lower
+// than the last one, and all its heartbeats would be taken for old ones for that hour.
+TEST_CASE("A node whose clock was set back raises its incarnation")
+{
+    FleetWorld world = threeNodes();
+    world.run(seconds(2));
+    auto &node = world.node("banos-2");
+    NodeIdentity identity = node.m_identity;
+    identity.m_incarnation -= 3600000;
+    UpstreamTableSettingsBuilder table;
+    table.self(identity.m_node, identity.m_dataCentre);
+    MembershipSettingsBuilder membership;
+    membership.self(identity).seed(world.node("banos-1").m_identity);
+    node.m_exchange =
+            std::make_unique<PeerExchange>(membership.build(), table.build(), world.now());
+    world.run(seconds(5));
+    CHECK(stateAt(world, "banos-1", "banos-2") == NodeState::Alive);
+}
+
+TEST_CASE("Data centres know each other by summaries")
+{
+    FleetWorld world;
+    for (const char *name : {"banos-1", "banos-2", "banos-3"})
+        world.addNode(name, "banos");
+    for (const char *name : {"centro-1", "centro-2", "centro-3"})
+        world.addNode(name, "el-centro");
+    world.addRunner("r-1", "el-centro");
+    world.readLists();
+    world.run(seconds(10));
+    const DataCentreId other("el-centro");
+    for (const char *name : {"banos-1", "banos-2", "banos-3"}) {
+        const Membership &membership = world.exchange(name).membership();
+        REQUIRE(membership.summaries().contains(other));
+        const auto &summary = membership.summaries().at(other).m_summary;
+        REQUIRE(summary.m_services.size() == 1);
+        CHECK(summary.m_services.front().m_slots == 8);
+        CHECK(membership.aliveNodes(other).size() == 3);
+    }
+
+    SECTION("and stay in touch when the chosen nodes die")
+    {
+        // Whichever nodes exchange the summaries, one pair is left.
+        for (const char *name : {"centro-1", "centro-2", "banos-1", "banos-2"})
+            world.pause(world.node(name));
+        world.run(seconds(40));
+        const auto &held = world.exchange("banos-3").membership().summaries().at(other);
+        CHECK(world.now() - held.m_receivedAt < seconds(20));
+    }
+
+    SECTION("and a cut between them makes suspects, not dead")
+    {
+        for (const auto &[left, one] : world.m_nodes) {
+            for (const auto &[right, two] : world.m_nodes) {
+                if (one.m_identity.m_dataCentre != two.m_identity.m_dataCentre)
+                    world.cut(left, right);
+            }
+        }
+        world.run(seconds(300));
+        CHECK(stateAt(world, "banos-1", "centro-1") == NodeState::Suspect);
+        world.heal();
+        world.run(seconds(15));
+        CHECK(stateAt(world, "banos-1", "centro-1") == NodeState::Alive);
+        CHECK(world.exchange("banos-1").membership().aliveNodes(other).size() == 3);
+    }
+}
+
+TEST_CASE("Heartbeats grow rarer as the data centre grows, and keep to their budget")
+{
+    MembershipSettingsBuilder builder;
+    NodeIdentity self;
+    self.m_node = NodeId("n-0");
+    self.m_dataCentre = DataCentreId("olten-a");
+    builder.self(self).bytesPerSecond(12000);
+    for (int number = 1; number < 44; ++number) {
+        NodeIdentity seed = self;
+        seed.m_node = NodeId("n-" + std::to_string(number));
+        builder.seed(seed);
+    }
+    const TimePoint start = TimePoint() + seconds(100);
+    Membership membership(builder.build(), start);
+    for (int count = 0; count < 500; ++count)
+        membership.noteHeartbeatBytes(200);
+    membership.tick(start + milliseconds(50), 0);
+    // 43 peers, 200 bytes each way: 17200 bytes a round, so a round takes 1433 ms.
+    CHECK(toMillis(membership.heartbeatInterval()) == Approx(1433).epsilon(0.01));
+}
+
+// A member's tokens counted before its entry VM's peer restarted must reach the new process too:
+// were the old acknowledgement believed, the member would look unserved there and get too much.
+TEST_CASE("A restarted node is told everything again")
+{
+    FleetWorld world = threeNodes();
+    const MemberId member("Schrauben-Kontor");
+    world.exchange("banos-1").setOwnTokens(member, 500);
+    world.run(seconds(2));
+    auto &second = world.node("banos-2");
+    REQUIRE_FALSE(second.m_tokens.empty());
+    CHECK(second.m_tokens.back().m_tokens == 500);
+    // Once acknowledged it is not said again.
+    second.m_tokens.clear();
+    world.run(seconds(5));
+    CHECK(second.m_tokens.empty());
+
+    world.start(second);
+    world.run(seconds(2));
+    REQUIRE_FALSE(second.m_tokens.empty());
+    CHECK(second.m_tokens.front().m_tokens == 500);
+}
+
+TEST_CASE("Frames that are no messages are refused")
+{
+    CHECK_FALSE(succeeded(wire::decodeRequest("")));
+    CHECK_FALSE(succeeded(wire::decodeRequest("not a frame")));
+    wire::PeerRequest request;
+    CHECK_FALSE(succeeded(wire::decodeRequest(wire::encodeRequest(request))));
+    request.body.__set_noticesAsk({});
+    CHECK(succeeded(wire::decodeRequest(wire::encodeRequest(request))));
+    request.protocol = 2;
+    CHECK_FALSE(succeeded(wire::decodeRequest(wire::encodeRequest(request))));
+
+    request.sender = "banos-1";
+    request.sentAtMillis = 1000;
+    request.proof = wire::makeProof("credential", request);
+    CHECK(wire::isProofGood("credential", request, 1500, 1000));
+    CHECK_FALSE(wire::isProofGood("other", request, 1500, 1000));
+    CHECK_FALSE(wire::isProofGood("credential", request, 2500, 1000));
+    request.sender = "banos-2";
+    CHECK_FALSE(wire::isProofGood("credential", request, 1500, 1000));
+}
