--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -20,10 +20,14 @@
 constexpr auto answerTimeout = std::chrono::seconds(15);
 
 /// Tells whether an entry refused a call because of its own state, before it did anything.
-bool refusesForNow(const HttpReply &reply)
+bool isPassedOver(const HttpReply &reply, const AdminCall &call)
 {
     const std::optional<ErrorReply> error = readErrorReply(reply);
-    return error && (error->m_id == ErrorId::NotReady || error->m_id == ErrorId::Draining);
+    if (!error)
+        return false;
+    if (error->m_id == ErrorId::NotFound)
+        return call.m_asksEachEntry;
+    return error->m_id == ErrorId::NotReady || error->m_id == ErrorId::Draining;
 }
 
 } // namespace
@@ -57,7 +61,7 @@
         const std::size_t place = (m_current + tried) % m_entries.size();
         CallResult<HttpReply> result = send(m_entries[place], call);
         if (auto *reply = std::get_if<HttpReply>(&result)) {
-            if (!refusesForNow(*reply)) {
+            if (!isPassedOver(*reply, call)) {
                 m_current = place;
                 return std::move(*reply);
             }
@@ -80,7 +84,7 @@
 
 AdminResult AdminClient::get(const std::string &target)
 {
-    return call({"GET", target, "", Resend::Always});
+    return call({"GET", target, "", Resend::Always, false});
 }
 
 std::string AdminClient::currentEntry() const
--- a/src/ctl/admin_client.hpp
+++ b/src/ctl/admin_client.hpp
@@ -29,6 +29,8 @@
     std::string m_target;
     std::string m_body;
     Resend m_resend = Resend::Always;
+    /// Whether an entry that answers "not found" is passed over, as another one may know it.
+    bool m_asksEachEntry = false;
 };
 
 /// Why no entry answered.
--- a/src/ctl/admin_reply.cpp
+++ b/src/ctl/admin_reply.cpp
@@ -9,6 +9,21 @@
 
 namespace {
 
+/// Begins the line that a node adds to a body that it writes, so that it can tell its own write
+/// when an answer was lost.
+constexpr std::string_view writeMark = "# write: ";
+constexpr std::string_view unknownOutcome = "unknown";
+
+std::string withoutWriteMark(std::string body)
+{
+    const std::size_t lineEnd = body.find_last_not_of('\n');
+    const std::size_t newline = body.rfind('\n', lineEnd);
+    const std::size_t begin = newline == std::string::npos ? 0 : newline + 1;
+    if (body.compare(begin, writeMark.size(), writeMark) == 0)
+        body.erase(begin);
+    return body;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -20,7 +35,7 @@
     const Json &body = memberAt(object, "body");
     if (!version || !body.is_string())
         return std::nullopt;
-    return VersionedBody{*version, body.get<std::string>()};
+    return VersionedBody{*version, withoutWriteMark(body.get<std::string>())};
 }
 
 Finding findingIn(const Json &object, const std::string &document)
@@ -38,7 +53,7 @@
 {
     DataCentreRollout result{textAt(object, "dataCentre"), {}};
     for (const Json &node : listAt(object, "nodes"))
-        result.m_nodes.push_back({textAt(node, "node"), integerAt(node, "version").value_or(0)});
+        result.m_nodes.push_back({textAt(node, "node"), integerAt(node, "version")});
     return result;
 }
 
@@ -65,7 +80,7 @@
     if (isSuccess(reply.m_status) || !number)
         return std::nullopt;
     return ErrorReply{static_cast<ErrorId>(*number), textAt(error, "name"),
-                      textAt(error, "message")};
+                      textAt(error, "message"), textAt(document, "outcome") == unknownOutcome};
 }
 
 ExitCode exitCodeFor(const HttpReply &reply)
@@ -73,6 +88,8 @@
     if (isSuccess(reply.m_status))
         return ExitCode::Ok;
     const auto error = readErrorReply(reply);
+    if (error && error->m_isOutcomeUnknown)
+        return ExitCode::OutcomeUnknown;
     return error ? exitCodeFor(error->m_id) : exitCodeForStatus(reply.m_status);
 }
 
--- a/src/ctl/admin_reply.hpp
+++ b/src/ctl/admin_reply.hpp
@@ -19,6 +19,8 @@
     ErrorId m_id = ErrorId::Internal;
     std::string m_name;
     std::string m_message;
+    /// Whether the node itself does not know if the call took effect.
+    bool m_isOutcomeUnknown = false;
 };
 
 /// One version of a settings object.
@@ -28,11 +30,11 @@
     std::string m_body;
 };
 
-/// Which version a node has in force.
+/// Which version a node has in force; nothing if it could not be asked.
 struct NodeVersion
 {
     std::string m_node;
-    std::int64_t m_version = 0;
+    std::optional<std::int64_t> m_version;
 };
 
 struct DataCentreRollout
@@ -64,7 +66,8 @@
 /// Returns what to tell a person about an answer that is an error.
 std::string errorText(const HttpReply &reply);
 
-/// Reads `{"version","body"}`, or nothing from anything else.
+/// Reads `{"version","body"}`, or nothing from anything else. The line by which a node marks a body
+/// as its own write, the last one, is left out.
 std::optional<VersionedBody> readVersionedBody(const HttpReply &reply);
 
 /// Reads the current version out of a conflict's answer, or nothing if it has none.
--- a/src/ctl/command_apply.cpp
+++ b/src/ctl/command_apply.cpp
@@ -91,7 +91,7 @@
 {
     return m_session.m_client.call({"PUT",
                                     fmt::format("{}?version={}", targetOf(m_document), m_base),
-                                    m_document.m_body, Resend::IfUnread});
+                                    m_document.m_body, Resend::IfUnread, false});
 }
 
 ExitCode Application::write()
@@ -242,13 +242,13 @@
 ExitCode forEachDocument(Session &session, Step step)
 {
     const DocumentFiles files = readDocumentFiles(session);
-    if (files.m_code != ExitCode::Ok)
-        return files.m_code;
     if (holdsNodeSettings(files)) {
         session.m_surroundings.m_complain(
                 "gypsumctl: a node reads its own settings file at start; it can't be applied\n");
         return ExitCode::Usage;
     }
+    if (files.m_code != ExitCode::Ok)
+        return files.m_code;
     for (const Document &document : files.m_documents) {
         const ExitCode code = step(session, document);
         if (code != ExitCode::Ok)
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -110,12 +110,14 @@
         session.m_surroundings.m_complain("gypsumctl: drain upstream ID, or node ID\n");
         return ExitCode::Usage;
     }
-    // A second drain of the same thing changes nothing, so that it may be sent again.
+    // A second drain of the same thing changes nothing, so that it may be sent again; only the node
+    // itself takes the order to drain.
     const Json body = {{words[0], words[1]}};
     constexpr bool escapeNonAscii = true;
     const AdminResult result = session.m_client.call(
             {"POST", "/admin/v1/drain",
-             body.dump(-1, ' ', escapeNonAscii, Json::error_handler_t::replace), Resend::Always});
+             body.dump(-1, ' ', escapeNonAscii, Json::error_handler_t::replace), Resend::Always,
+             words[0] == "node"});
     if (const auto *failure = std::get_if<AdminFailure>(&result))
         return complain(session, *failure);
     const HttpReply &reply = std::get<HttpReply>(result);
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -74,8 +74,9 @@
             {"apply",
              "apply -f FILE... [--wait]",
              "Put documents in force.",
-             "A document says what it is by the lines `kind:` and `name:`, or by --kind and "
-             "--name.\n"
+             "A document says what it is by the lines `kind:` and `name:`, by --kind and --name, "
+             "or\n"
+             "by its path, as in profile/phone.yaml.\n"
              "With a `version:` line (or --base-version) it is refused if somebody else changed\n"
              "the object since that version; without one it replaces what is current. All files\n"
              "are checked first, and nothing is sent if one has findings.\n"
@@ -136,7 +137,9 @@
             {"drain",
              "drain upstream|node ID",
              "Let it finish its requests and take no new ones.",
-             "It cuts off no request in flight.\n\n"
+             "It cuts off no request in flight. A node takes the order itself, so that its own "
+             "admin\n"
+             "address must be among the entries.\n\n"
              "Examples:\n"
              "  gypsumctl drain upstream runner-7\n"
              "  gypsumctl drain node olten-a-1\n",
--- a/src/ctl/document.cpp
+++ b/src/ctl/document.cpp
@@ -11,6 +11,7 @@
 
 #include <array> // array
 #include <charconv> // from_chars
+#include <filesystem> // path
 #include <utility> // move
 #include <variant> // get_if
 
@@ -81,6 +82,20 @@
     return head[static_cast<std::size_t>(key)];
 }
 
+/// Fills in from a path such as "profile/phone.yaml" what neither flags nor lines say.
+DocumentFlags completeFromPath(DocumentFlags flags, const Head &head, const std::string &path)
+{
+    const std::filesystem::path parts(path);
+    const std::string folder = parts.parent_path().filename().string();
+    const bool saysKind = !flags.m_kind.empty() || !valueOf(head, HeadKey::Kind).m_text.empty();
+    if (saysKind || !valueIn(documentKindNames, folder))
+        return flags;
+    flags.m_kind = folder;
+    if (flags.m_name.empty() && valueOf(head, HeadKey::Name).m_text.empty())
+        flags.m_name = parts.stem().string();
+    return flags;
+}
+
 void readKind(const Head &head, const DocumentFlags &flags, Document &document, Findings &findings)
 {
     const HeadValue &written = valueOf(head, HeadKey::Kind);
@@ -95,7 +110,8 @@
              {document.m_path, written.m_line, 0},
              isMissing ? "nothing says what kind of document this is"
                        : fmt::format("there is no kind '{}'", name),
-             "write 'kind: profile' (or fleet, member) on a line of its own, or pass --kind"});
+             "write 'kind: profile' (or fleet, member) on a line of its own, pass --kind, or keep "
+             "the file as profile/NAME.yaml"});
 }
 
 void readName(const Head &head, const DocumentFlags &flags, Document &document, Findings &findings)
@@ -172,11 +188,12 @@
 }
 
 Checked<Document> readDocument(std::string_view text, const std::string &path,
-                               const DocumentFlags &flags)
+                               const DocumentFlags &given)
 {
     Document document;
     document.m_path = path;
     const Head head = splitDocument(text, document);
+    const DocumentFlags flags = completeFromPath(given, head, path);
     Findings findings;
     readKind(head, flags, document, findings);
     if (findings.empty())
--- a/src/ctl/document.hpp
+++ b/src/ctl/document.hpp
@@ -23,7 +23,8 @@
         {DocumentKind::Node, "node"},
 }};
 
-/// What flags say about a document; they go before the document's own `kind:` and `name:`.
+/// What flags say about a document; they go before the document's own `kind:` and `name:`, and
+/// these before its path, as in "profile/phone.yaml".
 struct DocumentFlags
 {
     std::string m_kind;
@@ -53,7 +54,7 @@
 
 /// Reads a document; the findings are about its `kind`, `name` and `version` only. Linear.
 Checked<Document> readDocument(std::string_view text, const std::string &path,
-                               const DocumentFlags &flags);
+                               const DocumentFlags &given);
 
 /// Checks the body as the nodes do, and returns what is wrong with it at the lines of the file.
 Findings checkDocument(const Document &document);
--- a/src/ctl/rollout.cpp
+++ b/src/ctl/rollout.cpp
@@ -16,9 +16,11 @@
 {
     std::string text;
     for (const NodeVersion &node : dataCentre.m_nodes) {
-        if (node.m_version < version)
-            text += fmt::format("{}{} (version {})", text.empty() ? "" : ", ", node.m_node,
-                                node.m_version);
+        if (node.m_version >= version)
+            continue;
+        const std::string known =
+                node.m_version ? fmt::format("version {}", *node.m_version) : "no answer";
+        text += fmt::format("{}{} ({})", text.empty() ? "" : ", ", node.m_node, known);
     }
     return text;
 }
--- a/src/ctl/view.cpp
+++ b/src/ctl/view.cpp
@@ -106,6 +106,8 @@
 std::string cellText(const Json &object, const ViewColumn &column)
 {
     const auto number = integerAt(object, column.m_key);
+    if (column.m_show == Show::Seconds && number && *number < 0)
+        return "never";
     if (column.m_show == Show::Seconds && number)
         return fmt::format("{:.1f}s", static_cast<double>(*number) / millisPerSecond);
     if (column.m_show == Show::Time && number)
