--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -56,8 +56,8 @@
     Duration m_maximumLife = std::chrono::hours(6);
     /// From an append until what the log still lacks is appended again.
     Duration m_appendTimeout = std::chrono::seconds(10);
-    /// From the first listing of a log whose process is not among the peers until that counts as
-    /// dead.
+    /// From when a process that a log names was first seen not to be among the peers, until it
+    /// counts as dead.
     Duration m_orphanDelay = std::chrono::seconds(10);
     /// From the last use of another process's log until it is no longer read.
     Duration m_logIdle = std::chrono::seconds(60);
@@ -216,7 +216,12 @@
     /// platform, or with another owner. Constant.
     bool isDrained() const;
 
+    /// Lists the jobs that this node owns, and the finished ones of its own log. Linear.
     std::vector<JobSummary> summaries() const;
+
+    /// Tells how many jobs this node keeps copies of for peers. Constant.
+    std::size_t copiesHeld() const { return m_copyOwners.size(); }
+
     const JobTableCounters &counters() const { return m_counters; }
 
 private:
@@ -339,6 +344,8 @@
 
     // Takeovers of dead owners: job_table_takeover.cpp
     bool isCaretaker(const JobLogId &log) const;
+    bool isLive(const ProcessRef &process) const;
+    bool isGone(const ProcessRef &process, TimePoint now);
     void takeOverLog(const JobLogId &log, FollowedLog &followed, TimePoint now);
     void takeOver(const Job &job, TimePoint now);
     void tickLogs(TimePoint now);
@@ -382,7 +389,7 @@
     JobLogState m_copies;
     std::map<JobId, ProcessRef> m_copyOwners;
     std::map<JobLogId, FollowedLog> m_logs;
-    std::map<JobLogId, TimePoint> m_orphanSince;
+    std::map<ProcessRef, TimePoint> m_missingSince;
     std::deque<FinishedJob> m_finished;
     std::size_t m_finishedBytes = 0;
     TimePoint m_lastCheckpoint;
--- a/src/jobs/job_table_takeover.cpp
+++ b/src/jobs/job_table_takeover.cpp
@@ -51,24 +51,37 @@
 
 void JobTable::onLogsListed(const std::vector<JobLogId> &logs, TimePoint now)
 {
-    std::map<JobLogId, TimePoint> orphans;
     for (const JobLogId &log : logs) {
         const std::optional<ProcessRef> origin = processOf(log);
-        if (!origin || *origin == m_settings.m_self)
-            continue;
-        const JobPeer *peer = findPeer(origin->m_node);
-        if (peer != nullptr && peer->m_process == *origin)
-            continue;
-        const auto known = m_orphanSince.find(log);
-        const TimePoint since = known == m_orphanSince.end() ? now : known->second;
-        orphans.emplace(log, since);
-        const bool isReplaced = peer != nullptr || origin->m_node == m_settings.m_self.m_node;
-        if ((isReplaced || now - since >= m_settings.m_orphanDelay) && isCaretaker(log)) {
-            m_dead.emplace(*origin, now);
+        if (origin && isGone(*origin, now) && isCaretaker(log))
             follow(log, now).m_takeOverAt = now;
-        }
     }
-    m_orphanSince = std::move(orphans);
+}
+
+bool JobTable::isLive(const ProcessRef &process) const
+{
+    const JobPeer *peer = findPeer(process.m_node);
+    return process == m_settings.m_self || (peer != nullptr && peer->m_process == process);
+}
+
+/// Tells whether a process is dead, also one that died before this node knew of it: because it was
+/// said so, because its node runs another process, or because it is missing for long.
+bool JobTable::isGone(const ProcessRef &process, TimePoint now)
+{
+    if (m_dead.contains(process))
+        return true;
+    if (isLive(process)) {
+        m_missingSince.erase(process);
+        return false;
+    }
+    const TimePoint since = m_missingSince.try_emplace(process, now).first->second;
+    const bool isReplaced =
+            process.m_node == m_settings.m_self.m_node || findPeer(process.m_node) != nullptr;
+    if (!isReplaced && now - since < m_settings.m_orphanDelay)
+        return false;
+    m_missingSince.erase(process);
+    m_dead.emplace(process, now);
+    return true;
 }
 
 /// The process that began a log takes care of it; once that is gone, the live node that rendezvous
@@ -107,8 +120,12 @@
         return;
     std::vector<JobId> orphaned;
     for (const auto &[id, job] : followed.m_state.jobs()) {
-        if (!job.isOver() && m_dead.contains(job.m_owner) && !m_owned.contains(id))
+        if (job.isOver() || isLive(job.m_owner) || m_owned.contains(id))
+            continue;
+        if (isGone(job.m_owner, now))
             orphaned.push_back(id);
+        else
+            followed.m_takeOverAt = now + m_settings.m_successorDelay;
     }
     for (const JobId &id : orphaned)
         takeOver(*followed.m_state.find(id), now);
@@ -133,9 +150,11 @@
         emit(LeaveLog{log});
         m_logs.erase(log);
     }
-    std::erase_if(m_dead, [&](const auto &entry) {
+    const auto isForgotten = [&](const auto &entry) {
         return now - entry.second > m_settings.m_maximumLife + m_settings.m_retention;
-    });
+    };
+    std::erase_if(m_dead, isForgotten);
+    std::erase_if(m_missingSince, isForgotten);
 }
 
 } // namespace gypsumdale
