--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -35,6 +35,10 @@
     /// truncated body and no false end. Returns false if the caller has gone.
     virtual bool finish() = 0;
 
+    /// Closes the connection without a further byte, as the end of the process would. The stand-ins
+    /// cause failures with it. Does nothing where an answer has no connection of its own.
+    virtual void abandon() {}
+
     /// Tells whether the caller has closed its connection, as far as is known. Constant.
     virtual bool callerGone() const = 0;
 
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -54,6 +54,11 @@
     bool begin(int status, const HttpHeaders &headers) override;
     bool write(std::string_view chunk) override;
     bool finish() override;
+    void abandon() override
+    {
+        m_callerGone = true;
+        m_stream->close();
+    }
     bool callerGone() const override { return m_callerGone; }
     void onCallerGone(std::function<void()> action) override;
 
--- a/standins/cloud_server.cpp
+++ b/standins/cloud_server.cpp
@@ -84,8 +84,10 @@
             m_faults.take(FaultKind::Silence, line) || m_lifetime.state() == LifeState::Silent;
     if (silent)
         m_lifetime.waitUntilGone(responder);
-    if (silent || !m_lifetime.isAlive() || m_faults.take(FaultKind::CloseBefore, line))
+    if (silent || !m_lifetime.isAlive() || m_faults.take(FaultKind::CloseBefore, line)) {
+        responder.abandon();
         return;
+    }
     if (m_faults.take(FaultKind::Outage, line)) {
         responder.send(errorReply(503, "outage"));
         return;
@@ -93,8 +95,10 @@
     if (const auto slow = m_faults.take(FaultKind::Slow, line))
         m_lifetime.wait(slow->m_delay, responder);
     const HttpReply reply = answer(request, responder);
-    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive())
+    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     responder.send(reply);
 }
 
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -88,8 +88,10 @@
     }
     if (m_lifetime.state() == LifeState::Silent)
         m_lifetime.waitUntilGone(responder);
-    if (!m_lifetime.isAlive())
+    if (!m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     if (request.path() == completionsPath && request.m_method == "POST") {
         complete(request, responder);
         return;
@@ -136,6 +138,8 @@
     m_slotFreed.notify_all();
     if (m_lifetime.state() == LifeState::Silent)
         m_lifetime.waitUntilGone(responder);
+    if (!m_lifetime.isAlive())
+        responder.abandon();
 }
 
 bool EngineServer::passesFaults(const std::string &line, HttpResponder &responder)
@@ -150,7 +154,10 @@
         m_lifetime.waitUntilGone(responder);
         return false;
     }
-    return !m_faults.take(FaultKind::CloseBefore, line);
+    if (!m_faults.take(FaultKind::CloseBefore, line))
+        return true;
+    responder.abandon();
+    return false;
 }
 
 bool EngineServer::awaitSlot(SequenceId id, HttpResponder &responder)
--- a/standins/instance.cpp
+++ b/standins/instance.cpp
@@ -59,7 +59,11 @@
 void Instance::die(LifeState state)
 {
     std::visit([&](auto &server) { server.lifetime().set(state); }, *m_role);
+    // A VM that vanished closes nothing: its socket stays open and nobody answers.
+    if (state == LifeState::Silent)
+        return;
     closeSocket();
+    m_closed.clear();
 }
 
 Result<Done> Instance::restart()
--- a/standins/instance.hpp
+++ b/standins/instance.hpp
@@ -27,7 +27,8 @@
     /// Answers one call, whichever way it came.
     void handle(const HttpRequest &request, HttpResponder &responder);
 
-    /// Stops serving, as a killed process (Stopped) or a vanished VM (Silent) does.
+    /// Stops serving, as a killed process (Stopped, all connections close) or a vanished VM
+    /// (Silent, none does) would.
     void die(LifeState state);
 
     /// Starts anew on the same port with an empty memory and the next incarnation; what a platform
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -143,8 +143,10 @@
     }
     if (m_lifetime.state() == LifeState::Silent)
         m_lifetime.waitUntilGone(responder);
-    if (!m_lifetime.isAlive())
+    if (!m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     const auto target = Target::read(request);
     if (!target) {
         responder.send(errorReply(404, "no such call"));
@@ -172,8 +174,10 @@
     if (const auto slow = m_faults.take(FaultKind::Slow, line))
         latency += slow->m_delay;
     const bool present = m_lifetime.wait(latency, responder);
-    if (!present && !m_lifetime.isAlive())
+    if (!present && !m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     const HttpReply reply =
             target.m_isWatch ? watch(request, target, responder) : perform(request, target);
     // An outage that began while a watch waited must not let the watch's answer through.
@@ -183,8 +187,10 @@
         m_lifetime.waitUntilGone(responder);
         return;
     }
-    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive())
+    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     responder.send(reply);
 }
 
@@ -198,7 +204,10 @@
         m_lifetime.waitUntilGone(responder);
         return false;
     }
-    return !m_faults.take(FaultKind::CloseBefore, line);
+    if (!m_faults.take(FaultKind::CloseBefore, line))
+        return true;
+    responder.abandon();
+    return false;
 }
 
 bool PlatformServer::withinRate(const Target &target, const std::string &line)
--- a/standins/service_server.cpp
+++ b/standins/service_server.cpp
@@ -35,8 +35,10 @@
     }
     if (m_lifetime.state() == LifeState::Silent)
         m_lifetime.waitUntilGone(responder);
-    if (!m_lifetime.isAlive())
+    if (!m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     if (request.path() == "/load" && request.m_method == "GET") {
         responder.send(answerLoad(request.m_method + " " + request.m_target));
         return;
@@ -62,8 +64,10 @@
         m_lifetime.waitUntilGone(responder);
         return;
     }
-    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive())
+    if (m_faults.take(FaultKind::CloseAfter, line) || !m_lifetime.isAlive()) {
+        responder.abandon();
         return;
+    }
     if (m_faults.take(FaultKind::CrossedAnswer, line))
         attempt = foreignAttempt;
     HttpReply reply = jsonReply(200, {{"service", m_settings.m_name},
@@ -87,7 +91,10 @@
         m_lifetime.waitUntilGone(responder);
         return false;
     }
-    return !m_faults.take(FaultKind::CloseBefore, line);
+    if (!m_faults.take(FaultKind::CloseBefore, line))
+        return true;
+    responder.abandon();
+    return false;
 }
 
 HttpReply ServiceServer::answerLoad(const std::string &line)
