--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -30,6 +30,15 @@
     return error->m_id == ErrorId::NotReady || error->m_id == ErrorId::Draining;
 }
 
+/// Writes why an entry gave no answer, its address in front unless the reason begins with it.
+std::string failureLine(const Endpoint &entry, const CallFailure &reason)
+{
+    const std::string address = entryText(entry);
+    if (reason.m_error.m_text.starts_with(address))
+        return reason.m_error.m_text + '\n';
+    return fmt::format("{}: {}\n", address, reason.m_error.m_text);
+}
+
 } // namespace
 
 AdminClient::AdminClient(std::vector<Endpoint> entries, std::string credential, Transport transport)
@@ -69,8 +78,7 @@
             continue;
         }
         const CallFailure &reason = std::get<CallFailure>(result);
-        failure.m_text +=
-                fmt::format("{}: {}\n", entryText(m_entries[place]), reason.m_error.m_text);
+        failure.m_text += failureLine(m_entries[place], reason);
         const bool mayBeRead = reason.m_phase != SendPhase::NothingSent;
         if (mayBeRead && call.m_resend == Resend::IfUnread) {
             failure.m_mayHaveActed = true;
--- a/src/ctl/command_local.cpp
+++ b/src/ctl/command_local.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-/// 192 random bits: far beyond any search, so that a plain hash of the key may be stored.
-constexpr std::size_t keyBytes = 24;
+/// 256 random bits: far beyond any search, so that a plain hash of the key may be stored.
+constexpr std::size_t keyBytes = 32;
 /// Shorter keys are refused as they could be guessed from their hash.
-constexpr std::size_t leastKeyLength = 20;
+constexpr std::size_t leastKeyLength = 32;
 
 std::string hexText(std::string_view bytes)
 {
--- a/tests/src/unit-ctl.cpp
+++ b/tests/src/unit-ctl.cpp
@@ -7,7 +7,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib> // getenv
 #include <deque> // deque
+#include <fstream> // ifstream
+#include <iterator> // istreambuf_iterator
 #include <map> // map
 #include <string> // string
 #include <vector> // vector
@@ -398,7 +401,10 @@
     Bench bench;
     CHECK(bench.run({"keys", "new"}) == ExitCode::Ok);
     const std::string key = bench.m_out.substr(0, bench.m_out.find('\n'));
-    CHECK(key == "gypsum-key-" + std::string("abababababababababababababababababababababababab"));
+    CHECK(key
+          == "gypsum-key-"
+                     + std::string(
+                             "abababababababababababababababababababababababababababababababab"));
     bench.m_input = bench.m_out;
     bench.m_out.clear();
     CHECK(bench.run({"keys", "hash"}) == ExitCode::Ok);
@@ -406,3 +412,19 @@
     bench.m_input = "short\n";
     CHECK(bench.run({"keys", "hash"}) == ExitCode::Usage);
 }
+
+TEST_CASE("the page about gypsumctl")
+{
+    const char *samples = std::getenv("GYPSUMDALE_SAMPLES");
+    REQUIRE(samples != nullptr);
+    std::ifstream file(std::string(samples) + "/../docs/gypsumctl.md");
+    const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    for (const auto &[code, name] : exitCodeNames) {
+        const std::string row =
+                "| " + std::to_string(static_cast<int>(code)) + " | " + std::string(name) + " |";
+        CAPTURE(row);
+        CHECK(page.find(row) != std::string::npos);
+    }
+    for (const Command &command : commands())
+        CHECK(page.find("gypsumctl " + std::string(command.m_name)) != std::string::npos);
+}
