--- a/src/fleet/config_store.cpp
+++ b/src/fleet/config_store.cpp
@@ -194,6 +194,11 @@
     if (!object.m_deleted) {
         auto checked = checkConfigBody(key, object.m_body);
         if (auto *findings = std::get_if<Findings>(&checked)) {
+            // Failure guarded against: a restarted node hears an old version from one peer and a
+            // newer, refused one from another. What its former life had in force may lie between
+            // the two, so the old one must not come into force.
+            if (!m_ready)
+                m_candidates.erase(key);
             m_refused[key] = {key, object.m_version, std::move(*findings)};
             commands.emplace_back(m_refused[key]);
             return;
