--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -15,7 +15,7 @@
 constexpr std::string_view helpHint = "; see `gypsumctl help`";
 constexpr const char *defaultTimeoutSeconds = "30";
 /// Longest --timeout, a day.
-constexpr std::int64_t maxTimeoutSeconds = 24 * 60 * 60;
+constexpr std::int64_t maxTimeoutSeconds = 86400;
 
 struct OptionInGroup
 {
--- a/src/ctl/table.cpp
+++ b/src/ctl/table.cpp
@@ -1,6 +1,6 @@
 #include <ctl/table.hpp>
 
-#include <algorithm> // max, replace_if
+#include <algorithm> // max
 #include <cstddef> // size_t
 
 namespace gypsumdale::ctl {
@@ -40,6 +40,22 @@
     return line + '\n';
 }
 
+/// Returns the length of the control character that a text begins with, or 0. Those of the second
+/// set (U+0080 to U+009F, two bytes in UTF-8) steer terminals as well as those of the first.
+std::size_t controlLength(std::string_view text)
+{
+    constexpr unsigned char firstSetEnd = 0x20;
+    constexpr unsigned char deleteSign = 0x7f;
+    constexpr unsigned char secondSetLead = 0xc2;
+    constexpr unsigned char secondSetEnd = 0xa0;
+    const auto lead = static_cast<unsigned char>(text[0]);
+    if (lead < firstSetEnd || lead == deleteSign)
+        return 1;
+    if (lead != secondSetLead || text.size() < 2)
+        return 0;
+    return static_cast<unsigned char>(text[1]) < secondSetEnd ? 2 : 0;
+}
+
 } // namespace
 
 std::string formatTable(const Table &table)
@@ -56,16 +72,12 @@
 
 std::string printable(std::string_view text)
 {
-    constexpr char escapeEnd = 0x20;
-    constexpr char deleteSign = 0x7f;
-    std::string result(text);
-    std::replace_if(
-            result.begin(), result.end(),
-            [](char letter) {
-                const bool isControl = letter >= 0 && letter < escapeEnd;
-                return isControl || letter == deleteSign;
-            },
-            '?');
+    std::string result;
+    while (!text.empty()) {
+        const std::size_t control = controlLength(text);
+        result += control > 0 ? '?' : text.front();
+        text.remove_prefix(std::max<std::size_t>(control, 1));
+    }
     return result;
 }
 
--- a/tests/src/unit-ctl.cpp
+++ b/tests/src/unit-ctl.cpp
@@ -117,7 +117,7 @@
              "runner-7      8\n"
              "r            16  reclaim notice\n"
              "short\n");
-    CHECK(printable("a\x1b[2J\n\x7f\xc3\xa9") == "a?[2J??\xc3\xa9");
+    CHECK(printable("a\x1b[2J\n\x7f\xc3\xa9\xc2\x9b") == "a?[2J??\xc3\xa9?");
     CHECK(formatDiff("a\nb\nc\n", "a\nx\nc\nd\n") == " a\n-b\n+x\n c\n+d\n");
 }
 
