--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -151,6 +151,13 @@
     const std::map<DataCentreId, ReceivedSummary> &summaries() const { return m_summaries; }
 
 private:
+    /// When the summary, and the list of nodes, that were spread to a peer had been made.
+    struct SpreadTimes
+    {
+        WallMillis m_madeAt = 0;
+        WallMillis m_nodesMadeAt = 0;
+    };
+
     struct Peer
     {
         NodeView m_view;
@@ -160,8 +167,8 @@
         TimePoint m_lastExchange;
         TimePoint m_lastSent;
         std::vector<NodeSuspicion> m_suspicions;
-        /// The times of the summaries that this node last spread to the peer.
-        std::map<DataCentreId, WallMillis> m_summariesSent;
+        /// What this node last spread to the peer.
+        std::map<DataCentreId, SpreadTimes> m_summariesSent;
         std::int64_t m_nodesDigest = 0;
         TimePoint m_nodesSentAt;
         /// Listed by the cloud once, and by its last list.
@@ -188,6 +195,7 @@
                          MembershipCommands &commands);
     void takeSummary(const DataCentreSummary &summary, bool isDirect, TimePoint now,
                      MembershipCommands &commands);
+    void takeNodeList(const DataCentreSummary &summary, bool isStale, ReceivedSummary &held);
     void takeSelfSuspicion(const MembershipMessage &message, MembershipCommands &commands);
     void setState(Peer &peer, NodeState state, std::string reason, TimePoint now,
                   MembershipCommands &commands);
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -331,15 +331,13 @@
     ReceivedSummary &held = m_summaries[summary.m_dataCentre];
     // A sender whose clock runs ahead must not shut out the others for longer than this.
     const bool isStale = now - held.m_receivedAt > missedSummaries * m_settings.m_summaryInterval;
+    takeNodeList(summary, isStale, held);
     if (summary.m_madeAt <= held.m_summary.m_madeAt && !isStale)
         return;
     std::optional<std::vector<NodeIdentity>> nodes = std::move(held.m_summary.m_nodes);
     held.m_summary = summary;
+    held.m_summary.m_nodes = std::move(nodes);
     held.m_receivedAt = now;
-    if (summary.m_nodes)
-        held.m_nodesMadeAt = summary.m_madeAt;
-    else
-        held.m_summary.m_nodes = std::move(nodes);
     if (isDirect)
         m_toSpread.insert(summary.m_dataCentre);
     else
@@ -347,6 +345,17 @@
     takeRemoteNodes(held.m_summary, now, commands);
 }
 
+void Membership::takeNodeList(const DataCentreSummary &summary, bool isStale, ReceivedSummary &held)
+{
+    // The list comes rarely, and two nodes may send summaries in the same millisecond: it is taken
+    // by its own time, also from a summary that is no news itself.
+    const bool isOld = summary.m_madeAt <= held.m_nodesMadeAt && !isStale;
+    if (!summary.m_nodes || isOld)
+        return;
+    held.m_summary.m_nodes = summary.m_nodes;
+    held.m_nodesMadeAt = summary.m_madeAt;
+}
+
 void Membership::takeRemoteNodes(const DataCentreSummary &summary, TimePoint now,
                                  MembershipCommands &commands)
 {
@@ -447,13 +456,14 @@
 {
     for (const DataCentreId &dataCentre : m_toSpread) {
         const ReceivedSummary &held = m_summaries.at(dataCentre);
-        WallMillis &sent = peer.m_summariesSent[dataCentre];
-        if (held.m_summary.m_madeAt == sent)
+        SpreadTimes &sent = peer.m_summariesSent[dataCentre];
+        const bool isListNew = held.m_nodesMadeAt != sent.m_nodesMadeAt;
+        if (held.m_summary.m_madeAt == sent.m_madeAt && !isListNew)
             continue;
         message.m_summaries.push_back(held.m_summary);
-        if (held.m_nodesMadeAt <= sent)
+        if (!isListNew)
             message.m_summaries.back().m_nodes.reset();
-        sent = held.m_summary.m_madeAt;
+        sent = {held.m_summary.m_madeAt, held.m_nodesMadeAt};
     }
 }
 
