--- a/standins/cloud.cpp
+++ b/standins/cloud.cpp
@@ -6,23 +6,25 @@
 
 namespace gypsumdale::standins {
 
-std::string Cloud::add(Vm vm, TimePoint now)
+std::string Cloud::add(Vm vm, TimePoint runsFrom)
 {
     if (vm.m_id.empty())
         vm.m_id = fmt::format("vm-{}", ++m_lastId);
     const std::string id = vm.m_id;
     Record record;
     record.m_vm = std::move(vm);
-    record.m_bornAt = now;
+    record.m_bornAt = runsFrom;
     m_records.insert_or_assign(id, std::move(record));
     return id;
 }
 
-void Cloud::setPort(const std::string &id, std::uint16_t port)
+void Cloud::start(const std::string &id, std::uint16_t port, TimePoint now)
 {
     const auto found = m_records.find(id);
-    if (found != m_records.end())
-        found->second.m_vm.m_port = port;
+    if (found == m_records.end())
+        return;
+    found->second.m_vm.m_port = port;
+    found->second.m_bornAt = now;
 }
 
 bool Cloud::remove(const std::string &id, TimePoint now)
--- a/standins/cloud.hpp
+++ b/standins/cloud.hpp
@@ -56,11 +56,13 @@
         : m_listLag(listLag)
     {}
 
-    /// Adds a VM and returns its id, a new one unless it brings one. Logarithmic.
-    std::string add(Vm vm, TimePoint now);
+    /// Adds a VM that runs from a time on (TimePoint::max() until it is started) and returns its
+    /// id, a new one unless it brings one. Logarithmic.
+    std::string add(Vm vm, TimePoint runsFrom);
 
-    /// Says on which port a VM's service answers. Logarithmic.
-    void setPort(const std::string &id, std::uint16_t port);
+    /// Says that a VM's service answers on a port from now on; the list shows the VM a lag later.
+    /// Logarithmic.
+    void start(const std::string &id, std::uint16_t port, TimePoint now);
 
     /// Marks a VM as gone; returns false if it is not there. Logarithmic.
     bool remove(const std::string &id, TimePoint now);
--- a/standins/cloud_server.cpp
+++ b/standins/cloud_server.cpp
@@ -148,12 +148,14 @@
         return errorReply(409, "refused");
     Vm vm = readVm(body);
     vm.m_id.clear();
-    vm.m_id = m_cloud.add(vm, m_clock.now());
+    vm.m_id = m_cloud.add(vm, m_starter ? TimePoint::max() : m_clock.now());
     if (m_starter) {
         m_loop.spawn([this, vm] {
             sleepFiber(m_startTime);
+            if (!m_cloud.find(vm.m_id))
+                return;
             if (const auto port = m_starter(vm))
-                m_cloud.setPort(vm.m_id, *port);
+                m_cloud.start(vm.m_id, *port, m_clock.now());
         });
     }
     return jsonReply(201, describeVm(vm));
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -116,8 +116,11 @@
     stream.m_model = m_engine.settings().m_model;
     stream.m_firstIndex = generation->m_resumeTokens;
     stream.m_cut = m_faults.take(FaultKind::CutStream, line);
-    stream.m_end = m_faults.take(FaultKind::EndEarly, line);
-    stream.m_silence = m_faults.take(FaultKind::SilentStream, line);
+    // A stream breaks in one way; the other faults wait for the next request.
+    if (!stream.m_cut)
+        stream.m_end = m_faults.take(FaultKind::EndEarly, line);
+    if (!stream.m_cut && !stream.m_end)
+        stream.m_silence = m_faults.take(FaultKind::SilentStream, line);
     stream.m_duplicate = m_faults.take(FaultKind::DuplicateEvent, line);
     stream.m_crossed = m_faults.take(FaultKind::CrossedAnswer, line);
     if (const auto slow = m_faults.take(FaultKind::Slow, line))
--- a/tests/src/unit-standins.cpp
+++ b/tests/src/unit-standins.cpp
@@ -2,6 +2,7 @@
 #include "standins/buffered_responder.hpp"
 #include "standins/cloud.hpp"
 #include "standins/engine.hpp"
+#include "standins/engine_server.hpp"
 #include "standins/fault_plan.hpp"
 #include "standins/instance_settings.hpp"
 #include "standins/object_store.hpp"
@@ -202,6 +203,77 @@
     }
 }
 
+TEST_CASE("engine server")
+{
+    const Clock clock;
+    EngineSettings settings;
+    settings.m_tokenTime = {};
+    settings.m_tokenTimeGrowth = {};
+    settings.m_prefillTokensPerSecond = 1e15;
+    EngineServer server(settings, clock);
+    HttpRequest chat = request("POST", "/v1/chat/completions",
+                               R"({"stream":true,"target_tokens":4,
+                                   "messages":[{"role":"user","content":"hello"}]})");
+    chat.m_headers.add("X-Attempt-Id", "attempt-1");
+    BufferedResponder responder;
+    const auto strike = [&](FaultKind kind) {
+        Fault fault;
+        fault.m_kind = kind;
+        fault.m_count = 1;
+        fault.m_afterTokens = 2;
+        server.faults().add(fault);
+    };
+    const auto answered = [&] {
+        server.handle(chat, responder);
+        return responder.reply().m_body;
+    };
+    const auto counters = [&] {
+        BufferedResponder counted;
+        server.handle(request("GET", "/admin/counters"), counted);
+        return parseJson(counted.reply().m_body);
+    };
+
+    SECTION("streams one event per token under the attempt's id, then the end marker")
+    {
+        const std::string body = answered();
+        const Json first = parseJson(body.substr(6, body.find('\n') - 6));
+        CHECK(first["id"] == "attempt-1");
+        CHECK(first["token_index"] == 0);
+        CHECK(first["choices"][0]["delta"]["content"] == expectedAnswer("hello", 1));
+        CHECK(body.ends_with("data: [DONE]\n\n"));
+        CHECK(responder.isWhole());
+    }
+
+    SECTION("a cut stream never ends and its work is cancelled")
+    {
+        strike(FaultKind::CutStream);
+        CHECK(answered().find("\"token_index\":2") == std::string::npos);
+        CHECK_FALSE(responder.isWhole());
+        CHECK(counters()["cancelled"] == 1);
+    }
+
+    SECTION("a stream that ends early lacks the end marker")
+    {
+        strike(FaultKind::EndEarly);
+        CHECK(answered().find("[DONE]") == std::string::npos);
+        CHECK(responder.isWhole());
+    }
+
+    SECTION("a crossed answer carries an event of another attempt")
+    {
+        strike(FaultKind::CrossedAnswer);
+        CHECK(answered().find("attempt-of-another-caller") != std::string::npos);
+    }
+
+    SECTION("a caller who leaves cancels the work")
+    {
+        responder.leave();
+        answered();
+        CHECK(counters()["cancelled"] == 1);
+        CHECK(counters()["generated_tokens"] == 0);
+    }
+}
+
 TEST_CASE("prefix cache")
 {
     SECTION("evicts the least recently used block")
@@ -372,6 +444,15 @@
         CHECK(cloud.list(start + std::chrono::seconds(5)).empty());
     }
 
+    SECTION("a rented VM is listed only once it has started")
+    {
+        const std::string rented = cloud.add(vm, TimePoint::max());
+        CHECK(cloud.list(start + std::chrono::seconds(9)).size() == 1);
+        cloud.start(rented, 9100, start + std::chrono::seconds(9));
+        CHECK(cloud.list(start + std::chrono::seconds(10)).size() == 1);
+        CHECK(cloud.list(start + std::chrono::seconds(11)).size() == 2);
+    }
+
     SECTION("a zone's reclaim strikes its VMs and gives one notice")
     {
         const std::string second = cloud.add(vm, start);
