--- a/include/gypsumdale/policy/admission.hpp
+++ b/include/gypsumdale/policy/admission.hpp
@@ -28,6 +28,10 @@
     /// How many requests may wait here at most, of all members and of one.
     std::size_t m_maxWaiting = 2000;
     std::size_t m_maxWaitingPerMember = 1000;
+    /// Which part of this entry VM's slots is kept free of members that have their share of them in
+    /// flight already, so that the others find one without waiting. Costs throughput while few
+    /// members are busy.
+    double m_headroom = 0.1;
     /// A peer whose last heartbeat is older counts with its lent share.
     Duration m_peerMaxAge = std::chrono::milliseconds(750);
     /// An upstream whose last report is older is used only up to what the entry VMs know of.
@@ -176,6 +180,7 @@
         /// What the live peers count for, see peerCharge().
         std::uint32_t m_peers = 0;
         RecentDispatches m_recent;
+        InFlightHistory m_history;
         double m_firstTokenSeconds = 0.0;
         TimePoint m_firstTokenAt{};
         double m_betweenTokensSeconds = 0.0;
@@ -204,6 +209,10 @@
     explicit AdmissionController(const Builder &builder);
 
     bool mayRun(const MemberId &member) const;
+    bool mayUseHeadroom(const MemberId &member) const;
+    std::uint32_t foreignAllowance(const UpstreamReport &state) const;
+    void countSlots(TimePoint now);
+    std::uint32_t availableSlots(const Upstream &upstream, TimePoint now) const;
     bool isUsable(const Upstream &upstream, TimePoint now) const;
     bool hasUsableUpstream() const;
     bool hasSlot(const Upstream &upstream, TimePoint now) const;
@@ -248,6 +257,9 @@
     std::map<UpstreamId, Upstream> m_upstreams;
     std::unordered_map<RequestId, Running> m_running;
     std::map<NodeId, Peer> m_peers;
+    /// The slots that peers leave to this entry VM at usable upstreams, and its requests there.
+    std::uint32_t m_availableSlots = 0;
+    std::uint32_t m_usedSlots = 0;
     bool m_isDraining = false;
 };
 
--- a/include/gypsumdale/policy/slot_share.hpp
+++ b/include/gypsumdale/policy/slot_share.hpp
@@ -11,7 +11,7 @@
 {
     /// Which part of an idle peer's share is left to it; the rest can be borrowed.
     double m_peerReserve = 0.5;
-    /// Twice the age that a peer's report may have; dispatches within it count as unseen by peers.
+    /// Twice the age that a peer's report may have; growth within it counts as unseen by peers.
     Duration m_window = std::chrono::milliseconds(1500);
     /// Which part of the slots an entry VM of another data centre may use.
     double m_spillShare = 0.5;
@@ -28,8 +28,8 @@
     std::uint32_t m_own = 0;
     /// For each peer its last reported in-flight, at least its reserve; see peersCharge().
     std::uint32_t m_peers = 0;
-    /// Own dispatches within the window.
-    std::uint32_t m_recent = 0;
+    /// The least that m_own was within the window: what every peer has heard of at least.
+    std::uint32_t m_ownHeard = 0;
 };
 
 /// Returns the slots lent to the process of this rank: an even share of them all. Constant.
@@ -40,7 +40,7 @@
                          std::uint32_t lent);
 
 /// Tells whether the process may have one more request at the upstream. Within its lent share
-/// always; beyond that, only if all nodes doing as it did within the window would still fit. A
+/// always; beyond that, only if all nodes growing as it did within the window would still fit. A
 /// process with no lent slot at all may have one where a slot looks free. Constant.
 bool mayDispatch(const SlotView &view);
 
@@ -49,6 +49,26 @@
 std::uint32_t overshootBound(const SlotShareSettings &settings, std::uint32_t slots,
                              std::uint32_t nodes);
 
+/// The number of requests in flight over the recent past.
+class InFlightHistory
+{
+public:
+    /// Notes a change and forgets what is older than the time to keep. Amortised constant.
+    void note(TimePoint now, std::uint32_t inFlight, Duration keep);
+    /// Returns the least number since a time within the time kept; 0 if it reaches back before the
+    /// first change. Linear in the changes kept.
+    std::uint32_t leastSince(TimePoint since) const;
+
+private:
+    struct Change
+    {
+        TimePoint m_at;
+        std::uint32_t m_inFlight;
+    };
+
+    std::deque<Change> m_changes;
+};
+
 /// The times of the own dispatches to one upstream in the recent past.
 class RecentDispatches
 {
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -241,6 +241,7 @@
     if (m_queue.waiting() == 0)
         return;
     std::vector<Candidate> free = freeCandidates(now);
+    countSlots(now);
     const auto filter = [this](const MemberId &member) {
         return mayRun(member);
     };
@@ -289,8 +290,10 @@
 {
     Upstream &upstream = m_upstreams.at(id);
     ++upstream.m_own;
+    upstream.m_history.note(now, upstream.m_own, m_settings.m_slots.m_window);
     upstream.m_recent.add(now, std::max(m_settings.m_slots.m_window, m_settings.m_reportMaxAge));
     ++m_memberInFlight[request.m_member];
+    ++m_usedSlots;
     m_outlier.dispatched(id, now);
     m_rate.served(expectedCost(request), now, m_queue.waiting() > 0);
     Running &running = m_running[request.m_id];
@@ -368,6 +371,7 @@
     const auto upstream = m_upstreams.find(running.m_upstream);
     if (upstream != m_upstreams.end()) {
         --upstream->second.m_own;
+        upstream->second.m_history.note(now, upstream->second.m_own, m_settings.m_slots.m_window);
         if (running.m_incarnation == upstream->second.m_state.m_incarnation)
             noteEnd(upstream->second, end, now);
         if (upstream->second.m_isRemoved && upstream->second.m_own == 0)
@@ -462,9 +466,53 @@
 bool AdmissionController::mayRun(const MemberId &member) const
 {
     const auto found = m_members.find(member);
-    if (found == m_members.end() || found->second.m_maxInFlight == 0)
-        return true;
-    return inFlight(member) < found->second.m_maxInFlight;
+    const bool isLimited = found != m_members.end() && found->second.m_maxInFlight > 0;
+    if (isLimited && inFlight(member) >= found->second.m_maxInFlight)
+        return false;
+    const double kept = m_settings.m_headroom * m_availableSlots;
+    return m_usedSlots + kept < m_availableSlots || kept == 0.0 || mayUseHeadroom(member);
+}
+
+bool AdmissionController::mayUseHeadroom(const MemberId &member) const
+{
+    double all = 0.0;
+    double own = 1.0;
+    for (const auto &[id, share] : m_members) {
+        all += share.m_weight;
+        if (id == member)
+            own = share.m_weight;
+    }
+    const double share = all > 0.0 ? std::min(own / all, 1.0) : 1.0;
+    return static_cast<double>(inFlight(member)) < share * m_availableSlots;
+}
+
+void AdmissionController::countSlots(TimePoint now)
+{
+    m_availableSlots = 0;
+    m_usedSlots = 0;
+    if (m_settings.m_headroom <= 0.0)
+        return;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (!isUsable(upstream, now))
+            continue;
+        m_usedSlots += upstream.m_own;
+        m_availableSlots += availableSlots(upstream, now);
+    }
+}
+
+std::uint32_t AdmissionController::availableSlots(const Upstream &upstream, TimePoint now) const
+{
+    const UpstreamReport &state = upstream.m_state;
+    if (state.m_dataCentre != m_dataCentre)
+        return hasForeignSlot(upstream, now) ? foreignAllowance(state) : upstream.m_own;
+    const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
+    const std::uint32_t lent =
+            lentSlots(state.m_slots, nodes, rankOf(m_ownIndex, state.m_upstream));
+    // What peers keep as their own headroom isn't idle: nodes that took it for free would borrow
+    // each other's headroom away.
+    const auto peers =
+            static_cast<std::uint32_t>(upstream.m_peers * (1.0 + 2.0 * m_settings.m_headroom));
+    return std::max(lent, state.m_slots - std::min(state.m_slots, peers));
 }
 
 bool AdmissionController::isUsable(const Upstream &upstream, TimePoint now) const
@@ -498,7 +546,7 @@
     view.m_rank = rankOf(m_ownIndex, state.m_upstream);
     view.m_own = upstream.m_own;
     view.m_peers = upstream.m_peers;
-    view.m_recent = upstream.m_recent.countAfter(now - m_settings.m_slots.m_window);
+    view.m_ownHeard = upstream.m_history.leastSince(now - m_settings.m_slots.m_window);
     return mayDispatch(view);
 }
 
@@ -507,14 +555,20 @@
     const UpstreamReport &state = upstream.m_state;
     if (reportAge(state, now) > m_settings.m_reportMaxAge)
         return false;
-    const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
-    const auto share = static_cast<std::uint32_t>(m_settings.m_slots.m_spillShare * state.m_slots);
-    if (upstream.m_own >= std::max(share / nodes, 1U))
+    if (upstream.m_own >= foreignAllowance(state))
         return false;
+    const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
     const std::uint32_t unseen = nodes * (upstream.m_recent.countAfter(state.m_reportedAt) + 1);
     return state.m_running + state.m_queued + unseen <= state.m_slots;
 }
 
+std::uint32_t AdmissionController::foreignAllowance(const UpstreamReport &state) const
+{
+    const auto nodes = static_cast<std::uint32_t>(m_nodes.size());
+    const auto share = static_cast<std::uint32_t>(m_settings.m_slots.m_spillShare * state.m_slots);
+    return std::max(share / nodes, 1U);
+}
+
 std::uint32_t AdmissionController::rankOf(std::size_t node, const UpstreamId &upstream) const
 {
     const std::string &name = upstream.text();
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -26,11 +26,11 @@
     const std::uint32_t lent = lentSlots(view.m_slots, view.m_nodes, view.m_rank);
     if (view.m_own < lent)
         return true;
-    const std::uint32_t seenByPeers = view.m_own - std::min(view.m_own, view.m_recent);
-    const std::uint64_t known = std::uint64_t{seenByPeers} + view.m_peers;
+    const std::uint32_t heard = std::min(view.m_own, view.m_ownHeard);
+    const std::uint64_t known = std::uint64_t{heard} + view.m_peers;
     if (lent == 0 && view.m_own == 0 && known < view.m_slots)
         return true;
-    const std::uint64_t unseen = std::uint64_t{view.m_nodes} * (view.m_recent + 1);
+    const std::uint64_t unseen = std::uint64_t{view.m_nodes} * (view.m_own - heard + 1);
     return known + unseen <= view.m_slots;
 }
 
@@ -46,6 +46,27 @@
     return bound + withoutSlot;
 }
 
+void InFlightHistory::note(TimePoint now, std::uint32_t inFlight, Duration keep)
+{
+    // The last change before the time kept tells how many there were at its beginning.
+    while (m_changes.size() > 1 && m_changes[1].m_at <= now - keep)
+        m_changes.pop_front();
+    m_changes.push_back(Change{now, inFlight});
+}
+
+std::uint32_t InFlightHistory::leastSince(TimePoint since) const
+{
+    if (m_changes.empty() || m_changes.front().m_at > since)
+        return 0;
+    std::uint32_t least = m_changes.back().m_inFlight;
+    for (auto change = m_changes.rbegin(); change != m_changes.rend(); ++change) {
+        least = std::min(least, change->m_inFlight);
+        if (change->m_at <= since)
+            break;
+    }
+    return least;
+}
+
 void RecentDispatches::add(TimePoint now, Duration keep)
 {
     while (!m_times.empty() && m_times.front() <= now - keep)
--- a/tests/src/unit-admission.cpp
+++ b/tests/src/unit-admission.cpp
@@ -198,6 +198,20 @@
     }
 }
 
+TEST_CASE("headroom is kept for members that have less than their share")
+{
+    // Anna's rush holds every slot with long drafts. Bruno's one call finds none free and waits
+    // until a draft ends, although he used nothing of his share.
+    AdmissionSettings settings;
+    settings.m_headroom = 0.25;
+    AdmissionController controller = makeController(settings);
+    controller.setMembers({MemberShare{anna}, MemberShare{bruno}});
+    controller.updateUpstream(makeUpstream("a", 8), start);
+    CHECK(submitMany(controller, 10, start) == 6);
+    CHECK(submitMany(controller, 3, start, bruno) == 2);
+    CHECK(controller.queue().waiting() == 5);
+}
+
 TEST_CASE("the queue is bounded")
 {
     AdmissionSettings settings;
