Run twenty worlds in each case of the configuration fuzz test

Cause: the failure at case 5657 lay beyond the 100 cases of an ordinary run. Change: each case runs twenty worlds, each with its own faults, so an ordinary run sees 2000; a unit test covers proof by a peer's former life, which the fuzz test doesn't reach.

--- a/tests/src/fuzz-config-store.cpp
+++ b/tests/src/fuzz-config-store.cpp
@@ -4,12 +4,14 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include <algorithm> // any_of
+#include <algorithm> // any_of, minmax
 #include <chrono> // milliseconds
 #include <map> // map
 #include <memory> // unique_ptr
+#include <optional> // optional
 #include <set> // set
-#include <string> // string
+#include <string> // string, to_string
+#include <utility> // move, pair
 #include <variant> // variant, visit
 #include <vector> // vector
 
@@ -388,14 +390,18 @@
           "[config-store][fuzz]")
 {
     rc::prop("any order of writes, faults and restarts", [] {
-        const auto first = 1 + pick(3);
-        const auto second = 2 + pick(2);
-        World world(first, second);
-        const std::size_t steps = 20 + pick(400);
-        for (std::size_t i = 0; i < steps; ++i)
-            step(world);
-        world.heal();
-        world.settle();
-        world.checkConverged();
+        // Several worlds a case: the rarer failures need some thousand of them.
+        constexpr int worlds = 20;
+        for (int round = 0; round < worlds; ++round) {
+            const auto first = 1 + pick(3);
+            const auto second = 2 + pick(2);
+            World world(first, second);
+            const std::size_t steps = 20 + pick(400);
+            for (std::size_t i = 0; i < steps; ++i)
+                step(world);
+            world.heal();
+            world.settle();
+            world.checkConverged();
+        }
     });
 }
--- a/tests/src/unit-config-store.cpp
+++ b/tests/src/unit-config-store.cpp
@@ -153,6 +153,17 @@
         store.onDigest(digest, start);
         CHECK_FALSE(store.isReady());
     }
+    SECTION("nor is it once its restart has been heard of")
+    {
+        auto fresh = makeStore({NodeId("a-2")});
+        fresh.start(start);
+        ConfigDigestFrom digest{NodeId("a-2"), DataCentreId("a"), 1, {}};
+        digest.m_digest.m_completeTo = 5;
+        fresh.onDigest(digest, start);
+        fresh.onDigest({NodeId("a-2"), DataCentreId("a"), 2, {}}, start);
+        fresh.onPlatformList({0, 5, {object(3)}}, startWall, start);
+        CHECK_FALSE(fresh.isReady());
+    }
 }
 
 TEST_CASE("with the platform out, all nodes of the data centre must answer", "[config-store]")
