--- a/include/gypsumdale/runtime/fiber_loop.hpp
+++ b/include/gypsumdale/runtime/fiber_loop.hpp
@@ -29,10 +29,14 @@
     /// Starts the thread. Call once.
     void start();
 
-    /// Stops the thread: no further fiber is started, and fibers that wait are abandoned. Joins.
+    /// Stops the thread: no further fiber is started, fibers that wait are abandoned, and the
+    /// sockets of the loop's servers and clients are closed. Returns when no fiber runs any more.
+    /// Not to be called from the loop itself.
     void stop();
 
-    /// Starts a fiber on this loop that runs the work. Safe from any thread; constant.
+    /// Starts a fiber on this loop that runs the work, which must not throw. Fibers of a loop are
+    /// started in no other way, as stop() waits for those it doesn't know of. Safe from any thread;
+    /// constant.
     void spawn(std::function<void()> work);
 
     /// Runs the work in a fiber of this loop, waits for it (suspending the calling fiber, or
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -58,6 +58,8 @@
     /// Opens a connection of its own and never takes a pooled one, which may have gone silent while
     /// it idled. Required for requests that must not run twice.
     bool m_freshConnection = false;
+    /// Bounds the answer of HttpClient::call(), which holds it whole; open() passes pieces on and
+    /// has no bound.
     std::size_t m_maxBodyBytes = 8 * 1024 * 1024;
 };
 
@@ -76,7 +78,8 @@
 
     /// Returns the next piece of the body as soon as there is one, or nothing at the proper end. A
     /// connection that closes before the end of the message is a failure (AnswerTruncated), never
-    /// an end; silence past the limit is UpstreamSilent; after cancel() it is Cancelled.
+    /// an end, also for a body with neither length nor chunks, whose end can't be told from a cut;
+    /// silence past the limit is UpstreamSilent; after cancel() it is Cancelled.
     CallResult<std::optional<std::string>> read();
 
     /// Closes the connection; a fiber that waits in read() returns at once with Cancelled.
@@ -99,7 +102,10 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends a request and returns once the answer's header has come.
+    /// Sends a request and returns once the answer's header has come. Fails with Timeout or
+    /// UpstreamUnreachable where no connection came about, UpstreamSilent past the header's time,
+    /// ConnectionClosed where the connection ended before the answer, AnswerTruncated within its
+    /// header, and UpstreamFailed for what is no HTTP.
     CallResult<HttpExchange> open(const HttpCall &call);
 
     /// Sends a request and returns the whole answer.
--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -39,11 +39,15 @@
     /// cause failures with it. Does nothing where an answer has no connection of its own.
     virtual void abandon() {}
 
-    /// Tells whether the caller has closed its connection, as far as is known. Constant.
+    /// Tells whether the caller has closed its connection, as far as is known. The end of the
+    /// caller's sending counts as gone: HTTP callers do not shut down one direction only, and to
+    /// wait for a reset would let work go on for nobody. Constant.
     virtual bool callerGone() const = 0;
 
     /// Registers what to do, on the loop's thread, when the caller closes its connection while the
-    /// answer is still owed. Used to cancel work upstream. Pass nullptr to unregister.
+    /// answer is still owed; at once if it has. Used to cancel work upstream. The action runs
+    /// within the event loop and must not suspend. Not called where a write finds out first, as
+    /// that returns false. Pass nullptr to unregister.
     virtual void onCallerGone(std::function<void()> action) = 0;
 };
 
@@ -69,6 +73,8 @@
 class HttpServer
 {
 public:
+    /// Stops accepting and closes all connections. Handlers still running find their caller gone.
+    /// The loops must outlive the server.
     ~HttpServer();
     HttpServer(HttpServer &&) noexcept;
     HttpServer &operator=(HttpServer &&) noexcept;
@@ -77,7 +83,9 @@
     std::uint16_t port() const;
 
     /// Closes the listening socket and idle connections; answers under way go on, each saying
-    /// "Connection: close". Safe from any thread.
+    /// "Connection: close". Connections that the kernel has completed but not handed over are
+    /// accepted first, and one that has brought no request yet is given a second for it. Safe from
+    /// any thread.
     void stopAccepting();
 
     /// Returns the number of requests whose answer is not finished. Safe from any thread.
