Make observe and ctl clean for the linter

The linter's findings: an automatic move that const prevented, implicit widenings, a vector that grew in a loop. The daemon's names read back from peers (decisionFrom, decisionReasonFrom) come with it, as they stand in the same files.

--- a/include/gypsumdale/observe/decision.hpp
+++ b/include/gypsumdale/observe/decision.hpp
@@ -95,6 +95,11 @@
 std::string_view decisionReasonName(DecisionReason reason);
 std::string_view decisionSubjectName(DecisionSubject subject);
 
+/// Return the value of a name that another node sent, or nothing for one that this version of the
+/// program does not know. Linear in the names.
+std::optional<Decision> decisionFrom(std::string_view name);
+std::optional<DecisionReason> decisionReasonFrom(std::string_view name);
+
 /// Returns the subject of that name ("request", "upstream"), or nothing.
 std::optional<DecisionSubject> decisionSubjectFrom(std::string_view name);
 
--- a/src/observe/decision.cpp
+++ b/src/observe/decision.cpp
@@ -103,6 +103,16 @@
     return nameIn(subjectNames, subject);
 }
 
+std::optional<Decision> decisionFrom(std::string_view name)
+{
+    return valueIn(decisionNames, name);
+}
+
+std::optional<DecisionReason> decisionReasonFrom(std::string_view name)
+{
+    return valueIn(reasonNames, name);
+}
+
 std::optional<DecisionSubject> decisionSubjectFrom(std::string_view name)
 {
     return valueIn(subjectNames, name);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -21,7 +21,7 @@
 /// Returns the name as a label if it is known or there is room for one more, and "other" otherwise.
 std::string admitName(std::set<std::string> &known, std::size_t limit, const std::string &text)
 {
-    const std::string name = detail::escapeLabel(text);
+    std::string name = detail::escapeLabel(text);
     if (known.contains(name))
         return name;
     if (known.size() >= limit)
--- a/tests/src/unit-ctl.cpp
+++ b/tests/src/unit-ctl.cpp
@@ -87,7 +87,7 @@
         };
         surroundings.m_transport = [this](const HttpCall &call) {
             m_calls.push_back(call);
-            const CallResult<HttpReply> answer = m_answers.at(0);
+            CallResult<HttpReply> answer = m_answers.at(0);
             if (m_answers.size() > 1)
                 m_answers.pop_front();
             return answer;
--- a/tests/src/unit-decision-journal.cpp
+++ b/tests/src/unit-decision-journal.cpp
@@ -96,5 +96,5 @@
     }
     CHECK(journal.size() == 1100);
     CHECK(most <= journalMemoryBound(limits));
-    CHECK(journalMemoryBound(JournalLimits()) < 16 * 1024 * 1024);
+    CHECK(journalMemoryBound(JournalLimits()) < std::size_t{16} * 1024 * 1024);
 }
--- a/tests/src/unit-log.cpp
+++ b/tests/src/unit-log.cpp
@@ -166,8 +166,10 @@
     Lines lines;
     constexpr std::size_t perThread = 500;
     const auto logger = LoggerBuilder(clock).rate({4 * perThread, 0}).sink(lines.sink()).build();
+    constexpr int threadCount = 4;
     std::vector<std::thread> threads;
-    for (int thread = 0; thread < 4; ++thread) {
+    threads.reserve(threadCount);
+    for (int thread = 0; thread < threadCount; ++thread) {
         threads.emplace_back([&logger, thread] {
             for (std::size_t i = 0; i < perThread; ++i)
                 logger->info("request", {{LogField::Count, thread}});
