Write out the order of configuration keys

Cause: the linter takes the zero behind a defaulted three-way comparison for a null pointer. Change: the comparison is written out; its meaning is the same.

--- a/include/gypsumdale/fleet/config_object.hpp
+++ b/include/gypsumdale/fleet/config_object.hpp
@@ -10,6 +10,7 @@
 #include <optional> // optional
 #include <string> // string
 #include <string_view> // string_view
+#include <tuple> // tie
 #include <variant> // variant
 #include <vector> // vector
 
@@ -29,7 +30,10 @@
     std::string m_name;
 
     friend bool operator==(const ConfigKey &, const ConfigKey &) = default;
-    friend std::strong_ordering operator<=>(const ConfigKey &, const ConfigKey &) = default;
+    friend std::strong_ordering operator<=>(const ConfigKey &left, const ConfigKey &right)
+    {
+        return std::tie(left.m_kind, left.m_name) <=> std::tie(right.m_kind, right.m_name);
+    }
 };
 
 /// Returns the object's name in the platform, such as "profile/quote-draft".
