Mend the linter's findings in the stand-ins

Cause: implicit widening and a copy that the linter refuses. Change: as it asks. Conclusion: unit-standins passes (114 assertions, 10 cases).

--- a/standins/cloud.cpp
+++ b/standins/cloud.cpp
@@ -10,7 +10,7 @@
 {
     if (vm.m_id.empty())
         vm.m_id = fmt::format("vm-{}", ++m_lastId);
-    const std::string id = vm.m_id;
+    std::string id = vm.m_id;
     Record record;
     record.m_vm = std::move(vm);
     record.m_bornAt = runsFrom;
--- a/standins/object_store.hpp
+++ b/standins/object_store.hpp
@@ -71,9 +71,9 @@
 /// Bounds of a store.
 struct StoreLimits
 {
-    std::size_t m_bodyBytes = 1024 * 1024;
+    std::size_t m_bodyBytes = std::size_t{1024} * 1024;
     std::size_t m_events = 100000;
-    std::size_t m_eventBytes = 64 * 1024 * 1024;
+    std::size_t m_eventBytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// The platform's objects: one version counter for all of them, conditional writes, and a bounded
