Follow the linter in the ledger

The change: explicit widths of byte limits, a range for a loop. The other files of the ledger were not linted.

--- a/include/gypsumdale/ledger/claim_ledger.hpp
+++ b/include/gypsumdale/ledger/claim_ledger.hpp
@@ -52,7 +52,7 @@
     /// For how long the end of a log, once seen, is taken to be not trimmed away.
     Duration m_trustEnd = std::chrono::minutes(1);
     /// Bytes of kept answers in the memory of one shard.
-    std::size_t m_maxAnswerMemory = 512 * 1024;
+    std::size_t m_maxAnswerMemory = std::size_t{512} * 1024;
 };
 
 /// Runs keyed requests at most once, over any number of nodes that share nothing but the platform.
--- a/include/gypsumdale/ledger/platform_log.hpp
+++ b/include/gypsumdale/ledger/platform_log.hpp
@@ -35,11 +35,11 @@
     /// Unique for each life of a process: a segment counts as one's own by it.
     std::string m_writer;
     /// Bytes of records in one segment; the platform takes 1 MiB.
-    std::size_t m_maxSegmentBytes = 256 * 1024;
+    std::size_t m_maxSegmentBytes = std::size_t{256} * 1024;
     /// Bytes of one record.
-    std::size_t m_maxRecordBytes = 64 * 1024;
+    std::size_t m_maxRecordBytes = std::size_t{64} * 1024;
     /// Bytes of all records that wait.
-    std::size_t m_maxWaitingBytes = 4 * 1024 * 1024;
+    std::size_t m_maxWaitingBytes = std::size_t{4} * 1024 * 1024;
     /// The least time between two creates, so that a node stays within its share of writes.
     Duration m_writeInterval = std::chrono::milliseconds(50);
     /// For how long the end of the log, once seen, is taken to be not trimmed away. Far below the
--- a/src/ledger/platform_log.cpp
+++ b/src/ledger/platform_log.cpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/ledger/platform_log.hpp>
 
 #include <algorithm> // find_if, max, min
+#include <ranges> // reverse
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -406,13 +407,13 @@
         return;
     Batch batch = std::move(*m_batch);
     m_batch.reset();
-    for (auto entry = batch.m_entries.rbegin(); entry != batch.m_entries.rend(); ++entry) {
-        if (entry->m_abandoned) {
-            m_events.emplace_back(RecordDropped{entry->m_ticket});
+    for (Entry &entry : std::views::reverse(batch.m_entries)) {
+        if (entry.m_abandoned) {
+            m_events.emplace_back(RecordDropped{entry.m_ticket});
             continue;
         }
-        m_queuedBytes += entry->m_record.size();
-        m_queue.push_front(std::move(*entry));
+        m_queuedBytes += entry.m_record.size();
+        m_queue.push_front(std::move(entry));
     }
 }
 
