Mend the linter's findings in the load tool and the tests

Cause: copies and implicit widening that the linter refuses. Change: as it asks. Conclusion: the changed files compile; the linter has not run again over them.

--- a/bench/load/recorder.cpp
+++ b/bench/load/recorder.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-void Recorder::record(Outcome outcome)
+void Recorder::record(const Outcome &outcome)
 {
     Series &series = m_series[{outcome.m_member, outcome.m_class}];
     if (!outcome.m_error.empty()) {
--- a/bench/load/recorder.hpp
+++ b/bench/load/recorder.hpp
@@ -29,7 +29,7 @@
 class Recorder
 {
 public:
-    void record(Outcome outcome);
+    void record(const Outcome &outcome);
 
     /// Describes counts, errors and p50/p95/p99 in milliseconds. Sorts all times.
     nlohmann::json describe() const;
--- a/bench/load/workload.cpp
+++ b/bench/load/workload.cpp
@@ -40,9 +40,11 @@
 {
     pcg32 random(settings.m_seed);
     std::vector<double> memberSizes;
+    memberSizes.reserve(members);
     for (std::size_t member = 0; member < members; ++member)
         memberSizes.push_back(1.0 / static_cast<double>(member + 1));
     std::vector<double> shares;
+    shares.reserve(classes.size());
     for (const RequestClass &requestClass : classes)
         shares.push_back(requestClass.m_share);
     std::discrete_distribution<std::size_t> pickMember(memberSizes.begin(), memberSizes.end());
--- a/tests/src/unit-standins.cpp
+++ b/tests/src/unit-standins.cpp
@@ -360,9 +360,9 @@
     SECTION("a body over a mebibyte is refused")
     {
         CHECK(std::holds_alternative<Written>(
-                store.create("jobs", "a", std::string(1024 * 1024, 'x'))));
+                store.create("jobs", "a", std::string(std::size_t{1024} * 1024, 'x'))));
         CHECK(std::holds_alternative<BodyTooLarge>(
-                store.create("jobs", "b", std::string(1024 * 1024 + 1, 'x'))));
+                store.create("jobs", "b", std::string(std::size_t{1024} * 1024 + 1, 'x'))));
     }
 }
 
@@ -374,7 +374,7 @@
     settings.m_latency = {};
     settings.m_writesPerSecond = 2;
     PlatformServer server(settings, clock);
-    const auto call = [&](HttpRequest sent) {
+    const auto call = [&](const HttpRequest &sent) {
         BufferedResponder responder;
         server.handle(sent, responder);
         return responder;
