Serve the whole path: the daemon, its traffic side and the operators' interface

Cause: no request could be served; the drivers had nobody to serve. Change: chat completions with retries that resume behind what the caller has, plain services with the three outcomes, durable jobs with reattachment, the operators' interface, explain over all nodes, graceful shutdown and the daemon's program. The cloud's VM list names upstreams by the settings that put them there, so that a VM is not listed twice. Conclusion: the thin path stands; it is not yet proved under failure.

--- a/include/gypsumdale/kernel/control.hpp
+++ b/include/gypsumdale/kernel/control.hpp
@@ -10,8 +10,12 @@
 #include <gypsumdale/kernel/job_driver.hpp>
 #include <gypsumdale/kernel/request_context.hpp>
 
+#include <cstddef> // size_t
 #include <functional> // function
+#include <map> // map
+#include <optional> // optional
 #include <string> // string
+#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -44,6 +48,18 @@
     void shutDown(DrainCause cause, std::optional<TimePoint> deadline);
     void setShutdownHooks(ShutdownHooks hooks) { m_hooks = std::move(hooks); }
 
+    /// Requests whose answer is not finished, as the callers' server counts them.
+    std::size_t requestsInFlight() const;
+    /// Returns the highest version in force at a peer, as its last digest said; 0 if unheard.
+    ConfigVersion peerVersion(const NodeId &node) const;
+    /// Asks a peer which version of an object it has in force; nothing if it doesn't answer.
+    /// Suspends the calling fiber.
+    std::optional<ConfigVersion> askVersion(const NodeIdentity &peer, const ConfigKey &key,
+                                            Duration timeout);
+    /// Collects what all live nodes remember of a subject, oldest first. Suspends the calling fiber.
+    std::vector<DecisionEvent> explain(DecisionSubject subject, const std::string &id,
+                                       Duration timeout);
+
     ControlContext &context() { return m_context; }
     ConfigDriver &config() { return m_config; }
     FleetDriver &fleet() { return m_fleet; }
@@ -66,6 +82,8 @@
     void execute(const ExitProcess &command);
     void runDrain();
     void refreshGauges();
+    wire::VersionInForce ownVersion(const wire::VersionAsk &ask) const;
+    wire::Decisions ownDecisions(const wire::DecisionsAsk &ask) const;
     std::vector<NodeId> liveLocalNodes() const;
 
     ControlContext m_context;
@@ -74,6 +92,7 @@
     AdmissionDriver m_admission;
     ClaimDriver m_claims;
     JobDriver m_jobs;
+    std::map<NodeId, ConfigVersion> m_peerVersions;
     Drain m_drain;
     ShutdownHooks m_hooks;
 };
--- a/include/gypsumdale/kernel/fleet_driver.hpp
+++ b/include/gypsumdale/kernel/fleet_driver.hpp
@@ -77,6 +77,8 @@
     void runTicks();
     void readNotices();
     void readVmList();
+    /// Returns the upstream on a VM: the one that settings put there, or one named after the VM.
+    UpstreamId upstreamOn(const VmId &vm) const;
     void takeNotice(const LeavingNotice &notice);
 
     ControlContext &m_context;
--- /dev/null
+++ b/include/gypsumdale/kernel/job_call.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <gypsumdale/kernel/chat_request.hpp>
+#include <gypsumdale/kernel/chunk_writer.hpp>
+#include <gypsumdale/kernel/job_feed.hpp>
+#include <gypsumdale/kernel/request_context.hpp>
+#include <gypsumdale/kernel/traffic.hpp>
+
+#include <memory> // shared_ptr
+#include <optional> // optional
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Serves a caller of one durable job: the one who asked for it, or one who comes back for it. Lives
+/// in one fiber of a traffic loop; the job itself does not depend on it.
+class JobCall
+{
+public:
+    JobCall(Traffic &traffic, HttpResponder &responder);
+
+    /// Offers a job and, once it is accepted, streams its answer. A job that is not accepted is
+    /// answered with the error, and does not go on.
+    void runNew(const RequestContext &context, const ChatRequest &request, const std::string &body);
+
+    /// Goes on with a job's answer at a position, here or at the node that has the job.
+    void runReattached(const MemberId &member, const JobId &job, AnswerPosition position,
+                       const HttpRequest &original);
+
+private:
+    bool awaitAcceptance(JobFeed &feed);
+    void follow(JobFeed &feed);
+    bool take(const FeedTokens &tokens);
+    void serve(const ServeFrom &answer, const std::shared_ptr<JobFeed> &feed);
+    void finishWhole(std::string_view finishReason);
+    void fetchEnd();
+    void sendReattachHint();
+    void proxy(const wire::JobLocated &located, const HttpRequest &original);
+    bool begin();
+    bool write();
+
+    Traffic &m_traffic;
+    HttpResponder &m_responder;
+    JobId m_job;
+    MemberId m_member;
+    std::optional<ChunkWriter> m_writer;
+    std::string m_buffer;
+    AnswerPosition m_position;
+    /// For a caller that wants the answer in one piece.
+    std::optional<AnswerText> m_collected;
+    std::uint32_t m_promptTokens = 0;
+    RequestSeries *m_series = nullptr;
+    TimePoint m_arrivedAt{};
+    TimePoint m_lastTokenAt{};
+    std::vector<FeedTokens> m_early;
+    bool m_hasBegun = false;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/model_call.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <gypsumdale/kernel/chat_request.hpp>
+#include <gypsumdale/kernel/chunk_writer.hpp>
+#include <gypsumdale/kernel/engine_call.hpp>
+#include <gypsumdale/kernel/request_context.hpp>
+#include <gypsumdale/kernel/traffic.hpp>
+
+#include <memory> // shared_ptr
+#include <optional> // optional
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Returns what a profile says about trying a model's request again.
+RetryProfile retryProfileOf(const Profile &profile, bool canResume);
+
+/// Returns what the queue and the routing need to know of a chat request.
+WaitingRequest waitingRequestOf(const RequestContext &context, const ChatRequest &request);
+
+/// Serves one model request that is not a durable job, from placement to the last byte, with
+/// retries that go on behind what the caller has. Lives in one fiber of a traffic loop.
+class ModelCall
+{
+public:
+    ModelCall(Traffic &traffic, RequestContext context, ChatRequest request,
+              HttpResponder &responder);
+
+    /// Answers the request. Whatever happens, the caller gets a whole answer, an error, or a stream
+    /// that is visibly cut.
+    void run();
+
+private:
+    struct Ended
+    {
+        AttemptEnd m_end = AttemptEnd::Completed;
+        AttemptOutcome m_outcome = AttemptOutcome::NothingSent;
+        Error m_error;
+        bool m_isPermanent = false;
+    };
+
+    Ended attempt(const Placed &placed);
+    Ended readStream(EngineCall &call);
+    Ended endedBy(const EngineFailure &failure) const;
+    bool writeTokens(const EngineProgress &progress);
+    void reportProgress(bool isFinal);
+    void finish();
+    void refuse(const Error &error, Duration retryAfter);
+    RetryDecision settle(const Ended &ended);
+    void onCallerGone();
+
+    Traffic &m_traffic;
+    RequestContext m_context;
+    ChatRequest m_request;
+    HttpResponder &m_responder;
+    ChunkWriter m_writer;
+    AnswerAssembler m_assembler;
+    WaitingRequest m_waiting;
+    RetryProfile m_retry;
+    AttemptInfo m_info;
+    EngineCall *m_call = nullptr;
+    std::string m_buffer;
+    std::uint32_t m_attempts = 0;
+    TimePoint m_attemptAt{};
+    TimePoint m_lastTokenAt{};
+    TimePoint m_reportedAt{};
+    std::int64_t m_reportedTokens = 0;
+    bool m_hasBegun = false;
+    bool m_hasFirstToken = false;
+    bool m_isCallerGone = false;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/kernel/plain_call.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <gypsumdale/kernel/request_context.hpp>
+#include <gypsumdale/kernel/traffic.hpp>
+#include <gypsumdale/ledger/claim_messages.hpp>
+#include <gypsumdale/ledger/outcome.hpp>
+
+#include <cstdint> // uint32_t
+#include <optional> // optional
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Serves one request to a plain service: at most once where the profile says so, with a claim in
+/// the platform where the caller gave an idempotency key. Lives in one fiber of a traffic loop.
+class PlainCall
+{
+public:
+    PlainCall(Traffic &traffic, RequestContext context, const HttpRequest &request,
+              std::string target, HttpResponder &responder);
+
+    /// Answers the request. The answer's X-Outcome says whether it ran.
+    void run();
+
+private:
+    struct Ended
+    {
+        CallPhase m_phase = CallPhase::NothingSent;
+        HttpReply m_reply;
+        Error m_error;
+    };
+
+    bool isOnce() const { return m_context.m_profile->m_repeatSafety == RepeatSafety::Once; }
+    void runClaimed(const std::string &key);
+    void runAttempts(const std::optional<AttemptId> &claimed);
+    Ended attempt(const Placed &placed);
+    Ended endedBy(const HttpReply &reply) const;
+    bool isCrossed(const HttpReply &reply) const;
+    RetryDecision settle(const Ended &ended);
+    void conclude(const std::optional<AttemptId> &claimed, const Ended &ended, Duration retryAfter);
+    void answer(const HttpReply &reply, Outcome outcome);
+    void answerClaimed(const ClaimResult &result);
+    void count(Outcome outcome, const Error &error);
+
+    Traffic &m_traffic;
+    RequestContext m_context;
+    const HttpRequest &m_request;
+    std::string m_target;
+    HttpResponder &m_responder;
+    WaitingRequest m_waiting;
+    RetryProfile m_retry;
+    AttemptInfo m_info;
+    std::string m_attemptName;
+    TimePoint m_attemptAt{};
+    std::uint32_t m_attempts = 0;
+};
+
+} // namespace gypsumdale
--- a/src/fleet/peer_codec.cpp
+++ b/src/fleet/peer_codec.cpp
@@ -82,6 +82,7 @@
 std::vector<NodeRecord> toWire(const std::vector<NodeIdentity> &nodes)
 {
     std::vector<NodeRecord> records;
+    records.reserve(nodes.size());
     for (const NodeIdentity &node : nodes)
         records.push_back(toWire(node));
     return records;
@@ -91,6 +92,7 @@
                                    const std::string &dataCentre, const std::string &region)
 {
     std::vector<NodeIdentity> nodes;
+    nodes.reserve(records.size());
     for (const NodeRecord &record : records)
         nodes.push_back(fromWire(record, dataCentre, region));
     return nodes;
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -72,6 +72,7 @@
         const auto identity = m_fleet.find(seen.m_node);
         digest.m_incarnation = identity ? identity->m_incarnation : 0;
         digest.m_digest = wire::fromWire(seen.m_digest);
+        m_peerVersions[seen.m_node] = digest.m_digest.m_highest;
         m_config.onDigest(digest);
     };
     listeners.m_peerLoad = [this](const NodeId &node, const PeerLoad &load) {
@@ -157,6 +158,10 @@
         reply.__set_jobLocated(m_jobs.onLocate(body.jobLocate));
     else if (body.__isset.claimForward)
         reply.__set_claimForwarded(m_claims.onForward(sender, body.claimForward));
+    else if (body.__isset.decisionsAsk)
+        reply.__set_decisions(ownDecisions(body.decisionsAsk));
+    else if (body.__isset.versionAsk)
+        reply.__set_versionInForce(ownVersion(body.versionAsk));
     else
         reply.__set_accepted(wire::Accepted());
 
@@ -179,6 +184,89 @@
     return reply;
 }
 
+std::size_t Control::requestsInFlight() const
+{
+    return m_hooks.m_requestsInFlight ? m_hooks.m_requestsInFlight() : 0;
+}
+
+ConfigVersion Control::peerVersion(const NodeId &node) const
+{
+    const auto found = m_peerVersions.find(node);
+    return found == m_peerVersions.end() ? 0 : found->second;
+}
+
+wire::VersionInForce Control::ownVersion(const wire::VersionAsk &ask) const
+{
+    wire::VersionInForce result;
+    const auto key = configKeyOf(ask.name);
+    const auto object = key ? m_config.store().inForce(*key) : std::nullopt;
+    result.version = object ? static_cast<std::int64_t>(object->m_version) : 0;
+    return result;
+}
+
+std::optional<ConfigVersion> Control::askVersion(const NodeIdentity &peer, const ConfigKey &key,
+                                                 Duration timeout)
+{
+    wire::VersionAsk ask;
+    ask.name = platformName(key);
+    wire::PeerRequestBody body;
+    body.__set_versionAsk(ask);
+    const auto reply = m_context.m_peers.ask(peer, std::move(body), timeout);
+    if (!succeeded(reply) || !valueOf(reply).body.__isset.versionInForce)
+        return std::nullopt;
+    return static_cast<ConfigVersion>(valueOf(reply).body.versionInForce.version);
+}
+
+wire::Decisions Control::ownDecisions(const wire::DecisionsAsk &ask) const
+{
+    const bool isRequest = ask.__isset.request;
+    const auto events = m_context.m_journal.history(
+            isRequest ? DecisionSubject::Request : DecisionSubject::Upstream,
+            isRequest ? ask.request : ask.upstream);
+    wire::Decisions result;
+    for (const DecisionEvent &event : events) {
+        wire::Decision decision;
+        decision.atMillis = event.m_at;
+        decision.node = event.m_node.text();
+        decision.what = decisionName(event.m_what);
+        decision.why = decisionReasonName(event.m_why);
+        decision.detail = event.m_detail;
+        result.events.push_back(std::move(decision));
+    }
+    return result;
+}
+
+std::vector<DecisionEvent> Control::explain(DecisionSubject subject, const std::string &id,
+                                            Duration timeout)
+{
+    std::vector<DecisionEvent> events = m_context.m_journal.history(subject, id);
+    wire::DecisionsAsk ask;
+    if (subject == DecisionSubject::Request)
+        ask.__set_request(id);
+    else
+        ask.__set_upstream(id);
+    for (const NodeView &view : m_fleet.membership().nodes()) {
+        if (view.m_state != NodeState::Alive)
+            continue;
+        wire::PeerRequestBody body;
+        body.__set_decisionsAsk(ask);
+        const auto reply = m_context.m_peers.ask(view.m_identity, std::move(body), timeout);
+        if (!succeeded(reply))
+            continue;
+        for (const wire::Decision &decision : valueOf(reply).body.decisions.events) {
+            DecisionEvent event;
+            event.m_at = decision.atMillis;
+            event.m_node = NodeId(decision.node);
+            event.m_what = decisionFrom(decision.what).value_or(Decision::Received);
+            event.m_why = decisionReasonFrom(decision.why).value_or(DecisionReason::None);
+            event.m_detail = decision.detail;
+            events.push_back(std::move(event));
+        }
+    }
+    std::ranges::stable_sort(events, {}, &DecisionEvent::m_at);
+    return events;
+}
+
 void Control::onOwnNotice(const LeavingNotice &notice)
 {
     std::optional<TimePoint> deadline;
@@ -207,7 +295,7 @@
         m_fleet.exchange().setConfigDigest(wire::toWire(m_config.store().digest().m_digest));
         if (m_drain.phase() != DrainPhase::Serving) {
             UnfinishedWork work;
-            work.m_requests = m_hooks.m_requestsInFlight ? m_hooks.m_requestsInFlight() : 0;
+            work.m_requests = requestsInFlight();
             work.m_jobs = m_jobs.unfinished();
             m_drain.setUnfinished(work);
             run(m_drain.tick(m_context.now()));
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -331,6 +331,15 @@
     return found == m_declared.end() ? nullptr : &found->second;
 }
 
+UpstreamId FleetDriver::upstreamOn(const VmId &vm) const
+{
+    for (const auto &[id, upstream] : m_declared) {
+        if (upstream.m_vm == vm)
+            return id;
+    }
+    return UpstreamId(vm.text());
+}
+
 void FleetDriver::takeNotice(const LeavingNotice &notice)
 {
     const NodeSettings &settings = m_context.m_settings;
@@ -389,7 +398,7 @@
             ListedUpstream listed;
             UpstreamDeclaration &declaration = listed.m_declaration;
             declaration.m_vm = VmId(entry.value("id", ""));
-            declaration.m_upstream = UpstreamId(entry.value("id", ""));
+            declaration.m_upstream = upstreamOn(declaration.m_vm);
             declaration.m_service = ServiceId(entry.value("service", ""));
             declaration.m_dataCentre = DataCentreId(entry.value("zone", ""));
             declaration.m_address = entry.value("address", "");
--- /dev/null
+++ b/src/kernel/plain_call.cpp
@@ -0,0 +1,331 @@
+#include <gypsumdale/kernel/error_reply.hpp>
+#include <gypsumdale/kernel/model_call.hpp>
+#include <gypsumdale/kernel/plain_call.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm> // min
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr int statusUnavailable = 503;
+constexpr Duration keyRetryAfter = std::chrono::seconds(1);
+/// A repeatable request to a silent upstream is tried elsewhere after this long.
+constexpr Duration repeatableSilence = std::chrono::seconds(5);
+
+AttemptOutcome attemptOutcomeOf(CallPhase phase)
+{
+    switch (phase) {
+    case CallPhase::NothingSent:
+        return AttemptOutcome::NothingSent;
+    case CallPhase::RefusedBeforeStart:
+        return AttemptOutcome::RefusedBeforeStart;
+    case CallPhase::MayHaveBeenRead:
+        return AttemptOutcome::SentNoAnswer;
+    case CallPhase::Answered:
+        break;
+    }
+    return AttemptOutcome::BrokenAnswer;
+}
+
+AttemptEnd attemptEndOf(CallPhase phase)
+{
+    switch (phase) {
+    case CallPhase::Answered:
+        return AttemptEnd::Completed;
+    case CallPhase::RefusedBeforeStart:
+        return AttemptEnd::Refused;
+    default:
+        return AttemptEnd::Failed;
+    }
+}
+
+/// Headers that belong to one connection or to this system, and are not passed on.
+bool isPassedOn(std::string_view name)
+{
+    constexpr std::string_view kept[] = {"Content-Type", "Accept", "Accept-Language",
+                                         "X-Business-Key"};
+    return std::ranges::any_of(kept, [&](std::string_view entry) {
+        return std::ranges::equal(entry, name, [](unsigned char left, unsigned char right) {
+            return std::tolower(left) == std::tolower(right);
+        });
+    });
+}
+
+Digest requestDigest(const HttpRequest &request, std::string_view target)
+{
+    return digestOf(fmt::format("{}\n{}\n{}", request.m_method, target, request.m_body));
+}
+
+} // namespace
+
+PlainCall::PlainCall(Traffic &traffic, RequestContext context, const HttpRequest &request,
+                     std::string target, HttpResponder &responder)
+    : m_traffic(traffic)
+    , m_context(std::move(context))
+    , m_request(request)
+    , m_target(std::move(target))
+    , m_responder(responder)
+    , m_retry(retryProfileOf(*m_context.m_profile, false))
+    , m_info(firstAttemptInfo(m_retry, std::nullopt))
+{
+    m_waiting.m_id = m_context.m_id;
+    m_waiting.m_member = m_context.m_member->m_id;
+    m_waiting.m_profile = m_context.m_profile->m_id;
+    m_waiting.m_priority = m_context.m_profile->m_priority;
+    m_waiting.m_arrivedAt = m_context.m_arrivedAt;
+    m_waiting.m_firstTokenBy = std::min(m_context.m_arrivedAt + m_context.m_profile->m_queue.m_wait,
+                                        m_context.m_deadline);
+    m_waiting.m_promptTokens = 1;
+    m_waiting.m_expectedTokens = 1;
+}
+
+void PlainCall::run()
+{
+    const std::string key(m_request.m_headers.value("Idempotency-Key"));
+    if (isOnce() && !key.empty())
+        runClaimed(key);
+    else
+        runAttempts(std::nullopt);
+}
+
+void PlainCall::runClaimed(const std::string &key)
+{
+    const Digest digest = requestDigest(m_request, m_target);
+    const ClaimResult result = m_traffic.onControl([&](Control &control) {
+        return control.claims().claim(m_context.m_member->m_id, key, digest, m_context.m_deadline);
+    });
+    if (const auto *granted = std::get_if<Granted>(&result))
+        runAttempts(granted->m_attempt);
+    else
+        answerClaimed(result);
+}
+
+void PlainCall::answerClaimed(const ClaimResult &result)
+{
+    const auto granted = [](const Granted &) {};
+    const auto done = [this](const AlreadyDone &value) {
+        HttpReply reply;
+        reply.m_status = value.m_answer.m_status;
+        if (!value.m_answer.m_contentType.empty())
+            reply.m_headers.add("Content-Type", value.m_answer.m_contentType);
+        reply.m_headers.add("X-Answer-Kept", value.m_answer.m_body ? "1" : "0");
+        reply.m_headers.add("X-Replayed", "1");
+        reply.m_body = value.m_answer.m_body.value_or("");
+        answer(reply, Outcome::Done);
+    };
+    const auto unknown = [this](const InProgressOrUnknown &) {
+        const Error error{ErrorId::OutcomeUnknown,
+                          "an earlier request with this key is under way, or may have run"};
+        count(Outcome::Unknown, error);
+        m_responder.send(errorReply(error, Outcome::Unknown, keyRetryAfter));
+    };
+    const auto reused = [this](const KeyReused &) {
+        const Error error{ErrorId::KeyReusedWithOtherBody,
+                          "this idempotency key came with another request before"};
+        count(Outcome::NotRun, error);
+        m_responder.send(errorReply(error, Outcome::NotRun));
+    };
+    const auto notRun = [this](const NotRun &value) {
+        const Error error{ErrorId::PlatformUnreachable,
+                          fmt::format("the key could not be claimed: {}",
+                                      nameIn(notRunReasonNames, value.m_reason))};
+        count(Outcome::NotRun, error);
+        m_responder.send(errorReply(error, Outcome::NotRun, value.m_retryAfter));
+    };
+    std::visit(Overloaded{granted, done, unknown, reused, notRun}, result);
+}
+
+void PlainCall::runAttempts(const std::optional<AttemptId> &claimed)
+{
+    Ended ended;
+    ended.m_error = {ErrorId::Internal, "not begun"};
+    for (;;) {
+        const Placement placement = m_traffic.onControl([this](Control &control) {
+            return control.admission().place(m_context.m_service, m_waiting);
+        });
+        if (const auto *notPlaced = std::get_if<NotPlaced>(&placement)) {
+            ended.m_error = notPlaced->m_error;
+            conclude(claimed, ended, notPlaced->m_retryAfter);
+            return;
+        }
+        const bool isFirst = m_attempts == 0;
+        // Right before the first byte: a holder that was paused past its deadline must not send.
+        const bool mayStart = !claimed || !isFirst || m_traffic.onControl([&](Control &control) {
+            return control.claims().startAttempt(*claimed);
+        });
+        if (!mayStart) {
+            ended.m_error = {ErrorId::DeadlineUnreachable, "the deadline passed before it was sent"};
+            settle(ended);
+            conclude(claimed, ended, keyRetryAfter);
+            return;
+        }
+        ended = attempt(std::get<Placed>(placement));
+        const RetryDecision decision = settle(ended);
+        const auto *retry = std::get_if<Retry>(&decision);
+        if (ended.m_phase == CallPhase::Answered || !retry) {
+            conclude(claimed, ended, keyRetryAfter);
+            return;
+        }
+        m_info = retry->m_next;
+        m_waiting.m_tried.push_back(std::get<Placed>(placement).m_upstream);
+        sleepFiber(retry->m_backoff);
+    }
+}
+
+PlainCall::Ended PlainCall::attempt(const Placed &placed)
+{
+    ++m_attempts;
+    m_attemptAt = m_traffic.now();
+    m_attemptName = fmt::format("{}.{}", m_context.m_id.text(), m_attempts);
+    HttpCall call;
+    call.m_endpoint = placed.m_endpoint;
+    call.m_method = m_request.m_method;
+    call.m_target = m_target;
+    for (const auto &[name, value] : m_request.m_headers.fields()) {
+        if (isPassedOn(name))
+            call.m_headers.add(name, value);
+    }
+    call.m_headers.add("X-Attempt-Id", m_attemptName);
+    call.m_headers.add("X-Member", m_context.m_member->m_id.text());
+    call.m_body = m_request.m_body;
+    const Duration left = std::max<Duration>(m_context.m_deadline - m_attemptAt,
+                                             std::chrono::milliseconds(1));
+    const Duration silence = isOnce() ? left : std::min(left, repeatableSilence);
+    call.m_headerTimeout = silence;
+    call.m_silenceTimeout = silence;
+    // A pooled connection may have gone silent while it idled; what is written to it may be read
+    // later, or never. Only on a new one does a failed connect prove that nothing ran.
+    call.m_freshConnection = isOnce();
+    auto result = m_traffic.current().m_client.call(call);
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        Ended ended;
+        ended.m_phase = failure->m_phase == SendPhase::NothingSent ? CallPhase::NothingSent
+                                                                   : CallPhase::MayHaveBeenRead;
+        ended.m_error = failure->m_error;
+        return ended;
+    }
+    return endedBy(std::get<HttpReply>(result));
+}
+
+bool PlainCall::isCrossed(const HttpReply &reply) const
+{
+    const auto attempt = reply.m_headers.find("X-Attempt-Id");
+    return attempt && *attempt != m_attemptName;
+}
+
+PlainCall::Ended PlainCall::endedBy(const HttpReply &reply) const
+{
+    Ended ended;
+    ended.m_reply = reply;
+    if (isCrossed(reply)) {
+        // The answer to another request, late or crossed: it must not reach this caller, and says
+        // nothing about whether this request ran.
+        ended.m_phase = CallPhase::MayHaveBeenRead;
+        ended.m_error = {ErrorId::UpstreamFailed, "the upstream answered another request"};
+        return ended;
+    }
+    const bool isRefused = reply.m_status == statusUnavailable
+            && reply.m_headers.value("X-Not-Run") == "1";
+    ended.m_phase = isRefused ? CallPhase::RefusedBeforeStart : CallPhase::Answered;
+    if (isRefused)
+        ended.m_error = {ErrorId::UpstreamRefused, "the service refused it before it started"};
+    return ended;
+}
+
+RetryDecision PlainCall::settle(const Ended &ended)
+{
+    AttemptState state;
+    state.m_outcome = attemptOutcomeOf(ended.m_phase);
+    state.m_info = m_info;
+    state.m_startedAt = m_attemptAt;
+    state.m_deadline = m_context.m_deadline;
+    const bool isFirst = m_attempts <= 1;
+    return m_traffic.onControl([&](Control &control) -> RetryDecision {
+        AdmissionDriver &admission = control.admission();
+        if (isFirst)
+            admission.noteFirstAttempt(m_context.m_service);
+        admission.attemptEnded(m_context.m_service, m_context.m_id, attemptEndOf(ended.m_phase));
+        if (ended.m_phase == CallPhase::Answered || m_attempts == 0)
+            return NoRetry{};
+        const RetryDecision decision = admission.decideRetry(m_context.m_service, state, m_retry);
+        const bool isRetried = std::holds_alternative<Retry>(decision);
+        control.context().m_metrics.add(isRetried ? Counter::Retries : Counter::RetriesDenied);
+        return decision;
+    });
+}
+
+void PlainCall::conclude(const std::optional<AttemptId> &claimed, const Ended &ended,
+                         Duration retryAfter)
+{
+    const Outcome outcome = outcomeOf(ended.m_phase);
+    if (claimed) {
+        StoredAnswer stored;
+        stored.m_status = ended.m_reply.m_status;
+        stored.m_contentType = ended.m_reply.m_headers.value("Content-Type");
+        stored.m_body = ended.m_reply.m_body;
+        m_traffic.tellControl([attempt = *claimed, outcome, stored](Control &control) {
+            control.claims().finish(attempt, outcome, stored);
+        });
+    }
+    if (outcome == Outcome::Done) {
+        answer(ended.m_reply, outcome);
+        return;
+    }
+    if (outcome == Outcome::NotRun) {
+        count(outcome, ended.m_error);
+        m_responder.send(errorReply(ended.m_error, outcome, retryAfter));
+        return;
+    }
+    const bool isRepeatable = !isOnce();
+    const Error error = isRepeatable
+            ? ended.m_error
+            : Error{ErrorId::OutcomeUnknown, "no answer came: the request may have run"};
+    count(outcome, error);
+    m_responder.send(errorReply(error, outcome));
+}
+
+void PlainCall::answer(const HttpReply &reply, Outcome outcome)
+{
+    count(outcome, {});
+    HttpReply result;
+    result.m_status = reply.m_status;
+    for (const auto &name : {"Content-Type", "X-Replayed", "X-Answer-Kept", "Location"}) {
+        if (const auto value = reply.m_headers.find(name))
+            result.m_headers.add(name, std::string(*value));
+    }
+    result.m_headers.add("X-Outcome", std::string(nameIn(outcomeNames, outcome)));
+    result.m_headers.add("X-Request-Id", m_context.m_id.text());
+    result.m_body = reply.m_body;
+    m_responder.send(result);
+}
+
+void PlainCall::count(Outcome outcome, const Error &error)
+{
+    RequestSeries &series = *m_context.m_series;
+    series.record(Latency::Total, m_traffic.now() - m_context.m_arrivedAt);
+    switch (outcome) {
+    case Outcome::Done:
+        series.add(RequestCounter::Done);
+        break;
+    case Outcome::NotRun:
+        series.add(RequestCounter::NotRun);
+        break;
+    case Outcome::Unknown:
+        series.add(RequestCounter::OutcomeUnknown);
+        break;
+    }
+    m_traffic.tellControl([id = m_context.m_id, outcome, error](Control &control) {
+        if (outcome != Outcome::Done)
+            control.context().m_metrics.countError(error.m_id);
+        const Decision what = outcome == Outcome::Done ? Decision::Done
+                : outcome == Outcome::NotRun           ? Decision::NotRun
+                                                       : Decision::OutcomeUnknown;
+        control.context().m_journal.record(control.context().wallNow(), id, what,
+                                           DecisionReason::None, error.m_text);
+    });
+}
+
+} // namespace gypsumdale
