--- a/bench/policy/engine_model.cpp
+++ b/bench/policy/engine_model.cpp
@@ -1,6 +1,7 @@
 #include "bench/policy/engine_model.hpp"
 
 #include <algorithm> // max, min
+#include <ranges> // views::reverse
 #include <utility> // move
 
 namespace gypsumdale::bench {
@@ -30,12 +31,12 @@
         isPrefix = isPrefix && known != m_cache.end();
         found += isPrefix ? 1U : 0U;
     }
-    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
-        const auto known = m_cache.find(*block);
+    for (const std::uint64_t block : blocks | std::views::reverse) {
+        const auto known = m_cache.find(block);
         if (known != m_cache.end())
             m_recency.erase(known->second);
-        m_recency.push_front(*block);
-        m_cache[*block] = m_recency.begin();
+        m_recency.push_front(block);
+        m_cache[block] = m_recency.begin();
     }
     while (m_cache.size() > m_speed.m_cacheBlocks) {
         m_cache.erase(m_recency.back());
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -59,6 +59,7 @@
     , m_isBusy(m_engines.size(), false)
 {
     std::vector<NodeId> names;
+    names.reserve(static_cast<std::size_t>(m_scenario.m_nodes));
     for (int node = 0; node < m_scenario.m_nodes; ++node)
         names.push_back(nodeName(node));
     RetryBudgetSettings budget;
@@ -121,7 +122,7 @@
     m_events.push(Event{time, m_sequence++, std::move(action)});
 }
 
-void Simulation::every(Duration period, std::function<void()> action)
+void Simulation::every(Duration period, const std::function<void()> &action)
 {
     const Duration step = std::max<Duration>(period, std::chrono::milliseconds(5));
     at(m_now + step, [this, step, action] {
--- a/bench/policy/scenario.hpp
+++ b/bench/policy/scenario.hpp
@@ -111,7 +111,7 @@
     };
 
     void at(TimePoint time, std::function<void()> action);
-    void every(Duration period, std::function<void()> action);
+    void every(Duration period, const std::function<void()> &action);
     void startLoad(const Load &load);
     void arrive(const Load &load);
     void apply(int node, const AdmissionCommands &commands);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -644,8 +644,9 @@
 std::vector<Candidate> AdmissionController::freeCandidates(TimePoint now) const
 {
     const double rate = m_rate.tokensPerSecond();
-    const bool isSlow =
-            rate > 0.0 && fromSeconds(m_queue.waitingTokens() / rate) > m_settings.m_spillAfter;
+    const bool isSlow = rate > 0.0
+                        && fromSeconds(static_cast<double>(m_queue.waitingTokens()) / rate)
+                                   > m_settings.m_spillAfter;
     const bool hasNearOne =
             std::any_of(m_upstreams.begin(), m_upstreams.end(), [this, now](const auto &entry) {
                 return entry.second.m_state.m_region == m_region && isUsable(entry.second, now);
--- a/src/policy/detail/routing_filter.cpp
+++ b/src/policy/detail/routing_filter.cpp
@@ -56,7 +56,7 @@
     // Slow ones near by stay in the choice: left out, they would never be measured again.
     if (someCanServe(request, near))
         return filtered(near, [](const Candidate *one) { return hasFreeSlot(*one); });
-    const CandidatePointers region = filtered(fresh, [&request](const Candidate *one) {
+    CandidatePointers region = filtered(fresh, [&request](const Candidate *one) {
         return one->m_region == request.m_region && canServe(request, *one);
     });
     if (!region.empty())
--- a/src/policy/prefix_memory.cpp
+++ b/src/policy/prefix_memory.cpp
@@ -1,5 +1,7 @@
 #include <gypsumdale/policy/prefix_memory.hpp>
 
+#include <ranges> // views::reverse
+
 namespace gypsumdale {
 
 PrefixMemory::PrefixMemory(std::size_t blocksPerUpstream, Duration maxAge)
@@ -12,12 +14,12 @@
 {
     Memory &memory = m_upstreams[upstream];
     // From the last block on, so that the leading ones, which others share, are forgotten last.
-    for (auto hash = blocks.rbegin(); hash != blocks.rend(); ++hash) {
-        const auto known = memory.m_index.find(*hash);
+    for (const std::uint64_t hash : blocks | std::views::reverse) {
+        const auto known = memory.m_index.find(hash);
         if (known != memory.m_index.end())
             memory.m_blocks.erase(known->second);
-        memory.m_blocks.push_front(Block{*hash, now});
-        memory.m_index[*hash] = memory.m_blocks.begin();
+        memory.m_blocks.push_front(Block{hash, now});
+        memory.m_index[hash] = memory.m_blocks.begin();
     }
     while (memory.m_blocks.size() > m_blocksPerUpstream) {
         memory.m_index.erase(memory.m_blocks.back().m_hash);
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // max, min, upper_bound
 #include <cmath> // floor
 #include <iterator> // distance
+#include <ranges> // views::reverse
 
 namespace gypsumdale {
 
@@ -59,9 +60,9 @@
     if (m_changes.empty() || m_changes.front().m_at > since)
         return 0;
     std::uint32_t least = m_changes.back().m_inFlight;
-    for (auto change = m_changes.rbegin(); change != m_changes.rend(); ++change) {
-        least = std::min(least, change->m_inFlight);
-        if (change->m_at <= since)
+    for (const Change &change : m_changes | std::views::reverse) {
+        least = std::min(least, change.m_inFlight);
+        if (change.m_at <= since)
             break;
     }
     return least;
