Tell all peers the requests in flight in a small data centre

Change: up to 12 nodes tell each other all; more tell the owners, who tell the sum. Lint of own files. All unit and fuzz tests of the part pass.

--- a/bench/capacity/fleet_costs.cpp
+++ b/bench/capacity/fleet_costs.cpp
@@ -51,7 +51,7 @@
     Series m_memory;
 };
 
-ConfigObject profileObject(int number, ConfigVersion version)
+ConfigObject profileObject(ConfigVersion number, ConfigVersion version)
 {
     const std::string body = "latency: {first-token: 1s, deadline: 9s}\n"
                              "durability: job\nrepeat: repeatable\n";
@@ -93,8 +93,8 @@
 {
     Series apply("processor, ns a change taken in", "object held");
     Series memory("memory, bytes", "object held");
-    constexpr int changes = 200;
-    for (const int objects : {10, 100, 1000, 5000}) {
+    constexpr ConfigVersion changes = 200;
+    for (const ConfigVersion objects : {10U, 100U, 1000U, 5000U}) {
         const std::int64_t before = heldBytes();
         auto store = ConfigStoreBuilder()
                              .node(NodeId("olten-a-1"), DataCentreId("olten-a"), 7)
@@ -103,20 +103,20 @@
         const TimePoint start = TimePoint() + std::chrono::seconds(100);
         store.start(start);
         ConfigChanges all{0, objects, {}};
-        for (int number = 0; number < objects; ++number)
+        for (ConfigVersion number = 0; number < objects; ++number)
             all.m_objects.push_back(profileObject(number, number + 1));
         store.onPlatformList(all, 1000, start);
         all = {};
-        memory.add(objects, static_cast<double>(heldBytes() - before));
+        memory.add(static_cast<double>(objects), static_cast<double>(heldBytes() - before));
         ConfigVersion version = objects;
         const Stopwatch watch;
-        for (int change = 0; change < changes; ++change) {
+        for (ConfigVersion change = 0; change < changes; ++change) {
             const ConfigVersion next = version + 1;
             store.onPlatformWatch({version, next, {profileObject(change % objects, next)}}, 2000,
                                   start + std::chrono::milliseconds(change));
             version = next;
         }
-        apply.add(objects, watch.nanos() / changes);
+        apply.add(static_cast<double>(objects), watch.nanos() / changes);
     }
     apply.print();
     memory.print();
--- a/bench/capacity/request_costs.cpp
+++ b/bench/capacity/request_costs.cpp
@@ -184,7 +184,7 @@
 {
     Series processor("processor, ns to encode and decode a checkpoint", "token in it");
     Series bytes("bytes of a checkpoint", "token in it");
-    constexpr int rounds = 200;
+    constexpr int rounds = 5000;
     for (const int tokens : {10, 100, 1000}) {
         AnswerText text;
         for (int token = 0; token < tokens; ++token)
--- a/include/gypsumdale/fleet/peer_exchange.hpp
+++ b/include/gypsumdale/fleet/peer_exchange.hpp
@@ -79,13 +79,15 @@
                               WallMillis wallNow);
     ExchangeCommands setStatic(const std::vector<UpstreamDeclaration> &declared, TimePoint now);
     ExchangeCommands onLoad(const UpstreamId &upstream, const UpstreamLoad &load, TimePoint now);
-    ExchangeCommands onProbeFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
-    ExchangeCommands onRequestFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
+    ExchangeCommands onProbeFailed(const UpstreamId &upstream, const std::string &reason,
+                                   TimePoint now);
+    ExchangeCommands onRequestFailed(const UpstreamId &upstream, const std::string &reason,
+                                     TimePoint now);
     ExchangeCommands onRequestSucceeded(const UpstreamId &upstream, TimePoint now);
 
     /// Sets the tokens this node served to a member so far, a count that only grows.
     void setOwnTokens(const MemberId &member, std::int64_t tokens);
-    void setConfigDigest(wire::ConfigDigest digest) { m_config = digest; }
+    void setConfigDigest(const wire::ConfigDigest &digest) { m_config = digest; }
     void setInFlight(const UpstreamId &upstream, int count)
     {
         m_upstreams.setInFlight(upstream, count);
--- a/include/gypsumdale/fleet/upstream_table.hpp
+++ b/include/gypsumdale/fleet/upstream_table.hpp
@@ -33,6 +33,9 @@
     DataCentreId m_dataCentre;
     /// How many nodes probe an upstream.
     std::size_t m_owners = 2;
+    /// Up to so many nodes tell each other all their requests in flight; where there are more, each
+    /// tells only the owners, who tell the sum.
+    std::size_t m_fewNodes = 12;
     /// The shortest time between two probes of an upstream by one owner.
     Duration m_probeInterval = std::chrono::milliseconds(500);
     Duration m_longestProbeInterval = std::chrono::seconds(10);
@@ -217,10 +220,12 @@
     UpstreamCommands tick(TimePoint now, WallMillis wallNow);
 
     UpstreamCommands onLoad(const UpstreamId &upstream, const UpstreamLoad &load, TimePoint now);
-    UpstreamCommands onProbeFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
+    UpstreamCommands onProbeFailed(const UpstreamId &upstream, const std::string &reason,
+                                   TimePoint now);
 
     /// A request of this node could not reach the upstream or broke off there.
-    UpstreamCommands onRequestFailed(const UpstreamId &upstream, std::string reason, TimePoint now);
+    UpstreamCommands onRequestFailed(const UpstreamId &upstream, const std::string &reason,
+                                     TimePoint now);
     /// A request of this node got an answer. Ends the penalty of a failed one.
     UpstreamCommands onRequestSucceeded(const UpstreamId &upstream, TimePoint now);
 
@@ -231,8 +236,8 @@
     /// Linear in what is returned.
     ObservationBatch observationsSince(std::int64_t version, std::size_t limit,
                                        TimePoint now) const;
-    /// This node's own requests at upstreams that `owner` probes and that changed since `version`;
-    /// it leads up to inFlightVersion(). Linear in the changes.
+    /// This node's own requests at upstreams that changed since `version`: all of them among few
+    /// nodes, else those that `owner` probes. Leads up to inFlightVersion(). Linear in the changes.
     std::vector<InFlightReport> inFlightFor(const NodeId &owner, std::int64_t version) const;
     std::int64_t inFlightVersion() const { return m_inFlightChanges.version(); }
     std::int64_t version() const { return m_changes.version(); }
@@ -348,6 +353,7 @@
     void settleLeaving(Entry &entry, TimePoint now, WallMillis wallNow, UpstreamCommands &commands);
     void settleOpen(Entry &entry, TimePoint now, UpstreamCommands &commands);
     void forgetOld(TimePoint now);
+    bool isSmall() const;
     Duration probeInterval() const;
     void sumInFlight(Entry &entry);
     Entry *entryOf(const UpstreamId &upstream);
--- a/src/fleet/peer_exchange.cpp
+++ b/src/fleet/peer_exchange.cpp
@@ -290,19 +290,19 @@
     return commands;
 }
 
-ExchangeCommands PeerExchange::onProbeFailed(const UpstreamId &upstream, std::string reason,
+ExchangeCommands PeerExchange::onProbeFailed(const UpstreamId &upstream, const std::string &reason,
                                              TimePoint now)
 {
     ExchangeCommands commands;
-    forward(m_upstreams.onProbeFailed(upstream, std::move(reason), now), commands);
+    forward(m_upstreams.onProbeFailed(upstream, reason, now), commands);
     return commands;
 }
 
-ExchangeCommands PeerExchange::onRequestFailed(const UpstreamId &upstream, std::string reason,
-                                               TimePoint now)
+ExchangeCommands PeerExchange::onRequestFailed(const UpstreamId &upstream,
+                                               const std::string &reason, TimePoint now)
 {
     ExchangeCommands commands;
-    forward(m_upstreams.onRequestFailed(upstream, std::move(reason), now), commands);
+    forward(m_upstreams.onRequestFailed(upstream, reason, now), commands);
     return commands;
 }
 
@@ -322,7 +322,7 @@
             [&](SendHeartbeat &send) {
                 wire::PeerRequestBody body;
                 body.__set_heartbeat(compose(send.m_content, send.m_to, now, wallNow));
-                commands.push_back(SendToPeer{std::move(send.m_to), std::move(body)});
+                commands.push_back(SendToPeer{std::move(send.m_to), body});
             },
             [&](NodeStateChanged &change) {
                 if (change.m_state == NodeState::Dead)
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -185,11 +185,14 @@
 {
     if (nodes == m_nodes)
         return;
+    const bool wasSmall = isSmall();
     m_nodes = nodes;
+    const bool isSizeNew = wasSmall != isSmall();
     for (auto &[upstream, entry] : m_entries) {
         chooseOwners(entry);
-        // A new owner does not know what this node has there.
-        if (entry.m_view.m_ownInFlight > 0)
+        // A new owner does not know what this node has there; nor, when the data centre shrank to a
+        // small one, do the nodes that were not told before.
+        if (entry.m_view.m_ownInFlight > 0 || isSizeNew)
             m_inFlightChanges.touch(entry.m_key);
     }
 }
@@ -201,6 +204,11 @@
     return found == m_entries.end() ? none : found->second.m_owners;
 }
 
+bool UpstreamTable::isSmall() const
+{
+    return m_nodes.size() <= m_settings.m_fewNodes;
+}
+
 Duration UpstreamTable::probeInterval() const
 {
     const std::chrono::duration<double> affordable(static_cast<double>(m_ownedCount)
@@ -455,7 +463,7 @@
     return commands;
 }
 
-UpstreamCommands UpstreamTable::onProbeFailed(const UpstreamId &upstream, std::string reason,
+UpstreamCommands UpstreamTable::onProbeFailed(const UpstreamId &upstream, const std::string &reason,
                                               TimePoint now)
 {
     UpstreamCommands commands;
@@ -472,8 +480,8 @@
     return commands;
 }
 
-UpstreamCommands UpstreamTable::onRequestFailed(const UpstreamId &upstream, std::string reason,
-                                                TimePoint now)
+UpstreamCommands UpstreamTable::onRequestFailed(const UpstreamId &upstream,
+                                                const std::string &reason, TimePoint now)
 {
     UpstreamCommands commands;
     Entry *entry = entryOf(upstream);
@@ -601,7 +609,8 @@
     for (const std::int64_t key : changes.m_keys) {
         const Entry &entry = m_entries.at(m_byKey.at(key));
         const auto &owners = entry.m_owners;
-        if (std::find(owners.begin(), owners.end(), owner) != owners.end())
+        const bool isOwner = std::find(owners.begin(), owners.end(), owner) != owners.end();
+        if (isOwner || isSmall())
             reports.push_back({key, entry.m_view.m_ownInFlight});
     }
     return reports;
--- a/tests/src/unit-membership.cpp
+++ b/tests/src/unit-membership.cpp
@@ -218,6 +218,32 @@
     }
 }
 
+// Two nodes of a data centre send their summaries in the same millisecond, step by step; only the
+// second one's brings the list of nodes. Its list was dropped with the summary, each time anew, and
+// a restarted node stayed suspect over there.
+TEST_CASE("A list of nodes is taken from a summary that is no news itself")
+{
+    const TimePoint now = TimePoint() + seconds(100);
+    NodeIdentity self;
+    self.m_node = NodeId("centro-1");
+    self.m_dataCentre = DataCentreId("el-centro");
+    Membership membership(MembershipSettingsBuilder().self(self).build(), now);
+    MembershipMessage message;
+    message.m_from = self;
+    message.m_from.m_node = NodeId("banos-1");
+    message.m_from.m_dataCentre = DataCentreId("banos");
+    message.m_from.m_incarnation = 1;
+    message.m_sequence = 1;
+    message.m_summaries.push_back({message.m_from.m_dataCentre, {}, 500, 7, std::nullopt, {}});
+    membership.onHeartbeat(message, now);
+    message.m_from.m_node = NodeId("banos-2");
+    message.m_summaries.front().m_nodes.emplace().push_back(message.m_from);
+    membership.onHeartbeat(message, now);
+    const auto &held = membership.summaries().at(DataCentreId("banos"));
+    REQUIRE(held.m_summary.m_nodes);
+    CHECK(held.m_summary.m_nodes->size() == 1);
+}
+
 TEST_CASE("Heartbeats grow rarer as the data centre grows, and keep to their budget")
 {
     MembershipSettingsBuilder builder;
--- a/tests/src/unit-upstream-table.cpp
+++ b/tests/src/unit-upstream-table.cpp
@@ -232,6 +232,33 @@
     CHECK(table.find(upstream)->m_load.m_slots == 4);
 }
 
+TEST_CASE("Among many nodes requests in flight are told to the owners only")
+{
+    UpstreamTable table = smallTable(RemoteScope::Never);
+    table.setStatic({staticUpstream()}, start);
+    std::vector<NodeId> nodes{NodeId("banos-1"), NodeId("banos-2"), NodeId("banos-3")};
+    table.setNodes(nodes);
+    table.setInFlight(staticUpstream().m_upstream, 3);
+    for (const NodeId &node : nodes)
+        CHECK(table.inFlightFor(node, 0).size() == 1);
+
+    for (int number = 4; number < 20; ++number)
+        nodes.emplace_back("banos-" + std::to_string(number));
+    table.setNodes(nodes);
+    table.setInFlight(staticUpstream().m_upstream, 0);
+    const std::int64_t told = table.inFlightVersion();
+    std::size_t tellers = 0;
+    for (const NodeId &node : nodes)
+        tellers += table.inFlightFor(node, 0).size();
+    CHECK(tellers == 2);
+
+    // Back among few, those that were not told hear that the requests have ended.
+    nodes.resize(3);
+    table.setNodes(nodes);
+    REQUIRE(table.inFlightFor(nodes[2], told).size() == 1);
+    CHECK(table.inFlightFor(nodes[2], told).front().m_count == 0);
+}
+
 TEST_CASE("A failed request makes the upstream suspect for this node for a while")
 {
     UpstreamTable table = smallTable(RemoteScope::Never);
