Walk backwards by index in the policies

Cause: the linter's compiler can't read reversed views of this standard library. Ruled out: Boost's adaptor, which doesn't take a span.

--- a/bench/policy/engine_model.cpp
+++ b/bench/policy/engine_model.cpp
@@ -1,7 +1,6 @@
 #include "bench/policy/engine_model.hpp"
 
 #include <algorithm> // max, min
-#include <ranges> // views::reverse
 #include <utility> // move
 
 namespace gypsumdale::bench {
@@ -31,7 +30,8 @@
         isPrefix = isPrefix && known != m_cache.end();
         found += isPrefix ? 1U : 0U;
     }
-    for (const std::uint64_t block : blocks | std::views::reverse) {
+    for (std::size_t left = blocks.size(); left > 0; --left) {
+        const std::uint64_t block = blocks[left - 1];
         const auto known = m_cache.find(block);
         if (known != m_cache.end())
             m_recency.erase(known->second);
--- a/src/policy/prefix_memory.cpp
+++ b/src/policy/prefix_memory.cpp
@@ -1,7 +1,5 @@
 #include <gypsumdale/policy/prefix_memory.hpp>
 
-#include <ranges> // views::reverse
-
 namespace gypsumdale {
 
 PrefixMemory::PrefixMemory(std::size_t blocksPerUpstream, Duration maxAge)
@@ -14,7 +12,8 @@
 {
     Memory &memory = m_upstreams[upstream];
     // From the last block on, so that the leading ones, which others share, are forgotten last.
-    for (const std::uint64_t hash : blocks | std::views::reverse) {
+    for (std::size_t left = blocks.size(); left > 0; --left) {
+        const std::uint64_t hash = blocks[left - 1];
         const auto known = memory.m_index.find(hash);
         if (known != memory.m_index.end())
             memory.m_blocks.erase(known->second);
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -3,7 +3,6 @@
 #include <algorithm> // max, min, upper_bound
 #include <cmath> // floor
 #include <iterator> // distance
-#include <ranges> // views::reverse
 
 namespace gypsumdale {
 
@@ -60,7 +59,8 @@
     if (m_changes.empty() || m_changes.front().m_at > since)
         return 0;
     std::uint32_t least = m_changes.back().m_inFlight;
-    for (const Change &change : m_changes | std::views::reverse) {
+    for (std::size_t left = m_changes.size(); left > 0; --left) {
+        const Change &change = m_changes[left - 1];
         least = std::min(least, change.m_inFlight);
         if (change.m_at <= since)
             break;
