--- a/include/gypsumdale/fleet/peer_exchange.hpp
+++ b/include/gypsumdale/fleet/peer_exchange.hpp
@@ -69,7 +69,10 @@
                                TimePoint now, WallMillis wallNow);
     void onSendFailed(const NodeId &node) { m_membership.onSendFailed(node); }
 
-    /// A notice from the cloud that this node read.
+    /// Notices from the cloud that this node read. Give all that one answer brought together: they
+    /// then go to each peer in one message.
+    ExchangeCommands onNotices(const std::vector<LeavingNotice> &notices, TimePoint now,
+                               WallMillis wallNow);
     ExchangeCommands onNotice(const LeavingNotice &notice, TimePoint now, WallMillis wallNow);
     /// An operator's drain of an upstream.
     ExchangeCommands drainUpstream(const UpstreamId &upstream, TimePoint now, WallMillis wallNow);
--- a/src/fleet/peer_exchange.cpp
+++ b/src/fleet/peer_exchange.cpp
@@ -250,6 +250,12 @@
     return commands;
 }
 
+ExchangeCommands PeerExchange::onNotices(const std::vector<LeavingNotice> &notices, TimePoint now,
+                                         WallMillis wallNow)
+{
+    return takeNotices(notices, NoticeSource::Here, now, wallNow);
+}
+
 ExchangeCommands PeerExchange::onNotice(const LeavingNotice &notice, TimePoint now,
                                         WallMillis wallNow)
 {
--- a/tests/src/unit-upstream-table.cpp
+++ b/tests/src/unit-upstream-table.cpp
@@ -147,6 +147,21 @@
     }
 }
 
+// A data centre's thousand VMs are reclaimed one by one in a single answer of the cloud. Were each
+// spread on its own, a node would send a thousand messages to each peer in a second.
+TEST_CASE("Notices that came together go to each peer in one message")
+{
+    FleetWorld world = worldWithRunners();
+    std::vector<LeavingNotice> notices;
+    for (const char *vm : {"r-1", "r-2", "r-3"})
+        notices.push_back(reclaimNotice(VmId(vm), banos, world.wall() + 30000, 1));
+    const auto commands = world.exchange("banos-1").onNotices(notices, world.now(), world.wall());
+    const auto isMessage = [](const ExchangeCommand &command) {
+        return std::holds_alternative<SendToPeer>(command);
+    };
+    CHECK(std::count_if(commands.begin(), commands.end(), isMessage) == 2);
+}
+
 // The one message with the notice is lost. Nothing else would ever tell the third node: the list
 // shows the VM live for half a minute. The digest in the next heartbeat shows that it missed one.
 TEST_CASE("A lost notice is repaired by heartbeats")
