Mend the linter's findings in the runtime

Cause: sizes multiplied as int and widened afterwards, two parameters copied though only read, a constant that blocked a move, and a defaulted <=> in which modernize-use-nullptr sees the literal 0 that the compiler makes. Change: sizes start as std::size_t, the frame and the loop's core go by const reference (the thread's function object holds the core until the thread ends), and Endpoint compares through std::tie as ConfigKey does. Behaviour is as before.

--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -61,7 +61,7 @@
     /// Sends a frame and returns the answer. A failure or a timeout closes the connection, so that
     /// a late answer can't be taken for the next one's. The time covers waiting, connecting,
     /// sending and the answer.
-    Result<std::string> exchange(std::string frame, Duration timeout);
+    Result<std::string> exchange(const std::string &frame, Duration timeout);
 
     FrameTraffic traffic() const;
 
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -5,11 +5,13 @@
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_message.hpp>
 
+#include <compare> // strong_ordering
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t
 #include <memory> // unique_ptr
 #include <optional> // optional
 #include <string> // string
+#include <tuple> // tie
 
 namespace gypsumdale {
 
@@ -19,7 +21,11 @@
     std::string m_address;
     std::uint16_t m_port = 0;
 
-    friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+    friend bool operator==(const Endpoint &, const Endpoint &) = default;
+    friend std::strong_ordering operator<=>(const Endpoint &left, const Endpoint &right)
+    {
+        return std::tie(left.m_address, left.m_port) <=> std::tie(right.m_address, right.m_port);
+    }
 };
 
 /// How far a call got before it failed. Only NothingSent allows the claim that the request was not
@@ -60,7 +66,7 @@
     bool m_freshConnection = false;
     /// Bounds the answer of HttpClient::call(), which holds it whole; open() passes pieces on and
     /// has no bound.
-    std::size_t m_maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t m_maxBodyBytes = std::size_t{8} * 1024 * 1024;
 };
 
 /// An answer that is being read piece by piece. Destroying it before the end closes the connection,
--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -56,8 +56,8 @@
 /// Bounds on what a caller may send and how slowly.
 struct HttpLimits
 {
-    std::size_t m_headerBytes = 16 * 1024;
-    std::size_t m_bodyBytes = 1024 * 1024;
+    std::size_t m_headerBytes = std::size_t{16} * 1024;
+    std::size_t m_bodyBytes = std::size_t{1024} * 1024;
     std::size_t m_connections = 4096;
     /// Time for one request to arrive whole, from its first byte.
     Duration m_readTimeout = std::chrono::seconds(15);
--- a/src/runtime/detail/fiber_stack.hpp
+++ b/src/runtime/detail/fiber_stack.hpp
@@ -14,13 +14,13 @@
 // Sanitized frames are several times as large. Stacks come from the heap there and are not reused:
 // the leak check looks for pointers in heap blocks only, and a reused stack would still be marked
 // as poisoned by the frames that its last fiber never returned from.
-inline constexpr std::size_t fiberStackBytes = 1024 * 1024;
+inline constexpr std::size_t fiberStackBytes = std::size_t{1024} * 1024;
 using FiberStack = boost::context::fixedsize_stack;
 #else
 /// Enough for HTTP and frame handlers with a wide margin (they were designed to use a few KiB);
 /// pages never touched cost no memory. All fibers of a loop use one size, so that stacks are
 /// interchangeable.
-inline constexpr std::size_t fiberStackBytes = 128 * 1024;
+inline constexpr std::size_t fiberStackBytes = std::size_t{128} * 1024;
 
 /// Hands out stacks with a guard page, and keeps freed ones for the next fiber, since mapping and
 /// unmapping one for each connection costs more than the fiber itself. Used on one thread.
--- a/src/runtime/detail/frame_stream.cpp
+++ b/src/runtime/detail/frame_stream.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t prefixBytes = 4;
 /// Capacity that a connection keeps between frames.
-constexpr std::size_t keptCapacity = 256 * 1024;
+constexpr std::size_t keptCapacity = std::size_t{256} * 1024;
 
 StreamStatus fillTo(Stream &stream, std::size_t size, SteadyTime deadline)
 {
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -14,12 +14,12 @@
 using boost::system::error_code;
 namespace asio = boost::asio;
 
-constexpr std::size_t smallestRead = 4 * 1024;
-constexpr std::size_t largestRead = 64 * 1024;
+constexpr std::size_t smallestRead = std::size_t{4} * 1024;
+constexpr std::size_t largestRead = std::size_t{64} * 1024;
 /// Input that may collect unparsed while a connection is watched.
-constexpr std::size_t mostReadAhead = 64 * 1024;
+constexpr std::size_t mostReadAhead = std::size_t{64} * 1024;
 constexpr Duration gentleCloseTime = std::chrono::seconds(1);
-constexpr std::size_t gentleCloseBytes = 1024 * 1024;
+constexpr std::size_t gentleCloseBytes = std::size_t{1024} * 1024;
 
 std::size_t totalSize(std::span<const asio::const_buffer> buffers)
 {
--- a/src/runtime/fiber_loop.cpp
+++ b/src/runtime/fiber_loop.cpp
@@ -50,8 +50,9 @@
     clockid_t m_processorClock{};
     std::atomic<Duration> m_finalProcessorTime = Duration::zero();
 
-    /// The thread's body. The core is held by the thread itself, as it may outlive this state.
-    void run(std::shared_ptr<detail::LoopCore> core)
+    /// The thread's body. The caller is the thread's own function object, which holds the core, as
+    /// the thread may outlive this state.
+    void run(const std::shared_ptr<detail::LoopCore> &core)
     {
         runLoop(*core);
         m_finalProcessorTime = readClock(CLOCK_THREAD_CPUTIME_ID);
--- a/src/runtime/frame_channel.cpp
+++ b/src/runtime/frame_channel.cpp
@@ -23,7 +23,7 @@
 /// Time for a frame that has begun to arrive, and for an answer to be taken.
 constexpr Duration frameTime = std::chrono::seconds(30);
 /// Bound on what a peer may answer.
-constexpr std::size_t largestAnswer = 16 * 1024 * 1024;
+constexpr std::size_t largestAnswer = std::size_t{16} * 1024 * 1024;
 
 } // namespace
 
@@ -236,7 +236,7 @@
     });
 }
 
-Result<std::string> FrameChannel::exchange(std::string frame, Duration timeout)
+Result<std::string> FrameChannel::exchange(const std::string &frame, Duration timeout)
 {
     const std::shared_ptr<State> state = m_state;
     return state->exchange(frame, detail::deadlineAfter(timeout));
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -132,7 +132,7 @@
                     return fail(status);
                 m_phase = SendPhase::AnswerBegun;
             }
-            if (const std::optional<CallFailure> malformed = parse())
+            if (std::optional<CallFailure> malformed = parse())
                 return malformed;
         }
     } while (m_parser->status() / 100 == interimStatusClass);
