--- a/include/gypsumdale/kernel/config_driver.hpp
+++ b/include/gypsumdale/kernel/config_driver.hpp
@@ -50,7 +50,7 @@
     void execute(const BodyRefused &command);
     void execute(const ConfigReady &command);
     void runTimer();
-    void send(const NodeId &peer, wire::PeerRequestBody body);
+    void send(const NodeId &peer, const wire::PeerRequestBody &body);
     ConfigWriterStep perform(ConfigWriter &writer, const PutObject &step);
     ConfigWriterStep perform(ConfigWriter &writer, const DeleteObject &step);
     ConfigWriterStep perform(ConfigWriter &writer, const ReadObject &step);
--- a/include/gypsumdale/kernel/control.hpp
+++ b/include/gypsumdale/kernel/control.hpp
@@ -56,7 +56,8 @@
     /// Suspends the calling fiber.
     std::optional<ConfigVersion> askVersion(const NodeIdentity &peer, const ConfigKey &key,
                                             Duration timeout);
-    /// Collects what all live nodes remember of a subject, oldest first. Suspends the calling fiber.
+    /// Collects what all live nodes remember of a subject, oldest first. Suspends the calling
+    /// fiber.
     std::vector<DecisionEvent> explain(DecisionSubject subject, const std::string &id,
                                        Duration timeout);
 
@@ -82,6 +83,7 @@
     void execute(const ExitProcess &command);
     void runDrain();
     void refreshGauges();
+    void countUpstreams();
     wire::VersionInForce ownVersion(const wire::VersionAsk &ask) const;
     wire::Decisions ownDecisions(const wire::DecisionsAsk &ask) const;
     std::vector<NodeId> liveLocalNodes() const;
--- a/include/gypsumdale/kernel/job_call.hpp
+++ b/include/gypsumdale/kernel/job_call.hpp
@@ -12,8 +12,8 @@
 
 namespace gypsumdale {
 
-/// Serves a caller of one durable job: the one who asked for it, or one who comes back for it. Lives
-/// in one fiber of a traffic loop; the job itself does not depend on it.
+/// Serves a caller of one durable job: the one who asked for it, or one who comes back for it.
+/// Lives in one fiber of a traffic loop; the job itself does not depend on it.
 class JobCall
 {
 public:
--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -39,9 +39,8 @@
 
     /// A caller comes back at a position. Waits while a log has to be read, for at most a few
     /// seconds. ServeFrom of a job under way comes with a feed of what follows.
-    std::pair<ReattachAnswer, std::shared_ptr<JobFeed>> reattach(const JobId &job,
-                                                                 const MemberId &member,
-                                                                 const AnswerPosition &position);
+    std::pair<ReattachAnswer, std::shared_ptr<JobFeed>>
+    reattach(const JobId &job, const MemberId &member, const AnswerPosition &position);
 
     /// Asks the others who has a job that this node does not know.
     std::optional<wire::JobLocated> locate(const JobId &job, const std::optional<NodeId> &first);
--- a/include/gypsumdale/kernel/peer_link.hpp
+++ b/include/gypsumdale/kernel/peer_link.hpp
@@ -30,7 +30,7 @@
     Result<Done> listen(const Endpoint &endpoint, PeerHandler handler);
 
     /// Sends a request and returns its answer. A refusal comes back as PeerRefused.
-    Result<wire::PeerReply> ask(const NodeIdentity &peer, wire::PeerRequestBody body,
+    Result<wire::PeerReply> ask(const NodeIdentity &peer, const wire::PeerRequestBody &body,
                                 Duration timeout);
 
     void setIncarnation(Incarnation incarnation) { m_incarnation = incarnation; }
--- a/include/gypsumdale/kernel/platform_client.hpp
+++ b/include/gypsumdale/kernel/platform_client.hpp
@@ -91,7 +91,7 @@
     bool isUp() const { return m_isUp; }
 
 private:
-    PlatformResult<HttpReply> send(HttpCall call);
+    PlatformResult<HttpReply> send(const HttpCall &call);
     PlatformResult<ObjectVersion> put(std::string_view kind, std::string_view name,
                                       std::string body, std::string condition,
                                       std::string conditionValue);
--- a/include/gypsumdale/kernel/traffic.hpp
+++ b/include/gypsumdale/kernel/traffic.hpp
@@ -44,17 +44,15 @@
     template <typename Work>
     auto onControl(Work work)
     {
-        return m_controlLoop->call([this, work = std::move(work)]() mutable {
-            return work(*m_control);
-        });
+        return m_controlLoop->call(
+                [this, work = std::move(work)]() mutable { return work(*m_control); });
     }
 
     /// Runs the work on the control loop some time soon.
     template <typename Work>
     void tellControl(Work work)
     {
-        m_controlLoop->spawn(
-                [this, work = std::move(work)]() mutable { work(*m_control); });
+        m_controlLoop->spawn([this, work = std::move(work)]() mutable { work(*m_control); });
     }
 
     const Clock &clock() const { return m_clock; }
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -2,7 +2,8 @@
 # Installs what gypsumdale builds with, by name from Debian. Does nothing if all is there.
 set -euo pipefail
 packages=(
-    build-essential ccache clang-format clang-tidy cmake ninja-build pkg-config git
+    build-essential ca-certificates ccache clang-format clang-tidy cmake curl git ninja-build
+    pkg-config
     libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev libboost-url1.81-dev
     libthrift-dev libcxxopts-dev libfmt-dev libyaml-cpp-dev libssl-dev libxxhash-dev libpcg-cpp-dev
     nlohmann-json3-dev catch2 librapidcheck-dev
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -2,6 +2,7 @@
 #include <gypsumdale/kernel/caller_api.hpp>
 #include <gypsumdale/kernel/error_reply.hpp>
 
+#include <boost/url/pct_string_view.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -46,6 +47,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Decodes one part of a path; nothing for a malformed one.
+std::optional<std::string> decoded(std::string_view text)
+{
+    const auto view = boost::urls::make_pct_string_view(text);
+    if (view.has_error())
+        return std::nullopt;
+    return view->decode();
+}
+
 /// Splits "KIND/NAME".
 std::optional<ConfigKey> keyIn(std::string_view text)
 {
@@ -55,7 +65,10 @@
     const auto kind = valueIn(settingsKindNames, text.substr(0, slash));
     if (!kind)
         return std::nullopt;
-    return ConfigKey{*kind, std::string(text.substr(slash + 1))};
+    const auto name = decoded(text.substr(slash + 1));
+    if (!name)
+        return std::nullopt;
+    return ConfigKey{*kind, *name};
 }
 
 Json findingsJson(const Findings &findings)
@@ -82,10 +95,11 @@
 HttpReply conflictReply(const EditConflict &conflict)
 {
     Json document;
-    document["error"] = errorJson({ErrorId::PlatformConflict,
-                                   conflict.m_isRead ? "another change came first"
-                                                     : "another change came first; it can't be read "
-                                                       "now"});
+    document["error"] =
+            errorJson({ErrorId::PlatformConflict,
+                       conflict.m_isRead ? "another change came first"
+                                         : "another change came first; it can't be read "
+                                           "now"});
     document["edited"] = {{"version", conflict.m_editedVersion}, {"body", conflict.m_body}};
     if (conflict.m_current)
         document["current"] = {{"version", conflict.m_current->m_version},
@@ -150,7 +164,9 @@
 HttpReply AdminApi::answerOperator(const HttpRequest &request)
 {
     const std::string_view rest = request.path().substr(adminPrefix.size());
-    const auto below = [&](std::string_view prefix) { return rest.substr(prefix.size()); };
+    const auto below = [&](std::string_view prefix) {
+        return rest.substr(prefix.size());
+    };
     if (rest.starts_with("config/"))
         return configReply(request, below("config/"));
     if (rest == "drain")
@@ -191,11 +207,13 @@
     HttpReply reply;
     reply.m_headers.add("Content-Type", std::string(metricsContentType));
     const auto trafficMillis = millisOf(m_traffic.processorTime());
-    reply.m_body = m_traffic.onControl([&](Control &control) {
+    const Metrics *metrics = m_traffic.onControl([&](Control &control) {
         control.context().m_metrics.assign(Counter::TrafficProcessorMillis,
                                            static_cast<std::uint64_t>(trafficMillis));
-        return control.context().m_metrics.expose();
+        return &control.context().m_metrics;
     });
+    // Writing thousands of series takes milliseconds, which the control thread does not have.
+    reply.m_body = metrics->expose();
     return reply;
 }
 
@@ -343,8 +361,8 @@
 {
     const std::string text = request.parameter("version").value_or("");
     ConfigEdit edit;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(),
-                                              edit.m_editedVersion);
+    const auto [end, error] =
+            std::from_chars(text.data(), text.data() + text.size(), edit.m_editedVersion);
     if (error != std::errc() || end != text.data() + text.size())
         return errorReply({ErrorId::RequestMalformed, "give the edited version, or 0 to create"});
     edit.m_key = key;
@@ -377,6 +395,9 @@
                 {settings.m_dataCentre.text(), settings.m_node.text(), std::nullopt}};
         for (const NodeView &view : control.fleet().membership().nodes()) {
             const NodeIdentity &identity = view.m_identity;
+            // A dead node has nothing in force; listing it would keep a rollout from ever ending.
+            if (view.m_state == NodeState::Dead)
+                continue;
             result.push_back({identity.m_dataCentre.text(), identity.m_node.text(), identity});
         }
         return result;
@@ -407,9 +428,11 @@
     const auto subject = decisionSubjectFrom(rest.substr(0, slash));
     if (slash == std::string_view::npos || !subject)
         return notFound();
-    const std::string id(rest.substr(slash + 1));
+    const auto id = decoded(rest.substr(slash + 1));
+    if (!id)
+        return notFound();
     const auto events = m_traffic.onControl(
-            [&](Control &control) { return control.explain(*subject, id, peerTimeout); });
+            [&](Control &control) { return control.explain(*subject, *id, peerTimeout); });
     if (events.empty())
         return errorReply({ErrorId::NotFound, "nothing is known of it"});
     HttpReply reply;
@@ -424,8 +447,8 @@
         return errorReply({ErrorId::MethodNotAllowed, "use POST"});
     const auto document = nlohmann::json::parse(request.m_body, nullptr, false);
     const auto textOf = [&](const char *name) {
-        const bool has = document.is_object() && document.contains(name)
-                && document[name].is_string();
+        const bool has =
+                document.is_object() && document.contains(name) && document[name].is_string();
         return has ? document[name].get<std::string>() : std::string();
     };
     const std::string upstream = textOf("upstream");
--- a/src/kernel/admission_driver.cpp
+++ b/src/kernel/admission_driver.cpp
@@ -72,8 +72,8 @@
 {
     const FleetSettings &fleet = *m_view.fleet();
     const ServiceSettings *settings = fleet.service(id);
-    const std::string &name = settings && !settings->m_routing.empty() ? settings->m_routing
-                                                                       : fleet.m_routing;
+    const std::string &name =
+            settings && !settings->m_routing.empty() ? settings->m_routing : fleet.m_routing;
     AdmissionController::Builder builder;
     builder.node(m_context.m_settings.m_node)
             .dataCentre(m_context.m_settings.m_dataCentre)
@@ -113,6 +113,8 @@
 {
     const UpstreamView *view = m_fleet.upstreams().find(command.m_upstream);
     service(id).m_placedAt[command.m_request.m_id] = command.m_upstream;
+    m_context.m_journal.record(m_context.wallNow(), command.m_request.m_id, Decision::Routed,
+                               DecisionReason::FreeSlot, command.m_upstream.text());
     shareOwnLoad(id, command.m_upstream);
     Endpoint endpoint;
     if (view)
@@ -195,8 +197,8 @@
     merged.m_tokens = load.m_tokens;
     merged.m_inFlight = load.m_inFlight;
     for (auto &[id, service] : m_services) {
-        service->m_controller.mergePeer(peer, static_cast<std::uint64_t>(load.m_incarnation), merged,
-                                        m_context.now());
+        service->m_controller.mergePeer(peer, static_cast<std::uint64_t>(load.m_incarnation),
+                                        merged, m_context.now());
     }
 }
 
@@ -204,8 +206,8 @@
 {
     std::vector<MemberShare> shares;
     for (const auto &[id, member] : m_view.members()) {
-        shares.push_back({id, m_view.weightOf(*member),
-                          static_cast<std::uint32_t>(member->m_concurrency)});
+        shares.push_back(
+                {id, m_view.weightOf(*member), static_cast<std::uint32_t>(member->m_concurrency)});
     }
     for (auto &[id, service] : m_services)
         service->m_controller.setMembers(shares);
@@ -253,8 +255,8 @@
     report.m_dataCentre = declaration.m_dataCentre;
     report.m_region = place ? place->m_region : m_context.m_settings.m_region;
     const int declaredSlots = declared ? declared->m_slots : 1;
-    report.m_slots = static_cast<std::uint32_t>(
-            view.m_load.m_slots > 0 ? view.m_load.m_slots : declaredSlots);
+    report.m_slots = static_cast<std::uint32_t>(view.m_load.m_slots > 0 ? view.m_load.m_slots
+                                                                        : declaredSlots);
     report.m_running = static_cast<std::uint32_t>(view.m_load.m_running);
     report.m_queued = static_cast<std::uint32_t>(view.m_load.m_queued);
     if (view.hasLoad())
--- a/src/kernel/caller_api.cpp
+++ b/src/kernel/caller_api.cpp
@@ -116,8 +116,8 @@
     const std::string_view rest = path.substr(servicesPrefix.size());
     const std::size_t slash = rest.find('/');
     const ServiceId service(std::string(rest.substr(0, slash)));
-    const std::size_t consumed = servicesPrefix.size()
-            + (slash == std::string_view::npos ? rest.size() : slash);
+    const std::size_t consumed =
+            servicesPrefix.size() + (slash == std::string_view::npos ? rest.size() : slash);
     std::string target = request.m_target.substr(consumed);
     if (target.empty() || target.front() != '/')
         target.insert(target.begin(), '/');
@@ -152,8 +152,8 @@
     if (!from.empty()) {
         const auto parsed = positionFrom(from);
         if (!parsed) {
-            responder.send(errorReply({ErrorId::RequestMalformed,
-                                       "a position is written EPOCH:OFFSET"}));
+            responder.send(
+                    errorReply({ErrorId::RequestMalformed, "a position is written EPOCH:OFFSET"}));
             return;
         }
         position = *parsed;
--- a/src/kernel/chat_request.cpp
+++ b/src/kernel/chat_request.cpp
@@ -69,8 +69,8 @@
     request.m_service = ServiceId(model->get<std::string>());
     request.m_isStreamed = stream != document.end() && stream->get<bool>();
     const std::string prompt = promptOf(*messages);
-    request.m_promptTokens = static_cast<std::uint32_t>(
-            std::max<std::size_t>(prompt.size() / bytesPerToken, 1));
+    request.m_promptTokens =
+            static_cast<std::uint32_t>(std::max<std::size_t>(prompt.size() / bytesPerToken, 1));
     request.m_expectedTokens = answerTokensOf(document);
     request.m_prefixBlocks = gypsumdale::prefixBlocks(prompt);
     request.m_document = std::make_shared<Document>(Document{std::move(document)});
--- a/src/kernel/claim_driver.cpp
+++ b/src/kernel/claim_driver.cpp
@@ -55,7 +55,9 @@
         reply.verdict = wire::ClaimVerdict::InProgressOrUnknown;
         reply.attempt = value.m_attempt.text();
     };
-    const auto reused = [&](const KeyReused &) { reply.verdict = wire::ClaimVerdict::KeyReused; };
+    const auto reused = [&](const KeyReused &) {
+        reply.verdict = wire::ClaimVerdict::KeyReused;
+    };
     const auto notRun = [&](const NotRun &value) {
         reply.verdict = wire::ClaimVerdict::NotRun;
         reply.reason = static_cast<std::int8_t>(value.m_reason);
@@ -84,8 +86,7 @@
         break;
     }
     const auto last = static_cast<std::int8_t>(NotRunReason::Overloaded);
-    const auto reason = static_cast<NotRunReason>(
-            std::clamp<std::int8_t>(reply.reason, 0, last));
+    const auto reason = static_cast<NotRunReason>(std::clamp<std::int8_t>(reply.reason, 0, last));
     return NotRun{reason, std::chrono::milliseconds(reply.retryAfterMillis)};
 }
 
@@ -125,9 +126,9 @@
 {
     while (auto command = m_ledger.next(m_context.moment())) {
         m_context.m_loop.spawn([this, command = std::move(*command)] {
-            const LogAnswer answer = performLogCommand(m_context.m_platform, claimsKind,
-                                                       shardName(command.m_shard),
-                                                       command.m_command);
+            const LogAnswer answer =
+                    performLogCommand(m_context.m_platform, claimsKind, shardName(command.m_shard),
+                                      command.m_command);
             m_ledger.onAnswer(command.m_shard, answer, m_context.moment());
             pump();
         });
@@ -164,11 +165,11 @@
             forward.record = event.m_record;
             wire::PeerRequestBody body;
             body.__set_claimRecord(forward);
-            if (succeeded(m_context.m_peers.ask(*peer, std::move(body), forwardTimeout)))
+            if (succeeded(m_context.m_peers.ask(*peer, body, forwardTimeout)))
                 return;
         }
-        const auto appended = m_ledger.appendForPeer(event.m_shard, event.m_record,
-                                                     m_context.moment());
+        const auto appended =
+                m_ledger.appendForPeer(event.m_shard, event.m_record, m_context.moment());
         if (!succeeded(appended))
             m_context.m_log.failure("claim-record-lost", errorOf(appended));
         pump();
@@ -234,7 +235,7 @@
     forward.timeLeftMillis = millisOf(request.m_deadline - m_context.now());
     wire::PeerRequestBody body;
     body.__set_claimForward(forward);
-    const auto reply = m_context.m_peers.ask(peer, std::move(body), forwardTimeout);
+    const auto reply = m_context.m_peers.ask(peer, body, forwardTimeout);
     if (succeeded(reply) && valueOf(reply).body.__isset.claimForwarded) {
         m_ledger.onForwardResult(ticket, fromWire(valueOf(reply).body.claimForwarded),
                                  m_context.moment());
--- a/src/kernel/config_driver.cpp
+++ b/src/kernel/config_driver.cpp
@@ -38,8 +38,7 @@
     for (const PlatformObject &object : objects.m_objects) {
         const auto key = configKeyOf(object.m_name);
         if (key) {
-            changes.m_objects.push_back(
-                    {*key, object.m_version, object.m_body, object.m_deleted});
+            changes.m_objects.push_back({*key, object.m_version, object.m_body, object.m_deleted});
         }
     }
     return changes;
@@ -110,8 +109,8 @@
 {
     m_context.m_loop.spawn([this, command] {
         const WallMillis askedAt = m_context.wallNow();
-        const auto result = m_context.m_platform.watch(configPlatformKind, command.m_after,
-                                                       command.m_timeout);
+        const auto result =
+                m_context.m_platform.watch(configPlatformKind, command.m_after, command.m_timeout);
         const auto *objects = std::get_if<PlatformObjects>(&result);
         if (objects) {
             run(m_store.onPlatformWatch(changesFrom(*objects, command.m_after), askedAt,
@@ -129,31 +128,31 @@
 {
     wire::PeerRequestBody body;
     body.__set_configAsk(wire::toWire(command.m_ask));
-    send(command.m_peer, std::move(body));
+    send(command.m_peer, body);
 }
 
 void ConfigDriver::execute(const SendUpdate &command)
 {
     wire::PeerRequestBody body;
     body.__set_configUpdate(wire::toWire(command.m_update));
-    send(command.m_peer, std::move(body));
+    send(command.m_peer, body);
 }
 
 void ConfigDriver::execute(const SendDigest &command)
 {
     wire::PeerRequestBody body;
     body.__set_configDigest(wire::toWire(command.m_digest));
-    send(command.m_peer, std::move(body));
+    send(command.m_peer, body);
 }
 
-void ConfigDriver::send(const NodeId &peer, wire::PeerRequestBody body)
+void ConfigDriver::send(const NodeId &peer, const wire::PeerRequestBody &body)
 {
     const auto identity = m_directory(peer);
     if (!identity)
         return;
-    m_context.m_loop.spawn([this, identity = *identity, body = std::move(body)]() mutable {
+    m_context.m_loop.spawn([this, identity = *identity, body] {
         const TimePoint begun = m_context.now();
-        const auto reply = m_context.m_peers.ask(identity, std::move(body), peerTimeout);
+        const auto reply = m_context.m_peers.ask(identity, body, peerTimeout);
         // A refused connection proves that no process of that node runs; silence proves nothing.
         if (!succeeded(reply) && errorOf(reply).m_id == ErrorId::ConnectionClosed)
             run(m_store.onPeerGone(identity.m_node, begun));
@@ -166,10 +165,11 @@
     m_context.m_metrics.add(Counter::SettingsAdopted);
     m_context.m_metrics.set(Gauge::ConfigVersion,
                             static_cast<std::int64_t>(m_store.versionInForce()));
-    m_context.m_log.info("settings-in-force",
-                         {{LogField::Kind, nameIn(settingsKindNames, command.m_object.m_key.m_kind)},
-                          {LogField::Name, command.m_object.m_key.m_name},
-                          {LogField::Version, command.m_object.m_version}});
+    m_context.m_log.info(
+            "settings-in-force",
+            {{LogField::Kind, nameIn(settingsKindNames, command.m_object.m_key.m_kind)},
+             {LogField::Name, command.m_object.m_key.m_name},
+             {LogField::Version, command.m_object.m_version}});
     if (m_listener)
         m_listener(command.m_object.m_key);
 }
@@ -229,9 +229,10 @@
 {
     PlatformClient &platform = m_context.m_platform;
     const std::string name = platformName(step.m_key);
-    const auto result = step.m_ifVersion == 0
-            ? platform.create(configPlatformKind, name, step.m_body)
-            : platform.update(configPlatformKind, name, step.m_ifVersion, step.m_body);
+    const auto result =
+            step.m_ifVersion == 0
+                    ? platform.create(configPlatformKind, name, step.m_body)
+                    : platform.update(configPlatformKind, name, step.m_ifVersion, step.m_body);
     if (const auto *version = std::get_if<ObjectVersion>(&result))
         return writer.onWritten(*version);
     return stepAfter(writer, std::get<PlatformFailure>(result));
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration drainTick = std::chrono::milliseconds(50);
+/// Gauges walk all upstreams, so they are set once a second only.
+constexpr int ticksPerGauges = 20;
+constexpr int ticksPerLogReport = 100;
 
 Endpoint endpointOf(const Address &address)
 {
@@ -37,7 +40,7 @@
 
 Result<Done> Control::start()
 {
-    const auto listening = m_context.m_peers.listen(
+    auto listening = m_context.m_peers.listen(
             endpointOf(m_context.m_settings.m_peerListen),
             [this](const NodeId &sender, const wire::PeerRequest &request) {
                 return answerPeer(sender, request);
@@ -59,7 +62,9 @@
 void Control::listenToFleet()
 {
     FleetListeners listeners;
-    listeners.m_nodeChanged = [this](const NodeStateChanged &change) { onNodeChanged(change); };
+    listeners.m_nodeChanged = [this](const NodeStateChanged &change) {
+        onNodeChanged(change);
+    };
     listeners.m_upstreamChanged = [this](const UpstreamStateChanged &change) {
         m_admission.onUpstreamChanged(change);
         if (change.m_state == UpstreamState::Leaving || change.m_state == UpstreamState::Gone)
@@ -78,7 +83,9 @@
     listeners.m_peerLoad = [this](const NodeId &node, const PeerLoad &load) {
         m_admission.onPeerLoad(node, load);
     };
-    listeners.m_ownNotice = [this](const LeavingNotice &notice) { onOwnNotice(notice); };
+    listeners.m_ownNotice = [this](const LeavingNotice &notice) {
+        onOwnNotice(notice);
+    };
     m_fleet.listen(std::move(listeners));
 }
 
@@ -116,13 +123,13 @@
     context.m_arrivedAt = m_context.now();
     // What a member may not use looks like what does not exist.
     const bool mayUseProfile = context.m_profile && context.m_member
-            && context.m_member->allowsProfile(claim.m_profile)
-            && context.m_profile->allowsService(claim.m_service);
+                               && context.m_member->allowsProfile(claim.m_profile)
+                               && context.m_profile->allowsService(claim.m_service);
     if (!mayUseProfile)
         return Error{ErrorId::ProfileUnknown, "no such profile for this service"};
     const ServiceSettings *service = view.fleet()->service(claim.m_service);
     const bool mayUseService = service && service->m_kind == claim.m_kind
-            && context.m_member->allowsService(claim.m_service);
+                               && context.m_member->allowsService(claim.m_service);
     if (!mayUseService)
         return Error{ErrorId::ServiceUnknown, "no such service"};
     context.m_deadline = context.m_arrivedAt + context.m_profile->m_latency.m_deadline;
@@ -211,7 +218,7 @@
     ask.name = platformName(key);
     wire::PeerRequestBody body;
     body.__set_versionAsk(ask);
-    const auto reply = m_context.m_peers.ask(peer, std::move(body), timeout);
+    const auto reply = m_context.m_peers.ask(peer, body, timeout);
     if (!succeeded(reply) || !valueOf(reply).body.__isset.versionInForce)
         return std::nullopt;
     return static_cast<ConfigVersion>(valueOf(reply).body.versionInForce.version);
@@ -220,9 +227,9 @@
 wire::Decisions Control::ownDecisions(const wire::DecisionsAsk &ask) const
 {
     const bool isRequest = ask.__isset.request;
-    const auto events = m_context.m_journal.history(
-            isRequest ? DecisionSubject::Request : DecisionSubject::Upstream,
-            isRequest ? ask.request : ask.upstream);
+    const auto events = m_context.m_journal.history(isRequest ? DecisionSubject::Request
+                                                              : DecisionSubject::Upstream,
+                                                    isRequest ? ask.request : ask.upstream);
     wire::Decisions result;
     for (const DecisionEvent &event : events) {
         wire::Decision decision;
@@ -250,7 +257,7 @@
             continue;
         wire::PeerRequestBody body;
         body.__set_decisionsAsk(ask);
-        const auto reply = m_context.m_peers.ask(view.m_identity, std::move(body), timeout);
+        const auto reply = m_context.m_peers.ask(view.m_identity, body, timeout);
         if (!succeeded(reply))
             continue;
         for (const wire::Decision &decision : valueOf(reply).body.decisions.events) {
@@ -290,8 +297,11 @@
 
 void Control::runDrain()
 {
-    for (;;) {
-        refreshGauges();
+    for (int count = 0;; ++count) {
+        if (count % ticksPerGauges == 0)
+            refreshGauges();
+        if (count % ticksPerLogReport == 0)
+            m_context.m_log.reportSuppressed();
         m_fleet.exchange().setConfigDigest(wire::toWire(m_config.store().digest().m_digest));
         if (m_drain.phase() != DrainPhase::Serving) {
             UnfinishedWork work;
@@ -307,6 +317,16 @@
 void Control::refreshGauges()
 {
     Metrics &metrics = m_context.m_metrics;
+    countUpstreams();
+    const JobTableCounters &jobs = m_jobs.table().counters();
+    metrics.assign(Counter::JobTakeovers, jobs.m_takenOver);
+    metrics.assign(Counter::Checkpoints, jobs.m_checkpointRecords);
+    metrics.assign(Counter::CheckpointBytes, jobs.m_checkpointBytes);
+    metrics.set(Gauge::JobsOwned, static_cast<std::int64_t>(m_jobs.table().ownedCount()));
+    metrics.set(Gauge::ClaimShards, static_cast<std::int64_t>(m_claims.ledger().loadedShards()));
+    metrics.set(Gauge::RequestsInFlight, static_cast<std::int64_t>(requestsInFlight()));
+    metrics.assign(Counter::LogLinesSuppressed, m_context.m_log.suppressedLines());
+    metrics.assign(Counter::LogLinesLost, m_context.m_log.lostLines());
     metrics.set(Gauge::Ready, notReady() ? 0 : 1);
     metrics.set(Gauge::Draining, m_drain.phase() == DrainPhase::Serving ? 0 : 1);
     metrics.set(Gauge::PlatformUp, m_context.m_platform.isUp() ? 1 : 0);
@@ -320,11 +340,33 @@
     const PlatformCalls &calls = m_context.m_platform.calls();
     metrics.assign(Counter::PlatformCalls, calls.m_reads + calls.m_writes + calls.m_watches);
     metrics.assign(Counter::PlatformFailures, calls.m_failures);
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_context.m_loop.processorTime());
+    const auto millis =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_context.m_loop.processorTime());
     metrics.assign(Counter::ControlProcessorMillis, static_cast<std::uint64_t>(millis.count()));
 }
 
+void Control::countUpstreams()
+{
+    std::int64_t live = 0;
+    std::int64_t suspected = 0;
+    std::int64_t leaving = 0;
+    std::int64_t slots = 0;
+    std::int64_t used = 0;
+    for (const UpstreamView &view : m_fleet.upstreams().views()) {
+        live += view.m_state == UpstreamState::Live ? 1 : 0;
+        suspected += view.m_state == UpstreamState::Suspect ? 1 : 0;
+        leaving += view.m_state == UpstreamState::Leaving ? 1 : 0;
+        slots += view.m_load.m_slots;
+        used += view.m_load.m_running;
+    }
+    Metrics &metrics = m_context.m_metrics;
+    metrics.set(Gauge::UpstreamsLive, live);
+    metrics.set(Gauge::UpstreamsSuspected, suspected);
+    metrics.set(Gauge::UpstreamsLeaving, leaving);
+    metrics.set(Gauge::UpstreamSlots, slots);
+    metrics.set(Gauge::UpstreamSlotsUsed, used);
+}
+
 void Control::run(const DrainCommands &commands)
 {
     for (const DrainCommand &command : commands)
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -99,8 +99,10 @@
         m_adminServer.emplace(valueOf(std::move(admin)));
         m_control.setShutdownHooks({[this] { m_callerServer->stopAccepting(); },
                                     [this] { return m_callerServer->requestsInFlight(); },
-                                    [this](const UnfinishedWork &cut) { end(cut); }});
-        const auto started = m_controlLoop.call([this] { return m_control.start(); });
+                                    [this](const UnfinishedWork &cut) {
+                                        end(cut);
+                                    }});
+        auto started = m_controlLoop.call([this] { return m_control.start(); });
         if (succeeded(started)) {
             m_log->info("started", {{LogField::Address, m_settings.m_callerListen.m_ip},
                                     {LogField::Port, m_settings.m_callerListen.m_port}});
--- a/src/kernel/engine_call.cpp
+++ b/src/kernel/engine_call.cpp
@@ -54,10 +54,10 @@
     const int status = exchange.status();
     EngineFailure failure;
     failure.m_phase = SendPhase::AnswerBegun;
-    failure.m_isRefusedBeforeStart = status == statusUnavailable
-            && exchange.headers().value("X-Not-Run") == "1";
+    failure.m_isRefusedBeforeStart =
+            status == statusUnavailable && exchange.headers().value("X-Not-Run") == "1";
     failure.m_isPermanent = status >= firstClientError && status < firstServerError
-            && status != statusTooManyRequests;
+                            && status != statusTooManyRequests;
     failure.m_error = {failure.m_isPermanent ? ErrorId::UpstreamRefused : ErrorId::UpstreamFailed,
                        fmt::format("the engine answered with status {}", status)};
     return failure;
@@ -73,8 +73,8 @@
     const auto &bytes = std::get<std::optional<std::string>>(piece);
     if (!bytes)
         return endOfBody();
-    const auto fed = m_parser.feed(*bytes,
-                                   [this](std::string_view data) { return takeEvent(data); });
+    const auto fed =
+            m_parser.feed(*bytes, [this](std::string_view data) { return takeEvent(data); });
     if (!succeeded(fed))
         return failed(errorOf(fed));
     progress.m_to = m_assembler.answer().tokens();
--- a/src/kernel/error_reply.cpp
+++ b/src/kernel/error_reply.cpp
@@ -58,7 +58,8 @@
     details["name"] = errorName(error.m_id);
     details["message"] = error.m_text;
     if (retryAfter > Duration::zero()) {
-        details["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+        details["retry_after_ms"] =
+                std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
     }
     nlohmann::ordered_json document;
     document["error"] = std::move(details);
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/fleet/upstream_key.hpp>
 #include <gypsumdale/kernel/fleet_driver.hpp>
 
@@ -16,6 +17,8 @@
 constexpr Duration noticeWatch = std::chrono::seconds(5);
 constexpr Duration listInterval = std::chrono::seconds(1);
 constexpr Duration cloudRetry = std::chrono::milliseconds(500);
+constexpr std::string_view noticeReaderKey = "notice-reader";
+constexpr std::size_t noticeReaders = 2;
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 
@@ -39,8 +42,12 @@
             .heartbeatInterval(intervals.m_heartbeat)
             .suspectAfter(std::max(suspectAfter, 2));
     for (const SeedPeer &peer : context.m_settings.m_peers) {
-        builder.seed({peer.m_node, peer.m_dataCentre, {}, peer.m_address.m_ip,
-                      peer.m_address.m_port, 0});
+        builder.seed({peer.m_node,
+                      peer.m_dataCentre,
+                      {},
+                      peer.m_address.m_ip,
+                      peer.m_address.m_port,
+                      0});
     }
     return builder.build();
 }
@@ -56,14 +63,9 @@
 
 UpstreamDeclaration declarationOf(const StaticUpstream &upstream)
 {
-    return {upstream.m_id,
-            upstream.m_service,
-            upstream.m_dataCentre,
-            upstream.m_vm,
-            upstream.m_address.m_ip,
-            upstream.m_address.m_port,
-            upstream.m_vmClass,
-            upstream.m_reclaimable};
+    return {upstream.m_id,      upstream.m_service,      upstream.m_dataCentre,
+            upstream.m_vm,      upstream.m_address.m_ip, upstream.m_address.m_port,
+            upstream.m_vmClass, upstream.m_reclaimable};
 }
 
 /// Reads a load report; a service without one counts as up with the slots that settings give it.
@@ -80,7 +82,8 @@
         return std::nullopt;
     const auto number = [&](const char *name, std::int64_t fallback) {
         const auto found = document.find(name);
-        return found != document.end() && found->is_number() ? found->get<std::int64_t>() : fallback;
+        return found != document.end() && found->is_number() ? found->get<std::int64_t>()
+                                                             : fallback;
     };
     load.m_incarnation = number("incarnation", 0);
     load.m_slots = static_cast<int>(number("slots", load.m_slots));
@@ -179,11 +182,10 @@
 
 void FleetDriver::execute(const NodeStateChanged &command)
 {
-    m_context.m_log.info("node-state",
-                         {{LogField::Peer, command.m_node},
-                          {LogField::State, nameIn(nodeStateNames, command.m_state)},
-                          {LogField::Incarnation, command.m_incarnation},
-                          {LogField::Reason, command.m_reason}});
+    m_context.m_log.info("node-state", {{LogField::Peer, command.m_node},
+                                        {LogField::State, nameIn(nodeStateNames, command.m_state)},
+                                        {LogField::Incarnation, command.m_incarnation},
+                                        {LogField::Reason, command.m_reason}});
     if (command.m_state == NodeState::Dead)
         m_loads.erase(command.m_node);
     if (m_listeners.m_nodeChanged)
@@ -221,17 +223,16 @@
     if (load)
         run(m_exchange.onLoad(command.m_upstream, *load, m_context.now()));
     else
-        run(m_exchange.onProbeFailed(command.m_upstream,
-                                     fmt::format("its load report came with status {}",
-                                                 reply.m_status),
-                                     m_context.now()));
+        run(m_exchange.onProbeFailed(
+                command.m_upstream,
+                fmt::format("its load report came with status {}", reply.m_status),
+                m_context.now()));
 }
 
 void FleetDriver::execute(const UpstreamStateChanged &command)
 {
-    m_context.m_journal.record(m_context.wallNow(), command.m_upstream,
-                               decisionOf(command.m_state), reasonOf(command.m_state),
-                               command.m_reason);
+    m_context.m_journal.record(m_context.wallNow(), command.m_upstream, decisionOf(command.m_state),
+                               reasonOf(command.m_state), command.m_reason);
     m_context.m_log.info("upstream-state",
                          {command.m_upstream,
                           {LogField::State, nameIn(upstreamStateNames, command.m_state)},
@@ -278,8 +279,8 @@
 wire::Heartbeat FleetDriver::onHeartbeat(const NodeId &sender, const wire::Heartbeat &heartbeat)
 {
     takeInFlight(sender, heartbeat);
-    PeerExchange::Answered answered = m_exchange.onHeartbeat(heartbeat, m_context.now(),
-                                                             m_context.wallNow());
+    PeerExchange::Answered answered =
+            m_exchange.onHeartbeat(heartbeat, m_context.now(), m_context.wallNow());
     run(answered.m_commands);
     return answered.m_reply.heartbeat;
 }
@@ -346,6 +347,12 @@
     // The entry VM's own name in the cloud is the node's name.
     const bool concernsVm = notice.m_vm.text() == settings.m_node.text();
     const bool concernsZone = notice.m_zone == settings.m_dataCentre;
+    // Failure guarded against: a process that starts on a new VM reads the notices from the first
+    // one on, and would shut down for a reclaim that its predecessor died of. A notice that was
+    // over before this life began can't be about it.
+    const bool isOver = notice.m_deadline != 0 && notice.m_deadline <= m_context.m_incarnation;
+    if (isOver)
+        return;
     if ((concernsVm || concernsZone) && m_listeners.m_ownNotice)
         m_listeners.m_ownNotice(notice);
 }
@@ -353,15 +360,23 @@
 void FleetDriver::readNotices()
 {
     for (;;) {
+        // Two nodes of a data centre read the notices; the others hear of them from these.
+        if (!isRendezvousChoice(noticeReaderKey, membership().dutyNodes(), noticeReaders,
+                                m_context.m_settings.m_node)) {
+            sleepFiber(cloudRetry);
+            continue;
+        }
         HttpCall call;
-        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip, m_context.m_settings.m_cloud->m_port};
-        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(noticeWatch).count();
+        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip,
+                           m_context.m_settings.m_cloud->m_port};
+        const auto wait =
+                std::chrono::duration_cast<std::chrono::milliseconds>(noticeWatch).count();
         call.m_target = fmt::format("/v1/notices?after={}&timeoutMs={}", m_lastNotice, wait);
         call.m_headerTimeout = noticeWatch + probeTimeout;
         const auto result = m_context.m_http.call(call);
         const auto *reply = std::get_if<HttpReply>(&result);
-        const auto document = reply ? nlohmann::json::parse(reply->m_body, nullptr, false)
-                                    : nlohmann::json();
+        const auto document =
+                reply ? nlohmann::json::parse(reply->m_body, nullptr, false) : nlohmann::json();
         if (!document.is_object() || !document.contains("notices")) {
             sleepFiber(cloudRetry);
             continue;
@@ -384,13 +399,14 @@
     for (;;) {
         sleepFiber(listInterval);
         HttpCall call;
-        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip, m_context.m_settings.m_cloud->m_port};
+        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip,
+                           m_context.m_settings.m_cloud->m_port};
         call.m_target = "/v1/vms";
         call.m_headerTimeout = probeTimeout;
         const auto result = m_context.m_http.call(call);
         const auto *reply = std::get_if<HttpReply>(&result);
-        const auto document = reply ? nlohmann::json::parse(reply->m_body, nullptr, false)
-                                    : nlohmann::json();
+        const auto document =
+                reply ? nlohmann::json::parse(reply->m_body, nullptr, false) : nlohmann::json();
         if (!document.is_object() || !document.contains("vms"))
             continue;
         std::vector<ListedUpstream> upstreams;
--- a/src/kernel/job_call.cpp
+++ b/src/kernel/job_call.cpp
@@ -9,6 +9,9 @@
 
 constexpr int statusOk = 200;
 constexpr Duration offerRetryAfter = std::chrono::seconds(2);
+/// One time for all answers to a reattachment that has nothing to read: another member's job must
+/// not be told from none by it.
+constexpr Duration reattachRetryAfter = std::chrono::seconds(1);
 /// Marks a request that another node passes on, so that it is never passed on again.
 constexpr std::string_view forwardedHeader = "X-Gypsumdale-Forwarded";
 constexpr Duration proxySilence = std::chrono::minutes(5);
@@ -76,8 +79,9 @@
             continue;
         }
         const auto *refused = std::get_if<FeedRefused>(&*event);
-        const Error error = refused ? refused->m_error
-                                    : Error{ErrorId::JobNotHeld, "the job ended before it was held"};
+        const Error error =
+                refused ? refused->m_error
+                        : Error{ErrorId::JobNotHeld, "the job ended before it was held"};
         m_series->add(RequestCounter::Refused);
         m_responder.send(errorReply(error, Outcome::NotRun, offerRetryAfter));
         return false;
@@ -227,10 +231,10 @@
 void JobCall::sendReattachHint()
 {
     if (m_collected) {
-        HttpReply reply = errorReply({ErrorId::PeerUnreachable,
-                                      "the job goes on elsewhere: read it at /v1/jobs/"
-                                              + m_job.text() + "/events"},
-                                     std::chrono::seconds(1));
+        HttpReply reply = errorReply(
+                {ErrorId::PeerUnreachable,
+                 "the job goes on elsewhere: read it at /v1/jobs/" + m_job.text() + "/events"},
+                reattachRetryAfter);
         reply.m_headers.add("X-Job-Id", m_job.text());
         m_responder.send(reply);
         return;
@@ -239,9 +243,9 @@
         return;
     // A proper end of the body, but without the answer's end marker: the caller knows that the
     // answer is not whole, and where to go on.
-    appendNamedEvent(m_buffer, "reattach",
-                     fmt::format(R"({{"job":"{}","position":"{}"}})", m_job.text(),
-                                 toText(m_position)));
+    appendNamedEvent(
+            m_buffer, "reattach",
+            fmt::format(R"({{"job":"{}","position":"{}"}})", m_job.text(), toText(m_position)));
     if (write())
         m_responder.finish();
 }
@@ -271,21 +275,21 @@
         }
         const auto *elsewhere = std::get_if<AskNode>(&answer);
         const bool isForwarded = original.m_headers.find(forwardedHeader).has_value();
-        const auto located = isForwarded
-                ? std::nullopt
-                : m_traffic.onControl([&](Control &control) {
-                      return control.jobs().locate(
-                              m_job, elsewhere ? std::optional(elsewhere->m_node) : std::nullopt);
-                  });
+        const auto located =
+                isForwarded ? std::nullopt : m_traffic.onControl([&](Control &control) {
+                    return control.jobs().locate(m_job, elsewhere ? std::optional(elsewhere->m_node)
+                                                                  : std::nullopt);
+                });
         if (located) {
             proxy(*located, original);
             return;
         }
         const Error error = std::holds_alternative<Error>(answer)
-                ? std::get<Error>(answer)
-                : Error{ErrorId::PeerUnreachable, "the node that has the job can't be reached now"};
+                                    ? std::get<Error>(answer)
+                                    : Error{ErrorId::PeerUnreachable,
+                                            "the node that has the job can't be reached now"};
         if (!m_hasBegun)
-            m_responder.send(errorReply(error, std::chrono::seconds(1)));
+            m_responder.send(errorReply(error, reattachRetryAfter));
         return;
     }
 }
@@ -302,13 +306,13 @@
     auto result = m_traffic.current().m_client.open(call);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         if (!m_hasBegun)
-            m_responder.send(errorReply(failure->m_error, std::chrono::seconds(1)));
+            m_responder.send(errorReply(failure->m_error, reattachRetryAfter));
         return;
     }
     HttpExchange exchange = std::get<HttpExchange>(std::move(result));
     if (exchange.status() != statusOk) {
         if (!m_hasBegun)
-            m_responder.send(errorReply({ErrorId::JobUnknown, "no such job"}));
+            m_responder.send(errorReply({ErrorId::JobUnknown, "no such job"}, reattachRetryAfter));
         return;
     }
     if (!begin() || !write())
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -111,7 +111,8 @@
         std::shared_ptr<JobFeed> feed;
         const auto *serve = std::get_if<ServeFrom>(&answer);
         const bool goesOn = serve && serve->m_state != JobState::Finished
-                && serve->m_state != JobState::Failed && serve->m_state != JobState::Expired;
+                            && serve->m_state != JobState::Failed
+                            && serve->m_state != JobState::Expired;
         if (goesOn)
             feed = subscribe(job);
         return {std::move(answer), std::move(feed)};
@@ -136,7 +137,7 @@
         ask.job = job.text();
         wire::PeerRequestBody body;
         body.__set_jobLocate(ask);
-        const auto reply = m_context.m_peers.ask(peer, std::move(body), peerTimeout);
+        const auto reply = m_context.m_peers.ask(peer, body, peerTimeout);
         if (succeeded(reply) && valueOf(reply).body.jobLocated.known)
             return valueOf(reply).body.jobLocated;
     }
@@ -188,6 +189,8 @@
     const auto running = m_running.find(job);
     if (running != m_running.end() && running->second.m_attempt == attempt)
         running->second.m_upstream = upstream;
+    m_context.m_journal.record(m_context.wallNow(), RequestId(job.text()), Decision::Routed,
+                               DecisionReason::FreeSlot, upstream.text());
 }
 
 void JobDriver::onUpstreamLeaving(const UpstreamId &upstream)
@@ -207,7 +210,8 @@
         const bool isLive = view.m_state == NodeState::Alive || view.m_state == NodeState::Leaving;
         const NodeIdentity &identity = view.m_identity;
         if (isLive && identity.m_incarnation != 0) {
-            peers.push_back({{identity.m_node, identity.m_incarnation}, identity.m_dataCentre,
+            peers.push_back({{identity.m_node, identity.m_incarnation},
+                             identity.m_dataCentre,
                              view.m_state == NodeState::Leaving});
         }
     }
@@ -292,8 +296,8 @@
     Log &log = m_logs[id];
     if (!log.m_log) {
         PlatformLogSettings settings;
-        settings.m_writer = fmt::format("{}.{:x}", m_context.m_settings.m_node.text(),
-                                        m_context.m_incarnation);
+        settings.m_writer =
+                fmt::format("{}.{:x}", m_context.m_settings.m_node.text(), m_context.m_incarnation);
         log.m_log = std::make_unique<PlatformLog>(settings);
     }
     log.m_isLeft = false;
@@ -333,8 +337,8 @@
     if (!command)
         return;
     m_context.m_loop.spawn([this, id, command = std::move(*command)] {
-        const LogAnswer answer = performLogCommand(m_context.m_platform, jobsKind, id.text(),
-                                                   command);
+        const LogAnswer answer =
+                performLogCommand(m_context.m_platform, jobsKind, id.text(), command);
         const auto log = m_logs.find(id);
         if (log == m_logs.end())
             return;
@@ -368,9 +372,9 @@
         const auto identity = m_fleet.find(command.m_peer);
         wire::PeerRequestBody body;
         body.__set_jobHold(command.m_hold);
-        const auto reply = identity
-                ? m_context.m_peers.ask(*identity, std::move(body), peerTimeout)
-                : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
+        const auto reply =
+                identity ? m_context.m_peers.ask(*identity, body, peerTimeout)
+                         : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
         if (succeeded(reply) && valueOf(reply).body.__isset.jobHoldAnswer)
             m_table.onHoldAnswered(command.m_peer, valueOf(reply).body.jobHoldAnswer,
                                    m_context.now());
@@ -390,7 +394,7 @@
         release.job = command.m_job.text();
         wire::PeerRequestBody body;
         body.__set_jobRelease(release);
-        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+        m_context.m_peers.ask(*identity, body, peerTimeout);
     });
 }
 
@@ -406,7 +410,7 @@
             return;
         wire::PeerRequestBody body;
         body.__set_jobHoldAnswer(command.m_answer);
-        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+        m_context.m_peers.ask(*identity, body, peerTimeout);
     });
 }
 
@@ -416,9 +420,9 @@
         const auto identity = m_fleet.find(command.m_peer);
         wire::PeerRequestBody body;
         body.__set_jobHandOver(command.m_handOver);
-        const auto reply = identity
-                ? m_context.m_peers.ask(*identity, std::move(body), peerTimeout)
-                : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
+        const auto reply =
+                identity ? m_context.m_peers.ask(*identity, body, peerTimeout)
+                         : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
         if (succeeded(reply) && valueOf(reply).body.__isset.jobHandOverAnswer)
             m_table.onHandOverAnswered(command.m_peer, valueOf(reply).body.jobHandOverAnswer,
                                        m_context.now());
@@ -440,7 +444,7 @@
             return;
         wire::PeerRequestBody body;
         body.__set_jobHandOverAnswer(command.m_answer);
-        m_context.m_peers.ask(*identity, std::move(body), peerTimeout);
+        m_context.m_peers.ask(*identity, body, peerTimeout);
     });
 }
 
--- a/src/kernel/job_runner.cpp
+++ b/src/kernel/job_runner.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-/// One attempt at a job: placed like any request, its tokens reported to the job table as they come.
+/// One attempt at a job: placed like any request, its tokens reported to the job table as they
+/// come.
 class JobRunner::Attempt
 {
 public:
@@ -38,8 +39,8 @@
             fail(false);
             return;
         }
-        const AttemptEnd end = m_isCancelled ? AttemptEnd::Abandoned
-                                             : stream(*placed, valueOf(request));
+        const AttemptEnd end =
+                m_isCancelled ? AttemptEnd::Abandoned : stream(*placed, valueOf(request));
         m_traffic.onControl([&](Control &control) {
             control.admission().attemptEnded(m_command.m_request.m_service, requestId(), end);
         });
@@ -96,8 +97,8 @@
         attempt.m_silenceTimeout = silenceTimeout;
         const auto opened = call.open(attempt);
         const AttemptEnd end = std::holds_alternative<EngineFailure>(opened)
-                ? failedBy(std::get<EngineFailure>(opened))
-                : read(call);
+                                       ? failedBy(std::get<EngineFailure>(opened))
+                                       : read(call);
         m_call = nullptr;
         return end;
     }
@@ -145,8 +146,8 @@
             return AttemptEnd::Abandoned;
         fail(failure.m_isPermanent);
         return failure.m_isPermanent            ? AttemptEnd::Abandoned
-                : failure.m_isRefusedBeforeStart ? AttemptEnd::Refused
-                                                 : AttemptEnd::Failed;
+               : failure.m_isRefusedBeforeStart ? AttemptEnd::Refused
+                                                : AttemptEnd::Failed;
     }
 
     void fail(bool isPermanent)
@@ -175,7 +176,9 @@
 RunAttempt JobRunner::functions()
 {
     return {[this](const StartAttempt &command) { start(command); },
-            [this](const CancelAttempt &command) { cancel(command); }};
+            [this](const CancelAttempt &command) {
+                cancel(command);
+            }};
 }
 
 void JobRunner::start(const StartAttempt &command)
--- a/src/kernel/log_io.cpp
+++ b/src/kernel/log_io.cpp
@@ -12,8 +12,8 @@
 
 LogAnswer failureAnswer(const PlatformFailure &failure)
 {
-    const Duration wait = failure.m_retryAfter > Duration::zero() ? failure.m_retryAfter
-                                                                  : defaultRetry;
+    const Duration wait =
+            failure.m_retryAfter > Duration::zero() ? failure.m_retryAfter : defaultRetry;
     if (failure.m_trouble == PlatformTrouble::NoEffect)
         return LogRefused{wait};
     return LogAnswerLost{wait};
@@ -78,25 +78,21 @@
 LogAnswer performLogCommand(PlatformClient &platform, std::string_view kind, std::string_view log,
                             const LogCommand &command)
 {
-    return std::visit(Overloaded{
-                              [&](const ListSegments &) {
-                                  return listSegments(platform, kind, log);
-                              },
-                              [&](const ReadSegment &read) {
-                                  return readSegment(platform, kind,
-                                                     objectName(log, read.m_number));
-                              },
-                              [&](const CreateSegment &create) {
-                                  return createSegment(platform, kind,
-                                                       objectName(log, create.m_number),
-                                                       create.m_body);
-                              },
-                              [&](const DeleteSegment &remove) {
-                                  return deleteSegment(platform, kind,
-                                                       objectName(log, remove.m_number));
-                              },
-                      },
-                      command);
+    return std::visit(
+            Overloaded{
+                    [&](const ListSegments &) { return listSegments(platform, kind, log); },
+                    [&](const ReadSegment &read) {
+                        return readSegment(platform, kind, objectName(log, read.m_number));
+                    },
+                    [&](const CreateSegment &create) {
+                        return createSegment(platform, kind, objectName(log, create.m_number),
+                                             create.m_body);
+                    },
+                    [&](const DeleteSegment &remove) {
+                        return deleteSegment(platform, kind, objectName(log, remove.m_number));
+                    },
+            },
+            command);
 }
 
 } // namespace gypsumdale
--- a/src/kernel/model_call.cpp
+++ b/src/kernel/model_call.cpp
@@ -44,8 +44,8 @@
     waiting.m_profile = context.m_profile->m_id;
     waiting.m_priority = context.m_profile->m_priority;
     waiting.m_arrivedAt = context.m_arrivedAt;
-    waiting.m_firstTokenBy = std::min(context.m_arrivedAt + context.m_profile->m_queue.m_wait,
-                                      context.m_deadline);
+    waiting.m_firstTokenBy =
+            std::min(context.m_arrivedAt + context.m_profile->m_queue.m_wait, context.m_deadline);
     waiting.m_promptTokens = request.promptTokens();
     waiting.m_expectedTokens = request.expectedTokens();
     waiting.m_prefixBlocks = request.prefixBlocks();
@@ -100,8 +100,10 @@
     m_attemptAt = m_traffic.now();
     ++m_attempts;
     if (m_isCallerGone)
-        return {AttemptEnd::Abandoned, AttemptOutcome::NothingSent,
-                {ErrorId::Cancelled, "the caller has gone"}, false};
+        return {AttemptEnd::Abandoned,
+                AttemptOutcome::NothingSent,
+                {ErrorId::Cancelled, "the caller has gone"},
+                false};
     EngineCall call(m_traffic.current().m_client, m_assembler);
     EngineAttempt request;
     request.m_endpoint = placed.m_endpoint;
@@ -111,9 +113,9 @@
     request.m_silenceTimeout = silenceTimeout;
     m_call = &call;
     const auto opened = call.open(request);
-    const Ended ended = std::holds_alternative<EngineFailure>(opened)
-            ? endedBy(std::get<EngineFailure>(opened))
-            : readStream(call);
+    Ended ended = std::holds_alternative<EngineFailure>(opened)
+                          ? endedBy(std::get<EngineFailure>(opened))
+                          : readStream(call);
     m_call = nullptr;
     return ended;
 }
@@ -126,14 +128,18 @@
             return endedBy(*failure);
         const auto &progress = std::get<EngineProgress>(result);
         if (!writeTokens(progress)) {
-            return {AttemptEnd::Abandoned, AttemptOutcome::BrokenAnswer,
-                    {ErrorId::Cancelled, "the caller has gone"}, false};
+            return {AttemptEnd::Abandoned,
+                    AttemptOutcome::BrokenAnswer,
+                    {ErrorId::Cancelled, "the caller has gone"},
+                    false};
         }
         if (progress.m_isWhole)
             return {};
         if (m_traffic.now() > m_context.m_deadline) {
-            return {AttemptEnd::Abandoned, AttemptOutcome::BrokenAnswer,
-                    {ErrorId::Timeout, "the profile's deadline has passed"}, true};
+            return {AttemptEnd::Abandoned,
+                    AttemptOutcome::BrokenAnswer,
+                    {ErrorId::Timeout, "the profile's deadline has passed"},
+                    true};
         }
     }
 }
@@ -196,12 +202,12 @@
         return;
     m_reportedTokens += fresh;
     m_reportedAt = now;
-    m_traffic.tellControl([id = m_context.m_id, service = m_context.m_service, fresh,
-                           isFirst](Control &control) {
-        if (isFirst)
-            control.admission().firstToken(service, id);
-        control.admission().tokens(service, id, static_cast<std::uint32_t>(fresh));
-    });
+    m_traffic.tellControl(
+            [id = m_context.m_id, service = m_context.m_service, fresh, isFirst](Control &control) {
+                if (isFirst)
+                    control.admission().firstToken(service, id);
+                control.admission().tokens(service, id, static_cast<std::uint32_t>(fresh));
+            });
 }
 
 RetryDecision ModelCall::settle(const Ended &ended)
@@ -213,7 +219,7 @@
     state.m_startedAt = m_attemptAt;
     state.m_deadline = m_context.m_deadline;
     const bool wantsRetry = ended.m_end != AttemptEnd::Completed && !ended.m_isPermanent
-            && ended.m_end != AttemptEnd::Abandoned;
+                            && ended.m_end != AttemptEnd::Abandoned;
     const bool isFirst = m_attempts == 1;
     return m_traffic.onControl([&](Control &control) -> RetryDecision {
         AdmissionDriver &admission = control.admission();
@@ -267,8 +273,8 @@
 {
     const bool isRefused = m_attempts == 0;
     m_context.m_series->add(m_isCallerGone ? RequestCounter::Cancelled
-                                           : isRefused ? RequestCounter::Refused
-                                                       : RequestCounter::Failed);
+                            : isRefused    ? RequestCounter::Refused
+                                           : RequestCounter::Failed);
     m_traffic.tellControl([id = m_context.m_id, error, isRefused](Control &control) {
         control.context().m_metrics.countError(error.m_id);
         control.context().m_journal.record(control.context().wallNow(), id,
--- a/src/kernel/peer_link.cpp
+++ b/src/kernel/peer_link.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t maxFrameBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxFrameBytes = std::size_t{4} * 1024 * 1024;
 /// How far the clocks of two VMs may be apart for a proof to count.
 constexpr std::int64_t proofSkewMillis = 60'000;
 
@@ -67,19 +67,19 @@
     return wire::encodeReply(reply);
 }
 
-Result<wire::PeerReply> PeerLink::ask(const NodeIdentity &peer, wire::PeerRequestBody body,
+Result<wire::PeerReply> PeerLink::ask(const NodeIdentity &peer, const wire::PeerRequestBody &body,
                                       Duration timeout)
 {
     wire::PeerRequest request;
     request.sender = m_self.text();
     request.incarnation = m_incarnation;
     request.sentAtMillis = m_clock.wallNow();
-    request.body = std::move(body);
+    request.body = body;
     request.proof = wire::makeProof(m_credential, request);
-    std::string frame = wire::encodeRequest(request);
+    const std::string frame = wire::encodeRequest(request);
     m_lastFrameBytes = frame.size();
     const auto channel = channelTo(peer);
-    const Result<std::string> answer = channel->exchange(std::move(frame), timeout);
+    const Result<std::string> answer = channel->exchange(frame, timeout);
     if (!succeeded(answer))
         return errorOf(answer);
     Result<wire::PeerReply> reply = wire::decodeReply(valueOf(answer));
--- a/src/kernel/plain_call.cpp
+++ b/src/kernel/plain_call.cpp
@@ -105,7 +105,8 @@
 
 void PlainCall::answerClaimed(const ClaimResult &result)
 {
-    const auto granted = [](const Granted &) {};
+    const auto granted = [](const Granted &) {
+    };
     const auto done = [this](const AlreadyDone &value) {
         HttpReply reply;
         reply.m_status = value.m_answer.m_status;
@@ -157,7 +158,8 @@
             return control.claims().startAttempt(*claimed);
         });
         if (!mayStart) {
-            ended.m_error = {ErrorId::DeadlineUnreachable, "the deadline passed before it was sent"};
+            ended.m_error = {ErrorId::DeadlineUnreachable,
+                             "the deadline passed before it was sent"};
             settle(ended);
             conclude(claimed, ended, keyRetryAfter);
             return;
@@ -191,8 +193,8 @@
     call.m_headers.add("X-Attempt-Id", m_attemptName);
     call.m_headers.add("X-Member", m_context.m_member->m_id.text());
     call.m_body = m_request.m_body;
-    const Duration left = std::max<Duration>(m_context.m_deadline - m_attemptAt,
-                                             std::chrono::milliseconds(1));
+    const Duration left =
+            std::max<Duration>(m_context.m_deadline - m_attemptAt, std::chrono::milliseconds(1));
     const Duration silence = isOnce() ? left : std::min(left, repeatableSilence);
     call.m_headerTimeout = silence;
     call.m_silenceTimeout = silence;
@@ -227,8 +229,8 @@
         ended.m_error = {ErrorId::UpstreamFailed, "the upstream answered another request"};
         return ended;
     }
-    const bool isRefused = reply.m_status == statusUnavailable
-            && reply.m_headers.value("X-Not-Run") == "1";
+    const bool isRefused =
+            reply.m_status == statusUnavailable && reply.m_headers.value("X-Not-Run") == "1";
     ended.m_phase = isRefused ? CallPhase::RefusedBeforeStart : CallPhase::Answered;
     if (isRefused)
         ended.m_error = {ErrorId::UpstreamRefused, "the service refused it before it started"};
@@ -280,9 +282,9 @@
         return;
     }
     const bool isRepeatable = !isOnce();
-    const Error error = isRepeatable
-            ? ended.m_error
-            : Error{ErrorId::OutcomeUnknown, "no answer came: the request may have run"};
+    const Error error = isRepeatable ? ended.m_error
+                                     : Error{ErrorId::OutcomeUnknown,
+                                             "no answer came: the request may have run"};
     count(outcome, error);
     m_responder.send(errorReply(error, outcome));
 }
@@ -320,9 +322,9 @@
     m_traffic.tellControl([id = m_context.m_id, outcome, error](Control &control) {
         if (outcome != Outcome::Done)
             control.context().m_metrics.countError(error.m_id);
-        const Decision what = outcome == Outcome::Done ? Decision::Done
-                : outcome == Outcome::NotRun           ? Decision::NotRun
-                                                       : Decision::OutcomeUnknown;
+        const Decision what = outcome == Outcome::Done     ? Decision::Done
+                              : outcome == Outcome::NotRun ? Decision::NotRun
+                                                           : Decision::OutcomeUnknown;
         control.context().m_journal.record(control.context().wallNow(), id, what,
                                            DecisionReason::None, error.m_text);
     });
--- a/src/kernel/platform_client.cpp
+++ b/src/kernel/platform_client.cpp
@@ -63,7 +63,8 @@
         return {PlatformTrouble::NoEffect, {ErrorId::PlatformRefused, text}, retryAfterOf(reply)};
     default:
         // A 5xx says nothing about whether a write took effect.
-        return {PlatformTrouble::AnswerLost, {ErrorId::PlatformUnreachable, text},
+        return {PlatformTrouble::AnswerLost,
+                {ErrorId::PlatformUnreachable, text},
                 retryAfterOf(reply)};
     }
 }
@@ -72,7 +73,8 @@
 {
     if (failure.m_phase == SendPhase::NothingSent) {
         return {PlatformTrouble::NoEffect,
-                {ErrorId::PlatformUnreachable, failure.m_error.m_text}, {}};
+                {ErrorId::PlatformUnreachable, failure.m_error.m_text},
+                {}};
     }
     return {PlatformTrouble::AnswerLost, {ErrorId::PlatformAnswerLost, failure.m_error.m_text}, {}};
 }
@@ -80,7 +82,8 @@
 PlatformFailure malformed()
 {
     return {PlatformTrouble::AnswerLost,
-            {ErrorId::PlatformUnreachable, "the platform's answer is not what docs/PLATFORM.md says"},
+            {ErrorId::PlatformUnreachable,
+             "the platform's answer is not what docs/PLATFORM.md says"},
             {}};
 }
 
@@ -120,7 +123,8 @@
 PlatformResult<PlatformObject> PlatformClient::read(std::string_view kind, std::string_view name)
 {
     ++m_calls.m_reads;
-    const auto result = send(makeCall("GET", fmt::format("/v1/objects/{}/{}", kind, encoded(name))));
+    const auto result =
+            send(makeCall("GET", fmt::format("/v1/objects/{}/{}", kind, encoded(name))));
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     const HttpReply &reply = std::get<HttpReply>(result);
@@ -135,9 +139,9 @@
                                                      bool withBodies)
 {
     ++m_calls.m_reads;
-    const auto result = send(makeCall("GET", fmt::format("/v1/objects/{}?prefix={}{}", kind,
-                                                         encoded(prefix),
-                                                         withBodies ? "&bodies=1" : "")));
+    const auto result =
+            send(makeCall("GET", fmt::format("/v1/objects/{}?prefix={}{}", kind, encoded(prefix),
+                                             withBodies ? "&bodies=1" : "")));
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     return objectsFrom(std::get<HttpReply>(result).m_body, "objects");
@@ -162,7 +166,7 @@
     HttpCall call = makeCall("DELETE", fmt::format("/v1/objects/{}/{}", kind, encoded(name)));
     if (version)
         call.m_headers.add("If-Match", quoted(*version));
-    const auto result = send(std::move(call));
+    const auto result = send(call);
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     return Done{};
@@ -173,10 +177,10 @@
 {
     ++m_calls.m_watches;
     const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
-    HttpCall call = makeCall("GET", fmt::format("/v1/watch/{}?after={}&timeoutMs={}", kind, after,
-                                                millis));
+    HttpCall call =
+            makeCall("GET", fmt::format("/v1/watch/{}?after={}&timeoutMs={}", kind, after, millis));
     call.m_headerTimeout = patience + watchGrace;
-    const auto result = send(std::move(call));
+    const auto result = send(call);
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     return objectsFrom(std::get<HttpReply>(result).m_body, "events");
@@ -191,13 +195,13 @@
     call.m_headers.add("Content-Type", "application/octet-stream");
     call.m_headers.add(std::move(condition), std::move(conditionValue));
     call.m_body = std::move(body);
-    const auto result = send(std::move(call));
+    const auto result = send(call);
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     return versionIn(std::get<HttpReply>(result).m_headers.value("ETag"));
 }
 
-PlatformResult<HttpReply> PlatformClient::send(HttpCall call)
+PlatformResult<HttpReply> PlatformClient::send(const HttpCall &call)
 {
     auto result = m_client.call(call);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
