--- a/include/gypsumdale/jobs/answer_assembler.hpp
+++ b/include/gypsumdale/jobs/answer_assembler.hpp
@@ -24,7 +24,7 @@
 /// What became of an event.
 enum class EventVerdict { Taken, OtherAttempt, Duplicate, Gap, AfterFinish };
 
-inline constexpr NameTable<EventVerdict, 5> k_eventVerdictNames{{
+inline constexpr NameTable<EventVerdict, 5> eventVerdictNames{{
         {EventVerdict::Taken, "taken"},
         {EventVerdict::OtherAttempt, "other-attempt"},
         {EventVerdict::Duplicate, "duplicate"},
--- a/include/gypsumdale/jobs/job.hpp
+++ b/include/gypsumdale/jobs/job.hpp
@@ -27,7 +27,7 @@
     Expired,
 };
 
-inline constexpr NameTable<JobState, 9> k_jobStateNames{{
+inline constexpr NameTable<JobState, 9> jobStateNames{{
         {JobState::Offered, "offered"},
         {JobState::Held, "held"},
         {JobState::Running, "running"},
--- a/include/gypsumdale/jobs/job_log_state.hpp
+++ b/include/gypsumdale/jobs/job_log_state.hpp
@@ -12,7 +12,7 @@
 /// What became of a record.
 enum class RecordEffect { Applied, Repeated, Fenced, Malformed };
 
-inline constexpr NameTable<RecordEffect, 4> k_recordEffectNames{{
+inline constexpr NameTable<RecordEffect, 4> recordEffectNames{{
         {RecordEffect::Applied, "applied"},
         {RecordEffect::Repeated, "repeated"},
         {RecordEffect::Fenced, "fenced"},
--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -209,6 +209,9 @@
     ReattachAnswer reattach(const JobId &job, const MemberId &member,
                             const AnswerPosition &position, TimePoint now);
 
+    /// Sets how long finished answers are kept; memory and count bound them as well.
+    void setRetention(Duration retention) { m_settings.m_retention = retention; }
+
     /// Returns the commands since the last call, in order.
     JobCommands takeCommands();
 
@@ -350,6 +353,7 @@
     bool isGone(const ProcessRef &process, TimePoint now);
     void takeOverLog(const JobLogId &log, FollowedLog &followed, TimePoint now);
     void takeOver(const Job &job, TimePoint now);
+    void takeOverCopies(TimePoint now);
     void tickLogs(TimePoint now);
 
     // Holders and successors: job_table_peers.cpp
--- a/include/gypsumdale/jobs/sse_parser.hpp
+++ b/include/gypsumdale/jobs/sse_parser.hpp
@@ -23,10 +23,10 @@
 class SseParser
 {
 public:
-    static constexpr std::size_t k_defaultLimit = std::size_t{256} * 1024;
+    static constexpr std::size_t defaultLimit = std::size_t{256} * 1024;
 
     /// `limit` bounds the bytes of one line and of one event's data.
-    explicit SseParser(std::size_t limit = k_defaultLimit);
+    explicit SseParser(std::size_t limit = defaultLimit);
 
     /// Takes one piece and hands each whole event's data to `onData`, whose view lives for the call
     /// only. Stops and fails with RequestTooLarge on a line or event beyond the limit, or with what
--- a/src/jobs/answer_text.cpp
+++ b/src/jobs/answer_text.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr std::uint32_t k_lebPayload = 0x7f;
-constexpr std::uint32_t k_lebMore = 0x80;
-constexpr int k_lebBits = 7;
-constexpr int k_lebMaximumShift = 28;
+constexpr std::uint32_t lebPayload = 0x7f;
+constexpr std::uint32_t lebMore = 0x80;
+constexpr int lebBits = 7;
+constexpr int lebMaximumShift = 28;
 
 } // namespace
 
@@ -73,9 +73,9 @@
     for (auto index = static_cast<std::size_t>(start); index < m_ends.size(); ++index) {
         std::uint32_t length = m_ends[index] - previous;
         previous = m_ends[index];
-        while (length > k_lebPayload) {
-            lengths.push_back(static_cast<char>((length & k_lebPayload) | k_lebMore));
-            length >>= k_lebBits;
+        while (length > lebPayload) {
+            lengths.push_back(static_cast<char>((length & lebPayload) | lebMore));
+            length >>= lebBits;
         }
         lengths.push_back(static_cast<char>(length));
     }
@@ -94,11 +94,11 @@
     int shift = 0;
     for (const char byte : lengths) {
         const auto bits = static_cast<unsigned char>(byte);
-        if (shift > k_lebMaximumShift)
+        if (shift > lebMaximumShift)
             return malformed;
-        length |= static_cast<std::uint64_t>(bits & k_lebPayload) << shift;
-        shift += k_lebBits;
-        if ((bits & k_lebMore) != 0)
+        length |= static_cast<std::uint64_t>(bits & lebPayload) << shift;
+        shift += lebBits;
+        if ((bits & lebMore) != 0)
             continue;
         end += length;
         if (end > text.size())
--- a/src/jobs/checkpoint_policy.cpp
+++ b/src/jobs/checkpoint_policy.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-constexpr double k_secondsPerHour = 3600;
+constexpr double secondsPerHour = 3600;
 /// A day: longer than any job, so that a rate of zero asks for no checkpoint.
-constexpr double k_longestSeconds = 86'400;
+constexpr double longestSeconds = 86'400;
 
 Duration fromSeconds(double seconds)
 {
-    const double bounded = std::min(seconds, k_longestSeconds);
+    const double bounded = std::min(seconds, longestSeconds);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
 }
 
@@ -32,8 +32,8 @@
 CheckpointPolicy makeCostAware(const CheckpointSettings &settings)
 {
     const double shortest =
-            settings.m_writesPerSecond > 0 ? 1 / settings.m_writesPerSecond : k_longestSeconds;
-    return CostAware{settings.m_lossesPerHour / k_secondsPerHour, settings.m_writeCost,
+            settings.m_writesPerSecond > 0 ? 1 / settings.m_writesPerSecond : longestSeconds;
+    return CostAware{settings.m_lossesPerHour / secondsPerHour, settings.m_writeCost,
                      settings.m_tokenCost, fromSeconds(shortest)};
 }
 
@@ -57,7 +57,7 @@
     const double lossPerSecondSquared =
             policy.m_lossesPerSecond * policy.m_tokenCost * tokensPerSecond;
     if (lossPerSecondSquared <= 0)
-        return fromSeconds(k_longestSeconds);
+        return fromSeconds(longestSeconds);
     const Duration optimum = fromSeconds(std::sqrt(2 * policy.m_writeCost / lossPerSecondSquared));
     return std::max(optimum, policy.m_shortest);
 }
--- a/src/jobs/engine_event_reader.cpp
+++ b/src/jobs/engine_event_reader.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr std::string_view k_endMarker = "[DONE]";
-constexpr unsigned char k_firstPrintable = 0x20;
-constexpr unsigned char k_firstBeyondAscii = 0x80;
-constexpr std::size_t k_maximumDigits = 18;
+constexpr std::string_view endMarker = "[DONE]";
+constexpr unsigned char firstPrintable = 0x20;
+constexpr unsigned char firstBeyondAscii = 0x80;
+constexpr std::size_t maximumDigits = 18;
 
 /// Walks over one event in the exact shape that engines write. Every step that finds anything else
 /// says so, and the full parser has the word.
@@ -53,7 +53,7 @@
         std::size_t length = 0;
         std::int64_t value = 0;
         while (length < m_rest.size() && m_rest[length] >= '0' && m_rest[length] <= '9') {
-            if (length == k_maximumDigits)
+            if (length == maximumDigits)
                 return std::nullopt;
             value = value * 10 + (m_rest[length] - '0');
             ++length;
@@ -71,7 +71,7 @@
     static bool isPlain(char character)
     {
         const auto byte = static_cast<unsigned char>(character);
-        return byte >= k_firstPrintable && byte < k_firstBeyondAscii && character != '"'
+        return byte >= firstPrintable && byte < firstBeyondAscii && character != '"'
                && character != '\\';
     }
 
@@ -207,7 +207,7 @@
 
 Result<EngineEvent> EngineEventReader::read(std::string_view data)
 {
-    if (data == k_endMarker)
+    if (data == endMarker)
         return EngineEvent(EndMarker{});
     const Scratch scratch{m_attempt, m_text, m_finishReason};
     if (const auto event = readKnownShape(data, scratch))
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr std::size_t k_bytesPerTokenEnd = sizeof(std::uint32_t);
-constexpr int k_epochSaltBits = 32;
-constexpr std::int64_t k_largestEpochNumber = (std::int64_t{1} << 21) - 1;
+constexpr std::size_t bytesPerTokenEnd = sizeof(std::uint32_t);
+constexpr int epochSaltBits = 32;
+constexpr std::int64_t largestEpochNumber = (std::int64_t{1} << 21) - 1;
 
 } // namespace
 
 std::size_t Job::memory() const
 {
     return sizeof(Job) + m_request.m_body.size() + m_answer.text().size()
-           + static_cast<std::size_t>(m_answer.tokens()) * k_bytesPerTokenEnd;
+           + static_cast<std::size_t>(m_answer.tokens()) * bytesPerTokenEnd;
 }
 
 bool operator==(const JobRequest &left, const JobRequest &right)
@@ -102,8 +102,8 @@
 
 std::int64_t nextEpoch(std::int64_t previous, std::uint32_t random)
 {
-    const std::int64_t number = ((previous >> k_epochSaltBits) + 1) & k_largestEpochNumber;
-    return (number << k_epochSaltBits) | random;
+    const std::int64_t number = ((previous >> epochSaltBits) + 1) & largestEpochNumber;
+    return (number << epochSaltBits) | random;
 }
 
 } // namespace gypsumdale
--- a/src/jobs/job_id.cpp
+++ b/src/jobs/job_id.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-constexpr int k_hexadecimal = 16;
+constexpr int hexadecimal = 16;
 
 template <typename Number>
 bool readsAsHex(std::string_view text, Number &number)
 {
     const auto [end, error] =
-            std::from_chars(text.data(), text.data() + text.size(), number, k_hexadecimal);
+            std::from_chars(text.data(), text.data() + text.size(), number, hexadecimal);
     return error == std::errc() && end == text.data() + text.size();
 }
 
--- a/src/jobs/job_log_state.cpp
+++ b/src/jobs/job_log_state.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Enough for all removals whose records may still be on their way when the job is gone.
-constexpr std::size_t k_removedRemembered = 10'000;
+constexpr std::size_t removedRemembered = 10'000;
 
 } // namespace
 
@@ -115,7 +115,7 @@
     if (!m_removed.insert(job).second)
         return;
     m_removedOrder.push_back(job);
-    if (m_removedOrder.size() <= k_removedRemembered)
+    if (m_removedOrder.size() <= removedRemembered)
         return;
     m_removed.erase(m_removedOrder.front());
     m_removedOrder.pop_front();
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::uint64_t k_stream = 0x6a6f6273;
-constexpr int k_wordBits = 32;
+constexpr std::uint64_t randomStream = 0x6a6f6273;
+constexpr int wordBits = 32;
 
 WallMillis toWallMillis(Duration duration)
 {
@@ -26,7 +26,7 @@
 JobTable::JobTable(JobTableSettings settings)
     : m_settings(std::move(settings))
     , m_ownLog(logOf(m_settings.m_self))
-    , m_random(m_settings.m_seed, k_stream)
+    , m_random(m_settings.m_seed, randomStream)
 {}
 
 JobState JobTable::stateOf(const OwnedJob &owned) const
@@ -98,7 +98,7 @@
                                                    : "neither the platform nor another data centre "
                                                      "can hold the job"};
     }
-    const std::uint64_t salt = (static_cast<std::uint64_t>(m_random()) << k_wordBits) | m_random();
+    const std::uint64_t salt = (static_cast<std::uint64_t>(m_random()) << wordBits) | m_random();
     const JobId id = makeJobId(m_settings.m_self, m_nextNumber++, salt);
     owned.m_job.m_id = id;
     owned.m_job.m_request = request;
@@ -294,6 +294,7 @@
     checkpoint(now);
     for (const JobId &id : ownedIds())
         tickJob(id, now, wallNow);
+    takeOverCopies(now);
     tickLogs(now);
     removeFinished(now);
     for (auto copy = m_copyOwners.begin(); copy != m_copyOwners.end();) {
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Progress is cut into records of about this many bytes of text; a log bounds its records.
-constexpr std::size_t k_recordText = std::size_t{16} * 1024;
+constexpr std::size_t recordText = std::size_t{16} * 1024;
 
 std::size_t indexOfEpoch(const EpochHistory &history, std::int64_t epoch)
 {
@@ -23,13 +23,13 @@
 std::int64_t recordEnd(const AnswerText &answer, std::int64_t from, std::int64_t to)
 {
     const std::size_t start = answer.bytesBefore(from);
-    if (answer.bytesBefore(to) - start <= k_recordText)
+    if (answer.bytesBefore(to) - start <= recordText)
         return to;
     std::int64_t low = from + 1;
     std::int64_t high = to;
     while (low < high) {
         const std::int64_t middle = low + (high - low + 1) / 2;
-        if (answer.bytesBefore(middle) - start <= k_recordText)
+        if (answer.bytesBefore(middle) - start <= recordText)
             low = middle;
         else
             high = middle - 1;
@@ -76,6 +76,7 @@
     if (found == m_logs.end())
         return;
     found->second.m_isCaughtUp = true;
+    found->second.m_takeOverAt = now + m_settings.m_successorDelay;
     for (const JobId &id : ownedIds()) {
         if (logOf(id) == log)
             service(id, now);
@@ -101,7 +102,8 @@
     if (effect != RecordEffect::Applied || !followed.m_isCaughtUp)
         return;
     const Job *changed = followed.m_state.find(job);
-    if (changed != nullptr && !changed->isOver() && m_dead.contains(changed->m_owner))
+    // The owner may have died before this node heard of it at all.
+    if (changed != nullptr && !changed->isOver() && !isLive(changed->m_owner))
         followed.m_takeOverAt = now + m_settings.m_successorDelay;
     if (m_owned.contains(job)) {
         reconcile(job, followed, now);
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Sends of one hand-over to one successor before another one is tried.
-constexpr int k_handOverSends = 3;
+constexpr int handOverSends = 3;
 
 } // namespace
 
@@ -302,7 +302,7 @@
     std::optional<Successor> &successor = owned.m_successor;
     if (successor && now - successor->m_sentAt < m_settings.m_peerTimeout)
         return;
-    if (successor && successor->m_sent >= k_handOverSends) {
+    if (successor && successor->m_sent >= handOverSends) {
         // It may have taken the job all the same. Then two nodes run it, each in an epoch of its
         // own, until the log takes the one whose takeover comes first.
         owned.m_successorsTried.insert(successor->m_node);
--- a/src/jobs/job_table_takeover.cpp
+++ b/src/jobs/job_table_takeover.cpp
@@ -31,14 +31,7 @@
 void JobTable::onPeerDead(const ProcessRef &process, TimePoint now)
 {
     m_dead.emplace(process, now);
-    std::vector<JobId> orphaned;
-    for (const auto &[id, owner] : m_copyOwners) {
-        if (owner == process && m_copies.find(id) != nullptr && !m_owned.contains(id))
-            orphaned.push_back(id);
-    }
-    // A copy that the log has passed is dropped on the way.
-    for (const JobId &id : orphaned)
-        takeOver(*m_copies.find(id), now);
+    takeOverCopies(now);
     // The death of a caretaker leaves the logs of those that died before it to the next one.
     for (const auto &[dead, since] : m_dead) {
         if (isCaretaker(logOf(dead)))
@@ -116,6 +109,21 @@
     service(job.m_id, now);
 }
 
+/// Called again and again, as a copy may arrive from an owner whose death is already known.
+void JobTable::takeOverCopies(TimePoint now)
+{
+    std::vector<JobId> orphaned;
+    for (const auto &[id, owner] : m_copyOwners) {
+        if (m_dead.contains(owner) && m_copies.find(id) != nullptr && !m_owned.contains(id))
+            orphaned.push_back(id);
+    }
+    if (m_notice)
+        return;
+    // A copy that the log has passed is dropped on the way.
+    for (const JobId &id : orphaned)
+        takeOver(*m_copies.find(id), now);
+}
+
 void JobTable::takeOverLog(const JobLogId &log, FollowedLog &followed, TimePoint now)
 {
     followed.m_takeOverAt.reset();
--- a/src/jobs/sse_parser.cpp
+++ b/src/jobs/sse_parser.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::string_view k_byteOrderMark = "\xef\xbb\xbf";
-constexpr std::string_view k_dataField = "data";
+constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
+constexpr std::string_view dataField = "data";
 
 /// Returns the offset of the first line ending, or npos.
 std::size_t findLineEnd(std::string_view text)
@@ -80,8 +80,8 @@
 Result<Done> SseParser::takeLine(std::string_view line,
                                  const std::function<Result<Done>(std::string_view)> &onData)
 {
-    if (m_atStart && line.starts_with(k_byteOrderMark))
-        line.remove_prefix(k_byteOrderMark.size());
+    if (m_atStart && line.starts_with(byteOrderMark))
+        line.remove_prefix(byteOrderMark.size());
     m_atStart = false;
     if (line.empty()) {
         if (!m_hasData)
@@ -92,7 +92,7 @@
         return taken;
     }
     const std::size_t colon = line.find(':');
-    if (line.substr(0, colon) != k_dataField)
+    if (line.substr(0, colon) != dataField)
         return Done{};
     std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
     if (value.starts_with(' '))
