Name the jobs' constants as the rest of the code does

Cause: readability-identifier-naming asks for camelBack variables; the jobs and the checkpoint bench alone used the prefix k_. Ruled out: an exception for the prefix, since no other part has it. Change: jobStateNames in the operators' interface, plain names in the bench; a size of the claims' shards starts as std::size_t. No behaviour changes.

--- a/bench/checkpoint/main.cpp
+++ b/bench/checkpoint/main.cpp
@@ -17,11 +17,11 @@
 namespace gypsumdale {
 namespace {
 
-constexpr double k_step = 0.1;
-constexpr double k_hours = 200;
-constexpr double k_secondsPerHour = 3600;
-constexpr double k_bytesPerToken = 5;
-constexpr int k_seeds = 5;
+constexpr double stepSeconds = 0.1;
+constexpr double simulatedHours = 200;
+constexpr double secondsPerHour = 3600;
+constexpr double bytesPerToken = 5;
+constexpr int seedCount = 5;
 
 struct User
 {
@@ -68,13 +68,13 @@
 void advance(const User &user, std::vector<Run> &runs, Tally &tally, bool isSaving)
 {
     for (Run &run : runs) {
-        run.m_done += user.m_tokensPerSecond * k_step;
-        tally.m_generated += user.m_tokensPerSecond * k_step;
+        run.m_done += user.m_tokensPerSecond * stepSeconds;
+        tally.m_generated += user.m_tokensPerSecond * stepSeconds;
         if (run.m_done < static_cast<double>(user.m_answerTokens))
             continue;
         if (isSaving) {
             ++tally.m_writes;
-            tally.m_bytes += (run.m_done - run.m_saved) * k_bytesPerToken;
+            tally.m_bytes += (run.m_done - run.m_saved) * bytesPerToken;
         }
         run = Run{};
     }
@@ -89,12 +89,12 @@
     for (Run &run : runs)
         run.m_done = run.m_saved = uniform(random) * static_cast<double>(user.m_answerTokens);
     double sinceWrite = 0;
-    double nextLoss = -std::log(uniform(random)) * k_secondsPerHour / lossesPerHour;
-    for (double time = 0; time < k_hours * k_secondsPerHour; time += k_step) {
+    double nextLoss = -std::log(uniform(random)) * secondsPerHour / lossesPerHour;
+    for (double time = 0; time < simulatedHours * secondsPerHour; time += stepSeconds) {
         advance(user, runs, tally, policy != nullptr);
-        sinceWrite += k_step;
+        sinceWrite += stepSeconds;
         if (time >= nextLoss) {
-            nextLoss = time - std::log(uniform(random)) * k_secondsPerHour / lossesPerHour;
+            nextLoss = time - std::log(uniform(random)) * secondsPerHour / lossesPerHour;
             ++tally.m_losses;
             restart(runs, uniform(random) < announcedShare, policy == nullptr, tally);
         }
@@ -111,7 +111,7 @@
             continue;
         sinceWrite = 0;
         ++tally.m_writes;
-        tally.m_bytes += unsaved * k_bytesPerToken;
+        tally.m_bytes += unsaved * bytesPerToken;
         for (Run &run : runs)
             run.m_saved = run.m_done;
     }
@@ -124,7 +124,7 @@
     Tally sum;
     double least = 1e9;
     double most = 0;
-    for (int seed = 1; seed <= k_seeds; ++seed) {
+    for (int seed = 1; seed <= seedCount; ++seed) {
         const Tally one = simulate(user, policy, lossesPerHour, announcedShare,
                                    static_cast<std::uint64_t>(seed));
         const double share = one.m_recomputed / one.m_generated;
@@ -135,7 +135,7 @@
         sum.m_writes += one.m_writes;
         sum.m_bytes += one.m_bytes;
     }
-    const double seconds = k_seeds * k_hours * k_secondsPerHour;
+    const double seconds = seedCount * simulatedHours * secondsPerHour;
     const double cost = (sum.m_writes * 20 + sum.m_recomputed * user.m_tokenCost) / seconds;
     fmt::print("| {} | {:.0f}% | {} | {:.3f} ({:.3f}-{:.3f}) | {:.3f} | {:.0f} | {:.2f} |\n",
                user.m_name, announcedShare * 100, name, 1000 * sum.m_recomputed / sum.m_generated,
@@ -145,8 +145,8 @@
 void checkpoints(double lossesPerHour)
 {
     const std::vector<User> users{{"wholesale", 8, 600, 20, 1}, {"swap shops", 8, 4000, 20, 4}};
-    fmt::print("{} losses of an owner per hour, {} seeds of {} h\n\n", lossesPerHour, k_seeds,
-               k_hours);
+    fmt::print("{} losses of an owner per hour, {} seeds of {} h\n\n", lossesPerHour, seedCount,
+               simulatedHours);
     fmt::print("| user | announced | policy | tokens done again per 1000 (range) | writes/s | "
                "bytes/s | cost/s |\n| --- | --- | --- | --- | --- | --- | --- |\n");
     for (const User &user : users) {
@@ -165,10 +165,10 @@
 
 void timeEvents(const std::string &name, const std::string &content)
 {
-    constexpr int k_events = 200'000;
-    constexpr std::size_t k_piece = 4096;
+    constexpr int eventCount = 200'000;
+    constexpr std::size_t pieceBytes = 4096;
     std::string body;
-    for (int index = 0; index < k_events; ++index)
+    for (int index = 0; index < eventCount; ++index)
         body += fmt::format("data: {{\"id\":\"n1.1f.2.00ff/1/7\",\"object\":\"chat.completion."
                             "chunk\",\"token_index\":{},\"choices\":[{{\"index\":0,\"delta\":{{"
                             "\"content\":\"{}\"}},\"finish_reason\":null}}]}}\n\n",
@@ -185,13 +185,13 @@
         return Done{};
     };
     const auto start = std::chrono::steady_clock::now();
-    for (std::size_t at = 0; at < body.size(); at += k_piece) {
-        if (!succeeded(parser.feed(std::string_view(body).substr(at, k_piece), take)))
+    for (std::size_t at = 0; at < body.size(); at += pieceBytes) {
+        if (!succeeded(parser.feed(std::string_view(body).substr(at, pieceBytes), take)))
             fmt::print("malformed\n");
     }
     const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - start;
     fmt::print("| {} | {} | {:.2f} | {:.0f} |\n", name, assembler.counters().m_taken,
-               taken.count() * 1e6 / k_events, k_events / taken.count());
+               taken.count() * 1e6 / eventCount, eventCount / taken.count());
 }
 
 } // namespace
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -310,7 +310,7 @@
             list.push_back({{"job", job.m_job.text()},
                             {"member", job.m_member.text()},
                             {"profile", job.m_profile.text()},
-                            {"state", nameIn(k_jobStateNames, job.m_state)},
+                            {"state", nameIn(jobStateNames, job.m_state)},
                             {"owner", job.m_owner.text()},
                             {"epoch", job.m_epoch},
                             {"tokens", job.m_tokens},
--- a/src/ledger/detail/claim_shard.cpp
+++ b/src/ledger/detail/claim_shard.cpp
@@ -9,7 +9,7 @@
 
 /// Bytes of restated keys that wait in the log at a time, so that claims don't wait long behind
 /// them.
-constexpr std::size_t restateBytes = 64 * 1024;
+constexpr std::size_t restateBytes = std::size_t{64} * 1024;
 
 /// A restatement is due when the rest of the log is this many times as long.
 constexpr std::size_t compactionFactor = 4;
