--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -24,7 +24,8 @@
 
 constexpr const char *description =
         "One process of gypsumdale: takes callers' requests and routes them to upstreams.\n"
-        "Exit codes: 0 clean, 1 usage, 2 findings in the settings, 3 could not start, 4 work was cut "
+        "Exit codes: 0 clean, 1 usage, 2 findings in the settings, 3 could not start, 4 work was "
+        "cut "
         "at shutdown.\n"
         "Example: gypsumdaled --settings samples/wholesale/node/olten-a-1.yaml";
 
@@ -75,7 +76,8 @@
 int main(int argc, char **argv)
 {
     cxxopts::Options options("gypsumdaled", description);
-    options.add_options()("s,settings", "YAML settings of this process", cxxopts::value<std::string>());
+    options.add_options()("s,settings", "YAML settings of this process",
+                          cxxopts::value<std::string>());
     options.add_options()("check", "only check the settings and print all findings");
     options.add_options()("h,help", "print this help");
     try {
