Let the fleet's fuzz test draw all its steps, and ask for the second witness

RapidCheck scales numbers with the size, and the story's length had been bounded by the size: only the first six kinds of step were drawn, so no notice ever was. Change: numbers are drawn at full size; contact counts from when the teller knew; a death needs a second node that misses the dead one; a zone's notice binds until 30 s after its deadline, as the table has it. Ruled out as faults of the code: the three failures met on the way, all of the oracle.

--- a/tests/src/fuzz-fleet.cpp
+++ b/tests/src/fuzz-fleet.cpp
@@ -48,12 +48,16 @@
 
 rc::Gen<Action> anyAction()
 {
-    return rc::gen::map(rc::gen::tuple(rc::gen::inRange(0, stepCount), rc::gen::inRange(0, 60),
-                                       rc::gen::inRange(0, 60), rc::gen::inRange(1, 60)),
-                        [](const std::tuple<int, int, int, int> &parts) {
-                            const auto &[step, first, second, tenths] = parts;
-                            return Action{static_cast<Step>(step), first, second, tenths};
-                        });
+    // The size bounds numbers too: without a full one the later steps would never be drawn.
+    constexpr int fullSize = 100;
+    return rc::gen::resize(
+            fullSize,
+            rc::gen::map(rc::gen::tuple(rc::gen::inRange(0, stepCount), rc::gen::inRange(0, 60),
+                                        rc::gen::inRange(0, 60), rc::gen::inRange(1, 60)),
+                         [](const std::tuple<int, int, int, int> &parts) {
+                             const auto &[step, first, second, tenths] = parts;
+                             return Action{static_cast<Step>(step), first, second, tenths};
+                         }));
 }
 
 /// The oracle: follows what each node could have known, by the truth of the network, and checks
@@ -65,9 +69,19 @@
         : m_world(world)
     {}
 
-    void noticed(const NodeId &node, const UpstreamId &upstream)
+    /// A notice for a zone says nothing of VMs that are there 30 s after its deadline: a node that
+    /// first hears of it then must not hold new VMs for leaving.
+    void noticed(const NodeId &node, const UpstreamId &upstream, bool isByZone)
     {
-        m_noticed[upstream].insert(node);
+        TimePoint &until = m_toldUntil[upstream];
+        until = isByZone ? std::max(until, m_world.now() + seconds(50)) : TimePoint::max();
+        m_noticed[upstream].emplace(node, m_world.now());
+    }
+
+    bool isBinding(const UpstreamId &upstream)
+    {
+        const auto until = m_toldUntil.find(upstream);
+        return until == m_toldUntil.end() || m_world.now() < until->second;
     }
 
     void restarted(const NodeId &node)
@@ -75,9 +89,11 @@
         // A new process knows nothing but what it is told from now on.
         for (auto &[upstream, nodes] : m_noticed)
             nodes.erase(node);
-        for (auto &[pair, since] : m_connected) {
-            if (pair.first == node || pair.second == node)
-                since = Duration::zero();
+        for (auto *times : {&m_connected, &m_contact}) {
+            for (auto &[pair, since] : *times) {
+                if (pair.first == node || pair.second == node)
+                    since = Duration::zero();
+            }
         }
         m_seenDead.erase(node);
         m_changesRead[node] = 0;
@@ -108,6 +124,9 @@
             since = Duration::zero();
         else if (!node.m_isPaused)
             since += milliseconds(50);
+        Duration &contact = m_contact[{name, other}];
+        contact = since == Duration::zero() || node.m_isPaused ? Duration::zero()
+                                                               : contact + milliseconds(50);
     }
 
     void checkNodeChanges(const NodeId &name, const FleetWorld::Node &node)
@@ -120,12 +139,27 @@
                 deadAt = std::max(deadAt, change.m_incarnation);
                 // False death: they could talk all along, by this node's own running time.
                 RC_ASSERT((m_connected[{name, change.m_node}] < milliseconds(2400)));
+                RC_ASSERT(isMissedByAnother(name, change.m_node));
             } else {
                 RC_ASSERT(deadAt == 0 || change.m_incarnation > deadAt);
             }
         }
     }
 
+    /// A second witness: another node of the data centre that could not talk with the subject
+    /// lately either.
+    bool isMissedByAnother(const NodeId &observer, const NodeId &subject)
+    {
+        const auto &dataCentre = m_world.m_nodes.at(subject).m_identity.m_dataCentre;
+        for (const auto &[name, node] : m_world.m_nodes) {
+            const bool isThird = name != observer && name != subject;
+            if (isThird && node.m_identity.m_dataCentre == dataCentre
+                && m_connected[{name, subject}] < milliseconds(2400))
+                return true;
+        }
+        return false;
+    }
+
     void checkNotices(const NodeId &name, FleetWorld::Node &node)
     {
         for (auto &[upstream, told] : m_noticed) {
@@ -133,34 +167,43 @@
             if (!view)
                 continue;
             if (!view->isOpen()) {
-                told.insert(name);
+                told.emplace(name, m_world.now());
                 continue;
             }
             // Sticky: once leaving here, it is never open again.
             RC_ASSERT(!told.contains(name));
-            RC_ASSERT(longestContact(name, node, told) < seconds(6));
+            const Duration contact = longestContact(name, node, told);
+            if (contact >= seconds(6) && isBinding(upstream)) {
+                RC_LOG() << name.text() << " was not told of " << upstream.text() << ": "
+                         << view->m_reason << "\n";
+            }
+            RC_ASSERT(contact < seconds(6) || !isBinding(upstream));
         }
     }
 
     /// The longest time this node could have been told by one that knew.
     Duration longestContact(const NodeId &name, const FleetWorld::Node &node,
-                            const std::set<NodeId> &told)
+                            const std::map<NodeId, TimePoint> &told)
     {
         Duration longest{};
-        for (const NodeId &teller : told) {
+        for (const auto &[teller, since] : told) {
             const FleetWorld::Node &peer = m_world.m_nodes.at(teller);
             if (peer.m_identity.m_dataCentre == node.m_identity.m_dataCentre)
-                longest = std::max(longest, std::min(m_connected[{name, teller}],
-                                                     m_connected[{teller, name}]));
+                longest = std::max(longest,
+                                   std::min(m_contact[{name, teller}], m_world.now() - since));
         }
         return longest;
     }
 
     FleetWorld &m_world;
     std::map<std::pair<NodeId, NodeId>, Duration> m_connected;
+    /// The same in plain time, and only while both ran.
+    std::map<std::pair<NodeId, NodeId>, Duration> m_contact;
     std::map<NodeId, std::map<NodeId, Incarnation>> m_seenDead;
     std::map<NodeId, std::size_t> m_changesRead;
-    std::map<UpstreamId, std::set<NodeId>> m_noticed;
+    std::map<UpstreamId, TimePoint> m_toldUntil;
+    /// Who knows that an upstream is leaving, and since when.
+    std::map<UpstreamId, std::map<NodeId, TimePoint>> m_noticed;
 };
 
 class Trial
@@ -262,6 +305,9 @@
             RC_ASSERT(node.m_exchange->upstreams().noticesDigest() == reference.noticesDigest());
             for (const auto &[upstream, runner] : m_world.m_runners) {
                 const UpstreamView *view = node.m_exchange->upstreams().find(upstream);
+                // A VM that comes back up long after its zone was reclaimed is beyond the contract.
+                if (!m_oracle.isBinding(upstream))
+                    continue;
                 RC_ASSERT(view->isOpen() == reference.find(upstream)->isOpen());
                 const bool isOwn =
                         runner.m_declaration.m_dataCentre == node.m_identity.m_dataCentre;
@@ -306,7 +352,7 @@
             const bool isMeant = vm.isEmpty() ? runner.m_declaration.m_dataCentre == zone
                                               : runner.m_declaration.m_vm == vm;
             if (isMeant)
-                m_oracle.noticed(node.m_identity.m_node, upstream);
+                m_oracle.noticed(node.m_identity.m_node, upstream, vm.isEmpty());
         }
     }
 
