Keep the least in flight as a descending search, not a list of changes

Cause: each placement looked through every change of the last 1.5 s at every candidate. At some thousand requests a second through one upstream that was 44% of all samples of the daemon (perf, plain requests), all on the control thread.

Ruled out: a shorter window, as it is what peers can be behind by.

Change: only entries that can still be the least of a time up to now are kept, ascending in time and number, so that the answer is a binary search.

--- a/include/gypsumdale/policy/slot_share.hpp
+++ b/include/gypsumdale/policy/slot_share.hpp
@@ -49,24 +49,27 @@
 std::uint32_t overshootBound(const SlotShareSettings &settings, std::uint32_t slots,
                              std::uint32_t nodes);
 
-/// The number of requests in flight over the recent past.
+/// The least number of requests in flight over the recent past. Holds no more entries than there
+/// were requests in flight, however often the number changed.
 class InFlightHistory
 {
 public:
     /// Notes a change and forgets what is older than the time to keep. Amortised constant.
     void note(TimePoint now, std::uint32_t inFlight, Duration keep);
     /// Returns the least number since a time within the time kept; 0 if it reaches back before the
-    /// first change. Linear in the changes kept.
+    /// first change. Logarithmic in the most requests in flight.
     std::uint32_t leastSince(TimePoint since) const;
 
 private:
-    struct Change
+    /// The least number from a time up to now.
+    struct Least
     {
-        TimePoint m_at;
-        std::uint32_t m_inFlight;
+        TimePoint m_since;
+        std::uint32_t m_inFlight = 0;
     };
 
-    std::deque<Change> m_changes;
+    /// Ascending in time and in number.
+    std::deque<Least> m_leasts;
 };
 
 /// The times of the own dispatches to one upstream in the recent past.
--- a/src/policy/slot_share.cpp
+++ b/src/policy/slot_share.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm> // max, min, upper_bound
 #include <cmath> // floor
-#include <iterator> // distance
+#include <iterator> // distance, prev
 
 namespace gypsumdale {
 
@@ -48,24 +48,22 @@
 
 void InFlightHistory::note(TimePoint now, std::uint32_t inFlight, Duration keep)
 {
-    // The last change before the time kept tells how many there were at its beginning.
-    while (m_changes.size() > 1 && m_changes[1].m_at <= now - keep)
-        m_changes.pop_front();
-    m_changes.push_back(Change{now, inFlight});
+    // What came before and was no less can't be the least of any time that reaches up to now.
+    Least least{now, inFlight};
+    while (!m_leasts.empty() && m_leasts.back().m_inFlight >= inFlight) {
+        least.m_since = m_leasts.back().m_since;
+        m_leasts.pop_back();
+    }
+    m_leasts.push_back(least);
+    // The last one before the time kept tells how many there were at its beginning.
+    while (m_leasts.size() > 1 && m_leasts[1].m_since <= now - keep)
+        m_leasts.pop_front();
 }
 
 std::uint32_t InFlightHistory::leastSince(TimePoint since) const
 {
-    if (m_changes.empty() || m_changes.front().m_at > since)
-        return 0;
-    std::uint32_t least = m_changes.back().m_inFlight;
-    for (std::size_t left = m_changes.size(); left > 0; --left) {
-        const Change &change = m_changes[left - 1];
-        least = std::min(least, change.m_inFlight);
-        if (change.m_at <= since)
-            break;
-    }
-    return least;
+    const auto later = std::ranges::upper_bound(m_leasts, since, {}, &Least::m_since);
+    return later == m_leasts.begin() ? 0 : std::prev(later)->m_inFlight;
 }
 
 void RecentDispatches::add(TimePoint now, Duration keep)
