Mend the linter's findings in the jobs

Cause: Thrift structures have a copy constructor and so no move; std::move of one copies all the same, which performance-move-const-arg reports. ProcessRef's defaulted <=> met modernize-use-nullptr, a backward loop modernize-loop-convert. Change: records go by const reference and are named without std::move (a record for a holder is copied once less), ProcessRef compares through std::tie, and the epoch of an offset is found by find_if.

--- a/include/gypsumdale/jobs/job_id.hpp
+++ b/include/gypsumdale/jobs/job_id.hpp
@@ -2,9 +2,11 @@
 
 #include <gypsumdale/core/ids.hpp>
 
+#include <compare> // strong_ordering
 #include <cstdint> // int64_t, uint64_t
 #include <optional> // optional
 #include <string> // string
+#include <tuple> // tie
 
 namespace gypsumdale {
 
@@ -19,7 +21,11 @@
     std::int64_t m_incarnation = 0;
 
     friend bool operator==(const ProcessRef &, const ProcessRef &) = default;
-    friend auto operator<=>(const ProcessRef &, const ProcessRef &) = default;
+    friend std::strong_ordering operator<=>(const ProcessRef &left, const ProcessRef &right)
+    {
+        return std::tie(left.m_node, left.m_incarnation)
+               <=> std::tie(right.m_node, right.m_incarnation);
+    }
 };
 
 /// Returns the name of a process's own log, "NODE.INCARNATION". Linear in the name.
--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -343,7 +343,7 @@
     void appendProgress(OwnedJob &owned, std::int64_t tokens);
     void appendFinish(OwnedJob &owned);
     void appendTakeover(OwnedJob &owned);
-    void appendRecord(OwnedJob &owned, wire::JobRecord record);
+    void appendRecord(OwnedJob &owned, const wire::JobRecord &record);
     wire::JobProgress progressOf(const Job &job, std::int64_t epoch, std::int64_t from,
                                  std::int64_t to) const;
 
@@ -362,7 +362,7 @@
     NodeId chooseSuccessor(const OwnedJob &owned) const;
     bool wantsHolder(const OwnedJob &owned, TimePoint now) const;
     void syncToHolder(OwnedJob &owned, TimePoint now);
-    void sendToHolder(OwnedJob &owned, wire::JobRecord record, TimePoint now);
+    void sendToHolder(OwnedJob &owned, const wire::JobRecord &record, TimePoint now);
     void failHolder(OwnedJob &owned);
     void releaseCopies(OwnedJob &owned, const NodeId &except);
     void beginHandOver(OwnedJob &owned, TimePoint now);
--- a/src/jobs/epoch_history.cpp
+++ b/src/jobs/epoch_history.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm> // min
+#include <algorithm> // find_if, min
 #include <charconv> // from_chars
 
 namespace gypsumdale {
@@ -68,11 +68,10 @@
 
 std::int64_t EpochHistory::epochAt(std::int64_t offset) const
 {
-    for (auto start = m_starts.rbegin(); start != m_starts.rend(); ++start) {
-        if (start->m_offset <= offset)
-            return start->m_epoch;
-    }
-    return current();
+    const auto start =
+            std::find_if(m_starts.rbegin(), m_starts.rend(),
+                         [offset](const Start &each) { return each.m_offset <= offset; });
+    return start == m_starts.rend() ? current() : start->m_epoch;
 }
 
 } // namespace gypsumdale
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -350,7 +350,7 @@
         removed.job = oldest.m_job.text();
         removed.epoch = oldest.m_epoch;
         record.__set_removed(removed);
-        emit(AppendRecord{*logOf(oldest.m_job), std::move(record)});
+        emit(AppendRecord{*logOf(oldest.m_job), record});
         m_finishedBytes -= oldest.m_bytes;
         m_finished.pop_front();
     }
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -262,7 +262,7 @@
             removed.job = owned.m_job.m_id.text();
             removed.epoch = owned.m_job.m_epochs.current();
             record.__set_removed(removed);
-            appendRecord(owned, std::move(record));
+            appendRecord(owned, record);
             owned.m_appended->m_isRemoved = true;
         }
     } else {
@@ -281,9 +281,9 @@
         owned.m_appended->m_changedAt = now;
 }
 
-void JobTable::appendRecord(OwnedJob &owned, wire::JobRecord record)
+void JobTable::appendRecord(OwnedJob &owned, const wire::JobRecord &record)
 {
-    emit(AppendRecord{*logOf(owned.m_job.m_id), std::move(record)});
+    emit(AppendRecord{*logOf(owned.m_job.m_id), record});
 }
 
 void JobTable::appendOffer(OwnedJob &owned)
@@ -296,7 +296,7 @@
     offered.snapshot = toWire(bare);
     wire::JobRecord record;
     record.__set_offered(offered);
-    appendRecord(owned, std::move(record));
+    appendRecord(owned, record);
     owned.m_appended->m_epoch = owned.m_job.m_epochs.current();
 }
 
@@ -317,7 +317,7 @@
         takeover.reason = "handed-over";
         wire::JobRecord record;
         record.__set_takeover(takeover);
-        appendRecord(owned, std::move(record));
+        appendRecord(owned, record);
         owned.m_appended->m_epoch = starts[next].m_epoch;
     }
 }
@@ -346,7 +346,7 @@
         ++m_counters.m_checkpointRecords;
         m_counters.m_checkpointBytes +=
                 record.progress.text.size() + record.progress.tokenLengths.size();
-        appendRecord(owned, std::move(record));
+        appendRecord(owned, record);
         appended.m_tokens = end;
     }
 }
@@ -363,7 +363,7 @@
     finished.wholeTokens = owned.m_job.m_answer.tokens();
     wire::JobRecord record;
     record.__set_finished(finished);
-    appendRecord(owned, std::move(record));
+    appendRecord(owned, record);
     appended.m_isOver = true;
 }
 
@@ -382,7 +382,7 @@
     takeover.reason = "owner-dead";
     wire::JobRecord record;
     record.__set_takeover(takeover);
-    appendRecord(owned, std::move(record));
+    appendRecord(owned, record);
 }
 
 } // namespace gypsumdale
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -113,17 +113,17 @@
     } else {
         return;
     }
-    sendToHolder(owned, std::move(record), now);
+    sendToHolder(owned, record, now);
 }
 
-void JobTable::sendToHolder(OwnedJob &owned, wire::JobRecord record, TimePoint now)
+void JobTable::sendToHolder(OwnedJob &owned, const wire::JobRecord &record, TimePoint now)
 {
     owned.m_holder->m_isAsked = true;
     owned.m_holder->m_askedAt = now;
     wire::JobHold hold;
     hold.owner = toWire(m_settings.m_self);
-    hold.record = std::move(record);
-    emit(HoldAtPeer{owned.m_holder->m_node, std::move(hold)});
+    hold.record = record;
+    emit(HoldAtPeer{owned.m_holder->m_node, hold});
 }
 
 void JobTable::failHolder(OwnedJob &owned)
@@ -226,7 +226,7 @@
         answer.heldTokens = copy->m_answer.tokens();
         answer.heldFinished = copy->isOver();
     }
-    emit(AnswerHold{peer, std::move(answer)});
+    emit(AnswerHold{peer, answer});
 }
 
 /// Tells whether an owner's snapshot is at least as new as the copy of the job. Messages may come
@@ -270,7 +270,7 @@
             wire::JobHoldAnswer answer;
             answer.job = id.text();
             answer.epoch = copy->m_epochs.current();
-            emit(AnswerHold{process.m_node, std::move(answer)});
+            emit(AnswerHold{process.m_node, answer});
             continue;
         }
         OwnedJob standIn;
@@ -283,7 +283,7 @@
         wire::JobHold hold;
         hold.owner = toWire(process);
         hold.record.__set_offered(offered);
-        emit(HoldAtPeer{node, std::move(hold)});
+        emit(HoldAtPeer{node, hold});
     }
 }
 
@@ -320,7 +320,7 @@
     successor->m_sentAt = now;
     wire::JobHandOver handOver;
     handOver.snapshot = toWire(owned.m_job);
-    emit(HandOver{successor->m_node, std::move(handOver)});
+    emit(HandOver{successor->m_node, handOver});
 }
 
 void JobTable::onHandOverAnswered(const NodeId &peer, const wire::JobHandOverAnswer &answer,
@@ -373,7 +373,7 @@
             answer.epoch = m_owned.at(job).m_job.m_epochs.current();
         }
     }
-    emit(AnswerHandOver{peer, std::move(answer)});
+    emit(AnswerHandOver{peer, answer});
     service(job, now);
 }
 
