--- a/src/ledger/platform_log.cpp
+++ b/src/ledger/platform_log.cpp
@@ -3,7 +3,6 @@
 #include <gypsumdale/ledger/platform_log.hpp>
 
 #include <algorithm> // find_if, max, min
-#include <ranges> // reverse
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -407,7 +406,8 @@
         return;
     Batch batch = std::move(*m_batch);
     m_batch.reset();
-    for (Entry &entry : std::views::reverse(batch.m_entries)) {
+    for (std::size_t left = batch.m_entries.size(); left > 0; --left) {
+        Entry &entry = batch.m_entries[left - 1];
         if (entry.m_abandoned) {
             m_events.emplace_back(RecordDropped{entry.m_ticket});
             continue;
