Report a whole answer without waiting for the control thread

Cause: the last bytes of each answer waited for a round trip to the control thread that asked whether to retry, also where nothing had failed.

Change: a completed attempt is reported and not waited for. The control loop takes work in the order it was handed over, so that the slot is free before anything is decided about what the caller sends after the answer.

--- a/include/gypsumdale/kernel/model_call.hpp
+++ b/include/gypsumdale/kernel/model_call.hpp
@@ -46,6 +46,10 @@
     void reportProgress(bool isFinal);
     void finish();
     void refuse(const Error &error, Duration retryAfter);
+    /// Reports a whole answer. Nothing is asked, so the caller's last bytes don't wait for it; what
+    /// the caller sends next is decided after it, as the control loop keeps the order.
+    void reportCompleted();
+    /// Reports a broken attempt and asks whether there will be another.
     RetryDecision settle(const Ended &ended);
     void onCallerGone();
 
--- a/include/gypsumdale/kernel/plain_call.hpp
+++ b/include/gypsumdale/kernel/plain_call.hpp
@@ -36,6 +36,10 @@
     Ended attempt(const Placed &placed);
     Ended endedBy(const HttpReply &reply) const;
     bool isCrossed(const HttpReply &reply) const;
+    /// Reports an answer. Nothing is asked, so the caller does not wait for it; what the caller
+    /// sends next is decided after it, as the control loop keeps the order.
+    void reportAnswered();
+    /// Reports an attempt without an answer and asks whether there will be another.
     RetryDecision settle(const Ended &ended);
     void conclude(const std::optional<AttemptId> &claimed, const Ended &ended, Duration retryAfter);
     void answer(const HttpReply &reply, Outcome outcome);
--- a/src/kernel/model_call.cpp
+++ b/src/kernel/model_call.cpp
@@ -78,11 +78,12 @@
             break;
         }
         const Ended ended = attempt(std::get<Placed>(placement));
-        const RetryDecision decision = settle(ended);
         if (ended.m_end == AttemptEnd::Completed) {
+            reportCompleted();
             finish();
             break;
         }
+        const RetryDecision decision = settle(ended);
         const auto *retry = std::get_if<Retry>(&decision);
         if (!retry || m_isCallerGone) {
             refuse(ended.m_error, Duration::zero());
@@ -210,6 +211,21 @@
             });
 }
 
+void ModelCall::reportCompleted()
+{
+    reportProgress(true);
+    m_traffic.tellControl([id = m_context.m_id, service = m_context.m_service,
+                           prompt = m_request.promptTokens(),
+                           tokens = static_cast<std::uint32_t>(m_assembler.answer().tokens()),
+                           isFirst = m_attempts == 1](Control &control) {
+        AdmissionDriver &admission = control.admission();
+        if (isFirst)
+            admission.noteFirstAttempt(service);
+        admission.usage(service, id, prompt, tokens);
+        admission.attemptEnded(service, id, AttemptEnd::Completed);
+    });
+}
+
 RetryDecision ModelCall::settle(const Ended &ended)
 {
     reportProgress(true);
@@ -218,17 +234,13 @@
     state.m_info = m_info;
     state.m_startedAt = m_attemptAt;
     state.m_deadline = m_context.m_deadline;
-    const bool wantsRetry = ended.m_end != AttemptEnd::Completed && !ended.m_isPermanent
-                            && ended.m_end != AttemptEnd::Abandoned;
+    const bool wantsRetry = !ended.m_isPermanent && ended.m_end != AttemptEnd::Abandoned;
     const bool isFirst = m_attempts == 1;
     return m_traffic.onControl([&](Control &control) -> RetryDecision {
         AdmissionDriver &admission = control.admission();
         const ServiceId &service = m_context.m_service;
         if (isFirst)
             admission.noteFirstAttempt(service);
-        if (ended.m_end == AttemptEnd::Completed)
-            admission.usage(service, m_context.m_id, m_request.promptTokens(),
-                            static_cast<std::uint32_t>(m_assembler.answer().tokens()));
         // A request at fault itself says nothing against its upstream.
         const AttemptEnd end = ended.m_isPermanent ? AttemptEnd::Abandoned : ended.m_end;
         admission.attemptEnded(service, m_context.m_id, end);
--- a/src/kernel/plain_call.cpp
+++ b/src/kernel/plain_call.cpp
@@ -165,9 +165,14 @@
             return;
         }
         ended = attempt(std::get<Placed>(placement));
+        if (ended.m_phase == CallPhase::Answered) {
+            reportAnswered();
+            conclude(claimed, ended, keyRetryAfter);
+            return;
+        }
         const RetryDecision decision = settle(ended);
         const auto *retry = std::get_if<Retry>(&decision);
-        if (ended.m_phase == CallPhase::Answered || !retry) {
+        if (!retry) {
             conclude(claimed, ended, keyRetryAfter);
             return;
         }
@@ -237,6 +242,16 @@
     return ended;
 }
 
+void PlainCall::reportAnswered()
+{
+    m_traffic.tellControl([id = m_context.m_id, service = m_context.m_service,
+                           isFirst = m_attempts == 1](Control &control) {
+        if (isFirst)
+            control.admission().noteFirstAttempt(service);
+        control.admission().attemptEnded(service, id, AttemptEnd::Completed);
+    });
+}
+
 RetryDecision PlainCall::settle(const Ended &ended)
 {
     AttemptState state;
@@ -250,7 +265,7 @@
         if (isFirst)
             admission.noteFirstAttempt(m_context.m_service);
         admission.attemptEnded(m_context.m_service, m_context.m_id, attemptEndOf(ended.m_phase));
-        if (ended.m_phase == CallPhase::Answered || m_attempts == 0)
+        if (m_attempts == 0)
             return NoRetry{};
         const RetryDecision decision = admission.decideRetry(m_context.m_service, state, m_retry);
         const bool isRetried = std::holds_alternative<Retry>(decision);
