Keep streams out of step, and measure more requests than slots

Streams of one length that begin together end together, so their successors queued for each other at the one traffic thread; pauses of random length keep them apart at the same mean use of the slots.

--- a/bench/overhead/main.cpp
+++ b/bench/overhead/main.cpp
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
+#include <pcg_random.hpp>
 
 #include <atomic> // atomic
 #include <charconv> // from_chars
@@ -16,6 +17,7 @@
 #include <cstdlib> // strtod
 #include <fstream> // ifstream
 #include <optional> // optional
+#include <random> // uniform_real_distribution
 #include <string> // string
 #include <thread> // sleep_for
 #include <utility> // exchange, move
@@ -35,8 +37,12 @@
 constexpr Duration capacityBlock = std::chrono::seconds(1);
 constexpr Duration noLimit = std::chrono::minutes(5);
 constexpr int plainParallel = 32;
-constexpr int pacedParallel = 32;
+/// More than the stand-in has slots, so that some wait.
+constexpr int crowdedParallel = 400;
+constexpr int pacedParallel = 64;
 constexpr int pacedTokens = 32;
+/// As long as a stream takes, so that half of the slots are in use.
+constexpr Duration pacedPause = std::chrono::milliseconds(160);
 constexpr int fastParallel = 128;
 constexpr int fastTokens = 1000;
 constexpr int memoryParallel = 32;
@@ -156,6 +162,17 @@
     };
 }
 
+/// Streams with pauses of random length between, so that the streams don't stay in step.
+Work pausingWork(const Call &call)
+{
+    return [&call](HttpClient &client, Record &record) {
+        thread_local pcg32 random;
+        std::uniform_real_distribution<double> part(0, 2);
+        sleepFiber(std::chrono::duration_cast<Duration>(pacedPause * part(random)));
+        stream(call, false, client, record);
+    };
+}
+
 std::string chatBody(std::string_view model, int tokens)
 {
     return fmt::format(
@@ -292,6 +309,7 @@
     const Call straight = direct({m_settings.m_plain}, "/lookup", plainBody);
     const Call proxied = through("plain", "/services/app/lookup", plainBody);
     Row capacity("plain capacity through");
+    Row crowded("plain capacity through, 400 open");
     Row alone("plain capacity direct");
     Comparison halfLoad("plain at half load");
     Comparison idle("plain one at a time");
@@ -301,6 +319,10 @@
         const double rate = static_cast<double>(most.m_whole.size())
                             / std::chrono::duration<double>(capacityBlock).count();
         capacity.add(rate);
+        const Record crowd = checked(
+                m_driver.closedLoop(crowdedParallel, unlimited, capacityBlock, plainWork(proxied)));
+        crowded.add(static_cast<double>(crowd.m_whole.size())
+                    / std::chrono::duration<double>(capacityBlock).count());
         const Record mostDirect = checked(
                 m_driver.closedLoop(plainParallel, unlimited, capacityBlock, plainWork(straight)));
         alone.add(static_cast<double>(mostDirect.m_whole.size())
@@ -315,6 +337,7 @@
         idle.add(oneDirect.m_whole, one.m_whole);
     }
     capacity.print("requests/s");
+    crowded.print("requests/s");
     alone.print("requests/s");
     halfLoad.print();
     idle.print();
@@ -328,9 +351,9 @@
     Comparison firstToken("first token, half of the slots");
     for (int repetition = 0; repetition < m_settings.m_repetitions; ++repetition) {
         const Record before = checked(
-                m_driver.closedLoop(pacedParallel, unlimited, streamBlock, streamWork(straight)));
+                m_driver.closedLoop(pacedParallel, unlimited, streamBlock, pausingWork(straight)));
         const Record after = checked(
-                m_driver.closedLoop(pacedParallel, unlimited, streamBlock, streamWork(proxied)));
+                m_driver.closedLoop(pacedParallel, unlimited, streamBlock, pausingWork(proxied)));
         firstToken.add(before.m_firstToken, after.m_firstToken);
     }
     firstToken.print();
