Pass over silent peers, and tell a refused connection from a broken one

Cause: a node keeps a new version out of force until another node of its data centre knows it or is proved gone. The proof was taken from any connection that closed, which proves nothing; and a VM that vanishes without a word gives no proof, so its only neighbour would have held changes back for ever. Ruled out: holding back until the VM list drops the node, which lags by more than the 12 s promised. Change: only a connection that the host refused counts as proof (other errors of connecting count as no answer); a peer silent for 6 s is passed over, with what that trades said at the guard. Retentions of keys and jobs follow the settings in force. Conclusion: a test with real processes has to follow.

--- a/include/gypsumdale/kernel/claim_driver.hpp
+++ b/include/gypsumdale/kernel/claim_driver.hpp
@@ -34,6 +34,9 @@
     wire::ClaimForwarded onForward(const NodeId &sender, const wire::ClaimForward &forward);
     void onRecord(const wire::ClaimRecordForward &record);
 
+    /// Sets how long keys are remembered from now on.
+    void setRetention(Duration retention) { m_ledger.setRetention(retention); }
+
     const ClaimLedger &ledger() const { return m_ledger; }
 
 private:
--- a/include/gypsumdale/kernel/config_driver.hpp
+++ b/include/gypsumdale/kernel/config_driver.hpp
@@ -29,6 +29,9 @@
     void onChange(ChangeListener listener) { m_listener = std::move(listener); }
 
     void onLiveNodes(const std::vector<NodeId> &nodes);
+    /// A node of the own data centre has been silent for so long that waiting for its word on a new
+    /// version would break the promise to have it in force within seconds.
+    void onPeerSilent(const NodeId &peer);
     void onDigest(const ConfigDigestFrom &digest);
     void onAsk(const ConfigAsk &ask);
     void onUpdate(const ConfigUpdate &update);
--- a/include/gypsumdale/kernel/control.hpp
+++ b/include/gypsumdale/kernel/control.hpp
@@ -70,6 +70,7 @@
     const Drain &drain() const { return m_drain; }
 
 private:
+    void onSettingsChanged();
     void listenToFleet();
     wire::PeerReplyBody answerPeer(const NodeId &sender, const wire::PeerRequest &request);
     void onNodeChanged(const NodeStateChanged &change);
@@ -84,6 +85,7 @@
     void runDrain();
     void refreshGauges();
     void countUpstreams();
+    void passOverSilentPeers();
     wire::VersionInForce ownVersion(const wire::VersionAsk &ask) const;
     wire::Decisions ownDecisions(const wire::DecisionsAsk &ask) const;
     std::vector<NodeId> liveLocalNodes() const;
@@ -95,6 +97,7 @@
     ClaimDriver m_claims;
     JobDriver m_jobs;
     std::map<NodeId, ConfigVersion> m_peerVersions;
+    TimePoint m_startedAt{};
     Drain m_drain;
     ShutdownHooks m_hooks;
 };
--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -65,6 +65,9 @@
     void onHoldAnswer(const NodeId &sender, const wire::JobHoldAnswer &answer);
     void onHandOverAnswer(const NodeId &sender, const wire::JobHandOverAnswer &answer);
 
+    /// Sets how long finished answers are kept.
+    void setRetention(Duration retention) { m_table.setRetention(retention); }
+
     const JobTable &table() const { return m_table; }
     /// Jobs that this node owns and that are not over.
     std::size_t unfinished() const;
--- a/include/gypsumdale/kernel/settings_view.hpp
+++ b/include/gypsumdale/kernel/settings_view.hpp
@@ -28,6 +28,9 @@
     const AccountTable &accounts() const { return m_accounts; }
     const std::map<MemberId, std::shared_ptr<const Member>> &members() const { return m_members; }
 
+    /// Returns the longest time for which a profile has idempotency keys remembered. Linear.
+    Duration longestKeyRetention() const;
+
     /// Returns the weight of a member's share: its own, or the fleet's default. Constant.
     double weightOf(const Member &member) const;
 
--- a/include/gypsumdale/ledger/claim_ledger.hpp
+++ b/include/gypsumdale/ledger/claim_ledger.hpp
@@ -124,6 +124,10 @@
 
     std::vector<ClaimEvent> takeEvents();
 
+    /// Sets how long keys claimed from now on are remembered. Keys are forgotten in the order of
+    /// their claims, so after a cut in the retention none is forgotten before those ahead of it.
+    void setRetention(Duration retention) { m_settings.m_retention = retention; }
+
     /// Returns the shard of a key. Constant.
     ShardNumber shardOf(const MemberId &member, std::string_view key) const;
 
--- a/src/kernel/config_driver.cpp
+++ b/src/kernel/config_driver.cpp
@@ -78,6 +78,11 @@
     run(m_store.onUpdate(update, m_context.now()));
 }
 
+void ConfigDriver::onPeerSilent(const NodeId &peer)
+{
+    run(m_store.onPeerGone(peer, m_context.now()));
+}
+
 void ConfigDriver::runTimer()
 {
     for (;;) {
@@ -154,7 +159,7 @@
         const TimePoint begun = m_context.now();
         const auto reply = m_context.m_peers.ask(identity, body, peerTimeout);
         // A refused connection proves that no process of that node runs; silence proves nothing.
-        if (!succeeded(reply) && errorOf(reply).m_id == ErrorId::ConnectionClosed)
+        if (!succeeded(reply) && errorOf(reply).m_id == ErrorId::PeerUnreachable)
             run(m_store.onPeerGone(identity.m_node, begun));
     });
 }
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -12,6 +12,8 @@
 /// Gauges walk all upstreams, so they are set once a second only.
 constexpr int ticksPerGauges = 20;
 constexpr int ticksPerLogReport = 100;
+/// Well within the 12 s in which a version has to be in force everywhere.
+constexpr Duration peerSilence = std::chrono::seconds(6);
 
 Endpoint endpointOf(const Address &address)
 {
@@ -48,17 +50,27 @@
     if (!succeeded(listening))
         return listening;
     m_context.m_peers.setIncarnation(m_context.m_incarnation);
-    m_config.onChange([this](const ConfigKey &) { m_admission.onSettingsChanged(); });
+    m_config.onChange([this](const ConfigKey &) { onSettingsChanged(); });
     listenToFleet();
     m_fleet.start();
     m_config.start();
     m_admission.start();
     m_claims.start();
     m_jobs.start();
+    m_startedAt = m_context.now();
     m_context.m_loop.spawn([this] { runDrain(); });
     return Done{};
 }
 
+void Control::onSettingsChanged()
+{
+    const SettingsView &view = m_config.view();
+    m_admission.onSettingsChanged();
+    m_jobs.setRetention(view.fleet()->m_jobRetention);
+    // The ledger keeps all keys alike, so the longest promise decides.
+    m_claims.setRetention(std::max(view.fleet()->m_keyRetention, view.longestKeyRetention()));
+}
+
 void Control::listenToFleet()
 {
     FleetListeners listeners;
@@ -300,6 +312,8 @@
     for (int count = 0;; ++count) {
         if (count % ticksPerGauges == 0)
             refreshGauges();
+        if (count % ticksPerGauges == 0)
+            passOverSilentPeers();
         if (count % ticksPerLogReport == 0)
             m_context.m_log.reportSuppressed();
         m_fleet.exchange().setConfigDigest(wire::toWire(m_config.store().digest().m_digest));
@@ -345,6 +359,24 @@
     metrics.assign(Counter::ControlProcessorMillis, static_cast<std::uint64_t>(millis.count()));
 }
 
+/// Failure guarded against: a VM of the data centre vanishes without a word, as VMs do every day.
+/// No host refuses, so nothing proves that it is gone, and its neighbours would keep new versions
+/// out of force until it is heard again. After this silence they pass it over. What is traded: a
+/// node that was only cut off, is alone with a new version and restarts while the platform is out
+/// could then come back with an older one.
+void Control::passOverSilentPeers()
+{
+    const TimePoint now = m_context.now();
+    for (const SeedPeer &peer : m_context.m_settings.m_peers) {
+        if (peer.m_dataCentre != m_context.m_settings.m_dataCentre)
+            continue;
+        const NodeView *view = m_fleet.membership().find(peer.m_node);
+        const TimePoint heard = std::max(view ? view->m_lastHeard : m_startedAt, m_startedAt);
+        if (now - heard > peerSilence)
+            m_config.onPeerSilent(peer.m_node);
+    }
+}
+
 void Control::countUpstreams()
 {
     std::int64_t live = 0;
--- a/src/kernel/settings_view.cpp
+++ b/src/kernel/settings_view.cpp
@@ -1,6 +1,8 @@
 #include <gypsumdale/core/result.hpp>
 #include <gypsumdale/kernel/settings_view.hpp>
 
+#include <algorithm> // max
+
 namespace gypsumdale {
 
 SettingsView::SettingsView()
@@ -41,6 +43,14 @@
     return found == m_members.end() ? nullptr : found->second;
 }
 
+Duration SettingsView::longestKeyRetention() const
+{
+    Duration longest = Duration::zero();
+    for (const auto &[id, profile] : m_profiles)
+        longest = std::max(longest, profile->m_keyRetention);
+    return longest;
+}
+
 double SettingsView::weightOf(const Member &member) const
 {
     return member.m_weight > 0 ? member.m_weight : m_fleet->m_memberWeight;
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -74,7 +74,9 @@
     m_socket.async_connect(endpoint, wait.handler());
     error = wait.wait();
     stopDeadline();
-    return statusOf(error);
+    const StreamStatus status = statusOf(error);
+    const bool isRefused = error == asio::error::connection_refused;
+    return status == StreamStatus::Broken && !isRefused ? StreamStatus::TimedOut : status;
 }
 
 StreamStatus Stream::fill(SteadyTime deadline)
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -56,6 +56,8 @@
     /// Takes over a connected, non-blocking socket; leaves it to the caller on failure.
     bool adopt(int nativeSocket);
 
+    /// Broken means that the other host refused: nothing listens there. A network that knows no way
+    /// says nothing of the other side, and counts as TimedOut.
     StreamStatus connect(const boost::asio::ip::tcp::endpoint &endpoint, Duration timeout);
 
     /// Appends what has come to the buffer; waits for it. Takes over a read that watch() left
