Scan an engine's events whatever the order of their members

Cause: events were read without a document only in one exact order of members and without "model". The engine stand-in writes its members in alphabetical order and the model, so that every event went through the full parser: a third of the traffic thread's samples were in the JSON library (perf, 34.9%).

Change: the known members are taken in any order; an unknown member, one that comes twice or a missing one still goes to the full parser, which keeps the word. The tests gain the stand-in's order, doubled and unknown members and further malformed events.

--- a/src/jobs/engine_event_reader.cpp
+++ b/src/jobs/engine_event_reader.cpp
@@ -4,6 +4,7 @@
 
 #include <limits> // numeric_limits
 #include <optional> // optional
+#include <utility> // exchange
 
 namespace gypsumdale {
 
@@ -14,8 +15,8 @@
 constexpr unsigned char firstBeyondAscii = 0x80;
 constexpr std::size_t maximumDigits = 18;
 
-/// Walks over one event in the exact shape that engines write. Every step that finds anything else
-/// says so, and the full parser has the word.
+/// Walks over JSON as engines write it, without blanks. Every step that finds anything else says
+/// so, and the full parser has the word.
 class KnownShape
 {
 public:
@@ -31,10 +32,27 @@
         return true;
     }
 
-    /// Reads up to the closing quote. Only printable ASCII passes; escapes are undone into
-    /// `scratch`.
+    /// Reads an object whose members' values `takeValue` reads, told their key.
+    template <typename TakeValue>
+    bool object(std::string &scratch, TakeValue takeValue)
+    {
+        if (!skip("{"))
+            return false;
+        if (skip("}"))
+            return true;
+        do {
+            const auto key = string(scratch);
+            if (!key || !skip(":") || !takeValue(*key))
+                return false;
+        } while (skip(","));
+        return skip("}");
+    }
+
+    /// Reads a string. Only printable ASCII passes; escapes are undone into `scratch`.
     std::optional<std::string_view> string(std::string &scratch)
     {
+        if (!skip("\""))
+            return std::nullopt;
         std::size_t length = 0;
         while (length < m_rest.size() && isPlain(m_rest[length]))
             ++length;
@@ -125,40 +143,90 @@
     std::string &m_finishReason;
 };
 
-std::optional<TokenEvent> readKnownShape(std::string_view data, const Scratch &scratch)
+/// Takes in the members of an event that are known, in any order. An unknown one, or one that comes
+/// twice, is left to the full parser.
+class KnownEvent
 {
-    KnownShape shape(data);
-    TokenEvent event;
-    if (!shape.skip(R"({"id":")"))
-        return std::nullopt;
-    const auto attempt = shape.string(scratch.m_attempt);
-    if (!attempt || !shape.skip(R"(,"object":"chat.completion.chunk","token_index":)"))
-        return std::nullopt;
-    const auto index = shape.number();
-    if (!index || !shape.skip(R"(,"choices":[{"index":0,"delta":{)"))
-        return std::nullopt;
-    if (shape.skip(R"("content":")")) {
-        const auto text = shape.string(scratch.m_text);
-        if (!text)
+public:
+    KnownEvent(std::string_view data, const Scratch &scratch)
+        : m_shape(data)
+        , m_scratch(scratch)
+    {}
+
+    std::optional<TokenEvent> read()
+    {
+        const bool isRead =
+                m_shape.object(m_skipped, [this](std::string_view key) { return takeMember(key); });
+        const bool isWhole = m_hasAttempt && m_hasIndex && m_hasDelta;
+        if (!isRead || !isWhole || !m_shape.isAtEnd())
             return std::nullopt;
-        event.m_text = *text;
+        return m_event;
     }
-    if (!shape.skip(R"(},"finish_reason":)"))
-        return std::nullopt;
-    if (!shape.skip("null")) {
-        if (!shape.skip("\""))
-            return std::nullopt;
-        const auto finishReason = shape.string(scratch.m_finishReason);
-        if (!finishReason)
-            return std::nullopt;
-        event.m_finishReason = *finishReason;
+
+private:
+    bool takeMember(std::string_view key)
+    {
+        if (key == "id")
+            return isFirst(m_hasAttempt) && takeString(m_scratch.m_attempt, m_event.m_attempt);
+        if (key == "object" || key == "model")
+            return m_shape.string(m_skipped).has_value();
+        if (key == "token_index")
+            return isFirst(m_hasIndex) && takeIndex();
+        return key == "choices" && isFirst(m_hasChoices) && takeChoices();
     }
-    if (!shape.skip("}]}") || !shape.isAtEnd())
-        return std::nullopt;
-    event.m_attempt = *attempt;
-    event.m_index = *index;
-    return event;
-}
+
+    bool takeChoices()
+    {
+        const auto takeChoice = [this](std::string_view key) {
+            if (key == "index")
+                return m_shape.number().has_value();
+            if (key == "delta")
+                return isFirst(m_hasDelta) && takeDelta();
+            return key == "finish_reason" && isFirst(m_hasFinishReason) && takeFinishReason();
+        };
+        return m_shape.skip("[") && m_shape.object(m_skipped, takeChoice) && m_shape.skip("]");
+    }
+
+    bool takeDelta()
+    {
+        return m_shape.object(m_skipped, [this](std::string_view key) {
+            return key == "content" && isFirst(m_hasText)
+                   && takeString(m_scratch.m_text, m_event.m_text);
+        });
+    }
+
+    bool takeFinishReason()
+    {
+        return m_shape.skip("null") || takeString(m_scratch.m_finishReason, m_event.m_finishReason);
+    }
+
+    bool takeIndex()
+    {
+        const auto index = m_shape.number();
+        m_event.m_index = index.value_or(0);
+        return index.has_value();
+    }
+
+    bool takeString(std::string &scratch, std::string_view &target)
+    {
+        const auto text = m_shape.string(scratch);
+        target = text.value_or(std::string_view());
+        return text.has_value();
+    }
+
+    static bool isFirst(bool &isSeen) { return !std::exchange(isSeen, true); }
+
+    KnownShape m_shape;
+    const Scratch &m_scratch;
+    std::string m_skipped;
+    TokenEvent m_event;
+    bool m_hasAttempt = false;
+    bool m_hasIndex = false;
+    bool m_hasChoices = false;
+    bool m_hasDelta = false;
+    bool m_hasText = false;
+    bool m_hasFinishReason = false;
+};
 
 /// Returns the member of that name, or nullptr for a value without one.
 const nlohmann::json *memberOf(const nlohmann::json &value, const char *name)
@@ -210,7 +278,7 @@
     if (data == endMarker)
         return EngineEvent(EndMarker{});
     const Scratch scratch{m_attempt, m_text, m_finishReason};
-    if (const auto event = readKnownShape(data, scratch))
+    if (const auto event = KnownEvent(data, scratch).read())
         return EngineEvent(*event);
     const auto document = nlohmann::json::parse(data, nullptr, false);
     if (memberOf(document, "error") != nullptr)
--- a/tests/src/unit-answer-assembler.cpp
+++ b/tests/src/unit-answer-assembler.cpp
@@ -176,8 +176,24 @@
         CHECK(std::holds_alternative<EndMarker>(valueOf(reader.read("[DONE]"))));
     }
 
+    SECTION("in any order of the members, with the model")
+    {
+        const TokenEvent event =
+                read(R"({"choices":[{"delta":{"content":" a"},"finish_reason":null,"index":0}],)"
+                     R"("id":"a/1","model":"m","object":"chat.completion.chunk","token_index":7})");
+        CHECK(event.m_attempt == "a/1");
+        CHECK(event.m_index == 7);
+        CHECK(event.m_text == " a");
+        CHECK(event.m_finishReason.empty());
+    }
+
     SECTION("in any other shape, with the same result")
     {
+        // The last of two members with one name counts, as in every JSON reader.
+        CHECK(read(R"({"id":"a","id":"b","token_index":1,"choices":[{"delta":{}}]})").m_attempt
+              == "b");
+        CHECK(read(R"({"id":"a","token_index":1,"choices":[{"delta":{}}],"usage":{}})").m_index
+              == 1);
         CHECK(read(chunk("Grüße")).m_text == "Grüße");
         CHECK(read(chunk("\\u00fc\\ud83d\\ude00")).m_text == "ü😀");
         std::string spaced = chunk("plain");
@@ -205,6 +221,10 @@
                 R"({"id":"a","token_index":18446744073709551615,"choices":[{"delta":{}}]})",
                 R"({"id":7,"token_index":1,"choices":[{"delta":{}}]})",
                 R"({"id":"a","token_index":1,"choices":[]})",
+                R"({"id":"a","token_index":1,"choices":[{"delta":{}},{"delta":{}}]})",
+                R"({"id":"a","token_index":1,"choices":[{"delta":{}}],})",
+                R"({"id":"a","token_index":1.5,"choices":[{"delta":{}}]})",
+                R"({"id":"a","token_index":1,"choices":[{"index":0}]})",
         };
         for (const std::string &text : malformed) {
             CAPTURE(text);
