--- a/src/kernel/chunk_writer.cpp
+++ b/src/kernel/chunk_writer.cpp
@@ -3,17 +3,42 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm> // all_of
 #include <iterator> // back_inserter
 
 namespace gypsumdale {
 
 namespace {
 
+constexpr char firstPrintable = ' ';
+constexpr char lastPrintable = '~';
+
 std::string jsonText(std::string_view text)
 {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+/// Tells whether a text stands in JSON as it is: printable ASCII without quote and backslash.
+bool needsNoEscape(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char character) {
+        return character >= firstPrintable && character <= lastPrintable && character != '"'
+               && character != '\\';
+    });
+}
+
+/// Appends a text as a JSON string. Most tokens are plain words, for which no document is built.
+void appendJsonText(std::string &buffer, std::string_view text)
+{
+    if (!needsNoEscape(text)) {
+        buffer += jsonText(text);
+        return;
+    }
+    buffer += '"';
+    buffer += text;
+    buffer += '"';
+}
+
 } // namespace
 
 ChunkWriter::ChunkWriter(std::string name, const ServiceId &service)
@@ -30,11 +55,9 @@
     if (position)
         fmt::format_to(out, "id: {}\n", toText(*position));
     buffer += m_head;
-    fmt::format_to(
-            out,
-            R"("token_index":{},"choices":[{{"index":0,"delta":{{"content":{}}},"finish_reason":null}}]}})",
-            index, jsonText(text));
-    buffer += "\n\n";
+    fmt::format_to(out, R"("token_index":{},"choices":[{{"index":0,"delta":{{"content":)", index);
+    appendJsonText(buffer, text);
+    buffer += "},\"finish_reason\":null}]}\n\n";
 }
 
 void ChunkWriter::appendEnd(std::string &buffer, std::int64_t tokens,
