Trim job logs, bound durable requests, ask peers in one place

Cause: segments of job logs were never deleted, so that after 600 requests the platform held 364 of them and each node listed them all every 5 s; a durable request above 64 KiB could never be appended and was retried for ever; four functions repeated the same exchange with a peer. Ruled out: trimming by the state of each job, which a reader of another's log does not know in time. Change: segments older than the longest life of a job and the retention together are deleted by whoever follows the log; a record may have 768 KiB and a durable request 512 KiB (413 above); askPeer and tellPeer; the notices of one answer are taken together. Logs of dead processes that nobody follows are still not trimmed. Conclusion: the platform's objects are bounded for live processes.

--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/kernel/job_feed.hpp>
 #include <gypsumdale/ledger/platform_log.hpp>
 
+#include <deque> // deque
 #include <functional> // function
 #include <map> // map
 #include <memory> // shared_ptr, unique_ptr
@@ -66,17 +67,28 @@
     void onHandOverAnswer(const NodeId &sender, const wire::JobHandOverAnswer &answer);
 
     /// Sets how long finished answers are kept.
-    void setRetention(Duration retention) { m_table.setRetention(retention); }
+    void setRetention(Duration retention)
+    {
+        m_retention = retention;
+        m_table.setRetention(retention);
+    }
 
     const JobTable &table() const { return m_table; }
     /// Jobs that this node owns and that are not over.
     std::size_t unfinished() const;
 
 private:
+    struct Segment
+    {
+        SegmentNumber m_number = 0;
+        WallMillis m_writtenAt = 0;
+    };
+
     struct Log
     {
         std::unique_ptr<PlatformLog> m_log;
-        bool m_isOwn = false;
+        /// Segments applied and not trimmed, oldest first.
+        std::deque<Segment> m_segments;
         bool m_isLeft = false;
     };
 
@@ -101,6 +113,12 @@
     void execute(const TellRefused &command);
     void execute(const TellReattach &command);
     void execute(const TellOver &command);
+    /// Sends a message that wants an answer; `take` tells whether the answer was one.
+    void askPeer(const NodeId &peer, const wire::PeerRequestBody &body,
+                 std::function<bool(const wire::PeerReplyBody &)> take);
+    void tellPeer(const NodeId &peer, const wire::PeerRequestBody &body);
+    static void noteSegment(Log &log, const RecordApplied &applied);
+    void trim(Log &log);
     void tell(const JobId &job, const FeedEvent &event, bool isLast);
     Log &logNamed(const JobLogId &id);
     void pump(const JobLogId &id);
@@ -120,6 +138,7 @@
     std::optional<wire::JobHoldAnswer> m_holdAnswer;
     std::optional<wire::JobHandOverAnswer> m_handOverAnswer;
     NodeId m_answering;
+    Duration m_retention = JobTableSettings().m_retention;
     bool m_isRunning = false;
     bool m_platformUp = false;
 };
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -382,15 +382,16 @@
             continue;
         }
         m_lastNotice = document.value("last", m_lastNotice);
+        std::vector<LeavingNotice> notices;
         for (const auto &entry : document["notices"]) {
-            const LeavingNotice notice = reclaimNotice(
-                    VmId(entry.value("vm", "")), DataCentreId(entry.value("zone", "")),
-                    entry.value("deadlineMillis", std::int64_t{0}),
-                    entry.value("sequence", std::int64_t{0}));
-            m_context.m_metrics.add(Counter::ReclaimNotices);
-            takeNotice(notice);
-            run(m_exchange.onNotice(notice, m_context.now(), m_context.wallNow()));
+            notices.push_back(reclaimNotice(VmId(entry.value("vm", "")),
+                                            DataCentreId(entry.value("zone", "")),
+                                            entry.value("deadlineMillis", std::int64_t{0}),
+                                            entry.value("sequence", std::int64_t{0})));
+            takeNotice(notices.back());
         }
+        m_context.m_metrics.add(Counter::ReclaimNotices, notices.size());
+        run(m_exchange.onNotices(notices, m_context.now(), m_context.wallNow()));
     }
 }
 
--- a/src/kernel/job_call.cpp
+++ b/src/kernel/job_call.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int statusOk = 200;
+/// The request has to fit, with its overhead, into one record of the job's log.
+constexpr std::size_t maxJobBytes = std::size_t{512} * 1024;
 constexpr Duration offerRetryAfter = std::chrono::seconds(2);
 /// One time for all answers to a reattachment that has nothing to read: another member's job must
 /// not be told from none by it.
@@ -40,6 +42,13 @@
     m_series = context.m_series;
     m_arrivedAt = context.m_arrivedAt;
     m_promptTokens = request.promptTokens();
+    if (body.size() > maxJobBytes) {
+        m_series->add(RequestCounter::Refused);
+        m_responder.send(
+                errorReply({ErrorId::RequestTooLarge, "a durable request may have at most 512 KiB"},
+                           Outcome::NotRun));
+        return;
+    }
     if (!request.isStreamed())
         m_collected.emplace();
     auto offered = m_traffic.onControl([&](Control &control) {
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -14,6 +14,9 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
 constexpr Duration listInterval = std::chrono::seconds(5);
 constexpr Duration peerTimeout = std::chrono::seconds(1);
+/// An offer's record holds the whole request, and a segment has to stay below the platform's 1 MiB.
+constexpr std::size_t maxRecordBytes = std::size_t{768} * 1024;
+constexpr std::size_t maxSegmentBytes = std::size_t{900} * 1024;
 constexpr Duration logWait = std::chrono::seconds(5);
 constexpr Duration logPoll = std::chrono::milliseconds(20);
 
@@ -55,8 +58,10 @@
         }
         m_table.tick(m_context.now(), m_context.wallNow());
         run();
-        for (auto &[id, log] : m_logs)
+        for (auto &[id, log] : m_logs) {
+            trim(log);
             pump(id);
+        }
         std::erase_if(m_logs, [](const auto &entry) {
             return entry.second.m_isLeft && !entry.second.m_log->hasOutstanding();
         });
@@ -296,6 +301,8 @@
     Log &log = m_logs[id];
     if (!log.m_log) {
         PlatformLogSettings settings;
+        settings.m_maxRecordBytes = maxRecordBytes;
+        settings.m_maxSegmentBytes = maxSegmentBytes;
         settings.m_writer =
                 fmt::format("{}.{:x}", m_context.m_settings.m_node.text(), m_context.m_incarnation);
         log.m_log = std::make_unique<PlatformLog>(settings);
@@ -353,6 +360,7 @@
 {
     for (const PlatformLogEvent &event : m_logs.at(id).m_log->takeEvents()) {
         if (const auto *applied = std::get_if<RecordApplied>(&event)) {
+            noteSegment(m_logs.at(id), *applied);
             const auto record = wire::decode<wire::JobRecord>(applied->m_record);
             if (succeeded(record))
                 m_table.onRecordApplied(id, valueOf(record), m_context.now());
@@ -366,69 +374,88 @@
     }
 }
 
-void JobDriver::execute(const HoldAtPeer &command)
+void JobDriver::noteSegment(Log &log, const RecordApplied &applied)
 {
-    m_context.m_loop.spawn([this, command] {
-        const auto identity = m_fleet.find(command.m_peer);
-        wire::PeerRequestBody body;
-        body.__set_jobHold(command.m_hold);
+    const bool isNew = log.m_segments.empty() || log.m_segments.back().m_number < applied.m_number;
+    if (isNew)
+        log.m_segments.push_back({applied.m_number, applied.m_writtenAt});
+}
+
+/// Failure guarded against: segments pile up in the platform without end, and each listing of the
+/// logs grows with them. What is older than the longest life of a job and the retention together
+/// names no job that anybody may still ask for.
+void JobDriver::trim(Log &log)
+{
+    const auto horizon = std::chrono::duration_cast<std::chrono::milliseconds>(
+            JobTableSettings().m_maximumLife + m_retention);
+    const WallMillis oldest = m_context.wallNow() - horizon.count();
+    while (!log.m_segments.empty() && log.m_segments.front().m_writtenAt < oldest) {
+        log.m_log->trimBefore(log.m_segments.front().m_number + 1);
+        log.m_segments.pop_front();
+    }
+}
+
+void JobDriver::askPeer(const NodeId &peer, const wire::PeerRequestBody &body,
+                        std::function<bool(const wire::PeerReplyBody &)> take)
+{
+    m_context.m_loop.spawn([this, peer, body, take = std::move(take)] {
+        const auto identity = m_fleet.find(peer);
         const auto reply =
                 identity ? m_context.m_peers.ask(*identity, body, peerTimeout)
                          : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
-        if (succeeded(reply) && valueOf(reply).body.__isset.jobHoldAnswer)
-            m_table.onHoldAnswered(command.m_peer, valueOf(reply).body.jobHoldAnswer,
-                                   m_context.now());
-        else
-            m_table.onPeerFailed(command.m_peer, m_context.now());
+        if (!succeeded(reply) || !take(valueOf(reply).body))
+            m_table.onPeerFailed(peer, m_context.now());
         run();
     });
 }
 
-void JobDriver::execute(const ReleaseAtPeer &command)
+void JobDriver::tellPeer(const NodeId &peer, const wire::PeerRequestBody &body)
 {
-    m_context.m_loop.spawn([this, command] {
-        const auto identity = m_fleet.find(command.m_peer);
-        if (!identity)
-            return;
-        wire::JobRelease release;
-        release.job = command.m_job.text();
-        wire::PeerRequestBody body;
-        body.__set_jobRelease(release);
-        m_context.m_peers.ask(*identity, body, peerTimeout);
+    m_context.m_loop.spawn([this, peer, body] {
+        if (const auto identity = m_fleet.find(peer))
+            m_context.m_peers.ask(*identity, body, peerTimeout);
     });
 }
 
+void JobDriver::execute(const HoldAtPeer &command)
+{
+    wire::PeerRequestBody body;
+    body.__set_jobHold(command.m_hold);
+    askPeer(command.m_peer, body, [this, peer = command.m_peer](const auto &reply) {
+        if (reply.__isset.jobHoldAnswer)
+            m_table.onHoldAnswered(peer, reply.jobHoldAnswer, m_context.now());
+        return reply.__isset.jobHoldAnswer;
+    });
+}
+
+void JobDriver::execute(const ReleaseAtPeer &command)
+{
+    wire::JobRelease release;
+    release.job = command.m_job.text();
+    wire::PeerRequestBody body;
+    body.__set_jobRelease(release);
+    tellPeer(command.m_peer, body);
+}
+
 void JobDriver::execute(const AnswerHold &command)
 {
     if (command.m_peer == m_answering) {
         m_holdAnswer = command.m_answer;
         return;
     }
-    m_context.m_loop.spawn([this, command] {
-        const auto identity = m_fleet.find(command.m_peer);
-        if (!identity)
-            return;
-        wire::PeerRequestBody body;
-        body.__set_jobHoldAnswer(command.m_answer);
-        m_context.m_peers.ask(*identity, body, peerTimeout);
-    });
+    wire::PeerRequestBody body;
+    body.__set_jobHoldAnswer(command.m_answer);
+    tellPeer(command.m_peer, body);
 }
 
 void JobDriver::execute(const HandOver &command)
 {
-    m_context.m_loop.spawn([this, command] {
-        const auto identity = m_fleet.find(command.m_peer);
-        wire::PeerRequestBody body;
-        body.__set_jobHandOver(command.m_handOver);
-        const auto reply =
-                identity ? m_context.m_peers.ask(*identity, body, peerTimeout)
-                         : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
-        if (succeeded(reply) && valueOf(reply).body.__isset.jobHandOverAnswer)
-            m_table.onHandOverAnswered(command.m_peer, valueOf(reply).body.jobHandOverAnswer,
-                                       m_context.now());
-        else
-            m_table.onPeerFailed(command.m_peer, m_context.now());
-        run();
+    wire::PeerRequestBody body;
+    body.__set_jobHandOver(command.m_handOver);
+    askPeer(command.m_peer, body, [this, peer = command.m_peer](const auto &reply) {
+        if (reply.__isset.jobHandOverAnswer)
+            m_table.onHandOverAnswered(peer, reply.jobHandOverAnswer, m_context.now());
+        return reply.__isset.jobHandOverAnswer;
     });
 }
 
@@ -438,14 +465,9 @@
         m_handOverAnswer = command.m_answer;
         return;
     }
-    m_context.m_loop.spawn([this, command] {
-        const auto identity = m_fleet.find(command.m_peer);
-        if (!identity)
-            return;
-        wire::PeerRequestBody body;
-        body.__set_jobHandOverAnswer(command.m_answer);
-        m_context.m_peers.ask(*identity, body, peerTimeout);
-    });
+    wire::PeerRequestBody body;
+    body.__set_jobHandOverAnswer(command.m_answer);
+    tellPeer(command.m_peer, body);
 }
 
 void JobDriver::execute(const StartAttempt &command)
