--- a/include/gypsumdale/kernel/engine_call.hpp
+++ b/include/gypsumdale/kernel/engine_call.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/jobs/answer_assembler.hpp>
 #include <gypsumdale/jobs/sse_parser.hpp>
+#include <gypsumdale/observe/metrics.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
 
 #include <cstdint> // int64_t
@@ -21,6 +22,9 @@
     Duration m_silenceTimeout = std::chrono::seconds(10);
 };
 
+/// Adds to the metrics how many events of a finished answer were dropped.
+void countStrayEvents(Metrics &metrics, const AnswerAssembler &assembler);
+
 /// How an attempt ended without a whole answer.
 struct EngineFailure
 {
--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -119,6 +119,7 @@
     void tellPeer(const NodeId &peer, const wire::PeerRequestBody &body);
     static void noteSegment(Log &log, const RecordApplied &applied);
     void trim(Log &log);
+    void countRecomputed(const JobId &job, const MemberId &member, std::int64_t tokens);
     void tell(const JobId &job, const FeedEvent &event, bool isLast);
     Log &logNamed(const JobLogId &id);
     void pump(const JobLogId &id);
--- a/include/gypsumdale/kernel/model_call.hpp
+++ b/include/gypsumdale/kernel/model_call.hpp
@@ -65,6 +65,7 @@
     EngineCall *m_call = nullptr;
     std::string m_buffer;
     std::uint32_t m_attempts = 0;
+    std::uint64_t m_truncated = 0;
     TimePoint m_attemptAt{};
     TimePoint m_lastTokenAt{};
     TimePoint m_reportedAt{};
--- a/include/gypsumdale/kernel/peer_link.hpp
+++ b/include/gypsumdale/kernel/peer_link.hpp
@@ -7,6 +7,7 @@
 #include <gypsumdale/runtime/frame_channel.hpp>
 #include <gypsumdale/wire/peer_codec.hpp>
 
+#include <cstdint> // uint64_t
 #include <functional> // function
 #include <map> // map
 #include <memory> // shared_ptr
@@ -38,6 +39,9 @@
     /// Counts all frames since the start, in both directions.
     FrameTraffic traffic() const;
 
+    /// Counts the requests that proved no credential or were no message.
+    std::uint64_t refusedFrames() const { return m_refusedFrames; }
+
     /// Returns the size of the last heartbeat sent or answered, as encoded.
     std::size_t lastFrameBytes() const { return m_lastFrameBytes; }
 
@@ -60,6 +64,7 @@
     std::map<NodeId, Channel> m_channels;
     FrameTraffic m_closedTraffic;
     std::size_t m_lastFrameBytes = 0;
+    std::uint64_t m_refusedFrames = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/kernel/platform_client.hpp
+++ b/include/gypsumdale/kernel/platform_client.hpp
@@ -61,6 +61,9 @@
     std::uint64_t m_writes = 0;
     std::uint64_t m_watches = 0;
     std::uint64_t m_failures = 0;
+    /// Calls refused since an object had another version, and since the rate was spent.
+    std::uint64_t m_conflicts = 0;
+    std::uint64_t m_limited = 0;
 };
 
 /// Calls the platform's object API (docs/PLATFORM.md) from fibers of the control loop.
--- a/include/gypsumdale/kernel/traffic.hpp
+++ b/include/gypsumdale/kernel/traffic.hpp
@@ -56,6 +56,8 @@
     }
 
     const Clock &clock() const { return m_clock; }
+    /// Returns the process's metrics, which any thread may write to.
+    Metrics &metrics() { return *m_metrics; }
     TimePoint now() const { return m_clock.now(); }
     /// Returns an id that no other request of this process has.
     RequestId nextRequestId();
@@ -65,6 +67,7 @@
     const Clock &m_clock;
     std::vector<std::unique_ptr<TrafficThread>> m_threads;
     Control *m_control = nullptr;
+    Metrics *m_metrics = nullptr;
     FiberLoop *m_controlLoop = nullptr;
     std::atomic<std::uint64_t> m_requests = 0;
     std::atomic<std::size_t> m_next = 0;
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -354,6 +354,9 @@
     const PlatformCalls &calls = m_context.m_platform.calls();
     metrics.assign(Counter::PlatformCalls, calls.m_reads + calls.m_writes + calls.m_watches);
     metrics.assign(Counter::PlatformFailures, calls.m_failures);
+    metrics.assign(Counter::PlatformConflicts, calls.m_conflicts);
+    metrics.assign(Counter::PlatformLimited, calls.m_limited);
+    metrics.assign(Counter::PeerFramesRefused, m_context.m_peers.refusedFrames());
     const auto millis =
             std::chrono::duration_cast<std::chrono::milliseconds>(m_context.m_loop.processorTime());
     metrics.assign(Counter::ControlProcessorMillis, static_cast<std::uint64_t>(millis.count()));
--- a/src/kernel/engine_call.cpp
+++ b/src/kernel/engine_call.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void countStrayEvents(Metrics &metrics, const AnswerAssembler &assembler)
+{
+    const AssemblerCounters &counters = assembler.counters();
+    metrics.add(Counter::StrayEvents,
+                counters.m_otherAttempt + counters.m_duplicates + counters.m_afterFinish);
+}
+
 EngineCall::EngineCall(HttpClient &client, AnswerAssembler &assembler)
     : m_client(client)
     , m_assembler(assembler)
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -239,6 +239,8 @@
                           {LogField::Reason, command.m_reason}});
     if (command.m_state == UpstreamState::Leaving)
         m_context.m_metrics.add(Counter::UpstreamsLeft);
+    if (command.m_state == UpstreamState::Suspect)
+        m_context.m_metrics.add(Counter::UpstreamsSuspected);
     if (m_listeners.m_upstreamChanged)
         m_listeners.m_upstreamChanged(command);
 }
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -3,7 +3,7 @@
 
 #include <fmt/format.h>
 
-#include <functional> // hash
+#include <algorithm> // ranges::find
 #include <random> // random_device
 
 namespace gypsumdale {
@@ -113,6 +113,8 @@
             sleepFiber(logPoll);
             continue;
         }
+        if (const auto *cut = std::get_if<CutBack>(&answer))
+            countRecomputed(job, member, position.m_offset - cut->m_position.m_offset);
         std::shared_ptr<JobFeed> feed;
         const auto *serve = std::get_if<ServeFrom>(&answer);
         const bool goesOn = serve && serve->m_state != JobState::Finished
@@ -124,6 +126,17 @@
     }
 }
 
+/// A caller that has to cut back has tokens of a lost generation: so many are generated again.
+void JobDriver::countRecomputed(const JobId &job, const MemberId &member, std::int64_t tokens)
+{
+    const std::vector<JobSummary> summaries = m_table.summaries();
+    const auto found = std::ranges::find(summaries, job, &JobSummary::m_job);
+    if (found == summaries.end() || tokens <= 0)
+        return;
+    m_context.m_metrics.series(member, found->m_profile)
+            .add(RequestCounter::RecomputedTokens, static_cast<std::uint64_t>(tokens));
+}
+
 std::optional<wire::JobLocated> JobDriver::locate(const JobId &job,
                                                   const std::optional<NodeId> &first)
 {
--- a/src/kernel/job_runner.cpp
+++ b/src/kernel/job_runner.cpp
@@ -41,6 +41,7 @@
         }
         const AttemptEnd end =
                 m_isCancelled ? AttemptEnd::Abandoned : stream(*placed, valueOf(request));
+        countStrayEvents(m_traffic.metrics(), m_assembler);
         m_traffic.onControl([&](Control &control) {
             control.admission().attemptEnded(m_command.m_request.m_service, requestId(), end);
         });
--- a/src/kernel/model_call.cpp
+++ b/src/kernel/model_call.cpp
@@ -83,6 +83,7 @@
             finish();
             break;
         }
+        m_truncated += ended.m_error.m_id == ErrorId::AnswerTruncated ? 1 : 0;
         const RetryDecision decision = settle(ended);
         const auto *retry = std::get_if<Retry>(&decision);
         if (!retry || m_isCallerGone) {
@@ -94,6 +95,8 @@
         sleepFiber(retry->m_backoff);
     }
     m_responder.onCallerGone(nullptr);
+    m_traffic.metrics().add(Counter::TruncatedAnswers, m_truncated);
+    countStrayEvents(m_traffic.metrics(), m_assembler);
 }
 
 ModelCall::Ended ModelCall::attempt(const Placed &placed)
--- a/src/kernel/peer_link.cpp
+++ b/src/kernel/peer_link.cpp
@@ -55,15 +55,18 @@
 {
     const auto request = wire::decodeRequest(frame);
     // An empty answer closes the connection: bytes that are no message deserve no other one.
-    if (!succeeded(request))
+    if (!succeeded(request)) {
+        ++m_refusedFrames;
         return {};
+    }
     wire::PeerReply reply;
     reply.sender = m_self.text();
     reply.incarnation = m_incarnation;
-    if (wire::isProofGood(m_credential, valueOf(request), m_clock.wallNow(), proofSkewMillis))
-        reply.body = handler(NodeId(valueOf(request).sender), valueOf(request));
-    else
-        reply.body = refusal({ErrorId::PeerRefused, "the peers' credential was not proved"});
+    const bool isProved =
+            wire::isProofGood(m_credential, valueOf(request), m_clock.wallNow(), proofSkewMillis);
+    m_refusedFrames += isProved ? 0 : 1;
+    reply.body = isProved ? handler(NodeId(valueOf(request).sender), valueOf(request))
+                          : refusal({ErrorId::PeerRefused, "the peers' credential was not proved"});
     return wire::encodeReply(reply);
 }
 
--- a/src/kernel/platform_client.cpp
+++ b/src/kernel/platform_client.cpp
@@ -221,6 +221,10 @@
         return std::move(reply);
     if (!isAnswered)
         ++m_calls.m_failures;
+    if (reply.m_status == statusPreconditionFailed)
+        ++m_calls.m_conflicts;
+    if (reply.m_status == statusTooManyRequests)
+        ++m_calls.m_limited;
     return failureOf(reply);
 }
 
--- a/src/kernel/traffic.cpp
+++ b/src/kernel/traffic.cpp
@@ -16,6 +16,7 @@
     m_control = &control;
     m_controlLoop = &controlLoop;
     const ControlContext &context = control.context();
+    m_metrics = &context.m_metrics;
     m_idPrefix = fmt::format("{}.{:x}", context.m_settings.m_node.text(), context.m_incarnation);
 }
 
