--- a/bench/overhead/main.cpp
+++ b/bench/overhead/main.cpp
@@ -421,7 +421,7 @@
     const Call chat = through("chat", chatTarget, chatBody("fast", memoryTokens));
     std::size_t done = 0;
     fmt::print("resident memory before {:.0f} KiB\n", residentKilobytes());
-    for (const std::size_t target : {std::size_t(2000), std::size_t(20000), std::size_t(40000)}) {
+    for (const std::size_t target : {2000U, 20000U, 40000U, 80000U, 400000U}) {
         const std::size_t half = (target - done) / 2;
         checked(m_driver.closedLoop(memoryParallel, half, noLimit, plainWork(plainCall)));
         checked(m_driver.closedLoop(memoryParallel, half, noLimit, streamWork(chat)));
