--- a/tests/src/process-jobs.cpp
+++ b/tests/src/process-jobs.cpp
@@ -134,6 +134,21 @@
     requireHidden(fleet, fleet.node("node-c-1"), draft->job());
 }
 
+// The entry VM dies without a word. The job is in the platform's log: another node takes it over
+// and generates again what came after the last checkpoint. The caller cuts back where it is told
+// to.
+TEST_CASE("the entry VM dies without a notice")
+{
+    ProcessFleet fleet({{"zone-a", "zone-b"}, 20, 5});
+    Node &entry = fleet.node(0);
+    const auto draft = beginDraft(fleet, entry);
+    entry.m_process->send(SIGKILL);
+    fleet.waitUntil("the process ended", [&] { return entry.m_process->exited(); });
+    fleet.readToEnd({"node-b-1", "node-a-2"}, draft);
+    requireWhole(fleet, draft);
+    requireHidden(fleet, fleet.node("node-b-2"), draft->job());
+}
+
 // The platform is out when the job is offered: a peer in another data centre holds it. Then the
 // entry VM is reclaimed, and the job goes on without the platform.
 TEST_CASE("a job accepted in an outage survives a reclaim")
--- a/tests/src/process-serving.cpp
+++ b/tests/src/process-serving.cpp
@@ -66,7 +66,7 @@
     REQUIRE(malformed.json()["error"]["id"].get<int>() > 0);
     const Answer oversized =
             fleet.call(entry.m_callerPort, "POST", chatPath, caller(ProcessFleet::alice),
-                       std::string(2 * 1024 * 1024, 'x'));
+                       std::string(std::size_t(2) << 20U, 'x'));
     REQUIRE(oversized.m_status == 413);
     REQUIRE(oversized.json()["error"]["id"].get<int>() > 0);
 
--- a/tests/src/process-shutdown.cpp
+++ b/tests/src/process-shutdown.cpp
@@ -38,9 +38,9 @@
 {
     ProcessFleet fleet({{"zone-a", "zone-b"}, 20, 1500});
     Node &leaving = fleet.node(0);
-    std::vector<std::shared_ptr<AnswerStream>> streams;
-    for (int number = 0; number < 5; ++number)
-        streams.push_back(fleet.ask(leaving, "long " + std::to_string(number), 120));
+    std::vector<std::shared_ptr<AnswerStream>> streams(5);
+    for (std::size_t number = 0; number < streams.size(); ++number)
+        streams[number] = fleet.ask(leaving, "long " + std::to_string(number), 120);
     auto slow = std::async(std::launch::async,
                            [&] { return fleet.lookUp(leaving, "slow", "slow key"); });
     fleet.waitUntil("all are being served", [&] {
