Answer health checks and choose peers in one place each

Cause: read as a newcomer, both HTTP interfaces held the same check of readiness, and two functions the same search among peers. Change: health_reply.hpp serves both interfaces; choosePeer serves holder and successor. Behaviour stays as it is. Conclusion: left standing twice: the weights of rendezvous hashing in jobs and fleet, whose merging would change the draws of the fuzz.

--- a/include/gypsumdale/kernel/admin_api.hpp
+++ b/include/gypsumdale/kernel/admin_api.hpp
@@ -21,7 +21,6 @@
 private:
     HttpReply answer(const HttpRequest &request);
     HttpReply answerOperator(const HttpRequest &request);
-    HttpReply readyReply();
     HttpReply metricsReply();
     HttpReply statusReply();
     HttpReply nodesReply();
--- a/include/gypsumdale/kernel/caller_api.hpp
+++ b/include/gypsumdale/kernel/caller_api.hpp
@@ -21,7 +21,6 @@
     void handleChat(const HttpRequest &request, HttpResponder &responder);
     void handleService(const HttpRequest &request, HttpResponder &responder);
     void handleJob(const HttpRequest &request, HttpResponder &responder);
-    void handleReady(HttpResponder &responder);
     Result<RequestContext> resolve(const HttpRequest &request, const ServiceId &service,
                                    ServiceKind kind);
 
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -8,6 +8,25 @@
 
 namespace {
 
+/// Returns the possible peer that rendezvous hashing prefers for a job, or no node.
+template <typename IsPossible>
+NodeId choosePeer(const std::vector<JobPeer> &peers, const JobId &job, const IsPossible &isPossible)
+{
+    NodeId best;
+    std::uint64_t bestWeight = 0;
+    for (const JobPeer &peer : peers) {
+        if (!isPossible(peer))
+            continue;
+        const NodeId &node = peer.m_process.m_node;
+        const std::uint64_t weight = detail::rendezvousWeight(job.text(), node);
+        if (best.isEmpty() || weight > bestWeight) {
+            best = node;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
 /// Sends of one hand-over to one successor before another one is tried.
 constexpr int handOverSends = 3;
 
@@ -23,44 +42,22 @@
 
 NodeId JobTable::chooseHolder(const OwnedJob &owned) const
 {
-    NodeId best;
-    std::uint64_t bestWeight = 0;
-    for (const JobPeer &peer : m_peers) {
-        const NodeId &node = peer.m_process.m_node;
+    return choosePeer(m_peers, owned.m_job.m_id, [&](const JobPeer &peer) {
         // A peer in the same data centre would go with it.
-        const bool isPossible = peer.m_dataCentre != m_settings.m_dataCentre && !peer.m_leaving
-                                && !m_dead.contains(peer.m_process)
-                                && !owned.m_holdersTried.contains(node);
-        if (!isPossible)
-            continue;
-        const std::uint64_t weight = detail::rendezvousWeight(owned.m_job.m_id.text(), node);
-        if (best.isEmpty() || weight > bestWeight) {
-            best = node;
-            bestWeight = weight;
-        }
-    }
-    return best;
+        return peer.m_dataCentre != m_settings.m_dataCentre && !peer.m_leaving
+               && !m_dead.contains(peer.m_process)
+               && !owned.m_holdersTried.contains(peer.m_process.m_node);
+    });
 }
 
 NodeId JobTable::chooseSuccessor(const OwnedJob &owned) const
 {
-    NodeId best;
-    std::uint64_t bestWeight = 0;
-    for (const JobPeer &peer : m_peers) {
-        const NodeId &node = peer.m_process.m_node;
+    return choosePeer(m_peers, owned.m_job.m_id, [&](const JobPeer &peer) {
         const bool isOutside = peer.m_dataCentre != m_settings.m_dataCentre;
-        const bool isPossible = (isOutside || m_notice != NoticeScope::OwnDataCentre)
-                                && !peer.m_leaving && !m_dead.contains(peer.m_process)
-                                && !owned.m_successorsTried.contains(node);
-        if (!isPossible)
-            continue;
-        const std::uint64_t weight = detail::rendezvousWeight(owned.m_job.m_id.text(), node);
-        if (best.isEmpty() || weight > bestWeight) {
-            best = node;
-            bestWeight = weight;
-        }
-    }
-    return best;
+        return (isOutside || m_notice != NoticeScope::OwnDataCentre) && !peer.m_leaving
+               && !m_dead.contains(peer.m_process)
+               && !owned.m_successorsTried.contains(peer.m_process.m_node);
+    });
 }
 
 bool JobTable::wantsHolder(const OwnedJob &owned, TimePoint now) const
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -1,6 +1,7 @@
 #include <gypsumdale/kernel/admin_api.hpp>
 #include <gypsumdale/kernel/caller_api.hpp>
 #include <gypsumdale/kernel/error_reply.hpp>
+#include <gypsumdale/kernel/health_reply.hpp>
 
 #include <boost/url/pct_string_view.hpp>
 #include <fmt/format.h>
@@ -28,15 +29,6 @@
     return reply;
 }
 
-HttpReply textReply(int status, std::string text)
-{
-    HttpReply reply;
-    reply.m_status = status;
-    reply.m_headers.add("Content-Type", "text/plain");
-    reply.m_body = std::move(text);
-    return reply;
-}
-
 HttpReply notFound()
 {
     return errorReply({ErrorId::NotFound, "no such path"});
@@ -146,7 +138,7 @@
     if (path == "/healthz")
         return textReply(200, "ok");
     if (path == "/readyz")
-        return readyReply();
+        return readyReply(m_traffic);
     if (path == "/metrics")
         return metricsReply();
     const auto allowed = m_operators.authenticate(bearerCredential(request));
@@ -192,16 +184,6 @@
     return notFound();
 }
 
-HttpReply AdminApi::readyReply()
-{
-    const auto reason = m_traffic.onControl([](Control &control) -> std::optional<Error> {
-        if (!control.drain().isReady())
-            return Error{ErrorId::Draining, "this process is shutting down"};
-        return control.notReady();
-    });
-    return reason ? textReply(503, reason->m_text) : textReply(200, "ok");
-}
-
 HttpReply AdminApi::metricsReply()
 {
     HttpReply reply;
--- a/src/kernel/caller_api.cpp
+++ b/src/kernel/caller_api.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/kernel/caller_api.hpp>
 #include <gypsumdale/kernel/error_reply.hpp>
+#include <gypsumdale/kernel/health_reply.hpp>
 #include <gypsumdale/kernel/job_call.hpp>
 #include <gypsumdale/kernel/model_call.hpp>
 #include <gypsumdale/kernel/plain_call.hpp>
@@ -15,20 +16,6 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr Duration notReadyRetryAfter = std::chrono::seconds(1);
 
-HttpReply textReply(int status, std::string text)
-{
-    HttpReply reply;
-    reply.m_status = status;
-    reply.m_headers.add("Content-Type", "text/plain");
-    reply.m_body = std::move(text);
-    return reply;
-}
-
-Outcome outcomeBeforeStart()
-{
-    return Outcome::NotRun;
-}
-
 } // namespace
 
 std::string_view bearerCredential(const HttpRequest &request)
@@ -54,23 +41,13 @@
     else if (path.starts_with(jobsPrefix))
         handleJob(request, responder);
     else if (path == "/readyz")
-        handleReady(responder);
+        responder.send(readyReply(m_traffic));
     else if (path == "/healthz")
         responder.send(textReply(200, "ok"));
     else
         responder.send(errorReply({ErrorId::NotFound, "no such path"}));
 }
 
-void CallerApi::handleReady(HttpResponder &responder)
-{
-    const auto reason = m_traffic.onControl([](Control &control) -> std::optional<Error> {
-        if (!control.drain().isReady())
-            return Error{ErrorId::Draining, "this process is shutting down"};
-        return control.notReady();
-    });
-    responder.send(reason ? textReply(503, reason->m_text) : textReply(200, "ok"));
-}
-
 Result<RequestContext> CallerApi::resolve(const HttpRequest &request, const ServiceId &service,
                                           ServiceKind kind)
 {
@@ -95,12 +72,12 @@
     }
     auto chat = ChatRequest::parse(request.m_body);
     if (!succeeded(chat)) {
-        responder.send(errorReply(errorOf(chat), outcomeBeforeStart()));
+        responder.send(errorReply(errorOf(chat), Outcome::NotRun));
         return;
     }
     auto context = resolve(request, valueOf(chat).service(), ServiceKind::Model);
     if (!succeeded(context)) {
-        responder.send(errorReply(errorOf(context), outcomeBeforeStart(), notReadyRetryAfter));
+        responder.send(errorReply(errorOf(context), Outcome::NotRun, notReadyRetryAfter));
         return;
     }
     const bool isDurable = valueOf(context).m_profile->m_durability == Durability::Job;
@@ -123,7 +100,7 @@
         target.insert(target.begin(), '/');
     auto context = resolve(request, service, ServiceKind::Plain);
     if (!succeeded(context)) {
-        responder.send(errorReply(errorOf(context), outcomeBeforeStart(), notReadyRetryAfter));
+        responder.send(errorReply(errorOf(context), Outcome::NotRun, notReadyRetryAfter));
         return;
     }
     PlainCall(m_traffic, valueOf(std::move(context)), request, std::move(target), responder).run();
