List a seed at which the configuration's fuzz test fails

Cause: not found yet. With seed 102, in the 70th case, a node says that it is ready while it lacks an object that a former life of it had in force, and that the platform neither deleted nor replaced by a refused body since. Ruled out: readiness with candidates still waiting, which settle() excludes.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -32,3 +32,7 @@
     add_dependencies(${name} gypsumdaled gypsumctl gypsumdale-standin)
   endif()
 endforeach()
+
+# A seed at which a fuzz test fails for a fault that is not mended yet; see KNOWN-RED.txt.
+add_test(NAME fuzz-config-store-seed-102 COMMAND fuzz-config-store)
+set_tests_properties(fuzz-config-store-seed-102 PROPERTIES ENVIRONMENT "RC_PARAMS=seed=102 noshrink=1")
