Ask the cloud in one place; drop a member that nothing uses

Cause: read once more as a whole, the readers of notices and of the VM list held the same call and parse, and JobDriver a set that nothing ever read. Change: readCloud serves both readers; the set is gone. Behaviour stays as it is. Conclusion: left for a change of its own, since it moves when counts are published: the sums of tokens that shareOwnLoad makes for each request.

--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -11,7 +11,6 @@
 #include <map> // map
 #include <memory> // shared_ptr, unique_ptr
 #include <optional> // optional
-#include <set> // set
 #include <string> // string
 #include <utility> // pair
 #include <vector> // vector
@@ -133,7 +132,6 @@
     RunAttempt m_runAttempt;
     JobTable m_table;
     std::map<JobLogId, Log> m_logs;
-    std::set<JobLogId> m_behind;
     std::map<JobId, Running> m_running;
     std::map<JobId, std::vector<std::weak_ptr<JobFeed>>> m_feeds;
     std::optional<wire::JobHoldAnswer> m_holdAnswer;
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -93,6 +93,18 @@
     return load;
 }
 
+/// Asks the cloud, which settings must name. Returns what is no object if it did not answer well.
+nlohmann::json readCloud(const ControlContext &context, std::string target, Duration timeout)
+{
+    HttpCall call;
+    call.m_endpoint = {context.m_settings.m_cloud->m_ip, context.m_settings.m_cloud->m_port};
+    call.m_target = std::move(target);
+    call.m_headerTimeout = timeout;
+    const auto result = context.m_http.call(call);
+    const auto *reply = std::get_if<HttpReply>(&result);
+    return reply ? nlohmann::json::parse(reply->m_body, nullptr, false) : nlohmann::json();
+}
+
 DecisionReason reasonOf(UpstreamState state)
 {
     switch (state) {
@@ -368,17 +380,11 @@
             sleepFiber(cloudRetry);
             continue;
         }
-        HttpCall call;
-        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip,
-                           m_context.m_settings.m_cloud->m_port};
         const auto wait =
                 std::chrono::duration_cast<std::chrono::milliseconds>(noticeWatch).count();
-        call.m_target = fmt::format("/v1/notices?after={}&timeoutMs={}", m_lastNotice, wait);
-        call.m_headerTimeout = noticeWatch + probeTimeout;
-        const auto result = m_context.m_http.call(call);
-        const auto *reply = std::get_if<HttpReply>(&result);
-        const auto document =
-                reply ? nlohmann::json::parse(reply->m_body, nullptr, false) : nlohmann::json();
+        const auto document = readCloud(
+                m_context, fmt::format("/v1/notices?after={}&timeoutMs={}", m_lastNotice, wait),
+                noticeWatch + probeTimeout);
         if (!document.is_object() || !document.contains("notices")) {
             sleepFiber(cloudRetry);
             continue;
@@ -401,15 +407,7 @@
 {
     for (;;) {
         sleepFiber(listInterval);
-        HttpCall call;
-        call.m_endpoint = {m_context.m_settings.m_cloud->m_ip,
-                           m_context.m_settings.m_cloud->m_port};
-        call.m_target = "/v1/vms";
-        call.m_headerTimeout = probeTimeout;
-        const auto result = m_context.m_http.call(call);
-        const auto *reply = std::get_if<HttpReply>(&result);
-        const auto document =
-                reply ? nlohmann::json::parse(reply->m_body, nullptr, false) : nlohmann::json();
+        const auto document = readCloud(m_context, "/v1/vms", probeTimeout);
         if (!document.is_object() || !document.contains("vms"))
             continue;
         std::vector<ListedUpstream> upstreams;
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm> // ranges::find
 #include <random> // random_device
+#include <set> // set
 
 namespace gypsumdale {
 
