Tell peers the wall time of the message, not of the last report

Cause: a digest carried the wall time of a report up to 250 ms old, so each VM saw the others' clocks as slow, and followed them backwards every exchange. Ruled out: lost counts of cut VMs (windows in calm times were off as well). Change: the time is carried on to the message's sending; only differences of 0.4 s and more are followed, as a jump is of seconds.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -86,6 +86,7 @@
     /// By address.
     std::map<std::string, std::shared_ptr<Peer>> m_peers;
     TrafficReport m_report;
+    TimePoint m_reportedAt{};
     std::int64_t m_dutyFence = 0;
     DutyHeard m_dutyHeard;
     TimePoint m_startedAt;
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/entry/boot_clock.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
 #include <gypsumdale/wire/thrift_codec.hpp>
 
@@ -134,6 +135,7 @@
 {
     while (!m_context.m_isStopping) {
         m_report = m_context.m_trafficLoop.call([this] { return m_context.m_traffic.report(); });
+        m_reportedAt = bootNow();
         forgetSilent();
         m_upstreams.expire();
         for (const auto &[address, peer] : m_peers) {
@@ -218,7 +220,9 @@
     digest.upstreamRevision = m_upstreams.revision();
     digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
     digest.dutyFence = m_dutyFence;
-    digest.wallMillis = m_report.m_wall;
+    // As of this message, not of the report: an old reading would make every VM's clock look slow,
+    // and all of them would follow each other backwards.
+    digest.wallMillis = m_report.m_wall + millisOf(bootNow() - m_reportedAt);
     digest.leaving = m_context.m_isStopping;
     for (const auto &[account, use] : m_report.m_accounts) {
         auto &entry = digest.accounts.emplace_back();
--- a/src/serving/steady_wall_clock.cpp
+++ b/src/serving/steady_wall_clock.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Clocks of sound VMs differ by less; below it, following peers would only add noise.
-constexpr WallMillis tolerated = 60;
+/// Clocks of sound VMs differ by less, even seen through a slow link. A jump is of seconds.
+constexpr WallMillis tolerated = 400;
 constexpr std::size_t fewestPeers = 2;
 
 } // namespace
