Order steady engines in place of reclaimed ones, and begin with enough

Change: the load's need and the order of cheap engines are two figures; steady ones stand in for what the need lacks. Figures are settings (scaling:).

--- a/include/gypsumdale/serving/scale_planner.hpp
+++ b/include/gypsumdale/serving/scale_planner.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/serving/serving_config.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
+#include <gypsumdale/settings/entry_settings.hpp>
 
 #include <map> // map
 #include <string> // string
@@ -11,20 +12,6 @@
 
 namespace gypsumdale {
 
-struct ScalePlannerSettings
-{
-    /// Engines that a service wants in all for the load seen, whatever the load.
-    int m_leastEngines = 3;
-    /// Requests in flight at one engine that still meet the first-token target.
-    double m_runningPerEngine = 14;
-    /// Upstreams for each one wanted: all reclaimable ones of a data centre may go at once.
-    double m_spare = 1.5;
-    /// Steady upstreams kept in each data centre, where the rule allows fewer.
-    int m_steadyPerDataCentre = 1;
-    /// A want is lowered only after this long below.
-    Duration m_lowerAfter = std::chrono::seconds(10);
-};
-
 /// One order: that many upstreams of a service in a data centre, steady or reclaimable.
 struct ScaleOrder
 {
@@ -53,7 +40,7 @@
 class ScalePlanner
 {
 public:
-    explicit ScalePlanner(ScalePlannerSettings settings = {})
+    explicit ScalePlanner(ScaleSettings settings = {})
         : m_settings(settings)
     {}
 
@@ -64,9 +51,9 @@
     void noteRefused(const ScaleOrder &order, TimePoint now);
 
 private:
-    int wantedEngines(const ScaleInput &input, TimePoint now);
+    int neededEngines(const ScaleInput &input, TimePoint now);
 
-    ScalePlannerSettings m_settings;
+    ScaleSettings m_settings;
     struct Peak
     {
         int m_engines = 0;
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -31,6 +31,21 @@
     Duration m_shutdownGrace = std::chrono::seconds(8);
 };
 
+/// How upstreams are ordered.
+struct ScaleSettings
+{
+    /// Engines that a service has at least, over all data centres.
+    int m_leastEngines = 12;
+    /// Requests in flight at one engine that still meet the first-token target.
+    double m_runningPerEngine = 14;
+    /// Upstreams for each one wanted: all reclaimable ones of a data centre may go at once.
+    double m_spare = 1.5;
+    /// Steady upstreams kept in each data centre.
+    int m_steadyPerDataCentre = 1;
+    /// A want is lowered only after this long below.
+    Duration m_lowerAfter = std::chrono::seconds(10);
+};
+
 /// The settings of one entry process on the users' platform.
 struct EntrySettings
 {
@@ -52,6 +67,7 @@
     bool m_isFirstStart = false;
     LogLevel m_logLevel = LogLevel::Info;
     EntryBounds m_bounds;
+    ScaleSettings m_scaling;
 };
 
 /// Reads one entry process's settings whole; see checkProfile.
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -37,6 +37,7 @@
     , m_upstreams(upstreams)
     , m_peers(peers)
     , m_lease(leaseSettings(context.m_settings), context.m_settings.m_node, context.m_incarnation)
+    , m_planner(context.m_settings.m_scaling)
 {
     if (const auto &cloud = context.m_settings.m_cloud)
         m_cloud.emplace(context.m_client, Endpoint{cloud->m_ip, cloud->m_port});
@@ -284,8 +285,11 @@
     if (reply.m_verdict == platform::CloudVerdict::Unavailable)
         m_planner.noteRefused(order, m_context.now());
     const bool isAccepted = handle(reply, *fence, "scale");
+    const auto running = m_peers.report().m_running.find(order.m_service);
+    const double inFlight = running == m_peers.report().m_running.end() ? 0 : running->second;
     m_context.m_log.info("upstreams-ordered",
                          {order.m_service,
+                          {LogField::Used, inFlight},
                           order.m_dataCentre,
                           {LogField::Kind, order.m_isReclaimable ? "reclaimable" : "steady"},
                           {LogField::Count, order.m_count},
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -60,14 +60,14 @@
 
 } // namespace
 
-int ScalePlanner::wantedEngines(const ScaleInput &input, TimePoint now)
+/// Returns the engines that the load of the last seconds needs.
+int ScalePlanner::neededEngines(const ScaleInput &input, TimePoint now)
 {
     const int byLoad =
             static_cast<int>(std::ceil(input.m_running / m_settings.m_runningPerEngine));
-    const int wanted = std::max(byLoad, m_settings.m_leastEngines);
     Peak &peak = m_peaks[input.m_service->m_id];
-    if (wanted >= peak.m_engines || now > peak.m_at + m_settings.m_lowerAfter)
-        peak = Peak{wanted, now};
+    if (byLoad >= peak.m_engines || now > peak.m_at + m_settings.m_lowerAfter)
+        peak = Peak{byLoad, now};
     return peak.m_engines;
 }
 
@@ -78,23 +78,28 @@
     if (places == 0)
         return {};
     const auto present = countPresent(input);
-    const int wanted = wantedEngines(input, now);
+    const int needed = neededEngines(input, now);
+    const bool hasReclaimable = rule.m_reclaimablePrice > 0;
+    // Where there are reclaimable ones, they count towards the least number as well.
+    const int leastSteady = hasReclaimable ? 0 : rule.m_least;
     const int steadyFloor =
-            std::clamp(m_settings.m_steadyPerDataCentre, rule.m_least, rule.m_most);
+            std::clamp(m_settings.m_steadyPerDataCentre, leastSteady, rule.m_most);
     int reclaimableEach = 0;
-    if (rule.m_reclaimablePrice > 0) {
-        const double each = std::ceil(wanted * m_settings.m_spare / places) - steadyFloor;
-        reclaimableEach = std::clamp(static_cast<int>(each), 0, rule.m_most - steadyFloor);
+    if (hasReclaimable) {
+        const double target =
+                std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
+        const int each = static_cast<int>(std::ceil(target / places)) - steadyFloor;
+        reclaimableEach = std::clamp(each, 0, rule.m_most - steadyFloor);
     }
-    int running = places * steadyFloor;
+    int available = places * steadyFloor;
     std::map<DataCentreId, int> room;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
         const auto here = present.find(dataCentre);
         const int reclaimable = here == present.end() ? 0 : here->second.m_reclaimable;
-        running += reclaimable;
-        room[dataCentre] = rule.m_most - steadyFloor - std::max(reclaimable, reclaimableEach);
+        available += reclaimable;
+        room[dataCentre] = rule.m_most - steadyFloor - reclaimable;
     }
-    const auto standIns = spread(std::max(0, wanted - running), input, room);
+    const auto standIns = spread(std::max(0, needed - available), input, room);
     std::vector<ScaleOrder> orders;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
         const auto extra = standIns.find(dataCentre);
@@ -102,7 +107,7 @@
         orders.push_back({input.m_service->m_id, dataCentre, false, steady});
         const auto refused = m_refusedAt.find({input.m_service->m_id, dataCentre});
         const bool isDry = refused != m_refusedAt.end() && now < refused->second + refusalPause;
-        if (rule.m_reclaimablePrice > 0 && !isDry)
+        if (hasReclaimable && !isDry)
             orders.push_back({input.m_service->m_id, dataCentre, true, reclaimableEach});
     }
     return orders;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -45,6 +45,22 @@
     return schema;
 }
 
+Schema<ScaleSettings> scaleSchema()
+{
+    Schema<ScaleSettings> schema;
+    schema.key("least-engines", &ScaleSettings::m_leastEngines, IntegerKind(1, 100000),
+               "engines that a service has at least, over all data centres")
+            .key("running-per-engine", &ScaleSettings::m_runningPerEngine, NumberKind(0.1, 100000),
+                 "requests in flight at one engine that still meet the first-token target")
+            .key("spare", &ScaleSettings::m_spare, NumberKind(1, 10),
+                 "upstreams for each one wanted, against a reclaim of a data centre's")
+            .key("steady-per-data-centre", &ScaleSettings::m_steadyPerDataCentre,
+                 IntegerKind(0, 100000), "upstreams that can't be reclaimed, in each data centre")
+            .key("lower-after", &ScaleSettings::m_lowerAfter, DurationKind(seconds(1), minutes(60)),
+                 "a want is lowered only after this long below");
+    return schema;
+}
+
 const Schema<EntrySettings> &entrySchema()
 {
     static const auto schema = [] {
@@ -79,7 +95,9 @@
                 .key("log-level", &EntrySettings::m_logLevel, EnumKind(logLevelNames),
                      "the least level that is logged")
                 .key("bounds", &EntrySettings::m_bounds, MapKind(boundsSchema()),
-                     "the users' bounds");
+                     "the users' bounds")
+                .key("scaling", &EntrySettings::m_scaling, MapKind(scaleSchema()),
+                     "how upstreams are ordered");
         return table;
     }();
     return schema;
