Take the lease over a term after its last heard renewal

Cause: when the holder lost the store, the duties stood still for 7 s: others waited until it was silent for a term and only then began to watch the lease. Change: the holder's messages carry the lease's revision, which each renewal raises; the term of the others runs from the last one heard, and one read before the write confirms it.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -53,6 +53,8 @@
   13: i64 wallMillis
   14: list<NodeAddress> peers
   15: bool leaving
+  /// Revision of the stored lease that the sender holds, which every renewal raises.
+  16: i64 dutyRevision
 }
 
 struct EntryExchange {
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -42,9 +42,13 @@
     /// Takes this VM out of the store.
     void leaveRegistry();
 
-    /// Says under which number this VM holds the duties; nothing if it doesn't.
-    void setDutyFence(std::optional<std::int64_t> fence) { m_dutyFence = fence.value_or(0); }
-    using DutyHeard = std::function<void(std::int64_t fence)>;
+    /// Says under which number and stored revision this VM holds the duties; 0 if it doesn't.
+    void setDuty(std::int64_t fence, std::int64_t revision)
+    {
+        m_dutyFence = fence;
+        m_dutyRevision = revision;
+    }
+    using DutyHeard = std::function<void(std::int64_t fence, std::int64_t revision)>;
     void onDutyHeard(DutyHeard heard) { m_dutyHeard = std::move(heard); }
 
     /// Tells whether every peer of the last seconds has been heard just now.
@@ -88,6 +92,7 @@
     TrafficReport m_report;
     TimePoint m_reportedAt{};
     std::int64_t m_dutyFence = 0;
+    std::int64_t m_dutyRevision = 0;
     DutyHeard m_dutyHeard;
     TimePoint m_startedAt;
 };
--- a/include/gypsumdale/serving/duty_lease.hpp
+++ b/include/gypsumdale/serving/duty_lease.hpp
@@ -28,7 +28,7 @@
     Duration m_margin = std::chrono::milliseconds(800);
     Duration m_renewEvery = std::chrono::milliseconds(1000);
     /// Beyond the term, before an unchanged lease is taken over.
-    Duration m_patience = std::chrono::milliseconds(700);
+    Duration m_patience = std::chrono::milliseconds(400);
 };
 
 /// Read the lease from the store.
@@ -69,8 +69,9 @@
     /// Takes in that a write was refused, or that its outcome is unknown: the lease is read next.
     void onWriteFailed();
 
-    /// Takes in that a peer says it holds the lease; saves the reads while it does.
-    void onHolderHeard(std::int64_t fence, TimePoint now);
+    /// Takes in what a peer says of the lease it holds: the term of others runs from its renewals
+    /// as they are heard, and the store need not be read while they come.
+    void onHolderHeard(std::int64_t fence, std::int64_t revision, TimePoint now);
 
     /// Takes in that a call was refused as another had a higher fencing number.
     void onFenced();
@@ -82,6 +83,9 @@
     /// before each call. Constant.
     std::optional<std::int64_t> fence(TimePoint now) const;
 
+    /// Returns the revision of the lease as last known.
+    std::int64_t revision() const { return m_seen.m_revision; }
+
 private:
     DutyLeaseSettings m_settings;
     NodeId m_self;
@@ -94,7 +98,6 @@
     TimePoint m_heldSince{};
     TimePoint m_unchangedSince{};
     TimePoint m_readAt{};
-    TimePoint m_holderHeardAt{};
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -41,7 +41,9 @@
 {
     if (const auto &cloud = context.m_settings.m_cloud)
         m_cloud.emplace(context.m_client, Endpoint{cloud->m_ip, cloud->m_port});
-    m_peers.onDutyHeard([this](std::int64_t fence) { m_lease.onHolderHeard(fence, bootNow()); });
+    m_peers.onDutyHeard([this](std::int64_t fence, std::int64_t revision) {
+        m_lease.onHolderHeard(fence, revision, bootNow());
+    });
 }
 
 void EntryDuties::followLease()
@@ -54,7 +56,7 @@
         noteHolding();
         sleepFiber(leaseTick);
     }
-    m_peers.setDutyFence(std::nullopt);
+    m_peers.setDuty(0, 0);
 }
 
 void EntryDuties::read()
@@ -91,7 +93,7 @@
 void EntryDuties::noteHolding()
 {
     const std::int64_t fence = m_lease.fence(bootNow()).value_or(0);
-    m_peers.setDutyFence(fence);
+    m_peers.setDuty(fence, m_lease.revision());
     if (fence == m_loggedFence)
         return;
     if (fence > 0)
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -220,6 +220,7 @@
     digest.upstreamRevision = m_upstreams.revision();
     digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
     digest.dutyFence = m_dutyFence;
+    digest.dutyRevision = m_dutyRevision;
     // As of this message, not of the report: an old reading would make every VM's clock look slow,
     // and all of them would follow each other backwards.
     digest.wallMillis = m_report.m_wall + millisOf(bootNow() - m_reportedAt);
@@ -324,7 +325,7 @@
     for (const auto &known : digest.peers)
         learn(known.node, known.address, false);
     if (digest.dutyFence > 0 && m_dutyHeard)
-        m_dutyHeard(digest.dutyFence);
+        m_dutyHeard(digest.dutyFence, digest.dutyRevision);
     m_context.m_trafficLoop.spawn([this, digest] {
         m_context.m_traffic.setPeer(reportOf(digest, m_context.m_traffic.wallNow()));
     });
--- a/src/serving/duty_lease.cpp
+++ b/src/serving/duty_lease.cpp
@@ -30,8 +30,6 @@
         return WriteLease{wanted};
     }
     const Duration standstill = m_settings.m_term + m_settings.m_patience;
-    if (now < m_holderHeardAt + m_settings.m_term)
-        return LeaveLease{};
     if (m_seen.m_revision != 0 && now < m_unchangedSince + standstill)
         return LeaveLease{};
     // What was read long ago may have changed since: a second look costs one call and spares a
@@ -70,13 +68,13 @@
     m_isUnsure = true;
 }
 
-void DutyLease::onHolderHeard(std::int64_t fence, TimePoint now)
+void DutyLease::onHolderHeard(std::int64_t fence, std::int64_t revision, TimePoint now)
 {
-    if (fence < m_seen.m_fence || (m_isHeld && fence == m_seen.m_fence))
+    if (revision <= m_seen.m_revision)
         return;
-    m_holderHeardAt = now;
-    if (fence > m_seen.m_fence)
-        m_isHeld = false;
+    m_seen = LeaseRecord{NodeId(), 0, fence, revision};
+    m_unchangedSince = now;
+    m_isHeld = false;
 }
 
 void DutyLease::onFenced()
