Keep one steady engine in all, not one a data centre

Change: the floor is a number over the fleet, in the cheapest data centre first; stand-ins come when the load needs them.

--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -35,13 +35,13 @@
 struct ScaleSettings
 {
     /// Engines that a service has at least, over all data centres.
-    int m_leastEngines = 12;
+    int m_leastEngines = 15;
     /// Requests in flight at one engine that still meet the first-token target.
-    double m_runningPerEngine = 14;
+    double m_runningPerEngine = 20;
     /// Upstreams for each one wanted: all reclaimable ones of a data centre may go at once.
     double m_spare = 1.5;
-    /// Steady upstreams kept in each data centre.
-    int m_steadyPerDataCentre = 1;
+    /// Upstreams that can't be reclaimed, kept over all data centres, in the cheapest first.
+    int m_steadyEngines = 1;
     /// A want is lowered only after this long below.
     Duration m_lowerAfter = std::chrono::seconds(10);
 };
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -58,6 +58,12 @@
     return parts;
 }
 
+int partOf(const std::map<DataCentreId, int> &parts, const DataCentreId &dataCentre)
+{
+    const auto found = parts.find(dataCentre);
+    return found == parts.end() ? 0 : found->second;
+}
+
 } // namespace
 
 /// Returns the engines that the load of the last seconds needs.
@@ -80,35 +86,34 @@
     const auto present = countPresent(input);
     const int needed = neededEngines(input, now);
     const bool hasReclaimable = rule.m_reclaimablePrice > 0;
-    // Where there are reclaimable ones, they count towards the least number as well.
-    const int leastSteady = hasReclaimable ? 0 : rule.m_least;
-    const int steadyFloor =
-            std::clamp(m_settings.m_steadyPerDataCentre, leastSteady, rule.m_most);
-    int reclaimableEach = 0;
-    if (hasReclaimable) {
-        const double target =
-                std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
-        const int each = static_cast<int>(std::ceil(target / places)) - steadyFloor;
-        reclaimableEach = std::clamp(each, 0, rule.m_most - steadyFloor);
-    }
-    int available = places * steadyFloor;
     std::map<DataCentreId, int> room;
+    for (const DataCentreId &dataCentre : input.m_dataCentres)
+        room[dataCentre] = rule.m_most;
+    const auto floors = spread(m_settings.m_steadyEngines, input, room);
+    const double target =
+            std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
+    const int each = static_cast<int>(std::ceil(target / places));
+    std::map<DataCentreId, int> reclaimable;
+    int available = 0;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
+        const int floor = partOf(floors, dataCentre);
+        if (hasReclaimable)
+            reclaimable[dataCentre] = std::clamp(each - floor, rule.m_least, rule.m_most - floor);
         const auto here = present.find(dataCentre);
-        const int reclaimable = here == present.end() ? 0 : here->second.m_reclaimable;
-        available += reclaimable;
-        room[dataCentre] = rule.m_most - steadyFloor - reclaimable;
+        const int there = here == present.end() ? 0 : here->second.m_reclaimable;
+        available += floor + there;
+        room[dataCentre] = rule.m_most - floor - there;
     }
     const auto standIns = spread(std::max(0, needed - available), input, room);
     std::vector<ScaleOrder> orders;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
-        const auto extra = standIns.find(dataCentre);
-        const int steady = steadyFloor + (extra == standIns.end() ? 0 : extra->second);
-        orders.push_back({input.m_service->m_id, dataCentre, false, steady});
+        const int leastSteady = hasReclaimable ? 0 : rule.m_least;
+        const int steady = partOf(floors, dataCentre) + partOf(standIns, dataCentre);
+        orders.push_back({input.m_service->m_id, dataCentre, false, std::max(steady, leastSteady)});
         const auto refused = m_refusedAt.find({input.m_service->m_id, dataCentre});
         const bool isDry = refused != m_refusedAt.end() && now < refused->second + refusalPause;
         if (hasReclaimable && !isDry)
-            orders.push_back({input.m_service->m_id, dataCentre, true, reclaimableEach});
+            orders.push_back({input.m_service->m_id, dataCentre, true, reclaimable[dataCentre]});
     }
     return orders;
 }
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -54,8 +54,8 @@
                  "requests in flight at one engine that still meet the first-token target")
             .key("spare", &ScaleSettings::m_spare, NumberKind(1, 10),
                  "upstreams for each one wanted, against a reclaim of a data centre's")
-            .key("steady-per-data-centre", &ScaleSettings::m_steadyPerDataCentre,
-                 IntegerKind(0, 100000), "upstreams that can't be reclaimed, in each data centre")
+            .key("steady-engines", &ScaleSettings::m_steadyEngines,
+                 IntegerKind(0, 100000), "upstreams that can't be reclaimed, over all data centres")
             .key("lower-after", &ScaleSettings::m_lowerAfter, DurationKind(seconds(1), minutes(60)),
                  "a want is lowered only after this long below");
     return schema;
