Give each shared prompt part one home over all data centres

Change: the home is chosen over all data centres; bytes between them weigh by the request's size; a shared token read again weighs three times its time, as it is priced beside.

--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -45,6 +45,8 @@
     DataCentreId m_dataCentre;
     /// All prompt tokens; 0 for plain services.
     std::int64_t m_promptTokens = 0;
+    /// Bytes of the request, which are paid for between data centres.
+    std::size_t m_bodyBytes = 0;
     /// Prompt tokens in parts that other requests share.
     std::int64_t m_sharedTokens = 0;
     /// Names the last shared part; empty where there is none.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -246,6 +246,7 @@
         placement.m_service = m_service;
         placement.m_dataCentre = m_traffic.dataCentre();
         placement.m_promptTokens = m_caller.m_promptTokens;
+        placement.m_bodyBytes = m_request.m_body.size();
         placement.m_sharedTokens = m_caller.m_sharedTokens;
         if (m_route->m_hasPrefixAffinity)
             placement.m_affinityKey = m_caller.m_lastSharedPart;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -11,8 +11,15 @@
 
 /// What a running request slows the next one by, as prompt tokens that take as long to read.
 constexpr double runningCostTokens = 400;
-/// What leaving the own data centre costs: bytes between data centres are paid for.
-constexpr double awayCostTokens = 6000;
+/// What reading a shared token again costs, in tokens of queueing that are put up with instead: it is
+/// priced beside the time it takes.
+constexpr double readAgainCost = 3;
+/// What leaving the own data centre costs, as prompt tokens: a part for the way, and a part for the
+/// bytes, which are paid for between data centres.
+constexpr double awayCostTokens = 500;
+constexpr double awayCostPerByte = 0.25;
+/// A plain service's request stays at home unless its upstreams there are busy.
+constexpr double plainAwayCost = 6000;
 /// A plain service's request counts as this; its upstreams have few slots.
 constexpr double plainRunningCost = 4000;
 /// Keeps an upstream that failed out of reach while another is there.
@@ -27,15 +34,16 @@
 constexpr Duration shortestAvoid = std::chrono::milliseconds(500);
 constexpr Duration longestAvoid = std::chrono::seconds(4);
 
-/// Finds the upstream that holds an affinity key among those of one data centre.
+/// Finds the upstream that holds an affinity key: one over all data centres, as a shared part that
+/// is read again in each of them costs more than the bytes of a request that goes there.
 const PooledUpstream *homeOf(const std::string &key,
                              const std::vector<PooledUpstreamPointer> &candidates,
-                             const DataCentreId &dataCentre, TimePoint now)
+                             TimePoint now)
 {
     const PooledUpstream *home = nullptr;
     std::uint64_t best = 0;
     for (const PooledUpstreamPointer &candidate : candidates) {
-        if (candidate->m_record.m_dataCentre != dataCentre || candidate->m_avoidUntil > now)
+        if (candidate->m_avoidUntil > now)
             continue;
         const std::uint64_t weight =
                 rendezvousWeight(key, NodeId(candidate->m_record.m_id.text()));
@@ -121,15 +129,18 @@
     }
     const PooledUpstream *home = nullptr;
     if (!request.m_affinityKey.empty())
-        home = homeOf(request.m_affinityKey, candidates, request.m_dataCentre, now);
+        home = homeOf(request.m_affinityKey, candidates, now);
+    const bool isPlain = request.m_promptTokens == 0;
+    const double bytes = static_cast<double>(request.m_bodyBytes);
+    const double awayCost = isPlain ? plainAwayCost : awayCostTokens + awayCostPerByte * bytes;
     PooledUpstreamPointer best;
     double bestCost = std::numeric_limits<double>::max();
     for (const PooledUpstreamPointer &candidate : candidates) {
-        double cost = loadCost(*candidate, request.m_promptTokens == 0);
+        double cost = loadCost(*candidate, isPlain);
         if (candidate.get() != home)
-            cost += static_cast<double>(request.m_sharedTokens);
+            cost += readAgainCost * static_cast<double>(request.m_sharedTokens);
         if (candidate->m_record.m_dataCentre != request.m_dataCentre)
-            cost += awayCostTokens;
+            cost += awayCost;
         if (candidate->m_avoidUntil > now)
             cost += avoidedCost;
         if (cost < bestCost) {
