--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -6,8 +6,8 @@
 /// What one VM has admitted for a client account.
 struct AccountUse {
   1: string account
-  /// Admitted over the last quota window, in the quota's unit.
-  2: double admitted
+  /// Everything admitted since the start, in the quota's unit.
+  2: double admittedTotal
   /// Asked for a second, averaged over the last seconds.
   3: double demandPerSecond
 }
--- a/include/gypsumdale/entry/entry_context.hpp
+++ b/include/gypsumdale/entry/entry_context.hpp
@@ -44,8 +44,9 @@
     void answered(TimePoint now)
     {
         if (m_isLost)
-            m_log.info("dependency-regained", {{LogField::Name, m_name},
-                                               {LogField::AgeMillis, toMillis(now - m_answeredAt)}});
+            m_log.info("dependency-regained",
+                       {{LogField::Name, m_name},
+                        {LogField::AgeMillis, toMillis(now - m_answeredAt)}});
         m_isLost = false;
         m_answeredAt = now;
     }
--- a/include/gypsumdale/observe/log.hpp
+++ b/include/gypsumdale/observe/log.hpp
@@ -59,9 +59,9 @@
     double m_perSecond = 2.0;
 };
 
-/// Writes events as lines of key=value pairs (logfmt) or as JSON objects: the time in UTC, level, event, node and data
-/// centre of the process, then the event's fields. Safe from any thread; a call takes a lock for as
-/// long as a line takes to write.
+/// Writes events as lines of key=value pairs (logfmt) or as JSON objects: the time in UTC, level,
+/// event, node and data centre of the process, then the event's fields. Safe from any thread; a
+/// call takes a lock for as long as a line takes to write.
 ///
 /// No line holds a credential: no field is made for one, and a text that contains what looks like
 /// one (see redactSecrets) has it replaced.
--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -14,28 +14,32 @@
 
 struct FleetQuotaSettings
 {
-    /// Span over which the users count an account's use.
+    /// Span over which the users count an account's use, and what they tolerate beyond its quota
+    /// in that: a part of it, and a constant in the quota's unit.
     Duration m_window = std::chrono::seconds(8);
-    /// A report older than this is no word of its VM: four exchanges were lost.
-    Duration m_peerSilence = std::chrono::milliseconds(1200);
-    /// A silent VM's reserve is given back after this; by then it has been replaced.
+    double m_overage = 0.1;
+    double m_slack = 0;
+    /// A report older than this is no word of its VM: three exchanges were lost.
+    Duration m_peerSilence = std::chrono::milliseconds(800);
+    /// A silent VM's part is given back after this; by then it has been replaced.
     Duration m_peerForgotten = std::chrono::seconds(20);
-    /// After a restart the use of the window before is unknown, and only the rate is admitted.
+    /// After a restart the use before it is unknown: the bucket begins empty.
     bool m_beginsCautiously = false;
 };
 
 /// Use of one account as another VM reported it.
 struct ReportedUse
 {
-    double m_admitted = 0;
+    /// Everything admitted since the VM's start, in the quota's unit.
+    double m_admittedTotal = 0;
     double m_demandPerSecond = 0;
 };
 
 enum class QuotaVerdict {
     Admitted,
-    /// The account's use over all VMs has reached its limit.
+    /// The account's bucket over all VMs is empty.
     OverLimit,
-    /// Near the limit, this VM's part of the rate is used up.
+    /// The bucket is low, and this VM's part of the rate is used up.
     OverRateShare,
 };
 
@@ -49,25 +53,28 @@
 struct QuotaDecision
 {
     QuotaVerdict m_verdict = QuotaVerdict::Admitted;
-    double m_used = 0;
-    double m_limit = 0;
+    /// What was left in the account's bucket, and what it holds.
+    double m_level = 0;
+    double m_capacity = 0;
     std::size_t m_silentPeers = 0;
     /// When to come back, where it was refused.
     Duration m_retryAfter{};
 };
 
-/// Holds each account to its quota over all entry VMs without asking any of them: a sliding window
-/// over the own use and what the others reported.
+/// Holds each account to its quota over all entry VMs without asking any of them: every VM keeps a
+/// token bucket for the whole fleet, from which it takes its own use and what the others report.
 ///
-/// Three failures shaped it. Reports are up to an exchange old, and all VMs see the same room:
-/// above nearFull of the limit each admits only its part of the account's rate, so the overshoot
-/// is what comes in during one exchange. A partition leaves each side alone: an even share of the
-/// limit is reserved for every VM that is not heard, so that the sides together stay below the
-/// limit. A restart forgets the use before it: for one window only the rate's part is admitted.
+/// Three failures shaped it. Reports are up to an exchange old, and all VMs see the same tokens:
+/// while the bucket is low, each admits only its part of the rate, and what was admitted too much
+/// is a debt that is waited for. A partition leaves each side alone: a side fills its bucket only
+/// by the part of the VMs that it hears, so that the sides together fill it once. A restart forgets
+/// the use before it: the bucket begins empty.
 class FleetQuota
 {
 public:
-    explicit FleetQuota(FleetQuotaSettings settings, TimePoint startedAt);
+    explicit FleetQuota(FleetQuotaSettings settings)
+        : m_settings(settings)
+    {}
 
     /// Decides one request of a cost and counts it if it is admitted. Linear in the peers.
     QuotaDecision admit(const ClientAccount &account, double cost, TimePoint now);
@@ -79,40 +86,42 @@
     std::map<AccountId, ReportedUse> ownUse(TimePoint now);
 
 private:
-    struct OwnUse
+    struct Bucket
     {
-        explicit OwnUse(Duration window)
-            : m_admitted(window)
-            , m_demand(demandSpan)
-        {}
-        SlidingSum m_admitted;
-        SlidingSum m_demand;
-        /// What is left of this VM's part of the rate, used near the limit only.
+        double m_level = 0;
+        double m_admittedTotal = 0;
+        SlidingSum m_demand{demandSpan};
+        /// What is left of this VM's part of the rate, for when the bucket is low.
         double m_rateRoom = 0;
         TimePoint m_filledAt{};
+        bool m_isNew = true;
     };
     struct Peer
     {
         std::map<AccountId, ReportedUse> m_uses;
         TimePoint m_heardAt{};
     };
-    struct Estimate
+    /// What the fleet looks like from here.
+    struct Fleet
     {
-        double m_used = 0;
-        double m_demand = 0;
+        double m_nodes = 1;
         std::size_t m_silent = 0;
+        double m_demand = 0;
+
+        double heardShare() const { return (m_nodes - static_cast<double>(m_silent)) / m_nodes; }
     };
 
     /// Demand is averaged over this: long enough for clumps, short enough for a rush.
     static constexpr Duration demandSpan = std::chrono::seconds(3);
 
-    OwnUse &ownUseOf(const AccountId &account);
-    Estimate estimate(const AccountId &account, double limit, TimePoint now);
-    void refill(OwnUse &own, double ratePart, TimePoint now) const;
+    Fleet lookAround(const AccountId &account, TimePoint now);
+    double capacityOf(const ClientAccount &account) const;
+    double rateOf(const ClientAccount &account) const;
+    void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet, double ratePart,
+              TimePoint now) const;
 
     FleetQuotaSettings m_settings;
-    TimePoint m_startedAt;
-    std::map<AccountId, OwnUse> m_own;
+    std::map<AccountId, Bucket> m_buckets;
     std::map<std::string, Peer> m_peers;
 };
 
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -18,6 +18,9 @@
 {
     /// Span over which an account's use is counted against its quota.
     Duration m_quotaWindow = std::chrono::seconds(8);
+    /// Part of the quota that may be exceeded, and what may be beyond that in a window.
+    double m_quotaOverage = 0.1;
+    double m_quotaSlack = 0;
     /// Arrivals beyond the first that the fleet may add for each request, and in all.
     double m_retryRatio = 0.2;
     double m_retrySlack = 50;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -126,8 +126,8 @@
         answerOwn(statusUnauthorized, "unknown-key");
         return false;
     }
-    const Duration timeout = std::min(m_caller.m_timeLeft.value_or(m_route->m_timeout),
-                                      m_route->m_timeout);
+    const Duration timeout =
+            std::min(m_caller.m_timeLeft.value_or(m_route->m_timeout), m_route->m_timeout);
     m_deadline = m_arrivedAt + timeout;
     const MemberId member(m_account ? m_account->m_id.text() : std::string("public"));
     m_series = &m_traffic.metrics().series(member, ProfileId(m_route->m_name));
@@ -152,8 +152,8 @@
                          {m_caller.m_id,
                           m_account->m_id,
                           {LogField::Reason, nameIn(quotaVerdictNames, decision.m_verdict)},
-                          {LogField::Used, decision.m_used},
-                          {LogField::Limit, decision.m_limit},
+                          {LogField::Used, decision.m_capacity - decision.m_level},
+                          {LogField::Limit, decision.m_capacity},
                           {LogField::SilentPeers, decision.m_silentPeers}});
     answerOwn(statusTooMany, nameIn(quotaVerdictNames, decision.m_verdict), decision.m_retryAfter);
     return false;
@@ -270,7 +270,8 @@
                 platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
         if (traits.m_isNotRun && traits.m_isToThisRequest) {
             UpstreamPool::note(*upstream, AttemptVerdict::Refused, m_traffic.now());
-            m_traffic.log().info("attempt-refused", {m_caller.m_id, upstream->m_record.m_id,
+            m_traffic.log().info("attempt-refused", {m_caller.m_id,
+                                                     upstream->m_record.m_id,
                                                      {LogField::Status, exchange.status()}});
             continue;
         }
@@ -278,7 +279,8 @@
         if (!traits.m_isToThisRequest || isUnsignedSuccess) {
             ++m_mayHaveRun;
             UpstreamPool::note(*upstream, AttemptVerdict::Broken, m_traffic.now());
-            m_traffic.log().warning("answer-not-ours", {m_caller.m_id, upstream->m_record.m_id,
+            m_traffic.log().warning("answer-not-ours", {m_caller.m_id,
+                                                        upstream->m_record.m_id,
                                                         {LogField::Status, exchange.status()}});
             continue;
         }
@@ -299,14 +301,14 @@
         ++m_mayHaveRun;
         m_timedOut = failure.m_error.m_id == ErrorId::UpstreamSilent;
     }
-    m_traffic.log().warning("attempt-failed",
-                            {m_caller.m_id,
-                             hold.upstream().m_record.m_id,
-                             {LogField::ErrorName, errorName(failure.m_error.m_id)},
-                             {LogField::Text, failure.m_error.m_text},
-                             {LogField::Outcome, failure.m_phase == SendPhase::NothingSent
-                                                         ? "not-run"
-                                                         : "may-have-run"}});
+    m_traffic.log().warning(
+            "attempt-failed",
+            {m_caller.m_id,
+             hold.upstream().m_record.m_id,
+             {LogField::ErrorName, errorName(failure.m_error.m_id)},
+             {LogField::Text, failure.m_error.m_text},
+             {LogField::Outcome,
+              failure.m_phase == SendPhase::NothingSent ? "not-run" : "may-have-run"}});
 }
 
 EntryCall::Reading EntryCall::readWhole(OpenAnswer &answer)
@@ -397,11 +399,10 @@
 bool EntryCall::passStream(OpenAnswer &answer)
 {
     for (;;) {
-        const Duration silence = m_route->mayRepeat()
-                                         ? std::max(streamSilence, m_events == 0
-                                                                           ? firstAnswerLimit()
-                                                                           : Duration::zero())
-                                         : Duration::max();
+        const Duration silence =
+                m_route->mayRepeat() ? std::max(streamSilence, m_events == 0 ? firstAnswerLimit()
+                                                                             : Duration::zero())
+                                     : Duration::max();
         const Duration limit = std::clamp(timeLeft(), Duration::zero(), silence);
         auto piece = answer.m_exchange.read(limit);
         if (auto *failure = std::get_if<CallFailure>(&piece)) {
@@ -467,8 +468,8 @@
     m_hasBegun = true;
     m_lastEventAt = m_traffic.now();
     m_series->record(Latency::FirstToken, m_lastEventAt - m_arrivedAt);
-    const bool isGood = m_responder.begin(
-            answer.m_exchange.status(), platform::callerHeaders(answer.m_exchange.headers()));
+    const bool isGood = m_responder.begin(answer.m_exchange.status(),
+                                          platform::callerHeaders(answer.m_exchange.headers()));
     m_isCallerGone = m_isCallerGone || !isGood;
     return isGood;
 }
@@ -520,8 +521,7 @@
 
 Duration EntryCall::retryAfter()
 {
-    return earliestReturn
-           + std::chrono::duration_cast<Duration>(returnSpread * m_traffic.random());
+    return earliestReturn + std::chrono::duration_cast<Duration>(returnSpread * m_traffic.random());
 }
 
 void EntryCall::answerOwn(int status, std::string_view reason, Duration retryAfter)
@@ -545,18 +545,18 @@
 
 void EntryCall::logPlaced(const PooledUpstream &upstream)
 {
-    m_traffic.log().info("request-placed",
-                         {m_caller.m_id,
-                          {LogField::Route, m_route->m_name},
-                          {LogField::ConfigVersion, m_view->config().m_version},
-                          upstream.m_record.m_id,
-                          {LogField::DataCentre, upstream.m_record.m_dataCentre},
-                          {LogField::Running, upstream.m_own.m_running},
-                          {LogField::OthersRunning, upstream.m_others.m_running},
-                          {LogField::Attempt, m_arrivals + m_connectFailures + 1},
-                          {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
-                          {LogField::BudgetLeft,
-                           m_traffic.allowance().left(m_service, m_traffic.now())}});
+    m_traffic.log().info(
+            "request-placed",
+            {m_caller.m_id,
+             {LogField::Route, m_route->m_name},
+             {LogField::ConfigVersion, m_view->config().m_version},
+             upstream.m_record.m_id,
+             {LogField::DataCentre, upstream.m_record.m_dataCentre},
+             {LogField::Running, upstream.m_own.m_running},
+             {LogField::OthersRunning, upstream.m_others.m_running},
+             {LogField::Attempt, m_arrivals + m_connectFailures + 1},
+             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
+             {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
 }
 
 void EntryCall::logEnd(std::string_view outcome, int status)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -85,9 +85,8 @@
         , m_client(m_controlLoop)
         , m_store(m_client, endpointOf(settings.m_store))
         , m_traffic(m_settings, m_trafficLoop, m_clock, *m_log, m_metrics)
-        , m_context{m_settings, m_controlLoop, m_trafficLoop, m_traffic,
-                    m_clock,    *m_log,        m_metrics,     m_client,
-                    m_store,    m_clock.wallNow()}
+        , m_context{m_settings, m_controlLoop, m_trafficLoop, m_traffic, m_clock,
+                    *m_log,     m_metrics,     m_client,      m_store,   m_clock.wallNow()}
         , m_config(m_context, [this](const ServingViewPointer &view) { adopt(view); })
         , m_upstreams(m_context)
         , m_peers(m_context, m_config, m_upstreams)
@@ -101,7 +100,7 @@
         const auto failed = listen();
         if (failed)
             return *failed;
-        const auto opened = m_controlLoop.call([this] { return m_peers.listen(); });
+        auto opened = m_controlLoop.call([this] { return m_peers.listen(); });
         if (!succeeded(opened))
             return opened;
         m_log->info("started",
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -49,9 +49,10 @@
 void EntryDuties::followLease()
 {
     while (!m_context.m_isStopping && m_cloud) {
-        std::visit(Overloaded{[](const LeaveLease &) {},
-                              [this](const ReadLease &) { read(); },
-                              [this](const WriteLease &step) { write(step.m_record); }},
+        std::visit(Overloaded{[](const LeaveLease &) {}, [this](const ReadLease &) { read(); },
+                              [this](const WriteLease &step) {
+                                  write(step.m_record);
+                              }},
                    m_lease.next(bootNow()));
         noteHolding();
         sleepFiber(leaseTick);
@@ -108,11 +109,12 @@
     const bool isAccepted = reply.m_verdict == platform::CloudVerdict::Accepted;
     if (isAccepted)
         return true;
-    m_context.m_log.warning("duty-call-failed",
-                            {{LogField::Name, call},
-                             {LogField::Fence, fence},
-                             {LogField::Outcome, nameIn(platform::cloudVerdictNames, reply.m_verdict)},
-                             {LogField::Text, reply.m_text}});
+    m_context.m_log.warning(
+            "duty-call-failed",
+            {{LogField::Name, call},
+             {LogField::Fence, fence},
+             {LogField::Outcome, nameIn(platform::cloudVerdictNames, reply.m_verdict)},
+             {LogField::Text, reply.m_text}});
     if (reply.m_verdict == platform::CloudVerdict::Fenced)
         m_lease.onFenced();
     return false;
@@ -145,8 +147,7 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     };
     const WallMillis due = millis(m_context.m_settings.m_bounds.m_usageDue);
-    const WallMillis settle =
-            m_peers.hearsAll() ? millis(settleTime) : due - millis(reportMargin);
+    const WallMillis settle = m_peers.hearsAll() ? millis(settleTime) : due - millis(reportMargin);
     for (WindowNumber window = (now - due) / span; (window + 1) * span + settle <= now; ++window) {
         if ((window + 1) * span + due < now || m_reported.contains(window))
             continue;
@@ -170,8 +171,7 @@
         return false;
     m_ledgerFence = fence;
     m_ledgerRevision = succeeded(object) ? valueOf(object).m_revision : 0;
-    m_ledger = succeeded(object) ? platform::decodeUsage(valueOf(object))
-                                 : platform::UsageLedger();
+    m_ledger = succeeded(object) ? platform::decodeUsage(valueOf(object)) : platform::UsageLedger();
     return true;
 }
 
@@ -215,12 +215,10 @@
     const auto fence = m_lease.fence(bootNow());
     if (!fence)
         return false;
-    const auto reply =
-            m_cloud->reportUsage({m_context.m_settings.m_node, *fence}, window, counts);
+    const auto reply = m_cloud->reportUsage({m_context.m_settings.m_node, *fence}, window, counts);
     if (!handle(reply, *fence, "usage"))
         return false;
-    m_context.m_log.info("usage-reported",
-                         {{LogField::Window, window}, {LogField::Fence, *fence}});
+    m_context.m_log.info("usage-reported", {{LogField::Window, window}, {LogField::Fence, *fence}});
     return true;
 }
 
@@ -266,8 +264,8 @@
         const auto sent = m_sent.find(key);
         const Duration patience = service.m_scaling->m_bootTime + orderPatience;
         const bool isNew = sent == m_sent.end() || sent->second.m_count != order.m_count;
-        const bool isMissing = !isNew && present(order) != order.m_count
-                               && now > sent->second.m_at + patience;
+        const bool isMissing =
+                !isNew && present(order) != order.m_count && now > sent->second.m_at + patience;
         if (isNew || isMissing)
             send(order);
     }
@@ -289,15 +287,16 @@
     const bool isAccepted = handle(reply, *fence, "scale");
     const auto running = m_peers.report().m_running.find(order.m_service);
     const double inFlight = running == m_peers.report().m_running.end() ? 0 : running->second;
-    m_context.m_log.info("upstreams-ordered",
-                         {order.m_service,
-                          {LogField::Used, inFlight},
-                          order.m_dataCentre,
-                          {LogField::Kind, order.m_isReclaimable ? "reclaimable" : "steady"},
-                          {LogField::Count, order.m_count},
-                          {LogField::Running, present(order)},
-                          {LogField::Fence, *fence},
-                          {LogField::Outcome, nameIn(platform::cloudVerdictNames, reply.m_verdict)}});
+    m_context.m_log.info(
+            "upstreams-ordered",
+            {order.m_service,
+             {LogField::Used, inFlight},
+             order.m_dataCentre,
+             {LogField::Kind, order.m_isReclaimable ? "reclaimable" : "steady"},
+             {LogField::Count, order.m_count},
+             {LogField::Running, present(order)},
+             {LogField::Fence, *fence},
+             {LogField::Outcome, nameIn(platform::cloudVerdictNames, reply.m_verdict)}});
     if (!isAccepted)
         return;
     const OrderKey key{{order.m_service, order.m_dataCentre}, order.m_isReclaimable};
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -65,7 +65,7 @@
     report.m_incarnation = digest.incarnation;
     report.m_wallOffset = digest.wallMillis - ownWall;
     for (const auto &use : digest.accounts)
-        report.m_accounts[AccountId(use.account)] = {use.admitted, use.demandPerSecond};
+        report.m_accounts[AccountId(use.account)] = {use.admittedTotal, use.demandPerSecond};
     for (const auto &load : digest.loads)
         report.m_loads[UpstreamId(load.upstream)] = {load.running, load.pendingTokens};
     for (const auto &usage : digest.usage)
@@ -75,8 +75,7 @@
 
 } // namespace
 
-EntryPeers::EntryPeers(EntryContext &context, EntryConfigFeed &config,
-                       EntryUpstreamFeed &upstreams)
+EntryPeers::EntryPeers(EntryContext &context, EntryConfigFeed &config, EntryUpstreamFeed &upstreams)
     : m_context(context)
     , m_config(config)
     , m_upstreams(upstreams)
@@ -170,9 +169,8 @@
             continue;
         }
         if (!peer.m_node.empty()) {
-            m_context.m_trafficLoop.spawn([this, node = peer.m_node] {
-                m_context.m_traffic.forgetPeer(node);
-            });
+            m_context.m_trafficLoop.spawn(
+                    [this, node = peer.m_node] { m_context.m_traffic.forgetPeer(node); });
         }
         if (peer.m_isSeed) {
             peer.m_knownSince = now;
@@ -228,7 +226,7 @@
     for (const auto &[account, use] : m_report.m_accounts) {
         auto &entry = digest.accounts.emplace_back();
         entry.account = account.text();
-        entry.admitted = use.m_admitted;
+        entry.admittedTotal = use.m_admittedTotal;
         entry.demandPerSecond = use.m_demandPerSecond;
     }
     for (const auto &[upstream, load] : m_report.m_loads) {
@@ -343,8 +341,8 @@
                 written = m_context.m_store.replace(platform::nodeKind, own);
             isRegistered = succeeded(written);
         }
-        const auto listing = m_context.m_store.list(platform::nodeKind,
-                                                    platform::ReadFreshness::MayBeStale);
+        const auto listing =
+                m_context.m_store.list(platform::nodeKind, platform::ReadFreshness::MayBeStale);
         if (succeeded(listing)) {
             for (const platform::StoreObject &object : valueOf(listing).m_objects) {
                 const platform::NodeRecord node = platform::decodeNode(object);
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -16,6 +16,8 @@
 {
     FleetQuotaSettings quota;
     quota.m_window = settings.m_bounds.m_quotaWindow;
+    quota.m_overage = settings.m_bounds.m_quotaOverage;
+    quota.m_slack = settings.m_bounds.m_quotaSlack;
     quota.m_beginsCautiously = !settings.m_isFirstStart;
     return quota;
 }
@@ -29,7 +31,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop)
-    , m_quota(quotaSettings(settings), clock.now())
+    , m_quota(quotaSettings(settings))
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
     , m_usage(settings.m_bounds.m_usageWindow)
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -129,9 +129,8 @@
     if (!isChanged)
         return;
     m_published = upstreams;
-    m_context.m_trafficLoop.spawn([this, copy = m_published] {
-        m_context.m_traffic.setUpstreams(copy);
-    });
+    m_context.m_trafficLoop.spawn(
+            [this, copy = m_published] { m_context.m_traffic.setUpstreams(copy); });
 }
 
 } // namespace gypsumdale
--- a/src/observe/detail/log_line.cpp
+++ b/src/observe/detail/log_line.cpp
@@ -51,14 +51,14 @@
 
 std::string writeLogItem(const LogItem &item, LogFormat format)
 {
-    const std::string value =
-            std::visit(Overloaded{[format](std::string_view text) { return writeText(text, format); },
-                                  [](std::int64_t number) { return fmt::format("{}", number); },
-                                  [](double number) { return fmt::format("{:.6g}", number); },
-                                  [](bool flag) {
-                                      return std::string(flag ? "true" : "false");
-                                  }},
-                       item.m_value);
+    const std::string value = std::visit(
+            Overloaded{[format](std::string_view text) { return writeText(text, format); },
+                       [](std::int64_t number) { return fmt::format("{}", number); },
+                       [](double number) { return fmt::format("{:.6g}", number); },
+                       [](bool flag) {
+                           return std::string(flag ? "true" : "false");
+                       }},
+            item.m_value);
     if (format == LogFormat::Json)
         return fmt::format(R"(,"{}":{})", logFieldName(item.m_field), value);
     return fmt::format(" {}={}", logFieldName(item.m_field), value);
--- a/src/observe/standard_sinks.cpp
+++ b/src/observe/standard_sinks.cpp
@@ -36,12 +36,16 @@
 
 LogSink standardErrorSink()
 {
-    return [](std::string_view line) { return writeLine(STDERR_FILENO, line); };
+    return [](std::string_view line) {
+        return writeLine(STDERR_FILENO, line);
+    };
 }
 
 LogSink standardOutputSink()
 {
-    return [](std::string_view line) { return writeLine(STDOUT_FILENO, line); };
+    return [](std::string_view line) {
+        return writeLine(STDOUT_FILENO, line);
+    };
 }
 
 } // namespace gypsumdale
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -104,9 +104,8 @@
 void HttpServer::limitTo(const HttpLimits &limits)
 {
     for (State::Share &share : m_state->m_shares) {
-        boost::asio::post(share.m_loop->context(), [state = m_state, limits] {
-            state->m_service.m_limits = limits;
-        });
+        boost::asio::post(share.m_loop->context(),
+                          [state = m_state, limits] { state->m_service.m_limits = limits; });
     }
 }
 
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -1,23 +1,25 @@
 #include <gypsumdale/serving/fleet_quota.hpp>
 
 #include <algorithm> // clamp, max, min
-#include <utility> // move
+#include <utility> // exchange, move
 
 namespace gypsumdale {
 
 namespace {
 
-/// Part of the limit up to which requests are admitted as they come; above it, by rate. What the
-/// fleet admits during one exchange must fit between this and the hard limit.
-constexpr double nearFull = 0.7;
-/// Part of the limit that is never exceeded by what this VM knows. The users tolerate a tenth over
-/// the limit; this leaves that and a bit more for what was admitted and not reported yet.
-constexpr double hardLimit = 0.93;
+/// Part of what the users tolerate in a window that is admitted; the rest is for what VMs admit
+/// before they hear of each other's use.
+constexpr double usedPart = 0.91;
+/// Capacity in seconds of the rate where an account has no burst.
+constexpr double leastBurstSeconds = 0.5;
+/// Part of the capacity below which only this VM's part of the rate is admitted. Above it, what all
+/// VMs admit at once during an exchange still fits.
+constexpr double lowLevel = 0.5;
 /// A VM's part of the rate is at least this part of an even share, so that one which saw no demand
 /// can begin.
 constexpr double leastShare = 0.5;
-/// Room of the rate share that may be saved up.
-constexpr double rateRoomSeconds = 0.5;
+/// Seconds of its part that a VM may save up.
+constexpr double rateRoomSeconds = 1.0;
 constexpr Duration shortestReturn = std::chrono::milliseconds(250);
 constexpr Duration longestReturn = std::chrono::seconds(2);
 
@@ -28,68 +30,85 @@
 
 } // namespace
 
-FleetQuota::FleetQuota(FleetQuotaSettings settings, TimePoint startedAt)
-    : m_settings(settings)
-    , m_startedAt(startedAt)
-{}
+double FleetQuota::capacityOf(const ClientAccount &account) const
+{
+    return std::max(account.m_burst, leastBurstSeconds * account.m_ratePerSecond);
+}
 
-FleetQuota::OwnUse &FleetQuota::ownUseOf(const AccountId &account)
+/// Returns the rate at which a bucket fills, so that one bucketful and what fills it in a window
+/// are what the users tolerate in a window. Refusing more than that would refuse requests that are
+/// due: an account's clumped requests use up its rate and burst well below its quota's tolerance.
+double FleetQuota::rateOf(const ClientAccount &account) const
 {
-    return m_own.try_emplace(account, m_settings.m_window).first->second;
+    const double window = toSeconds(m_settings.m_window);
+    const double tolerated =
+            (account.m_ratePerSecond * window + account.m_burst) * (1 + m_settings.m_overage)
+            + m_settings.m_slack;
+    return std::max((usedPart * tolerated - capacityOf(account)) / window, 0.0);
 }
 
 void FleetQuota::setPeerUse(const std::string &node, std::map<AccountId, ReportedUse> uses,
                             TimePoint now)
 {
-    m_peers[node] = Peer{std::move(uses), now};
+    const auto [entry, isNew] = m_peers.try_emplace(node);
+    Peer &peer = entry->second;
+    const Duration silence = now - std::exchange(peer.m_heardAt, now);
+    const std::map<AccountId, ReportedUse> before = std::exchange(peer.m_uses, std::move(uses));
+    // What a VM admitted while it wasn't heard came out of the part that was kept for it.
+    if (isNew || silence > m_settings.m_peerSilence)
+        return;
+    for (const auto &[account, use] : peer.m_uses) {
+        const auto known = before.find(account);
+        const double earlier = known == before.end() ? 0 : known->second.m_admittedTotal;
+        // A restarted VM counts from nothing.
+        const bool isRestarted = use.m_admittedTotal < earlier;
+        m_buckets[account].m_level -= use.m_admittedTotal - (isRestarted ? 0 : earlier);
+    }
 }
 
 std::map<AccountId, ReportedUse> FleetQuota::ownUse(TimePoint now)
 {
     std::map<AccountId, ReportedUse> result;
-    for (auto &[account, own] : m_own) {
-        const double demand = own.m_demand.sum(now) / toSeconds(demandSpan);
-        const double admitted = own.m_admitted.sum(now);
-        if (demand > 0 || admitted > 0)
-            result[account] = ReportedUse{admitted, demand};
+    for (auto &[account, bucket] : m_buckets) {
+        const double demand = bucket.m_demand.sum(now) / toSeconds(demandSpan);
+        if (bucket.m_admittedTotal > 0 || demand > 0)
+            result[account] = ReportedUse{bucket.m_admittedTotal, demand};
     }
     return result;
 }
 
-/// Sums what is known over all VMs. A report is carried on by its rate until the next one comes; a
-/// VM that is not heard counts with its reserve or its last word, whichever is more.
-FleetQuota::Estimate FleetQuota::estimate(const AccountId &account, double limit, TimePoint now)
+FleetQuota::Fleet FleetQuota::lookAround(const AccountId &account, TimePoint now)
 {
-    Estimate result;
     std::erase_if(m_peers, [this, now](const auto &peer) {
         return now - peer.second.m_heardAt > m_settings.m_peerForgotten;
     });
-    const double reserve = limit / static_cast<double>(m_peers.size() + 1);
+    Fleet fleet;
+    fleet.m_nodes = static_cast<double>(m_peers.size() + 1);
     for (const auto &[node, peer] : m_peers) {
-        const auto found = peer.m_uses.find(account);
-        const ReportedUse use = found == peer.m_uses.end() ? ReportedUse{} : found->second;
-        const Duration age = now - peer.m_heardAt;
-        if (age > m_settings.m_peerSilence) {
-            ++result.m_silent;
-            const double left = std::max(0.0, 1.0 - toSeconds(age) / toSeconds(m_settings.m_window));
-            result.m_used += std::max(reserve, use.m_admitted * left);
+        if (now - peer.m_heardAt > m_settings.m_peerSilence) {
+            ++fleet.m_silent;
             continue;
         }
-        result.m_used += use.m_admitted;
-        result.m_demand += use.m_demandPerSecond;
+        const auto found = peer.m_uses.find(account);
+        if (found != peer.m_uses.end())
+            fleet.m_demand += found->second.m_demandPerSecond;
     }
-    OwnUse &own = ownUseOf(account);
-    result.m_used += own.m_admitted.sum(now);
-    result.m_demand += own.m_demand.sum(now) / toSeconds(demandSpan);
-    return result;
+    return fleet;
 }
 
-void FleetQuota::refill(OwnUse &own, double ratePart, TimePoint now) const
+void FleetQuota::fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet,
+                      double ratePart, TimePoint now) const
 {
-    const Duration passed = own.m_filledAt == TimePoint{} ? Duration::zero() : now - own.m_filledAt;
-    own.m_filledAt = now;
-    own.m_rateRoom = std::min(own.m_rateRoom + ratePart * toSeconds(passed),
-                              ratePart * rateRoomSeconds);
+    const double capacity = capacityOf(account) * fleet.heardShare();
+    if (std::exchange(bucket.m_isNew, false)) {
+        // Reports of peers may have come before the first request.
+        bucket.m_level += m_settings.m_beginsCautiously ? 0 : capacity;
+        bucket.m_filledAt = now;
+    }
+    const double passed = toSeconds(now - std::exchange(bucket.m_filledAt, now));
+    const double rate = rateOf(account) * fleet.heardShare();
+    bucket.m_level = std::min(bucket.m_level + rate * passed, capacity);
+    bucket.m_rateRoom = std::min(bucket.m_rateRoom + ratePart * passed, ratePart * rateRoomSeconds);
 }
 
 QuotaDecision FleetQuota::admit(const ClientAccount &account, double cost, TimePoint now)
@@ -97,35 +116,29 @@
     QuotaDecision decision;
     if (account.m_ratePerSecond <= 0)
         return decision;
-    OwnUse &own = ownUseOf(account.m_id);
-    own.m_demand.add(cost, now);
-    const double limit =
-            account.m_ratePerSecond * toSeconds(m_settings.m_window) + account.m_burst;
-    const Estimate known = estimate(account.m_id, limit, now);
-    decision.m_used = known.m_used;
-    decision.m_limit = limit;
-    decision.m_silentPeers = known.m_silent;
-    const double nodes = static_cast<double>(m_peers.size() + 1);
-    const double ownDemand = own.m_demand.sum(now) / toSeconds(demandSpan);
-    const double demandShare = known.m_demand > 0 ? ownDemand / known.m_demand : 1.0;
-    const double heardShare = (nodes - static_cast<double>(known.m_silent)) / nodes;
-    const double share = std::max(demandShare * heardShare, leastShare / nodes);
-    const double ratePart = account.m_ratePerSecond * std::min(share, 1.0);
-    refill(own, ratePart, now);
-    const bool isCautious =
-            m_settings.m_beginsCautiously && now < m_startedAt + m_settings.m_window;
-    const bool isNearFull = known.m_used + cost > nearFull * limit;
-    if (known.m_used + cost > hardLimit * limit)
+    Bucket &bucket = m_buckets[account.m_id];
+    bucket.m_demand.add(cost, now);
+    const Fleet fleet = lookAround(account.m_id, now);
+    const double ownDemand = bucket.m_demand.sum(now) / toSeconds(demandSpan);
+    const double share = std::max(ownDemand / (ownDemand + fleet.m_demand) * fleet.heardShare(),
+                                  leastShare / fleet.m_nodes);
+    const double ratePart = rateOf(account) * share;
+    fill(bucket, account, fleet, ratePart, now);
+    decision.m_level = bucket.m_level;
+    decision.m_capacity = capacityOf(account) * fleet.heardShare();
+    decision.m_silentPeers = fleet.m_silent;
+    const bool isLow = bucket.m_level - cost < lowLevel * decision.m_capacity;
+    if (bucket.m_level <= 0)
         decision.m_verdict = QuotaVerdict::OverLimit;
-    else if ((isNearFull || isCautious) && own.m_rateRoom <= 0)
+    else if (isLow && bucket.m_rateRoom <= 0)
         decision.m_verdict = QuotaVerdict::OverRateShare;
     if (decision.m_verdict == QuotaVerdict::Admitted) {
-        own.m_admitted.add(cost, now);
-        if (isNearFull || isCautious)
-            own.m_rateRoom -= cost;
+        bucket.m_level -= cost;
+        bucket.m_admittedTotal += cost;
+        bucket.m_rateRoom -= isLow ? cost : 0;
         return decision;
     }
-    const double missing = std::max(cost, cost - own.m_rateRoom);
+    const double missing = cost - std::min({bucket.m_level, bucket.m_rateRoom, 0.0});
     const Duration refillTime = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(missing / std::max(ratePart, 1.0)));
     decision.m_retryAfter = std::clamp(refillTime, shortestReturn, longestReturn);
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -69,8 +69,7 @@
 /// Returns the engines that the load of the last seconds needs.
 int ScalePlanner::neededEngines(const ScaleInput &input, TimePoint now)
 {
-    const int byLoad =
-            static_cast<int>(std::ceil(input.m_running / m_settings.m_runningPerEngine));
+    const int byLoad = static_cast<int>(std::ceil(input.m_running / m_settings.m_runningPerEngine));
     Peak &peak = m_peaks[input.m_service->m_id];
     if (byLoad >= peak.m_engines || now > peak.m_at + m_settings.m_lowerAfter)
         peak = Peak{byLoad, now};
@@ -90,8 +89,7 @@
     for (const DataCentreId &dataCentre : input.m_dataCentres)
         room[dataCentre] = rule.m_most;
     const auto floors = spread(m_settings.m_steadyEngines, input, room);
-    const double target =
-            std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
+    const double target = std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
     const int each = static_cast<int>(std::ceil(target / places));
     std::map<DataCentreId, int> reclaimable;
     int available = 0;
--- a/src/serving/serving_view.cpp
+++ b/src/serving/serving_view.cpp
@@ -11,9 +11,8 @@
 std::string hostKey(std::string_view host)
 {
     std::string key(host.substr(0, host.find(':')));
-    std::transform(key.begin(), key.end(), key.begin(), [](unsigned char letter) {
-        return static_cast<char>(std::tolower(letter));
-    });
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     return key;
 }
 
--- a/src/serving/steady_wall_clock.cpp
+++ b/src/serving/steady_wall_clock.cpp
@@ -17,7 +17,8 @@
 WallMillis SteadyWallClock::read(TimePoint steady, WallMillis wall)
 {
     const auto steadyMillis =
-            std::chrono::duration_cast<std::chrono::milliseconds>(steady.time_since_epoch()).count();
+            std::chrono::duration_cast<std::chrono::milliseconds>(steady.time_since_epoch())
+                    .count();
     if (!m_offset)
         m_offset = wall - steadyMillis;
     return steadyMillis + *m_offset;
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -43,9 +43,8 @@
         list.m_upstreams.emplace(id, record);
         m_vanished.try_emplace(id, m_returnedAt + returnTime);
     }
-    std::erase_if(m_vanished, [&list](const auto &entry) {
-        return !list.m_upstreams.contains(entry.first);
-    });
+    std::erase_if(m_vanished,
+                  [&list](const auto &entry) { return !list.m_upstreams.contains(entry.first); });
     m_list = std::move(list);
     return true;
 }
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -11,8 +11,8 @@
 
 /// What a running request slows the next one by, as prompt tokens that take as long to read.
 constexpr double runningCostTokens = 400;
-/// What reading a shared token again costs, in tokens of queueing that are put up with instead: it is
-/// priced beside the time it takes.
+/// What reading a shared token again costs, in tokens of queueing that are put up with instead: it
+/// is priced beside the time it takes.
 constexpr double readAgainCost = 3;
 /// What leaving the own data centre costs, as prompt tokens: a part for the way, and a part for the
 /// bytes, which are paid for between data centres.
@@ -37,16 +37,14 @@
 /// Finds the upstream that holds an affinity key: one over all data centres, as a shared part that
 /// is read again in each of them costs more than the bytes of a request that goes there.
 const PooledUpstream *homeOf(const std::string &key,
-                             const std::vector<PooledUpstreamPointer> &candidates,
-                             TimePoint now)
+                             const std::vector<PooledUpstreamPointer> &candidates, TimePoint now)
 {
     const PooledUpstream *home = nullptr;
     std::uint64_t best = 0;
     for (const PooledUpstreamPointer &candidate : candidates) {
         if (candidate->m_avoidUntil > now)
             continue;
-        const std::uint64_t weight =
-                rendezvousWeight(key, NodeId(candidate->m_record.m_id.text()));
+        const std::uint64_t weight = rendezvousWeight(key, NodeId(candidate->m_record.m_id.text()));
         if (!home || weight > best) {
             home = candidate.get();
             best = weight;
@@ -59,8 +57,8 @@
 {
     const double running = upstream.m_own.m_running + upstream.m_others.m_running;
     if (!isPlain) {
-        const double pending =
-                static_cast<double>(upstream.m_own.m_pendingTokens + upstream.m_others.m_pendingTokens);
+        const double pending = static_cast<double>(upstream.m_own.m_pendingTokens
+                                                   + upstream.m_others.m_pendingTokens);
         return running * runningCostTokens + pending;
     }
     return running * plainRunningCost;
@@ -153,7 +151,8 @@
 
 void UpstreamPool::note(PooledUpstream &upstream, AttemptVerdict verdict, TimePoint now)
 {
-    const bool isFailure = verdict == AttemptVerdict::Broken || verdict == AttemptVerdict::ServerError;
+    const bool isFailure =
+            verdict == AttemptVerdict::Broken || verdict == AttemptVerdict::ServerError;
     upstream.m_failureShare += failureWeight * ((isFailure ? 1.0 : 0.0) - upstream.m_failureShare);
     if (verdict == AttemptVerdict::Good) {
         upstream.m_failuresInRow = 0;
@@ -164,8 +163,8 @@
         return;
     }
     ++upstream.m_failuresInRow;
-    const bool isBroken = verdict == AttemptVerdict::Broken
-                          && upstream.m_failuresInRow >= failuresInRowLimit;
+    const bool isBroken =
+            verdict == AttemptVerdict::Broken && upstream.m_failuresInRow >= failuresInRowLimit;
     if (!isBroken && upstream.m_failureShare < failureLimit)
         return;
     const int doublings = std::clamp(upstream.m_failuresInRow - failuresInRowLimit, 0, 3);
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -27,6 +27,10 @@
     Schema<EntryBounds> schema;
     schema.key("quota-window", &EntryBounds::m_quotaWindow, DurationKind(seconds(1), minutes(1)),
                "span over which an account's use is counted against its quota")
+            .key("quota-overage", &EntryBounds::m_quotaOverage, NumberKind(0, 10),
+                 "part of a quota that may be exceeded")
+            .key("quota-slack", &EntryBounds::m_quotaSlack, NumberKind(0, 1e12),
+                 "what may be used beyond that in a window, in the quota's unit")
             .key("retry-ratio", &EntryBounds::m_retryRatio, NumberKind(0, 10),
                  "repeats that the fleet may add for each request")
             .key("retry-slack", &EntryBounds::m_retrySlack, NumberKind(0, mostSlack),
@@ -54,8 +58,8 @@
                  "requests in flight at one engine that still meet the first-token target")
             .key("spare", &ScaleSettings::m_spare, NumberKind(1, 10),
                  "upstreams for each one wanted, against a reclaim of a data centre's")
-            .key("steady-engines", &ScaleSettings::m_steadyEngines,
-                 IntegerKind(0, 100000), "upstreams that can't be reclaimed, over all data centres")
+            .key("steady-engines", &ScaleSettings::m_steadyEngines, IntegerKind(0, 100000),
+                 "upstreams that can't be reclaimed, over all data centres")
             .key("lower-after", &ScaleSettings::m_lowerAfter, DurationKind(seconds(1), minutes(60)),
                  "a want is lowered only after this long below");
     return schema;
--- /dev/null
+++ b/tests/src/process-entry.cpp
@@ -0,0 +1,264 @@
+#include "support/entry_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal> // SIGHUP, SIGTERM
+#include <thread> // thread
+
+using namespace gypsumdale;
+using namespace gypsumdale::testing;
+
+namespace {
+
+std::size_t runs(EntryWorld &world)
+{
+    return world.upstream(0).seen().size() + world.upstream(1).seen().size();
+}
+
+void behaveBoth(EntryWorld &world, const UpstreamStandIn::Behaviour &behaviour)
+{
+    world.upstream(0).behave(behaviour);
+    world.upstream(1).behave(behaviour);
+}
+
+std::string event(int number)
+{
+    return fmt::format("id: {}\ndata: {}\n\n", number, number);
+}
+
+} // namespace
+
+TEST_CASE("an entry process forwards a request and its answer unchanged")
+{
+    EntryWorld world;
+    const EntryAnswer answer = world.call(world.node(), "/again/x?y=1", "r-1");
+    CHECK(answer.m_status == 200);
+    CHECK(answer.m_body.starts_with("from u-"));
+    CHECK_FALSE(answer.m_headers.value("Gypsumdale-Response-Signature").empty());
+
+    auto seen = world.upstream(0).seen();
+    if (seen.empty())
+        seen = world.upstream(1).seen();
+    REQUIRE(seen.size() == 1);
+    CHECK(seen[0].m_target == "/again/x?y=1");
+    CHECK(seen[0].m_body == "body");
+    CHECK(seen[0].m_headers.value("Gypsumdale-Tenant") == "huber");
+    CHECK(seen[0].m_headers.value("Authorization").empty());
+    CHECK(std::stoi(std::string(seen[0].m_headers.value("Gypsumdale-Deadline-Ms"))) <= 5000);
+
+    SECTION("and says what it doesn't know")
+    {
+        CHECK(world.call(world.node(), "/nowhere/", "r-2").m_status == 404);
+        CHECK(world.call(world.node(), "/again/x", "r-3", "other").m_status == 401);
+        CHECK(runs(world) == 1);
+    }
+    SECTION("and counts it")
+    {
+        const EntryAnswer metrics = world.get(world.node().m_metricsPort, "/metrics");
+        CHECK(metrics.m_status == 200);
+        CHECK(metrics.m_body.find("huber") != std::string::npos);
+    }
+    SECTION("and logs each decision as a line of JSON with the request's id")
+    {
+        world.waitUntil("the lines are there", [&] {
+            return world.log(world.node()).find("request-done") != std::string::npos;
+        });
+        std::istringstream lines(world.log(world.node()));
+        std::size_t ofRequest = 0;
+        for (std::string line; std::getline(lines, line);) {
+            const Json json = Json::parse(line, nullptr, false);
+            REQUIRE(json.is_object());
+            ofRequest += json.value("request", std::string()) == "r-1" ? 1 : 0;
+        }
+        CHECK(ofRequest == 2);
+    }
+}
+
+TEST_CASE("an entry process tells the truth about what has run")
+{
+    EntryWorld world;
+
+    SECTION("a refusal by all upstreams is a refusal, with a time to come back")
+    {
+        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+            HttpHeaders headers;
+            headers.add("Gypsumdale-Not-Executed", "1");
+            responder.send({503, headers, {}});
+        });
+        const EntryAnswer answer = world.call(world.node(), "/once/x", "r-1");
+        CHECK(answer.m_status == 503);
+        CHECK_FALSE(answer.m_headers.value("Retry-After").empty());
+    }
+    SECTION("a request that may not repeat and whose answer was lost is never called not run")
+    {
+        // An upstream books the screws and its connection breaks before the answer. Told "not
+        // run", the buyer orders again and gets them twice.
+        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+            responder.abandon();
+        });
+        CHECK(world.call(world.node(), "/once/x", "r-1").m_status == 502);
+        CHECK(runs(world) == 1);
+    }
+    SECTION("a request that may repeat is answered by another upstream")
+    {
+        std::atomic<int> calls = 0;
+        behaveBoth(world, [&calls](const HttpRequest &, HttpResponder &responder,
+                                   const HttpHeaders &headers) {
+            if (calls++ == 0)
+                responder.abandon();
+            else
+                responder.send({200, headers, "whole"});
+        });
+        const EntryAnswer answer = world.call(world.node(), "/again/x", "r-1");
+        CHECK(answer.m_status == 200);
+        CHECK(answer.m_body == "whole");
+        CHECK(calls == 2);
+    }
+    SECTION("an answer to another request is not passed on")
+    {
+        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+            HttpHeaders headers;
+            headers.add("Gypsumdale-Request-Id", "another");
+            headers.add("Gypsumdale-Response-Signature", "s");
+            responder.send({200, headers, "another's quote"});
+        });
+        const EntryAnswer answer = world.call(world.node(), "/once/x", "r-1");
+        CHECK(answer.m_status == 502);
+        CHECK(answer.m_body.find("quote") == std::string::npos);
+    }
+}
+
+TEST_CASE("an entry process resumes a stream within one answer")
+{
+    // A runner breaks off in the middle of the third event. The caller sees every event once, as if
+    // nothing had happened.
+    EntryWorld world;
+    std::atomic<int> calls = 0;
+    std::string resumedAfter;
+    behaveBoth(world, [&](const HttpRequest &request, HttpResponder &responder,
+                          const HttpHeaders &headers) {
+        responder.begin(200, headers);
+        if (calls++ == 0) {
+            responder.write(event(1) + event(2) + "id: 3\nda");
+            responder.abandon();
+            return;
+        }
+        resumedAfter = std::string(request.m_headers.value("Last-Event-Id"));
+        responder.write(event(3) + event(4));
+        responder.finish();
+    });
+    const EntryAnswer answer = world.call(world.node(), "/stream/x", "r-1");
+    CHECK(answer.m_status == 200);
+    CHECK(answer.m_body == event(1) + event(2) + event(3) + event(4));
+    CHECK(resumedAfter == "2");
+}
+
+TEST_CASE("an entry process cancels upstream when the caller leaves")
+{
+    // A caller closes its connection while the runner works; the work would go on for nobody.
+    EntryWorld world;
+    std::atomic<bool> hasBegun = false;
+    std::atomic<bool> sawEnd = false;
+    behaveBoth(world, [&](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+        responder.onCallerGone([&sawEnd] { sawEnd = true; });
+        hasBegun = true;
+        for (int wait = 0; wait < 400 && !sawEnd; ++wait)
+            sleepFiber(std::chrono::milliseconds(10));
+        responder.onCallerGone(nullptr);
+    });
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(world.node().m_callerPort);
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    const std::string request = "GET /once/x HTTP/1.1\r\nHost: h.example\r\n"
+                                "Gypsumdale-Request-Id: r-1\r\nAuthorization: Bearer key\r\n\r\n";
+    REQUIRE(send(caller, request.data(), request.size(), 0)
+            == static_cast<ssize_t>(request.size()));
+    world.waitUntil("the upstream works", [&] { return hasBegun.load(); });
+    close(caller);
+    world.waitUntil("the upstream is told", [&] { return sawEnd.load(); });
+}
+
+TEST_CASE("an entry process follows the store")
+{
+    EntryWorld world;
+
+    SECTION("a key that was taken away is refused")
+    {
+        world.configure(2, {"new-key"});
+        world.waitUntil("the new key is in force", [&] {
+            return world.call(world.node(), "/again/x", "r-1", "new-key").m_status == 200;
+        });
+        CHECK(world.call(world.node(), "/again/x", "r-2", "key").m_status == 401);
+    }
+    SECTION("an older version never comes back")
+    {
+        world.configure(3, {"new-key"});
+        world.waitUntil("version 3 is in force", [&] {
+            return world.call(world.node(), "/again/x", "r-1", "new-key").m_status == 200;
+        });
+        world.configure(2, {"key"});
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CHECK(world.call(world.node(), "/again/x", "r-2", "key").m_status == 401);
+    }
+    SECTION("a leaving upstream gets nothing more")
+    {
+        world.announce(world.upstream(0), "draining");
+        world.waitUntil("the upstream is left alone", [&] {
+            return world.log(world.node()).find("draining") != std::string::npos;
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        const std::size_t before = world.upstream(0).seen().size();
+        for (int request = 0; request < 20; ++request)
+            CHECK(world.call(world.node(), "/again/x", "r-9").m_status == 200);
+        CHECK(world.upstream(0).seen().size() == before);
+    }
+}
+
+TEST_CASE("entry processes tell each other what the store tells only one")
+{
+    // The store turns one VM away while it serves the other and the operator, who takes a key away.
+    // The VM must refuse the key all the same.
+    EntryWorld world(2);
+    world.waitUntil("the VMs know each other", [&] {
+        return world.log(world.node(0)).find("peer-known") != std::string::npos;
+    });
+    world.store().refuse(true);
+    CHECK(world.call(world.node(1), "/again/x", "r-1").m_status == 200);
+    // A third process that starts now reaches no store and learns everything from its peers.
+    world.node(1).m_process.reset();
+    world.start(world.node(1));
+    world.waitUntil("it is ready by its peer's word", [&] { return world.isReady(world.node(1)); });
+    CHECK(world.call(world.node(1), "/again/x", "r-2").m_status == 200);
+}
+
+TEST_CASE("an entry process stops without cutting a request")
+{
+    EntryWorld world;
+    behaveBoth(world,
+               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+                   sleepFiber(std::chrono::milliseconds(800));
+                   responder.send({200, headers, "whole"});
+               });
+    EntryAnswer answer;
+    std::thread caller([&] { answer = world.call(world.node(), "/once/x", "r-1"); });
+    world.waitUntil("the request is under way", [&] { return runs(world) == 1; });
+    world.node().m_process->send(SIGTERM);
+    world.waitUntil("it says that it isn't ready", [&] { return !world.isReady(world.node()); });
+    // The balancer still sends new connections until it has asked twice.
+    CHECK(world.call(world.node(), "/once/x", "r-2").m_status == 200);
+    caller.join();
+    CHECK(answer.m_body == "whole");
+    world.waitUntil("it has ended", [&] { return world.node().m_process->exited(); });
+    CHECK(world.node().m_process->exitStatus() == 0);
+}
+
+TEST_CASE("an entry process lives through a reload")
+{
+    EntryWorld world;
+    world.node().m_process->send(SIGHUP);
+    CHECK(world.call(world.node(), "/again/x", "r-1").m_status == 200);
+    CHECK_FALSE(world.node().m_process->exited());
+}
--- /dev/null
+++ b/tests/src/unit-entry-decisions.cpp
@@ -0,0 +1,235 @@
+#include <gypsumdale/serving/event_splitter.hpp>
+#include <gypsumdale/serving/repeat_allowance.hpp>
+#include <gypsumdale/serving/scale_planner.hpp>
+#include <gypsumdale/serving/steady_wall_clock.hpp>
+#include <gypsumdale/serving/usage_counts.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+const ServiceId llm("llm");
+
+} // namespace
+
+TEST_CASE("a VM's part of the retry budget")
+{
+    RepeatAllowance allowance({0.2, 54, 10s});
+    allowance.setFleetSize(7);
+
+    SECTION("is its ratio and its part of the slack")
+    {
+        for (int request = 0; request < 100; ++request)
+            allowance.noteRequest(llm, start);
+        int taken = 0;
+        while (allowance.tryTake(llm, start))
+            ++taken;
+        CHECK(taken >= 20);
+        CHECK(taken <= 20 + 54 / 7);
+    }
+    SECTION("keeps seven VMs together within the fleet's budget without a word between them")
+    {
+        int taken = 0;
+        for (int vm = 0; vm < 7; ++vm) {
+            RepeatAllowance own({0.2, 54, 10s});
+            own.setFleetSize(7);
+            while (own.tryTake(llm, start))
+                ++taken;
+        }
+        CHECK(taken <= 54);
+    }
+    SECTION("comes back as the window moves on")
+    {
+        while (allowance.tryTake(llm, start))
+            continue;
+        CHECK_FALSE(allowance.tryTake(llm, start + 9s));
+        CHECK(allowance.tryTake(llm, start + 11s));
+    }
+}
+
+TEST_CASE("usage by windows")
+{
+    UsageCounts usage(5s);
+    const AccountId huber("huber");
+
+    SECTION("counts a request in the window in which it began to run")
+    {
+        usage.add(huber, 9999);
+        usage.add(huber, 10000);
+        CHECK(usage.total(1) == WindowCounts{{huber, 1}});
+        CHECK(usage.total(2) == WindowCounts{{huber, 1}});
+    }
+    SECTION("sums the VMs, and both incarnations of one that was restarted")
+    {
+        // A VM is killed in the middle of a window and counts from nothing again. Its requests
+        // before the kill ran all the same.
+        usage.add(huber, 1000);
+        usage.setPeer("b/1", 0, {{huber, 3}});
+        usage.setPeer("b/2", 0, {{huber, 2}});
+        usage.setPeer("b/2", 0, {{huber, 4}});
+        CHECK(usage.total(0) == WindowCounts{{huber, 8}});
+    }
+    SECTION("forgets old windows")
+    {
+        usage.add(huber, 1000);
+        usage.setPeer("b/1", 0, {{huber, 3}});
+        usage.forgetBefore(1);
+        CHECK(usage.total(0).empty());
+    }
+}
+
+TEST_CASE("the time of day without jumps")
+{
+    SteadyWallClock clock;
+    REQUIRE(clock.read(start, 1000000) == 1000000);
+
+    SECTION("doesn't follow a jump of one VM's clock")
+    {
+        // The clock of a VM jumps ahead by 2.4 s for a while. Followed, it would count requests
+        // into the next window, and the report of both would be off.
+        CHECK(clock.read(start + 1s, 1003400) == 1001000);
+        CHECK(clock.read(start + 2s, 1002000) == 1002000);
+    }
+    SECTION("follows the median of the peers where it began wrong")
+    {
+        clock.followPeers({-2400, -2390, 5000});
+        CHECK(clock.read(start + 1s, 1003400) == 1001000 - 2390);
+    }
+    SECTION("doesn't drift after peers whose messages are under way for a while")
+    {
+        // Readings of peers are old by the time they come. Followed each time, all clocks would
+        // walk backwards together, and usage was off by up to a third.
+        for (int exchange = 0; exchange < 100; ++exchange)
+            clock.followPeers({-250, -180, -90});
+        CHECK(clock.read(start + 1s, 1001000) == 1001000);
+    }
+    SECTION("doesn't follow a single peer")
+    {
+        clock.followPeers({-5000});
+        CHECK(clock.read(start + 1s, 1001000) == 1001000);
+    }
+}
+
+TEST_CASE("cutting a stream into events")
+{
+    EventSplitter splitter;
+
+    SECTION("gives whole events with their ids")
+    {
+        CHECK(splitter.push("id: 1\nda").empty());
+        const auto events = splitter.push("ta: x\n\nid:2\ndata: y\n\nid: 3\n");
+        REQUIRE(events.size() == 2);
+        CHECK(events[0].m_bytes == "id: 1\ndata: x\n\n");
+        CHECK(events[0].m_id == "1");
+        CHECK(events[1].m_id == "2");
+        CHECK(splitter.hasPartial());
+    }
+    SECTION("takes lines that end in CR LF")
+    {
+        const auto events = splitter.push("id: 1\r\ndata: x\r\n\r\n");
+        REQUIRE(events.size() == 1);
+        CHECK(events[0].m_id == "1");
+        CHECK_FALSE(splitter.hasPartial());
+    }
+    SECTION("gives the same events however the bytes are cut")
+    {
+        const std::string text = "id: 1\ndata: x\n\ndata: no id\n\nid: 2\r\ndata: y\r\n\r\n";
+        for (std::size_t size = 1; size < text.size(); ++size) {
+            EventSplitter pieces;
+            std::string joined;
+            std::size_t count = 0;
+            for (std::size_t at = 0; at < text.size(); at += size) {
+                for (const StreamEvent &event : pieces.push(text.substr(at, size))) {
+                    joined += event.m_bytes;
+                    ++count;
+                }
+            }
+            CHECK(joined == text);
+            CHECK(count == 3);
+        }
+    }
+}
+
+TEST_CASE("orders of upstreams")
+{
+    ServingService service;
+    service.m_id = llm;
+    ScalingRule rule;
+    rule.m_least = 1;
+    rule.m_most = 8;
+    rule.m_reclaimablePrice = 0.18;
+    rule.m_prices = {{DataCentreId("a"), 0.85}, {DataCentreId("b"), 1.2}, {DataCentreId("c"), 1.0}};
+    service.m_scaling = rule;
+    std::map<UpstreamId, UpstreamRecord> upstreams;
+    const auto add = [&upstreams](const std::string &id, const char *dataCentre, bool isDraining) {
+        UpstreamRecord record;
+        record.m_id = UpstreamId(id);
+        record.m_service = llm;
+        record.m_dataCentre = DataCentreId(dataCentre);
+        record.m_isReclaimable = true;
+        record.m_isDraining = isDraining;
+        upstreams[record.m_id] = record;
+    };
+    ScaleInput input;
+    input.m_service = &service;
+    input.m_dataCentres = {DataCentreId("a"), DataCentreId("b"), DataCentreId("c")};
+    input.m_upstreams = &upstreams;
+    ScalePlanner planner;
+    const auto ordered = [&](bool isReclaimable, TimePoint now) {
+        int total = 0;
+        for (const ScaleOrder &order : planner.plan(input, now)) {
+            if (order.m_isReclaimable == isReclaimable)
+                total += order.m_count;
+        }
+        return total;
+    };
+
+    SECTION("are for few steady and many reclaimable ones")
+    {
+        CHECK(ordered(false, start) == 1);
+        CHECK(ordered(true, start) >= 12);
+    }
+    SECTION("keep the steady one where it is cheapest")
+    {
+        const auto orders = planner.plan(input, start);
+        CHECK(orders.front() == ScaleOrder{llm, DataCentreId("a"), false, 1});
+    }
+    SECTION("put steady ones in the place of those that were reclaimed")
+    {
+        // The reclaimable engines of all data centres are taken away one after the other, and none
+        // are to be had. With the floor alone every request waits for seconds.
+        for (int engine = 0; engine < 5; ++engine)
+            add("a" + std::to_string(engine), "a", true);
+        input.m_running = 90;
+        CHECK(ordered(false, start) >= 5);
+        for (int engine = 0; engine < 5; ++engine)
+            add("b" + std::to_string(engine), "b", false);
+        CHECK(ordered(false, start) == 1);
+    }
+    SECTION("never exceed what a data centre may have")
+    {
+        input.m_running = 100000;
+        for (int engine = 0; engine < 6; ++engine)
+            add("a" + std::to_string(engine), "a", false);
+        for (const ScaleOrder &order : planner.plan(input, start))
+            CHECK(order.m_count <= 8);
+    }
+    SECTION("are not lowered for a moment without load")
+    {
+        input.m_running = 300;
+        const int many = ordered(true, start);
+        input.m_running = 10;
+        CHECK(ordered(true, start + 5s) == many);
+        CHECK(ordered(true, start + 11s) < many);
+    }
+    SECTION("are not repeated at once where they were refused")
+    {
+        planner.noteRefused({llm, DataCentreId("a"), true, 5}, start);
+        const int without = ordered(true, start + 1s);
+        CHECK(without < ordered(true, start + 3s));
+    }
+}
--- /dev/null
+++ b/tests/src/unit-fleet-quota.cpp
@@ -0,0 +1,118 @@
+#include <gypsumdale/serving/fleet_quota.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+constexpr double rate = 1000;
+/// Eight seconds of the rate and the burst.
+constexpr double limit = 9000;
+
+ClientAccount accountOf()
+{
+    ClientAccount account;
+    account.m_id = AccountId("huber");
+    account.m_ratePerSecond = rate;
+    account.m_burst = rate;
+    return account;
+}
+
+/// Asks for a second's demand in ten parts; returns what was admitted.
+double askFor(FleetQuota &quota, double demand, TimePoint from)
+{
+    double admitted = 0;
+    for (int part = 0; part < 10; ++part) {
+        const auto decision = quota.admit(accountOf(), demand / 10, from + part * 100ms);
+        if (decision.m_verdict == QuotaVerdict::Admitted)
+            admitted += demand / 10;
+    }
+    return admitted;
+}
+
+} // namespace
+
+TEST_CASE("an account's quota")
+{
+    FleetQuota quota({});
+
+    SECTION("admits usual use without a refusal")
+    {
+        for (int second = 0; second < 30; ++second)
+            CHECK(askFor(quota, 0.6 * rate, start + second * 1s) == Approx(0.6 * rate));
+    }
+    SECTION("holds a rush to the limit over every window")
+    {
+        std::vector<double> bySecond;
+        for (int second = 0; second < 30; ++second)
+            bySecond.push_back(askFor(quota, 5 * rate, start + second * 1s));
+        for (std::size_t first = 0; first + 8 <= bySecond.size(); ++first) {
+            double window = 0;
+            for (std::size_t second = first; second < first + 8; ++second)
+                window += bySecond[second];
+            CHECK(window <= 1.1 * limit);
+            CHECK(window >= 0.85 * 8 * rate);
+        }
+    }
+    SECTION("serves a rush on at the rate, without waiting for a window to pass")
+    {
+        // A member's rush takes the limit of a window in two seconds. Held to the sliding window
+        // alone, the member gets nothing for the next six, though its rate is due all the time.
+        for (int second = 0; second < 4; ++second)
+            askFor(quota, 5 * rate, start + second * 1s);
+        for (int second = 4; second < 12; ++second)
+            CHECK(askFor(quota, 5 * rate, start + second * 1s) >= 0.5 * rate);
+    }
+    SECTION("tells when to come back")
+    {
+        askFor(quota, 40 * rate, start);
+        const auto decision = quota.admit(accountOf(), 10, start + 1s);
+        CHECK(decision.m_verdict != QuotaVerdict::Admitted);
+        CHECK(decision.m_retryAfter >= 200ms);
+        CHECK(decision.m_retryAfter <= 2s);
+    }
+    SECTION("counts what peers report")
+    {
+        quota.setPeerUse("peer", {}, start);
+        quota.setPeerUse("peer", {{AccountId("huber"), {limit, rate}}}, start + 500ms);
+        CHECK(quota.admit(accountOf(), 10, start + 500ms).m_verdict == QuotaVerdict::OverLimit);
+    }
+    SECTION("leaves a silent peer its share")
+    {
+        // Two VMs are cut off from each other. Each hears nobody and would admit the whole limit:
+        // together they would admit it twice.
+        quota.setPeerUse("peer", {}, start);
+        double admitted = 0;
+        for (int second = 2; second < 10; ++second)
+            admitted += askFor(quota, 5 * rate, start + second * 1s);
+        CHECK(admitted <= 0.55 * 1.1 * limit);
+        CHECK(admitted >= 0.4 * limit);
+    }
+    SECTION("gives the share of a VM back that has been silent for long")
+    {
+        quota.setPeerUse("peer", {}, start);
+        askFor(quota, 0.1 * rate, start + 25s);
+        CHECK(askFor(quota, 0.9 * rate, start + 27s) == Approx(0.9 * rate));
+    }
+    SECTION("admits only the rate in the first window after a restart")
+    {
+        // All VMs are killed in the middle of a rush and start again with empty memories: the
+        // limit would be admitted a second time within one window.
+        FleetQuotaSettings settings;
+        settings.m_beginsCautiously = true;
+        FleetQuota restarted(settings);
+        double admitted = 0;
+        for (int second = 0; second < 7; ++second)
+            admitted += askFor(restarted, 5 * rate, start + second * 1s);
+        CHECK(admitted <= 7 * 1.2 * rate + rate);
+    }
+    SECTION("doesn't exist for an account without a rate")
+    {
+        ClientAccount account = accountOf();
+        account.m_ratePerSecond = 0;
+        CHECK(quota.admit(account, 1e12, start).m_verdict == QuotaVerdict::Admitted);
+    }
+}
--- /dev/null
+++ b/tests/src/unit-platform-codec.cpp
@@ -0,0 +1,243 @@
+#include <platform/config_codec.hpp>
+#include <platform/duty_codec.hpp>
+#include <platform/request_codec.hpp>
+#include <platform/upstream_codec.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace gypsumdale::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view configText = R"({"version":7,"routes":[
+{"name":"r1","hostname":"h.example","path-prefix":"/p/","kind":"streaming","timeout-ms":3000,
+ "target-latency-ms":500,"priority":0,"service":"s1","max-attempts":2,"public":false,
+ "session-affinity":true,"stream-resume":true,"gap-aim-ms":400},
+{"name":"r2","hostname":"h.example","path-prefix":"/q/","kind":"non_idempotent","timeout-ms":1000,
+ "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"public":true}],
+"services":[{"name":"s1","max-connections":620,"engine":{"slots":128,"moves":true},
+ "scaling":{"min-replicas":1,"max-replicas":8,"boot-time-s":4.0,"spot-price":0.18,
+ "zone-prices":{"a":0.85}}},{"name":"s2","max-connections":100}],
+"limits":{"max-header-bytes":16384,"idle-timeout-ms":15000},
+"tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"unit":"tokens","plain-tokens":200,
+ "rate-per-s":1000,"burst":500}]})";
+
+HttpHeaders headersOf(std::vector<std::pair<std::string, std::string>> fields)
+{
+    HttpHeaders headers;
+    for (auto &[name, value] : fields)
+        headers.add(name, value);
+    return headers;
+}
+
+} // namespace
+
+TEST_CASE("a stored configuration")
+{
+    const auto decoded = decodeConfig(configText);
+    REQUIRE(succeeded(decoded));
+    const ServingConfig &config = valueOf(decoded);
+    CHECK(config.m_version == 7);
+    REQUIRE(config.m_routes.size() == 2);
+    CHECK(config.m_routes[0].m_kind == RepeatKind::Stream);
+    CHECK(config.m_routes[0].mayRepeat());
+    CHECK(config.m_routes[0].m_timeout == 3s);
+    CHECK(config.m_routes[1].m_kind == RepeatKind::AtMostOnce);
+    CHECK_FALSE(config.m_routes[1].mayRepeat());
+    CHECK(config.m_routes[1].m_services.size() == 2);
+    const ServingService &service = config.m_services.at(ServiceId("s1"));
+    CHECK(service.m_engine->m_movesRuns);
+    CHECK(service.m_scaling->m_most == 8);
+    CHECK(service.m_scaling->m_bootTime == 4s);
+    CHECK_FALSE(config.m_services.at(ServiceId("s2")).m_engine);
+    CHECK(config.m_accounts[0].m_countsTokens);
+    CHECK(config.m_accounts[0].m_keys.size() == 2);
+    CHECK(config.m_limits.m_idleTimeout == 15s);
+
+    SECTION("of an unknown kind of route is handled with the most care")
+    {
+        const auto odd = decodeConfig(R"({"version":1,"routes":[{"name":"r","kind":"new"}]})");
+        REQUIRE(succeeded(odd));
+        CHECK(valueOf(odd).m_routes[0].m_kind == RepeatKind::AtMostOnce);
+    }
+    SECTION("that is none is refused")
+    {
+        CHECK_FALSE(succeeded(decodeConfig("")));
+        CHECK_FALSE(succeeded(decodeConfig("[1]")));
+        CHECK_FALSE(succeeded(decodeConfig(R"({"routes":[]})")));
+    }
+}
+
+TEST_CASE("an upstream's entry")
+{
+    const StoreObject object{"i-1", 4,
+                             R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":128,)"
+                             R"("state":"draining","spot":true,"leaves_ms":2500,"sequence":4})"};
+    const auto record = decodeUpstream(object);
+    REQUIRE(succeeded(record));
+    CHECK(valueOf(record).m_id == UpstreamId("i-1"));
+    CHECK(valueOf(record).m_port == 8080);
+    CHECK(valueOf(record).m_isDraining);
+    CHECK(valueOf(record).m_isReclaimable);
+    CHECK(valueOf(record).m_leavesIn == 2500ms);
+
+    SECTION("survives the way to a peer")
+    {
+        const auto list =
+                decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), valueOf(record)}}));
+        REQUIRE(list.contains(UpstreamId("i-1")));
+        CHECK(list.at(UpstreamId("i-1")).m_isDraining);
+        CHECK(list.at(UpstreamId("i-1")).m_ip == "10.0.0.9");
+    }
+    SECTION("without an address is refused")
+    {
+        CHECK_FALSE(succeeded(decodeUpstream({"i-1", 1, R"({"service":"s"})"})));
+        CHECK_FALSE(succeeded(decodeUpstream({"i-1", 1, "no json"})));
+        CHECK(decodeUpstreamText("no json").empty());
+    }
+    SECTION("that was removed needs only its name")
+    {
+        const auto changes = decodeChanges({5, {{{"i-2", 5, "null"}, true}}});
+        REQUIRE(changes.size() == 1);
+        CHECK(changes[0].m_isRemoved);
+        CHECK(changes[0].m_record.m_id == UpstreamId("i-2"));
+    }
+}
+
+TEST_CASE("a caller's request")
+{
+    HttpRequest request;
+    request.m_headers = headersOf({{"Host", "h.example"},
+                                   {"Gypsumdale-Request-Id", "9c41"},
+                                   {"Gypsumdale-Token-Usage", "1460,80"},
+                                   {"Gypsumdale-Prompt-Prefix", "5c1e:800,91bd:410,e440:250"},
+                                   {"Gypsumdale-Deadline-Ms", "15000"},
+                                   {"Authorization", "Bearer key"}});
+    const CallerRequest decoded = decodeRequest(request);
+    CHECK(decoded.m_id == RequestId("9c41"));
+    CHECK(decoded.m_key == "key");
+    CHECK(decoded.m_timeLeft == Duration(15s));
+    CHECK(decoded.m_promptTokens == 1460);
+    CHECK(decoded.m_outputTokens == 80);
+    CHECK(decoded.m_sharedTokens == 1210);
+    CHECK(decoded.m_lastSharedPart == "91bd");
+}
+
+TEST_CASE("the header that an upstream gets")
+{
+    Forwarding forwarding;
+    forwarding.m_timeLeft = 900ms;
+    forwarding.m_upstream = UpstreamId("i-1");
+    forwarding.m_account = AccountId("t1");
+    forwarding.m_priority = 4;
+
+    SECTION("has the caller's fields and the system's")
+    {
+        const HttpHeaders headers = upstreamHeaders(
+                headersOf({{"Gypsumdale-Request-Id", "9c41"}, {"X-Own", "1"}}), forwarding);
+        CHECK(headers.value("Gypsumdale-Request-Id") == "9c41");
+        CHECK(headers.value("X-Own") == "1");
+        CHECK(headers.value("Gypsumdale-Deadline-Ms") == "900");
+        CHECK(headers.value("Gypsumdale-Expect-Instance") == "i-1");
+        CHECK(headers.value("Gypsumdale-Tenant") == "t1");
+        CHECK(headers.value("Gypsumdale-Request-Priority") == "4");
+    }
+    SECTION("never has what a caller may not set")
+    {
+        // A caller names another member's account, holds an engine's memory or continues another
+        // request's run. Passed on, the upstream would take it for the system's word.
+        for (const char *name :
+             {"Gypsumdale-Tenant", "gypsumdale-hold", "Gypsumdale-Pin-Ms", "Gypsumdale-Kv-Backup",
+              "Kv-From", "kv-fetch", "Authorization", "Gypsumdale-Expect-Version"}) {
+            forwarding.m_account = {};
+            const HttpHeaders headers = upstreamHeaders(headersOf({{name, "forged"}}), forwarding);
+            CHECK(headers.value(name).empty());
+        }
+    }
+    SECTION("leaves out the fields of one connection")
+    {
+        const HttpHeaders headers = upstreamHeaders(
+                headersOf({{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"TE", "trailers"}}),
+                forwarding);
+        CHECK(headers.value("X-Hop").empty());
+        CHECK(headers.value("TE").empty());
+        CHECK(headers.value("Connection").empty());
+    }
+    SECTION("resumes after the event that was passed on last, whatever the caller named")
+    {
+        forwarding.m_resumeAfter = "12";
+        const HttpHeaders headers =
+                upstreamHeaders(headersOf({{"Last-Event-Id", "3"}}), forwarding);
+        CHECK(headers.value("Last-Event-Id") == "12");
+    }
+}
+
+TEST_CASE("what an upstream's answer says of itself")
+{
+    const RequestId id("9c41");
+    const auto signedAnswer =
+            headersOf({{"Gypsumdale-Request-Id", "9c41"}, {"Gypsumdale-Response-Signature", "s"}});
+    CHECK(decodeAnswer(200, signedAnswer, id).m_isSigned);
+    CHECK(decodeAnswer(200, signedAnswer, id).m_isToThisRequest);
+
+    SECTION("it is to another request")
+    {
+        // A runner sends a late answer where the next one is due. Passed on, a buyer would get
+        // another's quote.
+        CHECK_FALSE(decodeAnswer(200, signedAnswer, RequestId("other")).m_isToThisRequest);
+        CHECK_FALSE(decodeAnswer(200, headersOf({}), id).m_isToThisRequest);
+    }
+    SECTION("the request was not run")
+    {
+        CHECK(decodeAnswer(503, headersOf({{"Gypsumdale-Not-Executed", "1"}}), id).m_isNotRun);
+        CHECK(decodeAnswer(421, headersOf({}), id).m_isNotRun);
+        CHECK(decodeAnswer(421, headersOf({}), id).m_isOtherUpstream);
+    }
+    SECTION("a failure without that word may have run")
+    {
+        CHECK_FALSE(decodeAnswer(503, signedAnswer, id).m_isNotRun);
+        CHECK_FALSE(decodeAnswer(500, signedAnswer, id).m_isNotRun);
+    }
+}
+
+TEST_CASE("an answer of the system's own")
+{
+    const HttpReply reply = ownReply(503, RequestId("9c41"), "no-upstream", 250ms);
+    CHECK(reply.m_status == 503);
+    CHECK(reply.m_headers.value("Retry-After") == "0.250");
+    CHECK(reply.m_headers.value("Gypsumdale-Response-Signature").empty());
+    CHECK(ownReply(404, {}, "no-route", {}).m_headers.value("Retry-After").empty());
+}
+
+TEST_CASE("what the product keeps in the store")
+{
+    SECTION("the lease")
+    {
+        StoreObject object = encodeLease({NodeId("a"), 9, 4, 12});
+        CHECK(object.m_revision == 12);
+        object.m_revision = 13;
+        const LeaseRecord lease = decodeLease(object);
+        CHECK(lease.m_holder == NodeId("a"));
+        CHECK(lease.m_fence == 4);
+        CHECK(lease.m_revision == 13);
+    }
+    SECTION("a renewal changes the object, so that its revision rises")
+    {
+        CHECK(encodeLease({NodeId("a"), 9, 4, 12}).m_specText
+              != encodeLease({NodeId("a"), 9, 4, 13}).m_specText);
+    }
+    SECTION("usage windows")
+    {
+        const UsageLedger ledger{{355408421, {{AccountId("t1"), 412}}}, {355408422, {}}};
+        CHECK(decodeUsage(encodeUsage(ledger, 3)) == ledger);
+        CHECK(decodeUsage({"usage", 1, "no json"}).empty());
+    }
+    SECTION("where a VM is")
+    {
+        const NodeRecord node = decodeNode(encodeNode({NodeId("a-1"), "10.0.0.1:8367"}));
+        CHECK(node.m_node == NodeId("a-1"));
+        CHECK(node.m_address == "10.0.0.1:8367");
+    }
+}
--- /dev/null
+++ b/tests/src/unit-serving-view.cpp
@@ -0,0 +1,65 @@
+#include <gypsumdale/serving/serving_view.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+
+namespace {
+
+ServingRoute routeAt(std::string name, std::string host, std::string prefix)
+{
+    ServingRoute route;
+    route.m_name = std::move(name);
+    route.m_host = std::move(host);
+    route.m_pathPrefix = std::move(prefix);
+    return route;
+}
+
+std::string routeName(const ServingView &view, std::string_view host, std::string_view path)
+{
+    const ServingRoute *route = view.findRoute(host, path);
+    return route ? route->m_name : std::string();
+}
+
+} // namespace
+
+TEST_CASE("the route of a request")
+{
+    ServingConfig config;
+    config.m_routes = {routeAt("short", "a.example", "/x/"), routeAt("long", "a.example", "/x/y/"),
+                       routeAt("other", "b.example", "/x/")};
+    const ServingView view(config);
+
+    SECTION("is the one with the longest prefix of its host")
+    {
+        CHECK(routeName(view, "a.example", "/x/1") == "short");
+        CHECK(routeName(view, "a.example", "/x/y/1") == "long");
+        CHECK(routeName(view, "b.example", "/x/y/1") == "other");
+    }
+    SECTION("is none where no prefix begins the path")
+    {
+        CHECK(routeName(view, "a.example", "/z/").empty());
+        CHECK(routeName(view, "a.example", "/xy").empty());
+        CHECK(routeName(view, "c.example", "/x/1").empty());
+    }
+    SECTION("doesn't depend on the host's case or port")
+    {
+        CHECK(routeName(view, "A.Example:8080", "/x/1") == "short");
+    }
+}
+
+TEST_CASE("the account of a key")
+{
+    ServingConfig config;
+    ClientAccount account;
+    account.m_id = AccountId("huber");
+    account.m_keys = {"k1", "k2"};
+    config.m_accounts = {account};
+    const ServingView view(config);
+    CHECK(view.requiresKeys());
+    REQUIRE(view.findAccount("k2"));
+    CHECK(view.findAccount("k2")->m_id == AccountId("huber"));
+    CHECK_FALSE(view.findAccount("k3"));
+    CHECK_FALSE(view.findAccount(""));
+    CHECK_FALSE(ServingView(ServingConfig()).requiresKeys());
+}
--- /dev/null
+++ b/tests/src/unit-upstream-feed.cpp
@@ -0,0 +1,89 @@
+#include <gypsumdale/serving/upstream_feed.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+
+UpstreamRecord recordOf(const std::string &id, bool isDraining = false)
+{
+    UpstreamRecord record;
+    record.m_id = UpstreamId(id);
+    record.m_service = ServiceId("llm");
+    record.m_isDraining = isDraining;
+    return record;
+}
+
+UpstreamList listOf(std::int64_t revision, std::vector<UpstreamRecord> records)
+{
+    UpstreamList list;
+    list.m_revision = revision;
+    for (UpstreamRecord &record : records)
+        list.m_upstreams.emplace(record.m_id, record);
+    return list;
+}
+
+bool has(const UpstreamFeed &feed, const std::string &id)
+{
+    return feed.upstreams().contains(UpstreamId(id));
+}
+
+} // namespace
+
+TEST_CASE("the list of upstreams")
+{
+    UpstreamFeed feed;
+    REQUIRE(feed.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+
+    SECTION("follows changes")
+    {
+        feed.apply({{recordOf("c"), false}, {recordOf("a"), true}}, 12, start);
+        CHECK_FALSE(has(feed, "a"));
+        CHECK(has(feed, "c"));
+        CHECK(feed.revision() == 12);
+    }
+    SECTION("is never replaced by an older one")
+    {
+        // A peer that lags passes its list on. Taken, it would bring an upstream back that has
+        // left, and requests would go to whoever has its address by now.
+        CHECK_FALSE(feed.replaceAll(listOf(9, {recordOf("gone")}), start));
+        CHECK_FALSE(has(feed, "gone"));
+    }
+    SECTION("keeps entries that lapsed while the store was away until they had time to come back")
+    {
+        // The store is away for five seconds; no upstream can write its heartbeat, and all entries
+        // lapse. When it returns the list is empty for a moment: every request would be refused
+        // though all upstreams live.
+        feed.storeFailed(start + 1s);
+        REQUIRE(feed.replaceAll(listOf(20, {}), start + 6s));
+        CHECK(has(feed, "a"));
+        feed.apply({{recordOf("a"), false}}, 21, start + 7s);
+        CHECK_FALSE(feed.expire(start + 7900ms));
+        CHECK(feed.expire(start + 8s));
+        CHECK(has(feed, "a"));
+        CHECK_FALSE(has(feed, "b"));
+    }
+    SECTION("drops an upstream that was draining, outage or not")
+    {
+        feed.apply({{recordOf("a", true), false}}, 11, start);
+        feed.storeFailed(start + 1s);
+        feed.replaceAll(listOf(20, {recordOf("b")}), start + 3s);
+        CHECK_FALSE(has(feed, "a"));
+    }
+    SECTION("drops a removed entry at once where there was no outage")
+    {
+        feed.apply({{recordOf("a"), true}}, 11, start + 30s);
+        CHECK_FALSE(has(feed, "a"));
+    }
+    SECTION("drops an entry removed long after the store's return")
+    {
+        feed.storeFailed(start + 1s);
+        feed.apply({}, 11, start + 2s);
+        feed.apply({{recordOf("a"), true}}, 12, start + 5s);
+        CHECK_FALSE(has(feed, "a"));
+    }
+}
