Say in each line what a placement was decided on; order by what may be had

Cause: lines named two data centres under one key and neither the upstream list's revision nor the age of what others report; the floor of engines was a number that fits one size of fleet. Change: own keys for both, the floor as a part of the most a service may have, and what an engine bears at most half its slots.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -56,7 +56,7 @@
     void handle(const HttpRequest &request, HttpResponder &responder);
 
     void setView(ServingViewPointer view) { m_view = std::move(view); }
-    void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams);
+    void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
     void setPeer(const PeerReport &report);
     void forgetPeer(const std::string &node);
     void setFleetSize(std::size_t nodes) { m_allowance.setFleetSize(nodes); }
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -70,6 +70,7 @@
     FirstMillis,
     Events,
     RetryAfterMillis,
+    UpstreamDataCentre,
 };
 
 /// Returns the key that stands in the line, such as "data_centre". Linear in the keys.
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -72,10 +72,11 @@
 public:
     /// Takes in the list of the control thread; load and health of those that stay are kept, and
     /// those that left are marked gone for the requests that still hold them. Linear.
-    void update(const std::map<UpstreamId, UpstreamRecord> &upstreams);
+    void update(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision = 0);
 
     /// Replaces what one other VM has in flight. Linear in the loads of all VMs.
-    void setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads);
+    void setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads,
+                     TimePoint now);
     void forgetPeer(const std::string &node);
 
     /// Chooses the upstream that would serve the request soonest, or nullptr if there is none.
@@ -86,12 +87,22 @@
     static void note(PooledUpstream &upstream, AttemptVerdict verdict, TimePoint now);
 
     const std::map<UpstreamId, PooledUpstreamPointer> &upstreams() const { return m_upstreams; }
+    /// The revision of the list in use.
+    std::int64_t revision() const { return m_revision; }
+    /// Returns the age of the oldest report of a peer that counts. Linear in the peers.
+    Duration reportAge(TimePoint now) const;
 
 private:
     void sumPeerLoads();
 
     std::map<UpstreamId, PooledUpstreamPointer> m_upstreams;
-    std::map<std::string, std::map<UpstreamId, InFlightLoad>> m_peerLoads;
+    struct PeerLoad
+    {
+        std::map<UpstreamId, InFlightLoad> m_loads;
+        TimePoint m_heardAt{};
+    };
+    std::map<std::string, PeerLoad> m_peerLoads;
+    std::int64_t m_revision = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -37,9 +37,10 @@
 /// How upstreams are ordered.
 struct ScaleSettings
 {
-    /// Engines that a service has at least, over all data centres.
-    int m_leastEngines = 15;
-    /// Requests in flight at one engine that still meet the first-token target.
+    /// Engines that a service has at least, as a part of the most it may have.
+    double m_leastShare = 0.7;
+    /// Requests in flight at one engine that still meet the first-token target, at most half of its
+    /// slots.
     double m_runningPerEngine = 20;
     /// Upstreams for each one wanted: all reclaimable ones of a data centre may go at once.
     double m_spare = 1.5;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -551,9 +551,11 @@
              {LogField::Route, m_route->m_name},
              {LogField::ConfigVersion, m_view->config().m_version},
              upstream.m_record.m_id,
-             {LogField::DataCentre, upstream.m_record.m_dataCentre},
+             {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
+             {LogField::Revision, m_traffic.pool().revision()},
              {LogField::Running, upstream.m_own.m_running},
              {LogField::OthersRunning, upstream.m_others.m_running},
+             {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
              {LogField::Attempt, m_arrivals + m_connectFailures + 1},
              {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
              {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -291,7 +291,7 @@
             "upstreams-ordered",
             {order.m_service,
              {LogField::Used, inFlight},
-             order.m_dataCentre,
+             {LogField::UpstreamDataCentre, order.m_dataCentre},
              {LogField::Kind, order.m_isReclaimable ? "reclaimable" : "steady"},
              {LogField::Count, order.m_count},
              {LogField::Running, present(order)},
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -44,15 +44,16 @@
     EntryCall(*this, request, responder).run();
 }
 
-void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams)
+void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams,
+                                std::int64_t revision)
 {
-    m_pool.update(upstreams);
+    m_pool.update(upstreams, revision);
 }
 
 void EntryTraffic::setPeer(const PeerReport &report)
 {
     m_quota.setPeerUse(report.m_node, report.m_accounts, now());
-    m_pool.setPeerLoad(report.m_node, report.m_loads);
+    m_pool.setPeerLoad(report.m_node, report.m_loads, now());
     const std::string incarnation = report.m_node + '/' + std::to_string(report.m_incarnation);
     for (const auto &[window, counts] : report.m_usage)
         m_usage.setPeer(incarnation, window, counts);
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -118,7 +118,7 @@
                              {id,
                               {LogField::Kind, known == m_published.end() ? "joined" : "changed"},
                               record.m_service,
-                              {LogField::DataCentre, record.m_dataCentre},
+                              {LogField::UpstreamDataCentre, record.m_dataCentre},
                               {LogField::State, record.m_isDraining ? "draining" : "ready"},
                               {LogField::Revision, m_feed.revision()}});
     }
@@ -129,8 +129,9 @@
     if (!isChanged)
         return;
     m_published = upstreams;
-    m_context.m_trafficLoop.spawn(
-            [this, copy = m_published] { m_context.m_traffic.setUpstreams(copy); });
+    m_context.m_trafficLoop.spawn([this, copy = m_published, revision = m_feed.revision()] {
+        m_context.m_traffic.setUpstreams(copy, revision);
+    });
 }
 
 } // namespace gypsumdale
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 58> logFieldNames = {{
+constexpr NameTable<LogField, 59> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -64,6 +64,7 @@
         {LogField::FirstMillis, "first_millis"},
         {LogField::Events, "events"},
         {LogField::RetryAfterMillis, "retry_after_millis"},
+        {LogField::UpstreamDataCentre, "upstream_data_centre"},
 }};
 
 } // namespace
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -10,6 +10,8 @@
 
 /// How long a data centre that refused reclaimable upstreams is not asked again.
 constexpr Duration refusalPause = std::chrono::seconds(2);
+/// Part of an engine's slots that may be in use while first tokens still come in time.
+constexpr double slotsInUse = 0.5;
 
 struct Present
 {
@@ -69,7 +71,10 @@
 /// Returns the engines that the load of the last seconds needs.
 int ScalePlanner::neededEngines(const ScaleInput &input, TimePoint now)
 {
-    const int byLoad = static_cast<int>(std::ceil(input.m_running / m_settings.m_runningPerEngine));
+    double perEngine = m_settings.m_runningPerEngine;
+    if (const auto &engine = input.m_service->m_engine)
+        perEngine = std::min(perEngine, std::max(1.0, slotsInUse * engine->m_slots));
+    const int byLoad = static_cast<int>(std::ceil(input.m_running / perEngine));
     Peak &peak = m_peaks[input.m_service->m_id];
     if (byLoad >= peak.m_engines || now > peak.m_at + m_settings.m_lowerAfter)
         peak = Peak{byLoad, now};
@@ -89,7 +94,8 @@
     for (const DataCentreId &dataCentre : input.m_dataCentres)
         room[dataCentre] = rule.m_most;
     const auto floors = spread(m_settings.m_steadyEngines, input, room);
-    const double target = std::max<double>(m_settings.m_leastEngines, needed * m_settings.m_spare);
+    const double least = m_settings.m_leastShare * rule.m_most * places;
+    const double target = std::max(least, needed * m_settings.m_spare);
     const int each = static_cast<int>(std::ceil(target / places));
     std::map<DataCentreId, int> reclaimable;
     int available = 0;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -1,7 +1,7 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 
-#include <algorithm> // clamp, min
+#include <algorithm> // clamp, max, min
 #include <limits> // numeric_limits
 #include <utility> // move
 
@@ -66,8 +66,10 @@
 
 } // namespace
 
-void UpstreamPool::update(const std::map<UpstreamId, UpstreamRecord> &upstreams)
+void UpstreamPool::update(const std::map<UpstreamId, UpstreamRecord> &upstreams,
+                          std::int64_t revision)
 {
+    m_revision = revision;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const auto found = upstreams.find(entry->first);
         if (found != upstreams.end()) {
@@ -88,9 +90,10 @@
     sumPeerLoads();
 }
 
-void UpstreamPool::setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads)
+void UpstreamPool::setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads,
+                               TimePoint now)
 {
-    m_peerLoads[node] = std::move(loads);
+    m_peerLoads[node] = PeerLoad{std::move(loads), now};
     sumPeerLoads();
 }
 
@@ -104,8 +107,8 @@
 {
     for (auto &[id, pooled] : m_upstreams)
         pooled->m_others = InFlightLoad{};
-    for (const auto &[node, loads] : m_peerLoads) {
-        for (const auto &[id, load] : loads) {
+    for (const auto &[node, peer] : m_peerLoads) {
+        for (const auto &[id, load] : peer.m_loads) {
             const auto found = m_upstreams.find(id);
             if (found == m_upstreams.end())
                 continue;
@@ -115,6 +118,14 @@
     }
 }
 
+Duration UpstreamPool::reportAge(TimePoint now) const
+{
+    Duration oldest{};
+    for (const auto &[node, peer] : m_peerLoads)
+        oldest = std::max(oldest, now - peer.m_heardAt);
+    return oldest;
+}
+
 PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     std::vector<PooledUpstreamPointer> candidates;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -52,8 +52,8 @@
 Schema<ScaleSettings> scaleSchema()
 {
     Schema<ScaleSettings> schema;
-    schema.key("least-engines", &ScaleSettings::m_leastEngines, IntegerKind(1, 100000),
-               "engines that a service has at least, over all data centres")
+    schema.key("least-share", &ScaleSettings::m_leastShare, NumberKind(0, 1),
+               "engines that a service has at least, as a part of the most it may have")
             .key("running-per-engine", &ScaleSettings::m_runningPerEngine, NumberKind(0.1, 100000),
                  "requests in flight at one engine that still meet the first-token target")
             .key("spare", &ScaleSettings::m_spare, NumberKind(1, 10),
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/settings/entry_settings.hpp>
 #include <gypsumdale/settings/fleet_settings.hpp>
 #include <gypsumdale/settings/member.hpp>
 #include <gypsumdale/settings/node_settings.hpp>
@@ -208,6 +209,7 @@
         return page.substr(from, page.find("<!-- end -->", from) - from);
     };
     CHECK(section("node") == toMarkdown(nodeSettingsReference()));
+    CHECK(section("entry") == toMarkdown(entrySettingsReference()));
     CHECK(section("profile") == toMarkdown(profileReference()));
     CHECK(section("fleet") == toMarkdown(fleetSettingsReference()));
     CHECK(section("member") == toMarkdown(memberReference()));
@@ -240,3 +242,35 @@
             {"fleet", 2}, {"member", 10}, {"node", 12}, {"profile", 10}};
     CHECK(counts == expected);
 }
+
+TEST_CASE("settings of an entry process", "[settings]")
+{
+    const std::string whole = "node: front-a-1\ndata-centre: a\nregion: r\n"
+                              "caller-listen: 10.0.0.1:80\nready-listen: 10.0.0.1:81\n"
+                              "peer-listen: 10.0.0.1:82\nstore: 10.0.0.9:1\n"
+                              "data-centres: [a, b]\nbounds: {lease-term: 3000ms}\n"
+                              "scaling: {least-share: 0.5}\n";
+    const auto check = [](const std::string &text) {
+        return checkEntrySettings(text, "entry.yaml");
+    };
+
+    SECTION("are read whole")
+    {
+        const auto checked = check(whole);
+        expectClean(checked);
+        const auto &settings = std::get<EntrySettings>(checked);
+        CHECK(settings.m_peerListen.m_port == 82);
+        CHECK_FALSE(settings.m_cloud);
+        CHECK(settings.m_bounds.m_leaseTerm == std::chrono::seconds(3));
+        CHECK_FALSE(settings.m_isFirstStart);
+    }
+    SECTION("that are wrong give findings with their places")
+    {
+        CHECK(std::holds_alternative<Findings>(check("")));
+        CHECK(std::holds_alternative<Findings>(check(whole + "unknown: 1\n")));
+        CHECK(std::holds_alternative<Findings>(check(whole + "metrics-listen: 10.0.0.1:82\n")));
+        const auto elsewhere = check("data-centre: c\n" + whole.substr(whole.find("region")));
+        REQUIRE(std::holds_alternative<Findings>(elsewhere));
+        CHECK(std::get<Findings>(elsewhere).size() >= 2);
+    }
+}
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -58,7 +58,8 @@
     }
     SECTION("counts what other VMs have in flight")
     {
-        pool.setPeerLoad("peer", {{UpstreamId("a2"), {9, 30000}}});
+        pool.setPeerLoad("peer", {{UpstreamId("a2"), {9, 30000}}}, start);
+        CHECK(pool.reportAge(start + 1s) == 1s);
         CHECK(chosen(pool, requestFrom("a")) == "a1");
         pool.forgetPeer("peer");
         a1.m_own.m_running = 1;
