Move runs away from leaving engines with their memory

Change: half a second after an engine is known to leave, what still runs there is stopped, copied with its memory to the engine that is least busy, and goes on there in the same answer after the last whole event. Moves draw on the retry budget. Ruled out: moving at once (most runs end within the notice, and each move is priced), a running backup (priced for every request).

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -16,6 +16,7 @@
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <map> // map
+#include <memory> // unique_ptr
 #include <string> // string
 #include <vector> // vector
 
@@ -44,6 +45,8 @@
     WallMillis m_wallOffset = 0;
 };
 
+class RunMover;
+
 /// Everything that requests are decided on, owned by the traffic thread. Messages of the control
 /// thread arrive as calls on this thread's loop.
 class EntryTraffic
@@ -52,6 +55,10 @@
     EntryTraffic(const EntrySettings &settings, FiberLoop &loop, const Clock &clock, Logger &log,
                  Metrics &metrics);
 
+    ~EntryTraffic();
+    EntryTraffic(const EntryTraffic &) = delete;
+    EntryTraffic &operator=(const EntryTraffic &) = delete;
+
     /// Answers one request of a caller.
     void handle(const HttpRequest &request, HttpResponder &responder);
 
@@ -69,6 +76,7 @@
     UpstreamPool &pool() { return m_pool; }
     FleetQuota &quota() { return m_quota; }
     RepeatAllowance &allowance() { return m_allowance; }
+    RunMover &mover() { return *m_mover; }
     HttpClient &client() { return m_client; }
     Logger &log() { return m_log; }
     Metrics &metrics() { return m_metrics; }
@@ -91,6 +99,7 @@
     FleetQuota m_quota;
     RepeatAllowance m_allowance;
     UsageCounts m_usage;
+    std::unique_ptr<RunMover> m_mover;
     SteadyWallClock m_wall;
     std::map<std::string, WallMillis> m_peerOffsets;
     std::uint64_t m_randomState;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -1,4 +1,5 @@
 #include <entry/entry_call.hpp>
+#include <entry/run_mover.hpp>
 
 #include <algorithm> // clamp, max, min
 #include <charconv> // from_chars
@@ -30,6 +31,8 @@
 /// Callers come back within this range, spread so that they don't return at one moment.
 constexpr Duration earliestReturn = std::chrono::milliseconds(150);
 constexpr Duration returnSpread = std::chrono::milliseconds(350);
+/// How often a request whose run is being moved looks whether the copy is complete.
+constexpr Duration moveCheck = std::chrono::milliseconds(5);
 constexpr int highestPriority = 9;
 /// Room for the routes' priorities within one priority of accounts.
 constexpr int routePriorities = 3;
@@ -207,6 +210,7 @@
     if (m_route->m_kind == RepeatKind::Stream)
         forwarding.m_priority = priorityOf(*m_route, m_account);
     forwarding.m_resumeAfter = m_lastEventId;
+    forwarding.m_memory = m_memory;
     HttpCall call;
     call.m_endpoint = {upstream.m_record.m_ip, upstream.m_record.m_port};
     call.m_method = m_request.m_method;
@@ -396,7 +400,73 @@
     }
 }
 
+/// Tells whether a stream is cut into events, as it may have to go on after one of them.
+bool EntryCall::cutsEvents() const
+{
+    if (m_route->mayRepeat())
+        return true;
+    const ServingService *service = m_view->findService(m_service);
+    return service && service->m_engine && service->m_engine->m_movesRuns;
+}
+
 bool EntryCall::passStream(OpenAnswer &answer)
+{
+    if (m_route->mayRepeat() || !cutsEvents())
+        return passRun(answer);
+    std::optional<OpenAnswer> moved;
+    OpenAnswer *current = &answer;
+    for (;;) {
+        m_run = std::make_shared<StreamRun>();
+        m_run->m_request = m_caller.m_id;
+        m_run->m_upstream = current->m_hold.pointer();
+        m_traffic.mover().add(m_run);
+        const bool isWhole = passRun(*current);
+        m_traffic.mover().remove(m_run);
+        if (isWhole || m_isCallerGone)
+            return isWhole;
+        std::optional<OpenAnswer> next = followMove();
+        if (!next)
+            return false;
+        moved.emplace(std::move(*next));
+        current = &*moved;
+        m_splitter.reset();
+    }
+}
+
+std::optional<OpenAnswer> EntryCall::followMove()
+{
+    // The stream of a run that is moved ends before the copy is complete.
+    while (m_run->m_isMoving && !m_isCallerGone && timeLeft() > leastTimeLeft)
+        sleepFiber(moveCheck);
+    if (!m_run->m_moved || m_isCallerGone || timeLeft() < leastTimeLeft)
+        return std::nullopt;
+    const MovedRun moved = *m_run->m_moved;
+    m_memory = moved.m_memory;
+    logPlaced(*moved.m_upstream);
+    UpstreamHold hold(moved.m_upstream, 0);
+    CallResult<HttpExchange> opened = m_traffic.client().open(callFor(*moved.m_upstream));
+    m_memory.reset();
+    if (const auto *failure = std::get_if<CallFailure>(&opened)) {
+        noteFailure(hold, *failure);
+        return std::nullopt;
+    }
+    ++m_arrivals;
+    auto &exchange = std::get<HttpExchange>(opened);
+    const platform::AnswerTraits traits =
+            platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
+    const bool isGood = exchange.status() / 100 == 2 && traits.m_isToThisRequest
+                        && traits.m_isSigned && !traits.m_isNotRun;
+    if (!isGood) {
+        m_traffic.log().warning("moved-run-refused", {m_caller.m_id,
+                                                      moved.m_upstream->m_record.m_id,
+                                                      {LogField::Status, exchange.status()}});
+        return std::nullopt;
+    }
+    ++m_mayHaveRun;
+    return OpenAnswer{std::move(exchange), std::move(hold)};
+}
+
+bool EntryCall::passRun(OpenAnswer &answer)
 {
     for (;;) {
         const Duration silence =
@@ -433,7 +503,7 @@
 {
     answer.m_hold.promptIsRead();
     noteRan();
-    if (m_route->mayRepeat())
+    if (cutsEvents())
         return passEvents(piece, answer);
     if (!m_hasBegun && !beginStream(answer))
         return false;
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/serving/event_splitter.hpp>
 
+#include <entry/stream_run.hpp>
 #include <platform/request_codec.hpp>
 
 #include <memory> // shared_ptr
@@ -44,6 +45,7 @@
     UpstreamHold &operator=(const UpstreamHold &) = delete;
 
     PooledUpstream &upstream() { return *m_upstream; }
+    const PooledUpstreamPointer &pointer() const { return m_upstream; }
     /// Its prompt has been read: the first event is here.
     void promptIsRead();
 
@@ -88,6 +90,10 @@
 
     /// Passes a stream on until it ends or breaks. Returns true if it is whole.
     bool passStream(OpenAnswer &answer);
+    bool passRun(OpenAnswer &answer);
+    /// Goes on with a run that was moved. Returns nothing if it was not, or its new place refuses.
+    std::optional<OpenAnswer> followMove();
+    bool cutsEvents() const;
     bool passPiece(const std::string &piece, OpenAnswer &answer);
     bool passEvents(const std::string &piece, OpenAnswer &answer);
     bool beginStream(OpenAnswer &answer);
@@ -119,6 +125,9 @@
     std::set<UpstreamId> m_tried;
     /// The upstream's own failure, passed on if no further attempt does better.
     std::optional<HttpReply> m_fallback;
+    /// The run under way, where it can be moved.
+    std::shared_ptr<StreamRun> m_run;
+    std::optional<std::string> m_memory;
     EventSplitter m_splitter;
     std::optional<std::string> m_lastEventId;
     std::size_t m_events = 0;
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -2,6 +2,7 @@
 #include <gypsumdale/entry/entry_traffic.hpp>
 
 #include <entry/entry_call.hpp>
+#include <entry/run_mover.hpp>
 
 #include <utility> // move
 
@@ -35,10 +36,14 @@
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
     , m_usage(settings.m_bounds.m_usageWindow)
+    , m_mover(std::make_unique<RunMover>(loop, m_client, m_pool, m_allowance, log,
+                                         settings.m_dataCentre, clock))
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
 {}
 
+EntryTraffic::~EntryTraffic() = default;
+
 void EntryTraffic::handle(const HttpRequest &request, HttpResponder &responder)
 {
     EntryCall(*this, request, responder).run();
@@ -48,6 +53,7 @@
                                 std::int64_t revision)
 {
     m_pool.update(upstreams, revision);
+    m_mover->look();
 }
 
 void EntryTraffic::setPeer(const PeerReport &report)
--- /dev/null
+++ b/src/entry/run_mover.cpp
@@ -0,0 +1,97 @@
+#include <entry/run_mover.hpp>
+
+#include <platform/run_move_codec.hpp>
+
+#include <vector> // vector
+
+namespace gypsumdale {
+
+namespace {
+
+/// From learning that an engine leaves until its runs are moved. Notices are of 2 s and more, and
+/// up to 0.9 s old when they are learned; a move takes up to 0.2 s.
+constexpr Duration graceBeforeMove = std::chrono::milliseconds(500);
+
+} // namespace
+
+RunMover::RunMover(FiberLoop &loop, HttpClient &client, UpstreamPool &pool,
+                   RepeatAllowance &allowance, Logger &log, const DataCentreId &dataCentre,
+                   const Clock &clock)
+    : m_loop(loop)
+    , m_client(client)
+    , m_pool(pool)
+    , m_allowance(allowance)
+    , m_log(log)
+    , m_dataCentre(dataCentre)
+    , m_clock(clock)
+{}
+
+void RunMover::remove(const std::shared_ptr<StreamRun> &run)
+{
+    run->m_isOver = true;
+    m_runs.erase(run);
+}
+
+void RunMover::look()
+{
+    std::erase_if(m_leaving,
+                  [](const PooledUpstreamPointer &upstream) { return upstream->m_isGone; });
+    std::set<PooledUpstreamPointer> sources;
+    for (const auto &run : m_runs) {
+        const PooledUpstreamPointer &upstream = run->m_upstream;
+        if (upstream->m_isGone || upstream->m_record.m_isDraining)
+            sources.insert(upstream);
+    }
+    for (const PooledUpstreamPointer &source : sources) {
+        if (!m_leaving.insert(source).second)
+            continue;
+        m_loop.spawn([this, source] {
+            sleepFiber(graceBeforeMove);
+            moveRunsOf(source);
+        });
+    }
+}
+
+void RunMover::moveRunsOf(const PooledUpstreamPointer &source)
+{
+    std::vector<std::shared_ptr<StreamRun>> runs;
+    for (const auto &run : m_runs) {
+        if (run->m_upstream == source && !run->m_isMoving)
+            runs.push_back(run);
+    }
+    for (const auto &run : runs)
+        m_loop.spawn([this, run] { move(run); });
+}
+
+void RunMover::move(const std::shared_ptr<StreamRun> &run)
+{
+    const UpstreamRecord source = run->m_upstream->m_record;
+    PlacementRequest placement;
+    placement.m_service = source.m_service;
+    placement.m_dataCentre = m_dataCentre;
+    // Little is left to read at the target: what counts is how busy it is.
+    placement.m_promptTokens = 1;
+    placement.m_excluded = {source.m_id};
+    const PooledUpstreamPointer target = m_pool.choose(placement, m_clock.now());
+    if (run->m_isOver || !target || !m_allowance.tryTake(source.m_service, m_clock.now()))
+        return;
+    run->m_isMoving = true;
+    const auto result = m_client.call(platform::moveCall(source, target->m_record, run->m_request));
+    run->m_isMoving = false;
+    platform::MoveAnswer answer;
+    int status = 0;
+    if (const auto *reply = std::get_if<HttpReply>(&result)) {
+        answer = platform::decodeMove(source, *reply);
+        status = reply->m_status;
+    }
+    // Where there was no room, the stopped run goes on where its memory is, for as long as it can.
+    if (!answer.m_memory.empty())
+        run->m_moved = MovedRun{answer.m_isCopied ? target : run->m_upstream, answer.m_memory};
+    m_log.info("run-moved", {run->m_request,
+                             source.m_id,
+                             {LogField::Name, target->m_record.m_id.text()},
+                             {LogField::Status, status},
+                             {LogField::Outcome, answer.m_isCopied ? "copied" : "not-copied"}});
+}
+
+} // namespace gypsumdale
