--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -153,6 +153,53 @@
     CHECK(resumedAfter == "2");
 }
 
+TEST_CASE("an entry process moves a draft away from a leaving engine")
+{
+    // An engine is reclaimed under a fitter's long draft, which may not run twice. The run is moved
+    // with its memory, and the fitter gets every event once, in one answer.
+    EntryWorld world;
+    std::atomic<UpstreamStandIn *> source = nullptr;
+    std::atomic<bool> isStopped = false;
+    std::atomic<int> draftRuns = 0;
+    std::string memory;
+    std::string resumedAfter;
+    for (const std::size_t index : {0, 1}) {
+        UpstreamStandIn &upstream = world.upstream(index);
+        upstream.behave([&](const HttpRequest &request, HttpResponder &responder,
+                            const HttpHeaders &headers) {
+            if (request.m_target == "/-/kv-move") {
+                isStopped = true;
+                responder.send({200, {}, R"({"handle":"h7","create-rev":2})"});
+                return;
+            }
+            responder.begin(200, headers);
+            if (const auto from = request.m_headers.find("Kv-From")) {
+                memory = std::string(*from);
+                resumedAfter = std::string(request.m_headers.value("Last-Event-Id"));
+                responder.write(event(3));
+                responder.finish();
+                return;
+            }
+            ++draftRuns;
+            source = &upstream;
+            responder.write(event(1) + event(2));
+            for (int wait = 0; wait < 2000 && !isStopped; ++wait)
+                sleepFiber(std::chrono::milliseconds(10));
+            responder.abandon();
+        });
+    }
+    EntryAnswer answer;
+    std::thread caller([&] { answer = world.call(world.node(), "/draft/x", "r-1"); });
+    world.waitUntil("the draft runs", [&] { return source.load() != nullptr; });
+    world.announce(*source.load(), "draining");
+    caller.join();
+    CHECK(answer.m_status == 200);
+    CHECK(answer.m_body == event(1) + event(2) + event(3));
+    CHECK(memory == fmt::format("127.0.0.1:{}/h7", source.load()->port()));
+    CHECK(resumedAfter == "2");
+    CHECK(draftRuns == 1);
+}
+
 TEST_CASE("an entry process cancels upstream when the caller leaves")
 {
     // A caller closes its connection while the runner works; the work would go on for nobody.
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -1,6 +1,7 @@
 #include <platform/config_codec.hpp>
 #include <platform/duty_codec.hpp>
 #include <platform/request_codec.hpp>
+#include <platform/run_move_codec.hpp>
 #include <platform/upstream_codec.hpp>
 
 #include <catch2/catch.hpp>
@@ -241,3 +242,44 @@
         CHECK(node.m_address == "10.0.0.1:8367");
     }
 }
+
+TEST_CASE("the order to move a run")
+{
+    UpstreamRecord source;
+    source.m_ip = "10.0.0.1";
+    source.m_port = 80;
+    UpstreamRecord target;
+    target.m_ip = "10.0.0.2";
+    target.m_port = 81;
+    const HttpCall call = moveCall(source, target, RequestId("9c41"));
+    CHECK(call.m_endpoint == Endpoint{"10.0.0.1", 80});
+    CHECK(call.m_body.find("10.0.0.2:81") != std::string::npos);
+    CHECK(call.m_body.find("9c41") != std::string::npos);
+
+    SECTION("was carried out")
+    {
+        const MoveAnswer answer = decodeMove(source, {200, {}, R"({"handle":"h7","create-rev":3})"});
+        CHECK(answer.m_isCopied);
+        CHECK(answer.m_memory == "10.0.0.1:80/h7");
+    }
+    SECTION("found no room, but stopped the run")
+    {
+        const MoveAnswer answer = decodeMove(source, {503, {}, R"({"handle":"h7"})"});
+        CHECK_FALSE(answer.m_isCopied);
+        CHECK(answer.m_memory == "10.0.0.1:80/h7");
+    }
+    SECTION("found no such run")
+    {
+        CHECK(decodeMove(source, {404, {}, "{}"}).m_memory.empty());
+        CHECK(decodeMove(source, {200, {}, "no json"}).m_memory.empty());
+    }
+    SECTION("names the memory to whoever goes on from it")
+    {
+        Forwarding forwarding;
+        forwarding.m_memory = "10.0.0.1:80/h7";
+        forwarding.m_resumeAfter = "12";
+        const HttpHeaders headers = upstreamHeaders(headersOf({}), forwarding);
+        CHECK(headers.value("Kv-From") == "10.0.0.1:80/h7");
+        CHECK(headers.value("Last-Event-Id") == "12");
+    }
+}
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -315,7 +315,8 @@
                       {"state", state}});
     }
 
-    /// Writes a version with three routes: may repeat, at most once, stream that may be resumed.
+    /// Writes a version with four routes: may repeat, at most once, and streams that may not and that
+    /// may be resumed. The upstreams' runs can be moved.
     void configure(int version, const std::vector<std::string> &keys)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumes) {
@@ -329,8 +330,12 @@
                       {"routes",
                        {route("/again/", "idempotent", 2, false),
                         route("/once/", "non_idempotent", 1, false),
+                        route("/draft/", "streaming", 1, false),
                         route("/stream/", "streaming", 2, true)}},
-                      {"services", {{{"name", "app"}, {"max-connections", 100}}}},
+                      {"services",
+                       {{{"name", "app"},
+                         {"max-connections", 100},
+                         {"engine", {{"slots", 8}, {"moves", true}}}}}},
                       {"limits", Json::object()},
                       {"tenants", {{{"name", "huber"}, {"api-keys", keys}}}}});
     }
