--- a/include/gypsumdale/observe/log.hpp
+++ b/include/gypsumdale/observe/log.hpp
@@ -49,8 +49,17 @@
 /// the reader of the pipe has stopped reading, lines are refused rather than a thread held up.
 LogSink standardErrorSink();
 
-/// As standardErrorSink(), for standard output.
-LogSink standardOutputSink();
+/// A sink that holds lines back for a moment, and what writes them.
+struct BatchedSink
+{
+    LogSink m_sink;
+    std::function<void()> m_flush;
+};
+
+/// Returns a sink that writes lines to standard output in batches of up to 4 KB, the most that a
+/// pipe takes in one piece: at 40 lines a second, a system call a line was most of what logging
+/// cost. Like standardErrorSink() it never waits: while the reader has stopped, lines are refused.
+BatchedSink standardOutputSink();
 
 /// How many lines of one event may be written: a burst, then a rate. The rest are counted.
 struct LogRate
@@ -89,6 +98,10 @@
     /// could carry the count. Linear in the events.
     void reportSuppressed();
 
+    /// Writes what a batched sink holds back. To be called several times a second, so that a
+    /// process that is killed leaves its last lines but for those of a moment.
+    void flush();
+
     /// Tells whether a line of that level would be written. Constant.
     bool isEnabled(LogLevel level) const;
 
@@ -119,6 +132,7 @@
     LoggerBuilder &format(LogFormat format);
     /// Takes the place of standard error.
     LoggerBuilder &sink(LogSink sink);
+    LoggerBuilder &sink(BatchedSink sink);
 
     std::unique_ptr<Logger> build() const;
 
@@ -130,6 +144,7 @@
     LogRate m_rate;
     LogFormat m_format = LogFormat::Logfmt;
     LogSink m_sink;
+    std::function<void()> m_flush;
 };
 
 /// Begins every key that `gypsumctl keys new` makes, so that a key is known as one wherever it
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -30,6 +30,7 @@
 /// Left of the grace time for leaving the registry and the process's end.
 constexpr Duration graceMargin = std::chrono::milliseconds(700);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
+constexpr Duration logFlushTick = std::chrono::milliseconds(100);
 constexpr Duration settingsTick = std::chrono::seconds(2);
 constexpr Duration suppressedTick = std::chrono::seconds(5);
 constexpr std::size_t mostCallerConnections = 3000;
@@ -116,6 +117,7 @@
         m_controlLoop.spawn([this] { m_duties.reportUsage(); });
         m_controlLoop.spawn([this] { m_duties.scale(); });
         m_controlLoop.spawn([this] { keepHouse(); });
+        m_controlLoop.spawn([this] { writeLog(); });
         return Done{};
     }
 
@@ -138,6 +140,7 @@
     {
         m_log->info("stopped", {{LogField::Count, m_cut.load()}});
         m_log->reportSuppressed();
+        m_log->flush();
         m_trafficLoop.stop();
         m_controlLoop.stop();
     }
@@ -211,6 +214,14 @@
         m_peers.tellAll();
     }
 
+    void writeLog()
+    {
+        while (!m_context.m_isStopping) {
+            m_log->flush();
+            sleepFiber(logFlushTick);
+        }
+    }
+
     /// What is due by the clock: reloads without a signal, counts of what the log held back.
     void keepHouse()
     {
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -12,11 +12,12 @@
 
 struct Logger::State
 {
-    State(const Clock &clock, LogLevel level, LogRate rate, LogFormat format, LogSink sink)
+    State(const Clock &clock, LogLevel level, LogRate rate, LogFormat format, BatchedSink sink)
         : m_clock(clock)
         , m_level(level)
         , m_format(format)
-        , m_sink(std::move(sink))
+        , m_sink(std::move(sink.m_sink))
+        , m_flush(std::move(sink.m_flush))
         , m_limiter(rate)
     {}
 
@@ -40,6 +41,7 @@
     LogLevel m_level;
     LogFormat m_format;
     LogSink m_sink;
+    std::function<void()> m_flush;
     std::string m_origin;
     mutable std::mutex m_mutex;
     detail::LogLimiter m_limiter;
@@ -113,6 +115,13 @@
     }
 }
 
+void Logger::flush()
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    if (m_state->m_flush)
+        m_state->m_flush();
+}
+
 bool Logger::isEnabled(LogLevel level) const
 {
     return level >= m_state->m_level;
@@ -171,9 +180,17 @@
     return *this;
 }
 
+LoggerBuilder &LoggerBuilder::sink(BatchedSink sink)
+{
+    m_sink = std::move(sink.m_sink);
+    m_flush = std::move(sink.m_flush);
+    return *this;
+}
+
 std::unique_ptr<Logger> LoggerBuilder::build() const
 {
-    auto state = std::make_unique<Logger::State>(m_clock, m_level, m_rate, m_format, m_sink);
+    auto state = std::make_unique<Logger::State>(m_clock, m_level, m_rate, m_format,
+                                                 BatchedSink{m_sink, m_flush});
     if (!m_node.isEmpty())
         state->m_origin += detail::writeLogItem(m_node, m_format);
     if (!m_dataCentre.isEmpty())
--- a/src/observe/standard_sinks.cpp
+++ b/src/observe/standard_sinks.cpp
@@ -1,6 +1,8 @@
 #include <gypsumdale/observe/log.hpp>
 
 #include <cerrno> // EINTR, errno
+#include <memory> // make_shared
+#include <string> // string
 
 #include <poll.h> // poll, pollfd
 #include <unistd.h> // STDERR_FILENO, write
@@ -41,11 +43,26 @@
     };
 }
 
-LogSink standardOutputSink()
+BatchedSink standardOutputSink()
 {
-    return [](std::string_view line) {
-        return writeLine(STDOUT_FILENO, line);
+    const auto batch = std::make_shared<std::string>();
+    const auto flush = [batch] {
+        if (batch->empty() || !writeLine(STDOUT_FILENO, *batch))
+            return false;
+        batch->clear();
+        return true;
+    };
+    BatchedSink result;
+    result.m_flush = [flush] {
+        flush();
+    };
+    result.m_sink = [batch, flush](std::string_view line) {
+        if (batch->size() + line.size() > maxLogLineBytes && !flush())
+            return false;
+        *batch += line;
+        return true;
     };
+    return result;
 }
 
 } // namespace gypsumdale
--- a/tests/src/unit-log.cpp
+++ b/tests/src/unit-log.cpp
@@ -2,10 +2,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <array> // array
 #include <string> // string
 #include <thread> // thread
 #include <vector> // vector
 
+#include <fcntl.h>
+#include <unistd.h>
+
 using namespace gypsumdale;
 
 namespace {
@@ -180,3 +184,68 @@
     CHECK(lines.m_lines.size() == 4 * perThread);
     CHECK(lines.count("event=request count=3\n") == perThread);
 }
+
+TEST_CASE("JSON log lines")
+{
+    Clock clock;
+    clock.pause();
+    Lines lines;
+    const auto logger = LoggerBuilder(clock)
+                                .node(NodeId("olten-a-1"))
+                                .format(LogFormat::Json)
+                                .sink(lines.sink())
+                                .build();
+    logger->info("request-done", {RequestId("r\"1\n"), {LogField::Millis, 1.5}});
+    const std::string &line = lines.m_lines.at(0);
+    CHECK(line.substr(0, 9) == R"({"time":")");
+    CHECK(line.substr(line.find(R"("level")"))
+          == R"("level":"info","event":"request-done","node":"olten-a-1","request":"r\"1\n","millis":1.5})"
+             "\n");
+
+    SECTION("stay whole where they are too long")
+    {
+        const std::string text(maxLogTextBytes, 'x');
+        logger->info("long", {{LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text},
+                              {LogField::Text, text}});
+        CHECK(lines.m_lines.at(1).size() <= maxLogLineBytes);
+        CHECK(lines.m_lines.at(1).ends_with("\"truncated\":true}\n"));
+    }
+}
+
+TEST_CASE("lines in batches on standard output")
+{
+    // Whoever collects the logs has stopped reading. The process goes on; lines are refused, to be
+    // counted, and once there is a reader again those held back come out whole and in order.
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    const int output = dup(STDOUT_FILENO);
+    REQUIRE(dup2(ends[1], STDOUT_FILENO) >= 0);
+    BatchedSink batch = standardOutputSink();
+    const std::string line = std::string(99, 'x') + '\n';
+    std::size_t taken = 0;
+    std::size_t refused = 0;
+    for (int written = 0; written < 5000; ++written)
+        ++(batch.m_sink(line) ? taken : refused);
+    std::string read(std::size_t{1} << 20, '\0');
+    std::size_t size = 0;
+    const auto readAll = [&] {
+        fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        for (ssize_t got = 0; (got = ::read(ends[0], &read[size], read.size() - size)) > 0;)
+            size += static_cast<std::size_t>(got);
+    };
+    readAll();
+    batch.m_flush();
+    readAll();
+    dup2(output, STDOUT_FILENO);
+    close(output);
+    close(ends[0]);
+    close(ends[1]);
+    CHECK(refused > 0);
+    CHECK(size == taken * line.size());
+}
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -258,7 +258,8 @@
 
     SECTION("was carried out")
     {
-        const MoveAnswer answer = decodeMove(source, {200, {}, R"({"handle":"h7","create-rev":3})"});
+        const MoveAnswer answer =
+                decodeMove(source, {200, {}, R"({"handle":"h7","create-rev":3})"});
         CHECK(answer.m_isCopied);
         CHECK(answer.m_memory == "10.0.0.1:80/h7");
     }
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -315,8 +315,8 @@
                       {"state", state}});
     }
 
-    /// Writes a version with four routes: may repeat, at most once, and streams that may not and that
-    /// may be resumed. The upstreams' runs can be moved.
+    /// Writes a version with four routes: may repeat, at most once, and streams that may not and
+    /// that may be resumed. The upstreams' runs can be moved.
     void configure(int version, const std::vector<std::string> &keys)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumes) {
