Pace exchanges and watches by the fleet's size and the bounds

A third of what VMs sent was the list of peers; watches were paced for bounds of 2 s. Change: silence and the quota's margin follow the pace of exchanges; the list of peers goes into every sixteenth message; watches take a part of the bounds.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -75,9 +75,11 @@
     void learn(const std::string &node, const std::string &address, bool isSeed);
     void exchange(const std::shared_ptr<Peer> &peer);
     bool begins(const Peer &peer) const;
+    /// By how much exchanges are spread out for the size of the fleet; 1 in a small one.
+    int stretch() const;
     bool isMember(const Peer &peer) const;
     void forgetSilent();
-    entrywire::EntryExchange message(const Peer *peer) const;
+    entrywire::EntryExchange message(const Peer *peer);
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
     void hear(const entrywire::EntryDigest &digest);
@@ -95,6 +97,7 @@
     std::int64_t m_dutyRevision = 0;
     DutyHeard m_dutyHeard;
     TimePoint m_startedAt;
+    std::size_t m_messages = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -66,6 +66,8 @@
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
     void setPeer(const PeerReport &report);
     void forgetPeer(const std::string &node);
+    /// Takes in by how much exchanges with peers are spread out.
+    void setExchangePace(int stretch) { m_quota.setExchangePace(stretch); }
     void setFleetSize(std::size_t nodes) { m_allowance.setFleetSize(nodes); }
     /// Returns what to tell the peers. Linear in accounts and upstreams.
     TrafficReport report();
--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -82,6 +82,10 @@
     /// Replaces what one other VM reported. Linear in its accounts.
     void setPeerUse(const std::string &node, std::map<AccountId, ReportedUse> uses, TimePoint now);
 
+    /// Takes in by how much exchanges are spread out in a large fleet: silence is judged by it, and
+    /// more is kept for what is admitted between two of them. 1 in a small fleet.
+    void setExchangePace(int stretch) { m_stretch = stretch; }
+
     /// Returns the own use to report. Linear in the accounts.
     std::map<AccountId, ReportedUse> ownUse(TimePoint now);
 
@@ -120,7 +124,10 @@
     void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet, double ratePart,
               TimePoint now) const;
 
+    Duration silenceLimit() const { return m_settings.m_peerSilence * m_stretch; }
+
     FleetQuotaSettings m_settings;
+    int m_stretch = 1;
     std::map<AccountId, Bucket> m_buckets;
     std::map<std::string, Peer> m_peers;
 };
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -30,6 +30,10 @@
     Duration m_usageDue = std::chrono::seconds(10);
     /// Two holders of the duties may not act in turns within this.
     Duration m_leaseTerm = std::chrono::seconds(3);
+    /// A version is in force this long after the store acknowledged it, and a leaving upstream is
+    /// left alone this long after it said so.
+    Duration m_configApply = std::chrono::milliseconds(2000);
+    Duration m_leavingApply = std::chrono::milliseconds(2000);
     /// From the signal to stop until the process is killed.
     Duration m_shutdownGrace = std::chrono::seconds(8);
 };
--- a/src/entry/entry_config_feed.cpp
+++ b/src/entry/entry_config_feed.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// How long one watch waits. A version must be in force within two seconds of its acknowledgement;
-/// a watch whose connection went silent costs its wait and half a second.
-constexpr Duration watchWait = std::chrono::milliseconds(1000);
+/// A watch waits for this part of the time in which a version must be in force: one whose
+/// connection went silent costs its wait and half a second.
+constexpr int watchesPerBound = 2;
 constexpr Duration failurePause = std::chrono::milliseconds(150);
 
 } // namespace
@@ -51,7 +51,8 @@
 void EntryConfigFeed::watchOnce()
 {
     const auto changes =
-            m_context.m_store.watch(platform::names::configKind, m_revision, watchWait);
+            m_context.m_store.watch(platform::names::configKind, m_revision,
+                                    m_context.m_settings.m_bounds.m_configApply / watchesPerBound);
     if (!succeeded(changes)) {
         // The history behind the revision is gone: what changed is read anew.
         if (errorOf(changes).m_id == ErrorId::PlatformRefused)
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -7,8 +7,9 @@
 
 #include <fmt/format.h>
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 #include <charconv> // from_chars
+#include <iterator> // prev, ssize
 #include <utility> // move
 
 namespace gypsumdale {
@@ -28,6 +29,11 @@
 constexpr Duration heardWithin = std::chrono::milliseconds(1200);
 /// A peer that has been silent this long has been replaced.
 constexpr Duration forgottenAfter = std::chrono::seconds(30);
+/// Usage windows in a message: the one under way, and those that may not be reported yet.
+constexpr std::ptrdiff_t windowsTold = 4;
+/// The list of peers goes into one message of so many, and into the first to a new peer: it grows
+/// with the fleet, and was half of what large fleets sent.
+constexpr std::size_t messagesPerPeerList = 16;
 constexpr std::size_t largestFrame = std::size_t{4} * 1024 * 1024;
 /// How often the registry is read; a stale read does, at a tenth of the price.
 constexpr Duration registryEvery = std::chrono::seconds(6);
@@ -127,7 +133,8 @@
 {
     if (ownAddress() < peer.m_address)
         return true;
-    return m_context.now() - std::max(peer.m_heardAt, peer.m_knownSince) > silenceBeforeBeginning;
+    return m_context.now() - std::max(peer.m_heardAt, peer.m_knownSince)
+           > silenceBeforeBeginning * stretch();
 }
 
 void EntryPeers::run()
@@ -136,17 +143,23 @@
         m_report = m_context.m_trafficLoop.call([this] { return m_context.m_traffic.report(); });
         m_reportedAt = bootNow();
         forgetSilent();
+        m_context.m_trafficLoop.spawn(
+                [this, pace = stretch()] { m_context.m_traffic.setExchangePace(pace); });
         m_upstreams.expire();
         for (const auto &[address, peer] : m_peers) {
             if (!peer->m_isBusy && begins(*peer))
                 m_context.m_loop.spawn([this, peer = peer] { exchange(peer); });
         }
-        const std::size_t stretch =
-                std::max<std::size_t>(1, (m_peers.size() + peersAtFullPace - 1) / peersAtFullPace);
-        sleepFiber(exchangeEvery * static_cast<int>(stretch));
+        sleepFiber(exchangeEvery * stretch());
     }
 }
 
+int EntryPeers::stretch() const
+{
+    const std::size_t steps = (m_peers.size() + peersAtFullPace - 1) / peersAtFullPace;
+    return static_cast<int>(std::max<std::size_t>(1, steps));
+}
+
 void EntryPeers::tellAll()
 {
     for (const auto &[address, peer] : m_peers)
@@ -159,7 +172,7 @@
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         Peer &peer = *entry->second;
         const Duration silence = now - std::max(peer.m_heardAt, peer.m_knownSince);
-        if (!peer.m_isSilent && silence > heardWithin) {
+        if (!peer.m_isSilent && silence > heardWithin * stretch()) {
             peer.m_isSilent = true;
             m_context.m_log.warning("peer-silent", {{LogField::Peer, peer.m_node},
                                                     {LogField::AgeMillis, millisOf(silence)}});
@@ -199,13 +212,13 @@
 bool EntryPeers::hearsAll() const
 {
     for (const auto &[address, peer] : m_peers) {
-        if (isMember(*peer) && m_context.now() - peer->m_heardAt > heardWithin)
+        if (isMember(*peer) && m_context.now() - peer->m_heardAt > heardWithin * stretch())
             return false;
     }
     return true;
 }
 
-entrywire::EntryExchange EntryPeers::message(const Peer *peer) const
+entrywire::EntryExchange EntryPeers::message(const Peer *peer)
 {
     entrywire::EntryExchange message;
     entrywire::EntryDigest &digest = message.digest;
@@ -235,18 +248,26 @@
         entry.running = load.m_running;
         entry.pendingTokens = load.m_pendingTokens;
     }
-    for (const auto &[window, counts] : m_report.m_usage) {
+    const auto &usage = m_report.m_usage;
+    const auto firstTold =
+            std::prev(usage.end(), std::min<std::ptrdiff_t>(windowsTold, std::ssize(usage)));
+    for (auto entry = firstTold; entry != usage.end(); ++entry) {
+        const auto &[window, counts] = *entry;
         for (const auto &[account, count] : counts) {
-            auto &entry = digest.usage.emplace_back();
-            entry.window = window;
-            entry.account = account.text();
-            entry.count = count;
+            auto &told = digest.usage.emplace_back();
+            told.window = window;
+            told.account = account.text();
+            told.count = count;
         }
     }
+    const bool tellsPeers =
+            !peer || peer->m_heardAt == TimePoint{} || m_messages++ % messagesPerPeerList == 0;
     for (const auto &[address, known] : m_peers) {
+        if (!tellsPeers)
+            break;
         // Only what was heard is passed on: hearsay would keep the address of a VM that is gone
         // going round for ever.
-        if (m_context.now() - known->m_heardAt > heardWithin)
+        if (m_context.now() - known->m_heardAt > heardWithin * stretch())
             continue;
         auto &entry = digest.peers.emplace_back();
         entry.node = known->m_node;
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -9,8 +9,9 @@
 
 constexpr Duration watchWait = std::chrono::milliseconds(1000);
 /// Upstreams write all the time, so that a watch answers at once: the pause lets changes collect.
-/// Each call is paid for; a leaving upstream must be left alone within two seconds.
-constexpr Duration batchPause = std::chrono::milliseconds(400);
+/// Each call is paid for. It is this part of the time in which a leaving upstream must be left
+/// alone.
+constexpr int pausesPerBound = 5;
 constexpr Duration failurePause = std::chrono::milliseconds(150);
 
 /// Tells whether a change matters to routing, to be logged and handed on.
@@ -34,6 +35,7 @@
             readWhole();
         else
             watchOnce();
+        const Duration batchPause = m_context.m_settings.m_bounds.m_leavingApply / pausesPerBound;
         sleepFiber(m_store.isLost() ? failurePause : batchPause);
     }
 }
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -10,6 +10,9 @@
 /// Part of what the users tolerate in a window that is admitted; the rest is for what VMs admit
 /// before they hear of each other's use.
 constexpr double usedPart = 0.91;
+/// As much less for each step by which exchanges are spread out, and the least that is admitted.
+constexpr double usedLessPerStep = 0.03;
+constexpr double leastUsed = 0.7;
 /// Capacity in seconds of the rate where an account has no burst.
 constexpr double leastBurstSeconds = 0.5;
 /// Part of the capacity below which only this VM's part of the rate is admitted. Above it, what all
@@ -44,7 +47,8 @@
     const double tolerated =
             (account.m_ratePerSecond * window + account.m_burst) * (1 + m_settings.m_overage)
             + m_settings.m_slack;
-    return std::max((usedPart * tolerated - capacityOf(account)) / window, 0.0);
+    const double used = std::max(usedPart - usedLessPerStep * (m_stretch - 1), leastUsed);
+    return std::max((used * tolerated - capacityOf(account)) / window, 0.0);
 }
 
 void FleetQuota::setPeerUse(const std::string &node, std::map<AccountId, ReportedUse> uses,
@@ -55,7 +59,7 @@
     const Duration silence = now - std::exchange(peer.m_heardAt, now);
     const std::map<AccountId, ReportedUse> before = std::exchange(peer.m_uses, std::move(uses));
     // What a VM admitted while it wasn't heard came out of the part that was kept for it.
-    if (isNew || silence > m_settings.m_peerSilence)
+    if (isNew || silence > silenceLimit())
         return;
     for (const auto &[account, use] : peer.m_uses) {
         const auto known = before.find(account);
@@ -85,7 +89,7 @@
     Fleet fleet;
     fleet.m_nodes = static_cast<double>(m_peers.size() + 1);
     for (const auto &[node, peer] : m_peers) {
-        if (now - peer.m_heardAt > m_settings.m_peerSilence) {
+        if (now - peer.m_heardAt > silenceLimit()) {
             ++fleet.m_silent;
             continue;
         }
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -11,7 +11,7 @@
 /// How long a data centre that refused reclaimable upstreams is not asked again.
 constexpr Duration refusalPause = std::chrono::seconds(2);
 /// Part of an engine's slots that may be in use while first tokens still come in time.
-constexpr double slotsInUse = 0.5;
+constexpr double slotsInUse = 0.35;
 
 struct Present
 {
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -43,6 +43,12 @@
                  "time after a usage window's end in which it is reported")
             .key("lease-term", &EntryBounds::m_leaseTerm,
                  DurationKind(milliseconds(500), minutes(5)), "how long the duties' lease holds")
+            .key("config-apply", &EntryBounds::m_configApply,
+                 DurationKind(milliseconds(200), minutes(5)),
+                 "within this after the store took it, a version is in force")
+            .key("leaving-apply", &EntryBounds::m_leavingApply,
+                 DurationKind(milliseconds(200), minutes(5)),
+                 "within this after it said so, a leaving upstream is left alone")
             .key("shutdown-grace", &EntryBounds::m_shutdownGrace,
                  DurationKind(seconds(1), minutes(60)),
                  "from the signal to stop until the process is killed");
