Send new versions in a large fleet only to VMs that the store doesn't answer

Cause: with 65 VMs each new version was sent whole between every pair of them at once. Ruled out: the pause between watches (the store's answers came, late). Change: a VM says whether the store answers it, and asks three peers out of turn while it doesn't; beyond 12 peers only such VMs are sent the configuration. Small fleets work as before.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -55,6 +55,8 @@
   15: bool leaving
   /// Revision of the stored lease that the sender holds, which every renewal raises.
   16: i64 dutyRevision
+  /// The store doesn't answer the sender: it depends on its peers for the configuration.
+  17: bool storeIsLost
 }
 
 struct EntryExchange {
--- a/include/gypsumdale/entry/entry_config_feed.hpp
+++ b/include/gypsumdale/entry/entry_config_feed.hpp
@@ -25,6 +25,8 @@
     /// Takes a version as a peer passed it on. Returns true if it was new.
     bool takeFromPeer(const std::string &text, const std::string &peer);
 
+    /// Tells whether the store doesn't answer, so that news can come from peers only.
+    bool isStoreLost() const { return m_store.isLost(); }
     std::int64_t version() const { return m_version; }
     /// The configuration in force as the store wrote it, to pass on.
     const std::string &text() const { return m_text; }
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -67,6 +67,7 @@
         std::int64_t m_configVersion = 0;
         std::int64_t m_upstreamRevision = 0;
         bool m_isUpstreamListStale = false;
+        bool m_isStoreLost = false;
         bool m_isSeed = false;
         bool m_isBusy = false;
         bool m_isSilent = false;
@@ -78,6 +79,9 @@
     /// By how much exchanges are spread out for the size of the fleet; 1 in a small one.
     int stretch() const;
     bool isMember(const Peer &peer) const;
+    void exchangeAll();
+    void exchangeSome();
+    bool sendsConfigTo(const Peer &peer) const;
     void forgetSilent();
     entrywire::EntryExchange message(const Peer *peer);
     std::string answer(const std::string &frame);
@@ -98,6 +102,7 @@
     DutyHeard m_dutyHeard;
     TimePoint m_startedAt;
     std::size_t m_messages = 0;
+    std::size_t m_nextAsked = 0;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -9,7 +9,7 @@
 
 #include <algorithm> // max, min
 #include <charconv> // from_chars
-#include <iterator> // prev, ssize
+#include <iterator> // next, prev, ssize
 #include <utility> // move
 
 namespace gypsumdale {
@@ -32,8 +32,10 @@
 /// Usage windows in a message: the one under way, and those that may not be reported yet.
 constexpr std::ptrdiff_t windowsTold = 4;
 /// The list of peers goes into one message of so many, and into the first to a new peer: it grows
-/// with the fleet, and was half of what large fleets sent.
+/// with the fleet, and was a third of what a fleet of 65 sent.
 constexpr std::size_t messagesPerPeerList = 16;
+/// Peers asked at each exchange time by a VM that the store doesn't answer.
+constexpr std::size_t askedOutOfTurn = 3;
 constexpr std::size_t largestFrame = std::size_t{4} * 1024 * 1024;
 /// How often the registry is read; a stale read does, at a tenth of the price.
 constexpr Duration registryEvery = std::chrono::seconds(6);
@@ -139,6 +141,7 @@
 
 void EntryPeers::run()
 {
+    int tick = 0;
     while (!m_context.m_isStopping) {
         m_report = m_context.m_trafficLoop.call([this] { return m_context.m_traffic.report(); });
         m_reportedAt = bootNow();
@@ -146,11 +149,11 @@
         m_context.m_trafficLoop.spawn(
                 [this, pace = stretch()] { m_context.m_traffic.setExchangePace(pace); });
         m_upstreams.expire();
-        for (const auto &[address, peer] : m_peers) {
-            if (!peer->m_isBusy && begins(*peer))
-                m_context.m_loop.spawn([this, peer = peer] { exchange(peer); });
-        }
-        sleepFiber(exchangeEvery * stretch());
+        if (++tick % stretch() == 0)
+            exchangeAll();
+        else if (m_config.isStoreLost() || m_config.version() == 0)
+            exchangeSome();
+        sleepFiber(exchangeEvery);
     }
 }
 
@@ -160,8 +163,39 @@
     return static_cast<int>(std::max<std::size_t>(1, steps));
 }
 
+void EntryPeers::exchangeAll()
+{
+    for (const auto &[address, peer] : m_peers) {
+        if (!peer->m_isBusy && begins(*peer))
+            m_context.m_loop.spawn([this, peer = peer] { exchange(peer); });
+    }
+}
+
+/// Asks a few peers out of turn, others each time: a VM that the store doesn't answer may not wait
+/// for the slow pace of a large fleet.
+void EntryPeers::exchangeSome()
+{
+    for (std::size_t asked = 0; asked < askedOutOfTurn && !m_peers.empty(); ++asked) {
+        const auto entry = std::next(m_peers.begin(),
+                                     static_cast<std::ptrdiff_t>(m_nextAsked++ % m_peers.size()));
+        if (!entry->second->m_isBusy)
+            m_context.m_loop.spawn([this, peer = entry->second] { exchange(peer); });
+    }
+}
+
+/// In a small fleet everybody who seems to be behind is sent a new version. In a large one that
+/// would be the whole configuration between each pair of VMs at once, which held up a fleet of 65
+/// for three seconds; there only those get it whom the store doesn't answer.
+bool EntryPeers::sendsConfigTo(const Peer &peer) const
+{
+    const bool isBehind = peer.m_configVersion < m_config.version();
+    return isBehind && (stretch() == 1 || peer.m_isStoreLost);
+}
+
 void EntryPeers::tellAll()
 {
+    if (stretch() > 1)
+        return;
     for (const auto &[address, peer] : m_peers)
         m_context.m_loop.spawn([this, peer = peer] { exchange(peer); });
 }
@@ -230,6 +264,7 @@
     digest.configVersion = m_config.version();
     digest.upstreamRevision = m_upstreams.revision();
     digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
+    digest.storeIsLost = m_config.isStoreLost() || m_config.version() == 0;
     digest.dutyFence = m_dutyFence;
     digest.dutyRevision = m_dutyRevision;
     // As of this message, not of the report: an old reading would make every VM's clock look slow,
@@ -273,8 +308,7 @@
         entry.node = known->m_node;
         entry.address = address;
     }
-    const std::int64_t theirVersion = peer ? peer->m_configVersion : m_config.version();
-    if (theirVersion < m_config.version()) {
+    if (peer && sendsConfigTo(*peer)) {
         message.__set_configText(m_config.text());
         message.__set_configVersion(m_config.version());
     }
@@ -341,6 +375,7 @@
     peer.m_configVersion = digest.configVersion;
     peer.m_upstreamRevision = digest.upstreamRevision;
     peer.m_isUpstreamListStale = digest.upstreamAgeMillis < 0;
+    peer.m_isStoreLost = digest.storeIsLost;
     for (const auto &known : digest.peers)
         learn(known.node, known.address, false);
     if (digest.dutyFence > 0 && m_dutyHeard)
