--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -83,6 +83,8 @@
     void exchangeSome();
     bool sendsConfigTo(const Peer &peer) const;
     void forgetSilent();
+    void fillReport(entrywire::EntryDigest &digest) const;
+    void fillPeers(entrywire::EntryDigest &digest) const;
     entrywire::EntryExchange message(const Peer *peer);
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -1,8 +1,6 @@
 #include <entry/entry_call.hpp>
-#include <entry/run_mover.hpp>
 
 #include <algorithm> // clamp, max, min
-#include <charconv> // from_chars
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -20,19 +18,12 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
 /// Upstreams that don't accept a connection are passed over this often.
 constexpr int mostConnectFailures = 4;
-/// What is left at the deadline must be enough for an upstream to begin.
-constexpr Duration leastTimeLeft = std::chrono::milliseconds(10);
 /// A request that may repeat is given up at an upstream that has not begun to answer after this
 /// many times the latency target.
 constexpr int patienceInTargets = 3;
-/// Longest silence within a stream that can go on elsewhere. Callers leave a stream after two
-/// seconds or more without an event.
-constexpr Duration streamSilence = std::chrono::milliseconds(1200);
 /// Callers come back within this range, spread so that they don't return at one moment.
 constexpr Duration earliestReturn = std::chrono::milliseconds(150);
 constexpr Duration returnSpread = std::chrono::milliseconds(350);
-/// How often a request whose run is being moved looks whether the copy is complete.
-constexpr Duration moveCheck = std::chrono::milliseconds(5);
 constexpr int highestPriority = 9;
 /// Room for the routes' priorities within one priority of accounts.
 constexpr int routePriorities = 3;
@@ -42,17 +33,6 @@
     return target.substr(0, target.find('?'));
 }
 
-std::optional<std::int64_t> eventNumber(const std::optional<std::string> &id)
-{
-    if (!id)
-        return std::nullopt;
-    std::int64_t number = 0;
-    const auto read = std::from_chars(id->data(), id->data() + id->size(), number);
-    if (read.ec != std::errc() || read.ptr != id->data() + id->size())
-        return std::nullopt;
-    return number;
-}
-
 /// An account's priority goes before the route's, which decides within it.
 int priorityOf(const ServingRoute &route, const ClientAccount *account)
 {
@@ -64,32 +44,6 @@
 
 } // namespace
 
-UpstreamHold::UpstreamHold(PooledUpstreamPointer upstream, std::int64_t pendingTokens)
-    : m_upstream(std::move(upstream))
-    , m_pendingTokens(pendingTokens)
-{
-    ++m_upstream->m_own.m_running;
-    m_upstream->m_own.m_pendingTokens += m_pendingTokens;
-}
-
-UpstreamHold::UpstreamHold(UpstreamHold &&other) noexcept
-    : m_upstream(std::exchange(other.m_upstream, nullptr))
-    , m_pendingTokens(std::exchange(other.m_pendingTokens, 0))
-{}
-
-UpstreamHold::~UpstreamHold()
-{
-    if (!m_upstream)
-        return;
-    promptIsRead();
-    --m_upstream->m_own.m_running;
-}
-
-void UpstreamHold::promptIsRead()
-{
-    m_upstream->m_own.m_pendingTokens -= std::exchange(m_pendingTokens, 0);
-}
-
 EntryCall::EntryCall(EntryTraffic &traffic, const HttpRequest &request, HttpResponder &responder)
     : m_traffic(traffic)
     , m_request(request)
@@ -204,9 +158,8 @@
     platform::Forwarding forwarding;
     forwarding.m_timeLeft = timeLeft();
     forwarding.m_upstream = upstream.m_record.m_id;
-    if (m_account) {
+    if (m_account)
         forwarding.m_account = m_account->m_id;
-    }
     if (m_route->m_kind == RepeatKind::Stream)
         forwarding.m_priority = priorityOf(*m_route, m_account);
     forwarding.m_resumeAfter = m_lastEventId;
@@ -246,16 +199,8 @@
         const bool isFirst = m_arrivals == 0 && m_connectFailures == 0;
         if (const auto stop = whyNoFurtherAttempt(isFirst))
             return *stop;
-        PlacementRequest placement;
-        placement.m_service = m_service;
-        placement.m_dataCentre = m_traffic.dataCentre();
-        placement.m_promptTokens = m_caller.m_promptTokens;
-        placement.m_bodyBytes = m_request.m_body.size();
-        placement.m_sharedTokens = m_caller.m_sharedTokens;
-        if (m_route->m_hasPrefixAffinity)
-            placement.m_affinityKey = m_caller.m_lastSharedPart;
-        placement.m_excluded = m_tried;
-        const PooledUpstreamPointer upstream = m_traffic.pool().choose(placement, m_traffic.now());
+        const PooledUpstreamPointer upstream =
+                m_traffic.pool().choose(placement(), m_traffic.now());
         if (!upstream)
             return AttemptStop::NoUpstream;
         if (m_arrivals > 0 && !m_traffic.allowance().tryTake(m_service, m_traffic.now()))
@@ -270,29 +215,49 @@
         }
         ++m_arrivals;
         auto &exchange = std::get<HttpExchange>(opened);
-        const platform::AnswerTraits traits =
-                platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
-        if (traits.m_isNotRun && traits.m_isToThisRequest) {
-            UpstreamPool::note(*upstream, AttemptVerdict::Refused, m_traffic.now());
-            m_traffic.log().info("attempt-refused", {m_caller.m_id,
-                                                     upstream->m_record.m_id,
-                                                     {LogField::Status, exchange.status()}});
+        if (!takes(exchange, *upstream))
             continue;
-        }
-        const bool isUnsignedSuccess = exchange.status() / 100 == 2 && !traits.m_isSigned;
-        if (!traits.m_isToThisRequest || isUnsignedSuccess) {
-            ++m_mayHaveRun;
-            UpstreamPool::note(*upstream, AttemptVerdict::Broken, m_traffic.now());
-            m_traffic.log().warning("answer-not-ours", {m_caller.m_id,
-                                                        upstream->m_record.m_id,
-                                                        {LogField::Status, exchange.status()}});
-            continue;
-        }
-        ++m_mayHaveRun;
         return OpenAnswer{std::move(exchange), std::move(hold)};
     }
 }
 
+PlacementRequest EntryCall::placement() const
+{
+    PlacementRequest placement;
+    placement.m_service = m_service;
+    placement.m_dataCentre = m_traffic.dataCentre();
+    placement.m_promptTokens = m_caller.m_promptTokens;
+    placement.m_bodyBytes = m_request.m_body.size();
+    placement.m_sharedTokens = m_caller.m_sharedTokens;
+    if (m_route->m_hasPrefixAffinity)
+        placement.m_affinityKey = m_caller.m_lastSharedPart;
+    placement.m_excluded = m_tried;
+    return placement;
+}
+
+/// Tells whether an answer that began may be passed on, and notes whether the request may have run.
+bool EntryCall::takes(const HttpExchange &exchange, PooledUpstream &upstream)
+{
+    const platform::AnswerTraits traits =
+            platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
+    if (traits.m_isNotRun && traits.m_isToThisRequest) {
+        UpstreamPool::note(upstream, AttemptVerdict::Refused, m_traffic.now());
+        m_traffic.log().info(
+                "attempt-refused",
+                {m_caller.m_id, upstream.m_record.m_id, {LogField::Status, exchange.status()}});
+        return false;
+    }
+    ++m_mayHaveRun;
+    const bool isUnsignedSuccess = exchange.status() / 100 == 2 && !traits.m_isSigned;
+    if (traits.m_isToThisRequest && !isUnsignedSuccess)
+        return true;
+    UpstreamPool::note(upstream, AttemptVerdict::Broken, m_traffic.now());
+    m_traffic.log().warning(
+            "answer-not-ours",
+            {m_caller.m_id, upstream.m_record.m_id, {LogField::Status, exchange.status()}});
+    return false;
+}
+
 void EntryCall::noteFailure(UpstreamHold &hold, const CallFailure &failure)
 {
     if (failure.m_error.m_id == ErrorId::Cancelled)
@@ -363,197 +328,6 @@
     }
 }
 
-void EntryCall::serveStream()
-{
-    for (;;) {
-        Opening opening = openAnswer();
-        if (const auto *stop = std::get_if<AttemptStop>(&opening)) {
-            conclude(*stop);
-            return;
-        }
-        auto &answer = std::get<OpenAnswer>(opening);
-        if (answer.m_exchange.status() / 100 != 2) {
-            Reading reading = readWhole(answer);
-            const auto *reply = std::get_if<HttpReply>(&reading);
-            UpstreamPool::note(answer.m_hold.upstream(), AttemptVerdict::ServerError,
-                               m_traffic.now());
-            noteRan();
-            if (reply && !m_hasBegun)
-                m_fallback = *reply;
-            if (!m_route->mayRepeat() || (reply && reply->m_status < 500)) {
-                conclude(AttemptStop::NotAllowed);
-                return;
-            }
-            continue;
-        }
-        if (passStream(answer))
-            return;
-        if (m_isCallerGone) {
-            logEnd("caller-gone", 0);
-            return;
-        }
-        if (!m_route->mayRepeat()) {
-            conclude(AttemptStop::NotAllowed);
-            return;
-        }
-        m_splitter.reset();
-    }
-}
-
-/// Tells whether a stream is cut into events, as it may have to go on after one of them.
-bool EntryCall::cutsEvents() const
-{
-    if (m_route->mayRepeat())
-        return true;
-    const ServingService *service = m_view->findService(m_service);
-    return service && service->m_engine && service->m_engine->m_movesRuns;
-}
-
-bool EntryCall::passStream(OpenAnswer &answer)
-{
-    if (m_route->mayRepeat() || !cutsEvents())
-        return passRun(answer);
-    std::optional<OpenAnswer> moved;
-    OpenAnswer *current = &answer;
-    for (;;) {
-        m_run = std::make_shared<StreamRun>();
-        m_run->m_request = m_caller.m_id;
-        m_run->m_upstream = current->m_hold.pointer();
-        m_traffic.mover().add(m_run);
-        const bool isWhole = passRun(*current);
-        m_traffic.mover().remove(m_run);
-        if (isWhole || m_isCallerGone)
-            return isWhole;
-        std::optional<OpenAnswer> next = followMove();
-        if (!next)
-            return false;
-        moved.emplace(std::move(*next));
-        current = &*moved;
-        m_splitter.reset();
-    }
-}
-
-std::optional<OpenAnswer> EntryCall::followMove()
-{
-    // The stream of a run that is moved ends before the copy is complete.
-    while (m_run->m_isMoving && !m_isCallerGone && timeLeft() > leastTimeLeft)
-        sleepFiber(moveCheck);
-    if (!m_run->m_moved || m_isCallerGone || timeLeft() < leastTimeLeft)
-        return std::nullopt;
-    const MovedRun moved = *m_run->m_moved;
-    m_memory = moved.m_memory;
-    logPlaced(*moved.m_upstream);
-    UpstreamHold hold(moved.m_upstream, 0);
-    CallResult<HttpExchange> opened = m_traffic.client().open(callFor(*moved.m_upstream));
-    m_memory.reset();
-    if (const auto *failure = std::get_if<CallFailure>(&opened)) {
-        noteFailure(hold, *failure);
-        return std::nullopt;
-    }
-    ++m_arrivals;
-    auto &exchange = std::get<HttpExchange>(opened);
-    const platform::AnswerTraits traits =
-            platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
-    const bool isGood = exchange.status() / 100 == 2 && traits.m_isToThisRequest
-                        && traits.m_isSigned && !traits.m_isNotRun;
-    if (!isGood) {
-        m_traffic.log().warning("moved-run-refused", {m_caller.m_id,
-                                                      moved.m_upstream->m_record.m_id,
-                                                      {LogField::Status, exchange.status()}});
-        return std::nullopt;
-    }
-    ++m_mayHaveRun;
-    return OpenAnswer{std::move(exchange), std::move(hold)};
-}
-
-bool EntryCall::passRun(OpenAnswer &answer)
-{
-    for (;;) {
-        const Duration silence =
-                m_route->mayRepeat() ? std::max(streamSilence, m_events == 0 ? firstAnswerLimit()
-                                                                             : Duration::zero())
-                                     : Duration::max();
-        const Duration limit = std::clamp(timeLeft(), Duration::zero(), silence);
-        auto piece = answer.m_exchange.read(limit);
-        if (auto *failure = std::get_if<CallFailure>(&piece)) {
-            --m_arrivals;
-            --m_mayHaveRun;
-            noteFailure(answer.m_hold, *failure);
-            return false;
-        }
-        const auto &text = std::get<std::optional<std::string>>(piece);
-        if (!text)
-            break;
-        if (!passPiece(*text, answer))
-            return false;
-    }
-    if (m_splitter.hasPartial())
-        return false;
-    UpstreamPool::note(answer.m_hold.upstream(), AttemptVerdict::Good, m_traffic.now());
-    if (!m_hasBegun && !beginStream(answer))
-        return false;
-    m_responder.finish();
-    m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
-    m_series->add(RequestCounter::Done);
-    logEnd("done", answer.m_exchange.status());
-    return true;
-}
-
-bool EntryCall::passPiece(const std::string &piece, OpenAnswer &answer)
-{
-    answer.m_hold.promptIsRead();
-    noteRan();
-    if (cutsEvents())
-        return passEvents(piece, answer);
-    if (!m_hasBegun && !beginStream(answer))
-        return false;
-    ++m_events;
-    return forward(piece);
-}
-
-/// Passes on whole events only, and none twice: what a broken run left half said is said again by
-/// the run that goes on after its last whole event.
-bool EntryCall::passEvents(const std::string &piece, OpenAnswer &answer)
-{
-    std::string bytes;
-    for (const StreamEvent &event : m_splitter.push(piece)) {
-        const auto number = eventNumber(event.m_id);
-        const auto last = eventNumber(m_lastEventId);
-        if (number && last && *number <= *last)
-            continue;
-        if (event.m_id)
-            m_lastEventId = event.m_id;
-        ++m_events;
-        bytes += event.m_bytes;
-    }
-    if (bytes.empty())
-        return true;
-    if (!m_hasBegun && !beginStream(answer))
-        return false;
-    return forward(bytes);
-}
-
-bool EntryCall::beginStream(OpenAnswer &answer)
-{
-    m_hasBegun = true;
-    m_lastEventAt = m_traffic.now();
-    m_series->record(Latency::FirstToken, m_lastEventAt - m_arrivedAt);
-    const bool isGood = m_responder.begin(answer.m_exchange.status(),
-                                          platform::callerHeaders(answer.m_exchange.headers()));
-    m_isCallerGone = m_isCallerGone || !isGood;
-    return isGood;
-}
-
-bool EntryCall::forward(std::string_view bytes)
-{
-    const TimePoint now = m_traffic.now();
-    m_series->record(Latency::BetweenTokens, now - m_lastEventAt);
-    m_lastEventAt = now;
-    const bool isGood = m_responder.write(bytes);
-    m_isCallerGone = m_isCallerGone || !isGood;
-    return isGood;
-}
-
 /// Counts the request for its account's usage, once however often it ran.
 void EntryCall::noteRan()
 {
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/serving/event_splitter.hpp>
 
 #include <entry/stream_run.hpp>
+#include <entry/upstream_hold.hpp>
 #include <platform/request_codec.hpp>
 
 #include <memory> // shared_ptr
@@ -33,27 +34,6 @@
         {AttemptStop::CallerGone, "caller-gone"},
 }};
 
-/// Counts a request as in flight at an upstream for as long as it lives.
-class UpstreamHold
-{
-public:
-    UpstreamHold(PooledUpstreamPointer upstream, std::int64_t pendingTokens);
-    ~UpstreamHold();
-    UpstreamHold(UpstreamHold &&other) noexcept;
-    UpstreamHold &operator=(UpstreamHold &&) = delete;
-    UpstreamHold(const UpstreamHold &) = delete;
-    UpstreamHold &operator=(const UpstreamHold &) = delete;
-
-    PooledUpstream &upstream() { return *m_upstream; }
-    const PooledUpstreamPointer &pointer() const { return m_upstream; }
-    /// Its prompt has been read: the first event is here.
-    void promptIsRead();
-
-private:
-    PooledUpstreamPointer m_upstream;
-    std::int64_t m_pendingTokens;
-};
-
 /// An upstream's answer whose header has come.
 struct OpenAnswer
 {
@@ -73,6 +53,9 @@
     void run();
 
 private:
+    /// What is left at the deadline must be enough for an upstream to begin.
+    static constexpr Duration leastTimeLeft = std::chrono::milliseconds(10);
+
     using Opening = std::variant<OpenAnswer, AttemptStop>;
     using Reading = std::variant<HttpReply, CallFailure>;
 
@@ -84,6 +67,8 @@
 
     Opening openAnswer();
     std::optional<AttemptStop> whyNoFurtherAttempt(bool isFirst);
+    PlacementRequest placement() const;
+    bool takes(const HttpExchange &exchange, PooledUpstream &upstream);
     HttpCall callFor(const PooledUpstream &upstream) const;
     Duration firstAnswerLimit() const;
     Reading readWhole(OpenAnswer &answer);
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -252,25 +252,9 @@
     return true;
 }
 
-entrywire::EntryExchange EntryPeers::message(const Peer *peer)
+/// Writes down what the traffic thread reported last.
+void EntryPeers::fillReport(entrywire::EntryDigest &digest) const
 {
-    entrywire::EntryExchange message;
-    entrywire::EntryDigest &digest = message.digest;
-    digest.protocol = protocolVersion;
-    digest.node = m_context.m_settings.m_node.text();
-    digest.address = ownAddress();
-    digest.dataCentre = m_context.m_settings.m_dataCentre.text();
-    digest.incarnation = m_context.m_incarnation;
-    digest.configVersion = m_config.version();
-    digest.upstreamRevision = m_upstreams.revision();
-    digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
-    digest.storeIsLost = m_config.isStoreLost() || m_config.version() == 0;
-    digest.dutyFence = m_dutyFence;
-    digest.dutyRevision = m_dutyRevision;
-    // As of this message, not of the report: an old reading would make every VM's clock look slow,
-    // and all of them would follow each other backwards.
-    digest.wallMillis = m_report.m_wall + millisOf(bootNow() - m_reportedAt);
-    digest.leaving = m_context.m_isStopping;
     for (const auto &[account, use] : m_report.m_accounts) {
         auto &entry = digest.accounts.emplace_back();
         entry.account = account.text();
@@ -295,11 +279,11 @@
             told.count = count;
         }
     }
-    const bool tellsPeers =
-            !peer || peer->m_heardAt == TimePoint{} || m_messages++ % messagesPerPeerList == 0;
+}
+
+void EntryPeers::fillPeers(entrywire::EntryDigest &digest) const
+{
     for (const auto &[address, known] : m_peers) {
-        if (!tellsPeers)
-            break;
         // Only what was heard is passed on: hearsay would keep the address of a VM that is gone
         // going round for ever.
         if (m_context.now() - known->m_heardAt > heardWithin * stretch())
@@ -308,6 +292,31 @@
         entry.node = known->m_node;
         entry.address = address;
     }
+}
+
+entrywire::EntryExchange EntryPeers::message(const Peer *peer)
+{
+    entrywire::EntryExchange message;
+    entrywire::EntryDigest &digest = message.digest;
+    digest.protocol = protocolVersion;
+    digest.node = m_context.m_settings.m_node.text();
+    digest.address = ownAddress();
+    digest.dataCentre = m_context.m_settings.m_dataCentre.text();
+    digest.incarnation = m_context.m_incarnation;
+    digest.configVersion = m_config.version();
+    digest.upstreamRevision = m_upstreams.revision();
+    digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
+    digest.storeIsLost = m_config.isStoreLost() || m_config.version() == 0;
+    digest.dutyFence = m_dutyFence;
+    digest.dutyRevision = m_dutyRevision;
+    // As of this message, not of the report: an old reading would make every VM's clock look slow,
+    // and all of them would follow each other backwards.
+    digest.wallMillis = m_report.m_wall + millisOf(bootNow() - m_reportedAt);
+    digest.leaving = m_context.m_isStopping;
+    fillReport(digest);
+    const bool isNew = !peer || peer->m_heardAt == TimePoint{};
+    if (isNew || m_messages++ % messagesPerPeerList == 0)
+        fillPeers(digest);
     if (peer && sendsConfigTo(*peer)) {
         message.__set_configText(m_config.text());
         message.__set_configVersion(m_config.version());
--- /dev/null
+++ b/src/entry/upstream_hold.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <gypsumdale/serving/upstream_pool.hpp>
+
+#include <cstdint> // int64_t
+
+namespace gypsumdale {
+
+/// Counts a request as in flight at an upstream for as long as it lives.
+class UpstreamHold
+{
+public:
+    UpstreamHold(PooledUpstreamPointer upstream, std::int64_t pendingTokens);
+    ~UpstreamHold();
+    UpstreamHold(UpstreamHold &&other) noexcept;
+    UpstreamHold &operator=(UpstreamHold &&) = delete;
+    UpstreamHold(const UpstreamHold &) = delete;
+    UpstreamHold &operator=(const UpstreamHold &) = delete;
+
+    PooledUpstream &upstream() { return *m_upstream; }
+    const PooledUpstreamPointer &pointer() const { return m_upstream; }
+    /// Its prompt has been read: the first event is here.
+    void promptIsRead();
+
+private:
+    PooledUpstreamPointer m_upstream;
+    std::int64_t m_pendingTokens;
+};
+
+} // namespace gypsumdale
