Remove lost VMs from the registry, and count only heard peers as the fleet

Found on reading: a VM that was lost without a word stayed in the registry for ever, every VM went on calling at its address, and such addresses counted for the pace of exchanges, so that a small fleet would have slowed down after a dozen replacements. Whoever holds the duties now removes entries silent for two minutes; a VM that was only cut off writes its own again.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -5,6 +5,8 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/runtime/frame_channel.hpp>
 
+#include <platform/duty_codec.hpp>
+
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <map> // map
@@ -78,7 +80,10 @@
     bool begins(const Peer &peer) const;
     /// By how much exchanges are spread out for the size of the fleet; 1 in a small one.
     int stretch() const;
+    std::size_t members() const;
     bool isMember(const Peer &peer) const;
+    bool takeRegistry(const platform::StoreListing &listing);
+    void removeIfGone(const platform::NodeRecord &node);
     void exchangeAll();
     void exchangeSome();
     bool sendsConfigTo(const Peer &peer) const;
@@ -97,6 +102,8 @@
     std::optional<FrameServer> m_server;
     /// By address.
     std::map<std::string, std::shared_ptr<Peer>> m_peers;
+    /// When an entry of the registry was last seen alive, by node.
+    std::map<std::string, TimePoint> m_silentSince;
     TrafficReport m_report;
     TimePoint m_reportedAt{};
     std::int64_t m_dutyFence = 0;
--- a/include/gypsumdale/serving/upstream_feed.hpp
+++ b/include/gypsumdale/serving/upstream_feed.hpp
@@ -32,7 +32,7 @@
     void apply(const std::vector<UpstreamChange> &changes, std::int64_t revision, TimePoint now);
 
     /// Notes that the store did not answer.
-    void storeFailed(TimePoint now);
+    void storeFailed() { m_isStoreAway = true; }
 
     /// Drops entries whose time to come back is over. Returns true if any was. Linear.
     bool expire(TimePoint now);
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -3,13 +3,13 @@
 #include <gypsumdale/wire/thrift_codec.hpp>
 
 #include <entry_types.h>
-#include <platform/duty_codec.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm> // max, min
 #include <charconv> // from_chars
 #include <iterator> // next, prev, ssize
+#include <set> // set
 #include <utility> // move
 
 namespace gypsumdale {
@@ -39,6 +39,8 @@
 constexpr std::size_t largestFrame = std::size_t{4} * 1024 * 1024;
 /// How often the registry is read; a stale read does, at a tenth of the price.
 constexpr Duration registryEvery = std::chrono::seconds(6);
+/// Silence after which a VM's entry is removed: well beyond any restart or cut.
+constexpr Duration removedAfter = std::chrono::seconds(120);
 constexpr Duration registryRetry = std::chrono::milliseconds(700);
 /// Before peers were heard, the slack of the retry budget is shared with this many: more than
 /// today's sites have.
@@ -159,7 +161,7 @@
 
 int EntryPeers::stretch() const
 {
-    const std::size_t steps = (m_peers.size() + peersAtFullPace - 1) / peersAtFullPace;
+    const std::size_t steps = (members() + peersAtFullPace - 1) / peersAtFullPace;
     return static_cast<int>(std::max<std::size_t>(1, steps));
 }
 
@@ -230,13 +232,20 @@
 
 std::size_t EntryPeers::fleetSize() const
 {
-    std::size_t known = 1;
-    for (const auto &[address, peer] : m_peers)
-        known += isMember(*peer) ? 1 : 0;
+    const std::size_t known = members() + 1;
     const bool isLearning = m_context.now() < m_startedAt + fleetLearningTime;
     return isLearning ? std::max(known, assumedFleet) : known;
 }
 
+/// Returns the number of peers that are part of the fleet.
+std::size_t EntryPeers::members() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, peer] : m_peers)
+        count += isMember(*peer) ? 1 : 0;
+    return count;
+}
+
 /// Tells whether a peer was heard lately enough to count as part of the fleet.
 bool EntryPeers::isMember(const Peer &peer) const
 {
@@ -409,15 +418,52 @@
         const auto listing =
                 m_context.m_store.list(platform::nodeKind, platform::ReadFreshness::MayBeStale);
         if (succeeded(listing)) {
-            for (const platform::StoreObject &object : valueOf(listing).m_objects) {
-                const platform::NodeRecord node = platform::decodeNode(object);
-                learn(node.m_node.text(), node.m_address, false);
-            }
+            const bool hasOwn = takeRegistry(valueOf(listing));
+            isRegistered = isRegistered && hasOwn;
         }
         sleepFiber(isRegistered && succeeded(listing) ? registryEvery : registryRetry);
     }
 }
 
+/// Learns the peers of the registry. Returns false if this VM isn't among them.
+bool EntryPeers::takeRegistry(const platform::StoreListing &listing)
+{
+    bool hasOwn = false;
+    std::set<std::string> listed;
+    for (const platform::StoreObject &object : listing.m_objects) {
+        const platform::NodeRecord node = platform::decodeNode(object);
+        listed.insert(node.m_node.text());
+        if (node.m_node == m_context.m_settings.m_node) {
+            hasOwn = true;
+            continue;
+        }
+        learn(node.m_node.text(), node.m_address, false);
+        removeIfGone(node);
+    }
+    std::erase_if(m_silentSince,
+                  [&listed](const auto &entry) { return !listed.contains(entry.first); });
+    return hasOwn;
+}
+
+/// Entries of VMs that were lost without a word stay in the registry, and every VM would call at
+/// their addresses for ever. Whoever holds the duties removes them; a VM that was only cut off
+/// finds its entry missing and writes it again.
+void EntryPeers::removeIfGone(const platform::NodeRecord &node)
+{
+    const auto found = m_peers.find(node.m_address);
+    const TimePoint now = m_context.now();
+    const auto silent = m_silentSince.try_emplace(node.m_node.text(), now).first;
+    if (found != m_peers.end() && isMember(*found->second))
+        silent->second = now;
+    if (m_dutyFence == 0 || now - silent->second < removedAfter)
+        return;
+    m_silentSince.erase(silent);
+    const auto removed = m_context.m_store.remove(platform::nodeKind, node.m_node.text());
+    m_context.m_log.info("registry-entry-removed",
+                         {{LogField::Peer, node.m_node.text()},
+                          {LogField::Outcome, succeeded(removed) ? "removed" : "failed"}});
+}
+
 void EntryPeers::leaveRegistry()
 {
     const auto removed =
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -45,7 +45,7 @@
     const auto listing = m_context.m_store.list(platform::names::upstreamKind,
                                                 platform::ReadFreshness::Linearizable);
     if (!succeeded(listing)) {
-        m_feed.storeFailed(m_context.now());
+        m_feed.storeFailed();
         m_store.failed(errorOf(listing));
         return;
     }
@@ -63,7 +63,7 @@
     const auto changes =
             m_context.m_store.watch(platform::names::upstreamKind, m_revision, watchWait);
     if (!succeeded(changes)) {
-        m_feed.storeFailed(m_context.now());
+        m_feed.storeFailed();
         if (errorOf(changes).m_id == ErrorId::PlatformRefused)
             m_revision = 0;
         m_store.failed(errorOf(changes));
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -12,11 +12,6 @@
 
 } // namespace
 
-void UpstreamFeed::storeFailed(TimePoint)
-{
-    m_isStoreAway = true;
-}
-
 void UpstreamFeed::storeAnswered(TimePoint now)
 {
     if (m_isStoreAway)
--- a/tests/src/unit-upstream-feed.cpp
+++ b/tests/src/unit-upstream-feed.cpp
@@ -58,7 +58,7 @@
         // The store is away for five seconds; no upstream can write its heartbeat, and all entries
         // lapse. When it returns the list is empty for a moment: every request would be refused
         // though all upstreams live.
-        feed.storeFailed(start + 1s);
+        feed.storeFailed();
         REQUIRE(feed.replaceAll(listOf(20, {}), start + 6s));
         CHECK(has(feed, "a"));
         feed.apply({{recordOf("a"), false}}, 21, start + 7s);
@@ -70,7 +70,7 @@
     SECTION("drops an upstream that was draining, outage or not")
     {
         feed.apply({{recordOf("a", true), false}}, 11, start);
-        feed.storeFailed(start + 1s);
+        feed.storeFailed();
         feed.replaceAll(listOf(20, {recordOf("b")}), start + 3s);
         CHECK_FALSE(has(feed, "a"));
     }
@@ -81,7 +81,7 @@
     }
     SECTION("drops an entry removed long after the store's return")
     {
-        feed.storeFailed(start + 1s);
+        feed.storeFailed();
         feed.apply({}, 11, start + 2s);
         feed.apply({{recordOf("a"), true}}, 12, start + 5s);
         CHECK_FALSE(has(feed, "a"));
