Hear a restarted node that a summary named first

A node that speaks for its data centre restarts; the other data centre learns its new incarnation from a neighbour's summary, which raised the known incarnation but kept the count of heartbeats of the process before.

Ruled out: lost lists of nodes (they matched their digest), the wrong sender (both sides agreed on it), a target that is gone.

Change: an incarnation that is newer forgets the old process's count wherever it is learnt, not only from a heartbeat.

--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -196,6 +196,7 @@
     void takeSummary(const DataCentreSummary &summary, bool isDirect, TimePoint now,
                      MembershipCommands &commands);
     void takeNodeList(const DataCentreSummary &summary, bool isStale, ReceivedSummary &held);
+    static void forgetProcess(Peer &peer);
     void takeSelfSuspicion(const MembershipMessage &message, MembershipCommands &commands);
     void setState(Peer &peer, NodeState state, std::string reason, TimePoint now,
                   MembershipCommands &commands);
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -295,13 +295,13 @@
 
     const bool isMarkedUnheard =
             view.m_state == NodeState::Leaving && view.m_identity.m_incarnation == 0;
+    if (isNewIncarnation)
+        forgetProcess(peer);
     view.m_identity = message.m_from;
     view.m_lastHeard = now;
     peer.m_sequence = message.m_sequence;
     peer.m_heardAt = m_listened;
     peer.m_lastExchange = now;
-    if (isNewIncarnation)
-        peer.m_summariesSent.clear();
     // A notice may come before the first heartbeat: it concerns the incarnation that then appears.
     if (isNewIncarnation && !isMarkedUnheard)
         setState(peer, NodeState::Alive, "started", now, commands);
@@ -312,6 +312,15 @@
     return true;
 }
 
+void Membership::forgetProcess(Peer &peer)
+{
+    // Failure: a node restarts, and another data centre learns of it by a summary first. Its new
+    // heartbeats count from 1 and would all look older than the last one of the process before, so
+    // that the data centre it speaks for stays suspect.
+    peer.m_sequence = 0;
+    peer.m_summariesSent.clear();
+}
+
 void Membership::takeSelfSuspicion(const MembershipMessage &message, MembershipCommands &commands)
 {
     for (const NodeSuspicion &suspicion : message.m_suspicions) {
@@ -368,6 +377,8 @@
         const bool isDead = peer.m_view.m_state == NodeState::Dead;
         if (node.m_incarnation < known || (isDead && node.m_incarnation == known))
             continue;
+        if (node.m_incarnation > known)
+            forgetProcess(peer);
         peer.m_view.m_identity = node;
         peer.m_view.m_lastHeard = now;
         peer.m_heardAt = m_listened;
--- a/tests/src/unit-membership.cpp
+++ b/tests/src/unit-membership.cpp
@@ -244,6 +244,42 @@
     CHECK(held.m_summary.m_nodes->size() == 1);
 }
 
+// A node that speaks for its data centre restarts, and the other data centre learns its new
+// incarnation from a neighbour's summary first. The new process counts its heartbeats from 1 again;
+// held against the old process's count they were all dropped, and the data centre stayed suspect.
+TEST_CASE("A restarted node is heard although a summary told of it first")
+{
+    const TimePoint now = TimePoint() + seconds(100);
+    NodeIdentity centro;
+    centro.m_node = NodeId("centro-1");
+    centro.m_dataCentre = DataCentreId("el-centro");
+    NodeIdentity neighbour = centro;
+    neighbour.m_node = NodeId("banos-2");
+    neighbour.m_dataCentre = DataCentreId("banos");
+    neighbour.m_incarnation = 1;
+    Membership observer(MembershipSettingsBuilder().self(centro).build(), now);
+    Membership second(MembershipSettingsBuilder().self(neighbour).build(), now);
+
+    MembershipMessage restarting;
+    restarting.m_from = neighbour;
+    restarting.m_from.m_node = NodeId("banos-1");
+    restarting.m_sequence = 300;
+    REQUIRE(observer.onHeartbeat(restarting, now).m_isFresh);
+
+    restarting.m_from.m_incarnation = 2;
+    restarting.m_sequence = 1;
+    REQUIRE(second.onHeartbeat(restarting, now).m_isFresh);
+    MembershipMessage question;
+    question.m_from = centro;
+    question.m_sequence = 1;
+    REQUIRE(second.onHeartbeat(question, now).m_isFresh);
+    observer.onReply(second.replyTo(question, now, 500), now);
+    REQUIRE(observer.find(NodeId("banos-1"))->m_identity.m_incarnation == 2);
+
+    restarting.m_sequence = 2;
+    CHECK(observer.onHeartbeat(restarting, now).m_isFresh);
+}
+
 TEST_CASE("Heartbeats grow rarer as the data centre grows, and keep to their budget")
 {
     MembershipSettingsBuilder builder;
