Hold up orders no longer than the lease allows for

The world of the test let pauses follow on each other, and left a paused node out of its steps, with no bound.

Change: the world delivers an order at the latest when the longest pause is over. Stricter than before in one point: orders of a process that dies are no longer dropped, they arrive within the same bound.

--- a/tests/src/fuzz-order-lease.cpp
+++ b/tests/src/fuzz-order-lease.cpp
@@ -30,6 +30,14 @@
     std::optional<LeaseCommand> m_inFlight;
     /// An order that was checked and is held up between the check and the engine.
     std::optional<SendOrder> m_heldUp;
+    TimePoint m_checkedAt;
+};
+
+/// An order whose process died after it was sent.
+struct OrderUnderWay
+{
+    SendOrder m_order;
+    TimePoint m_checkedAt;
 };
 
 /// An engine that refuses old numbers, and one that takes every order.
@@ -82,6 +90,7 @@
         const std::size_t index = (value >> 16U) % nodeCount;
         Node &node = m_nodes[index];
         m_now += std::chrono::milliseconds(value % 300);
+        arriveInTime();
         if (what == 0)
             restart(index);
         else if (what < 3)
@@ -103,6 +112,7 @@
     {
         for (int second = 0; second < 90; ++second) {
             m_now += 1s;
+            arriveInTime();
             for (std::size_t index = 0; index < nodeCount; ++index) {
                 Node &node = m_nodes[index];
                 platformStep(node, 100);
@@ -129,6 +139,8 @@
         Node &node = m_nodes[index];
         if (node.m_inFlight)
             m_late.push_back(*node.m_inFlight);
+        if (node.m_heldUp)
+            m_underWay.push_back({*node.m_heldUp, node.m_checkedAt});
         const int life = node.m_life + 1;
         node = Node{};
         node.m_life = life;
@@ -140,6 +152,30 @@
         node.m_reconciler->setDesired(otherEngine, Fencing::Ignored, name);
     }
 
+    /// No order takes longer from its check to the engine than the longest pause: that is what the
+    /// wait of fenceForUnchecked() rests on. Pauses in a row, and steps that leave a node out,
+    /// would hold one up for any time.
+    void arriveInTime()
+    {
+        for (Node &node : m_nodes) {
+            if (node.m_heldUp && m_now >= node.m_checkedAt + longestPause)
+                arrive(node);
+        }
+        std::erase_if(m_underWay, [this](const OrderUnderWay &order) {
+            if (m_now < order.m_checkedAt + longestPause)
+                return false;
+            m_engines.order(order.m_order);
+            return true;
+        });
+    }
+
+    void arrive(Node &node)
+    {
+        m_engines.order(*node.m_heldUp);
+        node.m_reconciler->onOrdered(node.m_heldUp->m_engine);
+        node.m_heldUp.reset();
+    }
+
     void lateWrite()
     {
         if (m_late.empty())
@@ -168,12 +204,8 @@
 
     void engineStep(Node &node, std::uint32_t value)
     {
-        if (node.m_heldUp) {
-            m_engines.order(*node.m_heldUp);
-            node.m_reconciler->onOrdered(node.m_heldUp->m_engine);
-            node.m_heldUp.reset();
-            return;
-        }
+        if (node.m_heldUp)
+            return arrive(node);
         const auto command = node.m_reconciler->next(*node.m_lease, m_now);
         if (!command)
             return;
@@ -183,6 +215,7 @@
         }
         // The process stops between its check and the order, for less than the longest pause.
         node.m_heldUp = std::get<SendOrder>(*command);
+        node.m_checkedAt = m_now;
         if (value % 3 == 0)
             engineStep(node, value);
         else
@@ -211,6 +244,7 @@
     Node m_nodes[nodeCount];
     TimePoint m_now{1h};
     std::deque<LeaseCommand> m_late;
+    std::vector<OrderUnderWay> m_underWay;
 };
 
 } // namespace
