Draw upstreams while peers' reports are old

Cause: in a fleet of 65 VMs exchanges are spread out, and a report of a peer's load is up to 1.5 s old.

Ruled out: too few upstreams (the plain service's load is under half of its slots), slow VMs (0.02 of a core each).

Change: while exchanges are spread out, a plain service's upstream is drawn, a busy one more rarely, and engines are compared among the home of the prompt and three that are drawn, two of them in the own data centre. Small fleets choose as before. The new cases failed first: 1000 of 1000 draws fell on one upstream.

What order-confirm loses still is with few VMs' knowledge of a slow or full upstream.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -67,7 +67,11 @@
     void setPeer(const PeerReport &report);
     void forgetPeer(const std::string &node);
     /// Takes in by how much exchanges with peers are spread out.
-    void setExchangePace(int stretch) { m_quota.setExchangePace(stretch); }
+    void setExchangePace(int stretch)
+    {
+        m_quota.setExchangePace(stretch);
+        m_pool.setExchangePace(stretch);
+    }
     void setFleetSize(std::size_t nodes) { m_allowance.setFleetSize(nodes); }
     /// Returns what to tell the peers. Linear in accounts and upstreams.
     TrafficReport report();
@@ -89,6 +93,8 @@
     void countUsage(const AccountId &account) { m_usage.add(account, wallNow()); }
     /// Returns a number from 0 to 1, to spread what should not happen at one moment.
     double random();
+    /// Returns a random number of 64 bits.
+    std::uint64_t draw();
 
 private:
     const EntrySettings &m_settings;
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -53,6 +53,8 @@
     std::string m_affinityKey;
     /// Upstreams that are not to be chosen.
     std::set<UpstreamId> m_excluded;
+    /// Drawn for this request: what the choice leaves to chance depends on it.
+    std::uint64_t m_draw = 0;
 };
 
 /// How an attempt at an upstream ended, for its health.
@@ -79,8 +81,16 @@
                      TimePoint now);
     void forgetPeer(const std::string &node);
 
+    /// Takes in by how much exchanges with peers are spread out. From 2 on their loads are too old
+    /// to be compared: the choice is left to chance in part.
+    void setExchangePace(int stretch) { m_areReportsOld = stretch > 1; }
+
     /// Chooses the upstream that would serve the request soonest, or nullptr if there is none.
     /// Linear in the service's upstreams.
+    ///
+    /// With old reports all VMs see the same upstream as the least loaded one until they have heard
+    /// from each other, and overrun it. A plain service's upstreams are then drawn, a busy one more
+    /// rarely; engines are compared among the home of the prompt and a few that are drawn.
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Notes how an attempt ended. Constant.
@@ -93,7 +103,10 @@
     Duration reportAge(TimePoint now) const;
 
 private:
+    using Candidates = std::vector<PooledUpstreamPointer>;
+
     void sumPeerLoads();
+    Candidates candidatesFor(const PlacementRequest &request) const;
 
     std::map<UpstreamId, PooledUpstreamPointer> m_upstreams;
     struct PeerLoad
@@ -103,6 +116,7 @@
     };
     std::map<std::string, PeerLoad> m_peerLoads;
     std::int64_t m_revision = 0;
+    bool m_areReportsOld = false;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -232,6 +232,7 @@
     if (m_route->m_hasPrefixAffinity)
         placement.m_affinityKey = m_caller.m_lastSharedPart;
     placement.m_excluded = m_tried;
+    placement.m_draw = m_traffic.draw();
     return placement;
 }
 
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -102,9 +102,14 @@
 
 double EntryTraffic::random()
 {
-    // A linear congruential step is enough to spread retries.
+    return static_cast<double>(draw() >> 11) / 9007199254740992.0;
+}
+
+std::uint64_t EntryTraffic::draw()
+{
+    // A linear congruential step is enough to spread retries and placements.
     m_randomState = m_randomState * 6364136223846793005ULL + 1442695040888963407ULL;
-    return static_cast<double>(m_randomState >> 11) / 9007199254740992.0;
+    return m_randomState;
 }
 
 } // namespace gypsumdale
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -1,7 +1,11 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm> // clamp, max, min
+#include <cmath> // log
+#include <iterator> // next
 #include <limits> // numeric_limits
 #include <utility> // move
 
@@ -22,6 +26,12 @@
 constexpr double plainAwayCost = 6000;
 /// A plain service's request counts as this; its upstreams have few slots.
 constexpr double plainRunningCost = 4000;
+/// Engines compared beside the home while reports are old: two choices are known to spread load
+/// nearly as well as all of them would, and a third looks outside.
+constexpr std::size_t drawnNear = 2;
+constexpr std::size_t drawnInAll = 3;
+/// A plain service's upstream elsewhere is drawn this much more rarely, for the way and the bytes.
+constexpr double drawnAwayFactor = 1.5;
 /// Keeps an upstream that failed out of reach while another is there.
 constexpr double avoidedCost = 1e9;
 
@@ -64,6 +74,88 @@
     return running * plainRunningCost;
 }
 
+PooledUpstreamPointer cheapestOf(const std::vector<PooledUpstreamPointer> &candidates,
+                                 const PooledUpstream *home, const PlacementRequest &request,
+                                 TimePoint now)
+{
+    const bool isPlain = request.m_promptTokens == 0;
+    const double bytes = static_cast<double>(request.m_bodyBytes);
+    const double awayCost = isPlain ? plainAwayCost : awayCostTokens + awayCostPerByte * bytes;
+    PooledUpstreamPointer best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const PooledUpstreamPointer &candidate : candidates) {
+        double cost = loadCost(*candidate, isPlain);
+        if (candidate.get() != home)
+            cost += readAgainCost * static_cast<double>(request.m_sharedTokens);
+        if (candidate->m_record.m_dataCentre != request.m_dataCentre)
+            cost += awayCost;
+        if (candidate->m_avoidUntil > now)
+            cost += avoidedCost;
+        if (cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+/// Returns a number above 0 and up to 1 that is an upstream's alone for this request.
+double drawOf(const PooledUpstream &upstream, const PlacementRequest &request)
+{
+    const std::string &id = upstream.m_record.m_id.text();
+    const auto drawn = XXH3_64bits_withSeed(id.data(), id.size(), request.m_draw);
+    constexpr double range = 18446744073709551616.0;
+    return (static_cast<double>(drawn) + 1) / range;
+}
+
+/// Draws an upstream of a plain service: each gets its part by one over its load, so that what the
+/// reports say counts, but no upstream is taken by all VMs at once.
+PooledUpstreamPointer drawByLoad(const std::vector<PooledUpstreamPointer> &candidates,
+                                 const PlacementRequest &request, TimePoint now)
+{
+    PooledUpstreamPointer best;
+    double least = std::numeric_limits<double>::max();
+    for (const PooledUpstreamPointer &candidate : candidates) {
+        const int running = candidate->m_own.m_running + candidate->m_others.m_running;
+        // The least of exponential draws falls on each in proportion to its rate.
+        double drawn = -std::log(drawOf(*candidate, request)) * (1 + std::max(0, running));
+        if (candidate->m_record.m_dataCentre != request.m_dataCentre)
+            drawn *= drawnAwayFactor;
+        if (candidate->m_avoidUntil > now)
+            drawn += avoidedCost;
+        if (drawn < least) {
+            best = candidate;
+            least = drawn;
+        }
+    }
+    return best;
+}
+
+/// Returns the home and a few engines that are drawn, more of them in the own data centre.
+std::vector<PooledUpstreamPointer> sampleOf(std::vector<PooledUpstreamPointer> candidates,
+                                            const PooledUpstream *home,
+                                            const PlacementRequest &request, TimePoint now)
+{
+    std::multimap<double, PooledUpstreamPointer> near;
+    std::multimap<double, PooledUpstreamPointer> away;
+    std::vector<PooledUpstreamPointer> sample;
+    for (PooledUpstreamPointer &candidate : candidates) {
+        if (candidate.get() == home)
+            sample.push_back(candidate);
+        const bool isNear = candidate->m_record.m_dataCentre == request.m_dataCentre;
+        const double avoided = candidate->m_avoidUntil > now ? avoidedCost : 0;
+        const double drawn = drawOf(*candidate, request) + avoided;
+        (isNear ? near : away).emplace(drawn, std::move(candidate));
+    }
+    const std::size_t nearTaken = std::min(near.size(), drawnNear);
+    for (auto entry = near.begin(); entry != std::next(near.begin(), nearTaken); ++entry)
+        sample.push_back(entry->second);
+    const std::size_t awayTaken = std::min(away.size(), drawnInAll - nearTaken);
+    for (auto entry = away.begin(); entry != std::next(away.begin(), awayTaken); ++entry)
+        sample.push_back(entry->second);
+    return sample;
+}
+
 } // namespace
 
 void UpstreamPool::update(const std::map<UpstreamId, UpstreamRecord> &upstreams,
@@ -126,9 +218,9 @@
     return oldest;
 }
 
-PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
+UpstreamPool::Candidates UpstreamPool::candidatesFor(const PlacementRequest &request) const
 {
-    std::vector<PooledUpstreamPointer> candidates;
+    Candidates candidates;
     for (const auto &[id, pooled] : m_upstreams) {
         const UpstreamRecord &record = pooled->m_record;
         if (record.m_service != request.m_service || record.m_isDraining)
@@ -136,28 +228,21 @@
         if (!request.m_excluded.contains(id))
             candidates.push_back(pooled);
     }
+    return candidates;
+}
+
+PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
+{
+    Candidates candidates = candidatesFor(request);
+    const bool isPlain = request.m_promptTokens == 0;
+    if (m_areReportsOld && isPlain)
+        return drawByLoad(candidates, request, now);
     const PooledUpstream *home = nullptr;
     if (!request.m_affinityKey.empty())
         home = homeOf(request.m_affinityKey, candidates, now);
-    const bool isPlain = request.m_promptTokens == 0;
-    const double bytes = static_cast<double>(request.m_bodyBytes);
-    const double awayCost = isPlain ? plainAwayCost : awayCostTokens + awayCostPerByte * bytes;
-    PooledUpstreamPointer best;
-    double bestCost = std::numeric_limits<double>::max();
-    for (const PooledUpstreamPointer &candidate : candidates) {
-        double cost = loadCost(*candidate, isPlain);
-        if (candidate.get() != home)
-            cost += readAgainCost * static_cast<double>(request.m_sharedTokens);
-        if (candidate->m_record.m_dataCentre != request.m_dataCentre)
-            cost += awayCost;
-        if (candidate->m_avoidUntil > now)
-            cost += avoidedCost;
-        if (cost < bestCost) {
-            best = candidate;
-            bestCost = cost;
-        }
-    }
-    return best;
+    if (m_areReportsOld)
+        candidates = sampleOf(std::move(candidates), home, request, now);
+    return cheapestOf(candidates, home, request, now);
 }
 
 void UpstreamPool::note(PooledUpstream &upstream, AttemptVerdict verdict, TimePoint now)
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -2,6 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint> // uint64_t
+#include <map> // map
+#include <string> // string, to_string
+#include <vector> // vector
+
 using namespace gypsumdale;
 using namespace std::chrono_literals;
 
@@ -119,3 +124,81 @@
         CHECK(a2.m_isGone);
     }
 }
+
+namespace {
+
+/// How often each upstream is chosen in a thousand draws.
+std::map<std::string, int> drawnTimes(const UpstreamPool &pool, PlacementRequest request)
+{
+    std::map<std::string, int> times;
+    std::uint64_t state = 1;
+    for (int round = 0; round < 1000; ++round) {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        request.m_draw = state;
+        ++times[chosen(pool, request)];
+    }
+    return times;
+}
+
+} // namespace
+
+// In a fleet of 65 VMs a report of a peer's load is up to 1.5 s old. All VMs sent their orders to
+// the one upstream that had looked idle, its queue filled while two others had free slots, and
+// buyers waited or were refused.
+TEST_CASE("old reports don't send every VM to one upstream")
+{
+    UpstreamPool pool;
+    pool.update(upstreamsOf({recordOf("a1", "a"), recordOf("b1", "b"), recordOf("c1", "c")}));
+    pool.setPeerLoad("peer", {{UpstreamId("b1"), {2, 0}}, {UpstreamId("c1"), {11, 0}}}, start);
+    PlacementRequest plain = requestFrom("a");
+    plain.m_promptTokens = 0;
+    REQUIRE(drawnTimes(pool, plain)["a1"] == 1000);
+
+    pool.setExchangePace(2);
+    std::map<std::string, int> times = drawnTimes(pool, plain);
+    // 1 to 1/4.5 to 1/18 by load and way.
+    CHECK(times["a1"] == Approx(783).margin(50));
+    CHECK(times["b1"] == Approx(174).margin(50));
+    CHECK(times["c1"] == Approx(43).margin(25));
+
+    SECTION("nor any to one that is avoided while another is there")
+    {
+        auto &a1 = *pool.upstreams().at(UpstreamId("a1"));
+        UpstreamPool::note(a1, AttemptVerdict::Broken, start);
+        UpstreamPool::note(a1, AttemptVerdict::Broken, start);
+        CHECK(drawnTimes(pool, plain)["a1"] == 0);
+        plain.m_excluded = {UpstreamId("b1"), UpstreamId("c1")};
+        CHECK(drawnTimes(pool, plain)["a1"] == 1000);
+    }
+}
+
+TEST_CASE("old reports let engines be compared among a few that are drawn")
+{
+    UpstreamPool pool;
+    std::vector<UpstreamRecord> records;
+    for (int number = 0; number < 10; ++number)
+        records.push_back(recordOf("a" + std::to_string(number), "a"));
+    for (int number = 0; number < 10; ++number)
+        records.push_back(recordOf("b" + std::to_string(number), "b"));
+    pool.update(upstreamsOf(records));
+    pool.setExchangePace(6);
+    for (const auto &[id, upstream] : pool.upstreams())
+        upstream->m_others.m_running = id.text() == "a3" ? 2 : 8;
+    PlacementRequest request = requestFrom("a");
+    std::map<std::string, int> times = drawnTimes(pool, request);
+    // Two of ten are drawn at home; the idle one is taken when it is among them.
+    CHECK(times["a3"] == Approx(200).margin(50));
+    CHECK(times["a4"] < 150);
+
+    SECTION("and keep a shared part at its home")
+    {
+        request.m_affinityKey = "5c1e07a2";
+        request.m_sharedTokens = 5000;
+        CHECK(drawnTimes(pool, request).size() == 1);
+    }
+    SECTION("and outside where the own data centre has none")
+    {
+        request.m_dataCentre = DataCentreId("c");
+        CHECK(drawnTimes(pool, request).size() == 20);
+    }
+}
