--- a/include/gypsumdale/serving/scale_planner.hpp
+++ b/include/gypsumdale/serving/scale_planner.hpp
@@ -35,8 +35,8 @@
 
 /// Decides how many upstreams of each kind a service has in each data centre: few steady ones as a
 /// floor, since a reclaim takes all others of a data centre at once, and reclaimable ones, which
-/// cost a fraction, above it. While a data centre has none of those to give, the others have more
-/// of them; where that is too few, steady ones stand in where they are cheapest.
+/// cost a fraction, above it. While too few of those are there, steady ones stand in for them where
+/// they are cheapest.
 class ScalePlanner
 {
 public:
@@ -52,9 +52,6 @@
 
 private:
     int neededEngines(const ScaleInput &input, TimePoint now);
-    bool lacksReclaimable(const ScaleInput &input, const DataCentreId &dataCentre,
-                          TimePoint now) const;
-    int eachWhileOthersLack(const ScaleInput &input, double target, TimePoint now) const;
 
     ScaleSettings m_settings;
     struct Peak
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -10,9 +10,6 @@
 
 /// How long a data centre that refused reclaimable upstreams is not asked again.
 constexpr Duration refusalPause = std::chrono::seconds(2);
-/// How long beyond its boot time the others stand in for it after its last refusal: it is asked
-/// twice in that, and what it then gives has come up.
-constexpr Duration standInTime = 2 * refusalPause;
 /// Part of an engine's slots that may be in use while first tokens still come in time.
 constexpr double slotsInUse = 0.35;
 
@@ -84,29 +81,6 @@
     return peak.m_engines;
 }
 
-/// Tells whether a data centre had no reclaimable upstreams to give, and can't have any up since.
-bool ScalePlanner::lacksReclaimable(const ScaleInput &input, const DataCentreId &dataCentre,
-                                    TimePoint now) const
-{
-    const auto refused = m_refusedAt.find({input.m_service->m_id, dataCentre});
-    const Duration lasting = input.m_service->m_scaling->m_bootTime + standInTime;
-    return refused != m_refusedAt.end() && now < refused->second + lasting;
-}
-
-/// Returns a data centre's part of the target while those that lack reclaimable upstreams leave
-/// theirs to the others.
-///
-/// Failure: a reclaim takes all of a data centre's reclaimable engines, and there are none to be
-/// had for 20 s. The engines left are overrun, and steady stand-ins come late, as need shows, at
-/// five times the price. Reclaimable ones of the other data centres can be had at once.
-int ScalePlanner::eachWhileOthersLack(const ScaleInput &input, double target, TimePoint now) const
-{
-    int giving = 0;
-    for (const DataCentreId &dataCentre : input.m_dataCentres)
-        giving += lacksReclaimable(input, dataCentre, now) ? 0 : 1;
-    return static_cast<int>(std::ceil(target / std::max(1, giving)));
-}
-
 std::vector<ScaleOrder> ScalePlanner::plan(const ScaleInput &input, TimePoint now)
 {
     const ScalingRule &rule = *input.m_service->m_scaling;
@@ -123,14 +97,12 @@
     const double least = m_settings.m_leastShare * rule.m_most * places;
     const double target = std::max(least, needed * m_settings.m_spare);
     const int each = static_cast<int>(std::ceil(target / places));
-    const int eachInStead = eachWhileOthersLack(input, target, now);
     std::map<DataCentreId, int> reclaimable;
     int available = 0;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
         const int floor = partOf(floors, dataCentre);
-        const int share = lacksReclaimable(input, dataCentre, now) ? each : eachInStead;
         if (hasReclaimable)
-            reclaimable[dataCentre] = std::clamp(share - floor, rule.m_least, rule.m_most - floor);
+            reclaimable[dataCentre] = std::clamp(each - floor, rule.m_least, rule.m_most - floor);
         const auto here = present.find(dataCentre);
         const int there = here == present.end() ? 0 : here->second.m_reclaimable;
         available += floor + there;
