--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm> // clamp, max, min
 #include <cmath> // log
-#include <iterator> // next
 #include <limits> // numeric_limits
+#include <map> // multimap
 #include <utility> // move
 
 namespace gypsumdale {
@@ -131,6 +131,16 @@
     return best;
 }
 
+void takeFirst(const std::multimap<double, PooledUpstreamPointer> &drawn, std::size_t most,
+               std::vector<PooledUpstreamPointer> &taken)
+{
+    for (const auto &[rank, upstream] : drawn) {
+        if (most-- == 0)
+            return;
+        taken.push_back(upstream);
+    }
+}
+
 /// Returns the home and a few engines that are drawn, more of them in the own data centre.
 std::vector<PooledUpstreamPointer> sampleOf(std::vector<PooledUpstreamPointer> candidates,
                                             const PooledUpstream *home,
@@ -147,12 +157,9 @@
         const double drawn = drawOf(*candidate, request) + avoided;
         (isNear ? near : away).emplace(drawn, std::move(candidate));
     }
-    const std::size_t nearTaken = std::min(near.size(), drawnNear);
-    for (auto entry = near.begin(); entry != std::next(near.begin(), nearTaken); ++entry)
-        sample.push_back(entry->second);
-    const std::size_t awayTaken = std::min(away.size(), drawnInAll - nearTaken);
-    for (auto entry = away.begin(); entry != std::next(away.begin(), awayTaken); ++entry)
-        sample.push_back(entry->second);
+    const std::size_t fromNear = std::min(near.size(), drawnNear);
+    takeFirst(near, fromNear, sample);
+    takeFirst(away, drawnInAll - fromNear, sample);
     return sample;
 }
 
