--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -1,7 +1,7 @@
 /// What entry VMs on the users' platform tell each other: one message each way.
 namespace cpp gypsumdale.entrywire
 
-const i32 PROTOCOL_VERSION = 1
+const i32 PROTOCOL_VERSION = 2
 
 /// What one VM has admitted for a client account.
 struct AccountUse {
@@ -59,12 +59,40 @@
   17: bool storeIsLost
 }
 
+/// What a VM that reads the store tells one of its data centre that doesn't.
+struct StoreNews {
+  1: string node
+  /// Number of the newest change of the upstreams that is told, counted by the sender.
+  2: i64 newestChange
+  /// The store's revision that the receiver must have reached for the changes to be all it lacks;
+  /// -1 if the list is told whole.
+  3: i64 sinceRevision
+  /// The store's revision of the sender's list.
+  4: i64 upstreamRevision
+  /// Milliseconds since the store confirmed that list.
+  5: i64 upstreamAgeMillis
+  /// The upstreams that joined or changed, or all of them.
+  6: string upstreamText
+  7: list<string> goneUpstreams
+  8: i64 configVersion
+  /// Milliseconds since the store confirmed that version to be the newest.
+  9: i64 configAgeMillis
+}
+
+struct StoreNewsTaken {
+  /// The receiver lacks more than it was told.
+  1: bool needsWholeList
+}
+
+/// A message and its answer: either both bring a digest, or news of the store and its receipt.
 struct EntryExchange {
-  1: EntryDigest digest
+  1: optional EntryDigest digest
   /// The stored configuration as the store wrote it, for a receiver that is behind.
   2: optional string configText
   3: optional i64 configVersion
   /// The stored list of upstreams, for a receiver whose own has gone stale.
   4: optional string upstreamText
   5: optional i64 upstreamRevision
+  6: optional StoreNews news
+  7: optional StoreNewsTaken newsTaken
 }
--- a/include/gypsumdale/entry/entry_config_feed.hpp
+++ b/include/gypsumdale/entry/entry_config_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/entry/entry_context.hpp>
+#include <gypsumdale/entry/store_role.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
 
 #include <cstdint> // int64_t
@@ -25,6 +26,14 @@
     /// Takes a version as a peer passed it on. Returns true if it was new.
     bool takeFromPeer(const std::string &text, const std::string &peer);
 
+    /// Says how this VM learns of versions from now on.
+    void setRole(StoreRole role) { m_role = role; }
+    /// Takes in which version a reader of this data centre holds, and how long ago the store
+    /// confirmed it. A newer one is read from the store at once.
+    void takeNews(std::int64_t version, Duration age);
+    /// How long ago the store, or a reader, confirmed the version in force.
+    Duration age() const { return m_context.now() - m_confirmedAt; }
+
     /// Tells whether the store doesn't answer, so that news can come from peers only.
     bool isStoreLost() const { return m_store.isLost(); }
     std::int64_t version() const { return m_version; }
@@ -35,6 +44,8 @@
 private:
     bool adopt(const std::string &text, std::string_view source);
     void take(const platform::StoreObject &object);
+    bool isTold() const;
+    Duration watchWait() const;
     void readWhole();
     void watchOnce();
 
@@ -46,6 +57,12 @@
     std::int64_t m_version = 0;
     /// Where the next watch begins; 0 to read anew.
     std::int64_t m_revision = 0;
+    StoreRole m_role = StoreRole::Alone;
+    TimePoint m_confirmedAt{};
+    /// When the store last answered this VM itself.
+    TimePoint m_readAt{};
+    /// The newest version that a reader spoke of.
+    std::int64_t m_toldVersion = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -13,14 +13,26 @@
 #include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
+#include <vector> // vector
 
 namespace gypsumdale::entrywire {
 class EntryDigest;
 class EntryExchange;
+class StoreNews;
 } // namespace gypsumdale::entrywire
 
 namespace gypsumdale {
 
+/// A peer in the own data centre.
+struct NearPeer
+{
+    NodeId m_node;
+    std::string m_address;
+    std::shared_ptr<FrameChannel> m_channel;
+    /// Whether it can read the store for others.
+    bool m_mayRead = false;
+};
+
 /// Exchanges what VMs know with every other entry VM: of each pair the one with the lower address
 /// begins, and the other only if it hears nothing. Finds peers by the seeds, the store and each
 /// other's word.
@@ -53,6 +65,14 @@
     using DutyHeard = std::function<void(std::int64_t fence, std::int64_t revision)>;
     void onDutyHeard(DutyHeard heard) { m_dutyHeard = std::move(heard); }
 
+    /// Called with news of the store; returns whether this VM lacks more than it was told.
+    using NewsHeard = std::function<bool(const entrywire::StoreNews &)>;
+    void onNews(NewsHeard heard) { m_newsHeard = std::move(heard); }
+    /// Returns the peers of the own data centre that were heard lately.
+    std::vector<NearPeer> nearPeers() const;
+    /// Tells whether exchanges are spread out for the size of the fleet.
+    bool isLargeFleet() const { return stretch() > 1; }
+
     /// Tells whether every peer of the last seconds has been heard just now.
     bool hearsAll() const;
     const TrafficReport &report() const { return m_report; }
@@ -63,6 +83,7 @@
     {
         std::string m_node;
         std::string m_address;
+        DataCentreId m_dataCentre;
         std::shared_ptr<FrameChannel> m_channel;
         TimePoint m_heardAt{};
         TimePoint m_knownSince{};
@@ -70,6 +91,7 @@
         std::int64_t m_upstreamRevision = 0;
         bool m_isUpstreamListStale = false;
         bool m_isStoreLost = false;
+        bool m_isLeaving = false;
         bool m_isSeed = false;
         bool m_isBusy = false;
         bool m_isSilent = false;
@@ -109,6 +131,7 @@
     std::int64_t m_dutyFence = 0;
     std::int64_t m_dutyRevision = 0;
     DutyHeard m_dutyHeard;
+    NewsHeard m_newsHeard;
     TimePoint m_startedAt;
     std::size_t m_messages = 0;
     std::size_t m_nextAsked = 0;
--- /dev/null
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <gypsumdale/entry/entry_config_feed.hpp>
+#include <gypsumdale/entry/entry_context.hpp>
+#include <gypsumdale/entry/entry_peers.hpp>
+#include <gypsumdale/entry/entry_upstream_feed.hpp>
+#include <gypsumdale/entry/store_role.hpp>
+#include <gypsumdale/serving/upstream_news.hpp>
+
+#include <cstdint> // int64_t
+#include <map> // map
+#include <string> // string
+
+namespace gypsumdale {
+
+/// Lets a few VMs of each data centre read the store for the others in a large fleet.
+///
+/// Each call to the store is paid for, and every VM would read every change of every upstream. All
+/// VMs name the same readers from the peers they hear, without a word; where they differ for a
+/// moment, more VMs read. A follower that isn't told in time reads for itself, so that readers may
+/// be lost at any moment: the bounds hold with a part of them left for its own reading.
+class EntryStoreNews
+{
+public:
+    EntryStoreNews(EntryContext &context, EntryConfigFeed &config, EntryUpstreamFeed &upstreams,
+                   EntryPeers &peers);
+
+    /// Chooses this VM's role and tells the followers until the process stops. Runs in a fiber of
+    /// its own.
+    void run();
+
+private:
+    struct Follower
+    {
+        FollowerState m_state;
+        bool m_isBusy = false;
+    };
+
+    void chooseRole();
+    bool isNewsDue() const;
+    void tellAll();
+    void tell(const NearPeer &peer);
+    bool take(const entrywire::StoreNews &news);
+
+    EntryContext &m_context;
+    EntryConfigFeed &m_config;
+    EntryUpstreamFeed &m_upstreams;
+    EntryPeers &m_peers;
+    StoreRole m_role = StoreRole::Alone;
+    /// By address.
+    std::map<std::string, Follower> m_followers;
+    TimePoint m_toldAt{};
+    std::int64_t m_toldChange = 0;
+    std::int64_t m_toldVersion = 0;
+};
+
+} // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <gypsumdale/entry/entry_context.hpp>
+#include <gypsumdale/entry/store_role.hpp>
 #include <gypsumdale/serving/upstream_feed.hpp>
+#include <gypsumdale/serving/upstream_news.hpp>
 
 #include <cstdint> // int64_t
 #include <string> // string
+#include <string_view> // string_view
 
 namespace gypsumdale {
 
@@ -24,6 +27,15 @@
     /// Takes a list that a peer read at a revision, if the own one has gone stale.
     void takeFromPeer(const std::string &text, std::int64_t revision, const std::string &peer);
 
+    /// Says how this VM learns the list from now on.
+    void setRole(StoreRole role) { m_role = role; }
+    /// Takes what a reader of this data centre tells, whose list was that old. Returns false if
+    /// this VM lacks more than that.
+    bool takeNews(const UpstreamNews &news, Duration age, std::string_view reader);
+    /// Returns what a follower lacks.
+    UpstreamNews newsFor(const FollowerState &follower) const;
+    std::int64_t newestChange() const { return m_feed.history().newest(); }
+
     /// Tells whether the store has not confirmed the list for so long that a peer's is better.
     bool isStale() const { return age() > staleAfter; }
     Duration age() const;
@@ -37,15 +49,20 @@
     /// Longer than a watch and the pause after it take.
     static constexpr Duration staleAfter = std::chrono::milliseconds(1600);
 
+    bool isTold() const;
+    bool isOvertaken(std::int64_t revision) const;
+    Duration pauseAfterReading() const;
     void readWhole();
     void watchOnce();
-    void publish();
+    /// Hands the list on if it changed for routing; the source is for the log.
+    void publish(std::string_view source);
 
     EntryContext &m_context;
     DependencyWatch m_store;
     UpstreamFeed m_feed;
     std::int64_t m_revision = 0;
     std::map<UpstreamId, UpstreamRecord> m_published;
+    StoreRole m_role = StoreRole::Alone;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/serving/upstream_feed.hpp
+++ b/include/gypsumdale/serving/upstream_feed.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/serving/upstream_history.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
 
+#include <cstdint> // int64_t
 #include <map> // map
+#include <optional> // optional
 #include <set> // set
 #include <vector> // vector
 
@@ -16,6 +19,19 @@
     bool m_isRemoved = false;
 };
 
+/// What a VM that reads the list tells one that doesn't.
+struct UpstreamNews
+{
+    /// The store's revision of the list that the changes lead to.
+    std::int64_t m_revision = 0;
+    /// The revision from which the changes are all that is lacking; nothing if they are the whole
+    /// list.
+    std::optional<std::int64_t> m_sinceRevision;
+    std::vector<UpstreamChange> m_changes;
+    /// The newest change of the sender's history that is told.
+    std::int64_t m_newestChange = 0;
+};
+
 /// Keeps the list of upstreams as the store or a peer tells it. Only newer revisions are adopted.
 ///
 /// An upstream's entry lapses while the store is away, though the upstream lives: routing would
@@ -31,6 +47,18 @@
     /// Applies changes that lead to a revision. Linear in the changes.
     void apply(const std::vector<UpstreamChange> &changes, std::int64_t revision, TimePoint now);
 
+    /// How news was taken.
+    enum class Taking {
+        Taken,
+        /// It is older than what is known, and lacks nothing.
+        Older,
+        /// This list lacks more than was told.
+        Lacking,
+    };
+    /// Takes in news of a VM that reads the store for this one; that VM has kept or dropped
+    /// vanished entries itself. Linear in the changes.
+    Taking take(const UpstreamNews &news, TimePoint confirmedAt);
+
     /// Notes that the store did not answer.
     void storeFailed() { m_isStoreAway = true; }
 
@@ -43,10 +71,14 @@
     /// When the store, or a peer that had heard it, last confirmed the list.
     TimePoint confirmedAt() const { return m_confirmedAt; }
     bool isKnown() const { return m_list.m_revision > 0; }
+    /// What changed for routing, for who is told differences.
+    const UpstreamHistory &history() const { return m_history; }
 
 private:
     bool keepsVanished(const UpstreamRecord &record, TimePoint now) const;
     void storeAnswered(TimePoint now);
+    void put(const UpstreamRecord &record);
+    void drop(const UpstreamId &id);
 
     UpstreamList m_list;
     /// Entries that vanished around an outage, until when they are kept.
@@ -54,6 +86,7 @@
     TimePoint m_confirmedAt{};
     TimePoint m_returnedAt{};
     bool m_isStoreAway = false;
+    UpstreamHistory m_history;
 };
 
 } // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/serving/upstream_news.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <gypsumdale/serving/upstream_feed.hpp>
+
+#include <cstdint> // int64_t
+
+namespace gypsumdale {
+
+/// What a reader of the list of upstreams knows one follower to have been told.
+class FollowerState
+{
+public:
+    /// Returns what the follower lacks of the list, or the whole list where that can't be told.
+    /// Linear.
+    UpstreamNews newsFor(const UpstreamFeed &list) const;
+
+    /// The follower took what it was told. Without an answer the same is told again: taking it
+    /// twice changes nothing.
+    void onTaken(const UpstreamNews &news);
+    /// The follower lacks more than it was told.
+    void onLacking() { m_isKnown = false; }
+
+private:
+    std::int64_t m_change = 0;
+    std::int64_t m_revision = 0;
+    bool m_isKnown = false;
+};
+
+} // namespace gypsumdale
--- a/include/gypsumdale/serving/upstream_record.hpp
+++ b/include/gypsumdale/serving/upstream_record.hpp
@@ -25,6 +25,13 @@
     std::optional<Duration> m_leavesIn;
 };
 
+/// Tells whether two entries of one upstream mean the same for where requests go.
+inline bool isSameForRouting(const UpstreamRecord &left, const UpstreamRecord &right)
+{
+    return left.m_isDraining == right.m_isDraining && left.m_ip == right.m_ip
+           && left.m_port == right.m_port && left.m_service == right.m_service;
+}
+
 /// All upstreams at one revision of the store.
 struct UpstreamList
 {
--- a/src/entry/entry_config_feed.cpp
+++ b/src/entry/entry_config_feed.cpp
@@ -3,6 +3,7 @@
 #include <platform/config_codec.hpp>
 #include <platform/wire_names.hpp>
 
+#include <algorithm> // max
 #include <utility> // move
 
 namespace gypsumdale {
@@ -12,6 +13,14 @@
 /// A watch waits for this part of the time in which a version must be in force: one whose
 /// connection went silent costs its wait and half a second.
 constexpr int watchesPerBound = 2;
+/// A reader's word goes a step further.
+constexpr int readerWatchesPerBound = 3;
+/// A follower that isn't told for this part of the bound asks itself; the rest is for that.
+constexpr double toldPartOfBound = 0.65;
+/// A watch that begins where the last reading ended this long ago is refused, as the store may have
+/// forgotten what came between: it promises 20 s, and may forget sooner.
+constexpr Duration cursorKept = std::chrono::seconds(8);
+constexpr Duration toldTick = std::chrono::milliseconds(100);
 constexpr Duration failurePause = std::chrono::milliseconds(150);
 
 } // namespace
@@ -25,7 +34,11 @@
 void EntryConfigFeed::follow()
 {
     while (!m_context.m_isStopping) {
-        if (m_revision == 0)
+        if (isTold()) {
+            sleepFiber(toldTick);
+            continue;
+        }
+        if (m_revision == 0 || m_context.now() - m_readAt > cursorKept)
             readWhole();
         else
             watchOnce();
@@ -34,6 +47,30 @@
     }
 }
 
+/// Tells whether a reader has confirmed the version lately enough for this VM not to ask.
+bool EntryConfigFeed::isTold() const
+{
+    if (m_role != StoreRole::Follower || m_store.isLost())
+        return false;
+    const bool isBehind = m_version == 0 || m_version < m_toldVersion;
+    const auto limit = std::chrono::duration_cast<Duration>(
+            toldPartOfBound * m_context.m_settings.m_bounds.m_configApply);
+    return !isBehind && age() < limit;
+}
+
+void EntryConfigFeed::takeNews(std::int64_t version, Duration age)
+{
+    m_toldVersion = std::max(m_toldVersion, version);
+    if (version == m_version)
+        m_confirmedAt = std::max(m_confirmedAt, m_context.now() - age);
+}
+
+Duration EntryConfigFeed::watchWait() const
+{
+    const int parts = m_role == StoreRole::Reader ? readerWatchesPerBound : watchesPerBound;
+    return m_context.m_settings.m_bounds.m_configApply / parts;
+}
+
 void EntryConfigFeed::readWhole()
 {
     const auto listing = m_context.m_store.list(platform::names::configKind,
@@ -43,6 +80,8 @@
         return;
     }
     m_store.answered(m_context.now());
+    m_confirmedAt = m_context.now();
+    m_readAt = m_confirmedAt;
     m_revision = valueOf(listing).m_revision;
     for (const platform::StoreObject &object : valueOf(listing).m_objects)
         take(object);
@@ -51,8 +90,7 @@
 void EntryConfigFeed::watchOnce()
 {
     const auto changes =
-            m_context.m_store.watch(platform::names::configKind, m_revision,
-                                    m_context.m_settings.m_bounds.m_configApply / watchesPerBound);
+            m_context.m_store.watch(platform::names::configKind, m_revision, watchWait());
     if (!succeeded(changes)) {
         // The history behind the revision is gone: what changed is read anew.
         if (errorOf(changes).m_id == ErrorId::PlatformRefused)
@@ -61,6 +99,8 @@
         return;
     }
     m_store.answered(m_context.now());
+    m_confirmedAt = m_context.now();
+    m_readAt = m_confirmedAt;
     m_revision = valueOf(changes).m_revision;
     for (const platform::StoreEvent &event : valueOf(changes).m_events) {
         if (!event.m_isRemoved)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/entry_daemon.hpp>
 #include <gypsumdale/entry/entry_duties.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
+#include <gypsumdale/entry/entry_store_news.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
@@ -91,6 +92,7 @@
         , m_config(m_context, [this](const ServingViewPointer &view) { adopt(view); })
         , m_upstreams(m_context)
         , m_peers(m_context, m_config, m_upstreams)
+        , m_news(m_context, m_config, m_upstreams, m_peers)
         , m_duties(m_context, m_config, m_upstreams, m_peers)
     {}
 
@@ -113,6 +115,7 @@
         m_controlLoop.spawn([this] { m_upstreams.follow(); });
         m_controlLoop.spawn([this] { m_peers.run(); });
         m_controlLoop.spawn([this] { m_peers.followRegistry(); });
+        m_controlLoop.spawn([this] { m_news.run(); });
         m_controlLoop.spawn([this] { m_duties.followLease(); });
         m_controlLoop.spawn([this] { m_duties.reportUsage(); });
         m_controlLoop.spawn([this] { m_duties.scale(); });
@@ -287,6 +290,7 @@
     EntryConfigFeed m_config;
     EntryUpstreamFeed m_upstreams;
     EntryPeers m_peers;
+    EntryStoreNews m_news;
     EntryDuties m_duties;
     std::optional<HttpServer> m_callers;
     std::optional<HttpServer> m_ready;
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::int32_t protocolVersion = 1;
+constexpr std::int32_t protocolVersion = 2;
 /// How often a pair exchanges. Quotas are overrun by what comes in during one exchange.
 constexpr Duration exchangeEvery = std::chrono::milliseconds(250);
 /// Beyond this many peers exchanges are spread out, so that a VM's control stays within its bound.
@@ -252,6 +252,19 @@
     return peer.m_heardAt != TimePoint{} && m_context.now() - peer.m_heardAt < forgottenAfter;
 }
 
+std::vector<NearPeer> EntryPeers::nearPeers() const
+{
+    std::vector<NearPeer> near;
+    for (const auto &[address, peer] : m_peers) {
+        const bool isHeard = isMember(*peer) && !peer->m_isSilent;
+        if (!isHeard || peer->m_dataCentre != m_context.m_settings.m_dataCentre)
+            continue;
+        const bool mayRead = !peer->m_isStoreLost && !peer->m_isLeaving;
+        near.push_back({NodeId(peer->m_node), address, peer->m_channel, mayRead});
+    }
+    return near;
+}
+
 bool EntryPeers::hearsAll() const
 {
     for (const auto &[address, peer] : m_peers) {
@@ -306,6 +319,7 @@
 entrywire::EntryExchange EntryPeers::message(const Peer *peer)
 {
     entrywire::EntryExchange message;
+    message.__isset.digest = true;
     entrywire::EntryDigest &digest = message.digest;
     digest.protocol = protocolVersion;
     digest.node = m_context.m_settings.m_node.text();
@@ -363,6 +377,12 @@
         return {};
     }
     const entrywire::EntryExchange &received = valueOf(decoded);
+    if (received.__isset.news) {
+        entrywire::EntryExchange taken;
+        taken.__isset.newsTaken = true;
+        taken.newsTaken.needsWholeList = m_newsHeard && m_newsHeard(received.news);
+        return wire::encode(taken);
+    }
     if (received.digest.protocol != protocolVersion)
         return {};
     take(received);
@@ -394,6 +414,8 @@
     peer.m_upstreamRevision = digest.upstreamRevision;
     peer.m_isUpstreamListStale = digest.upstreamAgeMillis < 0;
     peer.m_isStoreLost = digest.storeIsLost;
+    peer.m_isLeaving = digest.leaving;
+    peer.m_dataCentre = DataCentreId(digest.dataCentre);
     for (const auto &known : digest.peers)
         learn(known.node, known.address, false);
     if (digest.dutyFence > 0 && m_dutyHeard)
--- /dev/null
+++ b/src/entry/entry_store_news.cpp
@@ -0,0 +1,173 @@
+#include <gypsumdale/entry/entry_store_news.hpp>
+#include <gypsumdale/fleet/rendezvous.hpp>
+#include <gypsumdale/wire/thrift_codec.hpp>
+
+#include <platform/upstream_codec.hpp>
+
+#include <entry_types.h>
+
+#include <cstddef> // size_t
+#include <map> // map
+#include <string> // string
+#include <vector> // vector
+
+namespace gypsumdale {
+
+namespace {
+
+/// Readers of a data centre: with two, the loss of one goes unnoticed.
+constexpr std::size_t readers = 2;
+constexpr const char *readersKey = "store-reader";
+constexpr Duration tick = std::chrono::milliseconds(100);
+/// How often followers are told though nothing changed: three times within the shortest time after
+/// which they read for themselves.
+constexpr Duration tellEvery = std::chrono::milliseconds(500);
+/// Stands for no revision in a message that brings the whole list.
+constexpr std::int64_t wholeList = -1;
+constexpr Duration tellTimeout = std::chrono::milliseconds(600);
+
+std::int64_t millisOf(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+entrywire::StoreNews wireNews(const UpstreamNews &upstreams)
+{
+    entrywire::StoreNews news;
+    news.newestChange = upstreams.m_newestChange;
+    news.sinceRevision = upstreams.m_sinceRevision.value_or(wholeList);
+    news.upstreamRevision = upstreams.m_revision;
+    std::map<UpstreamId, UpstreamRecord> present;
+    for (const UpstreamChange &change : upstreams.m_changes) {
+        if (change.m_isRemoved)
+            news.goneUpstreams.push_back(change.m_record.m_id.text());
+        else
+            present.emplace(change.m_record.m_id, change.m_record);
+    }
+    if (!present.empty())
+        news.upstreamText = platform::encodeUpstreams(present);
+    return news;
+}
+
+UpstreamNews upstreamNews(const entrywire::StoreNews &news)
+{
+    UpstreamNews upstreams;
+    upstreams.m_newestChange = news.newestChange;
+    upstreams.m_revision = news.upstreamRevision;
+    if (news.sinceRevision != wholeList)
+        upstreams.m_sinceRevision = news.sinceRevision;
+    if (!news.upstreamText.empty()) {
+        for (const auto &[id, record] : platform::decodeUpstreamText(news.upstreamText))
+            upstreams.m_changes.push_back({record, false});
+    }
+    for (const std::string &gone : news.goneUpstreams) {
+        UpstreamChange &change = upstreams.m_changes.emplace_back();
+        change.m_record.m_id = UpstreamId(gone);
+        change.m_isRemoved = true;
+    }
+    return upstreams;
+}
+
+} // namespace
+
+EntryStoreNews::EntryStoreNews(EntryContext &context, EntryConfigFeed &config,
+                               EntryUpstreamFeed &upstreams, EntryPeers &peers)
+    : m_context(context)
+    , m_config(config)
+    , m_upstreams(upstreams)
+    , m_peers(peers)
+{
+    m_peers.onNews([this](const entrywire::StoreNews &news) { return !take(news); });
+}
+
+void EntryStoreNews::run()
+{
+    while (!m_context.m_isStopping) {
+        chooseRole();
+        if (m_role == StoreRole::Reader && isNewsDue())
+            tellAll();
+        sleepFiber(tick);
+    }
+}
+
+void EntryStoreNews::chooseRole()
+{
+    StoreRole role = StoreRole::Alone;
+    if (m_peers.isLargeFleet()) {
+        const NodeId &self = m_context.m_settings.m_node;
+        std::vector<NodeId> candidates;
+        if (!m_config.isStoreLost())
+            candidates.push_back(self);
+        for (const NearPeer &peer : m_peers.nearPeers()) {
+            if (peer.m_mayRead)
+                candidates.push_back(peer.m_node);
+        }
+        const bool isChosen = isRendezvousChoice(readersKey, candidates, readers, self);
+        role = isChosen ? StoreRole::Reader : StoreRole::Follower;
+    }
+    if (role == m_role)
+        return;
+    m_role = role;
+    m_followers.clear();
+    m_config.setRole(role);
+    m_upstreams.setRole(role);
+    m_context.m_log.info("store-role", {{LogField::Kind, nameIn(storeRoleNames, role)},
+                                        {LogField::ConfigVersion, m_config.version()},
+                                        {LogField::Revision, m_upstreams.revision()},
+                                        {LogField::Count, m_peers.nearPeers().size()}});
+}
+
+bool EntryStoreNews::isNewsDue() const
+{
+    const bool isChanged =
+            m_toldChange != m_upstreams.newestChange() || m_toldVersion != m_config.version();
+    return isChanged || m_context.now() - m_toldAt >= tellEvery;
+}
+
+void EntryStoreNews::tellAll()
+{
+    if (!m_upstreams.isKnown())
+        return;
+    m_toldAt = m_context.now();
+    m_toldChange = m_upstreams.newestChange();
+    m_toldVersion = m_config.version();
+    for (const NearPeer &peer : m_peers.nearPeers()) {
+        if (!m_followers[peer.m_address].m_isBusy)
+            m_context.m_loop.spawn([this, peer] { tell(peer); });
+    }
+}
+
+/// Tells one follower what it lacks.
+void EntryStoreNews::tell(const NearPeer &peer)
+{
+    const UpstreamNews upstreams = m_upstreams.newsFor(m_followers[peer.m_address].m_state);
+    entrywire::EntryExchange message;
+    message.__set_news(wireNews(upstreams));
+    message.news.node = m_context.m_settings.m_node.text();
+    message.news.upstreamAgeMillis = millisOf(m_upstreams.age());
+    message.news.configVersion = m_config.version();
+    message.news.configAgeMillis = millisOf(m_config.age());
+    m_followers[peer.m_address].m_isBusy = true;
+    const auto reply = peer.m_channel->exchange(wire::encode(message), tellTimeout);
+    Follower &follower = m_followers[peer.m_address];
+    follower.m_isBusy = false;
+    if (!succeeded(reply))
+        return;
+    const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
+    const bool isTaken = succeeded(decoded) && valueOf(decoded).__isset.newsTaken
+                         && !valueOf(decoded).newsTaken.needsWholeList;
+    if (isTaken)
+        follower.m_state.onTaken(upstreams);
+    else
+        follower.m_state.onLacking();
+}
+
+/// Takes what a reader tells. Returns false if this VM lacks more than that.
+bool EntryStoreNews::take(const entrywire::StoreNews &news)
+{
+    m_config.takeNews(news.configVersion, std::chrono::milliseconds(news.configAgeMillis));
+    return m_upstreams.takeNews(upstreamNews(news),
+                                std::chrono::milliseconds(news.upstreamAgeMillis), news.node);
+}
+
+} // namespace gypsumdale
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -8,18 +8,20 @@
 namespace {
 
 constexpr Duration watchWait = std::chrono::milliseconds(1000);
+/// A reader that has nothing new says so more often than its followers lose patience.
+constexpr Duration readerWatchWait = std::chrono::milliseconds(500);
 /// Upstreams write all the time, so that a watch answers at once: the pause lets changes collect.
 /// Each call is paid for. It is this part of the time in which a leaving upstream must be left
 /// alone.
 constexpr int pausesPerBound = 5;
+/// A reader's pause is shorter: its word goes a step further.
+constexpr int readerPausesPerBound = 6;
+/// A follower that isn't told for this part of the bound reads itself; the rest is for that.
+constexpr int toldPartsPerBound = 2;
+constexpr Duration toldTick = std::chrono::milliseconds(100);
 constexpr Duration failurePause = std::chrono::milliseconds(150);
-
-/// Tells whether a change matters to routing, to be logged and handed on.
-bool isSameForRouting(const UpstreamRecord &left, const UpstreamRecord &right)
-{
-    return left.m_isDraining == right.m_isDraining && left.m_ip == right.m_ip
-           && left.m_port == right.m_port && left.m_service == right.m_service;
-}
+/// Between the tries of a follower whom the store turns away, but who is told: each is paid for.
+constexpr Duration failurePauseIfTold = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -31,15 +33,33 @@
 void EntryUpstreamFeed::follow()
 {
     while (!m_context.m_isStopping) {
+        if (isTold() && !m_store.isLost()) {
+            sleepFiber(toldTick);
+            continue;
+        }
         if (m_revision == 0)
             readWhole();
         else
             watchOnce();
-        const Duration batchPause = m_context.m_settings.m_bounds.m_leavingApply / pausesPerBound;
-        sleepFiber(m_store.isLost() ? failurePause : batchPause);
+        sleepFiber(pauseAfterReading());
     }
 }
 
+/// Tells whether a reader has confirmed the list lately enough for this VM not to read it.
+bool EntryUpstreamFeed::isTold() const
+{
+    const Duration limit = m_context.m_settings.m_bounds.m_leavingApply / toldPartsPerBound;
+    return m_role == StoreRole::Follower && m_feed.isKnown() && age() < limit;
+}
+
+Duration EntryUpstreamFeed::pauseAfterReading() const
+{
+    if (m_store.isLost())
+        return isTold() ? failurePauseIfTold : failurePause;
+    const int parts = m_role == StoreRole::Reader ? readerPausesPerBound : pausesPerBound;
+    return m_context.m_settings.m_bounds.m_leavingApply / parts;
+}
+
 void EntryUpstreamFeed::readWhole()
 {
     const auto listing = m_context.m_store.list(platform::names::upstreamKind,
@@ -50,18 +70,20 @@
         return;
     }
     m_store.answered(m_context.now());
+    if (isOvertaken(valueOf(listing).m_revision))
+        return;
     m_revision = valueOf(listing).m_revision;
     auto decoded = platform::decodeUpstreams(valueOf(listing));
     if (decoded.m_malformed > 0)
         m_context.m_log.warning("upstreams-malformed", {{LogField::Count, decoded.m_malformed}});
     m_feed.replaceAll(std::move(decoded.m_list), m_context.now());
-    publish();
+    publish("store");
 }
 
 void EntryUpstreamFeed::watchOnce()
 {
-    const auto changes =
-            m_context.m_store.watch(platform::names::upstreamKind, m_revision, watchWait);
+    const Duration wait = m_role == StoreRole::Reader ? readerWatchWait : watchWait;
+    const auto changes = m_context.m_store.watch(platform::names::upstreamKind, m_revision, wait);
     if (!succeeded(changes)) {
         m_feed.storeFailed();
         if (errorOf(changes).m_id == ErrorId::PlatformRefused)
@@ -70,15 +92,24 @@
         return;
     }
     m_store.answered(m_context.now());
+    if (isOvertaken(valueOf(changes).m_revision))
+        return;
     m_revision = valueOf(changes).m_revision;
     m_feed.apply(platform::decodeChanges(valueOf(changes)), m_revision, m_context.now());
-    publish();
+    publish("store");
+}
+
+/// Tells whether a peer told of a later revision while the call was under way: what it brings would
+/// undo that.
+bool EntryUpstreamFeed::isOvertaken(std::int64_t revision) const
+{
+    return revision < m_feed.revision();
 }
 
 void EntryUpstreamFeed::expire()
 {
     if (m_feed.expire(m_context.now()))
-        publish();
+        publish("expiry");
 }
 
 Duration EntryUpstreamFeed::age() const
@@ -104,10 +135,25 @@
     m_revision = revision;
     m_context.m_log.info("upstreams-from-peer",
                          {{LogField::Peer, peer}, {LogField::Revision, revision}});
-    publish();
+    publish(peer);
+}
+
+UpstreamNews EntryUpstreamFeed::newsFor(const FollowerState &follower) const
+{
+    return follower.newsFor(m_feed);
+}
+
+bool EntryUpstreamFeed::takeNews(const UpstreamNews &news, Duration age, std::string_view reader)
+{
+    const UpstreamFeed::Taking taking = m_feed.take(news, m_context.now() - age);
+    if (taking == UpstreamFeed::Taking::Taken) {
+        m_revision = news.m_revision;
+        publish(reader);
+    }
+    return taking != UpstreamFeed::Taking::Lacking;
 }
 
-void EntryUpstreamFeed::publish()
+void EntryUpstreamFeed::publish(std::string_view source)
 {
     const auto &upstreams = m_feed.upstreams();
     bool isChanged = upstreams.size() != m_published.size();
@@ -122,11 +168,14 @@
                               record.m_service,
                               {LogField::UpstreamDataCentre, record.m_dataCentre},
                               {LogField::State, record.m_isDraining ? "draining" : "ready"},
+                              {LogField::Source, source},
                               {LogField::Revision, m_feed.revision()}});
     }
     for (const auto &[id, record] : m_published) {
         if (!upstreams.contains(id))
-            m_context.m_log.info("upstream-left", {id, {LogField::Revision, m_feed.revision()}});
+            m_context.m_log.info(
+                    "upstream-left",
+                    {id, {LogField::Source, source}, {LogField::Revision, m_feed.revision()}});
     }
     if (!isChanged)
         return;
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/serving/upstream_feed.hpp>
 
+#include <algorithm> // max
 #include <utility> // move
 
 namespace gypsumdale {
@@ -27,6 +28,22 @@
     return now < m_returnedAt + returnTime;
 }
 
+void UpstreamFeed::put(const UpstreamRecord &record)
+{
+    const auto known = m_list.m_upstreams.find(record.m_id);
+    if (known == m_list.m_upstreams.end() || !isSameForRouting(known->second, record))
+        m_history.noteChanged(record.m_id);
+    m_list.m_upstreams[record.m_id] = record;
+    m_vanished.erase(record.m_id);
+}
+
+void UpstreamFeed::drop(const UpstreamId &id)
+{
+    m_history.noteGone(id);
+    m_list.m_upstreams.erase(id);
+    m_vanished.erase(id);
+}
+
 bool UpstreamFeed::replaceAll(UpstreamList list, TimePoint now)
 {
     if (list.m_revision < m_list.m_revision)
@@ -41,6 +58,7 @@
     std::erase_if(m_vanished,
                   [&list](const auto &entry) { return !list.m_upstreams.contains(entry.first); });
     m_list = std::move(list);
+    m_history.noteReplaced();
     return true;
 }
 
@@ -51,8 +69,7 @@
     for (const UpstreamChange &change : changes) {
         const UpstreamId &id = change.m_record.m_id;
         if (!change.m_isRemoved) {
-            m_list.m_upstreams[id] = change.m_record;
-            m_vanished.erase(id);
+            put(change.m_record);
             continue;
         }
         const auto known = m_list.m_upstreams.find(id);
@@ -61,12 +78,36 @@
         if (keepsVanished(known->second, now))
             m_vanished.try_emplace(id, m_returnedAt + returnTime);
         else
-            m_list.m_upstreams.erase(known);
+            drop(id);
     }
     if (revision > m_list.m_revision)
         m_list.m_revision = revision;
 }
 
+UpstreamFeed::Taking UpstreamFeed::take(const UpstreamNews &news, TimePoint confirmedAt)
+{
+    const bool isWhole = !news.m_sinceRevision;
+    if (!isWhole && (!isKnown() || m_list.m_revision < *news.m_sinceRevision))
+        return Taking::Lacking;
+    // Changes up to an older revision are part of what this list was read or told with.
+    if (news.m_revision < m_list.m_revision)
+        return Taking::Older;
+    if (isWhole) {
+        m_list.m_upstreams.clear();
+        m_vanished.clear();
+        m_history.noteReplaced();
+    }
+    for (const UpstreamChange &change : news.m_changes) {
+        if (change.m_isRemoved)
+            drop(change.m_record.m_id);
+        else
+            put(change.m_record);
+    }
+    m_list.m_revision = news.m_revision;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    return Taking::Taken;
+}
+
 bool UpstreamFeed::expire(TimePoint now)
 {
     bool hasDropped = false;
@@ -75,6 +116,7 @@
             ++entry;
             continue;
         }
+        m_history.noteGone(entry->first);
         m_list.m_upstreams.erase(entry->first);
         entry = m_vanished.erase(entry);
         hasDropped = true;
--- /dev/null
+++ b/src/serving/upstream_history.cpp
@@ -0,0 +1,65 @@
+#include <gypsumdale/serving/upstream_history.hpp>
+
+#include <algorithm> // count_if, max, nth_element
+#include <cstddef> // ptrdiff_t
+
+namespace gypsumdale {
+
+namespace {
+
+/// Upstreams that left and are remembered: more than leave in some seconds of the largest fleet,
+/// while a follower falls behind by fractions of one.
+constexpr std::size_t mostGone = 1024;
+
+} // namespace
+
+void UpstreamHistory::note(const UpstreamId &upstream, bool isGone)
+{
+    Entry &entry = m_entries[upstream];
+    m_goneCount += isGone ? 1 : 0;
+    m_goneCount -= entry.m_isGone ? 1 : 0;
+    entry = Entry{++m_newest, isGone};
+    if (m_goneCount > mostGone)
+        forgetOldest();
+}
+
+void UpstreamHistory::noteReplaced()
+{
+    m_entries.clear();
+    m_goneCount = 0;
+    m_forgottenTo = ++m_newest;
+}
+
+/// Forgets the older half of those that left.
+void UpstreamHistory::forgetOldest()
+{
+    std::vector<std::int64_t> numbers;
+    for (const auto &[upstream, entry] : m_entries) {
+        if (entry.m_isGone)
+            numbers.push_back(entry.m_number);
+    }
+    const auto middle = numbers.begin() + static_cast<std::ptrdiff_t>(numbers.size() / 2);
+    std::nth_element(numbers.begin(), middle, numbers.end());
+    m_forgottenTo = std::max(m_forgottenTo, *middle);
+    std::erase_if(m_entries, [this](const auto &item) {
+        const Entry &entry = item.second;
+        return entry.m_isGone && entry.m_number <= m_forgottenTo;
+    });
+    m_goneCount = static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(),
+                          [](const auto &item) { return item.second.m_isGone; }));
+}
+
+std::optional<UpstreamDifferences> UpstreamHistory::since(std::int64_t number) const
+{
+    if (number < m_forgottenTo || number > m_newest)
+        return std::nullopt;
+    UpstreamDifferences differences;
+    for (const auto &[upstream, entry] : m_entries) {
+        if (entry.m_number > number)
+            (entry.m_isGone ? differences.m_gone : differences.m_changed).push_back(upstream);
+    }
+    return differences;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/serving/upstream_news.cpp
@@ -0,0 +1,35 @@
+#include <gypsumdale/serving/upstream_news.hpp>
+
+namespace gypsumdale {
+
+UpstreamNews FollowerState::newsFor(const UpstreamFeed &list) const
+{
+    const auto &upstreams = list.upstreams();
+    UpstreamNews news;
+    news.m_revision = list.revision();
+    news.m_newestChange = list.history().newest();
+    const auto differences = m_isKnown ? list.history().since(m_change) : std::nullopt;
+    if (!differences) {
+        for (const auto &[id, record] : upstreams)
+            news.m_changes.push_back({record, false});
+        return news;
+    }
+    news.m_sinceRevision = m_revision;
+    for (const UpstreamId &id : differences->m_changed)
+        news.m_changes.push_back({upstreams.at(id), false});
+    for (const UpstreamId &id : differences->m_gone) {
+        UpstreamChange &change = news.m_changes.emplace_back();
+        change.m_record.m_id = id;
+        change.m_isRemoved = true;
+    }
+    return news;
+}
+
+void FollowerState::onTaken(const UpstreamNews &news)
+{
+    m_change = news.m_newestChange;
+    m_revision = news.m_revision;
+    m_isKnown = true;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/tests/src/fuzz-store-news.cpp
@@ -0,0 +1,256 @@
+#include <gypsumdale/serving/upstream_news.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <array> // array
+#include <cstdint> // int64_t, uint32_t
+#include <deque> // deque
+#include <map> // map
+#include <string> // to_string
+#include <vector> // vector
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t readerCount = 2;
+constexpr std::uint32_t upstreamCount = 6;
+
+/// A list of upstreams with all its changes, as the store has them. An upstream's port stands for
+/// what it last wrote.
+class Store
+{
+public:
+    void change(const UpstreamId &id, bool isRemoved)
+    {
+        if (isRemoved && !m_now.contains(id))
+            return;
+        UpstreamChange change;
+        change.m_isRemoved = isRemoved;
+        change.m_record.m_id = id;
+        change.m_record.m_port = static_cast<std::uint16_t>(m_changes.size() + 1);
+        m_changes.push_back(change);
+        if (isRemoved)
+            m_now.erase(id);
+        else
+            m_now[id] = change.m_record;
+        m_states.push_back(m_now);
+    }
+
+    std::int64_t revision() const { return static_cast<std::int64_t>(m_changes.size()) + 1; }
+    const std::map<UpstreamId, UpstreamRecord> &at(std::int64_t revision) const
+    {
+        return m_states.at(static_cast<std::size_t>(revision - 1));
+    }
+
+    /// Lets a list catch up with some changes, or read the whole list if it has none.
+    void read(UpstreamFeed &feed, std::size_t most, TimePoint now) const
+    {
+        if (!feed.isKnown()) {
+            feed.replaceAll({revision(), m_now}, now);
+            return;
+        }
+        std::vector<UpstreamChange> changes;
+        auto next = static_cast<std::size_t>(feed.revision() - 1);
+        for (; next < m_changes.size() && changes.size() < most; ++next)
+            changes.push_back(m_changes[next]);
+        feed.apply(changes, static_cast<std::int64_t>(next) + 1, now);
+    }
+
+private:
+    std::vector<UpstreamChange> m_changes;
+    std::map<UpstreamId, UpstreamRecord> m_now;
+    std::vector<std::map<UpstreamId, UpstreamRecord>> m_states{{}};
+};
+
+/// One that reads the store, and what it keeps of its follower.
+struct Reader
+{
+    UpstreamFeed m_feed;
+    FollowerState m_follower;
+};
+
+struct Message
+{
+    std::size_t m_reader = 0;
+    int m_life = 0;
+    UpstreamNews m_news;
+};
+
+class World
+{
+public:
+    explicit World(bool hasOutages)
+        : m_hasOutages(hasOutages)
+    {}
+
+    void step(std::uint32_t value)
+    {
+        m_now += std::chrono::milliseconds(value % 200);
+        const std::size_t reader = (value >> 8U) % readerCount;
+        const std::uint32_t amount = (value >> 12U) % 4;
+        const UpstreamId id(std::to_string((value >> 16U) % upstreamCount));
+        switch ((value >> 20U) % 16) {
+        case 0:
+        case 1:
+        case 2:
+            m_store.change(id, amount == 0);
+            break;
+        case 3:
+        case 4:
+        case 5:
+            read(m_readers[reader], amount);
+            break;
+        case 6:
+        case 7:
+        case 8:
+            tell(reader);
+            break;
+        case 9:
+        case 10:
+        case 11:
+            deliver(amount, true);
+            break;
+        case 12:
+            deliver(amount, false);
+            break;
+        case 13:
+            m_store.read(m_follower, amount, m_now);
+            break;
+        case 14:
+            disturb(reader, amount);
+            break;
+        default:
+            if (!m_messages.empty())
+                m_messages.pop_front();
+            break;
+        }
+        check();
+    }
+
+    /// Everything arrives again.
+    void heal()
+    {
+        m_messages.clear();
+        for (int round = 0; round < 8; ++round) {
+            m_now += 1s;
+            for (std::size_t reader = 0; reader < readerCount; ++reader) {
+                read(m_readers[reader], 1000);
+                tell(reader);
+                deliver(0, true);
+            }
+            m_follower.expire(m_now);
+        }
+        RC_ASSERT(m_follower.revision() == m_store.revision());
+        RC_ASSERT(holds(m_store.at(m_store.revision()), true));
+    }
+
+private:
+    void read(Reader &reader, std::size_t most)
+    {
+        m_store.read(reader.m_feed, most, m_now);
+        reader.m_feed.expire(m_now);
+    }
+
+    void tell(std::size_t index)
+    {
+        Reader &reader = m_readers[index];
+        if (!reader.m_feed.isKnown())
+            return;
+        m_messages.push_back({index, m_lives[index], reader.m_follower.newsFor(reader.m_feed)});
+    }
+
+    /// Delivers a message of those under way; it stays under way as if doubled when unanswered.
+    void deliver(std::size_t which, bool isAnswered)
+    {
+        if (m_messages.empty())
+            return;
+        const auto at = m_messages.begin() + static_cast<std::ptrdiff_t>(which % m_messages.size());
+        const Message message = *at;
+        const auto taking = m_follower.take(message.m_news, m_now);
+        if (!isAnswered)
+            return;
+        m_messages.erase(at);
+        if (m_lives[message.m_reader] != message.m_life)
+            return;
+        FollowerState &state = m_readers[message.m_reader].m_follower;
+        if (taking == UpstreamFeed::Taking::Lacking)
+            state.onLacking();
+        else
+            state.onTaken(message.m_news);
+    }
+
+    void disturb(std::size_t reader, std::uint32_t how)
+    {
+        if (how == 0) {
+            m_follower = UpstreamFeed();
+        } else if (how == 1) {
+            m_readers[reader] = Reader();
+            ++m_lives[reader];
+        } else if (m_hasOutages) {
+            m_readers[reader].m_feed.storeFailed();
+        }
+    }
+
+    void check()
+    {
+        if (m_follower.isKnown())
+            RC_ASSERT(holds(m_store.at(m_follower.revision()), !m_hasOutages));
+    }
+
+    /// Tells whether the follower has this list; after outages it may keep more for a while.
+    bool holds(const std::map<UpstreamId, UpstreamRecord> &truth, bool isExact) const
+    {
+        const auto &held = m_follower.upstreams();
+        for (const auto &[id, record] : truth) {
+            const auto found = held.find(id);
+            if (found == held.end() || found->second.m_port != record.m_port)
+                return false;
+        }
+        return !isExact || held.size() == truth.size();
+    }
+
+    bool m_hasOutages;
+    Store m_store;
+    std::array<Reader, readerCount> m_readers;
+    std::array<int, readerCount> m_lives{};
+    UpstreamFeed m_follower;
+    std::deque<Message> m_messages;
+    TimePoint m_now{1h};
+};
+
+void checkWorlds(bool hasOutages)
+{
+    // A follower that restarts and is told by the reader that lags behind the other is rare.
+    constexpr std::uint32_t rounds = 6;
+    constexpr int lengthening = 10;
+    for (std::uint32_t round = 0; round < rounds; ++round) {
+        REQUIRE(rc::check([hasOutages, round] {
+            const auto steps =
+                    *rc::gen::scale(lengthening, rc::gen::container<std::vector<std::uint32_t>>(
+                                                         rc::gen::arbitrary<std::uint32_t>()));
+            World world(hasOutages);
+            for (const std::uint32_t value : steps)
+                world.step(value ^ (round * 0x9e3779b9U));
+            world.heal();
+        }));
+    }
+}
+
+} // namespace
+
+// A leaving engine's notice reaches an entry VM through one of two readers, while messages are
+// lost, doubled and overtaken, readers and follower restart and each has read another part of the
+// store's changes. An entry that came back, or one that never went, would be an engine that is sent
+// requests after it has left.
+TEST_CASE("a follower's list is the store's at its revision")
+{
+    checkWorlds(false);
+}
+
+TEST_CASE("a follower's list is the store's in the end after outages of the store")
+{
+    checkWorlds(true);
+}
--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -2,8 +2,11 @@
 
 #include <catch2/catch.hpp>
 
-#include <csignal> // SIGHUP, SIGTERM
+#include <algorithm> // find
+#include <csignal> // SIGHUP, SIGKILL, SIGTERM
+#include <string> // string
 #include <thread> // thread
+#include <vector> // vector
 
 using namespace gypsumdale;
 using namespace gypsumdale::testing;
@@ -281,6 +284,56 @@
     CHECK(world.call(world.node(1), "/again/x", "r-2").m_status == 200);
 }
 
+TEST_CASE("entry processes of a large fleet let two of them read the store")
+{
+    // Each VM of a large fleet read each change of each upstream, and the calls cost a tenth of
+    // what the fleet earns. Now most are told. The readers die together just when an engine leaves
+    // and a key is taken away: the others must learn of both all the same.
+    constexpr std::size_t nodes = 14;
+    EntryWorld world(nodes);
+    const auto count = [&](const std::string &text) {
+        std::size_t found = 0;
+        for (std::size_t node = 0; node < nodes; ++node)
+            found += world.wholeLog(world.node(node)).find(text) != std::string::npos ? 1 : 0;
+        return found;
+    };
+    const auto isReader = [&](std::size_t node) {
+        const std::string log = world.wholeLog(world.node(node));
+        const std::size_t last = log.rfind("store-role");
+        return last != std::string::npos && log.find("reader", last) != std::string::npos;
+    };
+    const auto readers = [&] {
+        std::vector<std::size_t> found;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            if (isReader(node))
+                found.push_back(node);
+        }
+        return found;
+    };
+    world.waitUntil("each VM has a role", [&] { return count("store-role") == nodes; });
+    world.waitUntil("two read", [&] { return readers().size() == 2; });
+    world.announce(world.upstream(0), "draining");
+    world.waitUntil("all know that an upstream leaves",
+                    [&] { return count("\"draining\"") == nodes; });
+
+    const std::vector<std::size_t> killed = readers();
+    for (const std::size_t node : killed)
+        world.node(node).m_process->send(SIGKILL);
+    world.store().remove("servers", "u-1");
+    world.configure(2, {"new-key"});
+    const std::size_t left = nodes - killed.size();
+    world.waitUntil("all others know that it is gone",
+                    [&] { return count("upstream-left") >= left; });
+    for (std::size_t node = 0; node < nodes; ++node) {
+        if (std::find(killed.begin(), killed.end(), node) != killed.end())
+            continue;
+        world.waitUntil("the new key is in force", [&] {
+            return world.call(world.node(node), "/again/x", "r-1", "new-key").m_status == 200;
+        });
+        CHECK(world.call(world.node(node), "/again/x", "r-2", "key").m_status == 401);
+    }
+}
+
 TEST_CASE("an entry process stops without cutting a request")
 {
     EntryWorld world;
--- a/tests/src/unit-upstream-feed.cpp
+++ b/tests/src/unit-upstream-feed.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/serving/upstream_feed.hpp>
+#include <gypsumdale/serving/upstream_news.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -87,3 +88,71 @@
         CHECK_FALSE(has(feed, "a"));
     }
 }
+
+TEST_CASE("news of a reader")
+{
+    UpstreamFeed feed;
+    REQUIRE(feed.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+    UpstreamNews news;
+    news.m_revision = 14;
+    news.m_sinceRevision = 9;
+    news.m_changes = {{recordOf("a", true), false}, {recordOf("b"), true}};
+
+    SECTION("brings changes and their age")
+    {
+        CHECK(feed.take(news, start + 2s) == UpstreamFeed::Taking::Taken);
+        CHECK(feed.upstreams().at(UpstreamId("a")).m_isDraining);
+        CHECK_FALSE(has(feed, "b"));
+        CHECK(feed.revision() == 14);
+        CHECK(feed.confirmedAt() == start + 2s);
+    }
+    SECTION("is no use to a list that lacks what came before it")
+    {
+        news.m_sinceRevision = 11;
+        CHECK(feed.take(news, start) == UpstreamFeed::Taking::Lacking);
+        CHECK(has(feed, "b"));
+    }
+    SECTION("is passed over when the list is newer")
+    {
+        // A follower has read the store itself; a reader's word of before must not take it back.
+        news.m_revision = 9;
+        news.m_sinceRevision = 8;
+        CHECK(feed.take(news, start + 2s) == UpstreamFeed::Taking::Older);
+        CHECK(has(feed, "b"));
+        CHECK(feed.confirmedAt() == start);
+    }
+    SECTION("may be the whole list")
+    {
+        news.m_sinceRevision.reset();
+        news.m_changes = {{recordOf("c"), false}};
+        CHECK(feed.take(news, start) == UpstreamFeed::Taking::Taken);
+        CHECK(feed.upstreams().size() == 1);
+    }
+}
+
+TEST_CASE("a follower is told what came and went between two readings")
+{
+    // An engine joins and is lost within half a second. The follower read the store in between, the
+    // reader only before and after: told nothing of it, the follower would send requests to an
+    // address that nobody answers at, for good.
+    UpstreamFeed reader;
+    REQUIRE(reader.replaceAll(listOf(10, {recordOf("a")}), start));
+    UpstreamFeed follower;
+    FollowerState state;
+    const UpstreamNews first = state.newsFor(reader);
+    REQUIRE(follower.take(first, start) == UpstreamFeed::Taking::Taken);
+    state.onTaken(first);
+
+    follower.apply({{recordOf("b"), false}}, 11, start);
+    SECTION("as changes")
+    {
+        reader.apply({{recordOf("b"), false}, {recordOf("b"), true}}, 12, start);
+    }
+    SECTION("or in a list read anew")
+    {
+        reader.replaceAll(listOf(12, {recordOf("a")}), start);
+    }
+    CHECK(follower.take(state.newsFor(reader), start) == UpstreamFeed::Taking::Taken);
+    CHECK_FALSE(has(follower, "b"));
+    CHECK(has(follower, "a"));
+}
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -15,8 +15,9 @@
 #include <csignal> // signal, SIGPIPE
 #include <cstdlib> // getenv
 #include <filesystem> // create_directories, remove_all
-#include <fstream> // ofstream
+#include <fstream> // ifstream, ofstream
 #include <functional> // function
+#include <iterator> // istreambuf_iterator
 #include <map> // map
 #include <memory> // unique_ptr
 #include <mutex> // lock_guard, mutex
@@ -382,6 +383,13 @@
         }
     }
 
+    /// Returns all that a process has logged, for conditions on lines that may be long past.
+    std::string wholeLog(const EntryNode &node) const
+    {
+        std::ifstream file((m_folder / (node.m_name + ".log")).string());
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
     std::string log(const EntryNode &node) const
     {
         return tailOf((m_folder / (node.m_name + ".log")).string());
