Keep half of a burst in the bucket while exchanges are spread out

The margin for what VMs admit before they hear of each other, 0.03 of the tolerance a step, leaves such an account 0.8 of its rate.

Ruled out: a smaller margin alone.

--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -11,8 +11,11 @@
 /// before they hear of each other's use.
 constexpr double usedPart = 0.91;
 /// As much less for each step by which exchanges are spread out, and the least that is admitted.
-constexpr double usedLessPerStep = 0.03;
+constexpr double usedLessPerStep = 0.02;
 constexpr double leastUsed = 0.7;
+/// Part of an account's burst that its bucket holds while exchanges are spread out. All VMs see it
+/// full and take from it before they hear of each other; what it lacks fills it as rate instead.
+constexpr double burstKeptIfSpread = 0.5;
 /// Capacity in seconds of the rate where an account has no burst.
 constexpr double leastBurstSeconds = 0.5;
 /// Part of the capacity below which only this VM's part of the rate is admitted. Above it, what all
@@ -35,7 +38,8 @@
 
 double FleetQuota::capacityOf(const ClientAccount &account) const
 {
-    return std::max(account.m_burst, leastBurstSeconds * account.m_ratePerSecond);
+    const double kept = m_stretch > 1 ? burstKeptIfSpread : 1.0;
+    return std::max(kept * account.m_burst, leastBurstSeconds * account.m_ratePerSecond);
 }
 
 /// Returns the rate at which a bucket fills, so that one bucketful and what fills it in a window
--- a/tests/src/fuzz-fleet-quota.cpp
+++ b/tests/src/fuzz-fleet-quota.cpp
@@ -20,6 +20,8 @@
 constexpr double tolerated = 1.1 * limit + 0.26 * rate;
 constexpr Duration step = 25ms;
 constexpr Duration exchangeEvery = 500ms;
+/// The interval of exchanges that the spread is a multiple of.
+constexpr Duration spreadEvery = 250ms;
 
 struct Admission
 {
@@ -31,13 +33,16 @@
 class World
 {
 public:
-    World(std::uint32_t seed, std::size_t nodes)
+    explicit World(std::uint32_t seed, std::size_t nodes, int stretch = 1)
         : m_random(seed)
+        , m_stretch(stretch)
         , m_demand(nodes, 0)
         , m_side(nodes, 0)
     {
         for (std::size_t node = 0; node < nodes; ++node)
             m_nodes.push_back(std::make_unique<FleetQuota>(FleetQuotaSettings{}));
+        for (const auto &node : m_nodes)
+            node->setExchangePace(stretch);
         exchangeAll();
     }
 
@@ -47,7 +52,9 @@
         const TimePoint end = m_now + length;
         TimePoint nextExchange = m_now;
         while (m_now < end) {
-            if (m_now >= nextExchange) {
+            if (m_stretch > 1) {
+                exchangeSome();
+            } else if (m_now >= nextExchange) {
                 exchangeAll();
                 nextExchange += exchangeEvery;
             }
@@ -81,12 +88,27 @@
 private:
     void exchangeAll()
     {
+        for (std::size_t from = 0; from < m_nodes.size(); ++from)
+            tellAll(from);
+    }
+
+    void tellAll(std::size_t from)
+    {
+        const auto uses = m_nodes[from]->ownUse(m_now);
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            if (from != to && m_side[from] == m_side[to])
+                m_nodes[to]->setPeerUse(std::to_string(from), uses, m_now);
+        }
+    }
+
+    /// Each VM tells its use at its own time within the spread interval.
+    void exchangeSome()
+    {
+        const auto steps = static_cast<std::size_t>(spreadEvery * m_stretch / step);
+        const auto at = static_cast<std::size_t>(m_now.time_since_epoch() / step);
         for (std::size_t from = 0; from < m_nodes.size(); ++from) {
-            const auto uses = m_nodes[from]->ownUse(m_now);
-            for (std::size_t to = 0; to < m_nodes.size(); ++to) {
-                if (from != to && m_side[from] == m_side[to])
-                    m_nodes[to]->setPeerUse(std::to_string(from), uses, m_now);
-            }
+            if ((at + from * 7) % steps == 0)
+                tellAll(from);
         }
     }
 
@@ -117,6 +139,7 @@
     }
 
     pcg32 m_random;
+    int m_stretch;
     TimePoint m_now{1h};
     std::vector<std::unique_ptr<FleetQuota>> m_nodes;
     std::vector<double> m_demand;
@@ -148,6 +171,21 @@
         world.drawDemand(rate * (1 + 5 * world.unit()));
         RC_ASSERT(world.play(12s) <= tolerated);
     });
+    rc::prop("a rush is held to the limit in a fleet whose exchanges are spread out", [] {
+        // 60 VMs hear each other every 1.5 s. What they admit in between is in nobody's bucket.
+        const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
+        World world(seed, 60, 6);
+        for (int phase = 0; phase < 4; ++phase) {
+            world.drawDemand(rate * (0.3 + 6 * world.unit()));
+            RC_ASSERT(world.play(4s) <= tolerated);
+        }
+    });
+    rc::prop("demand just within the limit is served in such a fleet", [] {
+        const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
+        World world(seed, 60, 6);
+        world.drawDemand(rate * 0.88);
+        RC_ASSERT(world.play(12s) >= 8 * rate * 0.88 * 0.97);
+    });
     rc::prop("usual demand is never refused in a whole fleet", [] {
         const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
         World world(seed, 7);
