Harm links in the soak, and check streams

Cause: the soak disturbed processes, store and upstreams, but no connection, and knew no streams.

Change: a loopback proxy stands between the processes and the store and each upstream; it delays, cuts one way or both, or resets, at random and beside what happens to processes. Callers ask for streams too, resumable and not; upstreams break off in the middle of an event. A success must be whole and the caller's own. Routes that may not be repeated allow two attempts now, so that the rule alone keeps them from a second one.

Links between VMs are not harmed: a VM tells its peers the address that it listens at.

--- a/tests/src/process-entry-soak.cpp
+++ b/tests/src/process-entry-soak.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
 
+#include <array> // array
 #include <csignal> // SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 #include <cstdint> // uint64_t
 #include <cstdlib> // getenv, strtoull
@@ -15,7 +16,21 @@
 namespace {
 
 constexpr int nodeCount = 3;
-constexpr int callerCount = 6;
+constexpr int callerCount = 8;
+
+struct Route
+{
+    const char *m_path;
+    bool m_mayRepeat;
+    bool m_isStream;
+};
+
+constexpr std::array<Route, 4> routes = {{
+        {"/again/x", true, false},
+        {"/once/x", false, false},
+        {"/draft/x", false, true},
+        {"/stream/x", true, true},
+}};
 
 std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
 {
@@ -23,6 +38,23 @@
     return text ? std::strtoull(text, nullptr, 10) : fallback;
 }
 
+constexpr int eventCount = 6;
+
+std::string event(const std::string &id, int number)
+{
+    return fmt::format("id: {}\ndata: {} of {}\n\n", number, number, id);
+}
+
+std::string wholeAnswer(const std::string &id, bool isStream)
+{
+    if (!isStream)
+        return "answer to " + id;
+    std::string whole;
+    for (int number = 1; number <= eventCount; ++number)
+        whole += event(id, number);
+    return whole;
+}
+
 /// What upstreams ran and callers were told, by request. Shared by all threads of a soak.
 class Ledger
 {
@@ -33,10 +65,12 @@
         ++m_runs[id];
     }
 
-    void answered(const std::string &id, bool mayRepeat, const EntryAnswer &answer)
+    /// Notes an answer, with what it must be if it is a success.
+    void answered(const std::string &id, bool mayRepeat, const std::string &whole,
+                  const EntryAnswer &answer)
     {
         const std::lock_guard lock(m_mutex);
-        m_answers[id] = {mayRepeat, answer};
+        m_answers[id] = {mayRepeat, whole, answer};
         ++m_byStatus[answer.m_status];
     }
 
@@ -54,7 +88,7 @@
             const bool saysNotRun = status == 429 || status == 503;
             const bool isFalselyRefused = saysNotRun && !answered.m_mayRepeat && runs > 0;
             CHECK_FALSE(isFalselyRefused);
-            const bool isAnothers = status == 200 && answered.m_answer.m_body != "answer to " + id;
+            const bool isAnothers = status == 200 && answered.m_answer.m_body != answered.m_whole;
             CHECK_FALSE(isAnothers);
         }
     }
@@ -79,6 +113,7 @@
     struct Answered
     {
         bool m_mayRepeat = false;
+        std::string m_whole;
         EntryAnswer m_answer;
     };
     mutable std::mutex m_mutex;
@@ -108,6 +143,11 @@
     void answer(const HttpRequest &request, HttpResponder &responder, const HttpHeaders &headers)
     {
         const std::string id(request.m_headers.value("Gypsumdale-Request-Id"));
+        if (request.m_target.starts_with("/-/")) {
+            // Its runs can't be moved.
+            responder.send({404, {}, {}});
+            return;
+        }
         const unsigned drawn = m_isCalm ? 99 : m_random(100);
         if (drawn < 8) {
             HttpHeaders refusal;
@@ -116,6 +156,10 @@
             return;
         }
         m_ledger.ran(id);
+        const bool isStream =
+                request.m_target.starts_with("/draft/") || request.m_target.starts_with("/stream/");
+        if (isStream)
+            return stream(request, responder, headers);
         if (drawn < 15) {
             responder.abandon();
         } else if (drawn < 20) {
@@ -125,10 +169,30 @@
             responder.abandon();
         } else {
             sleepFiber(std::chrono::milliseconds(m_random(20)));
-            responder.send({200, headers, "answer to " + id});
+            responder.send({200, headers, wholeAnswer(id, false)});
         }
     }
 
+    /// Makes the events that come after the one that the caller has; breaks off in the middle of
+    /// one now and then.
+    void stream(const HttpRequest &request, HttpResponder &responder, const HttpHeaders &headers)
+    {
+        const std::string id(request.m_headers.value("Gypsumdale-Request-Id"));
+        const std::string last(request.m_headers.value("Last-Event-Id"));
+        responder.begin(200, headers);
+        for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= eventCount; ++number) {
+            const std::string text = event(id, number);
+            if (!m_isCalm && m_random(100) < 4) {
+                responder.write(text.substr(0, 1 + m_random(static_cast<unsigned>(text.size()))));
+                responder.abandon();
+                return;
+            }
+            responder.write(text);
+            sleepFiber(std::chrono::milliseconds(m_random(30)));
+        }
+        responder.finish();
+    }
+
     Ledger &m_ledger;
     // The stand-ins share one loop, so that one stream of numbers serves both.
     pcg32 m_random;
@@ -200,16 +264,30 @@
     int m_version = 1;
 };
 
+/// Harms one link after the other, beside what happens to processes.
+void harmLinksUntil(EntryWorld &world, std::uint64_t seed, const std::atomic<bool> &isOver)
+{
+    constexpr std::array faults = {LinkFault::Delay, LinkFault::CutToTarget,
+                                   LinkFault::CutFromTarget, LinkFault::Silence, LinkFault::Reset};
+    pcg32 random(seed, 2);
+    while (!isOver) {
+        FaultProxy &link = world.link(random(static_cast<unsigned>(world.linkCount())));
+        link.set(faults.at(random(static_cast<unsigned>(faults.size()))));
+        Disturber::pause(50 + random(900));
+        link.set(LinkFault::None);
+        Disturber::pause(random(400));
+    }
+}
+
 void callUntil(EntryWorld &world, Ledger &ledger, std::uint64_t seed, int caller,
                const std::atomic<bool> &isOver)
 {
     pcg32 random(seed, 100 + static_cast<std::uint64_t>(caller));
     for (int number = 0; !isOver; ++number) {
         const std::string id = fmt::format("c{}-{}", caller, number);
-        const bool mayRepeat = random(2) == 0;
-        const EntryAnswer answer =
-                world.call(world.node(random(nodeCount)), mayRepeat ? "/again/x" : "/once/x", id);
-        ledger.answered(id, mayRepeat, answer);
+        const Route &route = routes.at(random(static_cast<unsigned>(routes.size())));
+        const EntryAnswer answer = world.call(world.node(random(nodeCount)), route.m_path, id);
+        ledger.answered(id, route.m_mayRepeat, wholeAnswer(id, route.m_isStream), answer);
         // A node that is down refuses at once; callers don't come back in the same moment.
         if (answer.m_status == 0)
             Disturber::pause(20);
@@ -221,11 +299,12 @@
 TEST_CASE("entry processes keep their promises while everything around them fails")
 {
     // Processes are paused, killed, stopped and restarted, the store comes and goes, upstreams
-    // refuse, fail and lose answers. A request that may not repeat runs once at most, nothing that
-    // ran is called not run, and nobody gets another's answer; afterwards all is served again.
+    // refuse, fail and lose answers, and links are delayed, cut one way or both and reset. A
+    // request that may not repeat runs once at most, nothing that ran is called not run, a success
+    // is whole and the caller's own, and afterwards all is served again.
     const std::uint64_t seed = fromEnvironment("GYPSUMDALE_SOAK_SEED", 1);
     const std::uint64_t seconds = fromEnvironment("GYPSUMDALE_SOAK_SECONDS", 10);
-    EntryWorld world(nodeCount);
+    EntryWorld world(nodeCount, true);
     Ledger ledger;
     FaultyUpstreams upstreams(world, ledger, seed);
     std::atomic<bool> isOver = false;
@@ -233,6 +312,7 @@
     for (int caller = 0; caller < callerCount; ++caller) {
         callers.emplace_back([&, caller] { callUntil(world, ledger, seed, caller, isOver); });
     }
+    std::thread harm([&] { harmLinksUntil(world, seed, isOver); });
     Disturber disturber(world, seed);
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
     while (std::chrono::steady_clock::now() < end) {
@@ -240,6 +320,7 @@
         ledger.check();
     }
     isOver = true;
+    harm.join();
     for (std::thread &caller : callers)
         caller.join();
     ledger.check();
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/child_process.hpp"
+#include "support/fault_proxy.hpp"
 
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
@@ -257,7 +258,8 @@
 class EntryWorld
 {
 public:
-    explicit EntryWorld(int nodes = 1)
+    /// With proxies, processes reach the store and the upstreams through links that can be harmed.
+    explicit EntryWorld(int nodes = 1, bool hasProxies = false)
         : m_loop("test")
         , m_client(m_loop)
     {
@@ -267,8 +269,12 @@
                    / fmt::format("gypsumdale-entry-{}-{}", getpid(), freePort());
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<StoreStandIn>(m_loop);
+        if (hasProxies)
+            m_links.push_back(std::make_unique<FaultProxy>(m_store->port()));
         for (const char *id : {"u-1", "u-2"}) {
             m_upstreams.push_back(std::make_unique<UpstreamStandIn>(m_loop, id));
+            if (hasProxies)
+                m_links.push_back(std::make_unique<FaultProxy>(m_upstreams.back()->port()));
             announce(*m_upstreams.back(), "ready");
         }
         configure(1, {"key"});
@@ -303,6 +309,9 @@
     };
 
     StoreStandIn &store() { return *m_store; }
+    /// The link to the store is the first, those to the upstreams follow.
+    FaultProxy &link(std::size_t index) { return *m_links.at(index); }
+    std::size_t linkCount() const { return m_links.size(); }
     UpstreamStandIn &upstream(std::size_t index) { return *m_upstreams.at(index); }
     EntryNode &node(std::size_t index = 0) { return m_nodes.at(index); }
 
@@ -310,7 +319,7 @@
     {
         m_store->put("servers", upstream.id(),
                      {{"service", "app"},
-                      {"address", fmt::format("127.0.0.1:{}", upstream.port())},
+                      {"address", fmt::format("127.0.0.1:{}", portTo(upstream))},
                       {"zone", "here"},
                       {"slots", 8},
                       {"state", state}});
@@ -330,8 +339,8 @@
                      {{"version", version},
                       {"routes",
                        {route("/again/", "idempotent", 2, false),
-                        route("/once/", "non_idempotent", 1, false),
-                        route("/draft/", "streaming", 1, false),
+                        route("/once/", "non_idempotent", 2, false),
+                        route("/draft/", "streaming", 2, false),
                         route("/stream/", "streaming", 2, true)}},
                       {"services",
                        {{{"name", "app"},
@@ -429,7 +438,17 @@
                            "store: 127.0.0.1:{}\nseeds:\n{}data-centres: [here]\n"
                            "first-start: true\nbounds:\n  shutdown-grace: 6s\n",
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
-                           node.m_metricsPort, m_store->port(), seeds);
+                           node.m_metricsPort,
+                           m_links.empty() ? m_store->port() : m_links.front()->port(), seeds);
+    }
+
+    /// Returns the port at which processes reach an upstream.
+    std::uint16_t portTo(const UpstreamStandIn &upstream) const
+    {
+        if (m_links.empty())
+            return upstream.port();
+        const std::size_t link = upstream.id() == "u-1" ? 1 : 2;
+        return m_links.at(link)->port();
     }
 
     EntryAnswer read(const HttpCall &call)
@@ -446,6 +465,7 @@
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
+    std::vector<std::unique_ptr<FaultProxy>> m_links;
     std::vector<EntryNode> m_nodes;
 };
 
--- /dev/null
+++ b/tests/support/fault_proxy.hpp
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "support/child_process.hpp"
+
+#include <gypsumdale/core/clock.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array> // array
+#include <chrono> // milliseconds
+#include <cstddef> // size_t
+#include <cstdint> // uint16_t
+#include <memory> // enable_shared_from_this, shared_ptr
+#include <set> // set
+#include <thread> // jthread
+
+namespace gypsumdale::testing {
+
+/// What a proxy does to the bytes that pass it.
+enum class LinkFault {
+    None,
+    /// Holds each piece back for a while.
+    Delay,
+    /// Holds back all that goes to the target, as a link that is cut one way, until it heals.
+    CutToTarget,
+    /// Holds back all that comes from the target.
+    CutFromTarget,
+    Silence,
+    /// Resets each connection that there is or comes.
+    Reset,
+};
+
+/// Passes connections on to a port on loopback, and harms them when told to. Bytes are never lost
+/// while a connection lives, as TCP sends them again when a link heals.
+class FaultProxy
+{
+public:
+    explicit FaultProxy(std::uint16_t target)
+        : m_target(boost::asio::ip::address_v4::loopback(), target)
+        , m_port(freePort())
+        , m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), m_port})
+    {
+        accept();
+        m_thread = std::jthread([this] { m_context.run(); });
+    }
+
+    ~FaultProxy() { m_context.stop(); }
+    FaultProxy(const FaultProxy &) = delete;
+    FaultProxy &operator=(const FaultProxy &) = delete;
+
+    std::uint16_t port() const { return m_port; }
+
+    void set(LinkFault fault)
+    {
+        boost::asio::post(m_context, [this, fault] {
+            m_fault = fault;
+            if (fault != LinkFault::Reset)
+                return;
+            for (const auto &link : std::set<std::shared_ptr<Link>>(m_links))
+                link->reset();
+        });
+    }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    static constexpr auto delay = std::chrono::milliseconds(120);
+    static constexpr auto retryEvery = std::chrono::milliseconds(10);
+
+    struct Way
+    {
+        Socket &m_from;
+        Socket &m_to;
+        bool m_isToTarget;
+        boost::asio::steady_timer m_timer;
+        std::array<char, 16384> m_buffer{};
+        std::size_t m_length = 0;
+    };
+
+    struct Link : std::enable_shared_from_this<Link>
+    {
+        Link(FaultProxy &proxy, Socket caller)
+            : m_proxy(proxy)
+            , m_caller(std::move(caller))
+            , m_server(proxy.m_context)
+            , m_toTarget{m_caller, m_server, true, boost::asio::steady_timer(proxy.m_context)}
+            , m_fromTarget{m_server, m_caller, false, boost::asio::steady_timer(proxy.m_context)}
+        {}
+
+        void start()
+        {
+            m_server.async_connect(m_proxy.m_target, [self = shared_from_this()](auto error) {
+                if (error)
+                    return self->reset();
+                self->read(self->m_toTarget);
+                self->read(self->m_fromTarget);
+            });
+        }
+
+        void reset()
+        {
+            boost::system::error_code ignored;
+            const boost::asio::socket_base::linger atOnce(true, 0);
+            for (Socket *socket : {&m_caller, &m_server}) {
+                socket->set_option(atOnce, ignored);
+                socket->close(ignored);
+            }
+            m_toTarget.m_timer.cancel();
+            m_fromTarget.m_timer.cancel();
+            m_proxy.m_links.erase(shared_from_this());
+        }
+
+        void read(Way &way)
+        {
+            way.m_from.async_read_some(boost::asio::buffer(way.m_buffer),
+                                       [self = shared_from_this(), &way](auto error, auto length) {
+                                           self->onRead(way, error, length);
+                                       });
+        }
+
+        void onRead(Way &way, const boost::system::error_code &error, std::size_t length)
+        {
+            way.m_length = length;
+            if (error == boost::asio::error::eof)
+                return passOn(way, [this, &way] { endWay(way); });
+            if (error)
+                return reset();
+            passOn(way, [this, &way] { write(way); });
+        }
+
+        /// Goes on at once, late, or when the link heals.
+        template <typename Next>
+        void passOn(Way &way, Next next)
+        {
+            if (m_proxy.holds(way.m_isToTarget))
+                return after(way, retryEvery, [this, &way, next] { passOn(way, next); });
+            if (m_proxy.m_fault == LinkFault::Delay)
+                return after(way, delay, next);
+            next();
+        }
+
+        template <typename Next>
+        void after(Way &way, std::chrono::milliseconds wait, Next next)
+        {
+            way.m_timer.expires_after(wait);
+            way.m_timer.async_wait([self = shared_from_this(), next](auto error) {
+                if (!error)
+                    next();
+            });
+        }
+
+        void write(Way &way)
+        {
+            boost::asio::async_write(way.m_to, boost::asio::buffer(way.m_buffer, way.m_length),
+                                     [self = shared_from_this(), &way](auto error, auto) {
+                                         if (error)
+                                             return self->reset();
+                                         self->read(way);
+                                     });
+        }
+
+        void endWay(Way &way)
+        {
+            boost::system::error_code ignored;
+            way.m_to.shutdown(Socket::shutdown_send, ignored);
+            if (++m_endedWays == 2)
+                m_proxy.m_links.erase(shared_from_this());
+        }
+
+        FaultProxy &m_proxy;
+        Socket m_caller;
+        Socket m_server;
+        Way m_toTarget;
+        Way m_fromTarget;
+        int m_endedWays = 0;
+    };
+
+    bool holds(bool isToTarget) const
+    {
+        const LinkFault oneWay = isToTarget ? LinkFault::CutToTarget : LinkFault::CutFromTarget;
+        return m_fault == LinkFault::Silence || m_fault == oneWay;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](auto error, Socket socket) {
+            if (error)
+                return;
+            const auto link = std::make_shared<Link>(*this, std::move(socket));
+            m_links.insert(link);
+            if (m_fault == LinkFault::Reset)
+                link->reset();
+            else
+                link->start();
+            accept();
+        });
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::endpoint m_target;
+    std::uint16_t m_port;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<Link>> m_links;
+    LinkFault m_fault = LinkFault::None;
+    std::jthread m_thread;
+};
+
+} // namespace gypsumdale::testing
