Explain requests from the logs of several machines

Cause: entry processes keep no history, so that after a complaint on call had only grep over many machines' logs, with clocks that differ.

A request comes with what its machine believed then of the upstreams and the configuration it names, and what happened to the machine from 10 s before. A clock that is off by 2 s or more is told from changes of the store that three machines speak of, taken off and said.

--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -47,6 +47,8 @@
     Wait,
     /// --timeout
     Timeout,
+    /// --log
+    Logs,
 };
 
 /// One subcommand: how it is called, what it does and the function that does it.
@@ -91,6 +93,7 @@
 ExitCode runWatch(Session &session);
 ExitCode runCheck(Session &session);
 ExitCode runExplain(Session &session);
+ExitCode runExplainFromLogs(Session &session);
 ExitCode runDrain(Session &session);
 ExitCode runKeys(Session &session);
 
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <array> // array
+#include <cstddef> // ptrdiff_t, size_t
 
 namespace gypsumdale::ctl {
 
@@ -24,7 +25,7 @@
 };
 
 /// Which command takes which option; --help is for all.
-constexpr std::array<OptionInGroup, 9> groupedOptions = {{
+constexpr std::array<OptionInGroup, 10> groupedOptions = {{
         {"entry", OptionGroup::Entry},
         {"operator-key-file", OptionGroup::Entry},
         {"json", OptionGroup::Entry},
@@ -34,6 +35,7 @@
         {"base-version", OptionGroup::Version},
         {"wait", OptionGroup::Wait},
         {"timeout", OptionGroup::Timeout},
+        {"log", OptionGroup::Logs},
 }};
 
 cxxopts::Options makeOptions()
@@ -46,7 +48,8 @@
             "f,file", "", cxxopts::value<Texts>())("kind", "", cxxopts::value<std::string>())(
             "name", "", cxxopts::value<std::string>())("base-version", "",
                                                        cxxopts::value<std::int64_t>())("wait", "")(
-            "timeout", "", cxxopts::value<std::int64_t>()->default_value(defaultTimeoutSeconds));
+            "timeout", "", cxxopts::value<std::int64_t>()->default_value(defaultTimeoutSeconds))(
+            "log", "", cxxopts::value<Texts>());
     options.parse_positional("words");
     return options;
 }
@@ -122,6 +125,13 @@
             return usageError(fmt::format("'{}' needs -f FILE", command.m_name));
         return invocation;
     }
+    if (!invocation.m_logs.empty() && invocation.m_words.size() > command.m_mostWords) {
+        // "--log *.log" leaves all files but the first as words.
+        const auto rest =
+                invocation.m_words.begin() + static_cast<std::ptrdiff_t>(command.m_mostWords);
+        invocation.m_logs.insert(invocation.m_logs.end(), rest, invocation.m_words.end());
+        invocation.m_words.erase(rest, invocation.m_words.end());
+    }
     const std::size_t count = invocation.m_words.size();
     if (count < command.m_leastWords || count > command.m_mostWords)
         return usageError(fmt::format("usage: gypsumctl {}", command.m_usage));
@@ -144,6 +154,7 @@
     invocation.m_command = &command;
     invocation.m_words = std::move(words);
     invocation.m_files = optionOr(parsed, "file", Texts());
+    invocation.m_logs = optionOr(parsed, "log", Texts());
     invocation.m_entries = optionOr(parsed, "entry", Texts());
     invocation.m_keyFile = optionOr(parsed, "operator-key-file", std::string());
     invocation.m_document.m_kind = optionOr(parsed, "kind", std::string());
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -93,6 +93,8 @@
 
 ExitCode runExplain(Session &session)
 {
+    if (!session.m_invocation.m_logs.empty())
+        return runExplainFromLogs(session);
     const auto &words = session.m_invocation.m_words;
     if (!decisionSubjectFrom(words[0])) {
         session.m_surroundings.m_complain("gypsumctl: explain request ID, or upstream ID\n");
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -122,15 +122,21 @@
              1000,
              runCheck},
             {"explain",
-             "explain request|upstream ID",
+             "explain request|upstream|config|window ID",
              "Show what was decided, when and why.",
              "Nodes remember the latest decisions only. The id of a request stands in its "
              "answer's\n"
              "header and in the logs.\n\n"
              "Examples:\n"
              "  gypsumctl explain request q-8f21\n"
-             "  gypsumctl explain upstream runner-7\n",
-             {Entry},
+             "  gypsumctl explain upstream runner-7\n\n"
+             "With --log FILE, once for each machine or with a pattern, the logs of entry "
+             "processes\n"
+             "are read instead (- is standard input): all machines in one order of time, clocks "
+             "that\n"
+             "are off put right. They also know `config VERSION` and `window NUMBER`.\n\n"
+             "  gypsumctl explain request f3eccc41d981904d --log entry-*.log\n",
+             {Entry, Logs},
              2,
              2,
              runExplain},
--- a/src/ctl/invocation.hpp
+++ b/src/ctl/invocation.hpp
@@ -22,6 +22,8 @@
     /// The words behind the command's name.
     std::vector<std::string> m_words;
     std::vector<std::string> m_files;
+    /// Log files to read instead of asking a node.
+    std::vector<std::string> m_logs;
     std::vector<std::string> m_entries;
     std::string m_keyFile;
     DocumentFlags m_document;
--- /dev/null
+++ b/src/ctl/log_history.cpp
@@ -0,0 +1,242 @@
+#include <ctl/log_history.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm> // find, min, nth_element, stable_sort
+#include <charconv> // from_chars
+#include <chrono> // sys_days, year_month_day
+#include <cstddef> // ptrdiff_t
+#include <cstdlib> // abs
+#include <iterator> // begin, end
+#include <optional> // optional
+#include <set> // set
+#include <utility> // move
+
+namespace gypsumdale::ctl {
+
+namespace {
+
+/// A clock is corrected if it is off by more than news takes from one machine to the next.
+constexpr std::int64_t leastCorrection = 2000;
+/// What happened to a machine is shown this long before a request's first line, and after its last.
+constexpr std::int64_t lookBack = 10000;
+constexpr std::int64_t lookAhead = 1000;
+
+/// Events of a machine that may explain a request's fate.
+constexpr std::string_view surroundingEvents[] = {
+        "started",
+        "stopped",
+        "draining",
+        "dependency-lost",
+        "dependency-regained",
+        "peer-silent",
+        "peer-heard-again",
+        "settings-reloaded",
+        "store-role",
+        "config-malformed",
+};
+
+std::optional<int> numberAt(std::string_view text, std::size_t from, std::size_t length)
+{
+    int number = 0;
+    if (from + length > text.size())
+        return std::nullopt;
+    const char *end = text.data() + from + length;
+    const auto read = std::from_chars(text.data() + from, end, number);
+    return read.ptr == end ? std::optional(number) : std::nullopt;
+}
+
+/// Reads a time as it is logged, "2026-03-29T07:03:13.498Z".
+std::optional<std::int64_t> millisOf(std::string_view text)
+{
+    using namespace std::chrono;
+    const auto year = numberAt(text, 0, 4);
+    const auto month = numberAt(text, 5, 2);
+    const auto day = numberAt(text, 8, 2);
+    const auto hour = numberAt(text, 11, 2);
+    const auto minute = numberAt(text, 14, 2);
+    const auto second = numberAt(text, 17, 2);
+    const auto milli = numberAt(text, 20, 3);
+    if (!year || !month || !day || !hour || !minute || !second || !milli)
+        return std::nullopt;
+    const sys_days date = std::chrono::year(*year) / *month / *day;
+    const auto time = date.time_since_epoch() + hours(*hour) + minutes(*minute) + seconds(*second);
+    return duration_cast<milliseconds>(time).count() + *milli;
+}
+
+/// Names the change of the store that a line speaks of, alike on all machines; "" for other lines.
+std::string sharedChange(const LogLine &line)
+{
+    const bool isUpstream = line.m_event == "upstream-changed" || line.m_event == "upstream-left";
+    if (isUpstream)
+        return fmt::format("{}/{}/{}", line.m_event, textAt(line.m_fields, "upstream"),
+                           textAt(line.m_fields, "state"));
+    if (line.m_event == "config-adopted")
+        return line.m_event + '/' + textAt(line.m_fields, "config_version");
+    return {};
+}
+
+std::int64_t medianOf(std::vector<std::int64_t> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+bool has(const LogLine &line, std::string_view key, std::string_view value)
+{
+    return textAt(line.m_fields, key) == value;
+}
+
+bool isSurrounding(const LogLine &line)
+{
+    return std::find(std::begin(surroundingEvents), std::end(surroundingEvents), line.m_event)
+           != std::end(surroundingEvents);
+}
+
+/// Where a request was and what it had to do with.
+struct RequestPlace
+{
+    std::int64_t m_first = 0;
+    std::int64_t m_last = 0;
+    std::set<std::string> m_upstreams;
+    std::set<std::string> m_versions;
+};
+
+std::map<std::string, RequestPlace> placesOf(const std::vector<LogLine> &lines, std::string_view id)
+{
+    std::map<std::string, RequestPlace> places;
+    for (const LogLine &line : lines) {
+        if (!has(line, "request", id))
+            continue;
+        const auto [entry, isNew] = places.try_emplace(line.m_node);
+        RequestPlace &place = entry->second;
+        if (isNew)
+            place.m_first = line.m_at;
+        place.m_last = line.m_at;
+        place.m_upstreams.insert(textAt(line.m_fields, "upstream"));
+        place.m_versions.insert(textAt(line.m_fields, "config_version"));
+    }
+    return places;
+}
+
+/// Tells whether a line says what a request's machine believed, or what happened to it.
+bool concerns(const LogLine &line, const RequestPlace &place)
+{
+    if (line.m_at > place.m_last + lookAhead)
+        return false;
+    if (line.m_event == "config-adopted")
+        return place.m_versions.contains(textAt(line.m_fields, "config_version"));
+    if (line.m_event == "upstream-changed" || line.m_event == "upstream-left")
+        return place.m_upstreams.contains(textAt(line.m_fields, "upstream"));
+    return isSurrounding(line) && line.m_at >= place.m_first - lookBack;
+}
+
+} // namespace
+
+void LogHistory::add(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (line.empty())
+            continue;
+        const std::size_t brace = line.find('{');
+        Json fields = brace == std::string_view::npos ? Json() : parseJson(line.substr(brace));
+        const auto at = millisOf(textAt(fields, "time"));
+        if (!fields.is_object() || !at) {
+            ++m_unreadable;
+            continue;
+        }
+        std::string node = textAt(fields, "node");
+        std::string event = textAt(fields, "event");
+        m_lines.push_back({*at, std::move(node), std::move(event), std::move(fields)});
+    }
+}
+
+void LogHistory::arrange()
+{
+    findClocks();
+    for (LogLine &line : m_lines) {
+        const auto found = m_clocksAhead.find(line.m_node);
+        line.m_at -= found == m_clocksAhead.end() ? 0 : found->second;
+    }
+    std::stable_sort(m_lines.begin(), m_lines.end(), [](const LogLine &left, const LogLine &right) {
+        return left.m_at < right.m_at;
+    });
+}
+
+void LogHistory::findClocks()
+{
+    std::map<std::string, std::map<std::string, std::int64_t>> changes;
+    for (const LogLine &line : m_lines) {
+        const std::string change = sharedChange(line);
+        if (!change.empty())
+            changes[change].try_emplace(line.m_node, line.m_at);
+    }
+    std::map<std::string, std::vector<std::int64_t>> distances;
+    for (const auto &[change, heard] : changes) {
+        std::vector<std::int64_t> times;
+        for (const auto &[node, at] : heard)
+            times.push_back(at);
+        // Of two machines nobody can tell whose clock is off; the median would take the later one.
+        if (times.size() < 3)
+            continue;
+        const std::int64_t middle = medianOf(std::move(times));
+        for (const auto &[node, at] : heard)
+            distances[node].push_back(at - middle);
+    }
+    for (auto &[node, all] : distances) {
+        const std::int64_t ahead = medianOf(std::move(all));
+        if (std::abs(ahead) >= leastCorrection)
+            m_clocksAhead[node] = ahead;
+    }
+}
+
+std::vector<const LogLine *> LogHistory::about(LogSubject subject, std::string_view id) const
+{
+    if (subject == LogSubject::Request)
+        return aboutRequest(id);
+    std::vector<const LogLine *> found;
+    for (const LogLine &line : m_lines) {
+        // Requests that were placed well are no news of an upstream or a version.
+        const bool isOfRequest = line.m_event == "request-placed" || line.m_event == "request-done"
+                                 || line.m_event == "request-failed";
+        const bool isMeant = (subject == LogSubject::Upstream && has(line, "upstream", id))
+                             || (subject == LogSubject::Config && has(line, "config_version", id))
+                             || (subject == LogSubject::Window && has(line, "window", id));
+        if (isMeant && !isOfRequest)
+            found.push_back(&line);
+    }
+    return found;
+}
+
+std::vector<const LogLine *> LogHistory::aboutRequest(std::string_view id) const
+{
+    const std::map<std::string, RequestPlace> places = placesOf(m_lines, id);
+    std::vector<const LogLine *> found;
+    for (const LogLine &line : m_lines) {
+        const auto place = places.find(line.m_node);
+        const bool isMeant = place != places.end()
+                             && (has(line, "request", id) || concerns(line, place->second));
+        if (isMeant)
+            found.push_back(&line);
+    }
+    return found;
+}
+
+std::string logTimeText(std::int64_t millis)
+{
+    using namespace std::chrono;
+    const sys_time<milliseconds> time{milliseconds(millis)};
+    const auto date = floor<days>(time);
+    const year_month_day day(date);
+    const hh_mm_ss clock(time - date);
+    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z", static_cast<int>(day.year()),
+                       static_cast<unsigned>(day.month()), static_cast<unsigned>(day.day()),
+                       clock.hours().count(), clock.minutes().count(), clock.seconds().count(),
+                       clock.subseconds().count());
+}
+
+} // namespace gypsumdale::ctl
--- a/src/ctl/run_tool.cpp
+++ b/src/ctl/run_tool.cpp
@@ -82,7 +82,9 @@
 
 Result<AdminClient> makeClient(const Invocation &invocation, const Surroundings &surroundings)
 {
-    if (!invocation.m_command->takes(OptionGroup::Entry))
+    const bool asksNobody =
+            !invocation.m_command->takes(OptionGroup::Entry) || !invocation.m_logs.empty();
+    if (asksNobody)
         return AdminClient({}, "", surroundings.m_transport);
     Result<std::vector<Endpoint>> entries = readEntries(invocation, surroundings);
     if (!succeeded(entries))
--- a/tests/src/unit-ctl.cpp
+++ b/tests/src/unit-ctl.cpp
@@ -413,6 +413,94 @@
     CHECK(bench.run({"keys", "hash"}) == ExitCode::Usage);
 }
 
+namespace {
+
+std::string logLine(const std::string &time, const std::string &node, const std::string &rest)
+{
+    return "{\"time\":\"2026-03-29T07:" + time + "Z\",\"level\":\"info\",\"node\":\"" + node
+           + "\",\"data_centre\":\"a\"," + rest + "}\n";
+}
+
+/// Logs of three machines, the clock of the second an hour ahead.
+std::map<std::string, std::string> threeLogs()
+{
+    const std::string draining =
+            "\"event\":\"upstream-changed\",\"upstream\":\"i-1\",\"state\":\"draining\"";
+    const std::string adopted = "\"event\":\"config-adopted\",\"config_version\":4";
+    const std::string request = ",\"request\":\"r-1\",\"upstream\":\"i-1\",\"config_version\":4";
+    std::string second = "front b: " + logLine("03:00.100", "b", adopted)
+                         + logLine("03:20.000", "b", "\"event\":\"dependency-lost\"")
+                         + logLine("03:21.000", "b", "\"event\":\"request-placed\"" + request)
+                         + logLine("03:21.600", "b", draining)
+                         + logLine("03:22.000", "b", "\"event\":\"request-failed\"" + request)
+                         + logLine("03:40.000", "b", "\"event\":\"peer-silent\"");
+    for (std::size_t at = second.find("07:03"); at != std::string::npos;
+         at = second.find("07:03", at))
+        second.replace(at, 2, "08");
+    return {{"a.log", logLine("03:00.000", "a", adopted) + logLine("03:21.500", "a", draining)},
+            {"b.log", second + "no line of ours\n"},
+            {"c.log", logLine("03:00.050", "c", adopted) + logLine("03:21.550", "c", draining)}};
+}
+
+} // namespace
+
+// A caller complains an hour later. On call has the logs of three machines and no process to ask;
+// the machine that served the request had a clock that was an hour ahead.
+TEST_CASE("explain from logs")
+{
+    Bench bench;
+    bench.m_files = threeLogs();
+    // No node is asked, and none need be known.
+    bench.m_environment.clear();
+
+    SECTION("a request, with what its machine believed and what happened to it")
+    {
+        CHECK(bench.run({"explain", "request", "r-1", "--log", "a.log", "b.log", "c.log"})
+              == ExitCode::Ok);
+        const std::vector<std::string> inOrder = {"config-adopted", "dependency-lost",
+                                                  "request-placed", "upstream-changed",
+                                                  "request-failed"};
+        std::size_t at = 0;
+        for (const std::string &event : inOrder) {
+            CAPTURE(event, bench.m_out);
+            at = bench.m_out.find(event, at);
+            REQUIRE(at != std::string::npos);
+        }
+        CHECK(bench.m_out.find("2026-03-29T07:03:2") != std::string::npos);
+        CHECK(bench.m_out.find("peer-silent") == std::string::npos);
+        CHECK(bench.said("the clock of b was taken to be 36000"));
+        CHECK(bench.said("1 lines could not be read"));
+        CHECK(bench.m_calls.empty());
+    }
+    SECTION("an upstream, as each machine saw it, in order")
+    {
+        CHECK(bench.run({"explain", "upstream", "i-1", "--log", "a.log", "b.log", "c.log"})
+              == ExitCode::Ok);
+        CHECK(bench.m_out.find("  a ") < bench.m_out.find("  c "));
+        // Put right to within what the news took from one machine to the next.
+        CHECK(bench.m_out.find("07:03:21.550Z  b ") != std::string::npos);
+        CHECK(bench.m_out.find("request-placed") == std::string::npos);
+    }
+    SECTION("a version of the configuration, as lines")
+    {
+        CHECK(bench.run({"explain", "config", "4", "--json", "--log", "a.log"}) == ExitCode::Ok);
+        CHECK(parseJson(bench.m_out).is_object());
+    }
+    SECTION("standard input")
+    {
+        bench.m_input = logLine("03:00.000", "a", "\"event\":\"usage-reported\",\"window\":9");
+        CHECK(bench.run({"explain", "window", "9", "--log", "-"}) == ExitCode::Ok);
+        CHECK(bench.m_out.find("usage-reported") != std::string::npos);
+    }
+    SECTION("says what it doesn't find or know")
+    {
+        CHECK(bench.run({"explain", "request", "r-2", "--log", "a.log"}) == ExitCode::NotFound);
+        CHECK(bench.run({"explain", "member", "x", "--log", "a.log"}) == ExitCode::Usage);
+        CHECK(bench.run({"explain", "request", "r-1", "--log", "none.log"}) == ExitCode::Usage);
+        CHECK(bench.said("none.log"));
+    }
+}
+
 TEST_CASE("the page about gypsumctl")
 {
     const char *samples = std::getenv("GYPSUMDALE_SAMPLES");
