Tell followers what vanished, not what is kept for its return

A reader that keeps an entry which lapsed around an outage told it as if it were there. If the reader ended before its time was over, the follower kept the entry for good.

Ruled out: lost or doubled news (the trace has none).

Change: readers tell what the store holds, and how long ago it came back; followers keep vanished entries by the same rule as readers. On the way a fault of the older code: an entry that had lapsed and was back in a list read whole was dropped all the same when its time was over; it needs an outage in which the store forgets its history.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -77,6 +77,8 @@
   8: i64 configVersion
   /// Milliseconds since the store confirmed that version to be the newest.
   9: i64 configAgeMillis
+  /// Milliseconds since the store came back, as the sender saw it; -1 if it was never away.
+  10: i64 storeReturnedAgoMillis
 }
 
 struct StoreNewsTaken {
--- a/include/gypsumdale/serving/upstream_feed.hpp
+++ b/include/gypsumdale/serving/upstream_feed.hpp
@@ -28,6 +28,8 @@
     /// list.
     std::optional<std::int64_t> m_sinceRevision;
     std::vector<UpstreamChange> m_changes;
+    /// How long ago the store came back, as the sender saw it; nothing if it was never away.
+    std::optional<Duration> m_returnedAgo;
     /// The newest change of the sender's history that is told.
     std::int64_t m_newestChange = 0;
 };
@@ -55,9 +57,9 @@
         /// This list lacks more than was told.
         Lacking,
     };
-    /// Takes in news of a VM that reads the store for this one; that VM has kept or dropped
-    /// vanished entries itself. Linear in the changes.
-    Taking take(const UpstreamNews &news, TimePoint confirmedAt);
+    /// Takes in news of a VM that reads the store for this one, as if it had been read here. Linear
+    /// in the changes, or in the list if it is told whole.
+    Taking take(const UpstreamNews &news, TimePoint confirmedAt, TimePoint now);
 
     /// Notes that the store did not answer.
     void storeFailed() { m_isStoreAway = true; }
@@ -71,6 +73,10 @@
     /// When the store, or a peer that had heard it, last confirmed the list.
     TimePoint confirmedAt() const { return m_confirmedAt; }
     bool isKnown() const { return m_list.m_revision > 0; }
+    /// Tells whether an entry vanished and is only kept for its return. Logarithmic.
+    bool isKept(const UpstreamId &id) const { return m_vanished.contains(id); }
+    /// When the store last came back; the beginning of time if it was never away.
+    TimePoint returnedAt() const { return m_returnedAt; }
     /// What changed for routing, for who is told differences.
     const UpstreamHistory &history() const { return m_history; }
 
@@ -78,7 +84,9 @@
     bool keepsVanished(const UpstreamRecord &record, TimePoint now) const;
     void storeAnswered(TimePoint now);
     void put(const UpstreamRecord &record);
-    void drop(const UpstreamId &id);
+    void remove(const UpstreamId &id, TimePoint now);
+    void replaceList(UpstreamList list, TimePoint now);
+    void applyEach(const std::vector<UpstreamChange> &changes, TimePoint now);
 
     UpstreamList m_list;
     /// Entries that vanished around an outage, until when they are kept.
--- a/include/gypsumdale/serving/upstream_news.hpp
+++ b/include/gypsumdale/serving/upstream_news.hpp
@@ -12,7 +12,7 @@
 public:
     /// Returns what the follower lacks of the list, or the whole list where that can't be told.
     /// Linear.
-    UpstreamNews newsFor(const UpstreamFeed &list) const;
+    UpstreamNews newsFor(const UpstreamFeed &list, TimePoint now) const;
 
     /// The follower took what it was told. Without an answer the same is told again: taking it
     /// twice changes nothing.
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -24,6 +24,8 @@
 constexpr Duration tellEvery = std::chrono::milliseconds(500);
 /// Stands for no revision in a message that brings the whole list.
 constexpr std::int64_t wholeList = -1;
+/// Stands for a store that was never away.
+constexpr std::int64_t neverAway = -1;
 constexpr Duration tellTimeout = std::chrono::milliseconds(600);
 
 std::int64_t millisOf(Duration duration)
@@ -37,6 +39,8 @@
     news.newestChange = upstreams.m_newestChange;
     news.sinceRevision = upstreams.m_sinceRevision.value_or(wholeList);
     news.upstreamRevision = upstreams.m_revision;
+    news.storeReturnedAgoMillis =
+            upstreams.m_returnedAgo ? millisOf(*upstreams.m_returnedAgo) : neverAway;
     std::map<UpstreamId, UpstreamRecord> present;
     for (const UpstreamChange &change : upstreams.m_changes) {
         if (change.m_isRemoved)
@@ -56,6 +60,8 @@
     upstreams.m_revision = news.upstreamRevision;
     if (news.sinceRevision != wholeList)
         upstreams.m_sinceRevision = news.sinceRevision;
+    if (news.storeReturnedAgoMillis != neverAway)
+        upstreams.m_returnedAgo = std::chrono::milliseconds(news.storeReturnedAgoMillis);
     if (!news.upstreamText.empty()) {
         for (const auto &[id, record] : platform::decodeUpstreamText(news.upstreamText))
             upstreams.m_changes.push_back({record, false});
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -140,12 +140,12 @@
 
 UpstreamNews EntryUpstreamFeed::newsFor(const FollowerState &follower) const
 {
-    return follower.newsFor(m_feed);
+    return follower.newsFor(m_feed, m_context.now());
 }
 
 bool EntryUpstreamFeed::takeNews(const UpstreamNews &news, Duration age, std::string_view reader)
 {
-    const UpstreamFeed::Taking taking = m_feed.take(news, m_context.now() - age);
+    const UpstreamFeed::Taking taking = m_feed.take(news, m_context.now() - age, m_context.now());
     if (taking == UpstreamFeed::Taking::Taken) {
         m_revision = news.m_revision;
         publish(reader);
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -31,34 +31,53 @@
 void UpstreamFeed::put(const UpstreamRecord &record)
 {
     const auto known = m_list.m_upstreams.find(record.m_id);
-    if (known == m_list.m_upstreams.end() || !isSameForRouting(known->second, record))
+    const bool isBack = m_vanished.erase(record.m_id) > 0;
+    if (isBack || known == m_list.m_upstreams.end() || !isSameForRouting(known->second, record))
         m_history.noteChanged(record.m_id);
     m_list.m_upstreams[record.m_id] = record;
-    m_vanished.erase(record.m_id);
 }
 
-void UpstreamFeed::drop(const UpstreamId &id)
+/// Takes an entry out, or keeps it for its return. Followers are told that it went in both cases,
+/// and keep it by the same rule: told of it as if it were there, they would keep it for good when
+/// its reader ends before its time is over.
+void UpstreamFeed::remove(const UpstreamId &id, TimePoint now)
 {
     m_history.noteGone(id);
-    m_list.m_upstreams.erase(id);
+    const auto known = m_list.m_upstreams.find(id);
+    if (known == m_list.m_upstreams.end())
+        return;
+    if (keepsVanished(known->second, now)) {
+        m_vanished.try_emplace(id, m_returnedAt + returnTime);
+        return;
+    }
+    m_list.m_upstreams.erase(known);
     m_vanished.erase(id);
 }
 
-bool UpstreamFeed::replaceAll(UpstreamList list, TimePoint now)
+void UpstreamFeed::replaceList(UpstreamList list, TimePoint now)
 {
-    if (list.m_revision < m_list.m_revision)
-        return false;
-    storeAnswered(now);
+    std::erase_if(m_vanished,
+                  [&list](const auto &entry) { return list.m_upstreams.contains(entry.first); });
     for (const auto &[id, record] : m_list.m_upstreams) {
-        if (list.m_upstreams.contains(id) || !keepsVanished(record, now))
+        if (list.m_upstreams.contains(id))
             continue;
+        if (!keepsVanished(record, now)) {
+            m_vanished.erase(id);
+            continue;
+        }
         list.m_upstreams.emplace(id, record);
         m_vanished.try_emplace(id, m_returnedAt + returnTime);
     }
-    std::erase_if(m_vanished,
-                  [&list](const auto &entry) { return !list.m_upstreams.contains(entry.first); });
     m_list = std::move(list);
     m_history.noteReplaced();
+}
+
+bool UpstreamFeed::replaceAll(UpstreamList list, TimePoint now)
+{
+    if (list.m_revision < m_list.m_revision)
+        return false;
+    storeAnswered(now);
+    replaceList(std::move(list), now);
     return true;
 }
 
@@ -66,25 +85,23 @@
                          TimePoint now)
 {
     storeAnswered(now);
+    applyEach(changes, now);
+    if (revision > m_list.m_revision)
+        m_list.m_revision = revision;
+}
+
+void UpstreamFeed::applyEach(const std::vector<UpstreamChange> &changes, TimePoint now)
+{
     for (const UpstreamChange &change : changes) {
-        const UpstreamId &id = change.m_record.m_id;
-        if (!change.m_isRemoved) {
-            put(change.m_record);
-            continue;
-        }
-        const auto known = m_list.m_upstreams.find(id);
-        if (known == m_list.m_upstreams.end())
-            continue;
-        if (keepsVanished(known->second, now))
-            m_vanished.try_emplace(id, m_returnedAt + returnTime);
+        if (change.m_isRemoved)
+            remove(change.m_record.m_id, now);
         else
-            drop(id);
+            put(change.m_record);
     }
-    if (revision > m_list.m_revision)
-        m_list.m_revision = revision;
 }
 
-UpstreamFeed::Taking UpstreamFeed::take(const UpstreamNews &news, TimePoint confirmedAt)
+UpstreamFeed::Taking UpstreamFeed::take(const UpstreamNews &news, TimePoint confirmedAt,
+                                        TimePoint now)
 {
     const bool isWhole = !news.m_sinceRevision;
     if (!isWhole && (!isKnown() || m_list.m_revision < *news.m_sinceRevision))
@@ -92,16 +109,15 @@
     // Changes up to an older revision are part of what this list was read or told with.
     if (news.m_revision < m_list.m_revision)
         return Taking::Older;
+    if (news.m_returnedAgo)
+        m_returnedAt = std::max(m_returnedAt, now - *news.m_returnedAgo);
     if (isWhole) {
-        m_list.m_upstreams.clear();
-        m_vanished.clear();
-        m_history.noteReplaced();
-    }
-    for (const UpstreamChange &change : news.m_changes) {
-        if (change.m_isRemoved)
-            drop(change.m_record.m_id);
-        else
-            put(change.m_record);
+        UpstreamList list;
+        for (const UpstreamChange &change : news.m_changes)
+            list.m_upstreams.emplace(change.m_record.m_id, change.m_record);
+        replaceList(std::move(list), now);
+    } else {
+        applyEach(news.m_changes, now);
     }
     m_list.m_revision = news.m_revision;
     m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
@@ -116,7 +132,6 @@
             ++entry;
             continue;
         }
-        m_history.noteGone(entry->first);
         m_list.m_upstreams.erase(entry->first);
         entry = m_vanished.erase(entry);
         hasDropped = true;
--- a/src/serving/upstream_news.cpp
+++ b/src/serving/upstream_news.cpp
@@ -2,16 +2,20 @@
 
 namespace gypsumdale {
 
-UpstreamNews FollowerState::newsFor(const UpstreamFeed &list) const
+UpstreamNews FollowerState::newsFor(const UpstreamFeed &list, TimePoint now) const
 {
     const auto &upstreams = list.upstreams();
     UpstreamNews news;
     news.m_revision = list.revision();
     news.m_newestChange = list.history().newest();
+    if (list.returnedAt() != TimePoint{})
+        news.m_returnedAgo = now - list.returnedAt();
     const auto differences = m_isKnown ? list.history().since(m_change) : std::nullopt;
     if (!differences) {
-        for (const auto &[id, record] : upstreams)
-            news.m_changes.push_back({record, false});
+        for (const auto &[id, record] : upstreams) {
+            if (!list.isKept(id))
+                news.m_changes.push_back({record, false});
+        }
         return news;
     }
     news.m_sinceRevision = m_revision;
--- a/tests/src/fuzz-store-news.cpp
+++ b/tests/src/fuzz-store-news.cpp
@@ -159,7 +159,8 @@
         Reader &reader = m_readers[index];
         if (!reader.m_feed.isKnown())
             return;
-        m_messages.push_back({index, m_lives[index], reader.m_follower.newsFor(reader.m_feed)});
+        m_messages.push_back(
+                {index, m_lives[index], reader.m_follower.newsFor(reader.m_feed, m_now)});
     }
 
     /// Delivers a message of those under way; it stays under way as if doubled when unanswered.
@@ -169,7 +170,7 @@
             return;
         const auto at = m_messages.begin() + static_cast<std::ptrdiff_t>(which % m_messages.size());
         const Message message = *at;
-        const auto taking = m_follower.take(message.m_news, m_now);
+        const auto taking = m_follower.take(message.m_news, m_now, m_now);
         if (!isAnswered)
             return;
         m_messages.erase(at);
--- a/tests/src/unit-upstream-feed.cpp
+++ b/tests/src/unit-upstream-feed.cpp
@@ -100,7 +100,7 @@
 
     SECTION("brings changes and their age")
     {
-        CHECK(feed.take(news, start + 2s) == UpstreamFeed::Taking::Taken);
+        CHECK(feed.take(news, start + 2s, start + 2s) == UpstreamFeed::Taking::Taken);
         CHECK(feed.upstreams().at(UpstreamId("a")).m_isDraining);
         CHECK_FALSE(has(feed, "b"));
         CHECK(feed.revision() == 14);
@@ -109,7 +109,7 @@
     SECTION("is no use to a list that lacks what came before it")
     {
         news.m_sinceRevision = 11;
-        CHECK(feed.take(news, start) == UpstreamFeed::Taking::Lacking);
+        CHECK(feed.take(news, start, start) == UpstreamFeed::Taking::Lacking);
         CHECK(has(feed, "b"));
     }
     SECTION("is passed over when the list is newer")
@@ -117,7 +117,7 @@
         // A follower has read the store itself; a reader's word of before must not take it back.
         news.m_revision = 9;
         news.m_sinceRevision = 8;
-        CHECK(feed.take(news, start + 2s) == UpstreamFeed::Taking::Older);
+        CHECK(feed.take(news, start + 2s, start + 2s) == UpstreamFeed::Taking::Older);
         CHECK(has(feed, "b"));
         CHECK(feed.confirmedAt() == start);
     }
@@ -125,7 +125,7 @@
     {
         news.m_sinceRevision.reset();
         news.m_changes = {{recordOf("c"), false}};
-        CHECK(feed.take(news, start) == UpstreamFeed::Taking::Taken);
+        CHECK(feed.take(news, start, start) == UpstreamFeed::Taking::Taken);
         CHECK(feed.upstreams().size() == 1);
     }
 }
@@ -139,8 +139,8 @@
     REQUIRE(reader.replaceAll(listOf(10, {recordOf("a")}), start));
     UpstreamFeed follower;
     FollowerState state;
-    const UpstreamNews first = state.newsFor(reader);
-    REQUIRE(follower.take(first, start) == UpstreamFeed::Taking::Taken);
+    const UpstreamNews first = state.newsFor(reader, start);
+    REQUIRE(follower.take(first, start, start) == UpstreamFeed::Taking::Taken);
     state.onTaken(first);
 
     follower.apply({{recordOf("b"), false}}, 11, start);
@@ -152,7 +152,51 @@
     {
         reader.replaceAll(listOf(12, {recordOf("a")}), start);
     }
-    CHECK(follower.take(state.newsFor(reader), start) == UpstreamFeed::Taking::Taken);
+    CHECK(follower.take(state.newsFor(reader, start), start, start) == UpstreamFeed::Taking::Taken);
     CHECK_FALSE(has(follower, "b"));
     CHECK(has(follower, "a"));
 }
+
+TEST_CASE("a follower keeps what lapsed around an outage no longer than its reader does")
+{
+    // The store was away; an engine's entry lapses and is kept for two seconds, should it come
+    // back. The reader tells of it and ends. The follower kept the entry for good, and went on
+    // sending requests to an engine that was gone.
+    UpstreamFeed reader;
+    REQUIRE(reader.replaceAll(listOf(10, {recordOf("a")}), start));
+    reader.storeFailed();
+    reader.apply({{recordOf("a"), true}}, 11, start + 5s);
+    REQUIRE(has(reader, "a"));
+    UpstreamFeed follower;
+    FollowerState state;
+
+    SECTION("told whole")
+    {
+        REQUIRE(follower.replaceAll(listOf(10, {recordOf("a")}), start));
+        follower.take(state.newsFor(reader, start + 6s), start + 6s, start + 6s);
+    }
+    SECTION("told the change")
+    {
+        REQUIRE(follower.replaceAll(listOf(10, {recordOf("a")}), start));
+        UpstreamNews before;
+        before.m_revision = 10;
+        state.onTaken(before);
+        follower.take(state.newsFor(reader, start + 6s), start + 6s, start + 6s);
+    }
+    CHECK(has(follower, "a"));
+    CHECK(follower.expire(start + 8s));
+    CHECK_FALSE(has(follower, "a"));
+}
+
+TEST_CASE("an entry that came back stays")
+{
+    // The history was forgotten during an outage, so that the list is read whole: an entry that had
+    // lapsed and is in it again was dropped all the same when its time was over.
+    UpstreamFeed feed;
+    REQUIRE(feed.replaceAll(listOf(10, {recordOf("a")}), start));
+    feed.storeFailed();
+    feed.apply({{recordOf("a"), true}}, 11, start + 5s);
+    REQUIRE(feed.replaceAll(listOf(12, {recordOf("a")}), start + 6s));
+    feed.expire(start + 9s);
+    CHECK(has(feed, "a"));
+}
