--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -9,13 +9,13 @@
 
 /// Part of what the users tolerate in a window that is admitted; the rest is for what VMs admit
 /// before they hear of each other's use.
-constexpr double usedPart = 0.88;
+constexpr double usedPart = 0.90;
 /// As much less for each step by which exchanges are spread out, and the least that is admitted.
 constexpr double usedLessPerStep = 0.02;
 constexpr double leastUsed = 0.65;
-/// As much less after a restart, until the VM had the time to hear the others: what they admitted
-/// before it heard them is in nobody's report, and what the fleet admitted too much before the
-/// restart is forgotten.
+/// As much less after a restart in a large fleet, until the VM had the time to hear the others:
+/// what they admitted before it heard them is in nobody's report, and what the fleet admitted too
+/// much before the restart is forgotten.
 constexpr double usedLessUnheard = 0.1;
 /// Part of an account's burst that its bucket holds while exchanges are spread out. All VMs see it
 /// full and take from it before they hear of each other; what it lacks fills it as rate instead.
@@ -24,7 +24,7 @@
 constexpr double leastBurstSeconds = 0.5;
 /// Part of the capacity below which only this VM's part of the rate is admitted. Above it, what all
 /// VMs admit at once during an exchange still fits.
-constexpr double lowLevel = 0.5;
+constexpr double lowLevel = 0.6;
 /// A VM's part of the rate is at least this part of an even share, so that one which saw no demand
 /// can begin.
 constexpr double leastShare = 0.5;
@@ -55,7 +55,8 @@
     const double tolerated =
             (account.m_ratePerSecond * window + account.m_burst) * (1 + m_settings.m_overage)
             + m_settings.m_slack;
-    const double unheard = m_expectedNodes > 0 ? usedLessUnheard : 0;
+    const bool isUnheard = m_expectedNodes > 0 && m_stretch > 1;
+    const double unheard = isUnheard ? usedLessUnheard : 0;
     const double used = std::max(usedPart - usedLessPerStep * (m_stretch - 1) - unheard, leastUsed);
     return std::max((used * tolerated - capacityOf(account)) / window, 0.0);
 }
