Count on a large fleet until the registry has been read

Change: a restarted process counts on 100 VMs until it has read the registry, for a second at most, and tells the traffic thread as soon as it has.

--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -46,6 +46,11 @@
 /// today's sites have.
 constexpr std::size_t assumedFleet = 8;
 constexpr Duration fleetLearningTime = std::chrono::seconds(5);
+/// A restarted process counts on so many VMs until it has read the registry, or for this long if
+/// the store doesn't answer: more than have been played, as each VM that takes the fleet for
+/// smaller admits more than its part.
+constexpr std::size_t unknownFleet = 100;
+constexpr Duration registryReadTime = std::chrono::seconds(1);
 
 Endpoint endpointOf(const std::string &address)
 {
@@ -191,7 +196,15 @@
 /// them; 0 after that.
 std::size_t EntryPeers::expectedFleet() const
 {
-    return isLearning() ? std::max(m_registered, m_context.m_settings.m_seeds.size()) : 0;
+    if (!isLearning())
+        return 0;
+    const std::size_t seeds = m_context.m_settings.m_seeds.size();
+    if (m_registered > 0)
+        return std::max(m_registered, seeds);
+    const bool isUnread = m_context.now() < m_startedAt + registryReadTime;
+    if (isUnread && !m_context.m_settings.m_isFirstStart)
+        return unknownFleet;
+    return std::max(members() + 1, seeds);
 }
 
 void EntryPeers::exchangeAll()
@@ -491,6 +504,7 @@
         removeIfGone(node);
     }
     m_registered = listed.size();
+    tellTraffic();
     std::erase_if(m_silentSince,
                   [&listed](const auto &entry) { return !listed.contains(entry.first); });
     return hasOwn;
