Count a peer's list of upstreams as old as it is there

A list that a peer passes on counted as confirmed at that moment, though the peer may have had it for 1.6 s; a follower then leaves the store alone for that much longer. What readers tell has carried its age from the start; this older twin did not.

Change: the age, which the same message brings, is taken off.

--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -25,7 +25,8 @@
     void expire();
 
     /// Takes a list that a peer read at a revision, if the own one has gone stale.
-    void takeFromPeer(const std::string &text, std::int64_t revision, const std::string &peer);
+    void takeFromPeer(const std::string &text, std::int64_t revision, Duration age,
+                      const std::string &peer);
 
     /// Says how this VM learns the list from now on.
     void setRole(StoreRole role) { m_role = role; }
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -438,6 +438,7 @@
         m_config.takeFromPeer(message.configText, message.digest.node);
     if (message.__isset.upstreamText)
         m_upstreams.takeFromPeer(message.upstreamText, message.upstreamRevision,
+                                 std::chrono::milliseconds(message.digest.upstreamAgeMillis),
                                  message.digest.node);
 }
 
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -139,7 +139,7 @@
     return platform::encodeUpstreams(m_feed.upstreams());
 }
 
-void EntryUpstreamFeed::takeFromPeer(const std::string &text, std::int64_t revision,
+void EntryUpstreamFeed::takeFromPeer(const std::string &text, std::int64_t revision, Duration age,
                                      const std::string &peer)
 {
     if (!isStale() || revision <= m_feed.revision())
@@ -147,7 +147,9 @@
     UpstreamList list;
     list.m_revision = revision;
     list.m_upstreams = platform::decodeUpstreamText(text);
-    m_feed.replaceAll(std::move(list), m_context.now());
+    // As old as it is at the peer: counted as confirmed now, it would put off the own reading by
+    // that much once more, and a leaving upstream would get requests beyond its bound.
+    m_feed.replaceAll(std::move(list), m_context.now() - age);
     // The own watch goes on from where the peer's list ends.
     m_revision = revision;
     m_context.m_log.info("upstreams-from-peer",
