--- a/include/gypsumdale/core/clock.hpp
+++ b/include/gypsumdale/core/clock.hpp
@@ -55,4 +55,10 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// Returns the whole milliseconds of a duration, as messages between processes carry it.
+inline std::int64_t wholeMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace gypsumdale
--- a/src/ctl/command_logs.cpp
+++ b/src/ctl/command_logs.cpp
@@ -1,3 +1,5 @@
+#include <gypsumdale/observe/utc_text.hpp>
+
 #include <ctl/command.hpp>
 #include <ctl/log_history.hpp>
 #include <ctl/table.hpp>
@@ -60,7 +62,7 @@
     Table table;
     table.m_columns = {{"TIME"}, {"NODE"}, {"EVENT"}, {"DETAILS"}};
     for (const LogLine *line : lines)
-        table.m_rows.push_back({logTimeText(line->m_at), printable(line->m_node),
+        table.m_rows.push_back({toUtcText(line->m_at), printable(line->m_node),
                                 printable(line->m_event), detailsOf(*line)});
     session.m_surroundings.m_print(formatTable(table));
 }
--- a/src/ctl/log_history.cpp
+++ b/src/ctl/log_history.cpp
@@ -226,17 +226,4 @@
     return found;
 }
 
-std::string logTimeText(std::int64_t millis)
-{
-    using namespace std::chrono;
-    const sys_time<milliseconds> time{milliseconds(millis)};
-    const auto date = floor<days>(time);
-    const year_month_day day(date);
-    const hh_mm_ss clock(time - date);
-    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z", static_cast<int>(day.year()),
-                       static_cast<unsigned>(day.month()), static_cast<unsigned>(day.day()),
-                       clock.hours().count(), clock.minutes().count(), clock.seconds().count(),
-                       clock.subseconds().count());
-}
-
 } // namespace gypsumdale::ctl
--- a/src/ctl/log_history.hpp
+++ b/src/ctl/log_history.hpp
@@ -67,7 +67,4 @@
     std::size_t m_unreadable = 0;
 };
 
-/// Writes a time as the logs do, in UTC with milliseconds.
-std::string logTimeText(std::int64_t millis);
-
 } // namespace gypsumdale::ctl
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -124,9 +124,7 @@
 
 WindowNumber EntryDuties::windowMillis() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-                   m_context.m_settings.m_bounds.m_usageWindow)
-            .count();
+    return wholeMillis(m_context.m_settings.m_bounds.m_usageWindow);
 }
 
 void EntryDuties::reportUsage()
@@ -143,11 +141,9 @@
     const WallMillis now =
             m_context.m_trafficLoop.call([this] { return m_context.m_traffic.wallNow(); });
     const WallMillis span = windowMillis();
-    const auto millis = [](Duration duration) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    };
-    const WallMillis due = millis(m_context.m_settings.m_bounds.m_usageDue);
-    const WallMillis settle = m_peers.hearsAll() ? millis(settleTime) : due - millis(reportMargin);
+    const WallMillis due = wholeMillis(m_context.m_settings.m_bounds.m_usageDue);
+    const WallMillis settle =
+            m_peers.hearsAll() ? wholeMillis(settleTime) : due - wholeMillis(reportMargin);
     for (WindowNumber window = (now - due) / span; (window + 1) * span + settle <= now; ++window) {
         if ((window + 1) * span + due < now || m_reported.contains(window))
             continue;
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -75,11 +75,6 @@
     return static_cast<int>(std::max<std::size_t>(1, steps));
 }
 
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 PeerReport reportOf(const entrywire::EntryDigest &digest, WallMillis ownWall)
 {
     PeerReport report;
@@ -253,7 +248,7 @@
         if (!peer.m_isSilent && silence > heardWithin * stretch()) {
             peer.m_isSilent = true;
             m_context.m_log.warning("peer-silent", {{LogField::Peer, peer.m_node},
-                                                    {LogField::AgeMillis, millisOf(silence)}});
+                                                    {LogField::AgeMillis, wholeMillis(silence)}});
         }
         if (silence <= forgottenAfter || peer.m_isBusy) {
             ++entry;
@@ -369,13 +364,13 @@
     digest.incarnation = m_context.m_incarnation;
     digest.configVersion = m_config.version();
     digest.upstreamRevision = m_upstreams.revision();
-    digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : millisOf(m_upstreams.age());
+    digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : wholeMillis(m_upstreams.age());
     digest.storeIsLost = m_config.isStoreLost() || m_config.version() == 0;
     digest.dutyFence = m_dutyFence;
     digest.dutyRevision = m_dutyRevision;
     // As of this message, not of the report: an old reading would make every VM's clock look slow,
     // and all of them would follow each other backwards.
-    digest.wallMillis = m_report.m_wall + millisOf(bootNow() - m_reportedAt);
+    digest.wallMillis = m_report.m_wall + wholeMillis(bootNow() - m_reportedAt);
     digest.leaving = m_context.m_isStopping;
     fillReport(digest);
     const bool isNew = !peer || peer->m_heardAt == TimePoint{};
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -28,11 +28,6 @@
 constexpr std::int64_t neverAway = -1;
 constexpr Duration tellTimeout = std::chrono::milliseconds(600);
 
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 entrywire::StoreNews wireNews(const UpstreamNews &upstreams)
 {
     entrywire::StoreNews news;
@@ -40,7 +35,7 @@
     news.sinceRevision = upstreams.m_sinceRevision.value_or(wholeList);
     news.upstreamRevision = upstreams.m_revision;
     news.storeReturnedAgoMillis =
-            upstreams.m_returnedAgo ? millisOf(*upstreams.m_returnedAgo) : neverAway;
+            upstreams.m_returnedAgo ? wholeMillis(*upstreams.m_returnedAgo) : neverAway;
     std::map<UpstreamId, UpstreamRecord> present;
     for (const UpstreamChange &change : upstreams.m_changes) {
         if (change.m_isRemoved)
@@ -150,9 +145,9 @@
     entrywire::EntryExchange message;
     message.__set_news(wireNews(upstreams));
     message.news.node = m_context.m_settings.m_node.text();
-    message.news.upstreamAgeMillis = millisOf(m_upstreams.age());
+    message.news.upstreamAgeMillis = wholeMillis(m_upstreams.age());
     message.news.configVersion = m_config.version();
-    message.news.configAgeMillis = millisOf(m_config.age());
+    message.news.configAgeMillis = wholeMillis(m_config.age());
     m_followers[peer.m_address].m_isBusy = true;
     const auto reply = peer.m_channel->exchange(wire::encode(message), tellTimeout);
     Follower &follower = m_followers[peer.m_address];
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -34,11 +34,6 @@
     return errorReply({ErrorId::NotFound, "no such path"});
 }
 
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 /// Decodes one part of a path; nothing for a malformed one.
 std::optional<std::string> decoded(std::string_view text)
 {
@@ -188,7 +183,7 @@
 {
     HttpReply reply;
     reply.m_headers.add("Content-Type", std::string(metricsContentType));
-    const auto trafficMillis = millisOf(m_traffic.processorTime());
+    const auto trafficMillis = wholeMillis(m_traffic.processorTime());
     const Metrics *metrics = m_traffic.onControl([&](Control &control) {
         control.context().m_metrics.assign(Counter::TrafficProcessorMillis,
                                            static_cast<std::uint64_t>(trafficMillis));
@@ -201,7 +196,7 @@
 
 HttpReply AdminApi::statusReply()
 {
-    const auto uptime = millisOf(m_traffic.now() - m_startedAt);
+    const auto uptime = wholeMillis(m_traffic.now() - m_startedAt);
     return jsonReply(m_traffic.onControl([&](Control &control) {
         const NodeSettings &settings = control.context().m_settings;
         const auto reason = control.notReady();
@@ -234,7 +229,7 @@
         for (const NodeView &view : control.fleet().membership().nodes()) {
             const auto version = control.peerVersion(view.m_identity.m_node);
             const bool wasHeard = view.m_lastHeard != TimePoint();
-            const auto age = wasHeard ? millisOf(context.now() - view.m_lastHeard) : -1;
+            const auto age = wasHeard ? wholeMillis(context.now() - view.m_lastHeard) : -1;
             list.push_back({{"node", view.m_identity.m_node.text()},
                             {"dataCentre", view.m_identity.m_dataCentre.text()},
                             {"state", nameIn(nodeStateNames, view.m_state)},
@@ -252,7 +247,8 @@
         Json list = Json::array();
         for (const UpstreamView &view : control.fleet().upstreams().views()) {
             const UpstreamDeclaration &declaration = view.m_declaration;
-            const auto age = view.hasLoad() ? millisOf(view.loadAge(control.context().now())) : -1;
+            const auto age =
+                    view.hasLoad() ? wholeMillis(view.loadAge(control.context().now())) : -1;
             list.push_back({{"upstream", declaration.m_upstream.text()},
                             {"service", declaration.m_service.text()},
                             {"dataCentre", declaration.m_dataCentre.text()},
--- a/src/kernel/claim_driver.cpp
+++ b/src/kernel/claim_driver.cpp
@@ -31,11 +31,6 @@
     return {digest.begin(), digest.end()};
 }
 
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 wire::ClaimForwarded toWire(const ClaimResult &result)
 {
     wire::ClaimForwarded reply;
@@ -61,7 +56,7 @@
     const auto notRun = [&](const NotRun &value) {
         reply.verdict = wire::ClaimVerdict::NotRun;
         reply.reason = static_cast<std::int8_t>(value.m_reason);
-        reply.retryAfterMillis = millisOf(value.m_retryAfter);
+        reply.retryAfterMillis = wholeMillis(value.m_retryAfter);
     };
     std::visit(Overloaded{granted, done, unknown, reused, notRun}, result);
     return reply;
@@ -232,7 +227,7 @@
     forward.key = request.m_key;
     forward.bodyDigest = bytesOf(request.m_bodyDigest);
     forward.attempt = request.m_attempt.text();
-    forward.timeLeftMillis = millisOf(request.m_deadline - m_context.now());
+    forward.timeLeftMillis = wholeMillis(request.m_deadline - m_context.now());
     wire::PeerRequestBody body;
     body.__set_claimForward(forward);
     const auto reply = m_context.m_peers.ask(peer, body, forwardTimeout);
--- a/src/kernel/job_call.cpp
+++ b/src/kernel/job_call.cpp
@@ -18,11 +18,6 @@
 constexpr std::string_view forwardedHeader = "X-Gypsumdale-Forwarded";
 constexpr Duration proxySilence = std::chrono::minutes(5);
 
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 bool isOver(JobState state)
 {
     return state == JobState::Finished || state == JobState::Failed || state == JobState::Expired;
@@ -58,7 +53,7 @@
         job.m_service = context.m_service;
         job.m_body = body;
         job.m_created = control.context().wallNow();
-        job.m_deadline = job.m_created + millisOf(context.m_profile->m_latency.m_deadline);
+        job.m_deadline = job.m_created + wholeMillis(context.m_profile->m_latency.m_deadline);
         return control.jobs().offer(job);
     });
     if (!succeeded(offered)) {
--- a/src/ledger/claim_ledger.cpp
+++ b/src/ledger/claim_ledger.cpp
@@ -21,11 +21,6 @@
 
 namespace {
 
-WallMillis millisIn(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 ShardNumber shardOfDigest(const Digest &key, ShardNumber shards)
 {
     // The end of the digest: its start places the key in the tables.
@@ -143,7 +138,7 @@
     record.body = detail::toBytes(attempt.m_body);
     record.attempt = attempt.m_id.text();
     record.node = attempt.m_node.text();
-    record.expiry = moment.m_wall + millisIn(m_settings.m_retention);
+    record.expiry = moment.m_wall + wholeMillis(m_settings.m_retention);
     const Result<LogTicket> ticket = target.log().append(detail::encodeRecord(record));
     if (!succeeded(ticket))
         return decide(attempt, NotRun{NotRunReason::Overloaded, m_settings.m_retryAfter});
@@ -206,7 +201,7 @@
     record.outcome = detail::toWire(outcome);
     record.status = answer.m_status;
     record.contentType = answer.m_contentType;
-    record.expiry = moment.m_wall + millisIn(m_settings.m_retention);
+    record.expiry = moment.m_wall + wholeMillis(m_settings.m_retention);
     record.answerKept = answer.m_body && answer.m_body->size() <= m_settings.m_maxAnswerBytes;
     if (record.answerKept)
         record.answer = *answer.m_body;
--- a/src/ledger/order_lease.cpp
+++ b/src/ledger/order_lease.cpp
@@ -12,11 +12,6 @@
 
 constexpr Duration retryInterval = std::chrono::milliseconds(500);
 
-std::int64_t millisIn(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 OrderLease::OrderLease(OrderLeaseSettings settings)
@@ -194,7 +189,7 @@
     wire::OrderLeaseBody body;
     body.holder = m_settings.m_holder;
     body.revision = ++m_lastWrite;
-    body.durationMillis = millisIn(m_settings.m_duration);
+    body.durationMillis = wholeMillis(m_settings.m_duration);
     body.released = released;
     m_unsettled = wire::encode(body);
     return *m_unsettled;
