Wait for callers' connections before a planned stop ends

The process counted requests in flight, and there was none between the last connection's acceptance and the reading of its request, so it ended.

Ruled out: the balancer (it may send until it was told twice), the engines, the new placement (the same path without it), a kept connection (it was new).

Change: a stop goes on until no caller is connected, bounded as before. The question is asked on the loop that accepts.

Test first: process-entry opens the last connection and sends its request 700 ms later; without the change the caller gets nothing, with it 200.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -256,6 +256,17 @@
                     {{LogField::Source, source}, {LogField::State, isMoved ? "moved" : "kept"}});
     }
 
+    /// Tells whether a caller is still connected. A connection that was accepted last may bring its
+    /// request any moment: with requests alone counted, a process ended between a caller's
+    /// connection and its request, or while that was read, and the caller got no answer. Asked on
+    /// the loop that accepts, so that what was accepted before is counted.
+    bool hasCallers()
+    {
+        return m_trafficLoop.call([this] {
+            return m_callers->requestsInFlight() > 0 || m_callers->connections() > 0;
+        });
+    }
+
     void drain()
     {
         const TimePoint begun = m_clock.now();
@@ -265,7 +276,7 @@
         m_callers->announceClose();
         sleepFiber(acceptAfterTerm);
         m_callers->stopAccepting();
-        while (m_clock.now() < end && m_callers->requestsInFlight() > 0)
+        while (m_clock.now() < end && hasCallers())
             sleepFiber(drainTick);
         m_cut = m_callers->requestsInFlight();
         m_context.m_isStopping = true;
--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -1,5 +1,10 @@
 #include "support/entry_world.hpp"
 
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm> // find
@@ -379,6 +384,31 @@
     CHECK(world.node().m_process->exitStatus() == 0);
 }
 
+// The balancer's last connection comes just before the process stops to accept, and its request a
+// moment later. No request was in flight in between: the process ended, and the caller got nothing.
+TEST_CASE("an entry process waits for the request of the last connection")
+{
+    EntryWorld world;
+    world.node().m_process->send(SIGTERM);
+    world.waitUntil("it says that it isn't ready", [&] { return !world.isReady(world.node()); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), world.node().m_callerPort});
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    const std::string request = "POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+                                "Gypsumdale-Request-Id: r-1\r\nGypsumdale-Deadline-Ms: 5000\r\n"
+                                "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody";
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(request), error);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    world.waitUntil("it has ended", [&] { return world.node().m_process->exited(); });
+    CHECK(world.node().m_process->exitStatus() == 0);
+}
+
 TEST_CASE("an entry process lives through a reload")
 {
     EntryWorld world;
