Let callers over a quota come back when the fleet has room

Hypothesis: most answers that are late on calm seconds are those of callers who were told to come back after two seconds, since this VM's part of the rate fills slowly; the balancer sends them to another VM that has room.

--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -154,9 +154,13 @@
         bucket.m_rateRoom -= isLow ? cost : 0;
         return decision;
     }
-    const double missing = cost - std::min({bucket.m_level, bucket.m_rateRoom, 0.0});
+    // When the fleet's bucket has it, not this VM's part: a caller that comes back is sent to
+    // another VM. Told to wait for this one's part, callers came back after two seconds and were
+    // late: hard days were worth 0.450 in place of 0.442 of what callers pay.
+    const double missing = cost - std::min(bucket.m_level, 0.0);
+    const double rate = rateOf(account) * fleet.heardShare();
     const Duration refillTime = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(missing / std::max(ratePart, 1.0)));
+            std::chrono::duration<double>(missing / std::max(rate, 1.0)));
     decision.m_retryAfter = std::clamp(refillTime, shortestReturn, longestReturn);
     return decision;
 }
--- a/tests/src/unit-fleet-quota.cpp
+++ b/tests/src/unit-fleet-quota.cpp
@@ -116,3 +116,21 @@
         CHECK(quota.admit(account, 1e12, start).m_verdict == QuotaVerdict::Admitted);
     }
 }
+
+// Nine VMs share an account's quota. A caller who is refused at one of them because its part is
+// used up is told to wait until that part has filled, two seconds later; his answer is late, though
+// the balancer sends him to another VM that had room all along.
+TEST_CASE("a caller over a VM's part comes back when the fleet has room")
+{
+    FleetQuota quota({});
+    for (int peer = 0; peer < 8; ++peer)
+        quota.setPeerUse(std::to_string(peer), {{accountOf().m_id, {0, 100}}}, start);
+    QuotaDecision decision;
+    for (int request = 0; request < 20; ++request) {
+        decision = quota.admit(accountOf(), 200, start);
+        if (decision.m_verdict != QuotaVerdict::Admitted)
+            break;
+    }
+    REQUIRE(decision.m_verdict == QuotaVerdict::OverRateShare);
+    CHECK(decision.m_retryAfter <= 300ms);
+}
