Learn how fast engines read, and order and place by it

An old test of the planner stands as it was: where no speed is known nothing is ordered for what may come.

--- a/bench/platform/worth.py
+++ b/bench/platform/worth.py
@@ -17,6 +17,7 @@
 import tempfile
 
 PARTS = ("whole day", "worst windows", "worst class", "worst zone")
+WORST_WINDOWS = 4
 PRICES = {
     "seconds of servers ordered": "upstreams",
     "machine-seconds": "VMs",
@@ -61,6 +62,12 @@
     return text
 
 
+def worst(report):
+    """Names the worst windows of a play, as second:worth."""
+    windows = sorted(report["windows"], key=lambda window: window["worth"])[:WORST_WINDOWS]
+    return " ".join(f"{window['name']}:{window['worth']:.2f}" for window in windows)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("bench")
@@ -92,6 +99,7 @@
         if not own:
             continue
         print(line(day, own))
+        print(f"{'':12} worst windows by seed: {'; '.join(worst(report) for report in own)}")
         if not day.startswith("quiet"):
             troubled.append(statistics.mean(report["G"] for report in own))
     if troubled:
--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -30,6 +30,15 @@
   3: i64 count
 }
 
+/// What one VM asks a service's engines to read, and how fast it saw one of them read.
+struct ServiceReading {
+  1: string serviceName
+  /// Prompt tokens a second.
+  2: double demand
+  /// Prompt tokens a second; 0 if too little was seen.
+  3: double speed
+}
+
 struct NodeAddress {
   1: string node
   2: string address
@@ -60,6 +69,7 @@
   16: i64 dutyRevision
   /// The store doesn't answer the sender: it depends on its peers for the configuration.
   17: bool storeIsLost
+  18: list<ServiceReading> reading
 }
 
 /// What a VM that reads the store tells one of its data centre that doesn't.
@@ -86,12 +96,19 @@
   11: list<string> unusableUpstreams
 }
 
+/// Load that a VM has just put on an upstream, told out of turn.
+struct LoadNews {
+  1: string node
+  2: UpstreamLoad load
+}
+
 struct StoreNewsTaken {
   /// The receiver lacks more than it was told.
   1: bool needsWholeList
 }
 
-/// A message and its answer: either both bring a digest, or news of the store and its receipt.
+/// A message and its answer: both bring a digest, or one brings news of the store and the other its
+/// receipt, or one brings news of load and the other nothing.
 struct EntryExchange {
   1: optional EntryDigest digest
   /// The stored configuration as the store wrote it, for a receiver that is behind.
@@ -102,4 +119,5 @@
   5: optional i64 upstreamRevision
   6: optional StoreNews news
   7: optional StoreNewsTaken newsTaken
+  8: optional LoadNews loadNews
 }
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -18,6 +18,7 @@
 namespace gypsumdale::entrywire {
 class EntryDigest;
 class EntryExchange;
+class LoadNews;
 class StoreNews;
 } // namespace gypsumdale::entrywire
 
@@ -65,6 +66,10 @@
     using DutyHeard = std::function<void(std::int64_t fence, std::int64_t revision)>;
     void onDutyHeard(DutyHeard heard) { m_dutyHeard = std::move(heard); }
 
+    /// Tells all peers of a small fleet what this VM has put on an upstream. Without an answer
+    /// nothing is done: the next exchange brings it.
+    void tellLoad(const UpstreamId &upstream, InFlightLoad load);
+
     /// Called with news of the store; returns whether this VM lacks more than it was told.
     using NewsHeard = std::function<bool(const entrywire::StoreNews &)>;
     void onNews(NewsHeard heard) { m_newsHeard = std::move(heard); }
@@ -118,6 +123,7 @@
     entrywire::EntryExchange message(const Peer *peer);
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
+    void takeLoad(const entrywire::LoadNews &news);
     void hear(const entrywire::EntryDigest &digest);
     std::string ownAddress() const;
 
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/runtime/http_client.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
+#include <gypsumdale/serving/prompt_reading.hpp>
 #include <gypsumdale/serving/repeat_allowance.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
 #include <gypsumdale/serving/steady_wall_clock.hpp>
@@ -15,6 +16,7 @@
 
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
+#include <functional> // function
 #include <map> // map
 #include <memory> // unique_ptr
 #include <string> // string
@@ -30,6 +32,9 @@
     std::map<WindowNumber, WindowCounts> m_usage;
     /// Requests in flight at each service over all VMs.
     std::map<ServiceId, double> m_running;
+    /// Reading rates as this VM sees them, and over the fleet.
+    std::map<ServiceId, ReadingRate> m_ownReading;
+    std::map<ServiceId, ReadingRate> m_fleetReading;
     WallMillis m_wall = 0;
 };
 
@@ -41,6 +46,7 @@
     std::map<AccountId, ReportedUse> m_accounts;
     std::map<UpstreamId, InFlightLoad> m_loads;
     std::map<WindowNumber, WindowCounts> m_usage;
+    std::map<ServiceId, ReadingRate> m_reading;
     /// Its wall time less this VM's, as of the report.
     WallMillis m_wallOffset = 0;
 };
@@ -65,7 +71,16 @@
     void setView(ServingViewPointer view) { m_view = std::move(view); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
     void setPeer(const PeerReport &report);
+    void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
+    {
+        m_pool.setPeerLoadAt(node, upstream, load);
+    }
     void forgetPeer(const std::string &node);
+    /// Called with the load of an upstream that has just got a long prompt.
+    using LongPromptPlaced = std::function<void(const UpstreamId &, InFlightLoad)>;
+    void onLongPromptPlaced(LongPromptPlaced placed) { m_longPromptPlaced = std::move(placed); }
+    /// Notes that a request was placed: its prompt may be so long that peers have to know at once.
+    void notePlaced(const PooledUpstream &upstream, std::int64_t ownTokens);
     /// Takes in by how much exchanges with peers are spread out.
     void setExchangePace(int stretch)
     {
@@ -86,6 +101,10 @@
 
     const ServingViewPointer &view() const { return m_view; }
     UpstreamPool &pool() { return m_pool; }
+    FleetReading &reading() { return m_reading; }
+    /// Returns the prompt tokens that an engine of a service reads in a time; 0 while its speed
+    /// isn't known.
+    double tokensWithin(const ServiceId &service, Duration time) const;
     FleetQuota &quota() { return m_quota; }
     RepeatAllowance &allowance() { return m_allowance; }
     RunMover &mover() { return *m_mover; }
@@ -110,10 +129,14 @@
     HttpClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    FleetReading m_reading;
+    /// As of the last report.
+    std::map<ServiceId, ReadingRate> m_fleetReading;
     FleetQuota m_quota;
     RepeatAllowance m_allowance;
     UsageCounts m_usage;
     std::unique_ptr<RunMover> m_mover;
+    LongPromptPlaced m_longPromptPlaced;
     SteadyWallClock m_wall;
     std::map<std::string, WallMillis> m_peerOffsets;
     std::uint64_t m_randomState;
--- /dev/null
+++ b/include/gypsumdale/serving/prompt_reading.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/serving/sliding_sum.hpp>
+
+#include <cstdint> // int64_t
+#include <deque> // deque
+#include <map> // map
+#include <string> // string
+
+namespace gypsumdale {
+
+/// How much a service's engines are asked to read, and how fast one of them reads.
+struct ReadingRate
+{
+    /// Prompt tokens of requests placed in a second.
+    double m_demand = 0;
+    /// Prompt tokens that one engine reads in a second when it reads nothing else; 0 while too
+    /// little was seen.
+    double m_speed = 0;
+};
+
+/// Learns the reading rate of one service from the requests of this VM.
+///
+/// The speed of engines stands in no configuration and differs by a factor of three between
+/// deployments. It shows where a request is alone with its prompt at an engine: its first event
+/// comes when its prompt has been read. Requests beside others are no measure, as their prompts are
+/// read by turns.
+class PromptReading
+{
+public:
+    /// Notes a request that was placed, with the tokens of its prompt that no other request shares.
+    /// Constant, amortised.
+    void notePlaced(std::int64_t ownTokens, TimePoint now);
+
+    /// Notes how long the first event took of a request that was alone with its prompt. Constant.
+    void noteAlone(std::int64_t ownTokens, Duration wait);
+
+    /// Constant in the requests seen.
+    ReadingRate rate(TimePoint now);
+
+private:
+    /// Demand is averaged over this: arrivals come in clumps of a second or two.
+    static constexpr Duration demandSpan = std::chrono::seconds(4);
+
+    SlidingSum m_demand{demandSpan};
+    std::deque<double> m_speeds;
+};
+
+/// The reading rates of all services, as this VM and its peers see them.
+class FleetReading
+{
+public:
+    /// Returns what this VM learns of a service.
+    PromptReading &own(const ServiceId &service) { return m_own[service]; }
+
+    /// Returns this VM's rates, for a report. Linear in the services.
+    std::map<ServiceId, ReadingRate> ownRates(TimePoint now);
+
+    /// Replaces what one other VM reported.
+    void setPeer(const std::string &node, std::map<ServiceId, ReadingRate> rates);
+    void forgetPeer(const std::string &node) { m_peers.erase(node); }
+
+    /// Returns the rates over the fleet: the sum of the demands, and the median of the speeds that
+    /// VMs have seen. Linear in peers and services.
+    std::map<ServiceId, ReadingRate> fleetRates(TimePoint now);
+
+private:
+    std::map<ServiceId, PromptReading> m_own;
+    std::map<std::string, std::map<ServiceId, ReadingRate>> m_peers;
+};
+
+} // namespace gypsumdale
--- a/include/gypsumdale/serving/serving_config.hpp
+++ b/include/gypsumdale/serving/serving_config.hpp
@@ -46,6 +46,8 @@
     RepeatKind m_kind = RepeatKind::AtMostOnce;
     Duration m_timeout = std::chrono::seconds(15);
     Duration m_latencyTarget = std::chrono::seconds(1);
+    /// Longest pause between two events of a stream that is in time; 0 where none is named.
+    Duration m_pauseTarget{};
     /// 0 is the most urgent.
     int m_priority = 0;
     /// Upstreams on which one attempt of the caller may run.
--- a/include/gypsumdale/serving/serving_view.hpp
+++ b/include/gypsumdale/serving/serving_view.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/serving/serving_config.hpp>
 
+#include <map> // map
 #include <memory> // shared_ptr
 #include <string_view> // string_view
 #include <unordered_map> // unordered_map
@@ -31,11 +32,18 @@
     /// Returns a service, or nullptr. Logarithmic.
     const ServingService *findService(const ServiceId &service) const;
 
+    /// Returns the shortest pause that streams of a service may have, or 0 if no route names one.
+    /// Logarithmic.
+    Duration shortestPause(const ServiceId &service) const;
+
 private:
+    void notePause(const ServingRoute &route);
+
     ServingConfig m_config;
     /// Each host's routes, longest prefix first.
     std::unordered_map<std::string, std::vector<const ServingRoute *>> m_routesByHost;
     std::unordered_map<std::string_view, const ClientAccount *> m_accountsByKey;
+    std::map<ServiceId, Duration> m_shortestPauses;
 };
 
 using ServingViewPointer = std::shared_ptr<const ServingView>;
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -56,6 +56,9 @@
     std::size_t m_bodyBytes = 0;
     /// Prompt tokens in parts that other requests share.
     std::int64_t m_sharedTokens = 0;
+    /// Prompt tokens that an engine may read in a row before the pause in the streams beside them
+    /// is too long; 0 where that isn't known.
+    double m_pauseTokens = 0;
     /// Names the last shared part; empty where there is none.
     std::string m_affinityKey;
     /// Upstreams that are not to be chosen.
@@ -88,6 +91,8 @@
     /// Replaces what one other VM has in flight. Linear in the loads of all VMs.
     void setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads,
                      TimePoint now);
+    /// Replaces what one other VM has in flight at one upstream. Linear in the loads of all VMs.
+    void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load);
     void forgetPeer(const std::string &node);
 
     /// Takes in by how much exchanges with peers are spread out. From 2 on their loads are too old
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -50,6 +50,22 @@
     double m_spare = 1.5;
     /// Upstreams that can't be reclaimed, kept over all data centres, in the cheapest first.
     int m_steadyEngines = 1;
+    /// Part of an engine's reading speed that prompts may take while first tokens come in time. On
+    /// a fleet with engines of 62 tokens a ms, 4, 8, 12 and 20 of them under one load were worth
+    /// 0.40, 0.46, 0.47 and 0.47 of what callers pay, their own price taken off: 12 are loaded to a
+    /// fifth.
+    double m_readingLoad = 0.5;
+    /// The same for steady engines that stand in for reclaimable ones, at five times the price.
+    /// Over three fleets 0.6, 0.8, 1.0 and 1.3 were worth 0.504, 0.524, 0.534 and 0.536 on hard
+    /// days, and on the calm day of the one that loses all of its reclaimable ones 0.43, 0.41, 0.35
+    /// and 0.29.
+    double m_standInLoad = 0.8;
+    /// The same for what a further reclaim would leave, which may not come. With 1.3 in place of
+    /// 0.8 hard days were worth 0.01 more on all three fleets.
+    double m_riskLoad = 1.3;
+    /// A reclaim is followed by those of other data centres within this: seven seconds for four of
+    /// them, and a refused order renews it.
+    Duration m_reclaimCalm = std::chrono::seconds(6);
     /// A want is lowered only after this long below.
     Duration m_lowerAfter = std::chrono::seconds(10);
 };
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -27,6 +27,11 @@
 /// Callers come back within this range, spread so that they don't return at one moment.
 constexpr Duration earliestReturn = std::chrono::milliseconds(150);
 constexpr Duration returnSpread = std::chrono::milliseconds(350);
+/// A prompt is read alone if what others wait for there is less than this part of it.
+constexpr std::int64_t mostBesides = 10;
+/// Part of a pause that prompts are let to fill: a prompt of 57,000 tokens was read at 0.6 of the
+/// speed that shorter ones show.
+constexpr double pauseUsed = 0.6;
 constexpr int highestPriority = 9;
 /// Room for the routes' priorities within one priority of accounts.
 constexpr int routePriorities = 3;
@@ -210,7 +215,10 @@
             return AttemptStop::NotAllowed;
         m_tried.insert(upstream->m_record.m_id);
         logPlaced(*upstream);
+        const bool isAlone = readsAlone(*upstream);
         UpstreamHold hold(upstream, m_caller.m_promptTokens);
+        m_traffic.notePlaced(*upstream, ownTokens());
+        const TimePoint sentAt = m_traffic.now();
         CallResult<HttpExchange> opened = send(hold);
         if (const auto *failure = std::get_if<CallFailure>(&opened)) {
             noteFailure(hold, *failure);
@@ -220,10 +228,18 @@
         auto &exchange = std::get<HttpExchange>(opened);
         if (!takes(exchange, *upstream))
             continue;
-        return OpenAnswer{std::move(exchange), std::move(hold)};
+        return OpenAnswer{std::move(exchange), std::move(hold),
+                          isAlone ? std::optional(sentAt) : std::nullopt};
     }
 }
 
+/// Tells whether hardly any other prompt is still to be read at an upstream, as far as is known.
+bool EntryCall::readsAlone(const PooledUpstream &upstream) const
+{
+    const std::int64_t pending = upstream.m_own.m_pendingTokens + upstream.m_others.m_pendingTokens;
+    return m_caller.m_promptTokens > 0 && pending * mostBesides < m_caller.m_promptTokens;
+}
+
 /// Sends the request to an upstream. The attempt ends as broken as soon as the upstream is known to
 /// have started again after that: a connection to the process before may stay silent for good where
 /// it was cut off as it crashed, and its caller would wait in vain until the deadline.
@@ -249,6 +265,8 @@
     placement.m_promptTokens = m_caller.m_promptTokens;
     placement.m_bodyBytes = m_request.m_body.size();
     placement.m_sharedTokens = m_caller.m_sharedTokens;
+    const Duration pause = m_view->shortestPause(m_service);
+    placement.m_pauseTokens = pauseUsed * m_traffic.tokensWithin(m_service, pause);
     if (m_route->m_hasPrefixAffinity)
         placement.m_affinityKey = m_caller.m_lastSharedPart;
     placement.m_excluded = m_tried;
@@ -415,6 +433,8 @@
             {m_caller.m_id,
              {LogField::Route, m_route->m_name},
              {LogField::ConfigVersion, m_view->config().m_version},
+             {LogField::PromptTokens, m_caller.m_promptTokens},
+             {LogField::OutputTokens, m_caller.m_outputTokens},
              upstream.m_record.m_id,
              {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
              {LogField::Revision, m_traffic.pool().revision()},
@@ -439,6 +459,8 @@
             {LogField::Events, m_events},
             {LogField::ConfigVersion, m_view ? m_view->config().m_version : 0},
             {LogField::Millis, toMillis(m_traffic.now() - m_arrivedAt)},
+            {LogField::FirstMillis, m_hasBegun ? toMillis(m_begunAt - m_arrivedAt) : 0},
+            {LogField::PauseMillis, toMillis(m_longestPause)},
     };
     if (isGood)
         m_traffic.log().info("request-done", fields);
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -39,6 +39,8 @@
 {
     HttpExchange m_exchange;
     UpstreamHold m_hold;
+    /// When it was sent, if its prompt was the only one to be read there.
+    std::optional<TimePoint> m_aloneSince;
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
@@ -69,6 +71,9 @@
     CallResult<HttpExchange> send(UpstreamHold &hold);
     std::optional<AttemptStop> whyNoFurtherAttempt(bool isFirst);
     PlacementRequest placement() const;
+    bool readsAlone(const PooledUpstream &upstream) const;
+    /// Prompt tokens that no other request shares.
+    std::int64_t ownTokens() const { return m_caller.m_promptTokens - m_caller.m_sharedTokens; }
     bool takes(const HttpExchange &exchange, PooledUpstream &upstream);
     HttpCall callFor(const PooledUpstream &upstream) const;
     Duration firstAnswerLimit() const;
@@ -80,6 +85,7 @@
     /// Goes on with a run that was moved. Returns nothing if it was not, or its new place refuses.
     std::optional<OpenAnswer> followMove();
     bool cutsEvents() const;
+    void noteFirstEvent(OpenAnswer &answer);
     bool passPiece(const std::string &piece, OpenAnswer &answer);
     bool passEvents(const std::string &piece, OpenAnswer &answer);
     bool beginStream(OpenAnswer &answer);
@@ -108,7 +114,9 @@
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     TimePoint m_arrivedAt;
     TimePoint m_deadline{};
+    TimePoint m_begunAt{};
     TimePoint m_lastEventAt{};
+    Duration m_longestPause{};
     std::set<UpstreamId> m_tried;
     /// The upstream's own failure, passed on if no further attempt does better.
     std::optional<HttpReply> m_fallback;
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm> // clamp, max
 #include <charconv> // from_chars
-#include <utility> // move
+#include <utility> // exchange, move
 
 /// How a request's stream is passed on, resumed and followed to another engine.
 namespace gypsumdale {
@@ -129,7 +129,7 @@
                                                       {LogField::Status, exchange.status()}});
         return std::nullopt;
     }
-    return OpenAnswer{std::move(exchange), std::move(hold)};
+    return OpenAnswer{std::move(exchange), std::move(hold), std::nullopt};
 }
 
 bool EntryCall::passRun(OpenAnswer &answer)
@@ -165,9 +165,17 @@
     return true;
 }
 
-bool EntryCall::passPiece(const std::string &piece, OpenAnswer &answer)
+/// The first piece of an answer tells that the prompt has been read.
+void EntryCall::noteFirstEvent(OpenAnswer &answer)
 {
     answer.m_hold.promptIsRead();
+    if (const auto since = std::exchange(answer.m_aloneSince, std::nullopt))
+        m_traffic.reading().own(m_service).noteAlone(ownTokens(), m_traffic.now() - *since);
+}
+
+bool EntryCall::passPiece(const std::string &piece, OpenAnswer &answer)
+{
+    noteFirstEvent(answer);
     noteRan();
     if (cutsEvents())
         return passEvents(piece, answer);
@@ -202,8 +210,9 @@
 bool EntryCall::beginStream(OpenAnswer &answer)
 {
     m_hasBegun = true;
-    m_lastEventAt = m_traffic.now();
-    m_series->record(Latency::FirstToken, m_lastEventAt - m_arrivedAt);
+    m_begunAt = m_traffic.now();
+    m_lastEventAt = m_begunAt;
+    m_series->record(Latency::FirstToken, m_begunAt - m_arrivedAt);
     const bool isGood = m_responder.begin(answer.m_exchange.status(),
                                           platform::callerHeaders(answer.m_exchange.headers()));
     m_isCallerGone = m_isCallerGone || !isGood;
@@ -214,6 +223,7 @@
 {
     const TimePoint now = m_traffic.now();
     m_series->record(Latency::BetweenTokens, now - m_lastEventAt);
+    m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     m_lastEventAt = now;
     const bool isGood = m_responder.write(bytes);
     m_isCallerGone = m_isCallerGone || !isGood;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -113,6 +113,11 @@
                      {LogField::State, m_settings.m_isFirstStart ? "first-start" : "restart"}});
         m_controlLoop.spawn([this] { m_config.follow(); });
         m_controlLoop.spawn([this] { m_upstreams.follow(); });
+        m_trafficLoop.call([this] {
+            m_traffic.onLongPromptPlaced([this](const UpstreamId &upstream, InFlightLoad load) {
+                m_controlLoop.spawn([this, upstream, load] { m_peers.tellLoad(upstream, load); });
+            });
+        });
         m_controlLoop.spawn([this] { m_peers.run(); });
         m_controlLoop.spawn([this] { m_peers.followRegistry(); });
         m_controlLoop.spawn([this] { m_news.run(); });
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -75,6 +75,21 @@
     return static_cast<int>(std::max<std::size_t>(1, steps));
 }
 
+entrywire::UpstreamLoad wireLoad(const UpstreamId &upstream, const InFlightLoad &load)
+{
+    entrywire::UpstreamLoad told;
+    told.upstream = upstream.text();
+    told.running = load.m_running;
+    told.pendingTokens = load.m_pendingTokens;
+    told.startedAt = load.m_startedAt;
+    return told;
+}
+
+InFlightLoad loadOf(const entrywire::UpstreamLoad &told)
+{
+    return {told.running, told.pendingTokens, told.startedAt};
+}
+
 PeerReport reportOf(const entrywire::EntryDigest &digest, WallMillis ownWall)
 {
     PeerReport report;
@@ -84,8 +99,9 @@
     for (const auto &use : digest.accounts)
         report.m_accounts[AccountId(use.account)] = {use.admittedTotal, use.demandPerSecond};
     for (const auto &load : digest.loads)
-        report.m_loads[UpstreamId(load.upstream)] = {load.running, load.pendingTokens,
-                                                     load.startedAt};
+        report.m_loads[UpstreamId(load.upstream)] = loadOf(load);
+    for (const auto &reading : digest.reading)
+        report.m_reading[ServiceId(reading.serviceName)] = {reading.demand, reading.speed};
     for (const auto &usage : digest.usage)
         report.m_usage[usage.window][AccountId(usage.account)] = usage.count;
     return report;
@@ -240,6 +256,25 @@
         m_context.m_loop.spawn([this, peer = peer] { exchange(peer); });
 }
 
+void EntryPeers::tellLoad(const UpstreamId &upstream, InFlightLoad load)
+{
+    // The report that goes out until the next one is taken must not bring the load of before.
+    m_report.m_loads[upstream] = load;
+    if (stretch() > 1)
+        return;
+    entrywire::EntryExchange message;
+    message.__isset.loadNews = true;
+    message.loadNews.node = m_context.m_settings.m_node.text();
+    message.loadNews.load = wireLoad(upstream, load);
+    const std::string frame = wire::encode(message);
+    for (const auto &[address, peer] : m_peers) {
+        if (isMember(*peer) && !peer->m_isSilent)
+            m_context.m_loop.spawn([channel = peer->m_channel, frame] {
+                channel->exchange(frame, exchangeTimeout);
+            });
+    }
+}
+
 void EntryPeers::forgetSilent()
 {
     const TimePoint now = m_context.now();
@@ -321,11 +356,13 @@
         entry.demandPerSecond = use.m_demandPerSecond;
     }
     for (const auto &[upstream, load] : m_report.m_loads) {
-        auto &entry = digest.loads.emplace_back();
-        entry.upstream = upstream.text();
-        entry.running = load.m_running;
-        entry.pendingTokens = load.m_pendingTokens;
-        entry.startedAt = load.m_startedAt;
+        digest.loads.push_back(wireLoad(upstream, load));
+    }
+    for (const auto &[service, rate] : m_report.m_ownReading) {
+        auto &entry = digest.reading.emplace_back();
+        entry.serviceName = service.text();
+        entry.demand = rate.m_demand;
+        entry.speed = rate.m_speed;
     }
     const auto &usage = m_report.m_usage;
     const auto firstTold =
@@ -421,6 +458,10 @@
         taken.newsTaken.needsWholeList = m_newsHeard && m_newsHeard(received.news);
         return wire::encode(taken);
     }
+    if (received.__isset.loadNews) {
+        takeLoad(received.loadNews);
+        return wire::encode(entrywire::EntryExchange());
+    }
     if (received.digest.protocol != protocolVersion)
         return {};
     take(received);
@@ -428,6 +469,14 @@
     return wire::encode(message(found == m_peers.end() ? nullptr : found->second.get()));
 }
 
+void EntryPeers::takeLoad(const entrywire::LoadNews &news)
+{
+    const UpstreamId upstream(news.load.upstream);
+    m_context.m_trafficLoop.spawn([this, node = news.node, upstream, load = loadOf(news.load)] {
+        m_context.m_traffic.setPeerLoadAt(node, upstream, load);
+    });
+}
+
 void EntryPeers::take(const entrywire::EntryExchange &message)
 {
     hear(message.digest);
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -13,6 +13,19 @@
 /// Usage windows kept: a report is due two windows after its end.
 constexpr WindowNumber windowsKept = 6;
 
+/// A prompt that takes longer to read is told to the peers at once: until the next exchange, a
+/// quarter of a second later, they would send theirs to the same engine, and its streams would wait
+/// for all of them in a row.
+constexpr Duration longReading = std::chrono::milliseconds(100);
+
+/// Returns what this VM has in flight at an upstream, for its peers.
+InFlightLoad loadOf(const PooledUpstream &upstream)
+{
+    InFlightLoad load = upstream.m_own;
+    load.m_startedAt = upstream.m_record.m_startedAt;
+    return load;
+}
+
 FleetQuotaSettings quotaSettings(const EntrySettings &settings)
 {
     FleetQuotaSettings quota;
@@ -60,6 +73,7 @@
 {
     m_quota.setPeerUse(report.m_node, report.m_accounts, now());
     m_pool.setPeerLoad(report.m_node, report.m_loads, now());
+    m_reading.setPeer(report.m_node, report.m_reading);
     const std::string incarnation = report.m_node + '/' + std::to_string(report.m_incarnation);
     for (const auto &[window, counts] : report.m_usage)
         m_usage.setPeer(incarnation, window, counts);
@@ -69,6 +83,7 @@
 void EntryTraffic::forgetPeer(const std::string &node)
 {
     m_pool.forgetPeer(node);
+    m_reading.forgetPeer(node);
     m_peerOffsets.erase(node);
 }
 
@@ -90,17 +105,36 @@
     m_usage.forgetBefore(m_usage.windowAt(result.m_wall) - windowsKept);
     result.m_accounts = m_quota.ownUse(now());
     result.m_usage = m_usage.own();
+    result.m_ownReading = m_reading.ownRates(now());
+    m_fleetReading = m_reading.fleetRates(now());
+    result.m_fleetReading = m_fleetReading;
     for (const auto &[id, upstream] : m_pool.upstreams()) {
         const InFlightLoad &own = upstream->m_own;
         if (own.m_running > 0)
-            result.m_loads[id] = {own.m_running, own.m_pendingTokens,
-                                  upstream->m_record.m_startedAt};
+            result.m_loads[id] = loadOf(*upstream);
         result.m_running[upstream->m_record.m_service] +=
                 own.m_running + upstream->m_others.m_running;
     }
     return result;
 }
 
+void EntryTraffic::notePlaced(const PooledUpstream &upstream, std::int64_t ownTokens)
+{
+    const UpstreamRecord &record = upstream.m_record;
+    m_reading.own(record.m_service).notePlaced(ownTokens, now());
+    const double shortTokens = tokensWithin(record.m_service, longReading);
+    const bool isLong = shortTokens > 0 && static_cast<double>(ownTokens) > shortTokens;
+    if (isLong && m_longPromptPlaced)
+        m_longPromptPlaced(record.m_id, loadOf(upstream));
+}
+
+double EntryTraffic::tokensWithin(const ServiceId &service, Duration time) const
+{
+    const auto found = m_fleetReading.find(service);
+    const double speed = found == m_fleetReading.end() ? 0 : found->second.m_speed;
+    return speed * std::chrono::duration<double>(time).count();
+}
+
 double EntryTraffic::random()
 {
     return static_cast<double>(draw() >> 11) / 9007199254740992.0;
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 59> logFieldNames = {{
+constexpr NameTable<LogField, 62> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -62,6 +62,9 @@
         {LogField::OthersRunning, "others_running"},
         {LogField::HeldMillis, "held_millis"},
         {LogField::FirstMillis, "first_millis"},
+        {LogField::PromptTokens, "prompt_tokens"},
+        {LogField::OutputTokens, "output_tokens"},
+        {LogField::PauseMillis, "pause_millis"},
         {LogField::Events, "events"},
         {LogField::RetryAfterMillis, "retry_after_millis"},
         {LogField::UpstreamDataCentre, "upstream_data_centre"},
--- a/src/serving/scale_planner.cpp
+++ b/src/serving/scale_planner.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/serving/scale_planner.hpp>
 
-#include <algorithm> // clamp, max, min, sort
+#include <algorithm> // any_of, clamp, count_if, max, min, stable_sort
 #include <cmath> // ceil
 #include <utility> // pair
 
@@ -13,24 +13,54 @@
 /// Part of an engine's slots that may be in use while first tokens still come in time.
 constexpr double slotsInUse = 0.35;
 
-struct Present
-{
-    int m_steady = 0;
-    int m_reclaimable = 0;
-};
+using Present = ScalePlanner::Present;
 
 std::map<DataCentreId, Present> countPresent(const ScaleInput &input)
 {
     std::map<DataCentreId, Present> present;
     for (const auto &[id, record] : *input.m_upstreams) {
-        if (record.m_service != input.m_service->m_id || record.m_isDraining)
+        if (record.m_service != input.m_service->m_id)
             continue;
         Present &here = present[record.m_dataCentre];
+        if (record.m_isDraining) {
+            here.m_leaving += record.m_isReclaimable ? 1 : 0;
+            continue;
+        }
         ++(record.m_isReclaimable ? here.m_reclaimable : here.m_steady);
     }
     return present;
 }
 
+/// Tells whether all reclaimable upstreams of a data centre are being taken away. Orders for fewer
+/// leave some.
+bool hasReclaim(const std::map<DataCentreId, Present> &present)
+{
+    return std::any_of(present.begin(), present.end(), [](const auto &entry) {
+        return entry.second.m_leaving > 0 && entry.second.m_reclaimable == 0;
+    });
+}
+
+/// Returns the data centres that have no reclaimable upstreams.
+int withoutReclaimable(const std::map<DataCentreId, Present> &present, const ScaleInput &input)
+{
+    const auto count =
+            std::count_if(input.m_dataCentres.begin(), input.m_dataCentres.end(),
+                          [&present](const DataCentreId &dataCentre) {
+                              const auto here = present.find(dataCentre);
+                              return here == present.end() || here->second.m_reclaimable == 0;
+                          });
+    return static_cast<int>(count);
+}
+
+/// Returns the most reclaimable upstreams that one data centre has.
+int largestGroup(const std::map<DataCentreId, Present> &present)
+{
+    int largest = 0;
+    for (const auto &[dataCentre, here] : present)
+        largest = std::max(largest, here.m_reclaimable);
+    return largest;
+}
+
 /// Spreads upstreams over the data centres, the cheapest first, within what each may have.
 std::map<DataCentreId, int> spread(int count, const ScaleInput &input,
                                    const std::map<DataCentreId, int> &room)
@@ -68,17 +98,62 @@
 
 } // namespace
 
-/// Returns the engines that the load of the last seconds needs.
-int ScalePlanner::neededEngines(const ScaleInput &input, TimePoint now)
+int ScalePlanner::Peak::raise(int engines, TimePoint now, Duration lowerAfter)
+{
+    if (engines >= m_engines || now > m_at + lowerAfter) {
+        m_engines = engines;
+        m_at = now;
+    }
+    return m_engines;
+}
+
+/// Returns the engines that the load of the last seconds needs: by what is to be read, where the
+/// speed of an engine has been seen, and by the requests in flight.
+ScalePlanner::Need ScalePlanner::neededEngines(const ScaleInput &input, ServiceState &state,
+                                               TimePoint now) const
 {
     double perEngine = m_settings.m_runningPerEngine;
     if (const auto &engine = input.m_service->m_engine)
         perEngine = std::min(perEngine, std::max(1.0, slotsInUse * engine->m_slots));
-    const int byLoad = static_cast<int>(std::ceil(input.m_running / perEngine));
-    Peak &peak = m_peaks[input.m_service->m_id];
-    if (byLoad >= peak.m_engines || now > peak.m_at + m_settings.m_lowerAfter)
-        peak = Peak{byLoad, now};
-    return peak.m_engines;
+    const int byRunning = static_cast<int>(std::ceil(input.m_running / perEngine));
+    const ReadingRate &reading = input.m_reading;
+    const auto byReading = [&reading](double load) {
+        return static_cast<int>(std::ceil(reading.m_demand / (reading.m_speed * load)));
+    };
+    // Without a speed nothing is ordered for what may come.
+    Need need{byRunning, byRunning, 0};
+    if (reading.m_speed > 0) {
+        need.m_comfortable = std::max(byRunning, byReading(m_settings.m_readingLoad));
+        // Requests in flight are no measure then: they pile up because engines are missing.
+        need.m_bare = byReading(m_settings.m_standInLoad);
+        need.m_least = byReading(m_settings.m_riskLoad);
+    }
+    need.m_comfortable =
+            state.m_comfortable.raise(need.m_comfortable, now, m_settings.m_lowerAfter);
+    need.m_bare = state.m_bare.raise(need.m_bare, now, m_settings.m_lowerAfter);
+    need.m_least = state.m_least.raise(need.m_least, now, m_settings.m_lowerAfter);
+    return need;
+}
+
+bool ScalePlanner::isReclaiming(const ServiceState &state, TimePoint now) const
+{
+    return state.m_reclaimedAt && now < *state.m_reclaimedAt + m_settings.m_reclaimCalm;
+}
+
+/// Returns the steady upstreams that stand in for reclaimable ones.
+///
+/// Those that lack now are ordered, and, once half of the data centres have lost theirs, also what
+/// the reclaim of the largest group that is left would lack: a steady engine takes longer to start
+/// than a notice lasts, and requests would pile up at the few that remain. Ordered from the first
+/// reclaim on they cost more than they gained.
+int ScalePlanner::standInsFor(const Need &need, const std::map<DataCentreId, Present> &present,
+                              const ScaleInput &input, int available, bool isReclaiming)
+{
+    const int lacking = need.m_bare - available;
+    const auto places = static_cast<int>(input.m_dataCentres.size());
+    const bool isWave = isReclaiming && 2 * withoutReclaimable(present, input) >= places;
+    const int afterNext = need.m_least - (available - largestGroup(present));
+    return std::max({0, lacking, isWave ? afterNext : 0});
 }
 
 std::vector<ScaleOrder> ScalePlanner::plan(const ScaleInput &input, TimePoint now)
@@ -88,14 +163,17 @@
     if (places == 0)
         return {};
     const auto present = countPresent(input);
-    const int needed = neededEngines(input, now);
+    ServiceState &state = m_states[input.m_service->m_id];
+    if (hasReclaim(present))
+        state.m_reclaimedAt = now;
+    const Need need = neededEngines(input, state, now);
     const bool hasReclaimable = rule.m_reclaimablePrice > 0;
     std::map<DataCentreId, int> room;
     for (const DataCentreId &dataCentre : input.m_dataCentres)
         room[dataCentre] = rule.m_most;
     const auto floors = spread(m_settings.m_steadyEngines, input, room);
     const double least = m_settings.m_leastShare * rule.m_most * places;
-    const double target = std::max(least, needed * m_settings.m_spare);
+    const double target = std::max(least, need.m_comfortable * m_settings.m_spare);
     const int each = static_cast<int>(std::ceil(target / places));
     std::map<DataCentreId, int> reclaimable;
     int available = 0;
@@ -108,7 +186,8 @@
         available += floor + there;
         room[dataCentre] = rule.m_most - floor - there;
     }
-    const auto standIns = spread(std::max(0, needed - available), input, room);
+    const auto standIns = spread(
+            standInsFor(need, present, input, available, isReclaiming(state, now)), input, room);
     std::vector<ScaleOrder> orders;
     for (const DataCentreId &dataCentre : input.m_dataCentres) {
         const int leastSteady = hasReclaimable ? 0 : rule.m_least;
@@ -125,6 +204,7 @@
 void ScalePlanner::noteRefused(const ScaleOrder &order, TimePoint now)
 {
     m_refusedAt[{order.m_service, order.m_dataCentre}] = now;
+    m_states[order.m_service].m_reclaimedAt = now;
 }
 
 } // namespace gypsumdale
--- a/src/serving/serving_view.cpp
+++ b/src/serving/serving_view.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/serving/serving_view.hpp>
 
-#include <algorithm> // stable_sort, transform
+#include <algorithm> // min, stable_sort, transform
 #include <cctype> // tolower
 #include <utility> // move
 
@@ -26,8 +26,10 @@
 ServingView::ServingView(ServingConfig config)
     : m_config(std::move(config))
 {
-    for (const ServingRoute &route : m_config.m_routes)
+    for (const ServingRoute &route : m_config.m_routes) {
         m_routesByHost[hostKey(route.m_host)].push_back(&route);
+        notePause(route);
+    }
     for (auto &[host, routes] : m_routesByHost)
         std::stable_sort(routes.begin(), routes.end(), hasLongerPrefix);
     for (const ClientAccount &account : m_config.m_accounts) {
@@ -36,6 +38,23 @@
     }
 }
 
+void ServingView::notePause(const ServingRoute &route)
+{
+    if (route.m_kind != RepeatKind::Stream || route.m_pauseTarget <= Duration::zero())
+        return;
+    for (const WeightedService &target : route.m_services) {
+        Duration &shortest =
+                m_shortestPauses.try_emplace(target.m_service, route.m_pauseTarget).first->second;
+        shortest = std::min(shortest, route.m_pauseTarget);
+    }
+}
+
+Duration ServingView::shortestPause(const ServiceId &service) const
+{
+    const auto found = m_shortestPauses.find(service);
+    return found == m_shortestPauses.end() ? Duration::zero() : found->second;
+}
+
 const ServingRoute *ServingView::findRoute(std::string_view host, std::string_view path) const
 {
     const auto found = m_routesByHost.find(hostKey(host));
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -74,6 +74,20 @@
     return running * plainRunningCost;
 }
 
+/// Returns what a prompt costs the streams beside it. An engine reads prompts in pieces between the
+/// events of its streams, and a long prompt, or several in a row, makes a pause in all of them.
+/// Tokens beyond what a pause may hold count once for each stream that waits.
+double pauseCost(const PooledUpstream &upstream, double ownTokens, const PlacementRequest &request)
+{
+    if (request.m_pauseTokens <= 0)
+        return 0;
+    const double running = upstream.m_own.m_running + upstream.m_others.m_running;
+    const double pending =
+            static_cast<double>(upstream.m_own.m_pendingTokens + upstream.m_others.m_pendingTokens);
+    const double beyond = pending + ownTokens - request.m_pauseTokens;
+    return running * std::clamp(beyond, 0.0, ownTokens);
+}
+
 PooledUpstreamPointer cheapestOf(const std::vector<PooledUpstreamPointer> &candidates,
                                  const PooledUpstream *home, const PlacementRequest &request,
                                  TimePoint now)
@@ -85,8 +99,11 @@
     double bestCost = std::numeric_limits<double>::max();
     for (const PooledUpstreamPointer &candidate : candidates) {
         double cost = loadCost(*candidate, isPlain);
-        if (candidate.get() != home)
+        const bool isHome = candidate.get() == home;
+        if (!isHome)
             cost += readAgainCost * static_cast<double>(request.m_sharedTokens);
+        const std::int64_t kept = isHome ? request.m_sharedTokens : 0;
+        cost += pauseCost(*candidate, static_cast<double>(request.m_promptTokens - kept), request);
         if (candidate->m_record.m_dataCentre != request.m_dataCentre)
             cost += awayCost;
         if (candidate->m_avoidUntil > now)
@@ -228,6 +245,16 @@
     sumPeerLoads();
 }
 
+void UpstreamPool::setPeerLoadAt(const std::string &node, const UpstreamId &upstream,
+                                 InFlightLoad load)
+{
+    const auto found = m_peerLoads.find(node);
+    if (found == m_peerLoads.end())
+        return;
+    found->second.m_loads[upstream] = load;
+    sumPeerLoads();
+}
+
 void UpstreamPool::forgetPeer(const std::string &node)
 {
     if (m_peerLoads.erase(node) > 0)
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -66,6 +66,15 @@
                  "upstreams for each one wanted, against a reclaim of a data centre's")
             .key("steady-engines", &ScaleSettings::m_steadyEngines, IntegerKind(0, 100000),
                  "upstreams that can't be reclaimed, over all data centres")
+            .key("reading-load", &ScaleSettings::m_readingLoad, NumberKind(0.01, 1),
+                 "part of an engine's reading speed that prompts may take")
+            .key("stand-in-load", &ScaleSettings::m_standInLoad, NumberKind(0.01, 10),
+                 "the same for steady engines while reclaimable ones are taken away")
+            .key("risk-load", &ScaleSettings::m_riskLoad, NumberKind(0.01, 10),
+                 "the same for what a further reclaim would leave")
+            .key("reclaim-calm", &ScaleSettings::m_reclaimCalm,
+                 DurationKind(Duration::zero(), minutes(60)),
+                 "time after a reclaim in which further ones are likely")
             .key("lower-after", &ScaleSettings::m_lowerAfter, DurationKind(seconds(1), minutes(60)),
                  "a want is lowered only after this long below");
     return schema;
--- a/tests/src/unit-entry-decisions.cpp
+++ b/tests/src/unit-entry-decisions.cpp
@@ -210,6 +210,39 @@
             add("b" + std::to_string(engine), "b", false);
         CHECK(ordered(false, start) == 1);
     }
+    SECTION("are for what is to be read, once the speed of an engine is known")
+    {
+        // Requests in flight pile up while engines are missing, and say nothing of what is needed.
+        input.m_running = 90;
+        input.m_reading = {100000, 62000};
+        for (int engine = 0; engine < 5; ++engine)
+            add("a" + std::to_string(engine), "a", true);
+        // 100,000 tokens a second at 0.8 of 62,000 are read by three.
+        CHECK(ordered(false, start) == 3);
+    }
+    SECTION("leave enough if the last data centre's are taken away too")
+    {
+        // Reclaims go from data centre to data centre within seconds, and a steady engine starts
+        // slower than a notice lasts: ordered when the last ones go, it comes two seconds late, and
+        // callers give up at the one that is left.
+        input.m_reading = {100000, 62000};
+        for (const char *dataCentre : {"a", "b", "c"}) {
+            for (int engine = 0; engine < 4; ++engine)
+                add(dataCentre + std::to_string(engine), dataCentre, false);
+        }
+        CHECK(ordered(false, start) == 1);
+        const auto reclaim = [&](const char *dataCentre) {
+            for (int engine = 0; engine < 4; ++engine)
+                add(dataCentre + std::to_string(engine), dataCentre, true);
+        };
+        reclaim("a");
+        CHECK(ordered(false, start + 1s) == 1);
+        reclaim("b");
+        // 100,000 at 1.3 of 62,000: two, of which one is there.
+        CHECK(ordered(false, start + 2s) == 2);
+        reclaim("c");
+        CHECK(ordered(false, start + 3s) == 3);
+    }
     SECTION("never exceed what a data centre may have")
     {
         input.m_running = 100000;
--- a/tests/src/unit-serving-view.cpp
+++ b/tests/src/unit-serving-view.cpp
@@ -63,3 +63,22 @@
     CHECK_FALSE(view.findAccount(""));
     CHECK_FALSE(ServingView(ServingConfig()).requiresKeys());
 }
+
+TEST_CASE("the shortest pause of a service's streams")
+{
+    const auto streamWith = [](Duration pause, const char *service) {
+        ServingRoute route = routeAt("r", "a.example", "/x/");
+        route.m_kind = RepeatKind::Stream;
+        route.m_pauseTarget = pause;
+        route.m_services = {{ServiceId(service), 1}};
+        return route;
+    };
+    ServingConfig config;
+    config.m_routes = {streamWith(std::chrono::milliseconds(600), "llm"),
+                       streamWith(std::chrono::milliseconds(400), "llm"),
+                       streamWith(Duration::zero(), "llm"),
+                       streamWith(std::chrono::milliseconds(200), "other")};
+    const ServingView view(config);
+    CHECK(view.shortestPause(ServiceId("llm")) == std::chrono::milliseconds(400));
+    CHECK(view.shortestPause(ServiceId("plain")) == Duration::zero());
+}
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -254,3 +254,69 @@
         CHECK(toldStart == 0);
     }
 }
+
+namespace {
+
+/// A prompt without shared parts, at engines that read 36,000 tokens within the pause of a stream.
+PlacementRequest promptOf(std::int64_t tokens)
+{
+    PlacementRequest request = requestFrom("a");
+    request.m_promptTokens = tokens;
+    request.m_pauseTokens = 36000;
+    return request;
+}
+
+} // namespace
+
+// A resident reads an answer on an engine; a digest of 60,000 tokens comes to the same one, as it
+// has the fewest requests, and the answer stands still for a second while the digest is read.
+// Another engine has no streams.
+TEST_CASE("a long prompt goes where no stream waits for it")
+{
+    UpstreamPool pool;
+    pool.update(upstreamsOf({recordOf("a1", "a"), recordOf("a2", "a")}));
+    auto &a1 = *pool.upstreams().at(UpstreamId("a1"));
+    auto &a2 = *pool.upstreams().at(UpstreamId("a2"));
+    a1.m_own.m_running = 3;
+    a2.m_own.m_pendingTokens = 10000;
+    CHECK(chosen(pool, promptOf(5000)) == "a1");
+    CHECK(chosen(pool, promptOf(60000)) == "a2");
+
+    SECTION("nor where several in a row make the same pause")
+    {
+        a1.m_own.m_pendingTokens = 34000;
+        a2.m_own.m_pendingTokens = 40000;
+        a2.m_own.m_running = 1;
+        CHECK(chosen(pool, promptOf(9000)) == "a2");
+    }
+    SECTION("and counts as any other while the speed of engines isn't known")
+    {
+        PlacementRequest request = promptOf(60000);
+        request.m_pauseTokens = 0;
+        CHECK(chosen(pool, request) == "a1");
+    }
+}
+
+// Two VMs each get a long digest within a quarter of a second, the time between two exchanges. Both
+// saw the same engine idle, both sent theirs there, and the second resident waited for both.
+TEST_CASE("a long prompt that is told at once keeps the next one away")
+{
+    const auto engines = upstreamsOf({recordOf("a1", "a"), recordOf("a2", "a")});
+    UpstreamPool first;
+    UpstreamPool second;
+    for (UpstreamPool *pool : {&first, &second}) {
+        pool->update(engines);
+        pool->setPeerLoad("other", {}, start);
+    }
+    const std::string taken = chosen(first, promptOf(40000));
+    REQUIRE(chosen(second, promptOf(40000)) == taken);
+    second.setPeerLoadAt("other", UpstreamId(taken), {1, 40000, 0});
+    CHECK(chosen(second, promptOf(40000)) != taken);
+
+    SECTION("from a VM that was never heard it is no word")
+    {
+        second.setPeerLoadAt("stranger", UpstreamId("a1"), {9, 90000, 0});
+        second.setPeerLoadAt("stranger", UpstreamId("a2"), {9, 90000, 0});
+        CHECK(second.upstreams().at(UpstreamId("a1"))->m_others.m_running <= 1);
+    }
+}
