Drop a probe's failure at a node that no longer owns the upstream

The node's own suspicion was noted then and never taken back, as only the next probe does that: it avoided a sound upstream for good. Now a failed probe of a node that doesn't own the upstream counts for nothing.

The oracle now follows each notice by its id: who knows it, since when, and how long it binds.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -468,7 +468,10 @@
 {
     UpstreamCommands commands;
     Entry *entry = entryOf(upstream);
-    if (!entry)
+    // A probe may fail when this node no longer owns the upstream. Its suspicion would stand for
+    // good, as only the next probe takes it back: requests avoided a sound upstream until the
+    // process restarted.
+    if (!entry || !entry->m_isOwned)
         return commands;
     ++entry->m_failedProbes;
     if (entry->m_failedProbes < m_settings.m_suspectAfterFailures)
--- a/tests/src/fuzz-fleet.cpp
+++ b/tests/src/fuzz-fleet.cpp
@@ -3,8 +3,11 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
-#include <algorithm> // max
+#include <algorithm> // any_of, max
+#include <map> // map
 #include <ostream> // ostream
+#include <set> // set
+#include <string> // string
 
 using namespace gypsumdale;
 using namespace gypsumdale::test;
@@ -71,24 +74,33 @@
 
     /// A notice for a zone says nothing of VMs that are there 30 s after its deadline: a node that
     /// first hears of it then must not hold new VMs for leaving.
-    void noticed(const NodeId &node, const UpstreamId &upstream, bool isByZone)
+    void noticed(const NodeId &node, const UpstreamId &upstream, const std::string &notice,
+                 bool isByZone)
     {
-        TimePoint &until = m_toldUntil[upstream];
-        until = isByZone ? std::max(until, m_world.now() + seconds(50)) : TimePoint::max();
-        m_noticed[upstream].emplace(node, m_world.now());
+        const TimePoint until = isByZone ? m_world.now() + seconds(50) : TimePoint::max();
+        m_notices[upstream].try_emplace(notice, Notice{until, {}});
+        m_closed[upstream].insert(node);
     }
 
     bool isBinding(const UpstreamId &upstream)
     {
-        const auto until = m_toldUntil.find(upstream);
-        return until == m_toldUntil.end() || m_world.now() < until->second;
+        const auto notices = m_notices.find(upstream);
+        return notices == m_notices.end()
+               || std::any_of(notices->second.begin(), notices->second.end(),
+                              [this](const auto &entry) {
+                                  return m_world.now() < entry.second.m_bindsUntil;
+                              });
     }
 
     void restarted(const NodeId &node)
     {
         // A new process knows nothing but what it is told from now on.
-        for (auto &[upstream, nodes] : m_noticed)
+        for (auto &[upstream, nodes] : m_closed)
             nodes.erase(node);
+        for (auto &[upstream, notices] : m_notices) {
+            for (auto &[id, notice] : notices)
+                notice.m_knownSince.erase(node);
+        }
         for (auto *times : {&m_connected, &m_contact}) {
             for (auto &[pair, since] : *times) {
                 if (pair.first == node || pair.second == node)
@@ -160,24 +172,42 @@
         return false;
     }
 
+    /// What one notice says of an upstream. Who knows of another one alone can't tell of it: a
+    /// notice that binds no longer is not passed on as one that does.
+    struct Notice
+    {
+        TimePoint m_bindsUntil{};
+        std::map<NodeId, TimePoint> m_knownSince;
+    };
+
     void checkNotices(const NodeId &name, FleetWorld::Node &node)
     {
-        for (auto &[upstream, told] : m_noticed) {
+        std::set<std::string> known;
+        for (const LeavingNotice &notice : node.m_exchange->upstreams().notices())
+            known.insert(notice.m_id);
+        for (auto &[upstream, notices] : m_notices) {
             const UpstreamView *view = node.m_exchange->upstreams().find(upstream);
             if (!view)
                 continue;
+            for (auto &[id, notice] : notices) {
+                if (known.contains(id))
+                    notice.m_knownSince.emplace(name, m_world.now());
+            }
             if (!view->isOpen()) {
-                told.emplace(name, m_world.now());
+                m_closed[upstream].insert(name);
                 continue;
             }
             // Sticky: once leaving here, it is never open again.
-            RC_ASSERT(!told.contains(name));
-            const Duration contact = longestContact(name, node, told);
-            if (contact >= seconds(6) && isBinding(upstream)) {
-                RC_LOG() << name.text() << " was not told of " << upstream.text() << ": "
-                         << view->m_reason << "\n";
+            RC_ASSERT(!m_closed[upstream].contains(name));
+            for (const auto &[id, notice] : notices) {
+                if (m_world.now() >= notice.m_bindsUntil)
+                    continue;
+                const Duration contact = longestContact(name, node, notice.m_knownSince);
+                if (contact >= seconds(6))
+                    RC_LOG() << name.text() << " was not told of " << upstream.text() << ": "
+                             << view->m_reason << "\n";
+                RC_ASSERT(contact < seconds(6));
             }
-            RC_ASSERT(contact < seconds(6) || !isBinding(upstream));
         }
     }
 
@@ -201,9 +231,10 @@
     std::map<std::pair<NodeId, NodeId>, Duration> m_contact;
     std::map<NodeId, std::map<NodeId, Incarnation>> m_seenDead;
     std::map<NodeId, std::size_t> m_changesRead;
-    std::map<UpstreamId, TimePoint> m_toldUntil;
-    /// Who knows that an upstream is leaving, and since when.
-    std::map<UpstreamId, std::map<NodeId, TimePoint>> m_noticed;
+    /// By the notice's id.
+    std::map<UpstreamId, std::map<std::string, Notice>> m_notices;
+    /// Nodes that hold an upstream for leaving.
+    std::map<UpstreamId, std::set<NodeId>> m_closed;
 };
 
 class Trial
@@ -347,12 +378,13 @@
         if (node.m_isPaused)
             return;
         const DataCentreId zone = node.m_identity.m_dataCentre;
-        m_world.notice(node, reclaimNotice(vm, zone, m_world.wall() + 20000, ++m_sequence));
+        const LeavingNotice notice = reclaimNotice(vm, zone, m_world.wall() + 20000, ++m_sequence);
+        m_world.notice(node, notice);
         for (const auto &[upstream, runner] : m_world.m_runners) {
             const bool isMeant = vm.isEmpty() ? runner.m_declaration.m_dataCentre == zone
                                               : runner.m_declaration.m_vm == vm;
             if (isMeant)
-                m_oracle.noticed(node.m_identity.m_node, upstream, vm.isEmpty());
+                m_oracle.noticed(node.m_identity.m_node, upstream, notice.m_id, vm.isEmpty());
         }
     }
 
