Hold quotas when VMs of a large fleet are cut off before a rush

Ruled out: the margin of the tolerance (it holds where silence is seen), the start (nobody counts unheard VMs as heard then).

Change: a peer is silent when its turn is over by 550 ms, as in a small fleet: 2.3 s at 80 VMs. Small fleets judge as before.

unit-fleet-quota plays it first: 80 VMs, 28 cut off for 12 s, an account at 3.3 times its rate.

--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -21,6 +21,8 @@
     double m_slack = 0;
     /// A report older than this is no word of its VM: three exchanges were lost.
     Duration m_peerSilence = std::chrono::milliseconds(800);
+    /// How often a pair of VMs exchanges reports in a small fleet.
+    Duration m_exchangePace = std::chrono::milliseconds(250);
     /// A silent VM's part is given back after this; by then it has been replaced.
     Duration m_peerForgotten = std::chrono::seconds(20);
     /// After a restart the use before it is unknown: the bucket begins empty.
@@ -130,7 +132,14 @@
     void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet, double ratePart,
               TimePoint now) const;
 
-    Duration silenceLimit() const { return m_settings.m_peerSilence * m_stretch; }
+    /// A peer is silent when its turn is over by as much as in a small fleet. Three lost turns, as
+    /// once waited for, are 5.6 s in a fleet of 80: VMs that were cut off took the others for heard
+    /// that long and admitted the fleet's rate each. One turn that is lost on its way counts a VM
+    /// as silent until the next, which refuses a little.
+    Duration silenceLimit() const
+    {
+        return m_settings.m_peerSilence + m_settings.m_exchangePace * (m_stretch - 1);
+    }
 
     FleetQuotaSettings m_settings;
     int m_stretch = 1;
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -91,9 +91,9 @@
     Holder &holder = *owned.m_holder;
     if (holder.m_isAsked)
         return;
-    // A holder's word that it has the whole answer counts during an outage only. Asked for in one and
-    // given after its end, it showed one caller an answer as whole while the log went on to take
-    // another owner's takeover, whose answer the next caller was shown.
+    // A holder's word that it has the whole answer counts during an outage only. Asked for in one
+    // and given after its end, it showed one caller an answer as whole while the log went on to
+    // take another owner's takeover, whose answer the next caller was shown.
     if (!m_platformUp && holder.m_isOver && owned.m_job.isOver())
         tellOver(owned);
     wire::JobRecord record;
--- a/tests/src/unit-fleet-quota.cpp
+++ b/tests/src/unit-fleet-quota.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstddef> // size_t
+#include <string> // to_string
+#include <vector> // vector
+
 using namespace gypsumdale;
 using namespace std::chrono_literals;
 
@@ -134,3 +138,97 @@
     REQUIRE(decision.m_verdict == QuotaVerdict::OverRateShare);
     CHECK(decision.m_retryAfter <= 300ms);
 }
+
+namespace {
+
+constexpr std::size_t fleetNodes = 80;
+constexpr int fleetStretch = 7;
+constexpr double slack = 140000;
+constexpr double largeRate = 100000;
+
+ClientAccount largeAccount()
+{
+    ClientAccount account = accountOf();
+    account.m_ratePerSecond = largeRate;
+    account.m_burst = largeRate;
+    return account;
+}
+
+/// A fleet whose exchanges are spread out, of which the last VMs hear nobody for a while.
+class SpreadFleet
+{
+public:
+    SpreadFleet()
+    {
+        FleetQuotaSettings settings;
+        settings.m_slack = slack;
+        for (std::size_t node = 0; node < fleetNodes; ++node) {
+            m_quotas.emplace_back(settings);
+            m_quotas.back().setExchangePace(fleetStretch);
+        }
+    }
+
+    /// Lets 50 ms pass: each pair's turn comes every 1,750 ms.
+    void step(std::size_t cutOff)
+    {
+        m_now += 50ms;
+        const std::size_t turn = m_steps++ % 35;
+        for (std::size_t left = 0; left < fleetNodes; ++left) {
+            for (std::size_t right = left + 1; right < fleetNodes; ++right) {
+                const bool isCut = right >= fleetNodes - cutOff;
+                if ((left * 7 + right * 11) % 35 != turn || isCut)
+                    continue;
+                tell(left, right);
+                tell(right, left);
+            }
+        }
+    }
+
+    /// Asks for requests of 3,000 tokens that make up a demand over all VMs in 50 ms.
+    double ask(double demand)
+    {
+        double admitted = 0;
+        for (m_owed += demand * 0.05; m_owed > 0; m_owed -= 3000) {
+            FleetQuota &quota = m_quotas[m_next++ * 37 % fleetNodes];
+            const auto verdict = quota.admit(largeAccount(), 3000, m_now).m_verdict;
+            admitted += verdict == QuotaVerdict::Admitted ? 3000 : 0;
+        }
+        return admitted;
+    }
+
+private:
+    void tell(std::size_t from, std::size_t to)
+    {
+        m_quotas[to].setPeerUse(std::to_string(from), m_quotas[from].ownUse(m_now), m_now);
+    }
+
+    std::vector<FleetQuota> m_quotas;
+    TimePoint m_now = start;
+    std::size_t m_steps = 0;
+    std::size_t m_next = 0;
+    double m_owed = 0;
+};
+
+} // namespace
+
+// In a fleet of 80 a third of the VMs is cut off just before an account's rush. A pair's turn comes
+// every 1.75 s, and a VM took the others for heard until 5.6 s had passed: each filled its bucket
+// at the fleet's rate, and the account got more than its quota allows.
+TEST_CASE("VMs that are cut off before a rush don't admit the fleet's rate each")
+{
+    SpreadFleet fleet;
+    std::vector<double> admitted;
+    for (int step = 0; step < 20 * 20; ++step) {
+        const bool isCut = step >= 5 * 20 && step < 17 * 20;
+        fleet.step(isCut ? 28 : 0);
+        const bool isRush = step >= 5 * 20 + 10 && step < 16 * 20;
+        admitted.push_back(fleet.ask(isRush ? 3.3 * largeRate : 0.5 * largeRate));
+    }
+    const double tolerated = 9 * largeRate * 1.1 + slack;
+    for (std::size_t first = 0; first + 160 <= admitted.size(); ++first) {
+        double window = 0;
+        for (std::size_t step = first; step < first + 160; ++step)
+            window += admitted[step];
+        CHECK(window <= tolerated);
+    }
+}
