--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -68,6 +68,9 @@
     /// Turns callers away from now on, or serves them again.
     void refuse(bool refuses) { m_refuses = refuses; }
 
+    /// Lets each removal of an object take so long from now on.
+    void delayRemovals(Duration delay) { m_removalDelay = delay; }
+
 private:
     struct Event
     {
@@ -163,6 +166,7 @@
                 named.empty() ? body["metadata"].value("name", std::string()) : named;
         auto &objects = m_objects[kind];
         if (request.m_method == "DELETE") {
+            sleepFiber(m_removalDelay);
             objects.erase(name);
             send(responder, 200);
             return;
@@ -180,6 +184,7 @@
     FiberLoop &m_loop;
     std::uint16_t m_port;
     std::atomic<bool> m_refuses = false;
+    std::atomic<Duration> m_removalDelay = Duration::zero();
     std::int64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Stored>> m_objects;
     std::vector<Event> m_events;
