Answer what is under way when the grace time of a stop is over

Cause: at the end of the grace time the process ended with requests in flight. Their callers' connections closed without a byte, also where nothing of an answer had been sent, and no line of the log named them: the same class as the reported loss, an end of the process that doesn't look at who still waits.

Change: requests under way are kept in a set; at the end they are given up. Each is answered as truth allows: 503 if it has not run, 502 if it may have, a stream that has begun is visibly cut. Their upstreams aren't blamed. A stop also logs why it ended, with connections and its time, which tells the hypotheses of the reported loss apart. A short grace time leaves half of itself for the answers.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -19,6 +19,7 @@
 #include <functional> // function
 #include <map> // map
 #include <memory> // unique_ptr
+#include <set> // set
 #include <string> // string
 #include <vector> // vector
 
@@ -54,6 +55,7 @@
     WallMillis m_wallOffset = 0;
 };
 
+class EntryCall;
 class RunMover;
 
 /// Everything that requests are decided on, owned by the traffic thread. Messages of the control
@@ -71,6 +73,31 @@
     /// Answers one request of a caller.
     void handle(const HttpRequest &request, HttpResponder &responder);
 
+    /// Keeps a request among those under way as long as it lives.
+    class CallUnderWay
+    {
+    public:
+        CallUnderWay(std::set<EntryCall *> &calls, EntryCall &call)
+            : m_calls(calls)
+            , m_call(&call)
+        {
+            m_calls.insert(m_call);
+        }
+        ~CallUnderWay() { m_calls.erase(m_call); }
+        CallUnderWay(const CallUnderWay &) = delete;
+        CallUnderWay &operator=(const CallUnderWay &) = delete;
+
+    private:
+        std::set<EntryCall *> &m_calls;
+        EntryCall *m_call;
+    };
+    CallUnderWay noteUnderWay(EntryCall &call);
+
+    /// Ends the requests under way, and from now on each that begins: the process is about to end,
+    /// and their callers would see their connections end without an answer. Returns how many are
+    /// under way.
+    std::size_t endCalls();
+
     void setView(ServingViewPointer view) { m_view = std::move(view); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
     void setPeer(const PeerReport &report);
@@ -139,6 +166,8 @@
     RepeatAllowance m_allowance;
     UsageCounts m_usage;
     std::unique_ptr<RunMover> m_mover;
+    std::set<EntryCall *> m_calls;
+    bool m_isEndingCalls = false;
     LongPromptPlaced m_longPromptPlaced;
     SteadyWallClock m_wall;
     std::map<std::string, WallMillis> m_peerOffsets;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -74,6 +74,7 @@
     Events,
     RetryAfterMillis,
     UpstreamDataCentre,
+    Connections,
 };
 
 /// Returns the key that stands in the line, such as "data_centre". Linear in the keys.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -65,6 +65,7 @@
 {
     if (!resolve() || !admitByQuota())
         return;
+    const EntryTraffic::CallUnderWay underWay = m_traffic.noteUnderWay(*this);
     m_responder.onCallerGone([this] {
         m_isCallerGone = true;
         m_cancellation->cancel();
@@ -73,6 +74,12 @@
     m_responder.onCallerGone(nullptr);
 }
 
+void EntryCall::endForStop()
+{
+    m_isStopping = true;
+    m_cancellation->cancel();
+}
+
 /// Finds route and account. Answers and returns false where there is none.
 bool EntryCall::resolve()
 {
@@ -148,6 +155,8 @@
 {
     if (m_isCallerGone)
         return AttemptStop::CallerGone;
+    if (m_isStopping)
+        return AttemptStop::Stopping;
     if (timeLeft() < leastTimeLeft) {
         m_timedOut = m_timedOut || m_mayHaveRun > 0;
         return AttemptStop::DeadlinePassed;
@@ -246,7 +255,7 @@
 CallResult<HttpExchange> EntryCall::send(UpstreamHold &hold)
 {
     m_cancellation = std::make_shared<CallCancellation>();
-    if (m_isCallerGone)
+    if (m_isCallerGone || m_isStopping)
         m_cancellation->cancel();
     const WallMillis sentAt = m_traffic.wallNow();
     hold.onReplaced([cancellation = m_cancellation, sentAt](std::int64_t startedAt) {
@@ -307,11 +316,18 @@
     return m_events > 0 ? "pause" : "first-answer";
 }
 
+/// Tells whether an attempt ended by this process's own stop, for which its upstream isn't blamed.
+bool EntryCall::isGivenUpHere(const CallFailure &failure) const
+{
+    return failure.m_error.m_id == ErrorId::Cancelled && m_isStopping;
+}
+
 void EntryCall::noteFailure(UpstreamHold &hold, const CallFailure &failure)
 {
     if (failure.m_error.m_id == ErrorId::Cancelled && m_isCallerGone)
         return;
-    UpstreamPool::note(hold.upstream(), AttemptVerdict::Broken, m_traffic.now());
+    if (!isGivenUpHere(failure))
+        UpstreamPool::note(hold.upstream(), AttemptVerdict::Broken, m_traffic.now());
     if (failure.m_phase == SendPhase::NothingSent) {
         ++m_connectFailures;
     } else {
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -25,13 +25,16 @@
     /// The caller's time or the route's is over.
     DeadlinePassed,
     CallerGone,
+    /// The process ends, and with it what is under way.
+    Stopping,
 };
 
-inline constexpr NameTable<AttemptStop, 4> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 5> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
         {AttemptStop::NotAllowed, "not-allowed"},
         {AttemptStop::DeadlinePassed, "deadline-passed"},
         {AttemptStop::CallerGone, "caller-gone"},
+        {AttemptStop::Stopping, "stopping"},
 }};
 
 /// An upstream's answer whose header has come.
@@ -54,6 +57,10 @@
 
     void run();
 
+    /// Gives the attempt under way up for the end of the process. The request ends as truth allows:
+    /// as not run, as one that may have run, or as a stream that is visibly cut.
+    void endForStop();
+
 private:
     /// What is left at the deadline must be enough for an upstream to begin.
     static constexpr Duration leastTimeLeft = std::chrono::milliseconds(10);
@@ -93,6 +100,7 @@
 
     std::string_view passedLimit(const CallFailure &failure) const;
     void noteFailure(UpstreamHold &hold, const CallFailure &failure);
+    bool isGivenUpHere(const CallFailure &failure) const;
     void noteRan();
     void conclude(AttemptStop stop);
     void answerOwn(int status, std::string_view reason, Duration retryAfter = Duration::zero());
@@ -133,6 +141,7 @@
     bool m_isUsageCounted = false;
     bool m_hasBegun = false;
     bool m_isCallerGone = false;
+    bool m_isStopping = false;
     bool m_timedOut = false;
 };
 
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -102,9 +102,12 @@
 std::optional<OpenAnswer> EntryCall::followMove()
 {
     // The stream of a run that is moved ends before the copy is complete.
-    while (m_run->m_isMoving && !m_isCallerGone && timeLeft() > leastTimeLeft)
+    const auto isOver = [this] {
+        return m_isCallerGone || m_isStopping || timeLeft() < leastTimeLeft;
+    };
+    while (m_run->m_isMoving && !isOver())
         sleepFiber(moveCheck);
-    if (!m_run->m_moved || m_isCallerGone || timeLeft() < leastTimeLeft)
+    if (!m_run->m_moved || isOver())
         return std::nullopt;
     const MovedRun moved = *m_run->m_moved;
     // The memory went with the process that held it.
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -7,7 +7,7 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // min
 #include <atomic> // atomic
 #include <csignal> // kill, sigaddset, sigset_t, sigwait
 #include <optional> // optional
@@ -28,8 +28,14 @@
 /// After the signal to stop, new connections are still taken: the balancer asks once a second and
 /// sends them until it was told twice that this VM isn't ready.
 constexpr Duration acceptAfterTerm = std::chrono::milliseconds(2600);
-/// Left of the grace time for leaving the registry and the process's end.
+/// Left of the grace time for the answers to what is given up, for leaving the registry and for the
+/// process's end.
 constexpr Duration graceMargin = std::chrono::milliseconds(700);
+/// Part of that for the answers: a VM with a tenth of a core writes some hundred of them.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(250);
+/// Part of the grace time, less its margin, in which connections are taken at most, so that a short
+/// grace time leaves room to answer them.
+constexpr int acceptPartsOfGrace = 2;
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 constexpr Duration logFlushTick = std::chrono::milliseconds(100);
 constexpr Duration settingsTick = std::chrono::seconds(2);
@@ -272,18 +278,44 @@
         });
     }
 
+    /// Waits until no caller is connected, but not longer than until the time given. Returns
+    /// whether none is left.
+    bool awaitNoCallers(TimePoint end)
+    {
+        while (hasCallers()) {
+            if (m_clock.now() >= end)
+                return false;
+            sleepFiber(drainTick);
+        }
+        return true;
+    }
+
+    /// Guards against requests that end with the process: one that was read and passed on, and is
+    /// still at its upstream when the grace time is over, got not a byte of an answer. It is given
+    /// up instead, and its caller told what is known of it.
+    void endLastCalls()
+    {
+        m_cut = m_trafficLoop.call([this] { return m_traffic.endCalls(); });
+        awaitNoCallers(m_clock.now() + lastAnswersTime);
+    }
+
     void drain()
     {
         const TimePoint begun = m_clock.now();
-        const TimePoint end = begun + m_settings.m_bounds.m_shutdownGrace - graceMargin;
-        m_log->info("draining", {{LogField::Count, m_callers->requestsInFlight()}});
+        const Duration grace = m_settings.m_bounds.m_shutdownGrace - graceMargin;
+        m_log->info("draining", {{LogField::Count, m_callers->requestsInFlight()},
+                                 {LogField::Connections, m_callers->connections()}});
         m_duties.resign();
         m_callers->announceClose();
-        sleepFiber(acceptAfterTerm);
+        sleepFiber(std::min(acceptAfterTerm, grace / acceptPartsOfGrace));
         m_callers->stopAccepting();
-        while (m_clock.now() < end && hasCallers())
-            sleepFiber(drainTick);
-        m_cut = m_callers->requestsInFlight();
+        const bool isAnswered = awaitNoCallers(begun + grace);
+        if (!isAnswered)
+            endLastCalls();
+        m_log->info("drained", {{LogField::Reason, isAnswered ? "no-callers" : "grace-over"},
+                                {LogField::Count, m_cut.load()},
+                                {LogField::Connections, m_callers->connections()},
+                                {LogField::Millis, toMillis(m_clock.now() - begun)}});
         m_context.m_isStopping = true;
         m_peers.leaveRegistry();
         m_isEnded = true;
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -62,6 +62,22 @@
     EntryCall(*this, request, responder).run();
 }
 
+EntryTraffic::CallUnderWay EntryTraffic::noteUnderWay(EntryCall &call)
+{
+    if (m_isEndingCalls)
+        call.endForStop();
+    return {m_calls, call};
+}
+
+std::size_t EntryTraffic::endCalls()
+{
+    m_isEndingCalls = true;
+    // No call leaves the set meanwhile: its fiber ends it, when it runs again.
+    for (EntryCall *call : m_calls)
+        call->endForStop();
+    return m_calls.size();
+}
+
 void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams,
                                 std::int64_t revision)
 {
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 62> logFieldNames = {{
+constexpr NameTable<LogField, 63> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -68,6 +68,7 @@
         {LogField::Events, "events"},
         {LogField::RetryAfterMillis, "retry_after_millis"},
         {LogField::UpstreamDataCentre, "upstream_data_centre"},
+        {LogField::Connections, "connections"},
 }};
 
 } // namespace
