Write out why a stop ended before its VM leaves the registry

Cause: lines were last written by the process's own end. At the end of the grace time, with a silent store, leaving the registry takes 0.8 s of the 0.45 s that are left; the process is killed within it, and neither 'drained' nor the lines of the requests given up reach the log.

Change: the log is written out after 'drained'.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -316,6 +316,8 @@
                                 {LogField::Count, m_cut.load()},
                                 {LogField::Connections, m_callers->connections()},
                                 {LogField::Millis, toMillis(m_clock.now() - begun)}});
+        // Leaving the registry of a silent store outlasts the grace time, and with it the process.
+        m_log->flush();
         m_context.m_isStopping = true;
         m_peers.leaveRegistry();
         m_isEnded = true;
--- a/tests/src/process-entry-stop.cpp
+++ b/tests/src/process-entry-stop.cpp
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
-#include <csignal> // SIGTERM
+#include <csignal> // SIGHUP, SIGKILL, SIGTERM
 #include <string> // string
 #include <string_view> // string_view
 #include <thread> // sleep_for
@@ -184,3 +184,54 @@
     CHECK(log.find("\"event\":\"request-failed\"") != std::string::npos);
     CHECK(log.find("\"request\":\"r-1\"") != std::string::npos);
 }
+
+// A VM is stopped while requests are under way; its manager sends the signal again, and the
+// settings are read again. Neither may end the stop sooner or the requests with it.
+TEST_CASE("a further signal and a reload leave a stop as it is")
+{
+    EntryWorld world;
+    behaveBoth(world,
+               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+                   sleepFiber(std::chrono::milliseconds(3500));
+                   responder.send({200, headers, "whole"});
+               });
+    std::vector<RawCaller> callers(4);
+    int number = 0;
+    for (RawCaller &caller : callers) {
+        REQUIRE(caller.connect(world.node()));
+        caller.send("/once/x", fmt::format("r-{}", number++));
+    }
+    world.waitUntil("they are under way", [&] { return isSeen(world, "r-3"); });
+    for (const int signal : {SIGTERM, SIGHUP, SIGTERM, SIGINT, SIGHUP})
+        world.node().m_process->send(signal);
+    for (RawCaller &caller : callers)
+        CHECK(caller.readToEnd().starts_with("HTTP/1.1 200"));
+    waitUntilEnded(world);
+    CHECK(world.node().m_process->exitStatus() == 0);
+}
+
+// A VM is stopped while the store is silent: leaving the registry takes until the platform ends the
+// process. On-call asks why the stop ended and finds nothing, as the last lines were kept for the
+// process's own end.
+TEST_CASE("a process that is killed while it leaves the registry has logged why its stop ended")
+{
+    EntryWorld world;
+    world.store().delayRemovals(std::chrono::seconds(20));
+    answerNever(world);
+    stopAndWaitUntilNotReady(world);
+    // The routes' time-out is 5 s and the grace time 6 s: sent now, it outlasts the grace time.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    RawCaller caller;
+    REQUIRE(caller.connect(world.node()));
+    caller.send("/once/x", "r-1");
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 502"));
+    // It leaves the registry now. The platform's signal comes at the end of the grace time, within
+    // that.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    REQUIRE_FALSE(world.node().m_process->exited());
+    world.node().m_process->send(SIGKILL);
+    waitUntilEnded(world);
+    const std::string log = world.wholeLog(world.node());
+    CHECK(log.find("\"event\":\"drained\"") != std::string::npos);
+    CHECK(log.find("\"event\":\"request-failed\"") != std::string::npos);
+}
