Log no answer as done that could not be written

Cause: the outcome of writing a whole answer wasn't looked at. A caller that went away within a long answer, or took nothing for the write timeout, got part of it, and the log and the counters said 'done'.

Change: such a request counts as cancelled and is logged as 'caller-gone'.

--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -446,7 +446,10 @@
 
 void EntryCall::passOn(const HttpReply &reply)
 {
-    m_responder.send(reply);
+    if (!m_responder.send(reply)) {
+        conclude(AttemptStop::CallerGone);
+        return;
+    }
     const bool isDone = reply.m_status < 500;
     m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
     m_series->add(isDone ? RequestCounter::Done : RequestCounter::Failed);
--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -1,4 +1,5 @@
 #include "support/entry_world.hpp"
+#include "support/raw_caller.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -384,6 +385,32 @@
     CHECK(world.node().m_process->exitStatus() == 0);
 }
 
+// A buyer's program goes away while a long answer is written to it. On-call reads that the request
+// was done, though its answer never arrived.
+TEST_CASE("an answer that could not be written is not logged as done")
+{
+    EntryWorld world;
+    // More than the kernel keeps for a connection on both its sides.
+    behaveBoth(world,
+               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+                   responder.send({200, headers, std::string(std::size_t{32} * 1024 * 1024, 'x')});
+               });
+    {
+        RawCaller caller;
+        REQUIRE(caller.connect(world.node().m_callerPort));
+        caller.write("POST /once/x HTTP/1.1\r\nHost: h.example\r\nGypsumdale-Request-Id: r-1\r\n"
+                     "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody");
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    }
+    const auto isLogged = [&](std::string_view event) {
+        return world.wholeLog(world.node()).find(event) != std::string::npos;
+    };
+    world.waitUntil("its end is logged", [&] {
+        return isLogged("\"event\":\"request-done\"") || isLogged("\"event\":\"request-failed\"");
+    });
+    CHECK_FALSE(isLogged("\"event\":\"request-done\""));
+}
+
 // The balancer's last connection comes just before the process stops to accept, and its request a
 // moment later. No request was in flight in between: the process ended, and the caller got nothing.
 TEST_CASE("an entry process waits for the request of the last connection")
