Keep no upstream for the return of a store that was not away

An upstream's entry may lapse while the store is away, though the upstream lives, so an entry that vanishes within two seconds of the store's return is kept in use until those are over. Any reading that failed counted as an outage: one answer lost, one connection that timed out, a history that was dropped. Followers took over their reader's return, and with it kept what the other reader, who had read all the while, told them to be gone. With the half second or second in which a removal is learned, requests reached upstreams up to 3.1 s after the store had taken their entries out, where 3 s are allowed; where 2 s are, nearly each removal then was too late.

No entry of a living upstream lapses before two of its heartbeats failed: it lapses after three, and the last good one came at most one before the outage. The store answered when the list was last confirmed, so an outage is shorter than the time for which it went unconfirmed. Entries are kept only if that is two heartbeats or more, which a VM that reaches the store or hears of it never sees; followers judge by their own list. The heartbeat comes from the settings.

Two more of the same kind: the list that a peer hands to a VM whom the store turns away held kept entries as if they were there, and its watch went on after their removal (a request was placed 3.4 s after one); they are left out. And a follower whom the store turned away, but who is told, paused for a second beyond the moment at which it counts as untold; it pauses up to that.

Ruled out: a reader that is stopped goes on reading and telling until its process ends, and its followers read for themselves after half of the bound, as for any reader that is lost. Requests that were held or tried several times: each try is placed anew on the list of its moment, and its connection is given up after 0.25 s.

--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -50,6 +50,7 @@
     /// Longer than a watch and the pause after it take.
     static constexpr Duration staleAfter = std::chrono::milliseconds(1600);
 
+    Duration toldLimit() const;
     bool isTold() const;
     bool isOvertaken(std::int64_t revision) const;
     Duration pauseAfterReading() const;
--- a/include/gypsumdale/serving/upstream_feed.hpp
+++ b/include/gypsumdale/serving/upstream_feed.hpp
@@ -52,11 +52,21 @@
 /// seconds of its return, so until then a vanished entry is kept; one that is missing after that is
 /// gone. An upstream that was draining is never kept, nor one whose entry another writer spoiled.
 ///
+/// A reading that fails is no outage: what is removed meanwhile was removed by a store that serves,
+/// and kept for two seconds, it would get requests beyond the time in which a leaving upstream must
+/// be left alone. No entry of a living upstream lapses before two of its heartbeats failed, so that
+/// nothing is kept unless the list was confirmed by nobody for that long.
+///
 /// An entry that tells of an earlier start than is known, or of none where one is known, is not the
 /// upstream's own word of now: the first is passed over, the second names no upstream to use.
 class UpstreamFeed
 {
 public:
+    /// Takes how often an upstream writes its entry.
+    explicit UpstreamFeed(Duration heartbeat = std::chrono::milliseconds(1200))
+        : m_heartbeat(heartbeat)
+    {}
+
     /// Replaces the list by a newer one read in whole. Returns false if it is older. Linear.
     bool replaceAll(UpstreamList list, TimePoint now);
 
@@ -83,6 +93,10 @@
 
     /// Returns the upstreams to use, those kept for their return among them.
     const std::map<UpstreamId, UpstreamRecord> &upstreams() const { return m_list.m_upstreams; }
+    /// Returns the upstreams for another VM, without those kept for their return: it couldn't tell
+    /// them from others, and would use them for good where its own reading goes on from this list's
+    /// revision and never sees that they went. Linear.
+    std::map<UpstreamId, UpstreamRecord> present() const;
     std::int64_t revision() const { return m_list.m_revision; }
     /// When the store, or a peer that had heard it, last confirmed the list.
     TimePoint confirmedAt() const { return m_confirmedAt; }
@@ -97,6 +111,7 @@
     const UpstreamHistory &history() const { return m_history; }
 
 private:
+    bool mayHaveLapsed(TimePoint confirmedAt) const;
     bool keepsVanished(const UpstreamRecord &record, TimePoint now) const;
     void storeAnswered(TimePoint now);
     void put(const UpstreamRecord &record);
@@ -106,6 +121,7 @@
     void replaceList(UpstreamList list, TimePoint now);
     void applyEach(const std::vector<UpstreamChange> &changes, TimePoint now);
 
+    Duration m_heartbeat;
     UpstreamList m_list;
     /// Entries that vanished around an outage, until when they are kept.
     std::map<UpstreamId, TimePoint> m_vanished;
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -34,6 +34,8 @@
     /// left alone this long after it said so.
     Duration m_configApply = std::chrono::milliseconds(2000);
     Duration m_leavingApply = std::chrono::milliseconds(2000);
+    /// How often an upstream writes its entry, which lapses after three of these without a write.
+    Duration m_upstreamHeartbeat = std::chrono::milliseconds(1200);
     /// From the signal to stop until the process is killed.
     Duration m_shutdownGrace = std::chrono::seconds(8);
 };
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -3,6 +3,8 @@
 #include <platform/upstream_codec.hpp>
 #include <platform/wire_names.hpp>
 
+#include <algorithm> // clamp
+
 namespace gypsumdale {
 
 namespace {
@@ -32,6 +34,7 @@
 EntryUpstreamFeed::EntryUpstreamFeed(EntryContext &context)
     : m_context(context)
     , m_store(context.m_log, "store-upstreams")
+    , m_feed(context.m_settings.m_bounds.m_upstreamHeartbeat)
 {}
 
 void EntryUpstreamFeed::follow()
@@ -49,17 +52,27 @@
     }
 }
 
+/// Returns how old a list may be that a follower doesn't read for itself; nothing for others, who
+/// read always.
+Duration EntryUpstreamFeed::toldLimit() const
+{
+    if (m_role != StoreRole::Follower || !m_feed.isKnown())
+        return Duration::zero();
+    return m_context.m_settings.m_bounds.m_leavingApply / toldPartsPerBound;
+}
+
 /// Tells whether a reader has confirmed the list lately enough for this VM not to read it.
 bool EntryUpstreamFeed::isTold() const
 {
-    const Duration limit = m_context.m_settings.m_bounds.m_leavingApply / toldPartsPerBound;
-    return m_role == StoreRole::Follower && m_feed.isKnown() && age() < limit;
+    return age() < toldLimit();
 }
 
 Duration EntryUpstreamFeed::pauseAfterReading() const
 {
+    // Not beyond the moment at which the list counts as untold: a failed reading just before it
+    // would add the whole pause to the half of the bound that was waited.
     if (m_store.isLost())
-        return isTold() ? failurePauseIfTold : failurePause;
+        return std::clamp(toldLimit() - age(), failurePause, failurePauseIfTold);
     const int parts = m_role == StoreRole::Reader ? readerPausesPerBound : pausesPerBound;
     return m_context.m_settings.m_bounds.m_leavingApply / parts;
 }
@@ -133,7 +146,7 @@
 
 std::string EntryUpstreamFeed::text() const
 {
-    return platform::encodeUpstreams(m_feed.upstreams());
+    return platform::encodeUpstreams(m_feed.present());
 }
 
 void EntryUpstreamFeed::takeFromPeer(const std::string &text, std::int64_t revision, Duration age,
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -10,12 +10,22 @@
 /// Time in which entries that lapsed while the store was away come back after its return, from the
 /// platform's promise of about two seconds.
 constexpr Duration returnTime = std::chrono::milliseconds(2000);
+/// Heartbeats of an upstream that fail at least when its entry lapses because of an outage: it
+/// lapses after three of silence, and the last good one may have come just one before the outage.
+constexpr int heartbeatsMissed = 2;
 
 } // namespace
 
+/// Tells whether the list went unconfirmed for so long before this that entries of upstreams that
+/// live can have lapsed.
+bool UpstreamFeed::mayHaveLapsed(TimePoint confirmedAt) const
+{
+    return confirmedAt - m_confirmedAt >= m_heartbeat * heartbeatsMissed;
+}
+
 void UpstreamFeed::storeAnswered(TimePoint now)
 {
-    if (m_isStoreAway)
+    if (m_isStoreAway && mayHaveLapsed(now))
         m_returnedAt = now;
     m_isStoreAway = false;
     m_confirmedAt = now;
@@ -149,7 +159,7 @@
     // Changes up to an older revision are part of what this list was read or told with.
     if (news.m_revision < m_list.m_revision)
         return Taking::Older;
-    if (news.m_returnedAgo)
+    if (news.m_returnedAgo && (!isKnown() || mayHaveLapsed(confirmedAt)))
         m_returnedAt = std::max(m_returnedAt, now - *news.m_returnedAgo);
     if (isWhole) {
         UpstreamList list;
@@ -168,6 +178,13 @@
     return Taking::Taken;
 }
 
+std::map<UpstreamId, UpstreamRecord> UpstreamFeed::present() const
+{
+    std::map<UpstreamId, UpstreamRecord> present = m_list.m_upstreams;
+    std::erase_if(present, [this](const auto &entry) { return isKept(entry.first); });
+    return present;
+}
+
 bool UpstreamFeed::expire(TimePoint now)
 {
     bool hasDropped = false;
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -49,6 +49,9 @@
             .key("leaving-apply", &EntryBounds::m_leavingApply,
                  DurationKind(milliseconds(200), minutes(5)),
                  "within this after it said so, a leaving upstream is left alone")
+            .key("upstream-heartbeat", &EntryBounds::m_upstreamHeartbeat,
+                 DurationKind(milliseconds(10), minutes(5)),
+                 "how often an upstream writes its entry")
             .key("shutdown-grace", &EntryBounds::m_shutdownGrace,
                  DurationKind(seconds(1), minutes(60)),
                  "from the signal to stop until the process is killed");
--- a/tests/src/unit-upstream-feed.cpp
+++ b/tests/src/unit-upstream-feed.cpp
@@ -193,6 +193,70 @@
     CHECK_FALSE(has(follower, "a"));
 }
 
+// The store drops its history and cuts the watches, which takes a second; it serves all the while,
+// and every upstream writes. An upstream that says nothing before it leaves is removed meanwhile.
+// Taken for one that lapsed in an outage, it was kept for two seconds, and got requests 3.1 s after
+// its removal, where 3 s are allowed.
+TEST_CASE("an entry that is removed while a reading fails is not kept")
+{
+    UpstreamFeed feed;
+    REQUIRE(feed.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+    feed.storeFailed();
+
+    SECTION("read anew")
+    {
+        feed.replaceAll(listOf(12, {recordOf("b")}), start + 1200ms);
+    }
+    SECTION("as a change after the reading that failed")
+    {
+        feed.apply({}, 11, start + 600ms);
+        feed.apply({{recordOf("a"), UpstreamChangeKind::Removed}}, 12, start + 1200ms);
+    }
+    SECTION("and a follower that is told doesn't keep it")
+    {
+        UpstreamFeed follower;
+        FollowerState state;
+        REQUIRE(follower.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+        feed.replaceAll(listOf(12, {recordOf("b")}), start + 1200ms);
+        follower.take(state.newsFor(feed, start + 1300ms), start + 1200ms, start + 1300ms);
+        CHECK_FALSE(has(follower, "a"));
+    }
+    CHECK_FALSE(has(feed, "a"));
+    CHECK(has(feed, "b"));
+}
+
+// The store turns one reader away for five seconds and serves all others. When it serves the reader
+// again, its followers, who were told by the other reader all the while, took its return for the
+// store's and kept what was removed after it for two seconds.
+TEST_CASE("a follower that was told all the while keeps nothing for a reader's return")
+{
+    UpstreamFeed reader;
+    FollowerState state;
+    REQUIRE(reader.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+    UpstreamFeed follower;
+    REQUIRE(follower.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+    follower.apply({}, 11, start + 4500ms);
+    reader.storeFailed();
+    reader.apply({}, 11, start + 5s);
+    follower.take(state.newsFor(reader, start + 5s), start + 5s, start + 5s);
+    follower.apply({{recordOf("a"), UpstreamChangeKind::Removed}}, 12, start + 5500ms);
+    CHECK_FALSE(has(follower, "a"));
+}
+
+// The store turns a VM away and a peer hands it its list. The peer keeps an engine that vanished
+// around the outage. The VM couldn't tell, and used the engine until it read the whole list: 3.4 s
+// after the entry had gone it still placed a request there.
+TEST_CASE("a list for another VM leaves out what is only kept for its return")
+{
+    UpstreamFeed peer;
+    REQUIRE(peer.replaceAll(listOf(10, {recordOf("a"), recordOf("b")}), start));
+    peer.storeFailed();
+    REQUIRE(peer.replaceAll(listOf(12, {recordOf("b")}), start + 5s));
+    REQUIRE(has(peer, "a"));
+    CHECK_FALSE(peer.present().contains(UpstreamId("a")));
+    CHECK(peer.present().contains(UpstreamId("b")));
+}
+
 TEST_CASE("an entry that came back stays")
 {
     // The history was forgotten during an outage, so that the list is read whole: an entry that had
