Split the exchange with peers into modules of one job each

Cause: entry_peers.cpp held the wire form of exchanges, their pace, who belongs to the fleet and the registry in the store, 618 lines; what it decided could be driven only through sockets.

Change, without one in behaviour: - peer_wire: the digest to and from the project's types (116 lines) - ExchangeWriter: what a message to a peer holds (106) - PeerTable: who is known, who is a member, silent or gone, whose turn it is to begin (162) - ExchangePace, FleetSizeEstimate, RegistrySilence: arithmetic and who is removed from the registry, without a network (45, 44, 43) - EntryRegistry: this VM's entry in the store and those of the others (85) - EntryPeers keeps the exchange itself (252) The plain ones are tested on a paused clock in unit-entry-peers (new, 106 checks); no other test was changed.

--- /dev/null
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/entry/exchange_pace.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <map> // map
+#include <memory> // shared_ptr
+#include <string> // string
+#include <utility> // move
+#include <vector> // vector
+
+namespace gypsumdale {
+
+class FrameChannel;
+
+/// What a peer says of itself in each exchange.
+struct PeerState
+{
+    DataCentreId m_dataCentre;
+    std::int64_t m_incarnation = 0;
+    std::int64_t m_configVersion = 0;
+    std::int64_t m_upstreamRevision = 0;
+    bool m_isUpstreamListStale = false;
+    bool m_isStoreLost = false;
+    bool m_isLeaving = false;
+};
+
+/// What this VM knows of one other.
+struct KnownPeer
+{
+    std::string m_node;
+    std::string m_address;
+    /// For whoever exchanges with it; the table only keeps it.
+    std::shared_ptr<FrameChannel> m_channel;
+    PeerState m_state;
+    TimePoint m_heardAt{};
+    TimePoint m_knownSince{};
+    /// When this process of it was first heard.
+    TimePoint m_startHeardAt{};
+    bool m_isSeed = false;
+    bool m_isBusy = false;
+    bool m_isSilent = false;
+
+    bool wasEverHeard() const { return m_heardAt != TimePoint{}; }
+};
+
+using KnownPeerPointer = std::shared_ptr<KnownPeer>;
+
+/// The other VMs that this one knows, and who of them belongs to the fleet: those that were heard
+/// within half a minute.
+class PeerTable
+{
+public:
+    explicit PeerTable(std::string ownAddress)
+        : m_ownAddress(std::move(ownAddress))
+    {}
+
+    const std::string &ownAddress() const { return m_ownAddress; }
+
+    /// Takes in an address that was told. Returns the peer if it wasn't known before, otherwise
+    /// nothing. Logarithmic in the peers.
+    KnownPeerPointer learn(const std::string &node, const std::string &address, bool isSeed,
+                           TimePoint now);
+
+    /// Notes what a peer said. Returns whether it had been silent before. Constant.
+    static bool hear(KnownPeer &peer, const PeerState &state, TimePoint now);
+
+    struct SilentPeer
+    {
+        KnownPeerPointer m_peer;
+        Duration m_silence{};
+    };
+    /// Peers that have not been heard.
+    struct Silence
+    {
+        std::vector<SilentPeer> m_fellSilent;
+        /// Those replaced by now. Seeds among them are still called.
+        std::vector<KnownPeerPointer> m_gone;
+    };
+    /// Marks those that fell silent and takes out those that are gone. Linear in the peers.
+    Silence expire(TimePoint now);
+
+    /// Tells whether a peer was heard lately enough to count as part of the fleet.
+    static bool isMember(const KnownPeer &peer, TimePoint now);
+    bool isMember(const std::string &address, TimePoint now) const;
+    /// Returns the number of peers that are part of the fleet. Linear in the peers.
+    std::size_t members(TimePoint now) const;
+    ExchangePace pace(TimePoint now) const { return ExchangePace(members(now)); }
+
+    /// Returns the members that don't count as silent. Linear in the peers.
+    std::vector<KnownPeerPointer> heardMembers(TimePoint now) const;
+    /// Returns those heard just now, at the pace of the fleet. Linear in the peers.
+    std::vector<KnownPeerPointer> heardJustNow(TimePoint now) const;
+    /// Tells whether every member has been heard just now. Linear in the peers.
+    bool hearsAll(TimePoint now) const;
+
+    /// Returns those with whom it is this VM's turn to begin an exchange. Linear in the peers.
+    std::vector<KnownPeerPointer> toBegin(TimePoint now) const;
+    /// Returns up to so many that are not asked yet, others at each call.
+    std::vector<KnownPeerPointer> someOutOfTurn(std::size_t count);
+
+    /// Returns the peer at an address, or nothing. Logarithmic in the peers.
+    KnownPeerPointer find(const std::string &address) const;
+    const std::map<std::string, KnownPeerPointer> &peers() const { return m_peers; }
+
+private:
+    bool begins(const KnownPeer &peer, Duration silence, TimePoint now) const;
+
+    std::string m_ownAddress;
+    /// By address.
+    std::map<std::string, KnownPeerPointer> m_peers;
+    std::size_t m_nextAsked = 0;
+};
+
+} // namespace gypsumdale
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/entry_daemon.hpp>
 #include <gypsumdale/entry/entry_duties.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
+#include <gypsumdale/entry/entry_registry.hpp>
 #include <gypsumdale/entry/entry_store_news.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
@@ -98,6 +99,7 @@
         , m_config(m_context, [this](const ServingViewPointer &view) { adopt(view); })
         , m_upstreams(m_context)
         , m_peers(m_context, m_config, m_upstreams)
+        , m_registry(m_context, m_peers)
         , m_news(m_context, m_config, m_upstreams, m_peers)
         , m_duties(m_context, m_config, m_upstreams, m_peers)
     {}
@@ -125,7 +127,7 @@
             });
         });
         m_controlLoop.spawn([this] { m_peers.run(); });
-        m_controlLoop.spawn([this] { m_peers.followRegistry(); });
+        m_controlLoop.spawn([this] { m_registry.follow(); });
         m_controlLoop.spawn([this] { m_news.run(); });
         m_controlLoop.spawn([this] { m_duties.followLease(); });
         m_controlLoop.spawn([this] { m_duties.reportUsage(); });
@@ -317,7 +319,7 @@
                                 {LogField::Connections, m_callers->connections()},
                                 {LogField::Millis, toMillis(m_clock.now() - begun)}});
         m_context.m_isStopping = true;
-        m_peers.leaveRegistry();
+        m_registry.leave();
         m_isEnded = true;
         kill(getpid(), endSignal);
     }
@@ -336,6 +338,7 @@
     EntryConfigFeed m_config;
     EntryUpstreamFeed m_upstreams;
     EntryPeers m_peers;
+    EntryRegistry m_registry;
     EntryStoreNews m_news;
     EntryDuties m_duties;
     std::optional<HttpServer> m_callers;
--- /dev/null
+++ b/src/entry/exchange_writer.cpp
@@ -0,0 +1,106 @@
+#include <gypsumdale/entry/boot_clock.hpp>
+#include <gypsumdale/entry/exchange_writer.hpp>
+#include <gypsumdale/entry/peer_wire.hpp>
+
+#include <entry_types.h>
+
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+/// A VM that started is told for this long what it can't hear any more: several exchanges.
+constexpr Duration tellsEndedFor = std::chrono::seconds(2);
+/// The list of peers goes into one message of so many, and into the first to a new peer: it grows
+/// with the fleet, and was a third of what a fleet of 65 sent.
+constexpr std::size_t messagesPerPeerList = 16;
+
+} // namespace
+
+void ExchangeWriter::setReport(TrafficReport report)
+{
+    m_report = std::move(report);
+    m_reportedAt = bootNow();
+}
+
+entrywire::EntryExchange ExchangeWriter::message(const KnownPeer *peer)
+{
+    entrywire::EntryExchange message;
+    message.__isset.digest = true;
+    entrywire::EntryDigest &digest = message.digest;
+    fillOwnState(digest);
+    fillReport(m_report, digest);
+    if (peer && tellsEndedTo(*peer))
+        fillEnded(m_report.m_endedUsage, processName(peer->m_node, peer->m_state.m_incarnation),
+                  digest);
+    const bool isNew = !peer || !peer->wasEverHeard();
+    if (isNew || m_messages++ % messagesPerPeerList == 0)
+        fillPeers(digest);
+    if (peer && sendsConfigTo(*peer)) {
+        message.__set_configText(m_config.text());
+        message.__set_configVersion(m_config.version());
+    }
+    if (peer && sendsUpstreamsTo(*peer)) {
+        message.__set_upstreamText(m_upstreams.text());
+        message.__set_upstreamRevision(m_upstreams.revision());
+    }
+    return message;
+}
+
+/// Writes down what this VM is and holds, for PeerState.
+void ExchangeWriter::fillOwnState(entrywire::EntryDigest &digest) const
+{
+    digest.protocol = protocolVersion;
+    digest.node = m_context.m_settings.m_node.text();
+    digest.address = m_table.ownAddress();
+    digest.dataCentre = m_context.m_settings.m_dataCentre.text();
+    digest.incarnation = m_context.m_incarnation;
+    digest.configVersion = m_config.version();
+    digest.upstreamRevision = m_upstreams.revision();
+    digest.upstreamAgeMillis = m_upstreams.isStale() ? -1 : wholeMillis(m_upstreams.age());
+    digest.storeIsLost = m_config.isStoreLost() || m_config.version() == 0;
+    digest.dutyFence = m_dutyFence;
+    digest.dutyRevision = m_dutyRevision;
+    // As of this message, not of the report: an old reading would make every VM's clock look slow,
+    // and all of them would follow each other backwards.
+    digest.wallMillis = m_report.m_wall + wholeMillis(bootNow() - m_reportedAt);
+    digest.leaving = m_context.m_isStopping;
+}
+
+/// Tells whether a VM started so lately that it can't have heard what ended processes counted.
+/// Those of the VM itself are among them: what it counted before it was stopped.
+bool ExchangeWriter::tellsEndedTo(const KnownPeer &peer) const
+{
+    const TimePoint now = m_context.now();
+    return !m_table.pace(now).isSpreadOut() && now - peer.m_startHeardAt <= tellsEndedFor;
+}
+
+/// Only what was heard is passed on: hearsay would keep the address of a VM that is gone going
+/// round for ever.
+void ExchangeWriter::fillPeers(entrywire::EntryDigest &digest) const
+{
+    for (const KnownPeerPointer &known : m_table.heardJustNow(m_context.now())) {
+        auto &entry = digest.peers.emplace_back();
+        entry.node = known->m_node;
+        entry.address = known->m_address;
+    }
+}
+
+/// In a small fleet everybody who seems to be behind is sent a new version. In a large one that
+/// would be the whole configuration between each pair of VMs at once, which held up a fleet of 65
+/// for three seconds; there only those get it whom the store doesn't answer.
+bool ExchangeWriter::sendsConfigTo(const KnownPeer &peer) const
+{
+    const bool isBehind = peer.m_state.m_configVersion < m_config.version();
+    const bool isSmallFleet = !m_table.pace(m_context.now()).isSpreadOut();
+    return isBehind && (isSmallFleet || peer.m_state.m_isStoreLost);
+}
+
+bool ExchangeWriter::sendsUpstreamsTo(const KnownPeer &peer) const
+{
+    const bool isBehind = peer.m_state.m_upstreamRevision < m_upstreams.revision();
+    return isBehind && peer.m_state.m_isUpstreamListStale && !m_upstreams.isStale();
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/entry/fleet_size_estimate.cpp
@@ -0,0 +1,44 @@
+#include <gypsumdale/entry/fleet_size_estimate.hpp>
+
+#include <algorithm> // max
+
+namespace gypsumdale {
+
+namespace {
+
+/// Before peers were heard, the slack of the retry budget is shared with this many: more than
+/// today's sites have.
+constexpr std::size_t assumedFleet = 8;
+constexpr Duration fleetLearningTime = std::chrono::seconds(5);
+/// A restarted process counts on so many VMs until it has read the registry, or for this long if
+/// the store doesn't answer: more than have been played, as each VM that takes the fleet for
+/// smaller admits more than its part.
+constexpr std::size_t unknownFleet = 100;
+constexpr Duration registryReadTime = std::chrono::seconds(1);
+
+} // namespace
+
+bool FleetSizeEstimate::isLearning(TimePoint now) const
+{
+    return now < m_startedAt + fleetLearningTime;
+}
+
+std::size_t FleetSizeEstimate::expected(std::size_t members, std::size_t seeds, TimePoint now) const
+{
+    if (!isLearning(now))
+        return 0;
+    if (m_registered > 0)
+        return std::max(m_registered, seeds);
+    const bool isUnread = now < m_startedAt + registryReadTime;
+    if (isUnread && !m_isFirstStart)
+        return unknownFleet;
+    return std::max(members + 1, seeds);
+}
+
+std::size_t FleetSizeEstimate::size(std::size_t members, TimePoint now) const
+{
+    const std::size_t known = members + 1;
+    return isLearning(now) ? std::max({known, assumedFleet, m_registered}) : known;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/entry/peer_wire.cpp
@@ -0,0 +1,116 @@
+#include <gypsumdale/entry/peer_wire.hpp>
+
+#include <entry_types.h>
+
+#include <algorithm> // min
+#include <cstddef> // ptrdiff_t
+#include <iterator> // prev, ssize
+
+namespace gypsumdale {
+
+namespace {
+
+/// Usage windows in a message: the one under way, and those that may not be reported yet.
+constexpr std::ptrdiff_t windowsTold = 4;
+
+void fillUsage(const std::map<WindowNumber, WindowCounts> &usage, entrywire::EntryDigest &digest)
+{
+    const auto firstTold =
+            std::prev(usage.end(), std::min<std::ptrdiff_t>(windowsTold, std::ssize(usage)));
+    for (auto entry = firstTold; entry != usage.end(); ++entry) {
+        const auto &[window, counts] = *entry;
+        for (const auto &[account, count] : counts) {
+            auto &told = digest.usage.emplace_back();
+            told.window = window;
+            told.account = account.text();
+            told.count = count;
+        }
+    }
+}
+
+} // namespace
+
+entrywire::UpstreamLoad wireLoad(const UpstreamId &upstream, const InFlightLoad &load)
+{
+    entrywire::UpstreamLoad told;
+    told.upstream = upstream.text();
+    told.running = load.m_running;
+    told.pendingTokens = load.m_pendingTokens;
+    told.startedAt = load.m_startedAt;
+    return told;
+}
+
+InFlightLoad loadOf(const entrywire::UpstreamLoad &told)
+{
+    return {told.running, told.pendingTokens, told.startedAt};
+}
+
+void fillReport(const TrafficReport &report, entrywire::EntryDigest &digest)
+{
+    for (const auto &[account, use] : report.m_accounts) {
+        auto &entry = digest.accounts.emplace_back();
+        entry.account = account.text();
+        entry.admittedTotal = use.m_admittedTotal;
+        entry.demandPerSecond = use.m_demandPerSecond;
+    }
+    for (const auto &[upstream, load] : report.m_loads)
+        digest.loads.push_back(wireLoad(upstream, load));
+    for (const auto &[service, rate] : report.m_ownReading) {
+        auto &entry = digest.reading.emplace_back();
+        entry.serviceName = service.text();
+        entry.demand = rate.m_demand;
+        entry.speed = rate.m_speed;
+    }
+    fillUsage(report.m_usage, digest);
+}
+
+void fillEnded(const std::vector<EndedUsage> &ended, const std::string &receiver,
+               entrywire::EntryDigest &digest)
+{
+    for (const EndedUsage &process : ended) {
+        if (process.m_process == receiver)
+            continue;
+        for (const auto &[account, count] : process.m_counts) {
+            auto &told = digest.ended.emplace_back();
+            told.process = process.m_process;
+            told.window = process.m_window;
+            told.account = account.text();
+            told.count = count;
+        }
+    }
+}
+
+PeerReport reportOf(const entrywire::EntryDigest &digest, WallMillis ownWall)
+{
+    PeerReport report;
+    report.m_node = digest.node;
+    report.m_incarnation = digest.incarnation;
+    report.m_wallOffset = digest.wallMillis - ownWall;
+    for (const auto &use : digest.accounts)
+        report.m_accounts[AccountId(use.account)] = {use.admittedTotal, use.demandPerSecond};
+    for (const auto &load : digest.loads)
+        report.m_loads[UpstreamId(load.upstream)] = loadOf(load);
+    for (const auto &reading : digest.reading)
+        report.m_reading[ServiceId(reading.serviceName)] = {reading.demand, reading.speed};
+    for (const auto &usage : digest.usage)
+        report.m_usage[usage.window][AccountId(usage.account)] = usage.count;
+    for (const auto &ended : digest.ended)
+        report.m_endedUsage.push_back(
+                {ended.process, ended.window, {{AccountId(ended.account), ended.count}}});
+    return report;
+}
+
+PeerState stateOf(const entrywire::EntryDigest &digest)
+{
+    PeerState state;
+    state.m_dataCentre = DataCentreId(digest.dataCentre);
+    state.m_incarnation = digest.incarnation;
+    state.m_configVersion = digest.configVersion;
+    state.m_upstreamRevision = digest.upstreamRevision;
+    state.m_isUpstreamListStale = digest.upstreamAgeMillis < 0;
+    state.m_isStoreLost = digest.storeIsLost;
+    state.m_isLeaving = digest.leaving;
+    return state;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/tests/src/unit-entry-peers.cpp
@@ -0,0 +1,371 @@
+#include <gypsumdale/entry/fleet_size_estimate.hpp>
+#include <gypsumdale/entry/peer_table.hpp>
+#include <gypsumdale/entry/peer_wire.hpp>
+#include <gypsumdale/entry/registry_silence.hpp>
+
+#include <entry_types.h>
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string ownAddress = "10.0.0.5:7000";
+const std::string lower = "10.0.0.1:7000";
+const std::string higher = "10.0.0.9:7000";
+
+/// What a peer's process of that incarnation says of itself.
+PeerState processState(std::int64_t incarnation)
+{
+    PeerState state;
+    state.m_incarnation = incarnation;
+    return state;
+}
+
+/// A table on a paused clock.
+class Table
+{
+public:
+    Table() { m_clock.pause(); }
+
+    TimePoint now() const { return m_clock.now(); }
+    void advance(Duration step) { m_clock.advance(step); }
+
+    void hear(const std::string &address, const PeerState &state = {})
+    {
+        m_table.learn(address, address, false, now());
+        PeerTable::hear(*m_table.find(address), state, now());
+    }
+    /// Hears so many peers besides.
+    void hearMany(int count)
+    {
+        for (int peer = 0; peer < count; ++peer)
+            hear(fmt::format("10.0.1.{}:7000", peer));
+    }
+    bool begins(const std::string &address) const
+    {
+        for (const KnownPeerPointer &peer : m_table.toBegin(now())) {
+            if (peer->m_address == address)
+                return true;
+        }
+        return false;
+    }
+
+    PeerTable m_table{ownAddress};
+
+private:
+    Clock m_clock;
+};
+
+} // namespace
+
+TEST_CASE("the pace of exchanges")
+{
+    SECTION("is full up to 12 peers, and a step slower for each 12 more")
+    {
+        CHECK(ExchangePace(0).stretch() == 1);
+        CHECK(ExchangePace(12).stretch() == 1);
+        CHECK(ExchangePace(13).stretch() == 2);
+        CHECK(ExchangePace(24).stretch() == 2);
+        CHECK(ExchangePace(64).stretch() == 6);
+        CHECK_FALSE(ExchangePace(12).isSpreadOut());
+        CHECK(ExchangePace(13).isSpreadOut());
+    }
+    SECTION("sets what silence means")
+    {
+        CHECK(ExchangePace(12).silenceBeforeBeginning() == 800ms);
+        CHECK(ExchangePace(12).heardWithin() == 1200ms);
+        CHECK(ExchangePace(64).silenceBeforeBeginning() == 4800ms);
+        CHECK(ExchangePace(64).heardWithin() == 7200ms);
+    }
+}
+
+TEST_CASE("the size of the fleet for a process that has just started")
+{
+    Clock clock;
+    clock.pause();
+    const TimePoint start = clock.now();
+    FleetSizeEstimate fresh(start, true);
+    FleetSizeEstimate restarted(start, false);
+
+    SECTION("is what it hears or has as seeds, at the first start of its VM")
+    {
+        CHECK(fresh.expected(0, 7, start) == 7);
+        CHECK(fresh.expected(9, 7, start) == 10);
+        CHECK(fresh.size(0, start) == 8);
+        CHECK(fresh.size(9, start) == 10);
+    }
+    SECTION("is more than have been played after a restart, until the registry could be read")
+    {
+        CHECK(restarted.expected(3, 7, start + 999ms) == 100);
+        CHECK(restarted.expected(3, 7, start + 1s) == 7);
+    }
+    SECTION("is that of the registry once it was read")
+    {
+        restarted.setRegistered(65);
+        CHECK(restarted.expected(3, 7, start) == 65);
+        CHECK(restarted.expected(3, 70, start) == 70);
+        CHECK(restarted.size(3, start) == 65);
+        CHECK(restarted.size(70, start) == 71);
+    }
+    SECTION("is what it hears once it had the time to")
+    {
+        restarted.setRegistered(65);
+        clock.advance(4999ms);
+        CHECK(restarted.expected(3, 7, clock.now()) == 65);
+        clock.advance(1ms);
+        CHECK(restarted.expected(3, 7, clock.now()) == 0);
+        CHECK(restarted.size(3, clock.now()) == 4);
+    }
+}
+
+TEST_CASE("the peers that a VM knows")
+{
+    Table vm;
+    PeerTable &table = vm.m_table;
+
+    SECTION("are learnt once, and never the VM itself")
+    {
+        CHECK(table.learn("b", lower, false, vm.now()));
+        CHECK_FALSE(table.learn("b", lower, false, vm.now()));
+        CHECK_FALSE(table.learn("a", ownAddress, false, vm.now()));
+        CHECK_FALSE(table.learn("c", "", false, vm.now()));
+        CHECK(table.peers().size() == 1);
+    }
+    SECTION("keep their name if they are told of without one")
+    {
+        table.learn("b", lower, false, vm.now());
+        table.learn("", lower, true, vm.now());
+        CHECK(table.find(lower)->m_node == "b");
+        CHECK(table.find(lower)->m_isSeed);
+    }
+    SECTION("are members from when they were heard until half a minute of silence")
+    {
+        table.learn("b", lower, true, vm.now());
+        CHECK(table.members(vm.now()) == 0);
+        CHECK_FALSE(table.isMember(lower, vm.now()));
+        vm.hear(lower);
+        vm.advance(29999ms);
+        CHECK(table.members(vm.now()) == 1);
+        CHECK(table.isMember(lower, vm.now()));
+        vm.advance(1ms);
+        CHECK(table.members(vm.now()) == 0);
+    }
+    SECTION("start anew when they tell of another process")
+    {
+        vm.hear(lower, processState(1));
+        const TimePoint started = vm.now();
+        vm.advance(1s);
+        vm.hear(lower, processState(1));
+        CHECK(table.find(lower)->m_startHeardAt == started);
+        vm.hear(lower, processState(2));
+        CHECK(table.find(lower)->m_startHeardAt == vm.now());
+    }
+}
+
+TEST_CASE("whose turn it is to begin an exchange")
+{
+    Table vm;
+    vm.hear(lower);
+    vm.hear(higher);
+
+    SECTION("that of the lower address")
+    {
+        CHECK(vm.begins(higher));
+        CHECK_FALSE(vm.begins(lower));
+    }
+    SECTION("that of the other after three exchanges were lost")
+    {
+        vm.advance(800ms);
+        CHECK_FALSE(vm.begins(lower));
+        vm.advance(1ms);
+        CHECK(vm.begins(lower));
+    }
+    SECTION("later in a large fleet, whose exchanges are further apart")
+    {
+        vm.hearMany(11);
+        vm.advance(1600ms);
+        CHECK_FALSE(vm.begins(lower));
+        vm.advance(1ms);
+        CHECK(vm.begins(lower));
+    }
+    SECTION("nobody's while one is under way")
+    {
+        vm.m_table.find(higher)->m_isBusy = true;
+        CHECK_FALSE(vm.begins(higher));
+    }
+}
+
+TEST_CASE("peers asked out of turn are others each time")
+{
+    Table vm;
+    vm.hearMany(5);
+    const auto first = vm.m_table.someOutOfTurn(3);
+    const auto second = vm.m_table.someOutOfTurn(3);
+    REQUIRE(first.size() == 3);
+    REQUIRE(second.size() == 3);
+    CHECK(second[0] != first[0]);
+    CHECK(second[1] != first[1]);
+    CHECK(second[2] == first[0]);
+    first[1]->m_isBusy = true;
+    CHECK(vm.m_table.someOutOfTurn(5).size() == 4);
+}
+
+TEST_CASE("peers that say nothing")
+{
+    Table vm;
+    PeerTable &table = vm.m_table;
+    vm.hear(lower);
+    vm.hear(higher);
+
+    SECTION("are reported as silent once, and heard again")
+    {
+        vm.advance(1200ms);
+        CHECK(table.expire(vm.now()).m_fellSilent.empty());
+        CHECK(table.hearsAll(vm.now()));
+        vm.advance(1ms);
+        CHECK_FALSE(table.hearsAll(vm.now()));
+        const auto silent = table.expire(vm.now()).m_fellSilent;
+        REQUIRE(silent.size() == 2);
+        CHECK(silent[0].m_peer->m_address == lower);
+        CHECK(silent[0].m_silence == 1201ms);
+        CHECK(table.expire(vm.now()).m_fellSilent.empty());
+        CHECK(table.heardMembers(vm.now()).empty());
+        CHECK(table.heardJustNow(vm.now()).empty());
+
+        CHECK(PeerTable::hear(*table.find(lower), {}, vm.now()));
+        CHECK_FALSE(PeerTable::hear(*table.find(lower), {}, vm.now()));
+        CHECK(table.heardMembers(vm.now()).size() == 1);
+        CHECK(table.heardJustNow(vm.now()).size() == 1);
+    }
+    SECTION("are not silent as soon in a large fleet")
+    {
+        vm.hearMany(11);
+        vm.advance(2400ms);
+        CHECK(table.expire(vm.now()).m_fellSilent.empty());
+        vm.advance(1ms);
+        CHECK(table.expire(vm.now()).m_fellSilent.size() == 13);
+    }
+    SECTION("are gone after half a minute, but seeds are still called")
+    {
+        table.learn("", lower, true, vm.now());
+        vm.advance(30s);
+        CHECK(table.expire(vm.now()).m_gone.empty());
+        vm.advance(1ms);
+        const auto gone = table.expire(vm.now());
+        CHECK(gone.m_gone.size() == 2);
+        CHECK_FALSE(table.find(higher));
+        CHECK(table.find(lower));
+        CHECK(table.expire(vm.now()).m_gone.empty());
+    }
+    SECTION("stay while an exchange with them is under way")
+    {
+        table.find(higher)->m_isBusy = true;
+        vm.advance(31s);
+        CHECK(table.expire(vm.now()).m_gone.size() == 1);
+        CHECK(table.find(higher));
+    }
+}
+
+/// A VM is lost without a word, and its entry stays in the registry. It is removed when it was
+/// silent for two minutes, but one that was only cut off meanwhile has them again from when it was
+/// heard.
+TEST_CASE("a VM of the registry that is gone")
+{
+    Clock clock;
+    clock.pause();
+    RegistrySilence silence;
+    const NodeId node("b");
+    CHECK_FALSE(silence.noteEntry(node, false, clock.now()));
+    clock.advance(119s);
+    CHECK_FALSE(silence.noteEntry(node, false, clock.now()));
+
+    SECTION("was silent for two minutes")
+    {
+        clock.advance(1s);
+        CHECK(silence.noteEntry(node, false, clock.now()));
+        silence.forget(node);
+        CHECK_FALSE(silence.noteEntry(node, false, clock.now()));
+    }
+    SECTION("is not one that was heard meanwhile")
+    {
+        CHECK_FALSE(silence.noteEntry(node, true, clock.now()));
+        clock.advance(119s);
+        CHECK_FALSE(silence.noteEntry(node, false, clock.now()));
+    }
+    SECTION("is not one that left the registry and came back")
+    {
+        silence.keepOnly({NodeId("c")});
+        clock.advance(1s);
+        CHECK_FALSE(silence.noteEntry(node, false, clock.now()));
+    }
+    SECTION("is told apart from those that the registry still lists")
+    {
+        silence.keepOnly({node});
+        clock.advance(1s);
+        CHECK(silence.noteEntry(node, false, clock.now()));
+    }
+}
+
+TEST_CASE("what a VM reports reaches its peers")
+{
+    const AccountId huber("huber");
+    const UpstreamId engine("engine-1");
+    const ServiceId llm("llm");
+    TrafficReport report;
+    report.m_accounts[huber] = {120, 3.5};
+    report.m_loads[engine] = {3, 4000, 77};
+    report.m_ownReading[llm] = {5000, 62000};
+    for (WindowNumber window = 1; window <= 6; ++window)
+        report.m_usage[window][huber] = window * 10;
+    entrywire::EntryDigest digest;
+    digest.node = "b";
+    digest.incarnation = 9;
+    digest.wallMillis = 1500;
+    fillReport(report, digest);
+
+    SECTION("with the use of quotas, loads and reading rates")
+    {
+        const PeerReport read = reportOf(digest, 1000);
+        CHECK(read.m_node == "b");
+        CHECK(read.m_incarnation == 9);
+        CHECK(read.m_wallOffset == 500);
+        CHECK(read.m_accounts.at(huber).m_admittedTotal == 120);
+        CHECK(read.m_accounts.at(huber).m_demandPerSecond == 3.5);
+        CHECK(read.m_loads.at(engine).m_running == 3);
+        CHECK(read.m_loads.at(engine).m_pendingTokens == 4000);
+        CHECK(read.m_loads.at(engine).m_startedAt == 77);
+        CHECK(read.m_reading.at(llm).m_demand == 5000);
+        CHECK(read.m_reading.at(llm).m_speed == 62000);
+    }
+    SECTION("with the usage of the last four windows")
+    {
+        const PeerReport read = reportOf(digest, 1000);
+        REQUIRE(read.m_usage.size() == 4);
+        CHECK(read.m_usage.begin()->first == 3);
+        CHECK(read.m_usage.at(6).at(huber) == 60);
+    }
+    SECTION("with what ended processes counted, but not the receiver's own")
+    {
+        const std::vector<EndedUsage> ended = {{"b/1", 3, {{huber, 4}}}, {"c/1", 3, {{huber, 5}}}};
+        fillEnded(ended, "b/1", digest);
+        const PeerReport read = reportOf(digest, 1000);
+        REQUIRE(read.m_endedUsage.size() == 1);
+        CHECK(read.m_endedUsage[0].m_process == "c/1");
+        CHECK(read.m_endedUsage[0].m_window == 3);
+        CHECK(read.m_endedUsage[0].m_counts.at(huber) == 5);
+    }
+}
+
+TEST_CASE("a peer whose upstream list is stale tells no age")
+{
+    entrywire::EntryDigest digest;
+    digest.upstreamAgeMillis = 0;
+    CHECK_FALSE(stateOf(digest).m_isUpstreamListStale);
+    digest.upstreamAgeMillis = -1;
+    CHECK(stateOf(digest).m_isUpstreamListStale);
+}
