Keep toSeconds and fromSeconds beside toMillis

Change: both stand in core/clock.hpp. The checkpoint policy's fromSeconds, which also bounded, is called boundedDuration.

--- a/include/gypsumdale/core/clock.hpp
+++ b/include/gypsumdale/core/clock.hpp
@@ -55,6 +55,18 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// Returns a duration as fractional seconds, for rates.
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Returns the duration of so many seconds, fractions of nanoseconds cut off.
+inline Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /// Returns the whole milliseconds of a duration, as messages between processes carry it.
 inline std::int64_t wholeMillis(Duration duration)
 {
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -150,7 +150,7 @@
 {
     const auto found = m_fleetReading.find(service);
     const double speed = found == m_fleetReading.end() ? 0 : found->second.m_speed;
-    return speed * std::chrono::duration<double>(time).count();
+    return speed * toSeconds(time);
 }
 
 double EntryTraffic::random()
--- a/src/jobs/checkpoint_policy.cpp
+++ b/src/jobs/checkpoint_policy.cpp
@@ -13,10 +13,9 @@
 /// A day: longer than any job, so that a rate of zero asks for no checkpoint.
 constexpr double longestSeconds = 86'400;
 
-Duration fromSeconds(double seconds)
+Duration boundedDuration(double seconds)
 {
-    const double bounded = std::min(seconds, longestSeconds);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+    return fromSeconds(std::min(seconds, longestSeconds));
 }
 
 CheckpointPolicy makeEveryTokens(const CheckpointSettings &settings)
@@ -34,7 +33,7 @@
     const double shortest =
             settings.m_writesPerSecond > 0 ? 1 / settings.m_writesPerSecond : longestSeconds;
     return CostAware{settings.m_lossesPerHour / secondsPerHour, settings.m_writeCost,
-                     settings.m_tokenCost, fromSeconds(shortest)};
+                     settings.m_tokenCost, boundedDuration(shortest)};
 }
 
 CheckpointPolicy makeAtEndOnly(const CheckpointSettings & /*settings*/)
@@ -57,8 +56,9 @@
     const double lossPerSecondSquared =
             policy.m_lossesPerSecond * policy.m_tokenCost * tokensPerSecond;
     if (lossPerSecondSquared <= 0)
-        return fromSeconds(longestSeconds);
-    const Duration optimum = fromSeconds(std::sqrt(2 * policy.m_writeCost / lossPerSecondSquared));
+        return boundedDuration(longestSeconds);
+    const Duration optimum =
+            boundedDuration(std::sqrt(2 * policy.m_writeCost / lossPerSecondSquared));
     return std::max(optimum, policy.m_shortest);
 }
 
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -320,7 +320,7 @@
         load.m_unsavedTokens += owned.m_job.m_answer.tokens() - owned.m_checkpointTo;
     }
     load.m_sinceLastWrite = now - m_lastCheckpoint;
-    const double seconds = std::chrono::duration<double>(load.m_sinceLastWrite).count();
+    const double seconds = toSeconds(load.m_sinceLastWrite);
     load.m_tokensPerSecond =
             seconds > 0 ? static_cast<double>(m_tokensSinceCheckpoint) / seconds : 0;
     if (load.m_unsavedTokens == 0) {
--- a/src/observe/detail/exposition.cpp
+++ b/src/observe/detail/exposition.cpp
@@ -2,18 +2,12 @@
 
 #include <fmt/format.h>
 
-#include <chrono> // duration
 #include <iterator> // back_inserter
 
 namespace gypsumdale::detail {
 
 namespace {
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 std::string braced(std::string_view labels)
 {
     return labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -21,16 +21,6 @@
 constexpr Duration noUpstreamRetryAfter = std::chrono::seconds(1);
 constexpr Duration drainingRetryAfter = std::chrono::milliseconds(200);
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 double smoothed(double known, double measured)
 {
     return known == 0.0 ? measured : known + gain * (measured - known);
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -12,11 +12,6 @@
 /// A reserved share of one would mean that higher classes get nothing.
 constexpr double largestReservedShare = 0.9;
 
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 bool arrivedBefore(const WaitingRequest &left, const WaitingRequest &right)
 {
     return left.m_arrivedAt < right.m_arrivedAt;
--- a/src/policy/first_token_times.cpp
+++ b/src/policy/first_token_times.cpp
@@ -9,11 +9,6 @@
 constexpr double gain = 0.1;
 constexpr double fadingHalfLifeSeconds = 2.0;
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void FirstTokenTimes::note(const ProfileId &profile, Duration taken, TimePoint now)
@@ -32,7 +27,7 @@
         return Duration{};
     const double age = toSeconds(now - found->second.m_notedAt);
     const double seconds = found->second.m_seconds * std::exp2(-age / fadingHalfLifeSeconds);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return fromSeconds(seconds);
 }
 
 } // namespace gypsumdale
--- a/src/policy/routing_prefix_affinity.cpp
+++ b/src/policy/routing_prefix_affinity.cpp
@@ -71,7 +71,7 @@
     const double cached = std::min(static_cast<double>(blocks * m_settings.m_blockTokens),
                                    static_cast<double>(request.m_promptTokens));
     const double prefill = (request.m_promptTokens - cached) / m_settings.m_prefillTokensPerSecond;
-    const double step = std::chrono::duration<double>(m_settings.m_queueingStep).count();
+    const double step = toSeconds(m_settings.m_queueingStep);
     const double queueing = step * estimatedLoad(candidate);
     const double price = m_settings.m_priceWeight * candidate.m_pricePerHour;
     const double answer = request.m_expectedTokens / tokensPerRisk;
--- a/src/policy/service_rate.cpp
+++ b/src/policy/service_rate.cpp
@@ -12,13 +12,13 @@
 } // namespace
 
 ServiceRate::ServiceRate(Duration halfLife)
-    : m_halfLife(std::chrono::duration<double>(halfLife).count())
+    : m_halfLife(toSeconds(halfLife))
 {}
 
 void ServiceRate::served(std::uint64_t tokens, TimePoint now, bool isBacklogged)
 {
     if (m_wasBacklogged) {
-        const double passed = std::chrono::duration<double>(now - m_lastAt).count();
+        const double passed = toSeconds(now - m_lastAt);
         const double kept = std::exp2(-passed / m_halfLife);
         m_tokens = m_tokens * kept + static_cast<double>(tokens);
         m_seconds = m_seconds * kept + passed;
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -33,11 +33,6 @@
 constexpr Duration shortestReturn = std::chrono::milliseconds(250);
 constexpr Duration longestReturn = std::chrono::seconds(2);
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 double FleetQuota::capacityOf(const ClientAccount &account) const
@@ -159,8 +154,7 @@
     // late: hard days were worth 0.450 in place of 0.442 of what callers pay.
     const double missing = cost - std::min(bucket.m_level, 0.0);
     const double rate = rateOf(account) * fleet.heardShare();
-    const Duration refillTime = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>(missing / std::max(rate, 1.0)));
+    const Duration refillTime = fromSeconds(missing / std::max(rate, 1.0));
     decision.m_retryAfter = std::clamp(refillTime, shortestReturn, longestReturn);
     return decision;
 }
--- a/src/serving/prompt_reading.cpp
+++ b/src/serving/prompt_reading.cpp
@@ -21,11 +21,6 @@
 /// shows as a higher one.
 constexpr double takenQuantile = 0.75;
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 double quantileOf(std::vector<double> values, double quantile)
 {
     const auto at = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(values.size() - 1));
