Leave reading rates of plain services out of exchanges

Cause: each exchange told a rate of 0 for every service whose requests have no prompt.

Change: rates of 0 aren't written. A report replaces the one before, and what isn't told counts as 0, so the sums over the fleet stay the same. A new section of unit-entry-peers holds it.

--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -56,6 +56,9 @@
     for (const auto &[upstream, load] : report.m_loads)
         digest.loads.push_back(wireLoad(upstream, load));
     for (const auto &[service, rate] : report.m_ownReading) {
+        // Requests of plain services have no prompt to read. A peer takes what isn't told for 0.
+        if (rate.m_demand == 0 && rate.m_speed == 0)
+            continue;
         auto &entry = digest.reading.emplace_back();
         entry.serviceName = service.text();
         entry.demand = rate.m_demand;
--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -342,6 +342,18 @@
         CHECK(read.m_reading.at(llm).m_demand == 5000);
         CHECK(read.m_reading.at(llm).m_speed == 62000);
     }
+    SECTION("without reading rates of services that read nothing")
+    {
+        report.m_ownReading = {{ServiceId("plain"), {0, 0}},
+                               {ServiceId("asked"), {800, 0}},
+                               {ServiceId("seen"), {0, 62000}}};
+        entrywire::EntryDigest other;
+        fillReport(report, other);
+        const PeerReport read = reportOf(other, 1000);
+        CHECK(read.m_reading.size() == 2);
+        CHECK(read.m_reading.at(ServiceId("asked")).m_demand == 800);
+        CHECK(read.m_reading.at(ServiceId("seen")).m_speed == 62000);
+    }
     SECTION("with the usage of the last four windows")
     {
         const PeerReport read = reportOf(digest, 1000);
