Copy the set of unusable entries only when it changed

Cause: logUnusable copied it at each publication, mostly unchanged.

Change: an equal set is left alone; nothing of it would be logged either.

--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -173,6 +173,8 @@
 void EntryUpstreamFeed::logUnusable(std::string_view source)
 {
     const auto &unusable = m_feed.unusable();
+    if (unusable == m_loggedUnusable)
+        return;
     for (const UpstreamId &id : unusable) {
         if (m_loggedUnusable.contains(id))
             continue;
