Play the rejection of a stream at the real process

Two stand-in engines each read a prompt that takes two seconds; a request whose caller has 1.5 seconds left is answered 503 with a time to come back, no engine sees it, and one with more time is served.

EntryWorld gets askPrompt() for requests with a prompt and a deadline; its other calls are sent as before.

--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -160,6 +160,58 @@
     }
 }
 
+namespace {
+
+/// Lets both upstreams answer when they have read the prompt, at 10,000 tokens a second.
+void readPrompts(EntryWorld &world)
+{
+    behaveBoth(world, [](const HttpRequest &request, HttpResponder &responder,
+                         const HttpHeaders &headers) {
+        const int tokens =
+                std::stoi(std::string(request.m_headers.value("Gypsumdale-Token-Usage")));
+        sleepFiber(std::chrono::microseconds(100) * tokens);
+        responder.send({200, headers, event(1)});
+    });
+}
+
+} // namespace
+
+// Each engine has a prompt to read that takes two seconds. A request whose caller has 1.5 seconds
+// left would wait at one of them until they have passed. The speed is known from the requests
+// before: it is rejected at once, no engine ever sees it, and one whose caller has more time is
+// served.
+TEST_CASE("an entry process rejects a stream at once that no engine would begin in time")
+{
+    EntryWorld world;
+    readPrompts(world);
+    for (int request = 0; request < 18; ++request) {
+        const std::string id = fmt::format("r-{}", request);
+        CHECK(world.askPrompt(world.node(), "/draft/x", id, 1000, 5000).m_status == 200);
+    }
+    std::vector<std::thread> callers;
+    for (const char *id : {"long-1", "long-2"}) {
+        const std::size_t before = runs(world);
+        callers.emplace_back([&world, id] {
+            CHECK(world.askPrompt(world.node(), "/draft/x", id, 20000, 5000).m_status == 200);
+        });
+        world.waitUntil("it is read", [&] { return runs(world) > before; });
+    }
+    const std::size_t before = runs(world);
+    const auto askedAt = std::chrono::steady_clock::now();
+    const EntryAnswer answer = world.askPrompt(world.node(), "/draft/x", "short", 1000, 1500);
+    CHECK(answer.m_status == 503);
+    CHECK(std::stod(std::string(answer.m_headers.value("Retry-After"))) > 1);
+    CHECK(std::chrono::steady_clock::now() - askedAt < std::chrono::milliseconds(1000));
+    CHECK(runs(world) == before);
+    CHECK(world.askPrompt(world.node(), "/draft/x", "patient", 1000, 5000).m_status == 200);
+    CHECK(runs(world) == before + 1);
+    for (std::thread &caller : callers)
+        caller.join();
+    world.waitUntil("it is logged", [&] {
+        return world.wholeLog(world.node()).find("no-room-in-time") != std::string::npos;
+    });
+}
+
 TEST_CASE("an entry process resumes a stream within one answer")
 {
     // A runner breaks off in the middle of the third event. The caller sees every event once, as if
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -361,6 +361,20 @@
 
     EntryAnswer call(const EntryNode &node, const std::string &target, const std::string &id,
                      const std::string &key = "key")
+    {
+        return ask(node, target, id, key, 5000, {});
+    }
+
+    /// Sends a request with a prompt, whose caller waits for so long.
+    EntryAnswer askPrompt(const EntryNode &node, const std::string &target, const std::string &id,
+                          int promptTokens, int deadlineMillis)
+    {
+        return ask(node, target, id, "key", deadlineMillis, fmt::format("{},20", promptTokens));
+    }
+
+private:
+    EntryAnswer ask(const EntryNode &node, const std::string &target, const std::string &id,
+                    const std::string &key, int deadlineMillis, const std::string &tokenUsage)
     {
         HttpCall call;
         call.m_endpoint = {"127.0.0.1", node.m_callerPort};
@@ -368,7 +382,9 @@
         call.m_target = target;
         call.m_headers.add("Host", "h.example");
         call.m_headers.add("Gypsumdale-Request-Id", id);
-        call.m_headers.add("Gypsumdale-Deadline-Ms", "5000");
+        call.m_headers.add("Gypsumdale-Deadline-Ms", std::to_string(deadlineMillis));
+        if (!tokenUsage.empty())
+            call.m_headers.add("Gypsumdale-Token-Usage", tokenUsage);
         call.m_headers.add("Authorization", "Bearer " + key);
         call.m_body = "body";
         call.m_freshConnection = true;
@@ -377,6 +393,7 @@
         return m_loop.call([&] { return read(call); });
     }
 
+public:
     EntryAnswer get(std::uint16_t port, const std::string &target)
     {
         HttpCall call;
