Note in one place what the store told of the configuration

Cause: reading the configuration whole and watching it noted the answer in the same four lines.

Change: noteRead does.

--- a/include/gypsumdale/entry/entry_config_feed.hpp
+++ b/include/gypsumdale/entry/entry_config_feed.hpp
@@ -48,6 +48,7 @@
     Duration watchWait() const;
     void readWhole();
     void watchOnce();
+    void noteRead(std::int64_t revision);
 
     EntryContext &m_context;
     Adopted m_adopted;
--- a/src/entry/entry_config_feed.cpp
+++ b/src/entry/entry_config_feed.cpp
@@ -79,12 +79,18 @@
         m_store.failed(errorOf(listing));
         return;
     }
+    noteRead(valueOf(listing).m_revision);
+    for (const platform::StoreObject &object : valueOf(listing).m_objects)
+        take(object);
+}
+
+/// Notes that the store told everything up to a revision.
+void EntryConfigFeed::noteRead(std::int64_t revision)
+{
     m_store.answered(m_context.now());
     m_confirmedAt = m_context.now();
     m_readAt = m_confirmedAt;
-    m_revision = valueOf(listing).m_revision;
-    for (const platform::StoreObject &object : valueOf(listing).m_objects)
-        take(object);
+    m_revision = revision;
 }
 
 void EntryConfigFeed::watchOnce()
@@ -98,10 +104,7 @@
         m_store.failed(errorOf(changes));
         return;
     }
-    m_store.answered(m_context.now());
-    m_confirmedAt = m_context.now();
-    m_readAt = m_confirmedAt;
-    m_revision = valueOf(changes).m_revision;
+    noteRead(valueOf(changes).m_revision);
     for (const platform::StoreEvent &event : valueOf(changes).m_events) {
         if (!event.m_isRemoved)
             take(event.m_object);
