--- a/src/serving/first_event_forecast.cpp
+++ b/src/serving/first_event_forecast.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 
 #include <algorithm> // max, min
@@ -22,16 +23,6 @@
 constexpr double returnSpread = 0.5;
 constexpr Duration earliestReturn = std::chrono::milliseconds(150);
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double seconds)
-{
-    return std::chrono::round<Duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 void FirstEventForecaster::notePlaced(const ServiceId &service, int priority,
