--- a/include/gypsumdale/core/clock.hpp
+++ b/include/gypsumdale/core/clock.hpp
@@ -61,10 +61,11 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/// Returns the duration of so many seconds, fractions of nanoseconds cut off.
+/// Returns the duration of so many seconds, to the nearest nanosecond: 2.05 s cut off would be one
+/// short.
 inline Duration fromSeconds(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return std::chrono::round<Duration>(std::chrono::duration<double>(seconds));
 }
 
 /// Returns the whole milliseconds of a duration, as messages between processes carry it.
