Split a request's call into admission, attempts and its end

Whether a request is let in, and how it ends, have files of their own now, and the statuses a header. Functions moved only; process-entry passes.

--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
-constexpr int statusTooMany = 429;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusGatewayTimeout = 504;
-
 /// A new connection takes a round trip; past this its upstream is gone or cut off.
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
 /// Upstreams that don't accept a connection are passed over this often.
@@ -24,9 +17,6 @@
 /// Clocks of two machines differ by less than this when neither has jumped; an upstream is down for
 /// longer than this when it crashes.
 constexpr Duration restartMargin = std::chrono::milliseconds(1000);
-/// Callers come back within this range, spread so that they don't return at one moment.
-constexpr Duration earliestReturn = std::chrono::milliseconds(150);
-constexpr Duration returnSpread = std::chrono::milliseconds(350);
 /// A prompt is read alone if what others wait for there is less than this part of it.
 constexpr std::int64_t mostBesides = 10;
 /// Part of a pause that prompts are let to fill: a prompt of 57,000 tokens was read at 0.6 of the
@@ -36,11 +26,6 @@
 /// Room for the routes' priorities within one priority of accounts.
 constexpr int routePriorities = 3;
 
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
 /// An account's priority goes before the route's, which decides within it.
 int priorityOf(const ServingRoute &route, const ClientAccount *account)
 {
@@ -84,106 +69,6 @@
     m_cancellation->cancel();
 }
 
-/// Finds route and account. Answers and returns false where there is none.
-bool EntryCall::resolve()
-{
-    if (!m_view) {
-        // Nothing may be denied from ignorance: what is not known here may be allowed.
-        answerOwn(statusUnavailable, "no-configuration", retryAfter());
-        return false;
-    }
-    m_route = m_view->findRoute(m_caller.m_host, pathOf(m_request.m_target));
-    if (!m_route) {
-        answerOwn(statusNotFound, "no-route");
-        return false;
-    }
-    m_account = m_caller.m_key.empty() ? nullptr : m_view->findAccount(m_caller.m_key);
-    if (!m_account && m_view->requiresKeys() && !m_route->m_isPublic) {
-        answerOwn(statusUnauthorized, "unknown-key");
-        return false;
-    }
-    const Duration timeout =
-            std::min(m_caller.m_timeLeft.value_or(m_route->m_timeout), m_route->m_timeout);
-    m_deadline = m_arrivedAt + timeout;
-    const MemberId member(m_account ? m_account->m_id.text() : std::string("public"));
-    m_series = &m_traffic.metrics().series(member, ProfileId(m_route->m_name));
-    m_series->add(RequestCounter::Received);
-    return true;
-}
-
-bool EntryCall::admitByQuota()
-{
-    if (!m_account)
-        return true;
-    double cost = 1;
-    if (m_account->m_countsTokens) {
-        cost = m_caller.m_hasTokenCounts
-                       ? static_cast<double>(m_caller.m_promptTokens + m_caller.m_outputTokens)
-                       : m_account->m_plainTokens;
-    }
-    const QuotaDecision decision = m_traffic.quota().admit(*m_account, cost, m_traffic.now());
-    if (decision.m_verdict == QuotaVerdict::Admitted)
-        return true;
-    m_traffic.log().info("request-over-quota",
-                         {m_caller.m_id,
-                          m_account->m_id,
-                          {LogField::Reason, nameIn(quotaVerdictNames, decision.m_verdict)},
-                          {LogField::Used, decision.m_capacity - decision.m_level},
-                          {LogField::Limit, decision.m_capacity},
-                          {LogField::SilentPeers, decision.m_silentPeers}});
-    answerOwn(statusTooMany, nameIn(quotaVerdictNames, decision.m_verdict), decision.m_retryAfter);
-    return false;
-}
-
-void EntryCall::drawService()
-{
-    double weights = 0;
-    for (const WeightedService &target : m_route->m_services)
-        weights += target.m_weight;
-    double drawn = m_traffic.random() * weights;
-    for (const WeightedService &target : m_route->m_services) {
-        m_service = target.m_service;
-        drawn -= target.m_weight;
-        if (drawn < 0)
-            break;
-    }
-}
-
-/// Rejects a request whose first event is known to come too late. While few engines are left for
-/// the load, the least urgent requests wait at them until their deadline passes, and their callers
-/// learn nothing until then. It has not been sent anywhere, so that it has not run is true.
-bool EntryCall::hasRoomInTime()
-{
-    if (m_route->m_kind != RepeatKind::Stream || m_caller.m_promptTokens == 0)
-        return true;
-    ForecastRequest request;
-    request.m_placement = placement();
-    request.m_priority = priority();
-    request.m_speed = m_traffic.tokensWithin(m_service, std::chrono::seconds(1));
-    const auto forecast =
-            m_traffic.forecaster().forecast(request, m_traffic.pool(), m_traffic.now());
-    if (!forecast || !FirstEventForecaster::isTooLate(*forecast, timeLeft()))
-        return true;
-    RoomTerms terms;
-    terms.m_latencyTarget = m_route->m_latencyTarget;
-    const ServingService *service = m_view->findService(m_service);
-    if (service && service->m_scaling)
-        terms.m_bootTime = service->m_scaling->m_bootTime;
-    const Duration comeBack = FirstEventForecaster::untilRoom(*forecast, terms, m_traffic.random());
-    m_traffic.metrics().add(Counter::NoRoomInTime);
-    m_traffic.log().info("no-room-in-time", {m_caller.m_id,
-                                             {LogField::Route, m_route->m_name},
-                                             {LogField::PromptTokens, m_caller.m_promptTokens},
-                                             {LogField::TokensAhead, forecast->m_tokensAhead},
-                                             {LogField::ReadingSpeed, request.m_speed},
-                                             {LogField::ForecastMillis, toMillis(forecast->m_wait)},
-                                             {LogField::DeadlineMillis, toMillis(timeLeft())},
-                                             {LogField::AgeMillis, toMillis(forecast->m_reportAge)},
-                                             {LogField::RetryAfterMillis, toMillis(comeBack)}});
-    answerOwn(statusUnavailable, "no-room-in-time", comeBack);
-    return false;
-}
-
 int EntryCall::priority() const
 {
     return priorityOf(*m_route, m_account);
@@ -452,100 +337,4 @@
     m_traffic.countUsage(m_account->m_id);
 }
 
-/// Ends a request that no upstream answered well.
-void EntryCall::conclude(AttemptStop stop)
-{
-    if (stop == AttemptStop::CallerGone) {
-        m_series->add(RequestCounter::Cancelled);
-        logEnd("caller-gone", 0);
-        return;
-    }
-    if (m_hasBegun && !m_responder.takeBack()) {
-        // The end mark is left out, so that the caller sees a cut stream and no false end.
-        m_series->add(RequestCounter::Failed);
-        logEnd("stream-cut", 0);
-        m_responder.abandon();
-        return;
-    }
-    if (m_fallback) {
-        passOn(*m_fallback);
-        return;
-    }
-    if (m_mayHaveRun > 0) {
-        m_series->add(RequestCounter::OutcomeUnknown);
-        answerOwn(m_timedOut ? statusGatewayTimeout : statusBadGateway, "outcome-unknown");
-        return;
-    }
-    answerOwn(statusUnavailable, nameIn(attemptStopNames, stop), retryAfter());
-}
-
-Duration EntryCall::retryAfter()
-{
-    return earliestReturn + std::chrono::duration_cast<Duration>(returnSpread * m_traffic.random());
-}
-
-void EntryCall::answerOwn(int status, std::string_view reason, Duration retryAfter)
-{
-    m_responder.send(platform::ownReply(status, m_caller.m_id, reason, retryAfter));
-    if (m_series)
-        m_series->add(status == statusUnavailable || status == statusTooMany
-                              ? RequestCounter::Refused
-                              : RequestCounter::Failed);
-    logEnd(reason, status);
-}
-
-void EntryCall::passOn(const HttpReply &reply)
-{
-    if (!m_responder.send(reply)) {
-        conclude(AttemptStop::CallerGone);
-        return;
-    }
-    const bool isDone = reply.m_status < 500;
-    m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
-    m_series->add(isDone ? RequestCounter::Done : RequestCounter::Failed);
-    logEnd(isDone ? "done" : "upstream-error", reply.m_status);
-}
-
-void EntryCall::logPlaced(const PooledUpstream &upstream)
-{
-    m_traffic.log().info(
-            "request-placed",
-            {m_caller.m_id,
-             {LogField::Route, m_route->m_name},
-             {LogField::ConfigVersion, m_view->config().m_version},
-             {LogField::PromptTokens, m_caller.m_promptTokens},
-             {LogField::OutputTokens, m_caller.m_outputTokens},
-             upstream.m_record.m_id,
-             {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
-             {LogField::Revision, m_traffic.pool().revision()},
-             {LogField::Running, upstream.m_own.m_running},
-             {LogField::OthersRunning, upstream.m_others.m_running},
-             {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
-             {LogField::Attempt, m_arrivals + m_connectFailures + 1},
-             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
-             {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
-}
-
-void EntryCall::logEnd(std::string_view outcome, int status)
-{
-    const bool isGood = outcome == "done";
-    const std::initializer_list<LogItem> fields = {
-            m_caller.m_id,
-            {LogField::Route, m_route ? std::string_view(m_route->m_name) : "none"},
-            {LogField::Account, m_account ? std::string_view(m_account->m_id.text()) : "none"},
-            {LogField::Outcome, outcome},
-            {LogField::Status, status},
-            {LogField::Attempt, m_arrivals},
-            {LogField::Events, m_events},
-            {LogField::ConfigVersion, m_view ? m_view->config().m_version : 0},
-            {LogField::Millis, toMillis(m_traffic.now() - m_arrivedAt)},
-            {LogField::FirstMillis, m_hasBegun ? toMillis(m_begunAt - m_arrivedAt) : 0},
-            {LogField::PauseMillis, toMillis(m_longestPause)},
-    };
-    if (isGood)
-        m_traffic.log().info("request-done", fields);
-    else
-        m_traffic.log().info("request-failed", fields);
-}
-
 } // namespace gypsumdale
--- /dev/null
+++ b/src/entry/entry_call_end.cpp
@@ -0,0 +1,111 @@
+#include <entry/entry_call.hpp>
+#include <entry/http_status.hpp>
+
+/// How a request ends, and what the log says of its way.
+namespace gypsumdale {
+
+namespace {
+
+/// Callers come back within this range, spread so that they don't return at one moment.
+constexpr Duration earliestReturn = std::chrono::milliseconds(150);
+constexpr Duration returnSpread = std::chrono::milliseconds(350);
+
+} // namespace
+
+/// Ends a request that no upstream answered well.
+void EntryCall::conclude(AttemptStop stop)
+{
+    if (stop == AttemptStop::CallerGone) {
+        m_series->add(RequestCounter::Cancelled);
+        logEnd("caller-gone", 0);
+        return;
+    }
+    if (m_hasBegun && !m_responder.takeBack()) {
+        // The end mark is left out, so that the caller sees a cut stream and no false end.
+        m_series->add(RequestCounter::Failed);
+        logEnd("stream-cut", 0);
+        m_responder.abandon();
+        return;
+    }
+    if (m_fallback) {
+        passOn(*m_fallback);
+        return;
+    }
+    if (m_mayHaveRun > 0) {
+        m_series->add(RequestCounter::OutcomeUnknown);
+        answerOwn(m_timedOut ? statusGatewayTimeout : statusBadGateway, "outcome-unknown");
+        return;
+    }
+    answerOwn(statusUnavailable, nameIn(attemptStopNames, stop), retryAfter());
+}
+
+Duration EntryCall::retryAfter()
+{
+    return earliestReturn + std::chrono::duration_cast<Duration>(returnSpread * m_traffic.random());
+}
+
+void EntryCall::answerOwn(int status, std::string_view reason, Duration retryAfter)
+{
+    m_responder.send(platform::ownReply(status, m_caller.m_id, reason, retryAfter));
+    if (m_series)
+        m_series->add(status == statusUnavailable || status == statusTooMany
+                              ? RequestCounter::Refused
+                              : RequestCounter::Failed);
+    logEnd(reason, status);
+}
+
+void EntryCall::passOn(const HttpReply &reply)
+{
+    if (!m_responder.send(reply)) {
+        conclude(AttemptStop::CallerGone);
+        return;
+    }
+    const bool isDone = reply.m_status < 500;
+    m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
+    m_series->add(isDone ? RequestCounter::Done : RequestCounter::Failed);
+    logEnd(isDone ? "done" : "upstream-error", reply.m_status);
+}
+
+void EntryCall::logPlaced(const PooledUpstream &upstream)
+{
+    m_traffic.log().info(
+            "request-placed",
+            {m_caller.m_id,
+             {LogField::Route, m_route->m_name},
+             {LogField::ConfigVersion, m_view->config().m_version},
+             {LogField::PromptTokens, m_caller.m_promptTokens},
+             {LogField::OutputTokens, m_caller.m_outputTokens},
+             upstream.m_record.m_id,
+             {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
+             {LogField::Revision, m_traffic.pool().revision()},
+             {LogField::Running, upstream.m_own.m_running},
+             {LogField::OthersRunning, upstream.m_others.m_running},
+             {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
+             {LogField::Attempt, m_arrivals + m_connectFailures + 1},
+             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
+             {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
+}
+
+void EntryCall::logEnd(std::string_view outcome, int status)
+{
+    const bool isGood = outcome == "done";
+    const std::initializer_list<LogItem> fields = {
+            m_caller.m_id,
+            {LogField::Route, m_route ? std::string_view(m_route->m_name) : "none"},
+            {LogField::Account, m_account ? std::string_view(m_account->m_id.text()) : "none"},
+            {LogField::Outcome, outcome},
+            {LogField::Status, status},
+            {LogField::Attempt, m_arrivals},
+            {LogField::Events, m_events},
+            {LogField::ConfigVersion, m_view ? m_view->config().m_version : 0},
+            {LogField::Millis, toMillis(m_traffic.now() - m_arrivedAt)},
+            {LogField::FirstMillis, m_hasBegun ? toMillis(m_begunAt - m_arrivedAt) : 0},
+            {LogField::PauseMillis, toMillis(m_longestPause)},
+    };
+    if (isGood)
+        m_traffic.log().info("request-done", fields);
+    else
+        m_traffic.log().info("request-failed", fields);
+}
+
+} // namespace gypsumdale
--- a/tests/src/fuzz-store-news.cpp
+++ b/tests/src/fuzz-store-news.cpp
@@ -55,7 +55,7 @@
     void read(UpstreamFeed &feed, std::size_t most, TimePoint now) const
     {
         if (!feed.isKnown()) {
-            feed.replaceAll({revision(), m_now}, now);
+            feed.replaceAll({revision(), m_now, {}}, now);
             return;
         }
         std::vector<UpstreamChange> changes;
