--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -42,6 +42,11 @@
     bool m_isReplaced = false;
     /// Told of the start of that other process, by who asked to be.
     std::map<const void *, std::function<void(std::int64_t startedAt)>> m_onReplaced;
+
+    /// Requests of all VMs in flight there, as far as is known.
+    int running() const { return m_own.m_running + m_others.m_running; }
+    /// Prompt tokens of all VMs' requests that are still to be read, as far as is known.
+    std::int64_t pendingTokens() const { return m_own.m_pendingTokens + m_others.m_pendingTokens; }
 };
 
 using PooledUpstreamPointer = std::shared_ptr<PooledUpstream>;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -181,8 +181,8 @@
 /// Tells whether hardly any other prompt is still to be read at an upstream, as far as is known.
 bool EntryCall::readsAlone(const PooledUpstream &upstream) const
 {
-    const std::int64_t pending = upstream.m_own.m_pendingTokens + upstream.m_others.m_pendingTokens;
-    return m_caller.m_promptTokens > 0 && pending * mostBesides < m_caller.m_promptTokens;
+    return m_caller.m_promptTokens > 0
+           && upstream.pendingTokens() * mostBesides < m_caller.m_promptTokens;
 }
 
 /// Sends the request to an upstream. The attempt ends as broken as soon as the upstream is known to
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -127,11 +127,9 @@
     m_fleetReading = m_reading.fleetRates(now());
     result.m_fleetReading = m_fleetReading;
     for (const auto &[id, upstream] : m_pool.upstreams()) {
-        const InFlightLoad &own = upstream->m_own;
-        if (own.m_running > 0)
+        if (upstream->m_own.m_running > 0)
             result.m_loads[id] = loadOf(*upstream);
-        result.m_running[upstream->m_record.m_service] +=
-                own.m_running + upstream->m_others.m_running;
+        result.m_running[upstream->m_record.m_service] += upstream->running();
     }
     return result;
 }
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -65,13 +65,10 @@
 
 double loadCost(const PooledUpstream &upstream, bool isPlain)
 {
-    const double running = upstream.m_own.m_running + upstream.m_others.m_running;
-    if (!isPlain) {
-        const double pending = static_cast<double>(upstream.m_own.m_pendingTokens
-                                                   + upstream.m_others.m_pendingTokens);
-        return running * runningCostTokens + pending;
-    }
-    return running * plainRunningCost;
+    const double running = upstream.running();
+    if (isPlain)
+        return running * plainRunningCost;
+    return running * runningCostTokens + static_cast<double>(upstream.pendingTokens());
 }
 
 /// Returns what a prompt costs the streams beside it. An engine reads prompts in pieces between the
@@ -81,11 +78,9 @@
 {
     if (request.m_pauseTokens <= 0)
         return 0;
-    const double running = upstream.m_own.m_running + upstream.m_others.m_running;
-    const double pending =
-            static_cast<double>(upstream.m_own.m_pendingTokens + upstream.m_others.m_pendingTokens);
+    const double pending = static_cast<double>(upstream.pendingTokens());
     const double beyond = pending + ownTokens - request.m_pauseTokens;
-    return running * std::clamp(beyond, 0.0, ownTokens);
+    return upstream.running() * std::clamp(beyond, 0.0, ownTokens);
 }
 
 PooledUpstreamPointer cheapestOf(const std::vector<PooledUpstreamPointer> &candidates,
@@ -133,7 +128,7 @@
     PooledUpstreamPointer best;
     double least = std::numeric_limits<double>::max();
     for (const PooledUpstreamPointer &candidate : candidates) {
-        const int running = candidate->m_own.m_running + candidate->m_others.m_running;
+        const int running = candidate->running();
         // The least of exponential draws falls on each in proportion to its rate.
         double drawn = -std::log(drawOf(*candidate, request)) * (1 + std::max(0, running));
         if (candidate->m_record.m_dataCentre != request.m_dataCentre)
@@ -320,8 +315,7 @@
     for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
         if (candidate->m_avoidUntil > now)
             continue;
-        const std::int64_t pending =
-                candidate->m_own.m_pendingTokens + candidate->m_others.m_pendingTokens;
+        const std::int64_t pending = candidate->pendingTokens();
         least = std::min(least.value_or(pending), pending);
     }
     return least;
