End a stream whose caller left like any request whose caller left

Cause: the stream's path wrote the line and left out the counter, which the shared end has; since the end of a stream is looked at, such a request was in no counter at all. It counts as cancelled, with the same line.

--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -55,7 +55,7 @@
         if (passStream(answer))
             return;
         if (m_isCallerGone) {
-            logEnd("caller-gone", 0);
+            conclude(AttemptStop::CallerGone);
             return;
         }
         if (!m_route->mayRepeat()) {
