--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -310,19 +310,16 @@
 void Control::runDrain()
 {
     for (int count = 0;; ++count) {
-        if (count % ticksPerGauges == 0)
+        if (count % ticksPerGauges == 0) {
             refreshGauges();
-        if (count % ticksPerGauges == 0)
             passOverSilentPeers();
+        }
         if (count % ticksPerLogReport == 0)
             m_context.m_log.reportSuppressed();
         m_fleet.exchange().setConfigDigest(wire::toWire(m_config.store().digest().m_digest));
         if (m_drain.phase() != DrainPhase::Serving) {
-            UnfinishedWork work;
-            work.m_requests = requestsInFlight();
-            work.m_hasCallers = m_hooks.m_hasCallers && m_hooks.m_hasCallers();
-            work.m_jobs = m_jobs.unfinished();
-            m_drain.setUnfinished(work);
+            const bool hasCallers = m_hooks.m_hasCallers && m_hooks.m_hasCallers();
+            m_drain.setUnfinished({requestsInFlight(), m_jobs.unfinished(), hasCallers});
             run(m_drain.tick(m_context.now()));
         }
         sleepFiber(drainTick);
