--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -1,20 +1,12 @@
+#include <gypsumdale/runtime/http_status.hpp>
+
 #include <entry/entry_call.hpp>
-#include <entry/http_status.hpp>
 
 #include <algorithm> // min
 
 /// Whether a request is let in: its route and account, room at the engines, and the quota.
 namespace gypsumdale {
 
-namespace {
-
-std::string_view pathOf(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
-}
-
-} // namespace
-
 /// Finds route and account. Answers and returns false where there is none.
 bool EntryCall::resolve()
 {
@@ -23,7 +15,7 @@
         answerOwn(statusUnavailable, "no-configuration", retryAfter());
         return false;
     }
-    m_route = m_view->findRoute(m_caller.m_host, pathOf(m_request.m_target));
+    m_route = m_view->findRoute(m_caller.m_host, m_request.path());
     if (!m_route) {
         answerOwn(statusNotFound, "no-route");
         return false;
@@ -62,7 +54,8 @@
                           {LogField::Used, decision.m_capacity - decision.m_level},
                           {LogField::Limit, decision.m_capacity},
                           {LogField::SilentPeers, decision.m_silentPeers}});
-    answerOwn(statusTooMany, nameIn(quotaVerdictNames, decision.m_verdict), decision.m_retryAfter);
+    answerOwn(statusTooManyRequests, nameIn(quotaVerdictNames, decision.m_verdict),
+              decision.m_retryAfter);
     return false;
 }
 
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -1,5 +1,6 @@
+#include <gypsumdale/runtime/http_status.hpp>
+
 #include <entry/entry_call.hpp>
-#include <entry/http_status.hpp>
 
 /// How a request ends, and what the log says of its way.
 namespace gypsumdale {
@@ -48,7 +49,7 @@
 {
     m_responder.send(platform::ownReply(status, m_caller.m_id, reason, retryAfter));
     if (m_series)
-        m_series->add(status == statusUnavailable || status == statusTooMany
+        m_series->add(status == statusUnavailable || status == statusTooManyRequests
                               ? RequestCounter::Refused
                               : RequestCounter::Failed);
     logEnd(reason, status);
--- a/src/kernel/engine_call.cpp
+++ b/src/kernel/engine_call.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/kernel/engine_call.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <fmt/format.h>
 
@@ -6,11 +7,8 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 constexpr int firstClientError = 400;
 constexpr int firstServerError = 500;
-constexpr int statusTooManyRequests = 429;
 
 } // namespace
 
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -1,6 +1,7 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/fleet/upstream_key.hpp>
 #include <gypsumdale/kernel/fleet_driver.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -19,8 +20,6 @@
 constexpr Duration cloudRetry = std::chrono::milliseconds(500);
 constexpr std::string_view noticeReaderKey = "notice-reader";
 constexpr std::size_t noticeReaders = 2;
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
 
 NodeIdentity selfOf(const ControlContext &context)
 {
--- a/src/kernel/health_reply.cpp
+++ b/src/kernel/health_reply.cpp
@@ -1,17 +1,11 @@
 #include <gypsumdale/kernel/health_reply.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <optional> // optional
 #include <utility> // move
 
 namespace gypsumdale {
 
-namespace {
-
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
-
-} // namespace
-
 HttpReply textReply(int status, std::string text)
 {
     HttpReply reply;
--- a/src/kernel/job_call.cpp
+++ b/src/kernel/job_call.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/kernel/error_reply.hpp>
 #include <gypsumdale/kernel/job_call.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <fmt/format.h>
 
@@ -7,7 +8,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 /// The request has to fit, with its overhead, into one record of the job's log.
 constexpr std::size_t maxJobBytes = std::size_t{512} * 1024;
 constexpr Duration offerRetryAfter = std::chrono::seconds(2);
--- a/src/kernel/model_call.cpp
+++ b/src/kernel/model_call.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/kernel/error_reply.hpp>
 #include <gypsumdale/kernel/model_call.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <fmt/format.h>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 /// How often progress is reported to the control thread, for shares and rates.
 constexpr Duration reportInterval = std::chrono::milliseconds(100);
 /// A stream's silence that is taken for a connection which is silent for good.
--- a/src/kernel/plain_call.cpp
+++ b/src/kernel/plain_call.cpp
@@ -1,6 +1,7 @@
 #include <gypsumdale/kernel/error_reply.hpp>
 #include <gypsumdale/kernel/model_call.hpp>
 #include <gypsumdale/kernel/plain_call.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <fmt/format.h>
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr int statusUnavailable = 503;
 constexpr Duration keyRetryAfter = std::chrono::seconds(1);
 /// A repeatable request to a silent upstream is tried elsewhere after this long.
 constexpr Duration repeatableSilence = std::chrono::seconds(5);
--- a/src/kernel/platform_client.cpp
+++ b/src/kernel/platform_client.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/kernel/platform_client.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/pchars.hpp>
@@ -11,13 +12,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusCreated = 201;
-constexpr int statusNoContent = 204;
-constexpr int statusNotFound = 404;
-constexpr int statusGone = 410;
-constexpr int statusPreconditionFailed = 412;
-constexpr int statusTooManyRequests = 429;
 /// What a watch may take beyond the time it was asked to wait.
 constexpr Duration watchGrace = std::chrono::seconds(2);
 
