--- a/tests/src/process-entry-caller.cpp
+++ b/tests/src/process-entry-caller.cpp
@@ -25,18 +25,11 @@
                        target, version);
 }
 
-void behaveBoth(EntryWorld &world, const UpstreamStandIn::Behaviour &behaviour)
-{
-    for (const std::size_t index : {0, 1})
-        world.upstream(index).behave(behaviour);
-}
-
 void answerLong(EntryWorld &world)
 {
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   responder.send({200, headers, std::string(longerThanBuffers, 'x')});
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        responder.send({200, headers, std::string(longerThanBuffers, 'x')});
+    });
 }
 
 } // namespace
@@ -47,12 +40,11 @@
 TEST_CASE("a stream that is collected for a caller of HTTP/1.0 ends with an answer")
 {
     EntryWorld world;
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   responder.begin(200, headers);
-                   responder.write("id: 1\ndata: 1\n\n");
-                   sleepFiber(std::chrono::seconds(20));
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        responder.begin(200, headers);
+        responder.write("id: 1\ndata: 1\n\n");
+        sleepFiber(std::chrono::seconds(20));
+    });
     world.node().m_process->send(SIGTERM);
     world.waitUntil("it says that it isn't ready", [&] { return !world.isReady(world.node()); });
     std::this_thread::sleep_for(std::chrono::milliseconds(1200));
--- a/tests/src/process-entry-soak.cpp
+++ b/tests/src/process-entry-soak.cpp
@@ -1,4 +1,5 @@
 #include "support/entry_world.hpp"
+#include "support/soak_settings.hpp"
 
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
@@ -6,7 +7,6 @@
 #include <array> // array
 #include <csignal> // SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 #include <cstdint> // uint64_t
-#include <cstdlib> // getenv, strtoull
 #include <set> // set
 #include <thread> // sleep_for, thread
 
@@ -32,12 +32,6 @@
         {"/stream/x", true, true},
 }};
 
-std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 constexpr int eventCount = 6;
 
 std::string event(const std::string &id, int number)
@@ -302,8 +296,8 @@
     // refuse, fail and lose answers, and links are delayed, cut one way or both and reset. A
     // request that may not repeat runs once at most, nothing that ran is called not run, a success
     // is whole and the caller's own, and afterwards all is served again.
-    const std::uint64_t seed = fromEnvironment("GYPSUMDALE_SOAK_SEED", 1);
-    const std::uint64_t seconds = fromEnvironment("GYPSUMDALE_SOAK_SECONDS", 10);
+    const std::uint64_t seed = soakSeed();
+    const std::uint64_t seconds = soakSeconds();
     EntryWorld world(nodeCount, true);
     Ledger ledger;
     FaultyUpstreams upstreams(world, ledger, seed);
--- a/tests/src/process-entry-stop.cpp
+++ b/tests/src/process-entry-stop.cpp
@@ -1,5 +1,6 @@
 #include "support/entry_world.hpp"
 #include "support/raw_caller.hpp"
+#include "support/soak_settings.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -7,7 +8,6 @@
 
 #include <atomic> // atomic
 #include <csignal> // SIGHUP, SIGINT, SIGKILL, SIGTERM
-#include <cstdlib> // getenv
 #include <mutex> // lock_guard, mutex
 #include <set> // set
 #include <string> // string
@@ -47,16 +47,10 @@
     return false;
 }
 
-void behaveBoth(EntryWorld &world, const UpstreamStandIn::Behaviour &behaviour)
-{
-    for (const std::size_t index : {0, 1})
-        world.upstream(index).behave(behaviour);
-}
-
 /// Makes upstreams that have not answered when the process stops.
 void answerNever(EntryWorld &world)
 {
-    behaveBoth(world, [](const HttpRequest &, HttpResponder &, const HttpHeaders &) {
+    world.behave([](const HttpRequest &, HttpResponder &, const HttpHeaders &) {
         sleepFiber(std::chrono::seconds(20));
     });
 }
@@ -67,12 +61,6 @@
     world.waitUntil("it says that it isn't ready", [&] { return !world.isReady(world.node()); });
 }
 
-std::uint64_t fromEnvironment(const char *name, std::uint64_t otherwise)
-{
-    const char *text = std::getenv(name);
-    return text ? std::stoull(text) : otherwise;
-}
-
 void pause(unsigned millis)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(millis));
@@ -185,11 +173,10 @@
 TEST_CASE("a request that comes while an entry process leaves the registry is answered")
 {
     EntryWorld world;
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   sleepFiber(std::chrono::milliseconds(800));
-                   responder.send({200, headers, "whole"});
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        sleepFiber(std::chrono::milliseconds(800));
+        responder.send({200, headers, "whole"});
+    });
     // Makes the moment wide in which the process reads requests and is about to end.
     world.store().delayRemovals(std::chrono::milliseconds(400));
     stopAndWaitUntilNotReady(world);
@@ -243,12 +230,11 @@
     }
     SECTION("and a stream that has begun is cut where its reader sees it")
     {
-        behaveBoth(world,
-                   [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                       responder.begin(200, headers);
-                       responder.write("id: 1\ndata: 1\n\n");
-                       sleepFiber(std::chrono::seconds(20));
-                   });
+        world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+            responder.begin(200, headers);
+            responder.write("id: 1\ndata: 1\n\n");
+            sleepFiber(std::chrono::seconds(20));
+        });
         RawCaller caller;
         REQUIRE(caller.connect(world.node().m_callerPort));
         caller.write(requestOf("/draft/x", "r-1"));
@@ -272,13 +258,13 @@
 {
     constexpr int nodeCount = 3;
     constexpr int callerCount = 12;
-    const std::uint64_t seed = fromEnvironment("GYPSUMDALE_SOAK_SEED", 1);
-    const std::uint64_t seconds = fromEnvironment("GYPSUMDALE_SOAK_SECONDS", 10);
+    const std::uint64_t seed = soakSeed();
+    const std::uint64_t seconds = soakSeconds();
     EntryWorld world(nodeCount);
     pcg32 answerTimes(seed, 1);
     // The stand-ins share one loop, so that one stream of numbers serves both.
-    behaveBoth(world, [&answerTimes](const HttpRequest &request, HttpResponder &responder,
-                                     const HttpHeaders &headers) {
+    world.behave([&answerTimes](const HttpRequest &request, HttpResponder &responder,
+                                const HttpHeaders &headers) {
         sleepFiber(std::chrono::milliseconds(answerTimes(400)));
         if (!request.m_target.starts_with("/draft/")) {
             responder.send({200, headers, std::string(answerEnd)});
@@ -343,11 +329,10 @@
 TEST_CASE("a further signal and a reload leave a stop as it is")
 {
     EntryWorld world;
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   sleepFiber(std::chrono::milliseconds(3500));
-                   responder.send({200, headers, "whole"});
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        sleepFiber(std::chrono::milliseconds(3500));
+        responder.send({200, headers, "whole"});
+    });
     std::vector<RawCaller> callers(4);
     int number = 0;
     for (RawCaller &caller : callers) {
--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -24,12 +24,6 @@
     return world.upstream(0).seen().size() + world.upstream(1).seen().size();
 }
 
-void behaveBoth(EntryWorld &world, const UpstreamStandIn::Behaviour &behaviour)
-{
-    world.upstream(0).behave(behaviour);
-    world.upstream(1).behave(behaviour);
-}
-
 std::string event(int number)
 {
     return fmt::format("id: {}\ndata: {}\n\n", number, number);
@@ -89,7 +83,7 @@
 
     SECTION("a refusal by all upstreams is a refusal, with a time to come back")
     {
-        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+        world.behave([](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
             HttpHeaders headers;
             headers.add("Gypsumdale-Not-Executed", "1");
             responder.send({503, headers, {}});
@@ -102,7 +96,7 @@
     {
         // An upstream books the screws and its connection breaks before the answer. Told "not
         // run", the buyer orders again and gets them twice.
-        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+        world.behave([](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
             responder.abandon();
         });
         CHECK(world.call(world.node(), "/once/x", "r-1").m_status == 502);
@@ -111,8 +105,8 @@
     SECTION("a request that may repeat is answered by another upstream")
     {
         std::atomic<int> calls = 0;
-        behaveBoth(world, [&calls](const HttpRequest &, HttpResponder &responder,
-                                   const HttpHeaders &headers) {
+        world.behave([&calls](const HttpRequest &, HttpResponder &responder,
+                              const HttpHeaders &headers) {
             if (calls++ == 0)
                 responder.abandon();
             else
@@ -127,7 +121,7 @@
     {
         // An upstream crashes behind a cut: its connections stay open without a word. It starts
         // again under its name and says so, and the buyer still waited for it until the deadline.
-        behaveBoth(world, [](const HttpRequest &, HttpResponder &, HttpHeaders) {
+        world.behave([](const HttpRequest &, HttpResponder &, HttpHeaders) {
             sleepFiber(std::chrono::seconds(20));
         });
         EntryAnswer answer;
@@ -149,7 +143,7 @@
     }
     SECTION("an answer to another request is not passed on")
     {
-        behaveBoth(world, [](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+        world.behave([](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
             HttpHeaders headers;
             headers.add("Gypsumdale-Request-Id", "another");
             headers.add("Gypsumdale-Response-Signature", "s");
@@ -166,13 +160,13 @@
 /// Lets both upstreams answer when they have read the prompt, at 10,000 tokens a second.
 void readPrompts(EntryWorld &world)
 {
-    behaveBoth(world, [](const HttpRequest &request, HttpResponder &responder,
-                         const HttpHeaders &headers) {
-        const int tokens =
-                std::stoi(std::string(request.m_headers.value("Gypsumdale-Token-Usage")));
-        sleepFiber(std::chrono::microseconds(100) * tokens);
-        responder.send({200, headers, event(1)});
-    });
+    world.behave(
+            [](const HttpRequest &request, HttpResponder &responder, const HttpHeaders &headers) {
+                const int tokens =
+                        std::stoi(std::string(request.m_headers.value("Gypsumdale-Token-Usage")));
+                sleepFiber(std::chrono::microseconds(100) * tokens);
+                responder.send({200, headers, event(1)});
+            });
 }
 
 } // namespace
@@ -220,18 +214,18 @@
     EntryWorld world;
     std::atomic<int> calls = 0;
     std::string resumedAfter;
-    behaveBoth(world, [&](const HttpRequest &request, HttpResponder &responder,
-                          const HttpHeaders &headers) {
-        responder.begin(200, headers);
-        if (calls++ == 0) {
-            responder.write(event(1) + event(2) + "id: 3\nda");
-            responder.abandon();
-            return;
-        }
-        resumedAfter = std::string(request.m_headers.value("Last-Event-Id"));
-        responder.write(event(3) + event(4));
-        responder.finish();
-    });
+    world.behave(
+            [&](const HttpRequest &request, HttpResponder &responder, const HttpHeaders &headers) {
+                responder.begin(200, headers);
+                if (calls++ == 0) {
+                    responder.write(event(1) + event(2) + "id: 3\nda");
+                    responder.abandon();
+                    return;
+                }
+                resumedAfter = std::string(request.m_headers.value("Last-Event-Id"));
+                responder.write(event(3) + event(4));
+                responder.finish();
+            });
     const EntryAnswer answer = world.call(world.node(), "/stream/x", "r-1");
     CHECK(answer.m_status == 200);
     CHECK(answer.m_body == event(1) + event(2) + event(3) + event(4));
@@ -291,7 +285,7 @@
     EntryWorld world;
     std::atomic<bool> hasBegun = false;
     std::atomic<bool> sawEnd = false;
-    behaveBoth(world, [&](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
+    world.behave([&](const HttpRequest &, HttpResponder &responder, HttpHeaders) {
         responder.onCallerGone([&sawEnd] { sawEnd = true; });
         hasBegun = true;
         for (int wait = 0; wait < 400 && !sawEnd; ++wait)
@@ -419,11 +413,10 @@
 TEST_CASE("an entry process stops without cutting a request")
 {
     EntryWorld world;
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   sleepFiber(std::chrono::milliseconds(800));
-                   responder.send({200, headers, "whole"});
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        sleepFiber(std::chrono::milliseconds(800));
+        responder.send({200, headers, "whole"});
+    });
     EntryAnswer answer;
     std::thread caller([&] { answer = world.call(world.node(), "/once/x", "r-1"); });
     world.waitUntil("the request is under way", [&] { return runs(world) == 1; });
@@ -443,10 +436,9 @@
 {
     EntryWorld world;
     // More than the kernel keeps for a connection on both its sides.
-    behaveBoth(world,
-               [](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-                   responder.send({200, headers, std::string(std::size_t{32} * 1024 * 1024, 'x')});
-               });
+    world.behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        responder.send({200, headers, std::string(std::size_t{32} * 1024 * 1024, 'x')});
+    });
     {
         RawCaller caller;
         REQUIRE(caller.connect(world.node().m_callerPort));
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -318,6 +318,12 @@
     FaultProxy &link(std::size_t index) { return *m_links.at(index); }
     std::size_t linkCount() const { return m_links.size(); }
     UpstreamStandIn &upstream(std::size_t index) { return *m_upstreams.at(index); }
+    /// Lets the test take the place of all upstreams.
+    void behave(const UpstreamStandIn::Behaviour &behaviour)
+    {
+        for (const auto &upstream : m_upstreams)
+            upstream->behave(behaviour);
+    }
     EntryNode &node(std::size_t index = 0) { return m_nodes.at(index); }
 
     /// Writes an upstream's entry, with the start of its process as a wall time if there is one.
--- /dev/null
+++ b/tests/support/soak_settings.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint> // uint64_t
+#include <cstdlib> // getenv, strtoull
+
+namespace gypsumdale::testing {
+
+/// Reads a number of the environment, for runs by hand.
+inline std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+inline std::uint64_t soakSeed()
+{
+    return fromEnvironment("GYPSUMDALE_SOAK_SEED", 1);
+}
+
+inline std::uint64_t soakSeconds()
+{
+    return fromEnvironment("GYPSUMDALE_SOAK_SECONDS", 10);
+}
+
+} // namespace gypsumdale::testing
