--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -63,6 +63,13 @@
     return home;
 }
 
+bool isCandidate(const PooledUpstream &upstream, const PlacementRequest &request)
+{
+    const UpstreamRecord &record = upstream.m_record;
+    return record.m_service == request.m_service && !record.m_isDraining
+           && !request.m_excluded.contains(record.m_id);
+}
+
 double loadCost(const PooledUpstream &upstream, bool isPlain)
 {
     const double running = upstream.running();
@@ -285,10 +292,7 @@
 {
     Candidates candidates;
     for (const auto &[id, pooled] : m_upstreams) {
-        const UpstreamRecord &record = pooled->m_record;
-        if (record.m_service != request.m_service || record.m_isDraining)
-            continue;
-        if (!request.m_excluded.contains(id))
+        if (isCandidate(*pooled, request))
             candidates.push_back(pooled);
     }
     return candidates;
@@ -312,10 +316,10 @@
                                                              TimePoint now) const
 {
     std::optional<std::int64_t> least;
-    for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
-        if (candidate->m_avoidUntil > now)
+    for (const auto &[id, pooled] : m_upstreams) {
+        if (!isCandidate(*pooled, request) || pooled->m_avoidUntil > now)
             continue;
-        const std::int64_t pending = candidate->pendingTokens();
+        const std::int64_t pending = pooled->pendingTokens();
         least = std::min(least.value_or(pending), pending);
     }
     return least;
