--- a/tests/src/unit-job-table.cpp
+++ b/tests/src/unit-job-table.cpp
@@ -356,3 +356,49 @@
               == ErrorId::JobUnknown);
     }
 }
+
+// A VM has read the log of another and is then frozen. Meanwhile a fitter's draft is accepted at
+// the other and comes into the log; then the other is taken for dead. The frozen VM wakes up, and
+// the fitter asks there: it looked into what it had read before, and said that there is no such
+// job.
+TEST_CASE("a node that was paused doesn't deny a job from its old reading of a log", "[jobs]")
+{
+    constexpr std::size_t asked = 1;
+    JobWorld world({"a", "b", "c"});
+    const std::size_t first = *world.offer(k_entry, "roper");
+    world.settle();
+    world.step(11s);
+    JobWorld::Caller earlier{first};
+    CHECK(world.poll(earlier, asked) == "");
+    world.settle(2);
+
+    world.pause(asked);
+    const std::size_t job = *world.offer(k_entry, "roper");
+    world.settle();
+    REQUIRE(world.jobs()[job].m_isAccepted);
+    world.step(2s);
+    world.pause(k_entry);
+    world.suspect(k_entry);
+    world.resume(asked);
+    world.step();
+
+    JobWorld::Caller caller{job};
+    CHECK(world.poll(caller, asked) == "");
+    SECTION("and finds it once it has read the log anew")
+    {
+        world.settle(20);
+        finishAll(world);
+        readThrough(world, caller, asked);
+        CHECK(caller.m_isWhole);
+    }
+    SECTION("and denies one that isn't there then")
+    {
+        const JobId nobody = makeJobId(world.nodes()[k_entry].m_process, 99, 1);
+        const auto ask = [&] {
+            return errorIn(world.table(asked).reattach(nobody, MemberId("roper"), {}, world.now()));
+        };
+        ask();
+        world.settle(2);
+        CHECK(ask() == ErrorId::JobUnknown);
+    }
+}
