Deny a job only after a reading of its log that was begun lately

Cause: whether a log had been read to its end was remembered for ever. A node that was paused after that took its old reading for the log, and told the caller of an accepted job whose owner was gone meanwhile that there is none.

Change: where the process that took a job is gone and the log doesn't have it, the answer waits for a reading begun within the last second; one is asked for if there is none. Callers wait for a reading as they do for a log that was not followed yet.

--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -286,6 +286,9 @@
     {
         JobLogState m_state;
         bool m_isCaughtUp = false;
+        /// When the last reading that reached the end was asked for, and the one under way.
+        TimePoint m_readFrom{};
+        std::optional<TimePoint> m_readAskedAt;
         TimePoint m_usedAt;
         std::optional<TimePoint> m_takeOverAt;
     };
@@ -331,6 +334,8 @@
 
     // The log: job_table_log.cpp
     FollowedLog &follow(const JobLogId &log, TimePoint now);
+    /// Asks for a reading of the log up to its end, unless one is under way.
+    void readAnew(const JobLogId &log, FollowedLog &followed, TimePoint now);
     FollowedLog *writableLog(const JobLogId &log, TimePoint now);
     bool reconcile(const JobId &job, FollowedLog &log, TimePoint now);
     bool reconcileEpoch(OwnedJob &owned, const Job &logged, TimePoint now);
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -1,6 +1,7 @@
 #include <gypsumdale/jobs/job_table.hpp>
 
 #include <algorithm> // find_if
+#include <utility> // exchange
 
 namespace gypsumdale {
 
@@ -44,10 +45,18 @@
     const auto [entry, isNew] = m_logs.try_emplace(log);
     entry->second.m_usedAt = now;
     if (isNew)
-        emit(FollowLog{log});
+        readAnew(log, entry->second, now);
     return entry->second;
 }
 
+void JobTable::readAnew(const JobLogId &log, FollowedLog &followed, TimePoint now)
+{
+    if (followed.m_readAskedAt)
+        return;
+    followed.m_readAskedAt = now;
+    emit(FollowLog{log});
+}
+
 JobTable::FollowedLog *JobTable::writableLog(const JobLogId &log, TimePoint now)
 {
     if (!m_platformUp)
@@ -76,6 +85,8 @@
     if (found == m_logs.end())
         return;
     found->second.m_isCaughtUp = true;
+    if (const auto askedAt = std::exchange(found->second.m_readAskedAt, std::nullopt))
+        found->second.m_readFrom = *askedAt;
     found->second.m_takeOverAt = now + m_settings.m_successorDelay;
     for (const JobId &id : ownedIds()) {
         if (logOf(id) == log)
--- a/src/jobs/job_table_read.cpp
+++ b/src/jobs/job_table_read.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// Age of a reading from which a job may still be denied. A reading takes some tens of milliseconds
+/// and half a second at a slow store; a caller that asks again comes after a longer pause.
+constexpr Duration oldestDenial = std::chrono::seconds(1);
+
 /// The one answer to a job that does not exist and to one that is another member's.
 Error unknownJob()
 {
@@ -111,6 +115,13 @@
         return AskNode{origin.m_node};
     if (!m_platformUp || now - m_platformUpSince < m_settings.m_settleTime)
         return Error{ErrorId::NotReady, "the job's holder may still have to report"};
+    // Guards against an old reading: a job may have been accepted by the log while this node was
+    // paused, and its caller was told that there is none. That it isn't there is known only of a
+    // reading that was begun lately.
+    if (now - found->second.m_readFrom > oldestDenial) {
+        readAnew(*log, found->second, now);
+        return AwaitLog{*log};
+    }
     return unknownJob();
 }
 
