Tell long prompts at once in large fleets too, and read old loads down

Cause, from the log of a calm moment of a fleet of 80 VMs: while 65% of the engines had nothing to read, a request was sent to one with 5,880 to 7,447 prompt tokens in front of it (mean), as loads of peers are 1.1 s old there. Who came late had 30,000 to 60,000 in front. An engine that was told to be busy was avoided long after it had read on, and one that had just got a long prompt looked idle.

Ruled out: too few engines (60 stood where 19 read what was asked), and the draw among few engines: a model with true loads and the same draw has no late request.

Change: prompt tokens of peers count less the longer ago they were told, at the speed at which engines read.

Small fleets are as before.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -70,8 +70,8 @@
     using DutyHeard = std::function<void(std::int64_t fence, std::int64_t revision)>;
     void onDutyHeard(DutyHeard heard) { m_dutyHeard = std::move(heard); }
 
-    /// Tells all peers of a small fleet what this VM has put on an upstream. Without an answer
-    /// nothing is done: the next exchange brings it.
+    /// Tells all peers what this VM has put on an upstream. Without an answer nothing is done: the
+    /// next exchange brings it.
     void tellLoad(const UpstreamId &upstream, InFlightLoad load);
 
     /// Called with news of the store; returns whether this VM lacks more than it was told.
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -7,6 +7,7 @@
 #include <gypsumdale/runtime/http_server.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
+#include <gypsumdale/serving/prompt_news.hpp>
 #include <gypsumdale/serving/prompt_reading.hpp>
 #include <gypsumdale/serving/repeat_allowance.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
@@ -104,10 +105,10 @@
     void setPeer(const PeerReport &report);
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
-        m_pool.setPeerLoadAt(node, upstream, load);
+        m_pool.setPeerLoadAt(node, upstream, load, now());
     }
     void forgetPeer(const std::string &node);
-    /// Called with the load of an upstream that has just got a long prompt.
+    /// Called with the load of an upstream that has just got a prompt that peers hear of at once.
     using LongPromptPlaced = std::function<void(const UpstreamId &, InFlightLoad)>;
     void onLongPromptPlaced(LongPromptPlaced placed) { m_longPromptPlaced = std::move(placed); }
     /// Notes that a request was placed: its prompt may be so long that peers have to know at once.
@@ -117,12 +118,14 @@
     {
         m_quota.setExchangePace(stretch);
         m_pool.setExchangePace(stretch);
+        m_isSpreadOut = stretch > 1;
     }
     /// Takes in how many VMs the fleet has, and how many it should have as long as this process has
     /// not had the time to hear them; 0 after that.
     void setFleetSize(std::size_t nodes, std::size_t expected)
     {
         m_allowance.setFleetSize(nodes);
+        m_promptNews.setFleet(nodes, m_isSpreadOut);
         m_quota.setExpectedFleet(expected);
     }
     /// Returns what to tell the peers. Linear in accounts and upstreams.
@@ -162,6 +165,8 @@
     ServingViewPointer m_view;
     UpstreamPool m_pool;
     FleetReading m_reading;
+    PromptNews m_promptNews;
+    bool m_isSpreadOut = false;
     FirstEventForecaster m_forecaster;
     /// As of the last report.
     std::map<ServiceId, ReadingRate> m_fleetReading;
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -26,6 +26,13 @@
     std::int64_t m_startedAt = 0;
 };
 
+/// Prompt tokens that another VM had waiting at an upstream, as of a moment.
+struct ToldPrompts
+{
+    TimePoint m_at{};
+    std::int64_t m_tokens = 0;
+};
+
 /// One process of an upstream with what this VM knows of it beside its record.
 struct PooledUpstream
 {
@@ -33,6 +40,8 @@
     InFlightLoad m_own;
     /// Sum over the other VMs, as of their last reports.
     InFlightLoad m_others;
+    /// The prompt tokens among it by VM, those that were told first in front.
+    std::vector<ToldPrompts> m_othersPrompts;
     /// Failures of the last requests, as a moving average from 0 to 1.
     double m_failureShare = 0;
     int m_failuresInRow = 0;
@@ -47,6 +56,9 @@
     int running() const { return m_own.m_running + m_others.m_running; }
     /// Prompt tokens of all VMs' requests that are still to be read, as far as is known.
     std::int64_t pendingTokens() const { return m_own.m_pendingTokens + m_others.m_pendingTokens; }
+    /// Returns what is left of them if the upstream has read at a speed, in tokens a second, since
+    /// others told of theirs. Own ones are known to be still unread. Linear in the VMs that told.
+    double unreadTokens(double speed, TimePoint now) const;
 };
 
 using PooledUpstreamPointer = std::shared_ptr<PooledUpstream>;
@@ -65,6 +77,8 @@
     /// Prompt tokens that an engine may read in a row before the pause in the streams beside them
     /// is too long; 0 where that isn't known.
     double m_pauseTokens = 0;
+    /// Prompt tokens that one engine reads in a second; 0 where that isn't known.
+    double m_readingSpeed = 0;
     /// Names the last shared part; empty where there is none.
     std::string m_affinityKey;
     /// Upstreams that are not to be chosen.
@@ -95,10 +109,11 @@
     void update(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision = 0);
 
     /// Replaces what one other VM has in flight. Linear in the loads of all VMs.
-    void setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads,
+    void setPeerLoad(const std::string &node, const std::map<UpstreamId, InFlightLoad> &loads,
                      TimePoint now);
     /// Replaces what one other VM has in flight at one upstream. Linear in the loads of all VMs.
-    void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load);
+    void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load,
+                       TimePoint now);
     void forgetPeer(const std::string &node);
 
     /// Takes in by how much exchanges with peers are spread out. From 2 on their loads are too old
@@ -110,7 +125,9 @@
     ///
     /// With old reports all VMs see the same upstream as the least loaded one until they have heard
     /// from each other, and overrun it. A plain service's upstreams are then drawn, a busy one more
-    /// rarely; engines are compared among the home of the prompt and a few that are drawn.
+    /// rarely; engines are compared among the home of the prompt and a few that are drawn. What
+    /// others had to read there counts less the longer ago they said so: engines have read on, and
+    /// one that was busy at a report was avoided long after it was idle again.
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Returns the prompt tokens that wait at the engine with the fewest of them, of all data
@@ -130,16 +147,24 @@
 private:
     using Candidates = std::vector<PooledUpstreamPointer>;
 
+    struct ToldLoad;
+
     PooledUpstreamPointer pooledFor(const UpstreamRecord &record);
     void sumPeerLoads();
+    static void addPeerLoad(PooledUpstream &upstream, const ToldLoad &told);
     Candidates candidatesFor(const PlacementRequest &request) const;
 
     std::map<UpstreamId, PooledUpstreamPointer> m_upstreams;
     /// Those that left, as long as a request holds them.
     std::map<UpstreamId, std::weak_ptr<PooledUpstream>> m_departed;
+    struct ToldLoad
+    {
+        InFlightLoad m_load;
+        TimePoint m_at{};
+    };
     struct PeerLoad
     {
-        std::map<UpstreamId, InFlightLoad> m_loads;
+        std::map<UpstreamId, ToldLoad> m_loads;
         TimePoint m_heardAt{};
     };
     std::map<std::string, PeerLoad> m_peerLoads;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -211,6 +211,7 @@
     placement.m_bodyBytes = m_request.m_body.size();
     placement.m_sharedTokens = m_caller.m_sharedTokens;
     const Duration pause = m_view->shortestPause(m_service);
+    placement.m_readingSpeed = m_traffic.tokensWithin(m_service, std::chrono::seconds(1));
     placement.m_pauseTokens = pauseUsed * m_traffic.tokensWithin(m_service, pause);
     if (m_route->m_hasPrefixAffinity)
         placement.m_affinityKey = m_caller.m_lastSharedPart;
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -141,8 +141,6 @@
 void EntryPeers::tellLoad(const UpstreamId &upstream, InFlightLoad load)
 {
     m_writer.setLoad(upstream, load);
-    if (isLargeFleet())
-        return;
     entrywire::EntryExchange message;
     message.__isset.loadNews = true;
     message.loadNews.node = m_context.m_settings.m_node.text();
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -13,11 +13,6 @@
 /// Usage windows kept: a report is due two windows after its end.
 constexpr WindowNumber windowsKept = 6;
 
-/// A prompt that takes longer to read is told to the peers at once: until the next exchange, a
-/// quarter of a second later, they would send theirs to the same engine, and its streams would wait
-/// for all of them in a row.
-constexpr Duration longReading = std::chrono::milliseconds(100);
-
 /// Returns what this VM has in flight at an upstream, for its peers.
 InFlightLoad loadOf(const PooledUpstream &upstream)
 {
@@ -138,9 +133,9 @@
 {
     const UpstreamRecord &record = upstream.m_record;
     m_reading.own(record.m_service).notePlaced(ownTokens, now());
-    const double shortTokens = tokensWithin(record.m_service, longReading);
-    const bool isLong = shortTokens > 0 && static_cast<double>(ownTokens) > shortTokens;
-    if (isLong && m_longPromptPlaced)
+    const double speed = tokensWithin(record.m_service, std::chrono::seconds(1));
+    const bool isTold = m_promptNews.isTold(static_cast<double>(ownTokens), speed, now());
+    if (isTold && m_longPromptPlaced)
         m_longPromptPlaced(record.m_id, loadOf(upstream));
 }
 
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -3,7 +3,7 @@
 
 #include <xxhash.h>
 
-#include <algorithm> // clamp, max, min
+#include <algorithm> // clamp, max, min, sort
 #include <cmath> // log
 #include <limits> // numeric_limits
 #include <map> // multimap
@@ -70,45 +70,64 @@
            && !request.m_excluded.contains(record.m_id);
 }
 
-double loadCost(const PooledUpstream &upstream, bool isPlain)
+/// One choice among engines.
+struct Comparison
+{
+    const PlacementRequest &m_request;
+    bool m_areReportsOld = false;
+    TimePoint m_now{};
+
+    bool isPlain() const { return m_request.m_promptTokens == 0; }
+
+    /// Returns the prompt tokens that are still to be read at an engine, as far as is known.
+    double pendingTokens(const PooledUpstream &upstream) const
+    {
+        if (!m_areReportsOld || m_request.m_readingSpeed <= 0)
+            return static_cast<double>(upstream.pendingTokens());
+        return upstream.unreadTokens(m_request.m_readingSpeed, m_now);
+    }
+};
+
+double loadCost(const PooledUpstream &upstream, const Comparison &comparison)
 {
     const double running = upstream.running();
-    if (isPlain)
+    if (comparison.isPlain())
         return running * plainRunningCost;
-    return running * runningCostTokens + static_cast<double>(upstream.pendingTokens());
+    return running * runningCostTokens + comparison.pendingTokens(upstream);
 }
 
 /// Returns what a prompt costs the streams beside it. An engine reads prompts in pieces between the
 /// events of its streams, and a long prompt, or several in a row, makes a pause in all of them.
 /// Tokens beyond what a pause may hold count once for each stream that waits.
-double pauseCost(const PooledUpstream &upstream, double ownTokens, const PlacementRequest &request)
+double pauseCost(const PooledUpstream &upstream, double ownTokens, const Comparison &comparison)
 {
-    if (request.m_pauseTokens <= 0)
+    const double pauseTokens = comparison.m_request.m_pauseTokens;
+    if (pauseTokens <= 0)
         return 0;
-    const double pending = static_cast<double>(upstream.pendingTokens());
-    const double beyond = pending + ownTokens - request.m_pauseTokens;
+    const double beyond = comparison.pendingTokens(upstream) + ownTokens - pauseTokens;
     return upstream.running() * std::clamp(beyond, 0.0, ownTokens);
 }
 
 PooledUpstreamPointer cheapestOf(const std::vector<PooledUpstreamPointer> &candidates,
-                                 const PooledUpstream *home, const PlacementRequest &request,
-                                 TimePoint now)
+                                 const PooledUpstream *home, const Comparison &comparison)
 {
-    const bool isPlain = request.m_promptTokens == 0;
+    const PlacementRequest &request = comparison.m_request;
+    const bool isPlain = comparison.isPlain();
     const double bytes = static_cast<double>(request.m_bodyBytes);
     const double awayCost = isPlain ? plainAwayCost : awayCostTokens + awayCostPerByte * bytes;
     PooledUpstreamPointer best;
     double bestCost = std::numeric_limits<double>::max();
     for (const PooledUpstreamPointer &candidate : candidates) {
-        double cost = loadCost(*candidate, isPlain);
+        double cost = loadCost(*candidate, comparison);
         const bool isHome = candidate.get() == home;
         if (!isHome)
             cost += readAgainCost * static_cast<double>(request.m_sharedTokens);
         const std::int64_t kept = isHome ? request.m_sharedTokens : 0;
-        cost += pauseCost(*candidate, static_cast<double>(request.m_promptTokens - kept), request);
+        cost += pauseCost(*candidate, static_cast<double>(request.m_promptTokens - kept),
+                          comparison);
         if (candidate->m_record.m_dataCentre != request.m_dataCentre)
             cost += awayCost;
-        if (candidate->m_avoidUntil > now)
+        if (candidate->m_avoidUntil > comparison.m_now)
             cost += avoidedCost;
         if (cost < bestCost) {
             best = candidate;
@@ -184,6 +203,20 @@
 
 } // namespace
 
+double PooledUpstream::unreadTokens(double speed, TimePoint now) const
+{
+    // Engines read one prompt after the other.
+    double unread = 0;
+    TimePoint readUntil{};
+    for (const ToldPrompts &told : m_othersPrompts) {
+        unread = std::max(0.0, unread - speed * toSeconds(told.m_at - readUntil));
+        unread += static_cast<double>(told.m_tokens);
+        readUntil = told.m_at;
+    }
+    unread = std::max(0.0, unread - speed * toSeconds(now - readUntil));
+    return unread + static_cast<double>(m_own.m_pendingTokens);
+}
+
 void UpstreamPool::update(const std::map<UpstreamId, UpstreamRecord> &upstreams,
                           std::int64_t revision)
 {
@@ -240,20 +273,23 @@
     return std::make_shared<PooledUpstream>();
 }
 
-void UpstreamPool::setPeerLoad(const std::string &node, std::map<UpstreamId, InFlightLoad> loads,
-                               TimePoint now)
+void UpstreamPool::setPeerLoad(const std::string &node,
+                               const std::map<UpstreamId, InFlightLoad> &loads, TimePoint now)
 {
-    m_peerLoads[node] = PeerLoad{std::move(loads), now};
+    PeerLoad &peer = m_peerLoads[node];
+    peer = PeerLoad{{}, now};
+    for (const auto &[upstream, load] : loads)
+        peer.m_loads[upstream] = ToldLoad{load, now};
     sumPeerLoads();
 }
 
 void UpstreamPool::setPeerLoadAt(const std::string &node, const UpstreamId &upstream,
-                                 InFlightLoad load)
+                                 InFlightLoad load, TimePoint now)
 {
     const auto found = m_peerLoads.find(node);
     if (found == m_peerLoads.end())
         return;
-    found->second.m_loads[upstream] = load;
+    found->second.m_loads[upstream] = ToldLoad{load, now};
     sumPeerLoads();
 }
 
@@ -265,19 +301,33 @@
 
 void UpstreamPool::sumPeerLoads()
 {
-    for (auto &[id, pooled] : m_upstreams)
+    for (auto &[id, pooled] : m_upstreams) {
         pooled->m_others = InFlightLoad{};
+        pooled->m_othersPrompts.clear();
+    }
     for (const auto &[node, peer] : m_peerLoads) {
-        for (const auto &[id, load] : peer.m_loads) {
+        for (const auto &[id, told] : peer.m_loads) {
             const auto found = m_upstreams.find(id);
             // A peer that hasn't heard of a restart reports what ended with the old process.
             if (found == m_upstreams.end()
-                || found->second->m_record.m_startedAt != load.m_startedAt)
+                || found->second->m_record.m_startedAt != told.m_load.m_startedAt)
                 continue;
-            found->second->m_others.m_running += load.m_running;
-            found->second->m_others.m_pendingTokens += load.m_pendingTokens;
+            addPeerLoad(*found->second, told);
         }
     }
+    const auto isEarlier = [](const ToldPrompts &left, const ToldPrompts &right) {
+        return left.m_at < right.m_at;
+    };
+    for (auto &[id, pooled] : m_upstreams)
+        std::sort(pooled->m_othersPrompts.begin(), pooled->m_othersPrompts.end(), isEarlier);
+}
+
+void UpstreamPool::addPeerLoad(PooledUpstream &upstream, const ToldLoad &told)
+{
+    upstream.m_others.m_running += told.m_load.m_running;
+    upstream.m_others.m_pendingTokens += told.m_load.m_pendingTokens;
+    if (told.m_load.m_pendingTokens > 0)
+        upstream.m_othersPrompts.push_back({told.m_at, told.m_load.m_pendingTokens});
 }
 
 Duration UpstreamPool::reportAge(TimePoint now) const
@@ -309,7 +359,7 @@
         home = homeOf(request.m_affinityKey, candidates, now);
     if (m_areReportsOld)
         candidates = sampleOf(std::move(candidates), home, request, now);
-    return cheapestOf(candidates, home, request, now);
+    return cheapestOf(candidates, home, Comparison{request, m_areReportsOld, now});
 }
 
 std::optional<std::int64_t> UpstreamPool::leastPendingTokens(const PlacementRequest &request,
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -310,13 +310,58 @@
     }
     const std::string taken = chosen(first, promptOf(40000));
     REQUIRE(chosen(second, promptOf(40000)) == taken);
-    second.setPeerLoadAt("other", UpstreamId(taken), {1, 40000, 0});
+    second.setPeerLoadAt("other", UpstreamId(taken), {1, 40000, 0}, start);
     CHECK(chosen(second, promptOf(40000)) != taken);
 
     SECTION("from a VM that was never heard it is no word")
     {
-        second.setPeerLoadAt("stranger", UpstreamId("a1"), {9, 90000, 0});
-        second.setPeerLoadAt("stranger", UpstreamId("a2"), {9, 90000, 0});
+        second.setPeerLoadAt("stranger", UpstreamId("a1"), {9, 90000, 0}, start);
+        second.setPeerLoadAt("stranger", UpstreamId("a2"), {9, 90000, 0}, start);
         CHECK(second.upstreams().at(UpstreamId("a1"))->m_others.m_running <= 1);
     }
 }
+
+// In a fleet of 80 VMs a report of a prompt that waits at an engine is up to 1.8 s old; the engine
+// read it within a quarter of a second and stood idle, and all VMs went past it to engines that
+// were busy by then. Of a fleet's requests one in seven came late while two engines in three had
+// nothing to read.
+TEST_CASE("what others had to read counts less the longer ago they said so")
+{
+    UpstreamPool pool;
+    pool.update(upstreamsOf({recordOf("a1", "a"), recordOf("a2", "a")}));
+    pool.setExchangePace(7);
+    const PooledUpstream &a1 = *pool.upstreams().at(UpstreamId("a1"));
+    pool.setPeerLoad("peer", {{UpstreamId("a1"), {1, 30000, 0}}}, start);
+    PlacementRequest request = requestFrom("a");
+    request.m_readingSpeed = 60000;
+
+    SECTION("at the speed of engines")
+    {
+        CHECK(a1.unreadTokens(60000, start) == Approx(30000));
+        CHECK(a1.unreadTokens(60000, start + 250ms) == Approx(15000));
+        CHECK(a1.unreadTokens(60000, start + 1s) == Approx(0));
+    }
+    SECTION("one prompt after the other")
+    {
+        pool.setPeerLoad("second", {{UpstreamId("a1"), {1, 30000, 0}}}, start + 250ms);
+        CHECK(a1.unreadTokens(60000, start + 250ms) == Approx(45000));
+        CHECK(a1.unreadTokens(60000, start + 500ms) == Approx(30000));
+    }
+    SECTION("but own prompts are known to be unread")
+    {
+        pool.upstreams().at(UpstreamId("a1"))->m_own.m_pendingTokens = 5000;
+        CHECK(a1.unreadTokens(60000, start + 1s) == Approx(5000));
+    }
+    SECTION("so that an engine is taken again when it has read them")
+    {
+        pool.upstreams().at(UpstreamId("a2"))->m_own.m_running = 5;
+        CHECK(chosen(pool, request, start) == "a2");
+        CHECK(chosen(pool, request, start + 1s) == "a1");
+    }
+    SECTION("unless its speed isn't known")
+    {
+        request.m_readingSpeed = 0;
+        pool.upstreams().at(UpstreamId("a2"))->m_own.m_running = 5;
+        CHECK(chosen(pool, request, start + 1s) == "a2");
+    }
+}
