Look for a request that has come before a connection is closed

Cause: a connection ended without asking whether its caller had sent the next request. Before a planned stop an answer said that the connection closes although the next request had been read, a connection whose last answer had not said so was closed at once, and the end of the idle time closed over what had come.

Now an answer leaves the connection open where the next request has been read, and a connection is closed only if nothing has come on it; that costs one system call for each connection that is closed as idle. A read that ran out of time leaves the connection usable, as its comment says; it did not where it had been begun ahead.

--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -98,12 +98,16 @@
     if (m_stream->input().size() > 0)
         return true;
     const bool stopping = m_service.m_stopping;
-    if (stopping && m_served > 0)
+    // Guards, here and below, against closing over a request that has come and was not taken in
+    // yet: that resets the connection, and its caller gets no answer.
+    if (stopping && m_served > 0 && m_stream->isQuietAndOpen())
         return false;
     const Duration limit = stopping ? lastChance : m_service.m_limits.m_idleTimeout;
     m_isIdle = true;
-    const StreamStatus status = m_stream->fill(deadlineAfter(limit));
+    StreamStatus status = m_stream->fill(deadlineAfter(limit));
     m_isIdle = false;
+    if (status == StreamStatus::TimedOut && !m_stream->isQuietAndOpen())
+        status = m_stream->fill(deadlineAfter(lastChance));
     return status == StreamStatus::Good;
 }
 
@@ -283,9 +287,13 @@
     return false;
 }
 
+/// Tells whether the answer that begins leaves the connection open. Before a planned stop it does
+/// only where the next request has been read: a caller that sent both at once would get no answer
+/// to that one.
 bool HttpConnection::keepsAlive() const
 {
-    return m_callerKeepsAlive && !m_service.m_stopping && !m_service.m_saysClose;
+    const bool isEnding = m_service.m_stopping || m_service.m_saysClose;
+    return m_callerKeepsAlive && (!isEnding || m_stream->input().size() > 0);
 }
 
 } // namespace gypsumdale::detail
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -109,7 +109,11 @@
     }
     if (!m_ahead->m_failed)
         return StreamStatus::Good;
-    return statusOf(m_ahead->m_error);
+    const StreamStatus status = statusOf(m_ahead->m_error);
+    // Its time was over; the connection has not failed, and what comes can still be read.
+    if (status == StreamStatus::TimedOut)
+        m_ahead->m_failed = false;
+    return status;
 }
 
 StreamStatus Stream::write(std::span<asio::const_buffer> buffers, Duration timeout,
