Keep a listener open until what the kernel accepted is taken in

Cause: at a planned stop a process without descriptors closed its listening socket, and the kernel reset the connections that waited in it, with requests in them.

The socket stays open until they are taken in; the stop waits for it as for any caller, until the end of the grace time.

--- a/src/runtime/detail/listener.cpp
+++ b/src/runtime/detail/listener.cpp
@@ -86,6 +86,10 @@
             sleepFiber(exhaustedPause);
             continue;
         }
+        if (m_isClosing) {
+            close();
+            continue;
+        }
         AsyncWait wait;
         m_acceptor.async_wait(asio::ip::tcp::acceptor::wait_read, wait.handler());
         wait.wait();
@@ -113,9 +117,13 @@
 {
     if (!m_acceptor.is_open())
         return;
-    if (m_acceptance && !LoopCore::current()->m_stopping)
-        acceptPending();
     boost::system::error_code error;
+    if (m_acceptance && !LoopCore::current()->m_stopping && !acceptPending()) {
+        // The fiber that accepts closes it as soon as it has taken them in.
+        m_isClosing = true;
+        m_acceptor.cancel(error);
+        return;
+    }
     m_acceptor.close(error);
     m_isClosed = true;
 }
--- a/src/runtime/detail/listener.hpp
+++ b/src/runtime/detail/listener.hpp
@@ -54,7 +54,8 @@
     void accept(Acceptance acceptance);
 
     /// Takes in the connections that the kernel has completed already, then closes the socket; left
-    /// to the kernel, they would be reset with requests in them. On the loop's thread.
+    /// to the kernel, they would be reset with requests in them. While the process has no
+    /// descriptors for them, the socket stays open. On the loop's thread.
     void close() override;
 
     /// Calls close() on the loop. Any thread; needs no running loop.
@@ -72,6 +73,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_isClosed = false;
+    /// Whether it is to be closed once there is room for what the kernel has completed.
+    bool m_isClosing = false;
     /// Set while the fiber that accepts runs.
     const Acceptance *m_acceptance = nullptr;
 };
