Let an entry process tell its peers another address than it listens at

Peers learn a VM's address from seeds, the registry and each other, and all of these had the address at which it listens. Behind a forwarded port that is not where it is reached; and no fault could be put between two VMs from outside. `peer-advertise` names the address that it tells; left out, all is as before.

--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -81,6 +81,8 @@
     Address m_callerListen;
     Address m_readyListen;
     Address m_peerListen;
+    /// Where peers reach it, if that isn't where it listens.
+    std::optional<Address> m_peerAdvertise;
     /// Unset where no metrics are served.
     std::optional<Address> m_metricsListen;
     Address m_store;
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -37,13 +37,19 @@
     return fmt::format("{}:{}", address.m_ip, address.m_port);
 }
 
+/// Returns where peers reach a VM; behind a forwarded port that isn't where it listens.
+const Address &advertisedBy(const EntrySettings &settings)
+{
+    return settings.m_peerAdvertise ? *settings.m_peerAdvertise : settings.m_peerListen;
+}
+
 } // namespace
 
 EntryPeers::EntryPeers(EntryContext &context, EntryConfigFeed &config, EntryUpstreamFeed &upstreams)
     : m_context(context)
     , m_config(config)
     , m_upstreams(upstreams)
-    , m_table(textOf(context.m_settings.m_peerListen))
+    , m_table(textOf(advertisedBy(context.m_settings)))
     , m_fleetSize(context.now(), context.m_settings.m_isFirstStart)
     , m_writer(context, config, upstreams, m_table)
 {
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -101,6 +101,8 @@
                           "where the balancer asks whether it is ready")
                 .required("peer-listen", &EntrySettings::m_peerListen, AddressKind(),
                           "where other nodes reach it")
+                .key("peer-advertise", &EntrySettings::m_peerAdvertise, OptionalKind(AddressKind()),
+                     "the address it tells other nodes; left out for `peer-listen`")
                 .key("metrics-listen", &EntrySettings::m_metricsListen, OptionalKind(AddressKind()),
                      "where metrics are served; left out for none")
                 .required("store", &EntrySettings::m_store, AddressKind(), "the platform's store")
@@ -136,6 +138,8 @@
     use(settings.m_callerListen, "caller-listen");
     use(settings.m_readyListen, "ready-listen");
     use(settings.m_peerListen, "peer-listen");
+    if (settings.m_peerAdvertise && !(*settings.m_peerAdvertise == settings.m_peerListen))
+        use(*settings.m_peerAdvertise, "peer-advertise");
     if (settings.m_metricsListen)
         use(*settings.m_metricsListen, "metrics-listen");
     bool isListed = settings.m_dataCentres.empty();
--- a/tests/src/unit-settings.cpp
+++ b/tests/src/unit-settings.cpp
@@ -263,6 +263,17 @@
         CHECK_FALSE(settings.m_cloud);
         CHECK(settings.m_bounds.m_leaseTerm == std::chrono::seconds(3));
         CHECK_FALSE(settings.m_isFirstStart);
+        CHECK_FALSE(settings.m_peerAdvertise);
+    }
+    SECTION("may tell peers another address than the one it listens at")
+    {
+        const auto checked = check(whole + "peer-advertise: 10.1.0.1:9082\n");
+        expectClean(checked);
+        const auto &settings = std::get<EntrySettings>(checked);
+        REQUIRE(settings.m_peerAdvertise);
+        CHECK(settings.m_peerAdvertise->m_port == 9082);
+        expectClean(check(whole + "peer-advertise: 10.0.0.1:82\n"));
+        CHECK(std::holds_alternative<Findings>(check(whole + "peer-advertise: 10.0.0.1:80\n")));
     }
     SECTION("that are wrong give findings with their places")
     {
