Take the table of upstreams apart into what it holds

Ruled out: spreading the methods over several files.

Change: UpstreamWatch holds the state of one upstream and all that moves it; NoticeBook the leaving notices; ProbeDuty and ProbeOwners who probes and how often; OwnerWord when an owner tells the others; UpstreamSet the upstreams by name, key and service; chooseRouteScope the data centre; vm_list_belief which missing VMs of a list are believed. Settings and messages have headers of their own. The table takes in events and hands them on. No behaviour changes.

--- /dev/null
+++ b/include/gypsumdale/fleet/upstream_set.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <gypsumdale/fleet/owner_word.hpp>
+#include <gypsumdale/fleet/probe_duty.hpp>
+#include <gypsumdale/fleet/upstream_watch.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <map> // map
+#include <set> // set
+#include <unordered_map> // unordered_map
+#include <utility> // pair
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// How many requests other nodes said to have at an upstream.
+class InFlightReports
+{
+public:
+    void set(const NodeId &node, int count);
+    /// Returns false if the node had none.
+    bool forget(const NodeId &node) { return m_countOf.erase(node) != 0; }
+    /// Linear in the nodes.
+    int sum() const;
+
+private:
+    std::unordered_map<NodeId, int> m_countOf;
+};
+
+/// All that the table holds of one upstream.
+struct UpstreamEntry
+{
+    UpstreamWatch m_watch;
+    std::int64_t m_key = 0;
+    ProbeOwners m_owners;
+    bool m_isOwned = false;
+    bool m_isStatic = false;
+    bool m_isListed = false;
+    /// The last list that did not show it, in a row; 0 while listed.
+    int m_missedLists = 0;
+    TimePoint m_nextProbe;
+    int m_failedProbes = 0;
+    OwnerWord m_word;
+    InFlightReports m_inFlight;
+};
+
+/// The upstreams by name, by the key that peers use for them, and by service and data centre.
+class UpstreamSet
+{
+public:
+    std::size_t size() const { return m_entries.size(); }
+    auto begin() { return m_entries.begin(); }
+    auto end() { return m_entries.end(); }
+    auto begin() const { return m_entries.begin(); }
+    auto end() const { return m_entries.end(); }
+
+    UpstreamEntry *find(const UpstreamId &upstream);
+    const UpstreamEntry *find(const UpstreamId &upstream) const;
+    UpstreamEntry *find(std::int64_t key);
+    /// Of an upstream that must be there.
+    const UpstreamEntry &at(std::int64_t key) const { return m_entries.at(m_byKey.at(key)); }
+
+    /// Adds one that is not there yet.
+    UpstreamEntry &insert(const UpstreamDeclaration &declaration, UpstreamPlace place,
+                          TimePoint now);
+    void redeclare(UpstreamEntry &entry, const UpstreamDeclaration &declaration);
+    void erase(const UpstreamId &upstream);
+
+    /// Copies, in order of services and names.
+    std::vector<UpstreamView> views() const;
+
+    /// Calls visit(const UpstreamView &) for each upstream of a service and data centre that may
+    /// take new work. Linear in the upstreams of the service there, without copies.
+    template <typename Visit>
+    void forEachCandidate(const ServiceId &service, const DataCentreId &dataCentre,
+                          Visit &&visit) const
+    {
+        const auto group = m_byService.find({service, dataCentre});
+        if (group == m_byService.end())
+            return;
+        for (const UpstreamId &upstream : group->second) {
+            const UpstreamView &view = m_entries.at(upstream).m_watch.view();
+            if (view.isOpen())
+                visit(view);
+        }
+    }
+
+    /// Copies of the candidates, live ones first, then by name.
+    std::vector<UpstreamView> candidates(const ServiceId &service,
+                                         const DataCentreId &dataCentre) const;
+
+    /// What the upstreams of a service and data centre can take. Linear in them.
+    OwnRoom roomOf(const ServiceId &service, const DataCentreId &dataCentre) const;
+
+    /// What the live upstreams of a data centre can take on, by service. Linear.
+    std::vector<ServiceCapacity> capacityOf(const DataCentreId &dataCentre) const;
+
+private:
+    using ServiceGroup = std::pair<ServiceId, DataCentreId>;
+
+    std::unordered_map<UpstreamId, UpstreamEntry> m_entries;
+    std::map<ServiceGroup, std::set<UpstreamId>> m_byService;
+    std::unordered_map<std::int64_t, UpstreamId> m_byKey;
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/fleet/notice_book.cpp
@@ -0,0 +1,93 @@
+#include <gypsumdale/fleet/notice_book.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm> // max
+#include <chrono> // duration_cast, milliseconds
+
+namespace gypsumdale {
+
+namespace {
+
+std::int64_t hashOf(const std::string &text)
+{
+    return static_cast<std::int64_t>(XXH3_64bits(text.data(), text.size()));
+}
+
+Duration untilDeadline(const LeavingNotice &notice, WallMillis wallNow)
+{
+    const WallMillis left = notice.m_deadline == 0 ? 0 : notice.m_deadline - wallNow;
+    return std::chrono::milliseconds(std::max<WallMillis>(left, 0));
+}
+
+bool isNamedBy(const LeavingNotice &notice, const UpstreamDeclaration &declaration)
+{
+    const bool isByName =
+            !notice.m_upstream.isEmpty() && notice.m_upstream == declaration.m_upstream;
+    const bool isByVm = !notice.m_vm.isEmpty() && notice.m_vm == declaration.m_vm;
+    return isByName || isByVm;
+}
+
+} // namespace
+
+NoticeBook::NoticeBook(Duration listLag, Duration retention)
+    : m_listLag(listLag)
+    , m_retention(retention)
+{}
+
+NoticeNews NoticeBook::take(const LeavingNotice &notice, TimePoint now, WallMillis wallNow)
+{
+    if (m_kept.contains(notice.m_id) || m_expired.contains(notice.m_id))
+        return NoticeNews::Known;
+    const TimePoint deadline = now + untilDeadline(notice, wallNow);
+    m_kept.emplace(notice.m_id, Kept{notice, deadline + m_listLag, deadline + m_retention});
+    m_digest ^= hashOf(notice.m_id);
+    const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(m_listLag);
+    const bool isLate = notice.m_deadline != 0 && wallNow - notice.m_deadline > lag.count();
+    return isLate ? NoticeNews::Late : NoticeNews::Fresh;
+}
+
+void NoticeBook::expire(TimePoint now)
+{
+    for (auto entry = m_kept.begin(); entry != m_kept.end();) {
+        if (now < entry->second.m_expiresAt) {
+            ++entry;
+            continue;
+        }
+        m_digest ^= hashOf(entry->first);
+        m_expired.emplace(entry->first, now + m_retention);
+        entry = m_kept.erase(entry);
+    }
+    std::erase_if(m_expired, [&](const auto &entry) { return now >= entry.second; });
+}
+
+std::vector<LeavingNotice> NoticeBook::all() const
+{
+    std::vector<LeavingNotice> result;
+    for (const auto &[id, kept] : m_kept)
+        result.push_back(kept.m_notice);
+    return result;
+}
+
+std::vector<NoticeConcern> NoticeBook::concerning(const UpstreamDeclaration &declaration,
+                                                  TimePoint now) const
+{
+    std::vector<NoticeConcern> result;
+    for (const auto &[id, kept] : m_kept) {
+        const LeavingNotice &notice = kept.m_notice;
+        if (isNamedBy(notice, declaration)) {
+            result.push_back({notice, std::nullopt});
+            continue;
+        }
+        // The list lags: a VM that it shows first after its zone's notice may have been there
+        // before. It is held back until those under the notice are gone; one that then still
+        // answers is a new one.
+        const bool isByZone = notice.m_cause == LeavingCause::ZoneReclaim
+                              && notice.m_zone == declaration.m_dataCentre;
+        if (isByZone && now < kept.m_heldUntil)
+            result.push_back({notice, kept.m_heldUntil});
+    }
+    return result;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/fleet/owner_word.cpp
@@ -0,0 +1,42 @@
+#include <gypsumdale/fleet/owner_word.hpp>
+
+#include <algorithm> // max
+#include <cstdlib> // abs
+
+namespace gypsumdale {
+
+namespace {
+
+/// A load is told early when it changed by more than this part of the slots.
+constexpr int notableChangeDivisor = 8;
+/// The second owner speaks up when the first one was silent for so many intervals.
+constexpr int firstOwnerSilence = 3;
+
+bool isNotable(const UpstreamLoad &before, const UpstreamLoad &after)
+{
+    if (before.m_incarnation != after.m_incarnation || before.m_slots != after.m_slots)
+        return true;
+    const int step = std::max(1, after.m_slots / notableChangeDivisor);
+    const int change = (after.m_running + after.m_queued) - (before.m_running + before.m_queued);
+    return std::abs(change) >= step;
+}
+
+} // namespace
+
+bool OwnerWord::speak(OwnerRank rank, UpstreamState state, const UpstreamLoad &load,
+                      Duration interval, Duration probeInterval, TimePoint now)
+{
+    const bool isFirstSilent =
+            now - m_firstOwnerSpokeAt > firstOwnerSilence * std::max(probeInterval, interval);
+    const bool speaksOfLoad = rank == OwnerRank::First || isFirstSilent;
+    const bool isStateNews = state != m_state;
+    const bool isLoadNews = isNotable(m_load, load) || now - m_toldAt >= interval;
+    if (!isStateNews && !(speaksOfLoad && isLoadNews))
+        return false;
+    m_state = state;
+    m_load = load;
+    m_toldAt = now;
+    return true;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/fleet/route_scope.cpp
@@ -0,0 +1,53 @@
+#include <gypsumdale/fleet/route_scope.hpp>
+
+#include <algorithm> // sort
+#include <utility> // move, pair
+
+namespace gypsumdale {
+
+namespace {
+
+/// The data centres that have room for the service, the one with the most to spare first.
+std::vector<DataCentreId> withRoom(const ServiceId &service,
+                                   const std::map<DataCentreId, ReceivedSummary> &summaries,
+                                   Duration longestAge, TimePoint now)
+{
+    std::vector<std::pair<int, DataCentreId>> spare;
+    for (const auto &[dataCentre, received] : summaries) {
+        if (now - received.m_receivedAt > longestAge)
+            continue;
+        for (const ServiceCapacity &capacity : received.m_summary.m_services) {
+            const int room = capacity.m_slots - capacity.m_running - capacity.m_queued;
+            if (capacity.m_service == service && capacity.m_upstreams > 0 && room > 0)
+                spare.emplace_back(-room, dataCentre);
+        }
+    }
+    std::sort(spare.begin(), spare.end());
+    std::vector<DataCentreId> result;
+    result.reserve(spare.size());
+    for (auto &[room, dataCentre] : spare)
+        result.push_back(std::move(dataCentre));
+    return result;
+}
+
+} // namespace
+
+RouteScope chooseRouteScope(const OwnRoom &own, const ServiceId &service, RemoteScope scope,
+                            const std::map<DataCentreId, ReceivedSummary> &summaries,
+                            Duration longestAge, TimePoint now)
+{
+    const bool staysHere = own.m_hasFreeSlot || (own.m_hasLive && scope != RemoteScope::WhenFull);
+    if (staysHere || (own.m_hasOpen && scope == RemoteScope::Never))
+        return RouteOwn{};
+    if (scope == RemoteScope::Never)
+        return RouteNowhere{"no upstream here, and settings forbid other data centres"};
+
+    std::vector<DataCentreId> others = withRoom(service, summaries, longestAge, now);
+    if (others.empty() && own.m_hasOpen)
+        return RouteOwn{};
+    if (others.empty())
+        return RouteNowhere{"no upstream here, and no other data centre has room"};
+    return RouteRemote{std::move(others)};
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/fleet/upstream_watch.cpp
@@ -0,0 +1,199 @@
+#include <gypsumdale/fleet/upstream_watch.hpp>
+
+#include <algorithm> // find, max
+#include <utility> // move
+
+namespace gypsumdale {
+
+UpstreamWatch::UpstreamWatch(const UpstreamDeclaration &declaration, UpstreamPlace place,
+                             TimePoint now)
+{
+    m_view.m_declaration = declaration;
+    m_view.m_stateSince = now;
+    m_view.m_reason = "not heard yet";
+    if (place == UpstreamPlace::Here)
+        return;
+    m_view.m_state = UpstreamState::Live;
+    m_view.m_reason = "declared; its own data centre watches it";
+}
+
+void UpstreamWatch::setState(UpstreamState state, std::string reason, TimePoint now,
+                             UpstreamCommands &commands)
+{
+    if (m_view.m_state == state)
+        return;
+    m_view.m_state = state;
+    m_view.m_stateSince = now;
+    m_view.m_reason = std::move(reason);
+    commands.push_back(UpstreamStateChanged{m_view.m_declaration.m_upstream, state, m_view.m_reason,
+                                            m_view.m_deadline});
+}
+
+void UpstreamWatch::setInFlight(int own, int total)
+{
+    m_view.m_ownInFlight = own;
+    m_view.m_totalInFlight = total;
+}
+
+// --- leaving ----------------------------------------------------------------------------------
+
+void UpstreamWatch::drop(TimePoint now, UpstreamCommands &commands)
+{
+    setState(UpstreamState::Gone, "no longer in the settings", now, commands);
+}
+
+void UpstreamWatch::delist(TimePoint now, UpstreamCommands &commands)
+{
+    m_isVmLeaving = true;
+    setState(UpstreamState::Leaving, "the VM list no longer shows it", now, commands);
+}
+
+void UpstreamWatch::leave(const LeavingNotice &notice, TimePoint now, UpstreamCommands &commands)
+{
+    const bool isProcess =
+            notice.m_cause == LeavingCause::OperatorDrain || m_view.m_declaration.m_vm.isEmpty();
+    if (!isProcess) {
+        m_isVmLeaving = true;
+    } else {
+        const Incarnation incarnation =
+                notice.m_incarnation != 0 ? notice.m_incarnation : m_view.m_load.m_incarnation;
+        if (incarnation < m_view.m_load.m_incarnation)
+            return;
+        m_leavingIncarnation = incarnation;
+    }
+    const bool isNearer = m_view.m_deadline == 0 || notice.m_deadline < m_view.m_deadline;
+    if (notice.m_deadline != 0 && isNearer)
+        m_view.m_deadline = notice.m_deadline;
+    if (m_view.m_state == UpstreamState::Gone)
+        return;
+    setState(UpstreamState::Leaving, std::string(nameIn(leavingCauseNames, notice.m_cause)), now,
+             commands);
+}
+
+void UpstreamWatch::holdBack(TimePoint until, TimePoint now, UpstreamCommands &commands)
+{
+    m_heldUntil = std::max(m_heldUntil, until);
+    setState(UpstreamState::Leaving, "appeared right after its zone's reclaim notice", now,
+             commands);
+}
+
+// --- signs of life ----------------------------------------------------------------------------
+
+bool UpstreamWatch::takeLoad(const UpstreamLoad &load, TimePoint observedAt)
+{
+    const bool isOlderProcess = load.m_incarnation < m_view.m_load.m_incarnation;
+    const bool isOlderWord =
+            load.m_incarnation == m_view.m_load.m_incarnation && observedAt < m_view.m_loadAt;
+    if (isOlderProcess || isOlderWord)
+        return false;
+    m_view.m_load = load;
+    m_view.m_loadAt = observedAt;
+    m_lastAnswer = std::max(m_lastAnswer, observedAt);
+    return true;
+}
+
+void UpstreamWatch::reviveIfRestarted(TimePoint now, UpstreamCommands &commands)
+{
+    if (!m_leavingIncarnation)
+        return;
+    const Incarnation incarnation = m_view.m_load.m_incarnation;
+    if (*m_leavingIncarnation == 0)
+        m_leavingIncarnation = incarnation;
+    if (incarnation <= *m_leavingIncarnation)
+        return;
+    m_leavingIncarnation.reset();
+    const bool isHeld = now < m_heldUntil;
+    if (m_isVmLeaving || isHeld)
+        return;
+    m_view.m_deadline = 0;
+    setState(UpstreamState::Suspect, "started anew", now, commands);
+}
+
+void UpstreamWatch::reviveIfHeard(TimePoint now, UpstreamCommands &commands)
+{
+    reviveIfRestarted(now, commands);
+    if (m_view.m_state == UpstreamState::Suspect && now >= m_penaltyUntil)
+        setState(UpstreamState::Live, "it answers", now, commands);
+}
+
+// --- failures ---------------------------------------------------------------------------------
+
+UpstreamState UpstreamWatch::stateSeenBy(const NodeId &node) const
+{
+    return m_suspectedBy.contains(node) ? UpstreamState::Suspect : m_view.m_state;
+}
+
+void UpstreamWatch::keepSuspicionsOf(const std::vector<NodeId> &nodes)
+{
+    std::erase_if(m_suspectedBy, [&](const NodeId &node) {
+        return std::find(nodes.begin(), nodes.end(), node) == nodes.end();
+    });
+}
+
+void UpstreamWatch::failProbes(const NodeId &self, const std::string &reason, TimePoint now,
+                               UpstreamCommands &commands)
+{
+    m_suspectedBy.insert(self);
+    if (m_view.m_state == UpstreamState::Live)
+        setState(UpstreamState::Suspect, "probes fail: " + reason, now, commands);
+}
+
+void UpstreamWatch::failRequest(const std::string &reason, TimePoint penaltyUntil, TimePoint now,
+                                UpstreamCommands &commands)
+{
+    m_penaltyUntil = penaltyUntil;
+    if (m_view.m_state == UpstreamState::Live)
+        setState(UpstreamState::Suspect, "a request failed: " + reason, now, commands);
+}
+
+void UpstreamWatch::passRequest(TimePoint now, UpstreamCommands &commands)
+{
+    m_penaltyUntil = TimePoint();
+    m_lastAnswer = now;
+    if (m_view.m_state == UpstreamState::Suspect)
+        setState(UpstreamState::Live, "a request succeeded", now, commands);
+}
+
+// --- time -------------------------------------------------------------------------------------
+
+void UpstreamWatch::settle(UpstreamPlace place, bool isListed, const SilenceLimits &limits,
+                           TimePoint now, WallMillis wallNow, UpstreamCommands &commands)
+{
+    const bool isHere = place == UpstreamPlace::Here;
+    if (m_view.m_state == UpstreamState::Leaving)
+        settleLeaving(isListed, limits, now, wallNow, commands);
+    else if (m_view.m_state == UpstreamState::Live && isHere)
+        settleLive(limits, now, commands);
+    else if (m_view.m_state == UpstreamState::Suspect && !isHere && now >= m_penaltyUntil)
+        setState(UpstreamState::Live, "the penalty is over", now, commands);
+}
+
+void UpstreamWatch::settleLeaving(bool isListed, const SilenceLimits &limits, TimePoint now,
+                                  WallMillis wallNow, UpstreamCommands &commands)
+{
+    const bool isMarked = m_isVmLeaving || m_leavingIncarnation.has_value();
+    if (!isMarked && now >= m_heldUntil) {
+        setState(UpstreamState::Suspect, "held back no longer", now, commands);
+        return;
+    }
+    const bool isSilent = now - m_lastAnswer >= limits.m_gone;
+    const bool isOver = m_view.m_deadline != 0 && wallNow >= m_view.m_deadline;
+    const bool isDelisted = m_isVmLeaving && !isListed;
+    if (isSilent && (isOver || isDelisted))
+        setState(UpstreamState::Gone, "it left", now, commands);
+}
+
+void UpstreamWatch::settleLive(const SilenceLimits &limits, TimePoint now,
+                               UpstreamCommands &commands)
+{
+    const Duration silence = now - m_lastAnswer;
+    const bool isSuspected = !m_suspectedBy.empty() && silence >= limits.m_confirmed;
+    if (isSuspected) {
+        const std::string reason = m_suspectedBy.begin()->text() + " cannot reach it";
+        setState(UpstreamState::Suspect, reason, now, commands);
+    } else if (silence >= limits.m_longest) {
+        setState(UpstreamState::Suspect, "nobody spoke of it lately", now, commands);
+    }
+}
+
+} // namespace gypsumdale
