Take the upstreams, peers and members out of the admission decision

One class held the queue and the decision, and beside them every upstream's slots, what each peer counts for there, what was measured, and the members' shares; each of these has rules of its own.

Ruled out: a second file with half of the methods: the class would still have held all of it.

Change: AdmissionUpstreams holds the upstreams as one entry VM may use them and answers which have a slot free; PeerSlots what the other entry VMs count for; UpstreamMeasures the smoothed times and fading failures; MemberSlots the members' limits and shares. Settings and reports have headers of their own. The time that the backlog takes at the measured rate, worked out twice before, is one method. No behaviour changes.

Tests: unit-admission-parts is new and tests PeerSlots, MemberSlots and UpstreamMeasures alone.

--- /dev/null
+++ b/src/policy/admission_upstreams.cpp
@@ -0,0 +1,336 @@
+#include <gypsumdale/policy/admission_upstreams.hpp>
+
+#include <algorithm> // any_of, max, min
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+/// An engine that queues more than this part of its slots is busy with others' work.
+constexpr std::uint32_t queuedPart = 4;
+
+Duration reportAge(const UpstreamReport &state, TimePoint now)
+{
+    return state.m_reportedAt == TimePoint::min() ? Duration::max() : now - state.m_reportedAt;
+}
+
+} // namespace
+
+AdmissionUpstreams::AdmissionUpstreams(AdmissionPlace place, const AdmissionSettings &settings)
+    : m_place(std::move(place))
+    , m_settings(settings)
+    , m_peers(m_place.m_node, settings.m_slots, settings.m_peerMaxAge)
+    , m_outlier(settings.m_outlier)
+{}
+
+// --- what others say --------------------------------------------------------------------------
+
+void AdmissionUpstreams::setNodes(std::vector<NodeId> nodes)
+{
+    m_peers.setNodes(std::move(nodes));
+    recountAll();
+}
+
+bool AdmissionUpstreams::mergePeer(const NodeId &peer, std::uint64_t incarnation,
+                                   const InFlightByUpstream &inFlight, TimePoint now)
+{
+    if (m_peers.isOutdated(peer, incarnation))
+        return false;
+    if (m_peers.isStale(peer)) {
+        m_peers.merge(peer, incarnation, inFlight, now);
+        recountAll();
+        return true;
+    }
+    // Only what changed is counted anew: a full count for each heartbeat costs nodes times
+    // upstreams.
+    InFlightByUpstream touched = m_peers.reportOf(peer);
+    touched.insert(inFlight.begin(), inFlight.end());
+    const auto chargeOf = [&](const Upstream &upstream) {
+        return m_peers.chargeOf(peer, upstream.m_state.m_upstream, upstream.m_state.m_slots);
+    };
+    for (const auto &[id, count] : touched) {
+        const auto found = m_upstreams.find(id);
+        if (found != m_upstreams.end())
+            found->second.m_peers -= std::min(found->second.m_peers, chargeOf(found->second));
+    }
+    m_peers.merge(peer, incarnation, inFlight, now);
+    for (const auto &[id, count] : touched) {
+        const auto found = m_upstreams.find(id);
+        if (found != m_upstreams.end())
+            found->second.m_peers += chargeOf(found->second);
+    }
+    return true;
+}
+
+void AdmissionUpstreams::recountAll()
+{
+    for (auto &[id, upstream] : m_upstreams)
+        upstream.m_peers = m_peers.chargeAt(id, upstream.m_state.m_slots);
+}
+
+bool AdmissionUpstreams::update(const UpstreamReport &report)
+{
+    const auto [found, isNew] = m_upstreams.try_emplace(report.m_upstream);
+    Upstream &upstream = found->second;
+    if (!isNew && report.m_incarnation < upstream.m_state.m_incarnation)
+        return false;
+    const bool isRestarted = !isNew && report.m_incarnation > upstream.m_state.m_incarnation;
+    if (isRestarted) {
+        m_outlier.forget(report.m_upstream);
+        upstream.m_measures = {};
+    }
+    const bool wasLeaving = !isNew && !isRestarted && upstream.m_state.m_isLeaving;
+    upstream.m_state = report;
+    upstream.m_state.m_isLeaving = report.m_isLeaving || wasLeaving;
+    upstream.m_isRemoved = false;
+    upstream.m_peers = m_peers.chargeAt(report.m_upstream, report.m_slots);
+    m_outlier.setFleetSize(m_upstreams.size());
+    return isRestarted;
+}
+
+bool AdmissionUpstreams::remove(const UpstreamId &upstream)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return false;
+    m_outlier.forget(upstream);
+    found->second.m_state.m_isLeaving = true;
+    found->second.m_isRemoved = true;
+    if (found->second.m_own == 0)
+        m_upstreams.erase(found);
+    m_outlier.setFleetSize(m_upstreams.size());
+    return true;
+}
+
+void AdmissionUpstreams::refresh(TimePoint now)
+{
+    m_outlier.checkSilence(now);
+    if (m_peers.markStale(now))
+        recountAll();
+}
+
+// --- own requests -----------------------------------------------------------------------------
+
+std::uint64_t AdmissionUpstreams::dispatched(const UpstreamId &id, TimePoint now)
+{
+    Upstream &upstream = m_upstreams.at(id);
+    ++upstream.m_own;
+    upstream.m_history.note(now, upstream.m_own, m_settings.m_slots.m_window);
+    upstream.m_recent.add(now, std::max(m_settings.m_slots.m_window, m_settings.m_reportMaxAge));
+    m_outlier.dispatched(id, now);
+    return upstream.m_state.m_incarnation;
+}
+
+void AdmissionUpstreams::firstToken(const UpstreamId &upstream, Duration taken, TimePoint now)
+{
+    m_outlier.heard(upstream, now);
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        found->second.m_measures.noteFirstToken(taken, now);
+}
+
+void AdmissionUpstreams::tokens(const UpstreamId &upstream, std::uint32_t count, Duration passed,
+                                TimePoint now)
+{
+    m_outlier.heard(upstream, now);
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end() && passed > Duration{})
+        found->second.m_measures.noteTokens(count, passed);
+}
+
+void AdmissionUpstreams::ended(const UpstreamId &id, std::uint64_t incarnation, AttemptEnd end,
+                               TimePoint now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    Upstream &upstream = found->second;
+    --upstream.m_own;
+    upstream.m_history.note(now, upstream.m_own, m_settings.m_slots.m_window);
+    if (incarnation == upstream.m_state.m_incarnation)
+        noteEnd(upstream, end, now);
+    if (upstream.m_isRemoved && upstream.m_own == 0)
+        m_upstreams.erase(found);
+}
+
+void AdmissionUpstreams::noteEnd(Upstream &upstream, AttemptEnd end, TimePoint now)
+{
+    const UpstreamId &id = upstream.m_state.m_upstream;
+    switch (end) {
+    case AttemptEnd::Completed:
+        m_outlier.succeeded(id, now);
+        return;
+    case AttemptEnd::Abandoned:
+        m_outlier.abandoned(id);
+        return;
+    case AttemptEnd::Failed:
+    case AttemptEnd::Refused:
+        break;
+    }
+    m_outlier.failed(id, now);
+    upstream.m_measures.noteFailure(now);
+}
+
+std::uint32_t AdmissionUpstreams::inFlightAt(const UpstreamId &upstream) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found == m_upstreams.end() ? 0 : found->second.m_own;
+}
+
+InFlightByUpstream AdmissionUpstreams::inFlight() const
+{
+    InFlightByUpstream result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.m_own > 0)
+            result[id] = upstream.m_own;
+    }
+    return result;
+}
+
+// --- slots ------------------------------------------------------------------------------------
+
+bool AdmissionUpstreams::hasStaying() const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                       [](const auto &entry) { return !entry.second.m_state.m_isLeaving; });
+}
+
+SlotCount AdmissionUpstreams::countSlots(TimePoint now) const
+{
+    SlotCount count;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (!isUsable(upstream, now))
+            continue;
+        count.m_used += upstream.m_own;
+        count.m_available += availableSlots(upstream, now);
+    }
+    return count;
+}
+
+std::uint32_t AdmissionUpstreams::availableSlots(const Upstream &upstream, TimePoint now) const
+{
+    const UpstreamReport &state = upstream.m_state;
+    if (state.m_dataCentre != m_place.m_dataCentre)
+        return hasForeignSlot(upstream, now) ? foreignAllowance(state) : upstream.m_own;
+    const auto nodes = m_peers.nodeCount();
+    const std::uint32_t lent = lentSlots(state.m_slots, nodes, m_peers.ownRank(state.m_upstream));
+    // What peers keep as their own headroom isn't idle: nodes that took it for free would borrow
+    // each other's headroom away.
+    const auto peers =
+            static_cast<std::uint32_t>(upstream.m_peers * (1.0 + 2.0 * m_settings.m_headroom));
+    return std::max(lent, state.m_slots - std::min(state.m_slots, peers));
+}
+
+bool AdmissionUpstreams::isUsable(const Upstream &upstream, TimePoint now) const
+{
+    return !upstream.m_state.m_isLeaving && m_outlier.mayUse(upstream.m_state.m_upstream, now);
+}
+
+bool AdmissionUpstreams::isFree(const Upstream &upstream, TimePoint now) const
+{
+    return isUsable(upstream, now) && hasSlot(upstream, now);
+}
+
+bool AdmissionUpstreams::hasSlot(const Upstream &upstream, TimePoint now) const
+{
+    if (upstream.m_state.m_dataCentre == m_place.m_dataCentre)
+        return hasLocalSlot(upstream, now);
+    return hasForeignSlot(upstream, now);
+}
+
+bool AdmissionUpstreams::hasLocalSlot(const Upstream &upstream, TimePoint now) const
+{
+    const UpstreamReport &state = upstream.m_state;
+    const bool isFresh = reportAge(state, now) <= m_settings.m_peerMaxAge;
+    const std::uint32_t mostQueued = std::max(state.m_slots / queuedPart, 1U);
+    if (isFresh && state.m_queued > mostQueued && upstream.m_own > 0)
+        return false;
+    SlotView view;
+    view.m_slots = state.m_slots;
+    view.m_nodes = m_peers.nodeCount();
+    view.m_rank = m_peers.ownRank(state.m_upstream);
+    view.m_own = upstream.m_own;
+    view.m_peers = upstream.m_peers;
+    view.m_ownHeard = upstream.m_history.leastSince(now - m_settings.m_slots.m_window);
+    return mayDispatch(view);
+}
+
+bool AdmissionUpstreams::hasForeignSlot(const Upstream &upstream, TimePoint now) const
+{
+    const UpstreamReport &state = upstream.m_state;
+    if (reportAge(state, now) > m_settings.m_reportMaxAge)
+        return false;
+    if (upstream.m_own >= foreignAllowance(state))
+        return false;
+    const auto nodes = m_peers.nodeCount();
+    const std::uint32_t unseen = nodes * (upstream.m_recent.countAfter(state.m_reportedAt) + 1);
+    return state.m_running + state.m_queued + unseen <= state.m_slots;
+}
+
+std::uint32_t AdmissionUpstreams::foreignAllowance(const UpstreamReport &state) const
+{
+    const auto nodes = m_peers.nodeCount();
+    const auto share = static_cast<std::uint32_t>(m_settings.m_slots.m_spillShare * state.m_slots);
+    return std::max(share / nodes, 1U);
+}
+
+Candidate AdmissionUpstreams::candidate(const Upstream &upstream, TimePoint now) const
+{
+    const UpstreamReport &state = upstream.m_state;
+    Candidate result;
+    result.m_upstream = state.m_upstream;
+    result.m_dataCentre = state.m_dataCentre;
+    result.m_region = state.m_region;
+    result.m_slots = state.m_slots;
+    result.m_ownInFlight = upstream.m_own;
+    result.m_peersInFlight = state.m_dataCentre == m_place.m_dataCentre ? upstream.m_peers : 0;
+    result.m_reportedRunning = state.m_running;
+    result.m_reportedQueued = state.m_queued;
+    result.m_reportAge = reportAge(state, now);
+    result.m_ownSinceReport = upstream.m_recent.countAfter(state.m_reportedAt);
+    result.m_pricePerHour = state.m_pricePerHour;
+    result.m_isReclaimable = state.m_isReclaimable;
+    result.m_reclaimRisk = state.m_reclaimRisk;
+    result.m_isLeaving = state.m_isLeaving;
+    result.m_firstToken = upstream.m_measures.firstToken(now);
+    result.m_betweenTokens = upstream.m_measures.betweenTokens();
+    result.m_recentFailures = upstream.m_measures.failures(now);
+    return result;
+}
+
+std::vector<Candidate> AdmissionUpstreams::candidates(TimePoint now) const
+{
+    std::vector<Candidate> result;
+    for (const auto &[id, upstream] : m_upstreams)
+        result.push_back(candidate(upstream, now));
+    return result;
+}
+
+std::optional<Candidate> AdmissionUpstreams::freeCandidate(const UpstreamId &id,
+                                                           TimePoint now) const
+{
+    const Upstream &upstream = m_upstreams.at(id);
+    return isFree(upstream, now) ? std::optional(candidate(upstream, now)) : std::nullopt;
+}
+
+std::vector<Candidate> AdmissionUpstreams::freeCandidates(bool mayLeaveRegion, TimePoint now) const
+{
+    const auto isNear = [this](const Upstream &upstream) {
+        return upstream.m_state.m_region == m_place.m_region;
+    };
+    const bool hasNearOne =
+            std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &entry) {
+                return isNear(entry.second) && isUsable(entry.second, now);
+            });
+    std::vector<Candidate> result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (!isNear(upstream) && hasNearOne && !mayLeaveRegion)
+            continue;
+        if (isFree(upstream, now))
+            result.push_back(candidate(upstream, now));
+    }
+    return result;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/policy/upstream_measures.cpp
@@ -0,0 +1,60 @@
+#include <gypsumdale/policy/upstream_measures.hpp>
+
+#include <cmath> // exp2
+
+namespace gypsumdale {
+
+namespace {
+
+/// The weight of the newest measurement in a smoothed time.
+constexpr double gain = 0.2;
+constexpr double firstTokenHalfLifeSeconds = 2.0;
+constexpr double failureHalfLifeSeconds = 10.0;
+
+double smoothed(double known, double measured)
+{
+    return known == 0.0 ? measured : known + gain * (measured - known);
+}
+
+/// What is left of 1 after this time.
+double faded(Duration age, double halfLifeSeconds)
+{
+    return std::exp2(-toSeconds(age) / halfLifeSeconds);
+}
+
+} // namespace
+
+void UpstreamMeasures::noteFirstToken(Duration taken, TimePoint now)
+{
+    m_firstTokenSeconds = smoothed(m_firstTokenSeconds, toSeconds(taken));
+    m_firstTokenAt = now;
+}
+
+void UpstreamMeasures::noteTokens(std::uint32_t count, Duration passed)
+{
+    m_betweenTokensSeconds = smoothed(m_betweenTokensSeconds, toSeconds(passed) / count);
+}
+
+void UpstreamMeasures::noteFailure(TimePoint now)
+{
+    m_failures = failures(now) + 1.0;
+    m_failuresAt = now;
+}
+
+Duration UpstreamMeasures::firstToken(TimePoint now) const
+{
+    const double left = faded(now - m_firstTokenAt, firstTokenHalfLifeSeconds);
+    return fromSeconds(m_firstTokenSeconds * left);
+}
+
+Duration UpstreamMeasures::betweenTokens() const
+{
+    return fromSeconds(m_betweenTokensSeconds);
+}
+
+double UpstreamMeasures::failures(TimePoint now) const
+{
+    return m_failures * faded(now - m_failuresAt, failureHalfLifeSeconds);
+}
+
+} // namespace gypsumdale
