Take what is believed of a node and the summaries out of the membership

The class held the state of each node, the time that silence is measured in, the pace of heartbeats and the books of what data centres tell each other.

Change: NodeWatch holds what is believed of one node (dead holds for an incarnation); ListeningClock the time spent listening; HeartbeatPace how often heartbeats go out and which node of a pair starts; SummaryBook the summaries of other data centres and SummaryLink the own ones on their way there. Messages have a header of their own. Between two nodes and between data centres a restarted process is forgotten in one place each, its counter in NodeWatch and what it was told in Membership. No behaviour changes.

Tests: unit-membership-parts is new and tests the parts alone.

--- a/include/gypsumdale/fleet/data_centre_summary.hpp
+++ b/include/gypsumdale/fleet/data_centre_summary.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/fleet/node.hpp>
 
+#include <cstdint> // int64_t
 #include <optional> // optional
 #include <vector> // vector
 
@@ -29,6 +30,9 @@
     std::vector<ServiceCapacity> m_services;
 };
 
+/// Over the names and incarnations of nodes, whatever their order. Linear.
+std::int64_t digestOf(const std::vector<NodeIdentity> &nodes);
+
 /// A summary with the time at which it arrived here.
 struct ReceivedSummary
 {
--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -1,75 +1,20 @@
 #pragma once
 
-#include <gypsumdale/fleet/data_centre_summary.hpp>
+#include <gypsumdale/fleet/heartbeat_pace.hpp>
+#include <gypsumdale/fleet/listening_clock.hpp>
 #include <gypsumdale/fleet/membership_settings.hpp>
-#include <gypsumdale/fleet/node.hpp>
+#include <gypsumdale/fleet/node_watch.hpp>
+#include <gypsumdale/fleet/summary_book.hpp>
 
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
 #include <map> // map
 #include <optional> // optional
-#include <set> // set
 #include <string> // string
-#include <variant> // variant
 #include <vector> // vector
 
 namespace gypsumdale {
 
-/// A node's word that it cannot hear another one, or holds it for dead.
-struct NodeSuspicion
-{
-    NodeId m_node;
-    Incarnation m_incarnation = 0;
-    bool m_dead = false;
-};
-
-/// The membership part of a heartbeat, in either direction.
-struct MembershipMessage
-{
-    NodeIdentity m_from;
-    std::int64_t m_sequence = 0;
-    bool m_draining = false;
-    /// Over the names of the data centre's nodes; the lists are exchanged while they differ.
-    std::int64_t m_nodesDigest = 0;
-    std::optional<std::vector<NodeIdentity>> m_nodes;
-    std::vector<NodeSuspicion> m_suspicions;
-    std::vector<DataCentreSummary> m_summaries;
-    /// Of the receiver's data centre, between data centres: the digest of the list of its nodes
-    /// that the sender has.
-    std::int64_t m_heldNodesDigest = 0;
-};
-
-/// Send a heartbeat and give the answer to Membership::onReply.
-struct SendHeartbeat
-{
-    NodeIdentity m_to;
-    MembershipMessage m_content;
-};
-
-/// A node's state is another one now: for logs, the explain history, and whoever chooses nodes.
-struct NodeStateChanged
-{
-    NodeId m_node;
-    DataCentreId m_dataCentre;
-    Incarnation m_incarnation = 0;
-    NodeState m_state = NodeState::Suspect;
-    std::string m_reason;
-};
-
-/// The own incarnation had to grow, since others hold the last one for dead.
-struct OwnIncarnationRaised
-{
-    Incarnation m_incarnation = 0;
-};
-
-using MembershipCommand = std::variant<SendHeartbeat, NodeStateChanged, OwnIncarnationRaised>;
-using MembershipCommands = std::vector<MembershipCommand>;
-
-/// An entry VM of the system as the cloud's lagging list shows it.
-struct ListedNode
-{
-    NodeIdentity m_identity;
-    bool m_leaving = false;
-};
-
 /// Which nodes there are and which of them can be reached. The nodes of the own data centre keep a
 /// full mesh of heartbeats, request and answer; of each other data centre the node that rendezvous
 /// hashing prefers exchanges summaries with one node over there and spreads what it gets.
@@ -79,6 +24,10 @@
 /// incarnation: a node that hears that it was held for dead raises its own. Time in which this
 /// process itself did not run does not count as silence.
 ///
+/// The parts: NodeWatch holds what is believed of one node, ListeningClock the time that silence is
+/// measured in, HeartbeatPace how often heartbeats go out, SummaryBook and SummaryLink what data
+/// centres tell each other.
+///
 /// Single-threaded; give each heartbeat that arrives to onHeartbeat before tick is called next.
 class Membership
 {
@@ -124,13 +73,13 @@
     void setCapacity(std::vector<ServiceCapacity> services) { m_services = std::move(services); }
 
     /// The size of a heartbeat as sent, from which the interval follows. Constant.
-    void noteHeartbeatBytes(std::size_t bytes);
+    void noteHeartbeatBytes(std::size_t bytes) { m_pace.noteBytes(bytes); }
 
     const NodeIdentity &self() const { return m_settings.m_self; }
     bool isDraining() const { return m_isDraining; }
 
     /// The time between exchanges with a node, as the number of nodes and the budget make it.
-    Duration heartbeatInterval() const { return m_interval; }
+    Duration heartbeatInterval() const { return m_pace.interval(); }
 
     /// Returns all known nodes but the own, own data centre's first. Linear.
     std::vector<NodeView> nodes() const;
@@ -148,98 +97,57 @@
     std::vector<DataCentreId> otherDataCentres() const;
 
     /// The latest summary of each other data centre.
-    const std::map<DataCentreId, ReceivedSummary> &summaries() const { return m_summaries; }
+    const std::map<DataCentreId, ReceivedSummary> &summaries() const { return m_summaries.all(); }
 
 private:
-    /// When the summary, and the list of nodes, that were spread to a peer had been made.
-    struct SpreadTimes
-    {
-        WallMillis m_madeAt = 0;
-        WallMillis m_nodesMadeAt = 0;
-    };
-
     struct Peer
     {
-        NodeView m_view;
-        std::int64_t m_sequence = 0;
-        /// In listening time; see m_listened.
-        Duration m_heardAt{};
-        TimePoint m_lastExchange;
+        NodeWatch m_watch;
         TimePoint m_lastSent;
-        std::vector<NodeSuspicion> m_suspicions;
         /// What this node last spread to the peer.
-        std::map<DataCentreId, SpreadTimes> m_summariesSent;
+        SpreadRecord m_spread;
         std::int64_t m_nodesDigest = 0;
         TimePoint m_nodesSentAt;
-        /// Listed by the cloud once, and by its last list.
-        bool m_wasListed = false;
-        bool m_isListed = false;
         bool m_isSeed = false;
-        /// Whether this node is the one of the pair that starts their exchanges.
-        bool m_isInitiator = false;
-    };
-
-    struct RemoteLink
-    {
-        TimePoint m_lastSent;
-        std::size_t m_failures = 0;
-        int m_sinceNodeList = 0;
-        /// The digest of this data centre's list that the other one said to have.
-        std::int64_t m_heldThere = 0;
+        HeartbeatRole m_role = HeartbeatRole::Second;
     };
 
     Peer &ensure(const NodeIdentity &identity, TimePoint now);
     Received take(const MembershipMessage &message, TimePoint now);
-    bool adoptSender(const MembershipMessage &message, TimePoint now, MembershipCommands &commands);
-    void takeRemoteNodes(const DataCentreSummary &summary, TimePoint now,
-                         MembershipCommands &commands);
     void takeSummary(const DataCentreSummary &summary, bool isDirect, TimePoint now,
                      MembershipCommands &commands);
-    void takeNodeList(const DataCentreSummary &summary, bool isStale, ReceivedSummary &held);
-    static void forgetProcess(Peer &peer);
+    void takeRemoteNodes(const DataCentreSummary &summary, TimePoint now,
+                         MembershipCommands &commands);
     void takeSelfSuspicion(const MembershipMessage &message, MembershipCommands &commands);
-    void setState(Peer &peer, NodeState state, std::string reason, TimePoint now,
-                  MembershipCommands &commands);
     void judge(Peer &peer, TimePoint now, MembershipCommands &commands);
-    void judgeRemote(Peer &peer, TimePoint now, MembershipCommands &commands);
     /// The node that cannot hear the peer either; nothing if there is none.
-    std::optional<NodeId> confirmerOf(const Peer &peer) const;
+    std::optional<NodeId> witnessAgainst(const NodeIdentity &silent) const;
     bool isHeartbeatDue(const Peer &peer, TimePoint now) const;
-    Duration affordableInterval() const;
-    bool initiatesTo(const NodeId &node) const;
+    /// Of the own data centre, without the dead ones.
+    std::size_t meshSize() const;
+    Duration summaryPatience() const;
     /// Tells whether a data centre that is heard no longer lists the node.
     bool isLeftOut(const Peer &peer, TimePoint now) const;
     void forgetOldDead(TimePoint now);
     void sendSummaries(TimePoint now, WallMillis wallNow, MembershipCommands &commands);
     std::optional<NodeIdentity> summaryTarget(const DataCentreId &dataCentre,
-                                              const RemoteLink &link) const;
-    DataCentreSummary ownSummary(RemoteLink &link, WallMillis wallNow) const;
+                                              const SummaryLink &link) const;
+    DataCentreSummary ownSummary(SummaryLink &link, WallMillis wallNow) const;
     MembershipMessage messageAcross(const DataCentreId &dataCentre, WallMillis wallNow);
-    std::int64_t heldNodesDigest(const DataCentreId &dataCentre) const;
-    void attachSummaries(Peer &peer, MembershipMessage &message);
     void attachNodes(Peer &peer, MembershipMessage &message, TimePoint now);
     std::vector<NodeIdentity> ownNodes() const;
     MembershipMessage baseMessage();
     MembershipMessage messageFor(Peer &peer, TimePoint now);
     bool isOwn(const DataCentreId &dataCentre) const;
-    Duration silenceOf(const Peer &peer) const { return m_listened - peer.m_heardAt; }
 
     MembershipSettings m_settings;
     std::map<NodeId, Peer> m_peers;
-    std::map<DataCentreId, RemoteLink> m_links;
-    std::map<DataCentreId, ReceivedSummary> m_summaries;
-    /// Those whose summary came here directly and is this node's to spread.
-    std::set<DataCentreId> m_toSpread;
+    std::map<DataCentreId, SummaryLink> m_links;
+    SummaryBook m_summaries;
     std::vector<ServiceCapacity> m_services;
-    TimePoint m_lastTick;
-    /// The time this process spent listening: the sum of the gaps between ticks, each counted up to
-    /// m_longestTickGap. Silence is measured in it, so that a pause of the observer, which shows as
-    /// one long gap, ages nobody.
-    Duration m_listened{};
-    /// As of the last tick.
-    Duration m_interval;
+    ListeningClock m_listening;
+    HeartbeatPace m_pace;
     std::int64_t m_sequence = 0;
-    double m_heartbeatBytes = 150;
     bool m_isDraining = false;
 };
 
--- /dev/null
+++ b/src/fleet/heartbeat_pace.cpp
@@ -0,0 +1,62 @@
+#include <gypsumdale/fleet/heartbeat_pace.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm> // clamp
+#include <chrono> // duration_cast
+#include <string> // string
+
+namespace gypsumdale {
+
+namespace {
+
+/// Dead nodes are still tried, this many times more rarely, so that a healed cut is noticed.
+constexpr int deadIntervalFactor = 10;
+/// The node that does not start the exchanges of a pair does so after this many intervals, if
+/// nothing came.
+constexpr double secondIntervalFactor = 1.5;
+/// The weight of the newest heartbeat in the mean of their sizes.
+constexpr double sizeWeight = 0.05;
+
+} // namespace
+
+HeartbeatPace::HeartbeatPace(const MembershipSettings &settings)
+    : m_shortest(settings.m_heartbeatInterval)
+    , m_longest(settings.m_longestInterval)
+    , m_bytesPerSecond(settings.m_bytesPerSecond)
+    , m_interval(settings.m_heartbeatInterval)
+{}
+
+void HeartbeatPace::noteBytes(std::size_t bytes)
+{
+    m_heartbeatBytes += sizeWeight * (static_cast<double>(bytes) - m_heartbeatBytes);
+}
+
+void HeartbeatPace::setPeers(std::size_t peers)
+{
+    // An exchange with each peer is a heartbeat out and one in.
+    const double bytes = 2 * m_heartbeatBytes * static_cast<double>(peers);
+    const std::chrono::duration<double> affordable(bytes / m_bytesPerSecond);
+    const auto wanted = std::chrono::duration_cast<Duration>(affordable);
+    m_interval = std::clamp(wanted, m_shortest, m_longest);
+}
+
+Duration HeartbeatPace::dueAfter(HeartbeatRole role, NodeState state) const
+{
+    if (state == NodeState::Dead)
+        return m_interval * deadIntervalFactor;
+    if (role == HeartbeatRole::Second)
+        return std::chrono::duration_cast<Duration>(m_interval * secondIntervalFactor);
+    return m_interval;
+}
+
+HeartbeatRole heartbeatRole(const NodeId &self, const NodeId &other)
+{
+    const bool isFirst = self < other;
+    const std::string pair =
+            isFirst ? self.text() + "|" + other.text() : other.text() + "|" + self.text();
+    const bool firstStarts = (XXH3_64bits_withSeed(pair.data(), pair.size(), 0) & 1U) == 1;
+    return firstStarts == isFirst ? HeartbeatRole::Starter : HeartbeatRole::Second;
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/src/fleet/node_watch.cpp
@@ -0,0 +1,145 @@
+#include <gypsumdale/fleet/node_watch.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm> // any_of
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+std::string silentFor(Duration silence)
+{
+    return fmt::format("silent for {:.0f} ms", toMillis(silence));
+}
+
+} // namespace
+
+NodeWatch::NodeWatch(const NodeIdentity &identity, Duration listened, TimePoint now)
+    : m_heardAt(listened)
+{
+    m_view.m_identity = identity;
+    // Only a node's own heartbeat or its data centre's summary tells its incarnation.
+    m_view.m_identity.m_incarnation = 0;
+    m_view.m_stateSince = now;
+    m_view.m_reason = "not heard yet";
+}
+
+void NodeWatch::setState(NodeState state, std::string reason, TimePoint now,
+                         MembershipCommands &commands)
+{
+    if (m_view.m_state == state)
+        return;
+    m_view.m_state = state;
+    m_view.m_stateSince = now;
+    m_view.m_reason = std::move(reason);
+    const NodeIdentity &identity = m_view.m_identity;
+    commands.push_back(NodeStateChanged{identity.m_node, identity.m_dataCentre,
+                                        identity.m_incarnation, state, m_view.m_reason});
+}
+
+HeartbeatNews NodeWatch::hear(const MembershipMessage &message, Duration listened, TimePoint now,
+                              MembershipCommands &commands)
+{
+    const Incarnation incarnation = message.m_from.m_incarnation;
+    if (incarnation < m_view.m_identity.m_incarnation)
+        return HeartbeatNews::None;
+    const bool isNewProcess = incarnation > m_view.m_identity.m_incarnation;
+    // Dead holds for the incarnation. Its jobs may have been taken over; were it simply alive
+    // again, it would go on with them. The answer tells it, and it comes back with a higher one.
+    if (!isNewProcess && isDead())
+        return HeartbeatNews::None;
+    if (!isNewProcess && message.m_sequence <= m_sequence)
+        return HeartbeatNews::None;
+
+    const bool isMarkedUnheard =
+            m_view.m_state == NodeState::Leaving && m_view.m_identity.m_incarnation == 0;
+    m_view.m_identity = message.m_from;
+    m_view.m_lastHeard = now;
+    m_sequence = message.m_sequence;
+    m_heardAt = listened;
+    m_lastExchange = now;
+    m_suspicions = message.m_suspicions;
+    // A notice may come before the first heartbeat: it concerns the incarnation that then appears.
+    if (isNewProcess && !isMarkedUnheard)
+        setState(NodeState::Alive, "started", now, commands);
+    if (message.m_draining)
+        setState(NodeState::Leaving, "it is draining", now, commands);
+    else if (m_view.m_state == NodeState::Suspect)
+        setState(NodeState::Alive, "heard", now, commands);
+    return isNewProcess ? HeartbeatNews::FromNewProcess : HeartbeatNews::Fresh;
+}
+
+bool NodeWatch::hearOf(const NodeIdentity &identity, Duration listened, TimePoint now,
+                       MembershipCommands &commands)
+{
+    const Incarnation known = m_view.m_identity.m_incarnation;
+    if (identity.m_incarnation < known || (isDead() && identity.m_incarnation == known))
+        return false;
+    const bool isNewProcess = identity.m_incarnation > known;
+    // Failure: a node restarts, and another data centre learns of it by a summary first. Its new
+    // heartbeats count from 1 and would all look older than the last one of the process before, so
+    // that the data centre it speaks for stays suspect.
+    if (isNewProcess)
+        m_sequence = 0;
+    m_view.m_identity = identity;
+    m_view.m_lastHeard = now;
+    m_heardAt = listened;
+    setState(NodeState::Alive, "in its data centre's summary", now, commands);
+    return isNewProcess;
+}
+
+bool NodeWatch::suspects(const NodeIdentity &other) const
+{
+    return std::any_of(m_suspicions.begin(), m_suspicions.end(),
+                       [&](const NodeSuspicion &suspicion) {
+                           return suspicion.m_node == other.m_node
+                                  && suspicion.m_incarnation >= other.m_incarnation;
+                       });
+}
+
+void NodeWatch::setListed(bool isListed)
+{
+    m_isListed = isListed;
+    m_wasListed = m_wasListed || isListed;
+}
+
+void NodeWatch::leave(std::string reason, TimePoint now, MembershipCommands &commands)
+{
+    if (!isDead())
+        setState(NodeState::Leaving, std::move(reason), now, commands);
+}
+
+void NodeWatch::judge(Duration suspectAfter, Duration listened, TimePoint now,
+                      MembershipCommands &commands)
+{
+    if (isDead() || silence(listened) < suspectAfter)
+        return;
+    const std::string text = silentFor(silence(listened));
+    if (isUnlisted())
+        setState(NodeState::Dead, text + " and no longer in the VM list", now, commands);
+    else if (isAlive())
+        setState(NodeState::Suspect, text, now, commands);
+}
+
+void NodeWatch::judgeElsewhere(Duration suspectAfter, Duration listened, TimePoint now,
+                               MembershipCommands &commands)
+{
+    if (isDead() || silence(listened) < suspectAfter)
+        return;
+    if (isUnlisted())
+        setState(NodeState::Dead, "no longer in the VM list", now, commands);
+    else if (isAlive())
+        setState(NodeState::Suspect, "no word from its data centre", now, commands);
+}
+
+void NodeWatch::confirmDead(const NodeId &witness, Duration listened, TimePoint now,
+                            MembershipCommands &commands)
+{
+    const std::string text = silentFor(silence(listened));
+    setState(NodeState::Dead, text + ", and " + witness.text() + " cannot hear it either", now,
+             commands);
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/tests/src/unit-membership-parts.cpp
@@ -0,0 +1,189 @@
+#include <gypsumdale/fleet/heartbeat_pace.hpp>
+#include <gypsumdale/fleet/listening_clock.hpp>
+#include <gypsumdale/fleet/node_watch.hpp>
+#include <gypsumdale/fleet/summary_book.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string> // to_string
+
+using namespace gypsumdale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start = TimePoint() + seconds(1000);
+const DataCentreId banos("banos");
+const DataCentreId cuenca("cuenca");
+
+NodeIdentity nodeOf(const std::string &name, Incarnation incarnation)
+{
+    NodeIdentity identity;
+    identity.m_node = NodeId(name);
+    identity.m_dataCentre = banos;
+    identity.m_incarnation = incarnation;
+    return identity;
+}
+
+MembershipMessage heartbeat(Incarnation incarnation, std::int64_t sequence)
+{
+    MembershipMessage message;
+    message.m_from = nodeOf("banos-2", incarnation);
+    message.m_sequence = sequence;
+    return message;
+}
+
+DataCentreSummary summaryOf(WallMillis madeAt, bool hasNodes)
+{
+    DataCentreSummary summary;
+    summary.m_dataCentre = cuenca;
+    summary.m_madeAt = madeAt;
+    if (hasNodes)
+        summary.m_nodes = {nodeOf("cuenca-1", 1)};
+    return summary;
+}
+
+} // namespace
+
+TEST_CASE("A pause counts for no more than the longest gap that is listening")
+{
+    ListeningClock clock(milliseconds(250), start);
+    clock.tick(start + milliseconds(100));
+    CHECK(clock.listened() == milliseconds(100));
+    clock.tick(start + seconds(60));
+    CHECK(clock.listened() == milliseconds(350));
+}
+
+TEST_CASE("One node of each pair starts their exchanges")
+{
+    const NodeId self("banos-1");
+    bool isStarter = false;
+    bool isSecond = false;
+    for (int node = 2; node < 20; ++node) {
+        const NodeId other("banos-" + std::to_string(node));
+        CHECK(heartbeatRole(self, other) != heartbeatRole(other, self));
+        isStarter = isStarter || heartbeatRole(self, other) == HeartbeatRole::Starter;
+        isSecond = isSecond || heartbeatRole(self, other) == HeartbeatRole::Second;
+    }
+    CHECK(isStarter);
+    CHECK(isSecond);
+}
+
+TEST_CASE("Heartbeats keep to their budget, and dead nodes are tried rarely")
+{
+    MembershipSettings settings;
+    settings.m_bytesPerSecond = 3000;
+    HeartbeatPace pace(settings);
+    pace.setPeers(1);
+    CHECK(pace.interval() == settings.m_heartbeatInterval);
+    pace.setPeers(10);
+    CHECK(pace.interval() == seconds(1));
+    CHECK(pace.dueAfter(HeartbeatRole::Starter, NodeState::Alive) == seconds(1));
+    CHECK(pace.dueAfter(HeartbeatRole::Second, NodeState::Alive) == milliseconds(1500));
+    CHECK(pace.dueAfter(HeartbeatRole::Second, NodeState::Dead) == seconds(10));
+    pace.setPeers(1000);
+    CHECK(pace.interval() == settings.m_longestInterval);
+}
+
+TEST_CASE("Dead holds for an incarnation")
+{
+    MembershipCommands commands;
+    NodeWatch watch(nodeOf("banos-2", 7), {}, start);
+    CHECK(watch.identity().m_incarnation == 0);
+    CHECK(watch.hear(heartbeat(7, 1), {}, start, commands) == HeartbeatNews::FromNewProcess);
+    CHECK(watch.isAlive());
+    CHECK(watch.hear(heartbeat(7, 1), {}, start, commands) == HeartbeatNews::None);
+    CHECK(watch.hear(heartbeat(7, 2), {}, start, commands) == HeartbeatNews::Fresh);
+
+    watch.judge(seconds(1), seconds(1), start, commands);
+    CHECK(watch.state() == NodeState::Suspect);
+    watch.confirmDead(NodeId("banos-3"), seconds(3), start, commands);
+    CHECK(watch.isDead());
+    CHECK(watch.hear(heartbeat(7, 3), seconds(3), start, commands) == HeartbeatNews::None);
+    CHECK(watch.hear(heartbeat(6, 9), seconds(3), start, commands) == HeartbeatNews::None);
+    CHECK_FALSE(watch.hearOf(nodeOf("banos-2", 7), seconds(3), start, commands));
+    CHECK(watch.isDead());
+    CHECK(watch.hear(heartbeat(8, 1), seconds(3), start, commands)
+          == HeartbeatNews::FromNewProcess);
+    CHECK(watch.isAlive());
+    CHECK(commands.size() == 4);
+}
+
+TEST_CASE("A notice before the first heartbeat concerns the process that then appears")
+{
+    MembershipCommands commands;
+    NodeWatch watch(nodeOf("banos-2", 0), {}, start);
+    watch.leave("reclaimed", start, commands);
+    watch.hear(heartbeat(7, 1), {}, start, commands);
+    CHECK(watch.state() == NodeState::Leaving);
+    watch.hear(heartbeat(8, 1), {}, start, commands);
+    CHECK(watch.isAlive());
+}
+
+TEST_CASE("A silent node is dead only once the list that showed it no longer does")
+{
+    MembershipCommands commands;
+    NodeWatch watch(nodeOf("banos-2", 0), {}, start);
+    watch.hear(heartbeat(7, 1), {}, start, commands);
+    watch.setListed(false);
+    watch.judgeElsewhere(seconds(10), seconds(10), start, commands);
+    CHECK(watch.state() == NodeState::Suspect);
+    watch.setListed(true);
+    watch.setListed(false);
+    watch.judgeElsewhere(seconds(10), seconds(10), start, commands);
+    CHECK(watch.isDead());
+}
+
+TEST_CASE("A book of summaries takes what is newer and spreads what came directly")
+{
+    SummaryBook book(seconds(10));
+    CHECK(book.take(summaryOf(100, true), SummarySource::ItsDataCentre, start));
+    CHECK_FALSE(book.take(summaryOf(100, false), SummarySource::ItsDataCentre, start));
+    CHECK(book.isHeard(cuenca, start + seconds(9)));
+    CHECK_FALSE(book.isHeard(cuenca, start + seconds(10)));
+
+    SpreadRecord told;
+    const auto news = book.newsFor(told);
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().m_nodes);
+    CHECK(book.newsFor(told).empty());
+
+    SECTION("without the list of nodes where that is not new")
+    {
+        CHECK(book.take(summaryOf(200, false), SummarySource::ItsDataCentre, start));
+        const auto later = book.newsFor(told);
+        REQUIRE(later.size() == 1);
+        CHECK_FALSE(later.front().m_nodes);
+    }
+
+    SECTION("not what another node of the own data centre told")
+    {
+        CHECK(book.take(summaryOf(200, false), SummarySource::OwnDataCentre, start));
+        CHECK(book.newsFor(told).empty());
+    }
+
+    SECTION("a sender whose clock ran ahead shuts nobody out for long")
+    {
+        CHECK_FALSE(
+                book.take(summaryOf(50, false), SummarySource::ItsDataCentre, start + seconds(10)));
+        CHECK(book.take(summaryOf(50, false), SummarySource::ItsDataCentre,
+                        start + seconds(10) + milliseconds(1)));
+    }
+}
+
+TEST_CASE("The list of nodes goes to another data centre that has another, and now and then")
+{
+    SummaryLink link;
+    CHECK(link.takeTurn(seconds(2), start));
+    CHECK_FALSE(link.takeTurn(seconds(2), start + seconds(1)));
+    CHECK(link.takeTurn(seconds(2), start + seconds(2)));
+
+    CHECK(link.bringsNodes(42, 3));
+    CHECK(link.bringsNodes(42, 3));
+    link.setHeldThere(42);
+    CHECK_FALSE(link.bringsNodes(42, 3));
+    CHECK_FALSE(link.bringsNodes(42, 3));
+    CHECK(link.bringsNodes(42, 3));
+    CHECK(link.bringsNodes(43, 3));
+}
