Take off what a VM admitted before its silence showed

Cause: what a VM admitted while it wasn't heard was taken for the part that is kept for it, but nothing is kept in the 0.8 s before its silence shows. With each silence the others' buckets held more than there was.

Ruled out: retries (counted once), restarts and pauses (the levels apart in the trace belong to VMs that did neither), the exchange's delay (the VM that heard both was 6 short while they saw 6 left).

Once a VM is heard again, what it admitted beyond the part that was kept for it is taken off, as if it had been heard all the time.

Before: 15 of 15 patterns of silences exceed the quota, up to 16,440 of 9,900.

--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -69,7 +69,8 @@
 /// Three failures shaped it. Reports are up to an exchange old, and all VMs see the same tokens:
 /// while the bucket is low, each admits only its part of the rate, and what was admitted too much
 /// is a debt that is waited for. A partition leaves each side alone: a side fills its bucket only
-/// by the part of the VMs that it hears, so that the sides together fill it once. A restart forgets
+/// by the part of the VMs that it hears, so that the sides together fill it once; what the others
+/// admitted before their silence showed is taken off when they are heard again. A restart forgets
 /// the use before it: the bucket begins empty. When all VMs restart at once none knows of another,
 /// and each would take the whole rate for its own: VMs that are expected and were not heard yet
 /// count as silent.
@@ -105,6 +106,8 @@
         SlidingSum m_demand{demandSpan};
         /// What is left of this VM's part of the rate, for when the bucket is low.
         double m_rateRoom = 0;
+        /// The rate that is kept for each VM that is silent.
+        double m_rateOfOne = 0;
         TimePoint m_filledAt{};
         bool m_isNew = true;
     };
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -63,15 +63,20 @@
     Peer &peer = entry->second;
     const Duration silence = now - std::exchange(peer.m_heardAt, now);
     const std::map<AccountId, ReportedUse> before = std::exchange(peer.m_uses, std::move(uses));
-    // What a VM admitted while it wasn't heard came out of the part that was kept for it.
-    if (isNew || silence > silenceLimit())
+    if (isNew)
         return;
+    const double kept = toSeconds(std::max(silence - silenceLimit(), Duration::zero()));
     for (const auto &[account, use] : peer.m_uses) {
         const auto known = before.find(account);
         const double earlier = known == before.end() ? 0 : known->second.m_admittedTotal;
         // A restarted VM counts from nothing.
         const bool isRestarted = use.m_admittedTotal < earlier;
-        m_buckets[account].m_level -= use.m_admittedTotal - (isRestarted ? 0 : earlier);
+        const double used = use.m_admittedTotal - (isRestarted ? 0 : earlier);
+        Bucket &bucket = m_buckets[account];
+        // What a VM admitted while it wasn't heard came out of the part that was kept for it, but
+        // nothing was kept until its silence showed. Taken for kept, that let an account have more
+        // with each silence.
+        bucket.m_level -= std::max(used - kept * bucket.m_rateOfOne, 0.0);
     }
 }
 
@@ -117,6 +122,7 @@
         bucket.m_filledAt = now;
     }
     const double passed = toSeconds(now - std::exchange(bucket.m_filledAt, now));
+    bucket.m_rateOfOne = rateOf(account) / fleet.m_nodes;
     const double rate = rateOf(account) * fleet.heardShare();
     bucket.m_level = std::min(bucket.m_level + rate * passed, capacity);
     bucket.m_rateRoom = std::min(bucket.m_rateRoom + ratePart * passed, ratePart * rateRoomSeconds);
