Play an account whose first request comes late to a VM

Found by reading, beside the silences: peers' reports are taken off a bucket that nobody has filled yet, and the bucket is filled from the first request on only.

--- a/tests/src/unit-fleet-quota.cpp
+++ b/tests/src/unit-fleet-quota.cpp
@@ -85,6 +85,18 @@
         quota.setPeerUse("peer", {{AccountId("huber"), {limit, rate}}}, start + 500ms);
         CHECK(quota.admit(accountOf(), 10, start + 500ms).m_verdict == QuotaVerdict::OverLimit);
     }
+    SECTION("lets an account in that comes late to this VM")
+    {
+        // A buyer's account is served by the other VMs for a minute at half of its rate, and then
+        // sends a request here. All that the others admitted counted against a bucket that had
+        // never been filled: the buyer was refused for half a minute.
+        for (int exchange = 0; exchange < 240; ++exchange) {
+            const double admitted = 0.5 * rate * 0.25 * exchange;
+            quota.setPeerUse("peer", {{AccountId("huber"), {admitted, 0.5 * rate}}},
+                             start + exchange * 250ms);
+        }
+        CHECK(askFor(quota, 0.4 * rate, start + 60s) >= 0.2 * rate);
+    }
     SECTION("leaves a silent peer its share")
     {
         // Two VMs are cut off from each other. Each hears nobody and would admit the whole limit:
