Begin a bucket empty at worst, whatever peers reported before

Cause: reports of peers were taken off a bucket that is filled from the first request on only, for all the time before it.

A bucket that gets its first request begins empty at worst, as after a restart; what the fleet admitted too much just before is waited for by the others.

Before: 0 of 400 tokens after a minute at half of the rate.

--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -117,8 +117,11 @@
 {
     const double capacity = capacityOf(account) * fleet.heardShare();
     if (std::exchange(bucket.m_isNew, false)) {
-        // Reports of peers may have come before the first request.
+        // Reports of peers may have come before the first request, for any time, in which nothing
+        // filled it: it begins empty at worst, as after a restart. With all of them taken off, an
+        // account that came late to this VM was refused for as long as the others had served it.
         bucket.m_level += m_settings.m_beginsCautiously ? 0 : capacity;
+        bucket.m_level = std::max(bucket.m_level, 0.0);
         bucket.m_filledAt = now;
     }
     const double passed = toSeconds(now - std::exchange(bucket.m_filledAt, now));
