Harm the links between VMs in the soak, and check more while it runs

The soak harmed the links to the store and to the upstreams only. Now each VM has a link of its own to the store, and peers reach it through a proxy at the address that it tells them. Links between VMs are delayed, cut one way or both and reset one by one, and all of them at once for as long as it takes to notice. Two disturbers overlap, half of the callers keep their connections, and after its first start a process is told that it restarts.

Checked besides: what was passed on is answered unless its VM was killed; a VM that has taken in that an upstream leaves sends nothing there; an account gets what its quota tolerates over all VMs; a VM that only the store or only its peers tell leaves a leaving upstream alone. None of these depends on the speed of the machine: what a VM knew is told by what it asked of the store, and a quota's use is counted from the sending to the arrival. The checks that there were are unchanged; they moved to a file of their own.

GYPSUMDALE_SOAK_NODES sets the number of VMs, for runs by hand.

--- a/tests/src/process-entry-soak.cpp
+++ b/tests/src/process-entry-soak.cpp
@@ -1,22 +1,28 @@
 #include "support/entry_world.hpp"
+#include "support/soak_ledger.hpp"
 #include "support/soak_settings.hpp"
 
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
 
 #include <array> // array
+#include <atomic> // atomic
 #include <csignal> // SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
-#include <cstdint> // uint64_t
-#include <set> // set
+#include <cstddef> // size_t
+#include <cstdint> // int64_t, uint64_t
+#include <mutex> // lock_guard, mutex, unique_lock
 #include <thread> // sleep_for, thread
+#include <vector> // vector
 
 using namespace gypsumdale;
 using namespace gypsumdale::testing;
 
 namespace {
 
-constexpr int nodeCount = 3;
-constexpr int callerCount = 8;
+constexpr std::size_t callerCount = 12;
+/// Callers of the account with a quota, who ask for several times its rate.
+constexpr std::size_t limitedCallers = 5;
+constexpr std::size_t disturberCount = 2;
 
 struct Route
 {
@@ -49,85 +55,22 @@
     return whole;
 }
 
-/// What upstreams ran and callers were told, by request. Shared by all threads of a soak.
-class Ledger
-{
-public:
-    void ran(const std::string &id)
-    {
-        const std::lock_guard lock(m_mutex);
-        ++m_runs[id];
-    }
-
-    /// Notes an answer, with what it must be if it is a success.
-    void answered(const std::string &id, bool mayRepeat, const std::string &whole,
-                  const EntryAnswer &answer)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_answers[id] = {mayRepeat, whole, answer};
-        ++m_byStatus[answer.m_status];
-    }
-
-    /// Checks every promise on what has been seen so far.
-    void check() const
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[id, answered] : m_answers) {
-            const auto found = m_runs.find(id);
-            const int runs = found == m_runs.end() ? 0 : found->second;
-            const int status = answered.m_answer.m_status;
-            INFO("request " << id << ", status " << status << ", ran " << runs << " times");
-            const bool isTwice = !answered.m_mayRepeat && runs > 1;
-            CHECK_FALSE(isTwice);
-            const bool saysNotRun = status == 429 || status == 503;
-            const bool isFalselyRefused = saysNotRun && !answered.m_mayRepeat && runs > 0;
-            CHECK_FALSE(isFalselyRefused);
-            const bool isAnothers = status == 200 && answered.m_answer.m_body != answered.m_whole;
-            CHECK_FALSE(isAnothers);
-        }
-    }
-
-    int count(int status) const
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_byStatus.find(status);
-        return found == m_byStatus.end() ? 0 : found->second;
-    }
-
-    std::string summary() const
-    {
-        const std::lock_guard lock(m_mutex);
-        std::string text;
-        for (const auto &[status, count] : m_byStatus)
-            text += fmt::format("{}: {}  ", status, count);
-        return text;
-    }
-
-private:
-    struct Answered
-    {
-        bool m_mayRepeat = false;
-        std::string m_whole;
-        EntryAnswer m_answer;
-    };
-    mutable std::mutex m_mutex;
-    std::map<std::string, int> m_runs;
-    std::map<std::string, Answered> m_answers;
-    std::map<int, int> m_byStatus;
-};
-
 /// Upstreams that refuse, fail, lose answers, fall silent or are slow, each now and then.
 class FaultyUpstreams
 {
 public:
-    FaultyUpstreams(EntryWorld &world, Ledger &ledger, std::uint64_t seed)
+    FaultyUpstreams(EntryWorld &world, SoakLedger &ledger, std::uint64_t seed)
         : m_ledger(ledger)
         , m_random(seed)
     {
         for (const std::size_t index : {0, 1}) {
-            world.upstream(index).behave(
-                    [this](const HttpRequest &request, HttpResponder &responder,
-                           const HttpHeaders &headers) { answer(request, responder, headers); });
+            world.upstream(index).behave([this, index](const HttpRequest &request,
+                                                       HttpResponder &responder,
+                                                       const HttpHeaders &headers) {
+                m_ledger.arrived(std::string(request.m_headers.value("Gypsumdale-Request-Id")),
+                                 index);
+                answer(request, responder, headers);
+            });
         }
     }
 
@@ -187,31 +130,101 @@
         responder.finish();
     }
 
-    Ledger &m_ledger;
+    SoakLedger &m_ledger;
     // The stand-ins share one loop, so that one stream of numbers serves both.
     pcg32 m_random;
     std::atomic<bool> m_isCalm = false;
 };
 
-/// Does one thing after the other to processes, store and configuration.
+void pause(unsigned millis)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(millis));
+}
+
+/// What all threads of a soak share.
+struct Soak
+{
+    Soak(std::size_t nodes, std::uint64_t seed)
+        : m_seed(seed)
+        , m_world(static_cast<int>(nodes), true)
+        , m_kills(nodes)
+        , m_inUse(nodes)
+    {}
+
+    std::uint64_t m_seed;
+    EntryWorld m_world;
+    SoakLedger m_ledger;
+    std::atomic<bool> m_isOver = false;
+    std::atomic<int> m_version = 1;
+    /// Processes that did not end.
+    std::atomic<int> m_hangs = 0;
+    /// By VM.
+    std::vector<std::atomic<int>> m_kills;
+    /// By VM, held by who stops, pauses or kills it.
+    std::vector<std::mutex> m_inUse;
+    std::mutex m_announcing;
+};
+
+/// Lets an upstream leave or return, and the ledger know.
+void announce(Soak &soak, std::size_t upstream, bool isLeaving)
+{
+    const std::lock_guard lock(soak.m_announcing);
+    if (!isLeaving)
+        soak.m_ledger.leaves(upstream, 0);
+    const std::int64_t revision = soak.m_world.announce(soak.m_world.upstream(upstream),
+                                                        isLeaving ? "draining" : "ready");
+    if (isLeaving)
+        soak.m_ledger.leaves(upstream, revision);
+}
+
+/// Does one thing after the other to processes, store and configuration. Several of them overlap.
 class Disturber
 {
 public:
-    Disturber(EntryWorld &world, std::uint64_t seed)
-        : m_world(world)
-        , m_random(seed, 1)
+    Disturber(Soak &soak, std::size_t number)
+        : m_soak(soak)
+        , m_random(soak.m_seed, 1 + 1000 * number)
     {}
 
     void disturb()
     {
-        EntryWorld::EntryNode &node = m_world.node(m_random(nodeCount));
         switch (m_random(7)) {
+        case 4:
+            m_soak.m_world.store().refuse(true);
+            pause(200 + m_random(1500));
+            m_soak.m_world.store().refuse(false);
+            break;
+        case 5:
+            m_soak.m_world.configure(++m_soak.m_version, {"key"});
+            break;
+        case 6: {
+            const std::size_t upstream = m_random(2);
+            announce(m_soak, upstream, true);
+            pause(300 + m_random(1200));
+            announce(m_soak, upstream, false);
+            break;
+        }
+        default:
+            disturbProcess(m_random(static_cast<unsigned>(m_soak.m_world.nodeCount())));
+        }
+        pause(m_random(300));
+    }
+
+private:
+    void disturbProcess(std::size_t index)
+    {
+        const std::unique_lock use(m_soak.m_inUse.at(index), std::try_to_lock);
+        if (!use)
+            return;
+        EntryWorld::EntryNode &node = m_soak.m_world.node(index);
+        switch (m_random(4)) {
         case 0:
             node.m_process->send(SIGSTOP);
             pause(200 + m_random(800));
             node.m_process->send(SIGCONT);
             break;
         case 1:
+            ++m_soak.m_kills.at(index);
             node.m_process->send(SIGKILL);
             restart(node);
             break;
@@ -219,72 +232,142 @@
             node.m_process->send(SIGTERM);
             restart(node);
             break;
-        case 3:
+        default:
             node.m_process->send(SIGHUP);
-            break;
-        case 4:
-            m_world.store().refuse(true);
-            pause(200 + m_random(1500));
-            m_world.store().refuse(false);
-            break;
-        case 5:
-            m_world.configure(++m_version, {"key"});
-            break;
-        default: {
-            UpstreamStandIn &upstream = m_world.upstream(m_random(2));
-            m_world.announce(upstream, "draining");
-            pause(300 + m_random(500));
-            m_world.announce(upstream, "ready");
-        }
         }
-        pause(m_random(300));
-    }
-
-    static void pause(unsigned millis)
-    {
-        std::this_thread::sleep_for(std::chrono::milliseconds(millis));
     }
 
-private:
     void restart(EntryWorld::EntryNode &node)
     {
-        m_world.waitUntil("a process that was ended is gone",
-                          [&] { return node.m_process->exited(); });
-        m_world.start(node);
+        const auto end = std::chrono::steady_clock::now() + entryHangGuard;
+        while (!node.m_process->exited() && std::chrono::steady_clock::now() < end)
+            pause(10);
+        // Only the test's own thread may fail it.
+        if (!node.m_process->exited())
+            ++m_soak.m_hangs;
+        m_soak.m_world.start(node);
     }
 
-    EntryWorld &m_world;
+    Soak &m_soak;
     pcg32 m_random;
-    int m_version = 1;
 };
 
 /// Harms one link after the other, beside what happens to processes.
-void harmLinksUntil(EntryWorld &world, std::uint64_t seed, const std::atomic<bool> &isOver)
+void harmLinks(Soak &soak, const std::vector<FaultProxy *> &links, std::uint64_t stream)
 {
     constexpr std::array faults = {LinkFault::Delay, LinkFault::CutToTarget,
                                    LinkFault::CutFromTarget, LinkFault::Silence, LinkFault::Reset};
-    pcg32 random(seed, 2);
-    while (!isOver) {
-        FaultProxy &link = world.link(random(static_cast<unsigned>(world.linkCount())));
+    pcg32 random(soak.m_seed, stream);
+    while (!soak.m_isOver) {
+        FaultProxy &link = *links.at(random(static_cast<unsigned>(links.size())));
         link.set(faults.at(random(static_cast<unsigned>(faults.size()))));
-        Disturber::pause(50 + random(900));
+        pause(50 + random(900));
         link.set(LinkFault::None);
-        Disturber::pause(random(400));
+        pause(random(400));
     }
 }
 
-void callUntil(EntryWorld &world, Ledger &ledger, std::uint64_t seed, int caller,
-               const std::atomic<bool> &isOver)
+/// Returns the links to the store and to the upstreams.
+std::vector<FaultProxy *> outerLinks(EntryWorld &world)
+{
+    std::vector<FaultProxy *> links = {&world.upstreamLink(0), &world.upstreamLink(1)};
+    for (std::size_t node = 0; node < world.nodeCount(); ++node)
+        links.push_back(world.node(node).m_storeLink.get());
+    return links;
+}
+
+/// Returns the links on which VMs reach each other.
+std::vector<FaultProxy *> peerLinks(EntryWorld &world)
 {
-    pcg32 random(seed, 100 + static_cast<std::uint64_t>(caller));
-    for (int number = 0; !isOver; ++number) {
-        const std::string id = fmt::format("c{}-{}", caller, number);
+    std::vector<FaultProxy *> links;
+    for (std::size_t node = 0; node < world.nodeCount(); ++node)
+        links.push_back(world.node(node).m_peerLink.get());
+    return links;
+}
+
+void setAll(const std::vector<FaultProxy *> &links, LinkFault fault)
+{
+    for (FaultProxy *link : links)
+        link->set(fault);
+}
+
+/// Parts all VMs from each other now and then, long enough for them to notice.
+void partVms(Soak &soak)
+{
+    constexpr std::array faults = {LinkFault::Silence, LinkFault::Reset, LinkFault::CutFromTarget};
+    pcg32 random(soak.m_seed, 4);
+    while (!soak.m_isOver) {
+        pause(random(1500));
+        setAll(peerLinks(soak.m_world), faults.at(random(static_cast<unsigned>(faults.size()))));
+        pause(1200 + random(2800));
+        setAll(peerLinks(soak.m_world), LinkFault::None);
+    }
+}
+
+/// Sends one request and notes what came of it. The first callers belong to the account with a
+/// quota; every other keeps its connections.
+int callOnce(Soak &soak, std::size_t caller, const std::string &id, const Route &route,
+             std::size_t index)
+{
+    const EntryWorld::EntryNode &node = soak.m_world.node(index);
+    SoakRequest request;
+    request.m_node = index;
+    request.m_mayRepeat = route.m_mayRepeat;
+    request.m_isStream = route.m_isStream;
+    request.m_isLimited = caller < limitedCallers;
+    request.m_whole = wholeAnswer(id, route.m_isStream);
+    request.m_takenIn = soak.m_world.store().upstreamsTakenIn(node.m_name);
+    request.m_kills = soak.m_kills.at(index);
+    request.m_sentAt = std::chrono::steady_clock::now();
+    const char *key = request.m_isLimited ? EntryWorld::limitedKey : "key";
+    soak.m_ledger.sent(id, request);
+    const EntryAnswer answer = caller % 2 == 0
+                                       ? soak.m_world.call(node, route.m_path, id, key)
+                                       : soak.m_world.callAgain(node, route.m_path, id, key);
+    soak.m_ledger.answered(id, answer, soak.m_kills.at(index));
+    return answer.m_status;
+}
+
+void callUntilOver(Soak &soak, std::size_t caller)
+{
+    pcg32 random(soak.m_seed, 100 + caller);
+    for (int number = 0; !soak.m_isOver; ++number) {
         const Route &route = routes.at(random(static_cast<unsigned>(routes.size())));
-        const EntryAnswer answer = world.call(world.node(random(nodeCount)), route.m_path, id);
-        ledger.answered(id, route.m_mayRepeat, wholeAnswer(id, route.m_isStream), answer);
+        const std::size_t node = random(static_cast<unsigned>(soak.m_world.nodeCount()));
+        const int status =
+                callOnce(soak, caller, fmt::format("c{}-{}", caller, number), route, node);
         // A node that is down refuses at once; callers don't come back in the same moment.
-        if (answer.m_status == 0)
-            Disturber::pause(20);
+        if (status == 0 || status == 429)
+            pause(20);
+    }
+}
+
+/// Waits until a VM sends nothing to an upstream that leaves. Whatever it still sends is allowed,
+/// as it need not have heard of it yet.
+void waitUntilLeftAlone(Soak &soak, std::size_t node, std::size_t upstream)
+{
+    constexpr int enough = 12;
+    soak.m_world.waitUntil("a leaving upstream is left alone", [&] {
+        static int number = 0;
+        const std::size_t before = soak.m_world.upstream(upstream).seen().size();
+        for (int call = 0; call < enough; ++call)
+            soak.m_world.call(soak.m_world.node(node), "/again/x",
+                              fmt::format("left-{}", number++));
+        return soak.m_world.upstream(upstream).seen().size() == before;
+    });
+}
+
+void waitUntilServed(Soak &soak)
+{
+    for (std::size_t index = 0; index < soak.m_world.nodeCount(); ++index) {
+        const EntryWorld::EntryNode &node = soak.m_world.node(index);
+        soak.m_world.waitUntil("every process is ready",
+                               [&] { return soak.m_world.isReady(node); });
+        soak.m_world.waitUntil("every process serves again", [&] {
+            static int number = 0;
+            return soak.m_world.call(node, "/once/x", fmt::format("after-{}", number++)).m_status
+                   == 200;
+        });
     }
 }
 
@@ -293,42 +376,57 @@
 TEST_CASE("entry processes keep their promises while everything around them fails")
 {
     // Processes are paused, killed, stopped and restarted, the store comes and goes, upstreams
-    // refuse, fail and lose answers, and links are delayed, cut one way or both and reset. A
-    // request that may not repeat runs once at most, nothing that ran is called not run, a success
-    // is whole and the caller's own, and afterwards all is served again.
-    const std::uint64_t seed = soakSeed();
-    const std::uint64_t seconds = soakSeconds();
-    EntryWorld world(nodeCount, true);
-    Ledger ledger;
-    FaultyUpstreams upstreams(world, ledger, seed);
-    std::atomic<bool> isOver = false;
-    std::vector<std::thread> callers;
-    for (int caller = 0; caller < callerCount; ++caller) {
-        callers.emplace_back([&, caller] { callUntil(world, ledger, seed, caller, isOver); });
+    // refuse, fail and lose answers, and links are delayed, cut one way or both and reset, those
+    // between VMs too, and all of those at once. A request that may not repeat runs once at most,
+    // nothing that ran is called not run, a success is whole and the caller's own, what was passed
+    // on is answered unless its VM was killed, a VM that has taken in that an upstream leaves sends
+    // nothing there, an account gets what its quota tolerates over all VMs, and afterwards all is
+    // served again.
+    Soak soak(soakNodes(), soakSeed());
+    EntryWorld &world = soak.m_world;
+    FaultyUpstreams upstreams(world, soak.m_ledger, soak.m_seed);
+    std::vector<std::thread> threads;
+    for (std::size_t caller = 0; caller < callerCount; ++caller)
+        threads.emplace_back([&, caller] { callUntilOver(soak, caller); });
+    threads.emplace_back([&] { harmLinks(soak, outerLinks(world), 2); });
+    threads.emplace_back([&] { harmLinks(soak, peerLinks(world), 3); });
+    threads.emplace_back([&] { partVms(soak); });
+    for (std::size_t number = 1; number < disturberCount; ++number) {
+        threads.emplace_back([&, number] {
+            Disturber disturber(soak, number);
+            while (!soak.m_isOver)
+                disturber.disturb();
+        });
     }
-    std::thread harm([&] { harmLinksUntil(world, seed, isOver); });
-    Disturber disturber(world, seed);
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    Disturber disturber(soak, 0);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(soakSeconds());
     while (std::chrono::steady_clock::now() < end) {
         disturber.disturb();
-        ledger.check();
+        soak.m_ledger.check();
     }
-    isOver = true;
-    harm.join();
-    for (std::thread &caller : callers)
-        caller.join();
-    ledger.check();
-    WARN("seed " << seed << ", answers by status: " << ledger.summary());
-    CHECK(ledger.count(200) > 0);
+    soak.m_isOver = true;
+    for (std::thread &thread : threads)
+        thread.join();
+    soak.m_ledger.check();
+    WARN("seed " << soak.m_seed << ", answers by status: " << soak.m_ledger.summary());
+    CHECK(soak.m_ledger.count(200) > 0);
+    CHECK(soak.m_hangs == 0);
 
     upstreams.calm();
-    for (int index = 0; index < nodeCount; ++index) {
-        world.waitUntil("every process is ready", [&] { return world.isReady(world.node(index)); });
-        world.waitUntil("every process serves again", [&] {
-            static int number = 0;
-            return world.call(world.node(index), "/once/x", fmt::format("after-{}", number++))
-                           .m_status
-                   == 200;
-        });
-    }
+    world.store().refuse(false);
+    waitUntilServed(soak);
+
+    // A VM that one of the two tells, the store or its peers, leaves a leaving upstream alone.
+    world.node(0).m_storeLink->set(LinkFault::Silence);
+    announce(soak, 0, true);
+    for (std::size_t node = 0; node < world.nodeCount(); ++node)
+        waitUntilLeftAlone(soak, node, 0);
+    announce(soak, 0, false);
+    world.node(0).m_storeLink->set(LinkFault::None);
+    setAll(peerLinks(world), LinkFault::Silence);
+    announce(soak, 1, true);
+    for (std::size_t node = 0; node < world.nodeCount(); ++node)
+        waitUntilLeftAlone(soak, node, 1);
+    announce(soak, 1, false);
+    soak.m_ledger.check();
 }
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm> // max
 #include <atomic> // atomic
 #include <chrono> // steady_clock
 #include <csignal> // signal, SIGPIPE
@@ -39,22 +40,48 @@
 public:
     explicit StoreStandIn(FiberLoop &loop)
         : m_loop(loop)
-        , m_port(freePort())
-        , m_server(valueOf(
-                  HttpServerBuilder()
-                          .listenOn("127.0.0.1", m_port)
-                          .runOn({&loop})
-                          .handleWith([this](const HttpRequest &request, HttpResponder &responder) {
-                              answer(request, responder);
-                          })
-                          .build()))
+        , m_port(openPortFor({}))
     {}
 
+    /// The port for everybody.
     std::uint16_t port() const { return m_port; }
 
-    void put(const std::string &kind, const std::string &name, const Json &spec)
+    /// Returns a further port, whose callers are all one VM.
+    std::uint16_t openPortFor(const std::string &node)
     {
-        m_loop.call([&] { store(kind, name, spec); });
+        const std::uint16_t port = freePort();
+        const auto handler = [this, node](const HttpRequest &request, HttpResponder &responder) {
+            answer(node, request, responder);
+        };
+        m_servers.push_back(valueOf(HttpServerBuilder()
+                                            .listenOn("127.0.0.1", port)
+                                            .runOn({&m_loop})
+                                            .handleWith(handler)
+                                            .build()));
+        return port;
+    }
+
+    /// Returns the revision of the object.
+    std::int64_t put(const std::string &kind, const std::string &name, const Json &spec)
+    {
+        return m_loop.call([&] {
+            store(kind, name, spec);
+            return m_revision;
+        });
+    }
+
+    /// Returns up to which revision a VM has taken in the upstreams: from there it has asked for
+    /// changes.
+    std::int64_t upstreamsTakenIn(const std::string &node)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_takenIn[node];
+    }
+    /// Forgets it, for a process that begins.
+    void forgetTakenIn(const std::string &node)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_takenIn[node] = 0;
     }
 
     void remove(const std::string &kind, const std::string &name)
@@ -104,7 +131,7 @@
         responder.send({status, {}, body.dump()});
     }
 
-    void answer(const HttpRequest &request, HttpResponder &responder)
+    void answer(const std::string &node, const HttpRequest &request, HttpResponder &responder)
     {
         constexpr std::string_view prefix = "/-/objects/";
         const std::string path(request.path());
@@ -119,7 +146,7 @@
         if (request.m_method == "GET" && hasName)
             answerOne(kind, name, responder);
         else if (request.m_method == "GET" && request.parameter("watch"))
-            answerWatch(kind, request, responder);
+            answerWatch(node, kind, request, responder);
         else if (request.m_method == "GET")
             answerList(kind, responder);
         else
@@ -142,9 +169,18 @@
         send(responder, 200, {{"items", items}, {"has-more", false}, {"current-rev", m_revision}});
     }
 
-    void answerWatch(const std::string &kind, const HttpRequest &request, HttpResponder &responder)
+    void noteTakenIn(const std::string &node, std::int64_t revision)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_takenIn[node] = std::max(m_takenIn[node], revision);
+    }
+
+    void answerWatch(const std::string &node, const std::string &kind, const HttpRequest &request,
+                     HttpResponder &responder)
     {
         const std::int64_t since = std::stoll(*request.parameter("watch"));
+        if (kind == "servers")
+            noteTakenIn(node, since);
         const int wait = std::stoi(request.parameter("wait-ms").value_or("0"));
         Json events = Json::array();
         for (int waited = 0; events.empty() && waited <= wait && !m_refuses; waited += 10) {
@@ -182,13 +218,15 @@
     }
 
     FiberLoop &m_loop;
-    std::uint16_t m_port;
     std::atomic<bool> m_refuses = false;
     std::atomic<Duration> m_removalDelay = Duration::zero();
     std::int64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Stored>> m_objects;
     std::vector<Event> m_events;
-    HttpServer m_server;
+    std::mutex m_mutex;
+    std::map<std::string, std::int64_t> m_takenIn;
+    std::vector<HttpServer> m_servers;
+    std::uint16_t m_port;
 };
 
 /// One upstream that signs its answers and echoes the request's id; a test may take its place for
@@ -263,7 +301,8 @@
 class EntryWorld
 {
 public:
-    /// With proxies, processes reach the store and the upstreams through links that can be harmed.
+    /// With proxies, processes reach the store, the upstreams and each other through links that can
+    /// be harmed.
     explicit EntryWorld(int nodes = 1, bool hasProxies = false)
         : m_loop("test")
         , m_client(m_loop)
@@ -274,17 +313,18 @@
                    / fmt::format("gypsumdale-entry-{}-{}", getpid(), freePort());
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<StoreStandIn>(m_loop);
-        if (hasProxies)
-            m_links.push_back(std::make_unique<FaultProxy>(m_store->port()));
         for (const char *id : {"u-1", "u-2"}) {
             m_upstreams.push_back(std::make_unique<UpstreamStandIn>(m_loop, id));
             if (hasProxies)
-                m_links.push_back(std::make_unique<FaultProxy>(m_upstreams.back()->port()));
+                m_upstreamLinks[id] = std::make_unique<FaultProxy>(m_upstreams.back()->port());
             announce(*m_upstreams.back(), "ready");
         }
         configure(1, {"key"});
-        for (int node = 0; node < nodes; ++node)
+        for (int node = 0; node < nodes; ++node) {
             m_nodes.push_back(planNode(node));
+            if (hasProxies)
+                addLinks(m_nodes.back());
+        }
         for (EntryNode &node : m_nodes)
             start(node);
         for (const EntryNode &node : m_nodes)
@@ -311,12 +351,17 @@
         std::uint16_t m_peerPort = 0;
         std::uint16_t m_metricsPort = 0;
         std::unique_ptr<ChildProcess> m_process;
+        /// Set where links can be harmed: the one to the store, and the one on which peers reach
+        /// it.
+        std::unique_ptr<FaultProxy> m_storeLink;
+        std::unique_ptr<FaultProxy> m_peerLink;
     };
 
     StoreStandIn &store() { return *m_store; }
-    /// The link to the store is the first, those to the upstreams follow.
-    FaultProxy &link(std::size_t index) { return *m_links.at(index); }
-    std::size_t linkCount() const { return m_links.size(); }
+    FaultProxy &upstreamLink(std::size_t index)
+    {
+        return *m_upstreamLinks.at(upstream(index).id());
+    }
     UpstreamStandIn &upstream(std::size_t index) { return *m_upstreams.at(index); }
     /// Lets the test take the place of all upstreams.
     void behave(const UpstreamStandIn::Behaviour &behaviour)
@@ -325,10 +370,12 @@
             upstream->behave(behaviour);
     }
     EntryNode &node(std::size_t index = 0) { return m_nodes.at(index); }
+    std::size_t nodeCount() const { return m_nodes.size(); }
 
     /// Writes an upstream's entry, with the start of its process as a wall time if there is one.
-    void announce(const UpstreamStandIn &upstream, const std::string &state,
-                  std::int64_t startedAt = 0)
+    /// Returns the entry's revision.
+    std::int64_t announce(const UpstreamStandIn &upstream, const std::string &state,
+                          std::int64_t startedAt = 0)
     {
         Json entry = {{"service", "app"},
                       {"address", fmt::format("127.0.0.1:{}", portTo(upstream))},
@@ -337,7 +384,7 @@
                       {"state", state}};
         if (startedAt > 0)
             entry["born"] = startedAt;
-        m_store->put("servers", upstream.id(), entry);
+        return m_store->put("servers", upstream.id(), entry);
     }
 
     /// Writes a version with four routes: may repeat, at most once, and streams that may not and
@@ -362,15 +409,32 @@
                          {"max-connections", 100},
                          {"engine", {{"slots", 8}, {"moves", true}}}}}},
                       {"limits", Json::object()},
-                      {"tenants", {{{"name", "huber"}, {"api-keys", keys}}}}});
+                      {"tenants",
+                       {{{"name", "huber"}, {"api-keys", keys}},
+                        {{"name", "meier"},
+                         {"api-keys", {limitedKey}},
+                         {"rate-per-s", limitedRate},
+                         {"burst", limitedBurst}}}}});
     }
 
+    /// The key of an account with a quota, and what it is.
+    static constexpr const char *limitedKey = "limited-key";
+    static constexpr int limitedRate = 10;
+    static constexpr int limitedBurst = 10;
+
     EntryAnswer call(const EntryNode &node, const std::string &target, const std::string &id,
                      const std::string &key = "key")
     {
         return ask(node, target, id, key, 5000, {});
     }
 
+    /// Calls on a connection that was used before, if there is one.
+    EntryAnswer callAgain(const EntryNode &node, const std::string &target, const std::string &id,
+                          const std::string &key)
+    {
+        return ask(node, target, id, key, 5000, {}, true);
+    }
+
     /// Sends a request with a prompt, whose caller waits for so long.
     EntryAnswer askPrompt(const EntryNode &node, const std::string &target, const std::string &id,
                           int promptTokens, int deadlineMillis)
@@ -380,7 +444,8 @@
 
 private:
     EntryAnswer ask(const EntryNode &node, const std::string &target, const std::string &id,
-                    const std::string &key, int deadlineMillis, const std::string &tokenUsage)
+                    const std::string &key, int deadlineMillis, const std::string &tokenUsage,
+                    bool usesKept = false)
     {
         HttpCall call;
         call.m_endpoint = {"127.0.0.1", node.m_callerPort};
@@ -393,7 +458,7 @@
             call.m_headers.add("Gypsumdale-Token-Usage", tokenUsage);
         call.m_headers.add("Authorization", "Bearer " + key);
         call.m_body = "body";
-        call.m_freshConnection = true;
+        call.m_freshConnection = !usesKept;
         call.m_headerTimeout = entryHangGuard;
         call.m_silenceTimeout = entryHangGuard;
         return m_loop.call([&] { return read(call); });
@@ -442,6 +507,9 @@
         REQUIRE(programs);
         const std::string settings = (m_folder / (node.m_name + ".yaml")).string();
         std::ofstream(settings) << settingsOf(node);
+        if (node.m_storeLink)
+            node.m_storeLink->resetAll();
+        m_store->forgetTakenIn(node.m_name);
         node.m_process =
                 std::make_unique<ChildProcess>(std::string(programs) + "/gypsumdaled",
                                                std::vector<std::string>{"--entry", settings},
@@ -456,31 +524,45 @@
                 freePort(),
                 freePort(),
                 freePort(),
+                nullptr,
+                nullptr,
                 nullptr};
     }
 
+    void addLinks(EntryNode &node)
+    {
+        node.m_storeLink = std::make_unique<FaultProxy>(m_store->openPortFor(node.m_name));
+        node.m_peerLink = std::make_unique<FaultProxy>(node.m_peerPort);
+    }
+
+    /// Returns the port at which peers reach a VM.
+    static std::uint16_t peerPortOf(const EntryNode &node)
+    {
+        return node.m_peerLink ? node.m_peerLink->port() : node.m_peerPort;
+    }
+
     std::string settingsOf(const EntryNode &node) const
     {
         std::string seeds;
         for (const EntryNode &seed : m_nodes)
-            seeds += fmt::format("  - 127.0.0.1:{}\n", seed.m_peerPort);
+            seeds += fmt::format("  - 127.0.0.1:{}\n", peerPortOf(seed));
         return fmt::format("node: {}\ndata-centre: here\nregion: here\n"
                            "caller-listen: 127.0.0.1:{}\nready-listen: 127.0.0.1:{}\n"
-                           "peer-listen: 127.0.0.1:{}\nmetrics-listen: 127.0.0.1:{}\n"
+                           "peer-listen: 127.0.0.1:{}\npeer-advertise: 127.0.0.1:{}\n"
+                           "metrics-listen: 127.0.0.1:{}\n"
                            "store: 127.0.0.1:{}\nseeds:\n{}data-centres: [here]\n"
-                           "first-start: true\nbounds:\n  shutdown-grace: 6s\n",
+                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n",
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
-                           node.m_metricsPort,
-                           m_links.empty() ? m_store->port() : m_links.front()->port(), seeds);
+                           peerPortOf(node), node.m_metricsPort,
+                           node.m_storeLink ? node.m_storeLink->port() : m_store->port(), seeds,
+                           node.m_process == nullptr);
     }
 
     /// Returns the port at which processes reach an upstream.
     std::uint16_t portTo(const UpstreamStandIn &upstream) const
     {
-        if (m_links.empty())
-            return upstream.port();
-        const std::size_t link = upstream.id() == "u-1" ? 1 : 2;
-        return m_links.at(link)->port();
+        const auto link = m_upstreamLinks.find(upstream.id());
+        return link == m_upstreamLinks.end() ? upstream.port() : link->second->port();
     }
 
     EntryAnswer read(const HttpCall &call)
@@ -497,7 +579,8 @@
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
-    std::vector<std::unique_ptr<FaultProxy>> m_links;
+    /// By upstream; empty where links can't be harmed.
+    std::map<std::string, std::unique_ptr<FaultProxy>> m_upstreamLinks;
     std::vector<EntryNode> m_nodes;
 };
 
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -14,6 +14,7 @@
 #include <chrono> // milliseconds
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t
+#include <future> // promise
 #include <memory> // enable_shared_from_this, shared_ptr
 #include <set> // set
 #include <thread> // jthread
@@ -58,13 +59,23 @@
     {
         boost::asio::post(m_context, [this, fault] {
             m_fault = fault;
-            if (fault != LinkFault::Reset)
-                return;
-            for (const auto &link : std::set<std::shared_ptr<Link>>(m_links))
-                link->reset();
+            if (fault == LinkFault::Reset)
+                resetLinks();
         });
     }
 
+    /// Resets the connections that there are, with all that is held back on them, and returns when
+    /// that is done.
+    void resetAll()
+    {
+        std::promise<void> isDone;
+        boost::asio::post(m_context, [&] {
+            resetLinks();
+            isDone.set_value();
+        });
+        isDone.get_future().wait();
+    }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
@@ -179,6 +190,12 @@
         int m_endedWays = 0;
     };
 
+    void resetLinks()
+    {
+        for (const auto &link : std::set<std::shared_ptr<Link>>(m_links))
+            link->reset();
+    }
+
     bool holds(bool isToTarget) const
     {
         const LinkFault oneWay = isToTarget ? LinkFault::CutToTarget : LinkFault::CutFromTarget;
--- a/tests/support/soak_settings.hpp
+++ b/tests/support/soak_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef> // size_t
 #include <cstdint> // uint64_t
 #include <cstdlib> // getenv, strtoull
 
@@ -22,4 +23,9 @@
     return fromEnvironment("GYPSUMDALE_SOAK_SECONDS", 10);
 }
 
+inline std::size_t soakNodes()
+{
+    return fromEnvironment("GYPSUMDALE_SOAK_NODES", 3);
+}
+
 } // namespace gypsumdale::testing
