Fill a restarted VM's quota buckets from its start on

Cause: after a restart an account's bucket began empty at the account's first request at that VM, and filled from then on. So each VM refused the first request of each account after a return of all VMs, whatever the account used; and a VM that started again alone took its peers' use since then for a debt, without the rate that had filled it.

Ruled out: what was admitted before the restart could be bounded by how long all VMs were down, but no VM knows that: nothing that is kept tells when the last one ended. So the bucket is empty at the start, as before.

Change: the bucket fills from the process's start on. The time counts by the part of the VMs that was heard at each moment, so that a VM that was alone for seconds does not take that time's whole rate for its own when it hears the others again.

Tests: the setting in two tests is the moment of the restart in place of a flag; their bounds are as they were.

Callers are refused for nothing no longer.

--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef> // size_t
 #include <map> // map
+#include <optional> // optional
 #include <string> // string
 #include <vector> // vector
 
@@ -25,8 +26,9 @@
     Duration m_exchangePace = std::chrono::milliseconds(250);
     /// A silent VM's part is given back after this; by then it has been replaced.
     Duration m_peerForgotten = std::chrono::seconds(20);
-    /// After a restart the use before it is unknown: the bucket begins empty.
-    bool m_beginsCautiously = false;
+    /// When the process started, if its VM had started before: the use before that is unknown, and
+    /// the buckets were empty at that moment.
+    std::optional<TimePoint> m_restartedAt;
 };
 
 /// Use of one account as another VM reported it.
@@ -70,14 +72,15 @@
 /// while the bucket is low, each admits only its part of the rate, and what was admitted too much
 /// is a debt that is waited for. A partition leaves each side alone: a side fills its bucket only
 /// by the part of the VMs that it hears, so that the sides together fill it once. A restart forgets
-/// the use before it: the bucket begins empty. When all VMs restart at once none knows of another,
-/// and each would take the whole rate for its own: VMs that are expected and were not heard yet
-/// count as silent.
+/// the use before it: the bucket is empty then, and fills from that moment on. When all VMs restart
+/// at once none knows of another, and each would take the whole rate for its own: VMs that are
+/// expected and were not heard yet count as silent.
 class FleetQuota
 {
 public:
     explicit FleetQuota(FleetQuotaSettings settings)
         : m_settings(settings)
+        , m_heardUntil(settings.m_restartedAt.value_or(TimePoint{}))
     {}
 
     /// Decides one request of a cost and counts it if it is admitted. Linear in the peers.
@@ -106,6 +109,8 @@
         /// What is left of this VM's part of the rate, for when the bucket is low.
         double m_rateRoom = 0;
         TimePoint m_filledAt{};
+        /// The seconds heard up to which it was filled.
+        double m_filledTo = 0;
         bool m_isNew = true;
     };
     struct Peer
@@ -118,7 +123,6 @@
     {
         double m_nodes = 1;
         std::size_t m_silent = 0;
-        double m_demand = 0;
 
         double heardShare() const { return (m_nodes - static_cast<double>(m_silent)) / m_nodes; }
     };
@@ -126,7 +130,9 @@
     /// Demand is averaged over this: long enough for clumps, short enough for a rush.
     static constexpr Duration demandSpan = std::chrono::seconds(3);
 
-    Fleet lookAround(const AccountId &account, TimePoint now);
+    Fleet lookAround(TimePoint now);
+    double demandOfPeers(const AccountId &account, TimePoint now) const;
+    void noteHeard(TimePoint now);
     double capacityOf(const ClientAccount &account) const;
     double rateOf(const ClientAccount &account) const;
     void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet, double ratePart,
@@ -146,6 +152,9 @@
     std::size_t m_expectedNodes = 0;
     std::map<AccountId, Bucket> m_buckets;
     std::map<std::string, Peer> m_peers;
+    /// The time, each moment counted by the part of the VMs that was heard then.
+    double m_heardSeconds = 0;
+    TimePoint m_heardUntil;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -26,13 +26,14 @@
     return load;
 }
 
-FleetQuotaSettings quotaSettings(const EntrySettings &settings)
+FleetQuotaSettings quotaSettings(const EntrySettings &settings, TimePoint now)
 {
     FleetQuotaSettings quota;
     quota.m_window = settings.m_bounds.m_quotaWindow;
     quota.m_overage = settings.m_bounds.m_quotaOverage;
     quota.m_slack = settings.m_bounds.m_quotaSlack;
-    quota.m_beginsCautiously = !settings.m_isFirstStart;
+    if (!settings.m_isFirstStart)
+        quota.m_restartedAt = now;
     return quota;
 }
 
@@ -45,7 +46,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop)
-    , m_quota(quotaSettings(settings))
+    , m_quota(quotaSettings(settings, clock.now()))
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
     , m_usage(settings.m_bounds.m_usageWindow)
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -59,6 +59,7 @@
 void FleetQuota::setPeerUse(const std::string &node, std::map<AccountId, ReportedUse> uses,
                             TimePoint now)
 {
+    noteHeard(now);
     const auto [entry, isNew] = m_peers.try_emplace(node);
     Peer &peer = entry->second;
     const Duration silence = now - std::exchange(peer.m_heardAt, now);
@@ -86,7 +87,7 @@
     return result;
 }
 
-FleetQuota::Fleet FleetQuota::lookAround(const AccountId &account, TimePoint now)
+FleetQuota::Fleet FleetQuota::lookAround(TimePoint now)
 {
     std::erase_if(m_peers, [this, now](const auto &peer) {
         return now - peer.second.m_heardAt > m_settings.m_peerForgotten;
@@ -96,29 +97,48 @@
     fleet.m_nodes = static_cast<double>(std::max(known, m_expectedNodes));
     fleet.m_silent = m_expectedNodes > known ? m_expectedNodes - known : 0;
     for (const auto &[node, peer] : m_peers) {
-        if (now - peer.m_heardAt > silenceLimit()) {
+        if (now - peer.m_heardAt > silenceLimit())
             ++fleet.m_silent;
-            continue;
-        }
-        const auto found = peer.m_uses.find(account);
-        if (found != peer.m_uses.end())
-            fleet.m_demand += found->second.m_demandPerSecond;
     }
     return fleet;
 }
 
+double FleetQuota::demandOfPeers(const AccountId &account, TimePoint now) const
+{
+    double demand = 0;
+    for (const auto &[node, peer] : m_peers) {
+        const auto found = peer.m_uses.find(account);
+        const bool isHeard = now - peer.m_heardAt <= silenceLimit();
+        if (isHeard && found != peer.m_uses.end())
+            demand += found->second.m_demandPerSecond;
+    }
+    return demand;
+}
+
+/// Counts the time since the last call by the part of the VMs that was heard: the part of the rate
+/// that the others may have admitted unheard is never filled in, also not into a bucket that is
+/// asked only later.
+void FleetQuota::noteHeard(TimePoint now)
+{
+    const double passed = toSeconds(now - std::exchange(m_heardUntil, now));
+    m_heardSeconds += passed * lookAround(now).heardShare();
+}
+
 void FleetQuota::fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet,
                       double ratePart, TimePoint now) const
 {
     const double capacity = capacityOf(account) * fleet.heardShare();
     if (std::exchange(bucket.m_isNew, false)) {
         // Reports of peers may have come before the first request.
-        bucket.m_level += m_settings.m_beginsCautiously ? 0 : capacity;
-        bucket.m_filledAt = now;
+        bucket.m_level += m_settings.m_restartedAt ? 0 : capacity;
+        // After a restart it fills from then on. Filled from an account's first request on, every
+        // VM refused each account's first request, and the peers' use before it was a debt.
+        bucket.m_filledAt = m_settings.m_restartedAt.value_or(now);
+        bucket.m_filledTo = m_settings.m_restartedAt ? 0 : m_heardSeconds;
     }
     const double passed = toSeconds(now - std::exchange(bucket.m_filledAt, now));
-    const double rate = rateOf(account) * fleet.heardShare();
-    bucket.m_level = std::min(bucket.m_level + rate * passed, capacity);
+    const double heard = m_heardSeconds - std::exchange(bucket.m_filledTo, m_heardSeconds);
+    bucket.m_level = std::min(bucket.m_level + rateOf(account) * heard, capacity);
     bucket.m_rateRoom = std::min(bucket.m_rateRoom + ratePart * passed, ratePart * rateRoomSeconds);
 }
 
@@ -129,10 +149,12 @@
         return decision;
     Bucket &bucket = m_buckets[account.m_id];
     bucket.m_demand.add(cost, now);
-    const Fleet fleet = lookAround(account.m_id, now);
+    noteHeard(now);
+    const Fleet fleet = lookAround(now);
     const double ownDemand = bucket.m_demand.sum(now) / toSeconds(demandSpan);
-    const double share = std::max(ownDemand / (ownDemand + fleet.m_demand) * fleet.heardShare(),
-                                  leastShare / fleet.m_nodes);
+    const double demand = ownDemand + demandOfPeers(account.m_id, now);
+    const double share =
+            std::max(ownDemand / demand * fleet.heardShare(), leastShare / fleet.m_nodes);
     const double ratePart = rateOf(account) * share;
     fill(bucket, account, fleet, ratePart, now);
     decision.m_level = bucket.m_level;
--- a/tests/src/fuzz-fleet-quota.cpp
+++ b/tests/src/fuzz-fleet-quota.cpp
@@ -85,7 +85,7 @@
     void restartAll()
     {
         FleetQuotaSettings settings;
-        settings.m_beginsCautiously = true;
+        settings.m_restartedAt = m_now;
         for (auto &node : m_nodes) {
             node = std::make_unique<FleetQuota>(settings);
             node->setExchangePace(m_stretch);
--- a/tests/src/unit-fleet-quota.cpp
+++ b/tests/src/unit-fleet-quota.cpp
@@ -106,7 +106,7 @@
         // All VMs are killed in the middle of a rush and start again with empty memories: the
         // limit would be admitted a second time within one window.
         FleetQuotaSettings settings;
-        settings.m_beginsCautiously = true;
+        settings.m_restartedAt = start;
         FleetQuota restarted(settings);
         double admitted = 0;
         for (int second = 0; second < 7; ++second)
@@ -232,3 +232,116 @@
         CHECK(window <= tolerated);
     }
 }
+
+namespace {
+
+/// Nine VMs that start again at one moment after all were down. Each has read the registry and
+/// hears the others every 250 ms.
+class ReturningFleet
+{
+public:
+    explicit ReturningFleet(const FleetQuotaSettings &settings = restartedAtStart())
+    {
+        for (std::size_t node = 0; node < nodes; ++node) {
+            m_quotas.emplace_back(settings);
+            m_quotas.back().setExpectedFleet(nodes);
+        }
+    }
+
+    static FleetQuotaSettings restartedAtStart()
+    {
+        FleetQuotaSettings settings;
+        settings.m_restartedAt = start;
+        return settings;
+    }
+
+    /// Lets 50 ms pass, then asks at each VM in turn for requests of a cost that make up a demand.
+    /// Returns what was admitted.
+    double step(double demand, double cost)
+    {
+        m_now += 50ms;
+        if (++m_steps % 5 == 0)
+            exchangeAll();
+        double admitted = 0;
+        for (m_owed += demand * 0.05; m_owed > 0; m_owed -= cost) {
+            FleetQuota &quota = m_quotas[m_next++ % nodes];
+            const auto verdict = quota.admit(accountOf(), cost, m_now).m_verdict;
+            admitted += verdict == QuotaVerdict::Admitted ? cost : 0;
+        }
+        return admitted;
+    }
+
+    static constexpr std::size_t nodes = 9;
+
+private:
+    void exchangeAll()
+    {
+        for (std::size_t from = 0; from < nodes; ++from) {
+            for (std::size_t to = 0; to < nodes; ++to) {
+                if (from != to)
+                    m_quotas[to].setPeerUse(std::to_string(from), m_quotas[from].ownUse(m_now),
+                                            m_now);
+            }
+        }
+    }
+
+    std::vector<FleetQuota> m_quotas;
+    TimePoint m_now = start;
+    int m_steps = 0;
+    std::size_t m_next = 0;
+    double m_owed = 0;
+};
+
+} // namespace
+
+// All VMs lose their power and come back at once, and with them the callers of an account that asks
+// for half of its quota. Each VM's bucket filled from the account's first request there on, so that
+// it was empty for just that: nine callers were refused for nothing, one at each VM.
+TEST_CASE("an account below its quota is served as all VMs return")
+{
+    ReturningFleet fleet;
+    double admitted = 0;
+    for (int step = 0; step < 20; ++step)
+        admitted += fleet.step(0.5 * rate, 25);
+    CHECK(admitted >= 0.95 * 0.5 * rate);
+}
+
+// The same return in the middle of a rush: what was admitted before the VMs went down is forgotten,
+// and the rate alone may be admitted in the window that both share.
+TEST_CASE("a rush is held to the rate as all VMs return")
+{
+    ReturningFleet fleet;
+    double admitted = 0;
+    for (int step = 0; step < 7 * 20; ++step)
+        admitted += fleet.step(5 * rate, 25);
+    CHECK(admitted <= 7 * 1.2 * rate + ReturningFleet::nodes * 25);
+}
+
+// One VM of nine starts again and an account's first request reaches it three seconds later. What
+// the others admitted since then was taken from its bucket, what fills the bucket was not counted:
+// for seconds it refused all requests of an account that was below its quota.
+TEST_CASE("a restarted VM has no debt for what its peers admitted within the rate")
+{
+    FleetQuota quota(ReturningFleet::restartedAtStart());
+    quota.setExpectedFleet(ReturningFleet::nodes);
+    for (int exchange = 0; exchange <= 12; ++exchange) {
+        for (std::size_t peer = 1; peer < ReturningFleet::nodes; ++peer) {
+            const double total = 0.5 * rate * 0.25 * exchange / (ReturningFleet::nodes - 1);
+            quota.setPeerUse(std::to_string(peer), {{accountOf().m_id, {total, rate * 0.5 / 8}}},
+                             start + exchange * 250ms);
+        }
+    }
+    CHECK(quota.admit(accountOf(), 25, start + 3s).m_verdict == QuotaVerdict::Admitted);
+}
+
+// A restarted VM that is cut off from all others for three seconds must not take the rate of that
+// time for its own when it hears them again: they have admitted it.
+TEST_CASE("a restarted VM counts only the part of the rate that it heard of")
+{
+    FleetQuota quota(ReturningFleet::restartedAtStart());
+    quota.setExpectedFleet(ReturningFleet::nodes);
+    for (std::size_t peer = 1; peer < ReturningFleet::nodes; ++peer)
+        quota.setPeerUse(std::to_string(peer), {}, start + 3s);
+    const QuotaDecision decision = quota.admit(accountOf(), 25, start + 3s);
+    CHECK(decision.m_level <= 3 * 1.2 * rate / ReturningFleet::nodes);
+}
