Keep a request until a process that has just started knows anything

Cause: after all VMs were down callers are at the door when a process begins to listen: the first request was read 0 to 5 ms after the start, the configuration known after 8 to 22 ms, the upstreams after 8 to 25 ms. Most were late then, and a caller that comes back once may be lost.

Ruled out: a shorter time to come back; the callers' second connection comes through the balancer, and the refusal counts as one of their tries.

Change: within 100 ms of the start a request waits until configuration and upstreams are known. Where the store stays silent it is answered as before: the shortest latency target is 100 ms, and later than that another VM may know more.

Tests: FirstKnowledge on the paused clock; a process test in which the store's listings take 40 ms. The store stand-in can delay listings now.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/first_knowledge.hpp>
 #include <gypsumdale/observe/log.hpp>
 #include <gypsumdale/observe/metrics.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
@@ -99,7 +100,13 @@
     /// under way.
     std::size_t endCalls();
 
-    void setView(ServingViewPointer view) { m_view = std::move(view); }
+    void setView(ServingViewPointer view)
+    {
+        m_view = std::move(view);
+        m_firstKnowledge.noteConfiguration();
+    }
+    /// Tells whether a request should wait for what this process doesn't know yet.
+    bool isWorthWaiting() const { return m_firstKnowledge.isWorthWaiting(now()); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
     void setPeer(const PeerReport &report);
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
@@ -171,6 +178,7 @@
     std::unique_ptr<RunMover> m_mover;
     std::set<EntryCall *> m_calls;
     bool m_isEndingCalls = false;
+    FirstKnowledge m_firstKnowledge;
     LongPromptPlaced m_longPromptPlaced;
     SteadyWallClock m_wall;
     std::map<std::string, WallMillis> m_peerOffsets;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -48,6 +48,7 @@
 
 void EntryCall::run()
 {
+    awaitKnowledge();
     if (!resolve())
         return;
     drawService();
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -68,6 +68,7 @@
     using Opening = std::variant<OpenAnswer, AttemptStop>;
     using Reading = std::variant<HttpReply, CallFailure>;
 
+    void awaitKnowledge();
     bool resolve();
     bool admitByQuota();
     void drawService();
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_status.hpp>
 
 #include <entry/entry_call.hpp>
@@ -7,6 +8,21 @@
 /// Whether a request is let in: its route and account, room at the engines, and the quota.
 namespace gypsumdale {
 
+namespace {
+
+constexpr Duration knowledgeCheck = std::chrono::milliseconds(2);
+
+} // namespace
+
+/// Keeps a request that came within moments of the process's start until there is something to
+/// decide it on.
+void EntryCall::awaitKnowledge()
+{
+    while (m_traffic.isWorthWaiting())
+        sleepFiber(knowledgeCheck);
+    m_view = m_traffic.view();
+}
+
 /// Finds route and account. Answers and returns false where there is none.
 bool EntryCall::resolve()
 {
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -52,6 +52,7 @@
     , m_usage(settings.m_bounds.m_usageWindow)
     , m_mover(std::make_unique<RunMover>(loop, m_client, m_pool, m_allowance, log,
                                          settings.m_dataCentre, clock))
+    , m_firstKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
 {}
@@ -82,6 +83,7 @@
 void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams,
                                 std::int64_t revision)
 {
+    m_firstKnowledge.noteUpstreams();
     m_pool.update(upstreams, revision);
     m_mover->look();
 }
--- a/tests/src/process-entry.cpp
+++ b/tests/src/process-entry.cpp
@@ -29,6 +29,17 @@
     return fmt::format("id: {}\ndata: {}\n\n", number, number);
 }
 
+/// Returns the seconds within the hour at which the last line with a text was written.
+double lastTimeOf(const std::string &log, const std::string &text)
+{
+    const std::size_t at = log.rfind(text);
+    const std::string key = "\"time\":\"2026-01-01T00:";
+    const std::size_t line = log.rfind('\n', at);
+    const std::size_t begin = line == std::string::npos ? 0 : line + 1;
+    const std::size_t minutes = log.find("\"time\":\"", begin) + key.size();
+    return 60 * std::stod(log.substr(minutes, 2)) + std::stod(log.substr(minutes + 3, 6));
+}
+
 } // namespace
 
 TEST_CASE("an entry process forwards a request and its answer unchanged")
@@ -487,3 +498,31 @@
     CHECK(world.call(world.node(), "/again/x", "r-1").m_status == 200);
     CHECK_FALSE(world.node().m_process->exited());
 }
+
+// A VM is killed and starts again while callers go on: the first of them is read before the store
+// has answered the new process. He was sent away with a 503 and came back late.
+TEST_CASE("an entry process keeps a caller until the store has told it what to do")
+{
+    EntryWorld world;
+    world.node().m_process->send(SIGKILL);
+    world.waitUntil("it is gone", [&] { return world.node().m_process->exited(); });
+    // The store's first answers come later than the caller, and well within the time he is kept.
+    world.store().delayListings(std::chrono::milliseconds(40));
+    world.start(world.node());
+    EntryAnswer answer;
+    world.waitUntil("it takes a request", [&] {
+        answer = world.call(world.node(), "/again/x", "r-1");
+        return answer.m_status != 0;
+    });
+    const std::string learned = "\"event\":\"upstream-changed\"";
+    world.waitUntil("it says what it knows", [&] {
+        return world.wholeLog(world.node()).find(learned) != std::string::npos;
+    });
+    const std::string log = world.wholeLog(world.node());
+    INFO(log);
+    // A machine so busy that this takes longer than a caller is kept may have him sent away.
+    const double untilLearned = lastTimeOf(log, learned) - lastTimeOf(log, "\"event\":\"started\"");
+    const bool isBusy = untilLearned > 0.09;
+    CHECK((answer.m_status == 200 || isBusy));
+    CHECK((answer.m_status == 200 || answer.m_status == 503));
+}
--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/entry/first_knowledge.hpp>
 #include <gypsumdale/entry/fleet_size_estimate.hpp>
 #include <gypsumdale/entry/peer_table.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
@@ -123,6 +124,33 @@
     }
 }
 
+// All VMs come back from a power cut, and with them the callers: a request is read 2 ms after its
+// VM has started, the store's answers come 8 to 25 ms after that. It got a 503, came back half a
+// second later and was late.
+TEST_CASE("a request that comes before a VM knows anything")
+{
+    Clock clock;
+    clock.pause();
+    FirstKnowledge knowledge(clock.now());
+
+    SECTION("waits until both are known")
+    {
+        clock.advance(2ms);
+        CHECK(knowledge.isWorthWaiting(clock.now()));
+        knowledge.noteConfiguration();
+        CHECK(knowledge.isWorthWaiting(clock.now()));
+        knowledge.noteUpstreams();
+        CHECK_FALSE(knowledge.isWorthWaiting(clock.now()));
+    }
+    SECTION("is answered at once where the store stays silent")
+    {
+        clock.advance(99ms);
+        CHECK(knowledge.isWorthWaiting(clock.now()));
+        clock.advance(1ms);
+        CHECK_FALSE(knowledge.isWorthWaiting(clock.now()));
+    }
+}
+
 TEST_CASE("the peers that a VM knows")
 {
     Table vm;
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -71,6 +71,9 @@
     /// Lets each removal of an object take so long from now on.
     void delayRemovals(Duration delay) { m_removalDelay = delay; }
 
+    /// Lets each listing of objects take so long from now on.
+    void delayListings(Duration delay) { m_listingDelay = delay; }
+
 private:
     struct Event
     {
@@ -136,6 +139,7 @@
 
     void answerList(const std::string &kind, HttpResponder &responder)
     {
+        sleepFiber(m_listingDelay);
         Json items = Json::array();
         for (const auto &[name, stored] : m_objects[kind])
             items.push_back(object(kind, name));
@@ -185,6 +189,7 @@
     std::uint16_t m_port;
     std::atomic<bool> m_refuses = false;
     std::atomic<Duration> m_removalDelay = Duration::zero();
+    std::atomic<Duration> m_listingDelay = Duration::zero();
     std::int64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Stored>> m_objects;
     std::vector<Event> m_events;
