--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -21,13 +21,14 @@
     return load;
 }
 
-FleetQuotaSettings quotaSettings(const EntrySettings &settings)
+FleetQuotaSettings quotaSettings(const EntrySettings &settings, TimePoint now)
 {
     FleetQuotaSettings quota;
     quota.m_window = settings.m_bounds.m_quotaWindow;
     quota.m_overage = settings.m_bounds.m_quotaOverage;
     quota.m_slack = settings.m_bounds.m_quotaSlack;
-    quota.m_beginsCautiously = !settings.m_isFirstStart;
+    if (!settings.m_isFirstStart)
+        quota.m_restartedAt = now;
     return quota;
 }
 
@@ -40,12 +41,13 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop)
-    , m_quota(quotaSettings(settings))
+    , m_quota(quotaSettings(settings, clock.now()))
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
     , m_usage(settings.m_bounds.m_usageWindow)
     , m_mover(std::make_unique<RunMover>(loop, m_client, m_pool, m_allowance, log,
                                          settings.m_dataCentre, clock))
+    , m_firstKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
 {}
@@ -76,6 +78,7 @@
 void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams,
                                 std::int64_t revision)
 {
+    m_firstKnowledge.noteUpstreams();
     m_pool.update(upstreams, revision);
     m_mover->look();
 }
