Note usage windows that wait for a silent VM, and hand on the last counts of a process

Cause: a window was fixed in the store 2.5 s after its end if every VM had been heard just now, else 8 s after it. A VM that was replaced or stopped by plan counts as part of the fleet for half a minute, so that six windows waited 8 s each; all VMs killed meanwhile took the counts with them. In a fleet of 80, 'just now' was 8.4 s, so a window could be fixed without a VM's last counts. A process that stops by plan took the counts since its last exchange with it.

Change: which window is noted, fixed and reported is decided by UsageWindows, a plain class. A window is fixed once the slowest VM's last word is of a second after its end, and at the latest 5 s before its report is due, which leaves a successor the time to take the lease over. Until then the holder notes in the ledger what it knows, once a second at most and only if there is something new; a successor takes the larger of noted and heard. A process that ends sends its peers its last counts while it leaves the registry, for 150 ms at most; in a large fleet the holder of the duties and seven more. A VM that said that it leaves is not waited for. Fixed windows stay in the ledger by age and not by number, so that none is fixed twice where a report is due after more than three windows. 'usage-reported' tells the sum.

--- a/include/gypsumdale/entry/entry_duties.hpp
+++ b/include/gypsumdale/entry/entry_duties.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/serving/duty_lease.hpp>
 #include <gypsumdale/serving/scale_planner.hpp>
+#include <gypsumdale/serving/usage_windows.hpp>
 
 #include <platform/cloud_client.hpp>
 #include <platform/duty_codec.hpp>
@@ -46,10 +47,10 @@
     void noteHolding();
 
     void reportDueWindows();
+    UsageWindows::Look look();
     bool loadLedger();
-    bool fixWindow(WindowNumber window);
-    bool sendWindow(WindowNumber window, const WindowCounts &counts);
-    WindowNumber windowMillis() const;
+    void storeLedger(UsageLedger next);
+    bool sendWindow(const UsageReport &report);
 
     void scaleService(const ServingService &service);
     void send(const ScaleOrder &order);
@@ -64,11 +65,10 @@
     std::optional<platform::CloudClient> m_cloud;
     DutyLease m_lease;
     std::int64_t m_loggedFence = 0;
-    platform::UsageLedger m_ledger;
+    UsageWindows m_windows;
     std::int64_t m_ledgerRevision = -1;
     /// Under which number the ledger was read: a new term reads it anew.
     std::int64_t m_ledgerFence = 0;
-    std::map<WindowNumber, bool> m_reported;
     ScalePlanner m_planner;
     std::map<OrderKey, SentOrder> m_sent;
     std::int64_t m_sentFence = 0;
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -53,6 +53,14 @@
     /// Tells all peers at once, after a version was adopted.
     void tellAll();
 
+    /// Takes what the traffic thread knows as the report that goes out from now on.
+    void takeReport();
+    /// Sends the peers what this VM counted last, as it is about to end and its exchanges are over:
+    /// in a large fleet the holder of the duties and some more, otherwise all. Doesn't wait.
+    void sayFarewell();
+    /// Waits until the peers have taken the farewell, but not longer than until the time given.
+    void awaitFarewell(TimePoint end);
+
     /// Takes in the address of a VM that was told of.
     void learn(const std::string &node, const std::string &address, bool isSeed);
     /// Takes in how many VMs the registry has.
@@ -82,8 +90,8 @@
     /// Tells whether exchanges are spread out for the size of the fleet.
     bool isLargeFleet() const { return pace().isSpreadOut(); }
 
-    /// Tells whether every peer of the last seconds has been heard just now.
-    bool hearsAll() const { return m_table.hearsAll(m_context.now()); }
+    /// Returns how long the VM of the fleet that was not heard for longest has been silent.
+    Duration longestSilence() const { return m_table.longestSilence(m_context.now()); }
     const TrafficReport &report() const { return m_writer.report(); }
 
 private:
@@ -91,6 +99,7 @@
     void tellTraffic();
     void spawnExchange(const KnownPeerPointer &peer);
     void exchange(const KnownPeerPointer &peer);
+    std::vector<KnownPeerPointer> farewellPeers() const;
     void expire();
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
@@ -106,6 +115,9 @@
     ExchangeWriter m_writer;
     DutyHeard m_dutyHeard;
     NewsHeard m_newsHeard;
+    /// Who said last that it holds the duties.
+    std::string m_holderAddress;
+    int m_farewellsUnderWay = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -94,8 +94,9 @@
     std::vector<KnownPeerPointer> heardMembers(TimePoint now) const;
     /// Returns those heard just now, at the pace of the fleet. Linear in the peers.
     std::vector<KnownPeerPointer> heardJustNow(TimePoint now) const;
-    /// Tells whether every member has been heard just now. Linear in the peers.
-    bool hearsAll(TimePoint now) const;
+    /// Returns for how long the member that said its last word first has been silent; nothing is
+    /// expected of one that left. Linear in the peers.
+    Duration longestSilence(TimePoint now) const;
 
     /// Returns those with whom it is this VM's turn to begin an exchange. Linear in the peers.
     std::vector<KnownPeerPointer> toBegin(TimePoint now) const;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -39,6 +39,9 @@
 /// Part of the grace time, less its margin, in which connections are taken at most, so that a short
 /// grace time leaves room to answer them.
 constexpr int acceptPartsOfGrace = 2;
+/// And for the peers' receipt of the last counts, while the registry is left: a round trip between
+/// data centres and a slow VM.
+constexpr Duration farewellTime = std::chrono::milliseconds(150);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 constexpr Duration logFlushTick = std::chrono::milliseconds(100);
 constexpr Duration settingsTick = std::chrono::seconds(2);
@@ -318,8 +321,13 @@
                                 {LogField::Millis, toMillis(m_clock.now() - begun)}});
         // Leaving the registry of a silent store outlasts the grace time, and with it the process.
         m_log->flush();
+        // All that this process will ever count: its peers are told so, and wait for no more.
+        m_peers.takeReport();
         m_context.m_isStopping = true;
+        const TimePoint farewellEnd = m_clock.now() + farewellTime;
+        m_peers.sayFarewell();
         m_registry.leave();
+        m_peers.awaitFarewell(farewellEnd);
         m_isEnded = true;
         kill(getpid(), endSignal);
     }
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -11,13 +11,6 @@
 constexpr Duration leaseTick = std::chrono::milliseconds(150);
 constexpr Duration usageTick = std::chrono::milliseconds(400);
 constexpr Duration scaleTick = std::chrono::milliseconds(400);
-/// After a window's end, until every peer's counts of it have come: some exchanges, and requests
-/// whose first event is under way.
-constexpr Duration settleTime = std::chrono::milliseconds(2500);
-/// A report must be out this long before it is due.
-constexpr Duration reportMargin = std::chrono::milliseconds(2000);
-/// Usage windows kept in the store: a successor finds those that may not have been reported.
-constexpr std::size_t ledgerWindows = 4;
 /// An order that has not shown after the boot time and this is sent again.
 constexpr Duration orderPatience = std::chrono::seconds(4);
 
@@ -28,6 +21,14 @@
     return lease;
 }
 
+std::int64_t sumOf(const WindowCounts &counts)
+{
+    std::int64_t sum = 0;
+    for (const auto &[account, count] : counts)
+        sum += count;
+    return sum;
+}
+
 } // namespace
 
 EntryDuties::EntryDuties(EntryContext &context, EntryConfigFeed &config,
@@ -37,6 +38,7 @@
     , m_upstreams(upstreams)
     , m_peers(peers)
     , m_lease(leaseSettings(context.m_settings), context.m_settings.m_node, context.m_incarnation)
+    , m_windows(context.m_settings.m_bounds.m_usageWindow, context.m_settings.m_bounds.m_usageDue)
     , m_planner(context.m_settings.m_scaling)
 {
     if (const auto &cloud = context.m_settings.m_cloud)
@@ -122,11 +124,6 @@
 
 // --- Usage
 
-WindowNumber EntryDuties::windowMillis() const
-{
-    return wholeMillis(m_context.m_settings.m_bounds.m_usageWindow);
-}
-
 void EntryDuties::reportUsage()
 {
     while (!m_context.m_isStopping && m_cloud) {
@@ -138,25 +135,31 @@
 
 void EntryDuties::reportDueWindows()
 {
-    const WallMillis now =
-            m_context.m_trafficLoop.call([this] { return m_context.m_traffic.wallNow(); });
-    const WallMillis span = windowMillis();
-    const WallMillis due = wholeMillis(m_context.m_settings.m_bounds.m_usageDue);
-    const WallMillis settle =
-            m_peers.hearsAll() ? wholeMillis(settleTime) : due - wholeMillis(reportMargin);
-    for (WindowNumber window = (now - due) / span; (window + 1) * span + settle <= now; ++window) {
-        if ((window + 1) * span + due < now || m_reported.contains(window))
-            continue;
-        if (!fixWindow(window))
-            return;
-        const auto fixed = m_ledger.find(window);
-        if (fixed == m_ledger.end() || sendWindow(window, fixed->second))
-            m_reported[window] = true;
+    if (!loadLedger())
+        return;
+    m_windows.setDue(m_context.m_settings.m_bounds.m_usageDue);
+    const UsageWindows::Look seen = look();
+    const auto heard = [this](WindowNumber window) {
+        return m_context.m_trafficLoop.call(
+                [this, window] { return m_context.m_traffic.usageOf(window); });
+    };
+    if (auto next = m_windows.toStore(seen, heard))
+        storeLedger(*std::move(next));
+    for (const UsageReport &report : m_windows.toSend(seen.m_now)) {
+        if (sendWindow(report))
+            m_windows.onSent(report.m_window);
     }
-    m_reported.erase(m_reported.begin(), m_reported.lower_bound((now - 4 * due) / span));
 }
 
-/// Reads what earlier holders fixed. Returns false if the store doesn't say.
+UsageWindows::Look EntryDuties::look()
+{
+    UsageWindows::Look seen;
+    seen.m_now = m_context.m_trafficLoop.call([this] { return m_context.m_traffic.wallNow(); });
+    seen.m_allHeardSince = seen.m_now - wholeMillis(m_peers.longestSilence());
+    return seen;
+}
+
+/// Reads what earlier holders fixed and noted. Returns false if the store doesn't say.
 bool EntryDuties::loadLedger()
 {
     const std::int64_t fence = m_lease.fence(bootNow()).value_or(0);
@@ -167,54 +170,43 @@
         return false;
     m_ledgerFence = fence;
     m_ledgerRevision = succeeded(object) ? valueOf(object).m_revision : 0;
-    m_ledger = succeeded(object) ? platform::decodeUsage(valueOf(object)) : platform::UsageLedger();
+    m_windows.onLedger(succeeded(object) ? platform::decodeUsage(valueOf(object)) : UsageLedger());
     return true;
 }
 
-/// Fixes a window's counts in the store before they are reported: two reports of one window with
-/// different counts are an error that can't be taken back, and a holder that dies after its report
-/// leaves its successor with other sums. Returns true if the counts stand in the store, or there is
-/// nothing to report.
-bool EntryDuties::fixWindow(WindowNumber window)
+/// Fixes counts in the store before they are reported: two reports of one window with different
+/// counts are an error that can't be taken back, and a holder that dies after its report leaves its
+/// successor with other sums.
+void EntryDuties::storeLedger(UsageLedger next)
 {
-    if (!loadLedger())
-        return false;
-    if (m_ledger.contains(window))
-        return true;
-    WindowCounts counts = m_context.m_trafficLoop.call(
-            [this, window] { return m_context.m_traffic.usageOf(window); });
-    if (counts.empty())
-        return true;
-    platform::UsageLedger next = m_ledger;
-    next[window] = std::move(counts);
-    while (next.size() > ledgerWindows)
-        next.erase(next.begin());
     const platform::StoreObject object = platform::encodeUsage(next, m_ledgerRevision);
     const auto written = m_ledgerRevision == 0
                                  ? m_context.m_store.create(platform::dutyKind, object)
                                  : m_context.m_store.replace(platform::dutyKind, object);
     if (!succeeded(written)) {
-        // It may have been done all the same: what stands there is read before anything is sent.
+        // It may have been done all the same: what stands there is read before more is written.
         m_ledgerRevision = -1;
         m_context.m_log.warning("usage-not-fixed",
-                                {{LogField::Window, window},
+                                {{LogField::Count, next.m_noted.size()},
                                  {LogField::ErrorName, errorName(errorOf(written).m_id)}});
-        return false;
+        return;
     }
     m_ledgerRevision = valueOf(written).m_revision;
-    m_ledger = std::move(next);
-    return true;
+    m_windows.onLedger(std::move(next));
 }
 
-bool EntryDuties::sendWindow(WindowNumber window, const WindowCounts &counts)
+bool EntryDuties::sendWindow(const UsageReport &report)
 {
     const auto fence = m_lease.fence(bootNow());
     if (!fence)
         return false;
-    const auto reply = m_cloud->reportUsage({m_context.m_settings.m_node, *fence}, window, counts);
+    const auto reply = m_cloud->reportUsage({m_context.m_settings.m_node, *fence}, report.m_window,
+                                            report.m_counts);
     if (!handle(reply, *fence, "usage"))
         return false;
-    m_context.m_log.info("usage-reported", {{LogField::Window, window}, {LogField::Fence, *fence}});
+    m_context.m_log.info("usage-reported", {{LogField::Window, report.m_window},
+                                            {LogField::Fence, *fence},
+                                            {LogField::Count, sumOf(report.m_counts)}});
     return true;
 }
 
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -6,7 +6,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm> // max
+#include <algorithm> // max, min, stable_partition
 #include <charconv> // from_chars
 #include <utility> // move
 
@@ -19,6 +19,10 @@
 /// Peers asked at each exchange time by a VM that the store doesn't answer, which may not wait for
 /// the slow pace of a large fleet.
 constexpr std::size_t askedOutOfTurn = 3;
+/// Peers told of a process's end in a large fleet: to tell all would take a VM with a tenth of a
+/// core longer than is left of its grace time.
+constexpr std::size_t farewellsInLargeFleet = 8;
+constexpr Duration farewellTick = std::chrono::milliseconds(10);
 constexpr std::size_t largestFrame = std::size_t{4} * 1024 * 1024;
 
 Endpoint endpointOf(const std::string &address)
@@ -84,8 +88,7 @@
 {
     int tick = 0;
     while (!m_context.m_isStopping) {
-        m_writer.setReport(
-                m_context.m_trafficLoop.call([this] { return m_context.m_traffic.report(); }));
+        takeReport();
         expire();
         tellTraffic();
         m_upstreams.expire();
@@ -138,6 +141,45 @@
         spawnExchange(peer);
 }
 
+void EntryPeers::takeReport()
+{
+    m_writer.setReport(
+            m_context.m_trafficLoop.call([this] { return m_context.m_traffic.report(); }));
+}
+
+/// Guards against counts that end with the process: what it had counted since the last exchange was
+/// billed to nobody, and its peers waited for its word on every window of the next half minute.
+void EntryPeers::sayFarewell()
+{
+    for (const KnownPeerPointer &peer : farewellPeers()) {
+        ++m_farewellsUnderWay;
+        m_context.m_loop.spawn([this, peer] {
+            exchange(peer);
+            --m_farewellsUnderWay;
+        });
+    }
+}
+
+std::vector<KnownPeerPointer> EntryPeers::farewellPeers() const
+{
+    std::vector<KnownPeerPointer> peers = m_table.heardMembers(m_context.now());
+    const auto isHolder = [this](const KnownPeerPointer &peer) {
+        return peer->m_address == m_holderAddress;
+    };
+    std::stable_partition(peers.begin(), peers.end(), isHolder);
+    if (isLargeFleet())
+        peers.resize(std::min(peers.size(), farewellsInLargeFleet));
+    return peers;
+}
+
+void EntryPeers::awaitFarewell(TimePoint end)
+{
+    while (m_farewellsUnderWay > 0 && m_context.now() < end)
+        sleepFiber(farewellTick);
+    if (m_farewellsUnderWay > 0)
+        m_context.m_log.warning("farewell-not-taken", {{LogField::Count, m_farewellsUnderWay}});
+}
+
 void EntryPeers::tellLoad(const UpstreamId &upstream, InFlightLoad load)
 {
     m_writer.setLoad(upstream, load);
@@ -242,6 +284,8 @@
         m_context.m_log.info("peer-heard-again", {{LogField::Peer, digest.node}});
     for (const auto &known : digest.peers)
         learn(known.node, known.address, false);
+    if (digest.dutyFence > 0)
+        m_holderAddress = digest.address;
     if (digest.dutyFence > 0 && m_dutyHeard)
         m_dutyHeard(digest.dutyFence, digest.dutyRevision);
     m_context.m_trafficLoop.spawn([this, digest] {
--- a/src/entry/peer_table.cpp
+++ b/src/entry/peer_table.cpp
@@ -113,14 +113,14 @@
     return heard;
 }
 
-bool PeerTable::hearsAll(TimePoint now) const
+Duration PeerTable::longestSilence(TimePoint now) const
 {
-    const Duration heardWithin = pace(now).heardWithin();
+    Duration longest{};
     for (const auto &[address, peer] : m_peers) {
-        if (isMember(*peer, now) && now - peer->m_heardAt > heardWithin)
-            return false;
+        if (isMember(*peer, now) && !peer->m_state.m_isLeaving)
+            longest = std::max(longest, now - peer->m_heardAt);
     }
-    return true;
+    return longest;
 }
 
 /// The side with the lower address begins; the other does when it hears nothing, as links may be
--- /dev/null
+++ b/src/serving/usage_windows.cpp
@@ -0,0 +1,111 @@
+#include <gypsumdale/serving/usage_windows.hpp>
+
+#include <algorithm> // max
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+/// From a window's end, until what a VM then says of it is all it counted in it: the age of its
+/// report, a message's way, and the difference of sound VMs' clocks.
+constexpr WallMillis tellingTime = 1000;
+/// Kept free before a report is due where a VM stays silent: a lease is taken over in 3.4 s at
+/// most, and the successor needs two calls.
+constexpr WallMillis reportMargin = 5000;
+/// How often notes of windows that still grow are written at most.
+constexpr WallMillis noteEvery = 1000;
+/// Fixed windows are kept for so many beyond those whose reports aren't too late: a successor whose
+/// clock is behind must not fix one of them again with other counts.
+constexpr WindowNumber fixedKept = 2;
+
+WallMillis millisOf(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+UsageWindows::UsageWindows(Duration span, Duration due)
+    : m_span(millisOf(span))
+    , m_due(due)
+{}
+
+/// Returns the first window whose report isn't too late.
+WindowNumber UsageWindows::firstDue(WallMillis now) const
+{
+    const WallMillis firstEnd = now - millisOf(m_due);
+    return (firstEnd + m_span - 1) / m_span - 1;
+}
+
+bool UsageWindows::isSettled(WindowNumber window, const Look &look) const
+{
+    const bool isTold = look.m_allHeardSince >= endOf(window) + tellingTime;
+    const WallMillis longestWait = std::max(millisOf(m_due) - reportMargin, tellingTime);
+    return isTold || look.m_now >= endOf(window) + longestWait;
+}
+
+WindowCounts UsageWindows::known(WindowNumber window, const Heard &heard) const
+{
+    WindowCounts counts = heard(window);
+    const auto noted = m_ledger.m_noted.find(window);
+    if (noted == m_ledger.m_noted.end())
+        return counts;
+    for (const auto &[account, count] : noted->second) {
+        std::int64_t &known = counts[account];
+        known = std::max(known, count);
+    }
+    return counts;
+}
+
+void UsageWindows::forgetBefore(WindowNumber window, UsageLedger &ledger)
+{
+    const auto forget = [](auto &windows, WindowNumber first) {
+        windows.erase(windows.begin(), windows.lower_bound(first));
+    };
+    forget(ledger.m_noted, window);
+    forget(ledger.m_fixed, window - fixedKept);
+    forget(m_sent, window - fixedKept);
+}
+
+std::optional<UsageLedger> UsageWindows::toStore(const Look &look, const Heard &heard)
+{
+    UsageLedger next = m_ledger;
+    bool isWorthWriting = false;
+    const bool mayNote = look.m_now >= m_notedAt + noteEvery;
+    for (WindowNumber window = firstDue(look.m_now); endOf(window) + tellingTime <= look.m_now;
+         ++window) {
+        if (m_sent.contains(window) || m_ledger.m_fixed.contains(window))
+            continue;
+        WindowCounts counts = known(window, heard);
+        if (counts.empty())
+            continue;
+        if (isSettled(window, look)) {
+            next.m_fixed[window] = std::move(counts);
+            next.m_noted.erase(window);
+            isWorthWriting = true;
+            continue;
+        }
+        WindowCounts &noted = next.m_noted[window];
+        isWorthWriting = isWorthWriting || (mayNote && noted != counts);
+        noted = std::move(counts);
+    }
+    if (!isWorthWriting)
+        return std::nullopt;
+    forgetBefore(firstDue(look.m_now), next);
+    m_notedAt = look.m_now;
+    return next;
+}
+
+std::vector<UsageReport> UsageWindows::toSend(WallMillis now) const
+{
+    std::vector<UsageReport> reports;
+    for (auto entry = m_ledger.m_fixed.lower_bound(firstDue(now)); entry != m_ledger.m_fixed.end();
+         ++entry) {
+        if (!m_sent.contains(entry->first))
+            reports.push_back({entry->first, entry->second});
+    }
+    return reports;
+}
+
+} // namespace gypsumdale
