Keep the clocks by which usage is counted from walking backwards under overload

Cause: a VM's clock for usage windows followed the median of its peers' clocks at each exchange time. A peer's reading is as old as its message, and in an overloaded fleet messages wait for a second or two: every VM saw the others slow and followed them.

Ruled out: counts that are added twice by process (large fleets don't tell of ended processes), answers that didn't run.

Change: a correction is made at once only if the VM's own time of day agrees with it; otherwise the peers must keep to it for twelve exchange times, and the least that they said is taken. What a message waited for the traffic thread is no longer part of the reading. 'clock-put-right' tells of each correction.

--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/entry/boot_clock.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
 #include <gypsumdale/wire/thrift_codec.hpp>
@@ -288,8 +289,11 @@
         m_holderAddress = digest.address;
     if (digest.dutyFence > 0 && m_dutyHeard)
         m_dutyHeard(digest.dutyFence, digest.dutyRevision);
-    m_context.m_trafficLoop.spawn([this, digest] {
-        m_context.m_traffic.setPeer(reportOf(digest, m_context.m_traffic.wallNow()));
+    // The traffic thread may be busy: what waited for it would make the peer's clock look slow.
+    m_context.m_trafficLoop.spawn([this, digest, heardAt = bootNow()] {
+        const WallMillis wallAtHearing =
+                m_context.m_traffic.wallNow() - wholeMillis(bootNow() - heardAt);
+        m_context.m_traffic.setPeer(reportOf(digest, wallAtHearing));
     });
 }
 
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -114,7 +114,10 @@
     std::vector<WallMillis> offsets;
     for (const auto &[node, offset] : m_peerOffsets)
         offsets.push_back(offset);
-    m_wall.followPeers(std::move(offsets));
+    const std::size_t peers = offsets.size();
+    if (const WallMillis correction = m_wall.followPeers(std::move(offsets)))
+        m_log.warning("clock-put-right",
+                      {{LogField::Millis, correction}, {LogField::Count, peers}});
     m_peerOffsets.clear();
 
     TrafficReport result;
--- a/src/serving/steady_wall_clock.cpp
+++ b/src/serving/steady_wall_clock.cpp
@@ -11,6 +11,12 @@
 /// Clocks of sound VMs differ by less, even seen through a slow link. A jump is of seconds.
 constexpr WallMillis tolerated = 400;
 constexpr std::size_t fewestPeers = 2;
+/// How near the own time of day must be to what the peers say: the difference of sound clocks
+/// without the messages' delay.
+constexpr WallMillis agreeing = 200;
+/// Medians that must agree where the own time of day doesn't: three seconds of exchanges, in which
+/// some messages of an overloaded fleet come through in time.
+constexpr int mediansToFollow = 12;
 
 } // namespace
 
@@ -19,19 +25,47 @@
     const auto steadyMillis =
             std::chrono::duration_cast<std::chrono::milliseconds>(steady.time_since_epoch())
                     .count();
+    m_offsetNow = wall - steadyMillis;
     if (!m_offset)
-        m_offset = wall - steadyMillis;
+        m_offset = m_offsetNow;
     return steadyMillis + *m_offset;
 }
 
-void SteadyWallClock::followPeers(std::vector<WallMillis> offsets)
+bool SteadyWallClock::isOwnTimeOfDay(WallMillis correction) const
+{
+    return std::abs(m_offsetNow - *m_offset - correction) <= agreeing;
+}
+
+void SteadyWallClock::noteMedian(WallMillis median)
+{
+    const bool isOtherSide = (median < 0) != (m_least < 0);
+    if (m_medians == 0 || isOtherSide) {
+        m_medians = 0;
+        m_least = median;
+    }
+    ++m_medians;
+    if (std::abs(median) < std::abs(m_least))
+        m_least = median;
+}
+
+WallMillis SteadyWallClock::followPeers(std::vector<WallMillis> offsets)
 {
     if (offsets.size() < fewestPeers || !m_offset)
-        return;
+        return 0;
     const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
     std::nth_element(offsets.begin(), middle, offsets.end());
-    if (std::abs(*middle) > tolerated)
-        *m_offset += *middle;
+    if (std::abs(*middle) <= tolerated) {
+        m_medians = 0;
+        return 0;
+    }
+    noteMedian(*middle);
+    const bool isSure = isOwnTimeOfDay(*middle);
+    if (!isSure && m_medians < mediansToFollow)
+        return 0;
+    const WallMillis correction = isSure ? *middle : m_least;
+    *m_offset += correction;
+    m_medians = 0;
+    return correction;
 }
 
 } // namespace gypsumdale
