Take the logs, the messages and the feeds out of the driver of jobs

Beside carrying out the table's commands it kept the logs in the platform with their segments, sent the messages to peers, and kept the feeds of callers.

Change: JobLogs keeps the logs and trims them, JobMessenger sends to other nodes and finds out who owns a job, JobFeeds keeps the callers that follow jobs. No behaviour changes.

--- a/include/gypsumdale/kernel/job_driver.hpp
+++ b/include/gypsumdale/kernel/job_driver.hpp
@@ -3,17 +3,16 @@
 #include <gypsumdale/jobs/job_table.hpp>
 #include <gypsumdale/kernel/control_context.hpp>
 #include <gypsumdale/kernel/fleet_driver.hpp>
-#include <gypsumdale/kernel/job_feed.hpp>
-#include <gypsumdale/ledger/platform_log.hpp>
+#include <gypsumdale/kernel/job_feeds.hpp>
+#include <gypsumdale/kernel/job_logs.hpp>
+#include <gypsumdale/kernel/job_messenger.hpp>
 
-#include <deque> // deque
 #include <functional> // function
 #include <map> // map
-#include <memory> // shared_ptr, unique_ptr
+#include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
 #include <utility> // pair
-#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -24,8 +23,9 @@
     std::function<void(const CancelAttempt &)> m_cancel;
 };
 
-/// Drives the JobTable: its logs in the platform, its messages to peers, its attempts and the feeds
-/// of callers. Lives on the control loop.
+/// Drives the JobTable: carries out its commands through its logs in the platform (JobLogs), its
+/// messages to peers (JobMessenger), its attempts and the feeds of callers (JobFeeds). Lives on the
+/// control loop.
 class JobDriver
 {
 public:
@@ -43,7 +43,10 @@
     reattach(const JobId &job, const MemberId &member, const AnswerPosition &position);
 
     /// Asks the others who has a job that this node does not know.
-    std::optional<wire::JobLocated> locate(const JobId &job, const std::optional<NodeId> &first);
+    std::optional<wire::JobLocated> locate(const JobId &job, const std::optional<NodeId> &first)
+    {
+        return m_messenger.locate(job, first);
+    }
     wire::JobLocated onLocate(const wire::JobLocate &ask) const;
 
     // From the attempts on the traffic loops, through spawn().
@@ -77,20 +80,6 @@
     std::size_t unfinished() const;
 
 private:
-    struct Segment
-    {
-        SegmentNumber m_number = 0;
-        WallMillis m_writtenAt = 0;
-    };
-
-    struct Log
-    {
-        std::unique_ptr<PlatformLog> m_log;
-        /// Segments applied and not trimmed, oldest first.
-        std::deque<Segment> m_segments;
-        bool m_isLeft = false;
-    };
-
     struct Running
     {
         std::uint64_t m_attempt = 0;
@@ -112,28 +101,21 @@
     void execute(const TellRefused &command);
     void execute(const TellReattach &command);
     void execute(const TellOver &command);
-    /// Sends a message that wants an answer; `take` tells whether the answer was one.
+    /// Sends a message that wants an answer; a peer that gives none counts as failed.
     void askPeer(const NodeId &peer, const wire::PeerRequestBody &body,
-                 std::function<bool(const wire::PeerReplyBody &)> take);
-    void tellPeer(const NodeId &peer, const wire::PeerRequestBody &body);
-    static void noteSegment(Log &log, const RecordApplied &applied);
-    void trim(Log &log);
+                 JobMessenger::TakeReply take);
     void countRecomputed(const JobId &job, const MemberId &member, std::int64_t tokens);
-    void tell(const JobId &job, const FeedEvent &event, bool isLast);
-    Log &logNamed(const JobLogId &id);
-    void pump(const JobLogId &id);
-    void takeLogEvents(const JobLogId &id);
     void runTicks();
     void runListing();
-    std::shared_ptr<JobFeed> subscribe(const JobId &job);
 
     ControlContext &m_context;
     FleetDriver &m_fleet;
     RunAttempt m_runAttempt;
     JobTable m_table;
-    std::map<JobLogId, Log> m_logs;
+    JobLogs m_logs;
+    JobMessenger m_messenger;
     std::map<JobId, Running> m_running;
-    std::map<JobId, std::vector<std::weak_ptr<JobFeed>>> m_feeds;
+    JobFeeds m_feeds;
     std::optional<wire::JobHoldAnswer> m_holdAnswer;
     std::optional<wire::JobHandOverAnswer> m_handOverAnswer;
     NodeId m_answering;
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -1,23 +1,16 @@
 #include <gypsumdale/kernel/job_driver.hpp>
-#include <gypsumdale/kernel/log_io.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm> // ranges::find
 #include <random> // random_device
-#include <set> // set
 
 namespace gypsumdale {
 
 namespace {
 
-constexpr std::string_view jobsKind = "jobs";
 constexpr Duration tickInterval = std::chrono::milliseconds(50);
 constexpr Duration listInterval = std::chrono::seconds(5);
-constexpr Duration peerTimeout = std::chrono::seconds(1);
-/// An offer's record holds the whole request, and a segment has to stay below the platform's 1 MiB.
-constexpr std::size_t maxRecordBytes = std::size_t{768} * 1024;
-constexpr std::size_t maxSegmentBytes = std::size_t{900} * 1024;
 constexpr Duration logWait = std::chrono::seconds(5);
 constexpr Duration logPoll = std::chrono::milliseconds(20);
 
@@ -39,6 +32,8 @@
     , m_fleet(fleet)
     , m_runAttempt(std::move(runAttempt))
     , m_table(settingsOf(context))
+    , m_logs(context, m_table, [this] { run(); })
+    , m_messenger(context, fleet)
 {}
 
 void JobDriver::start()
@@ -59,13 +54,7 @@
         }
         m_table.tick(m_context.now(), m_context.wallNow());
         run();
-        for (auto &[id, log] : m_logs) {
-            trim(log);
-            pump(id);
-        }
-        std::erase_if(m_logs, [](const auto &entry) {
-            return entry.second.m_isLeft && !entry.second.m_log->hasOutstanding();
-        });
+        m_logs.tick(m_retention);
         sleepFiber(tickInterval);
     }
 }
@@ -73,14 +62,7 @@
 void JobDriver::runListing()
 {
     for (;;) {
-        const auto result = m_context.m_platform.list(jobsKind, "", false);
-        if (const auto *objects = std::get_if<PlatformObjects>(&result)) {
-            std::set<JobLogId> names;
-            for (const PlatformObject &object : objects->m_objects)
-                names.insert(JobLogId(object.m_name.substr(0, object.m_name.rfind('/'))));
-            m_table.onLogsListed({names.begin(), names.end()}, m_context.now());
-            run();
-        }
+        m_logs.list();
         sleepFiber(listInterval);
     }
 }
@@ -90,18 +72,11 @@
     const Result<JobId> job = m_table.offer(request, m_context.now());
     if (!succeeded(job))
         return errorOf(job);
-    auto feed = subscribe(valueOf(job));
+    auto feed = m_feeds.subscribe(valueOf(job));
     run();
     return std::pair(valueOf(job), std::move(feed));
 }
 
-std::shared_ptr<JobFeed> JobDriver::subscribe(const JobId &job)
-{
-    auto feed = std::make_shared<JobFeed>();
-    m_feeds[job].push_back(feed);
-    return feed;
-}
-
 std::pair<ReattachAnswer, std::shared_ptr<JobFeed>>
 JobDriver::reattach(const JobId &job, const MemberId &member, const AnswerPosition &position)
 {
@@ -122,7 +97,7 @@
                             && serve->m_state != JobState::Failed
                             && serve->m_state != JobState::Expired;
         if (goesOn)
-            feed = subscribe(job);
+            feed = m_feeds.subscribe(job);
         return {std::move(answer), std::move(feed)};
     }
 }
@@ -138,31 +113,6 @@
             .add(RequestCounter::RecomputedTokens, static_cast<std::uint64_t>(tokens));
 }
 
-std::optional<wire::JobLocated> JobDriver::locate(const JobId &job,
-                                                  const std::optional<NodeId> &first)
-{
-    std::vector<NodeIdentity> peers;
-    if (first) {
-        if (const auto identity = m_fleet.find(*first))
-            peers.push_back(*identity);
-    }
-    for (const NodeView &view : m_fleet.membership().nodes()) {
-        const bool isFirst = first && view.m_identity.m_node == *first;
-        if (!isFirst && view.m_state == NodeState::Alive)
-            peers.push_back(view.m_identity);
-    }
-    for (const NodeIdentity &peer : peers) {
-        wire::JobLocate ask;
-        ask.job = job.text();
-        wire::PeerRequestBody body;
-        body.__set_jobLocate(ask);
-        const auto reply = m_context.m_peers.ask(peer, body, peerTimeout);
-        if (succeeded(reply) && valueOf(reply).body.jobLocated.known)
-            return valueOf(reply).body.jobLocated;
-    }
-    return std::nullopt;
-}
-
 wire::JobLocated JobDriver::onLocate(const wire::JobLocate &ask) const
 {
     wire::JobLocated located;
@@ -186,7 +136,7 @@
     const auto running = m_running.find(job);
     // Events of an attempt that was given up must not reach the callers either.
     if (running != m_running.end() && running->second.m_attempt == attempt)
-        tell(job, FeedTokens{epoch, firstToken, tokens}, false);
+        m_feeds.tell(job, FeedTokens{epoch, firstToken, tokens}, false);
     run();
 }
 
@@ -310,127 +260,31 @@
     m_isRunning = false;
 }
 
-JobDriver::Log &JobDriver::logNamed(const JobLogId &id)
-{
-    Log &log = m_logs[id];
-    if (!log.m_log) {
-        PlatformLogSettings settings;
-        settings.m_maxRecordBytes = maxRecordBytes;
-        settings.m_maxSegmentBytes = maxSegmentBytes;
-        settings.m_writer =
-                fmt::format("{}.{:x}", m_context.m_settings.m_node.text(), m_context.m_incarnation);
-        log.m_log = std::make_unique<PlatformLog>(settings);
-    }
-    log.m_isLeft = false;
-    return log;
-}
-
 void JobDriver::execute(const AppendRecord &command)
 {
-    Log &log = logNamed(command.m_log);
-    const auto ticket = log.m_log->append(wire::encode(command.m_record));
-    if (!succeeded(ticket)) {
-        m_context.m_log.failure("job-record-not-appended", errorOf(ticket));
-        m_table.onAppendLost(command.m_log, m_context.now());
-    }
-    pump(command.m_log);
+    m_logs.append(command.m_log, command.m_record);
 }
 
 void JobDriver::execute(const FollowLog &command)
 {
-    logNamed(command.m_log).m_log->refresh();
-    pump(command.m_log);
+    m_logs.follow(command.m_log);
 }
 
 void JobDriver::execute(const LeaveLog &command)
 {
-    const auto found = m_logs.find(command.m_log);
-    if (found != m_logs.end())
-        found->second.m_isLeft = true;
-}
-
-void JobDriver::pump(const JobLogId &id)
-{
-    const auto found = m_logs.find(id);
-    if (found == m_logs.end())
-        return;
-    auto command = found->second.m_log->next(m_context.moment());
-    if (!command)
-        return;
-    m_context.m_loop.spawn([this, id, command = std::move(*command)] {
-        const LogAnswer answer =
-                performLogCommand(m_context.m_platform, jobsKind, id.text(), command);
-        const auto log = m_logs.find(id);
-        if (log == m_logs.end())
-            return;
-        log->second.m_log->onAnswer(answer, m_context.moment());
-        takeLogEvents(id);
-        run();
-        pump(id);
-    });
-}
-
-void JobDriver::takeLogEvents(const JobLogId &id)
-{
-    for (const PlatformLogEvent &event : m_logs.at(id).m_log->takeEvents()) {
-        if (const auto *applied = std::get_if<RecordApplied>(&event)) {
-            noteSegment(m_logs.at(id), *applied);
-            const auto record = wire::decode<wire::JobRecord>(applied->m_record);
-            if (succeeded(record))
-                m_table.onRecordApplied(id, valueOf(record), m_context.now());
-            else
-                m_context.m_log.failure("job-record-malformed", errorOf(record));
-        }
-        if (std::holds_alternative<LogCaughtUp>(event))
-            m_table.onLogCaughtUp(id, m_context.now());
-        if (const auto *corrupt = std::get_if<LogCorrupt>(&event))
-            m_context.m_log.error("job-log-corrupt", {{LogField::Text, corrupt->m_reason}});
-    }
-}
-
-void JobDriver::noteSegment(Log &log, const RecordApplied &applied)
-{
-    const bool isNew = log.m_segments.empty() || log.m_segments.back().m_number < applied.m_number;
-    if (isNew)
-        log.m_segments.push_back({applied.m_number, applied.m_writtenAt});
-}
-
-/// Failure guarded against: segments pile up in the platform without end, and each listing of the
-/// logs grows with them. What is older than the longest life of a job and the retention together
-/// names no job that anybody may still ask for.
-void JobDriver::trim(Log &log)
-{
-    const auto horizon = std::chrono::duration_cast<std::chrono::milliseconds>(
-            JobTableSettings().m_maximumLife + m_retention);
-    const WallMillis oldest = m_context.wallNow() - horizon.count();
-    while (!log.m_segments.empty() && log.m_segments.front().m_writtenAt < oldest) {
-        log.m_log->trimBefore(log.m_segments.front().m_number + 1);
-        log.m_segments.pop_front();
-    }
+    m_logs.leave(command.m_log);
 }
 
 void JobDriver::askPeer(const NodeId &peer, const wire::PeerRequestBody &body,
-                        std::function<bool(const wire::PeerReplyBody &)> take)
-{
-    m_context.m_loop.spawn([this, peer, body, take = std::move(take)] {
-        const auto identity = m_fleet.find(peer);
-        const auto reply =
-                identity ? m_context.m_peers.ask(*identity, body, peerTimeout)
-                         : Result<wire::PeerReply>(Error{ErrorId::PeerUnreachable, "unknown peer"});
-        if (!succeeded(reply) || !take(valueOf(reply).body))
+                        JobMessenger::TakeReply take)
+{
+    m_messenger.ask(peer, body, std::move(take), [this, peer](bool hasAnswered) {
+        if (!hasAnswered)
             m_table.onPeerFailed(peer, m_context.now());
         run();
     });
 }
 
-void JobDriver::tellPeer(const NodeId &peer, const wire::PeerRequestBody &body)
-{
-    m_context.m_loop.spawn([this, peer, body] {
-        if (const auto identity = m_fleet.find(peer))
-            m_context.m_peers.ask(*identity, body, peerTimeout);
-    });
-}
-
 void JobDriver::execute(const HoldAtPeer &command)
 {
     wire::PeerRequestBody body;
@@ -448,7 +302,7 @@
     release.job = command.m_job.text();
     wire::PeerRequestBody body;
     body.__set_jobRelease(release);
-    tellPeer(command.m_peer, body);
+    m_messenger.tell(command.m_peer, body);
 }
 
 void JobDriver::execute(const AnswerHold &command)
@@ -459,7 +313,7 @@
     }
     wire::PeerRequestBody body;
     body.__set_jobHoldAnswer(command.m_answer);
-    tellPeer(command.m_peer, body);
+    m_messenger.tell(command.m_peer, body);
 }
 
 void JobDriver::execute(const HandOver &command)
@@ -481,7 +335,7 @@
     }
     wire::PeerRequestBody body;
     body.__set_jobHandOverAnswer(command.m_answer);
-    tellPeer(command.m_peer, body);
+    m_messenger.tell(command.m_peer, body);
 }
 
 void JobDriver::execute(const StartAttempt &command)
@@ -507,17 +361,17 @@
     m_context.m_metrics.add(Counter::JobsAccepted);
     m_context.m_journal.record(m_context.wallNow(), RequestId(command.m_job.text()),
                                Decision::Accepted);
-    tell(command.m_job, FeedAccepted{}, false);
+    m_feeds.tell(command.m_job, FeedAccepted{}, false);
 }
 
 void JobDriver::execute(const TellRefused &command)
 {
-    tell(command.m_job, FeedRefused{command.m_error}, true);
+    m_feeds.tell(command.m_job, FeedRefused{command.m_error}, true);
 }
 
 void JobDriver::execute(const TellReattach &command)
 {
-    tell(command.m_job, FeedMoved{command.m_node}, true);
+    m_feeds.tell(command.m_job, FeedMoved{command.m_node}, true);
 }
 
 void JobDriver::execute(const TellOver &command)
@@ -528,25 +382,7 @@
                                command.m_state == JobState::Finished ? Decision::Done
                                                                      : Decision::Failed);
     m_running.erase(command.m_job);
-    tell(command.m_job, FeedOver{command.m_state}, true);
-}
-
-void JobDriver::tell(const JobId &job, const FeedEvent &event, bool isLast)
-{
-    const auto found = m_feeds.find(job);
-    if (found == m_feeds.end())
-        return;
-    std::erase_if(found->second, [&](const std::weak_ptr<JobFeed> &entry) {
-        const auto feed = entry.lock();
-        if (!feed || feed->isClosed())
-            return true;
-        feed->push(event);
-        if (isLast)
-            feed->close();
-        return isLast;
-    });
-    if (found->second.empty())
-        m_feeds.erase(found);
+    m_feeds.tell(command.m_job, FeedOver{command.m_state}, true);
 }
 
 } // namespace gypsumdale
