Take the attempts and their records out of the ledger of claims

Change: ClaimAttempts keeps the attempts by name and ticket and knows the next deadline; the records of an attempt are made beside the other records; what a taken key answers stands beside its entry; preferredNode has a source of its own. A claim of this node and one for a peer, written twice before, begin in one function. A member that nothing read is gone. No behaviour changes.

--- a/include/gypsumdale/ledger/claim_ledger.hpp
+++ b/include/gypsumdale/ledger/claim_ledger.hpp
@@ -7,13 +7,13 @@
 #include <map> // map
 #include <memory> // unique_ptr
 #include <optional> // optional
-#include <span> // span
 #include <string> // string
 #include <string_view> // string_view
 #include <utility> // move
 #include <vector> // vector
 
 namespace gypsumdale::detail {
+class ClaimAttempts;
 class ClaimShard;
 struct ClaimAttempt;
 enum class ClaimRole;
@@ -137,10 +137,12 @@
 
 private:
     detail::ClaimShard &shard(ShardNumber number);
-    detail::ClaimAttempt *find(ClaimTicket ticket);
-    detail::ClaimAttempt *find(const AttemptId &attempt);
+    ClaimTicket claimHere(const ClaimRequest &request, detail::ClaimRole role, const NodeId &sender,
+                          Moment moment);
     ClaimTicket add(const ClaimRequest &request, detail::ClaimRole role, Moment moment);
     void tryClaim(detail::ClaimAttempt &attempt, bool isFresh, Moment moment);
+    /// When a record of now is forgotten.
+    WallMillis expiry(Moment moment) const;
     void appendClaim(detail::ClaimAttempt &attempt, Moment moment);
     void decide(detail::ClaimAttempt &attempt, ClaimResult result);
     void grant(detail::ClaimAttempt &attempt, Moment moment);
@@ -158,15 +160,12 @@
     void refuseWaiting(ShardNumber number, const NotRun &result, Moment moment);
     void expireAttempts(Moment moment);
     void dropIdleShards(Moment moment);
-    void forgetEnded();
     template <typename Trouble>
     void reportTrouble(ShardNumber number, const Trouble &trouble);
 
     ClaimLedgerSettings m_settings;
     std::map<ShardNumber, std::unique_ptr<detail::ClaimShard>> m_loaded;
-    std::map<AttemptId, std::unique_ptr<detail::ClaimAttempt>> m_attempts;
-    std::map<ClaimTicket, AttemptId> m_tickets;
-    ClaimTicket m_lastTicket = 0;
+    std::unique_ptr<detail::ClaimAttempts> m_attempts;
     ShardNumber m_lastServed = 0;
     std::vector<ClaimEvent> m_events;
 };
@@ -259,9 +258,4 @@
     ClaimLedgerSettings m_settings;
 };
 
-/// Returns the live node that claims of a shard are best sent to, so that claims of one interval
-/// share one write: the highest rendezvous hash. Nothing if there are no nodes. Safety does not
-/// rest on nodes agreeing. Linear.
-std::optional<NodeId> preferredNode(ShardNumber shard, std::span<const NodeId> live);
-
 } // namespace gypsumdale
--- a/src/kernel/claim_driver.cpp
+++ b/src/kernel/claim_driver.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/kernel/claim_driver.hpp>
 #include <gypsumdale/kernel/log_io.hpp>
+#include <gypsumdale/ledger/preferred_node.hpp>
 
 #include <fmt/format.h>
 
--- a/src/ledger/claim_ledger.cpp
+++ b/src/ledger/claim_ledger.cpp
@@ -1,14 +1,10 @@
-#include "detail/claim_attempt.hpp"
+#include "detail/claim_attempts.hpp"
 #include "detail/claim_records.hpp"
 #include "detail/claim_shard.hpp"
 
 #include <gypsumdale/ledger/claim_ledger.hpp>
 
-#include <fmt/format.h>
-#include <xxhash.h>
-
-#include <algorithm> // max, min, none_of
-#include <cstring> // memcpy
+#include <algorithm> // min
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -18,36 +14,11 @@
 using detail::ClaimRole;
 using detail::ClaimShard;
 using detail::ClaimState;
-
-namespace {
-
-ShardNumber shardOfDigest(const Digest &key, ShardNumber shards)
-{
-    // The end of the digest: its start places the key in the tables.
-    std::uint64_t tail = 0;
-    std::memcpy(&tail, key.data() + key.size() - sizeof(tail), sizeof(tail));
-    return static_cast<ShardNumber>(tail % shards);
-}
-
-/// Returns the answer to a request whose key is taken.
-ClaimResult resultOf(const ClaimEntry &entry, const Digest &body)
-{
-    if (entry.m_body != body)
-        return KeyReused{};
-    if (entry.m_outcome == Outcome::Done)
-        return AlreadyDone{*entry.m_standing, entry.m_answer};
-    return InProgressOrUnknown{*entry.m_standing};
-}
-
-bool isWaiting(const ClaimAttempt &attempt)
-{
-    return attempt.m_state == ClaimState::Refreshing || attempt.m_state == ClaimState::Claiming;
-}
-
-} // namespace
+using detail::isWaiting;
 
 ClaimLedger::ClaimLedger(ClaimLedgerSettings settings)
     : m_settings(std::move(settings))
+    , m_attempts(std::make_unique<detail::ClaimAttempts>())
 {}
 
 ClaimLedger::~ClaimLedger() = default;
@@ -56,29 +27,31 @@
 
 ClaimTicket ClaimLedger::begin(const ClaimRequest &request, Moment moment)
 {
-    const ClaimTicket ticket = add(request, ClaimRole::Own, moment);
-    if (ClaimAttempt *attempt = find(ticket))
-        tryClaim(*attempt, false, moment);
-    forgetEnded();
-    return ticket;
+    return claimHere(request, ClaimRole::Own, m_settings.m_node, moment);
 }
 
 ClaimTicket ClaimLedger::beginForPeer(const ClaimRequest &request, const NodeId &peer,
                                       Moment moment)
 {
-    const ClaimTicket ticket = add(request, ClaimRole::ForPeer, moment);
-    if (ClaimAttempt *attempt = find(ticket)) {
-        attempt->m_node = peer;
+    return claimHere(request, ClaimRole::ForPeer, peer, moment);
+}
+
+ClaimTicket ClaimLedger::claimHere(const ClaimRequest &request, ClaimRole role,
+                                   const NodeId &sender, Moment moment)
+{
+    const ClaimTicket ticket = add(request, role, moment);
+    if (ClaimAttempt *attempt = m_attempts->find(ticket)) {
+        attempt->m_node = sender;
         tryClaim(*attempt, false, moment);
     }
-    forgetEnded();
+    m_attempts->forgetEnded();
     return ticket;
 }
 
 ClaimTicket ClaimLedger::beginForwarded(const ClaimRequest &request, Moment moment)
 {
     const ClaimTicket ticket = add(request, ClaimRole::Forwarded, moment);
-    if (ClaimAttempt *attempt = find(ticket))
+    if (ClaimAttempt *attempt = m_attempts->find(ticket))
         attempt->m_state = ClaimState::Claiming;
     return ticket;
 }
@@ -86,23 +59,12 @@
 ClaimTicket ClaimLedger::add(const ClaimRequest &request, ClaimRole role, Moment moment)
 {
     // A request that was delivered twice: the first one decides.
-    if (find(request.m_attempt) != nullptr) {
-        m_events.emplace_back(ClaimDecided{++m_lastTicket, InProgressOrUnknown{request.m_attempt}});
-        return m_lastTicket;
+    if (m_attempts->find(request.m_attempt) != nullptr) {
+        const ClaimTicket ticket = m_attempts->newTicket();
+        m_events.emplace_back(ClaimDecided{ticket, InProgressOrUnknown{request.m_attempt}});
+        return ticket;
     }
-    auto attempt = std::make_unique<ClaimAttempt>();
-    attempt->m_id = request.m_attempt;
-    attempt->m_ticket = ++m_lastTicket;
-    attempt->m_role = role;
-    attempt->m_node = m_settings.m_node;
-    attempt->m_key = keyDigest(request.m_member, request.m_key);
-    attempt->m_body = request.m_bodyDigest;
-    attempt->m_shard = shardOfDigest(attempt->m_key, m_settings.m_shards);
-    attempt->m_deadline = request.m_deadline;
-    attempt->m_giveUpAt = std::min(request.m_deadline, moment.m_now + m_settings.m_patience);
-    m_tickets[m_lastTicket] = request.m_attempt;
-    m_attempts[request.m_attempt] = std::move(attempt);
-    return m_lastTicket;
+    return m_attempts->add(detail::makeAttempt(request, role, m_settings, moment));
 }
 
 void ClaimLedger::tryClaim(ClaimAttempt &attempt, bool isFresh, Moment moment)
@@ -114,9 +76,10 @@
     const ClaimEntry *entry = target.table().find(attempt.m_key);
     if (entry == nullptr || !entry->m_standing)
         return appendClaim(attempt, moment);
-    const bool isFinal = isFresh || entry->m_outcome || find(*entry->m_standing) != nullptr;
+    const bool isFinal =
+            isFresh || entry->m_outcome || m_attempts->find(*entry->m_standing) != nullptr;
     if (isFinal || entry->m_body != attempt.m_body)
-        return decide(attempt, resultOf(*entry, attempt.m_body));
+        return decide(attempt, detail::resultOf(*entry, attempt.m_body));
     const Duration outage = target.log().unavailableFor(moment.m_now);
     if (outage > Duration::zero())
         return decide(attempt, NotRun{NotRunReason::PlatformOut, outage});
@@ -133,12 +96,7 @@
         return decide(attempt, NotRun{NotRunReason::LogCorrupt, m_settings.m_retryAfter});
     if (outage > Duration::zero())
         return decide(attempt, NotRun{NotRunReason::PlatformOut, outage});
-    wire::ClaimRecord record;
-    record.key = detail::toBytes(attempt.m_key);
-    record.body = detail::toBytes(attempt.m_body);
-    record.attempt = attempt.m_id.text();
-    record.node = attempt.m_node.text();
-    record.expiry = moment.m_wall + wholeMillis(m_settings.m_retention);
+    const wire::ClaimRecord record = detail::claimRecord(attempt, expiry(moment));
     const Result<LogTicket> ticket = target.log().append(detail::encodeRecord(record));
     if (!succeeded(ticket))
         return decide(attempt, NotRun{NotRunReason::Overloaded, m_settings.m_retryAfter});
@@ -147,13 +105,18 @@
     target.link(valueOf(ticket), attempt.m_id);
 }
 
+WallMillis ClaimLedger::expiry(Moment moment) const
+{
+    return moment.m_wall + wholeMillis(m_settings.m_retention);
+}
+
 void ClaimLedger::decide(ClaimAttempt &attempt, ClaimResult result)
 {
     if (std::holds_alternative<Granted>(result))
         attempt.m_state = ClaimState::Granted;
     else if (attempt.m_state != ClaimState::Dead)
         attempt.m_state = ClaimState::Ended;
-    m_tickets.erase(attempt.m_ticket);
+    m_attempts->closeTicket(attempt.m_ticket);
     m_events.emplace_back(ClaimDecided{attempt.m_ticket, std::move(result)});
 }
 
@@ -195,16 +158,8 @@
 void ClaimLedger::recordOutcome(const ClaimAttempt &attempt, Outcome outcome,
                                 const StoredAnswer &answer, Moment moment)
 {
-    wire::OutcomeRecord record;
-    record.key = detail::toBytes(attempt.m_key);
-    record.attempt = attempt.m_id.text();
-    record.outcome = detail::toWire(outcome);
-    record.status = answer.m_status;
-    record.contentType = answer.m_contentType;
-    record.expiry = moment.m_wall + wholeMillis(m_settings.m_retention);
-    record.answerKept = answer.m_body && answer.m_body->size() <= m_settings.m_maxAnswerBytes;
-    if (record.answerKept)
-        record.answer = *answer.m_body;
+    const wire::OutcomeRecord record = detail::outcomeRecord(
+            attempt, outcome, answer, m_settings.m_maxAnswerBytes, expiry(moment));
     std::string bytes = detail::encodeRecord(record);
     const bool isLoaded = m_loaded.contains(attempt.m_shard);
     if (attempt.m_role == ClaimRole::Forwarded && !isLoaded) {
@@ -220,30 +175,30 @@
 
 void ClaimLedger::onForwardResult(ClaimTicket ticket, const ClaimResult &result, Moment moment)
 {
-    ClaimAttempt *attempt = find(ticket);
+    ClaimAttempt *attempt = m_attempts->find(ticket);
     if (attempt == nullptr || attempt->m_role != ClaimRole::Forwarded || !isWaiting(*attempt))
         return;
     if (std::holds_alternative<Granted>(result))
         grant(*attempt, moment);
     else
         decide(*attempt, result);
-    forgetEnded();
+    m_attempts->forgetEnded();
 }
 
 void ClaimLedger::onForwardLost(ClaimTicket ticket, Moment moment)
 {
-    ClaimAttempt *attempt = find(ticket);
+    ClaimAttempt *attempt = m_attempts->find(ticket);
     if (attempt == nullptr || attempt->m_role != ClaimRole::Forwarded || !isWaiting(*attempt))
         return;
     // Loads the shard, so that a claim by this node comes behind the record in the same log.
     shard(attempt->m_shard);
     giveUp(*attempt, NotRun{NotRunReason::PlatformOut, m_settings.m_retryAfter}, moment);
-    forgetEnded();
+    m_attempts->forgetEnded();
 }
 
 bool ClaimLedger::start(const AttemptId &id, Moment moment)
 {
-    ClaimAttempt *attempt = find(id);
+    ClaimAttempt *attempt = m_attempts->find(id);
     if (attempt == nullptr || attempt->m_state != ClaimState::Granted)
         return false;
     // Failure: the process was paused between its grant and this call. The caller was told by then
@@ -254,14 +209,14 @@
     }
     appendNotRun(*attempt, moment);
     attempt->m_state = ClaimState::Ended;
-    forgetEnded();
+    m_attempts->forgetEnded();
     return false;
 }
 
 void ClaimLedger::finish(const AttemptId &id, Outcome outcome, const StoredAnswer &answer,
                          Moment moment)
 {
-    ClaimAttempt *attempt = find(id);
+    ClaimAttempt *attempt = m_attempts->find(id);
     if (attempt == nullptr)
         return;
     const bool wasGranted = attempt->m_state == ClaimState::Granted;
@@ -270,7 +225,7 @@
     const Outcome recorded = wasGranted ? Outcome::NotRun : outcome;
     recordOutcome(*attempt, recorded, answer, moment);
     attempt->m_state = ClaimState::Ended;
-    forgetEnded();
+    m_attempts->forgetEnded();
 }
 
 Result<Done> ClaimLedger::appendForPeer(ShardNumber number, std::string_view bytes, Moment moment)
@@ -281,7 +236,8 @@
     const wire::LedgerRecord &record = valueOf(decoded);
     const bool isOutcome = record.__isset.outcome;
     if (!isOutcome || number >= m_settings.m_shards
-        || shardOfDigest(*detail::toDigest(record.outcome.key), m_settings.m_shards) != number)
+        || detail::shardOfDigest(*detail::toDigest(record.outcome.key), m_settings.m_shards)
+                   != number)
         return Error{ErrorId::PeerMalformed, "not an outcome of this shard"};
     ClaimShard &target = shard(number);
     target.touch(moment.m_now);
@@ -322,7 +278,7 @@
     if (outage > Duration::zero())
         refuseWaiting(number, NotRun{NotRunReason::PlatformOut, outage}, moment);
     target.maintain(moment);
-    forgetEnded();
+    m_attempts->forgetEnded();
 }
 
 void ClaimLedger::handle(ShardNumber number, const RecordApplied &event, Moment moment)
@@ -339,7 +295,7 @@
     const std::optional<AttemptId> id = target.unlink(*event.m_ticket);
     if (!id)
         return;
-    ClaimAttempt *attempt = find(*id);
+    ClaimAttempt *attempt = m_attempts->find(*id);
     if (attempt != nullptr && attempt->m_claim == event.m_ticket)
         return claimApplied(*attempt, valueOf(stands), moment);
     m_events.emplace_back(OutcomeRecorded{*id});
@@ -361,21 +317,21 @@
         return grant(attempt, moment);
     const ClaimEntry *entry = shard(attempt.m_shard).table().find(attempt.m_key);
     if (entry != nullptr && entry->m_standing)
-        return decide(attempt, resultOf(*entry, attempt.m_body));
+        return decide(attempt, detail::resultOf(*entry, attempt.m_body));
     decide(attempt, NotRun{NotRunReason::DeadlinePassed, m_settings.m_retryAfter});
 }
 
 void ClaimLedger::handle(ShardNumber number, const RecordDropped &event, Moment)
 {
     const std::optional<AttemptId> id = m_loaded.at(number)->unlink(event.m_ticket);
-    ClaimAttempt *attempt = id ? find(*id) : nullptr;
+    ClaimAttempt *attempt = id ? m_attempts->find(*id) : nullptr;
     if (attempt != nullptr && attempt->m_claim == event.m_ticket)
         attempt->m_state = ClaimState::Ended;
 }
 
 void ClaimLedger::handle(ShardNumber number, const LogCaughtUp &, Moment moment)
 {
-    for (const auto &[id, attempt] : m_attempts) {
+    for (const auto &[id, attempt] : *m_attempts) {
         if (attempt->m_shard == number && attempt->m_state == ClaimState::Refreshing)
             tryClaim(*attempt, true, moment);
     }
@@ -405,7 +361,7 @@
 
 void ClaimLedger::refuseWaiting(ShardNumber number, const NotRun &result, Moment moment)
 {
-    for (const auto &[id, attempt] : m_attempts) {
+    for (const auto &[id, attempt] : *m_attempts) {
         const bool isHere = attempt->m_shard == number && attempt->m_role != ClaimRole::Forwarded;
         if (isHere && isWaiting(*attempt))
             giveUp(*attempt, result, moment);
@@ -417,13 +373,13 @@
     expireAttempts(moment);
     for (const auto &[number, loaded] : m_loaded)
         loaded->maintain(moment);
-    forgetEnded();
+    m_attempts->forgetEnded();
     dropIdleShards(moment);
 }
 
 void ClaimLedger::expireAttempts(Moment moment)
 {
-    for (const auto &[id, attempt] : m_attempts) {
+    for (const auto &[id, attempt] : *m_attempts) {
         if (isWaiting(*attempt) && moment.m_now >= attempt->m_giveUpAt) {
             const bool isLate = moment.m_now >= attempt->m_deadline;
             const NotRunReason reason =
@@ -441,37 +397,18 @@
 void ClaimLedger::dropIdleShards(Moment moment)
 {
     std::erase_if(m_loaded, [this, moment](const auto &loaded) {
-        const ShardNumber number = loaded.first;
-        const auto uses = [number](const auto &attempt) {
-            return attempt.second->m_shard == number;
-        };
         return loaded.second->isIdle(moment.m_now, m_settings.m_idleShard)
-               && std::none_of(m_attempts.begin(), m_attempts.end(), uses);
+               && !m_attempts->hasAnyOf(loaded.first);
     });
 }
 
-void ClaimLedger::forgetEnded()
-{
-    std::erase_if(m_attempts,
-                  [](const auto &attempt) { return attempt.second->m_state == ClaimState::Ended; });
-}
-
 std::optional<TimePoint> ClaimLedger::nextWake() const
 {
-    std::optional<TimePoint> wake;
-    const auto consider = [&wake](TimePoint at) {
-        wake = wake ? std::min(*wake, at) : at;
-    };
+    std::optional<TimePoint> wake = m_attempts->nextDeadline();
     for (const auto &[number, loaded] : m_loaded) {
         const std::optional<TimePoint> at = loaded->log().nextWake();
         if (at)
-            consider(*at);
-    }
-    for (const auto &[id, attempt] : m_attempts) {
-        if (isWaiting(*attempt))
-            consider(attempt->m_giveUpAt);
-        if (attempt->m_state == ClaimState::Granted)
-            consider(attempt->m_deadline);
+            wake = wake ? std::min(*wake, *at) : at;
     }
     return wake;
 }
@@ -483,7 +420,7 @@
 
 ShardNumber ClaimLedger::shardOf(const MemberId &member, std::string_view key) const
 {
-    return shardOfDigest(keyDigest(member, key), m_settings.m_shards);
+    return detail::shardOfDigest(keyDigest(member, key), m_settings.m_shards);
 }
 
 std::size_t ClaimLedger::keyCount() const
@@ -502,32 +439,4 @@
     return *loaded;
 }
 
-ClaimAttempt *ClaimLedger::find(ClaimTicket ticket)
-{
-    const auto found = m_tickets.find(ticket);
-    return found == m_tickets.end() ? nullptr : find(found->second);
-}
-
-ClaimAttempt *ClaimLedger::find(const AttemptId &id)
-{
-    const auto found = m_attempts.find(id);
-    return found == m_attempts.end() ? nullptr : found->second.get();
-}
-
-std::optional<NodeId> preferredNode(ShardNumber shard, std::span<const NodeId> live)
-{
-    std::optional<NodeId> best;
-    XXH64_hash_t bestScore = 0;
-    for (const NodeId &node : live) {
-        const XXH64_hash_t score =
-                XXH3_64bits_withSeed(node.text().data(), node.text().size(), shard);
-        const bool isBetter = !best || score > bestScore || (score == bestScore && node < *best);
-        if (!isBetter)
-            continue;
-        best = node;
-        bestScore = score;
-    }
-    return best;
-}
-
 } // namespace gypsumdale
--- a/src/ledger/detail/claim_attempt.hpp
+++ b/src/ledger/detail/claim_attempt.hpp
@@ -36,7 +36,6 @@
     /// When waiting for the claim ends: the deadline, or sooner.
     TimePoint m_giveUpAt;
     std::optional<LogTicket> m_claim;
-    std::optional<LogTicket> m_outcome;
 };
 
 } // namespace gypsumdale::detail
--- a/src/ledger/detail/claim_records.cpp
+++ b/src/ledger/detail/claim_records.cpp
@@ -46,6 +46,34 @@
     return Outcome::Unknown;
 }
 
+wire::ClaimRecord claimRecord(const ClaimAttempt &attempt, WallMillis expiry)
+{
+    wire::ClaimRecord record;
+    record.key = toBytes(attempt.m_key);
+    record.body = toBytes(attempt.m_body);
+    record.attempt = attempt.m_id.text();
+    record.node = attempt.m_node.text();
+    record.expiry = expiry;
+    return record;
+}
+
+wire::OutcomeRecord outcomeRecord(const ClaimAttempt &attempt, Outcome outcome,
+                                  const StoredAnswer &answer, std::size_t maxAnswerBytes,
+                                  WallMillis expiry)
+{
+    wire::OutcomeRecord record;
+    record.key = toBytes(attempt.m_key);
+    record.attempt = attempt.m_id.text();
+    record.outcome = toWire(outcome);
+    record.status = answer.m_status;
+    record.contentType = answer.m_contentType;
+    record.expiry = expiry;
+    record.answerKept = answer.m_body && answer.m_body->size() <= maxAnswerBytes;
+    if (record.answerKept)
+        record.answer = *answer.m_body;
+    return record;
+}
+
 std::string encodeRecord(const wire::ClaimRecord &claim)
 {
     wire::LedgerRecord record;
--- a/src/ledger/detail/claim_records.hpp
+++ b/src/ledger/detail/claim_records.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "claim_attempt.hpp"
+
 #include <gypsumdale/core/result.hpp>
 #include <gypsumdale/ledger/claim_messages.hpp>
 
@@ -20,6 +22,13 @@
 wire::WireOutcome::type toWire(Outcome outcome);
 Outcome fromWire(wire::WireOutcome::type outcome);
 
+/// The records of an attempt, which all nodes forget at the expiry.
+wire::ClaimRecord claimRecord(const ClaimAttempt &attempt, WallMillis expiry);
+/// The answer is kept in it unless its body is larger than a record takes.
+wire::OutcomeRecord outcomeRecord(const ClaimAttempt &attempt, Outcome outcome,
+                                  const StoredAnswer &answer, std::size_t maxAnswerBytes,
+                                  WallMillis expiry);
+
 std::string encodeRecord(const wire::ClaimRecord &claim);
 std::string encodeRecord(const wire::OutcomeRecord &outcome);
 std::string encodeRecord(const wire::RestatedRecord &restated);
--- a/src/ledger/detail/claim_table.cpp
+++ b/src/ledger/detail/claim_table.cpp
@@ -186,4 +186,13 @@
     return m_segments.empty() ? 0 : m_segments.front().m_number;
 }
 
+ClaimResult resultOf(const ClaimEntry &entry, const Digest &body)
+{
+    if (entry.m_body != body)
+        return KeyReused{};
+    if (entry.m_outcome == Outcome::Done)
+        return AlreadyDone{*entry.m_standing, entry.m_answer};
+    return InProgressOrUnknown{*entry.m_standing};
+}
+
 } // namespace gypsumdale::detail
--- a/src/ledger/detail/claim_table.hpp
+++ b/src/ledger/detail/claim_table.hpp
@@ -99,4 +99,7 @@
     std::deque<KeyExpiry> m_expiries;
 };
 
+/// The answer to a request whose key is taken by the entry's standing attempt.
+ClaimResult resultOf(const ClaimEntry &entry, const Digest &body);
+
 } // namespace gypsumdale::detail
--- a/tests/src/unit-claim-ledger.cpp
+++ b/tests/src/unit-claim-ledger.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/ledger/claim_ledger.hpp>
+#include <gypsumdale/ledger/preferred_node.hpp>
 
 #include <support/claim_world.hpp>
 
