Take what is known of the peers out of the store of the configuration

What each peer said in its present life, and what follows from it (a version is safe, all have answered), stood among the handling of the platform and the messages.

Change: ConfigPeers keeps it, with the rule that a former life's words are dropped. No behaviour changes.

--- a/include/gypsumdale/fleet/config_store.hpp
+++ b/include/gypsumdale/fleet/config_store.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/fleet/config_knowledge.hpp>
 #include <gypsumdale/fleet/config_message.hpp>
 #include <gypsumdale/fleet/config_object.hpp>
+#include <gypsumdale/fleet/config_peers.hpp>
 
 #include <chrono> // milliseconds, seconds
 #include <map> // map
@@ -139,20 +140,8 @@
         TimePoint m_learnedAt;
     };
 
-    /// What is known of another node of the data centre, in its present life.
-    struct PeerView
-    {
-        Incarnation m_incarnation = 0;
-        ConfigVersion m_completeTo = 0;
-        /// Whether it answered this life while ready itself.
-        bool m_answered = false;
-        /// It was proved at or after this time that no process of it ran.
-        TimePoint m_goneAfter = TimePoint::min();
-    };
-
     bool isLocal(const NodeId &node) const { return m_peers.contains(node); }
     bool meetPeer(const ConfigDigestFrom &sender);
-    bool meetLife(const NodeId &node, Incarnation incarnation);
     bool takeChanges(const ConfigChanges &changes, TimePoint now, ConfigCommands &commands);
     void addCandidate(const ConfigObject &object, TimePoint now, ConfigCommands &commands);
     void confirm(WallMillis time, TimePoint now);
@@ -165,8 +154,6 @@
     void settle(ConfigCommands &commands);
     void putSafeInForce(ConfigCommands &commands);
     std::string readyReason() const;
-    bool hasEveryAnswer() const;
-    bool isSafe(const Candidate &candidate) const;
     void onPlatformAnswer(const ConfigChanges &changes, WallMillis askedAt, TimePoint now,
                           ConfigCommands &commands);
     void usePlatform(TimePoint now, ConfigCommands &commands);
@@ -178,7 +165,7 @@
     std::map<ConfigKey, Candidate> m_candidates;
     std::map<ConfigKey, ConfigObject> m_inForce;
     std::map<ConfigKey, BodyRefused> m_refused;
-    std::map<NodeId, PeerView> m_peers;
+    ConfigPeers m_peers;
     std::vector<NodeId> m_liveNodes;
     /// The highest version that any node of the data centre is known to have put in force.
     ConfigVersion m_floor = 0;
--- a/src/fleet/config_store.cpp
+++ b/src/fleet/config_store.cpp
@@ -2,7 +2,7 @@
 
 #include <gypsumdale/fleet/rendezvous.hpp>
 
-#include <algorithm> // all_of, any_of, find, max, min
+#include <algorithm> // find, max, min
 #include <string_view> // string_view
 #include <utility> // move
 
@@ -10,11 +10,9 @@
 
 ConfigStore::ConfigStore(ConfigStoreSetup setup)
     : m_setup(std::move(setup))
+    , m_peers(m_setup.m_localPeers)
     , m_liveNodes{m_setup.m_node}
-{
-    for (const auto &peer : m_setup.m_localPeers)
-        m_peers[peer];
-}
+{}
 
 ConfigCommands ConfigStore::start(TimePoint now)
 {
@@ -106,7 +104,7 @@
 
 ConfigCommands ConfigStore::onAsk(const ConfigAsk &ask, TimePoint)
 {
-    if (!meetLife(ask.m_node, ask.m_incarnation))
+    if (!m_peers.meetLife(ask.m_node, ask.m_incarnation))
         return {};
     ConfigUpdate update{digest(), m_known.changesAfter(ask.m_from), ask.m_node, ask.m_incarnation};
     return {SendUpdate{ask.m_node, std::move(update)}};
@@ -137,47 +135,23 @@
 ConfigCommands ConfigStore::onPeerGone(const NodeId &peer, TimePoint since)
 {
     ConfigCommands commands;
-    const auto found = m_peers.find(peer);
-    if (found == m_peers.end())
-        return commands;
-    found->second.m_goneAfter = std::max(found->second.m_goneAfter, since);
-    settle(commands);
+    if (m_peers.noteGone(peer, since))
+        settle(commands);
     return commands;
 }
 
 /// Notes who sent a digest and what it says of its data centre; false for a life that has ended.
 bool ConfigStore::meetPeer(const ConfigDigestFrom &sender)
 {
-    if (!meetLife(sender.m_node, sender.m_incarnation))
+    if (!m_peers.meetLife(sender.m_node, sender.m_incarnation))
         return false;
     if (!isLocal(sender.m_node))
         return true;
-    auto &view = m_peers[sender.m_node];
-    view.m_completeTo = std::max(view.m_completeTo, sender.m_digest.m_completeTo);
+    m_peers.noteComplete(sender.m_node, sender.m_digest.m_completeTo);
     m_floor = std::max(m_floor, sender.m_digest.m_floor);
     return true;
 }
 
-/// Failure guarded against: a peer's late message from before its restart is taken as proof that it
-/// knows a version, which the restart has made it forget; both could then lose it. What a former
-/// life said is dropped as soon as a later life was heard.
-bool ConfigStore::meetLife(const NodeId &node, Incarnation incarnation)
-{
-    const auto found = m_peers.find(node);
-    if (found == m_peers.end())
-        return true;
-    auto &view = found->second;
-    if (incarnation < view.m_incarnation)
-        return false;
-    if (incarnation > view.m_incarnation) {
-        const auto goneAfter = view.m_goneAfter;
-        view = {};
-        view.m_incarnation = incarnation;
-        view.m_goneAfter = goneAfter;
-    }
-    return true;
-}
-
 /// Takes changes and makes candidates of what is new. Returns whether anything was.
 bool ConfigStore::takeChanges(const ConfigChanges &changes, TimePoint now, ConfigCommands &commands)
 {
@@ -243,7 +217,7 @@
     if (!isLocal(update.m_sender.m_node) || !digest.m_ready)
         return;
     if (digest.m_completeTo <= m_known.completeTo())
-        m_peers[update.m_sender.m_node].m_answered = true;
+        m_peers.noteAnswer(update.m_sender.m_node);
 }
 
 ConfigAsk ConfigStore::makeAsk() const
@@ -262,21 +236,19 @@
 
 void ConfigStore::askForReadiness(ConfigCommands &commands)
 {
-    for (const auto &[node, view] : m_peers) {
-        if (!view.m_answered)
-            commands.emplace_back(AskPeer{node, makeAsk()});
-    }
+    for (const NodeId &node : m_peers.unanswered())
+        commands.emplace_back(AskPeer{node, makeAsk()});
 }
 
 void ConfigStore::spreadDigest(ConfigCommands &commands) const
 {
-    for (const auto &[node, view] : m_peers)
+    for (const NodeId &node : m_peers.nodes())
         commands.emplace_back(SendDigest{node, digest()});
 }
 
 void ConfigStore::spreadChanges(const ConfigChanges &changes, ConfigCommands &commands) const
 {
-    for (const auto &[node, view] : m_peers)
+    for (const NodeId &node : m_peers.nodes())
         commands.emplace_back(SendUpdate{node, {digest(), changes, {}, 0}});
 }
 
@@ -296,7 +268,7 @@
 void ConfigStore::putSafeInForce(ConfigCommands &commands)
 {
     for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
-        if (!isSafe(candidate->second)) {
+        if (!m_peers.isSafe(candidate->second.m_object.m_version, candidate->second.m_learnedAt)) {
             ++candidate;
             continue;
         }
@@ -321,21 +293,11 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(m_setup.m_clockMargin);
     if (m_confirmedAsOf > m_setup.m_startedAt + margin.count())
         return "a peer's configuration was confirmed after the start";
-    if (hasEveryAnswer())
+    if (m_peers.hasEveryAnswer() && m_known.completeTo() >= m_floor)
         return "every node of the data centre has answered";
     return {};
 }
 
-bool ConfigStore::hasEveryAnswer() const
-{
-    if (m_peers.empty() || m_known.completeTo() < m_floor)
-        return false;
-    const auto hasAnswered = [](const auto &peer) {
-        return peer.second.m_answered;
-    };
-    return std::all_of(m_peers.begin(), m_peers.end(), hasAnswered);
-}
-
 std::string ConfigStore::notReadyReason() const
 {
     if (m_ready)
@@ -343,30 +305,13 @@
     if (!readyReason().empty())
         return "the configuration is known, but no node of the data centre has taken note of it";
     std::string missing;
-    for (const auto &[node, view] : m_peers) {
-        if (!view.m_answered)
-            missing += (missing.empty() ? "" : ", ") + node.text();
-    }
+    for (const NodeId &node : m_peers.unanswered())
+        missing += (missing.empty() ? "" : ", ") + node.text();
     if (missing.empty())
         return "the platform hasn't answered, and the peers know less than what was in force";
     return "the platform hasn't answered, nor have these nodes while ready: " + missing;
 }
 
-/// Whether another node knows the candidate, or none ran after it was learned; see the class.
-bool ConfigStore::isSafe(const Candidate &candidate) const
-{
-    const auto knowsIt = [&candidate](const auto &peer) {
-        return peer.second.m_completeTo >= candidate.m_object.m_version;
-    };
-    const auto wasGone = [&candidate](const auto &peer) {
-        // Not at the same instant: the proof may then be of the time before the node learned it,
-        // and a later life of the peer have got ready in between by this node's earlier answer.
-        return peer.second.m_goneAfter > candidate.m_learnedAt;
-    };
-    return std::any_of(m_peers.begin(), m_peers.end(), knowsIt)
-           || std::all_of(m_peers.begin(), m_peers.end(), wasGone);
-}
-
 void ConfigStore::onPlatformAnswer(const ConfigChanges &changes, WallMillis askedAt, TimePoint now,
                                    ConfigCommands &commands)
 {
