Note a usage window before its slowest counts are in

Change: the first note is written 0.4 s after a window's end, one exchange of a small fleet; later ones as before. One more conditional update a window.

--- a/src/serving/usage_windows.cpp
+++ b/src/serving/usage_windows.cpp
@@ -13,6 +13,8 @@
 /// Kept free before a report is due where a VM stays silent: a lease is taken over in 3.4 s at
 /// most, and the successor needs two calls.
 constexpr WallMillis reportMargin = 5000;
+/// From a window's end, until it is noted first: one exchange of a small fleet.
+constexpr WallMillis noteAfter = 400;
 /// How often notes of windows that still grow are written at most.
 constexpr WallMillis noteEvery = 1000;
 /// Fixed windows are kept for so many beyond those whose reports aren't too late: a successor whose
@@ -73,7 +75,7 @@
     UsageLedger next = m_ledger;
     bool isWorthWriting = false;
     const bool mayNote = look.m_now >= m_notedAt + noteEvery;
-    for (WindowNumber window = firstDue(look.m_now); endOf(window) + tellingTime <= look.m_now;
+    for (WindowNumber window = firstDue(look.m_now); endOf(window) + noteAfter <= look.m_now;
          ++window) {
         if (m_sent.contains(window) || m_ledger.m_fixed.contains(window))
             continue;
