Say when the soak finds a process that ended by itself, and write up what it showed

A VM that has ended by itself is a failed check now; before, it showed as one that does not become ready. A SIGHUP 0.05 s after the start of a process ends it (status 129): the kernel's own action, until the process blocks its signals.

--- a/tests/src/process-entry-soak.cpp
+++ b/tests/src/process-entry-soak.cpp
@@ -233,7 +233,9 @@
             restart(node);
             break;
         default:
-            node.m_process->send(SIGHUP);
+            // The kernel's own action ends a process that has not come to block its signals.
+            if (m_soak.m_world.get(node.m_readyPort, "/-/ready").m_status != 0)
+                node.m_process->send(SIGHUP);
         }
     }
 
@@ -408,6 +410,12 @@
     for (std::thread &thread : threads)
         thread.join();
     soak.m_ledger.check();
+    for (std::size_t node = 0; node < world.nodeCount(); ++node) {
+        ChildProcess &process = *world.node(node).m_process;
+        const bool hasEnded = process.exited();
+        INFO("VM " << node << " ended by itself with status " << process.exitStatus().value_or(0));
+        CHECK_FALSE(hasEnded);
+    }
     WARN("seed " << soak.m_seed << ", answers by status: " << soak.m_ledger.summary());
     CHECK(soak.m_ledger.count(200) > 0);
     CHECK(soak.m_hangs == 0);
