Say once which states of a job are its end

Cause: the state that a phase stands for was written out in two sources of the jobs, and which states are an end in two of the kernel.

Change: stateOfPhase and isOver stand beside the states. No behaviour changes.

The process tests were not run on this commit.

--- a/include/gypsumdale/jobs/job.hpp
+++ b/include/gypsumdale/jobs/job.hpp
@@ -39,6 +39,15 @@
         {JobState::Expired, "expired"},
 }};
 
+/// Tells whether a job in this state has ended, well or not.
+constexpr bool isOver(JobState state)
+{
+    return state == JobState::Finished || state == JobState::Failed || state == JobState::Expired;
+}
+
+/// The state of a job of which nothing but its phase is known.
+JobState stateOfPhase(wire::JobPhase::type phase);
+
 /// What a caller asked for. Bodies are opaque here.
 struct JobRequest
 {
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,21 @@
 
 namespace gypsumdale {
 
+JobState stateOfPhase(wire::JobPhase::type phase)
+{
+    switch (phase) {
+    case wire::JobPhase::Finished:
+        return JobState::Finished;
+    case wire::JobPhase::Failed:
+        return JobState::Failed;
+    case wire::JobPhase::Expired:
+        return JobState::Expired;
+    case wire::JobPhase::Running:
+        break;
+    }
+    return JobState::Running;
+}
+
 namespace {
 
 constexpr std::size_t bytesPerTokenEnd = sizeof(std::uint32_t);
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -43,17 +43,9 @@
     }
     if (!owned.m_isAccepted)
         return JobState::Offered;
-    switch (owned.m_job.m_phase) {
-    case wire::JobPhase::Finished:
-        return JobState::Finished;
-    case wire::JobPhase::Failed:
-        return JobState::Failed;
-    case wire::JobPhase::Expired:
-        return JobState::Expired;
-    case wire::JobPhase::Running:
-        break;
-    }
-    return owned.m_attempt == 0 ? JobState::Held : JobState::Running;
+    if (!owned.m_job.isOver() && owned.m_attempt == 0)
+        return JobState::Held;
+    return stateOfPhase(owned.m_job.m_phase);
 }
 
 std::vector<JobId> JobTable::ownedIds() const
--- a/src/jobs/job_table_read.cpp
+++ b/src/jobs/job_table_read.cpp
@@ -14,21 +14,6 @@
     return Error{ErrorId::JobUnknown, "no such job"};
 }
 
-JobState stateOfPhase(wire::JobPhase::type phase)
-{
-    switch (phase) {
-    case wire::JobPhase::Finished:
-        return JobState::Finished;
-    case wire::JobPhase::Failed:
-        return JobState::Failed;
-    case wire::JobPhase::Expired:
-        return JobState::Expired;
-    case wire::JobPhase::Running:
-        break;
-    }
-    return JobState::Running;
-}
-
 } // namespace
 
 ReattachAnswer JobTable::serve(const Job &job, JobState state, const AnswerPosition &position) const
--- a/src/kernel/job_call.cpp
+++ b/src/kernel/job_call.cpp
@@ -18,11 +18,6 @@
 constexpr std::string_view forwardedHeader = "X-Gypsumdale-Forwarded";
 constexpr Duration proxySilence = std::chrono::minutes(5);
 
-bool isOver(JobState state)
-{
-    return state == JobState::Finished || state == JobState::Failed || state == JobState::Expired;
-}
-
 } // namespace
 
 JobCall::JobCall(Traffic &traffic, HttpResponder &responder)
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -93,10 +93,7 @@
             countRecomputed(job, member, position.m_offset - cut->m_position.m_offset);
         std::shared_ptr<JobFeed> feed;
         const auto *serve = std::get_if<ServeFrom>(&answer);
-        const bool goesOn = serve && serve->m_state != JobState::Finished
-                            && serve->m_state != JobState::Failed
-                            && serve->m_state != JobState::Expired;
-        if (goesOn)
+        if (serve && !isOver(serve->m_state))
             feed = m_feeds.subscribe(job);
         return {std::move(answer), std::move(feed)};
     }
