Learn an engine's speed without the part of a wait that isn't reading

Up to 93 steady ones stood for a load that 25 read by the sheet. Each wait has a part that does not grow with the prompt (32 ms there), and all of it counted as reading: 40 to 50 tokens a ms were learned, 94 to 102 without it.

Ruled out: refusals that renew the reclaim time, a new holder of the duty, requests in flight.

Change: the speed is taken from what longer prompts take beyond the quickest. The loads count with it: 0.3, 0.6 and 0.8 in place of 0.5, 0.8 and 1.3.

The planner's cases name the loads that they count with, the former defaults; their checks stand as they were.

--- a/include/gypsumdale/serving/prompt_reading.hpp
+++ b/include/gypsumdale/serving/prompt_reading.hpp
@@ -8,6 +8,7 @@
 #include <deque> // deque
 #include <map> // map
 #include <string> // string
+#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -27,6 +28,11 @@
 /// deployments. It shows where a request is alone with its prompt at an engine: its first event
 /// comes when its prompt has been read. Requests beside others are no measure, as their prompts are
 /// read by turns.
+///
+/// Part of each wait has nothing to do with the prompt's length: the way, a step, what the engine
+/// does before the first event, and the VM's own turn at its core. It is 4 to 50 ms, as long as an
+/// engine needs for 5,000 tokens, and differs between deployments too. So prompts of several
+/// lengths are compared: what a longer one takes beyond the quickest was spent on reading.
 class PromptReading
 {
 public:
@@ -37,15 +43,26 @@
     /// Notes how long the first event took of a request that was alone with its prompt. Constant.
     void noteAlone(std::int64_t ownTokens, Duration wait);
 
-    /// Constant in the requests seen.
+    /// Constant: a bounded number of requests is kept.
     ReadingRate rate(TimePoint now);
 
 private:
     /// Demand is averaged over this: arrivals come in clumps of a second or two.
     static constexpr Duration demandSpan = std::chrono::seconds(4);
 
+    /// A prompt that was alone at an engine.
+    struct Sample
+    {
+        double m_tokens = 0;
+        double m_seconds = 0;
+    };
+
+    double speed() const;
+    static std::vector<double> wholeSpeeds(const std::deque<Sample> &samples);
+    static std::vector<double> speedsBeyondQuickest(const std::deque<Sample> &samples);
+
     SlidingSum m_demand{demandSpan};
-    std::deque<double> m_speeds;
+    std::deque<Sample> m_samples;
 };
 
 /// The reading rates of all services, as this VM and its peers see them.
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -55,16 +55,16 @@
     /// Part of an engine's reading speed that prompts may take while first tokens come in time. On
     /// a fleet with engines of 62 tokens a ms, 4, 8, 12 and 20 of them under one load were worth
     /// 0.40, 0.46, 0.47 and 0.47 of what callers pay, their own price taken off: 12 are loaded to a
-    /// fifth.
-    double m_readingLoad = 0.5;
-    /// The same for steady engines that stand in for reclaimable ones, at five times the price.
-    /// Over three fleets 0.6, 0.8, 1.0 and 1.3 were worth 0.504, 0.524, 0.534 and 0.536 on hard
-    /// days, and on the calm day of the one that loses all of its reclaimable ones 0.43, 0.41, 0.35
-    /// and 0.29.
-    double m_standInLoad = 0.8;
-    /// The same for what a further reclaim would leave, which may not come. With 1.3 in place of
-    /// 0.8 hard days were worth 0.01 more on all three fleets.
-    double m_riskLoad = 1.3;
+    /// fifth. Reclaimable ones cost a fifth of steady ones: where a data centre had 22 of them in
+    /// place of 38 as the others lost theirs, these seconds were worth 0.54 of what callers pay in
+    /// place of 0.74.
+    double m_readingLoad = 0.3;
+    /// The same for steady engines that stand in for reclaimable ones, at five times the price. On
+    /// a fleet of 60, windows in which an engine read 0.53, 0.68, 0.72 and 0.90 of the speed seen
+    /// were worth 0.94, 0.88, 0.83 and 0.73 of what callers pay.
+    double m_standInLoad = 0.6;
+    /// The same for what a further reclaim would leave, which may not come.
+    double m_riskLoad = 0.8;
     /// A reclaim is followed by those of other data centres within this: seven seconds for four of
     /// them, and a refused order renews it.
     Duration m_reclaimCalm = std::chrono::seconds(6);
--- a/src/serving/prompt_reading.cpp
+++ b/src/serving/prompt_reading.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/serving/prompt_reading.hpp>
 
-#include <algorithm> // nth_element
+#include <algorithm> // max, min_element, nth_element
 #include <cstddef> // ptrdiff_t, size_t
 #include <utility> // move
 #include <vector> // vector
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Shorter prompts are read within the time that a connection and a step take, and would show a
-/// lower speed.
+/// Shorter prompts are read within the time that a connection and a step take: what differs between
+/// them isn't reading.
 constexpr std::int64_t leastTokens = 500;
 /// Requests that the speed is taken from.
-constexpr std::size_t mostSpeeds = 32;
+constexpr std::size_t mostSamples = 32;
 /// So many make a speed.
 constexpr std::size_t fewestSpeeds = 4;
 /// Of the speeds seen, the one below which three quarters lie is taken: a shared part that was not
@@ -39,17 +39,62 @@
 {
     if (ownTokens < leastTokens || wait <= Duration::zero())
         return;
-    m_speeds.push_back(static_cast<double>(ownTokens) / toSeconds(wait));
-    if (m_speeds.size() > mostSpeeds)
-        m_speeds.pop_front();
+    m_samples.push_back({static_cast<double>(ownTokens), toSeconds(wait)});
+    if (m_samples.size() > mostSamples)
+        m_samples.pop_front();
+}
+
+/// Returns the speeds if all of a wait were spent on reading.
+std::vector<double> PromptReading::wholeSpeeds(const std::deque<Sample> &samples)
+{
+    std::vector<double> speeds;
+    speeds.reserve(samples.size());
+    for (const Sample &sample : samples)
+        speeds.push_back(sample.m_tokens / sample.m_seconds);
+    return speeds;
+}
+
+/// Returns the speeds by what the longer half of the prompts took beyond the quickest, whose wait
+/// is nearly the part that is the same for all. Prompts about as long as the quickest one show how
+/// waits vary, not how they grow.
+std::vector<double> PromptReading::speedsBeyondQuickest(const std::deque<Sample> &samples)
+{
+    const auto quickest = std::min_element(samples.begin(), samples.end(),
+                                           [](const Sample &left, const Sample &right) {
+                                               return left.m_seconds < right.m_seconds;
+                                           });
+    std::vector<double> lengths;
+    lengths.reserve(samples.size());
+    for (const Sample &sample : samples)
+        lengths.push_back(sample.m_tokens);
+    const double least = std::max(quantileOf(std::move(lengths), 0.5), quickest->m_tokens);
+    std::vector<double> speeds;
+    for (const Sample &sample : samples) {
+        const double beyond = sample.m_seconds - quickest->m_seconds;
+        if (sample.m_tokens > least && beyond > 0)
+            speeds.push_back((sample.m_tokens - quickest->m_tokens) / beyond);
+    }
+    return speeds;
+}
+
+/// Returns the speed that the requests kept show, 0 if they are too few. Where lengths differ too
+/// little for a comparison, all of a wait counts as reading, which is at most too slow.
+double PromptReading::speed() const
+{
+    if (m_samples.size() < fewestSpeeds)
+        return 0;
+    const double whole = quantileOf(wholeSpeeds(m_samples), takenQuantile);
+    std::vector<double> beyond = speedsBeyondQuickest(m_samples);
+    if (beyond.size() < fewestSpeeds)
+        return whole;
+    return std::max(whole, quantileOf(std::move(beyond), takenQuantile));
 }
 
 ReadingRate PromptReading::rate(TimePoint now)
 {
     ReadingRate rate;
     rate.m_demand = m_demand.sum(now) / toSeconds(demandSpan);
-    if (m_speeds.size() >= fewestSpeeds)
-        rate.m_speed = quantileOf({m_speeds.begin(), m_speeds.end()}, takenQuantile);
+    rate.m_speed = speed();
     return rate;
 }
 
--- a/tests/src/unit-entry-decisions.cpp
+++ b/tests/src/unit-entry-decisions.cpp
@@ -209,7 +209,12 @@
     input.m_service = &service;
     input.m_dataCentres = {DataCentreId("a"), DataCentreId("b"), DataCentreId("c")};
     input.m_upstreams = &upstreams;
-    ScalePlanner planner;
+    // The cases below count with these, whatever a deployment sets.
+    ScaleSettings settings;
+    settings.m_readingLoad = 0.5;
+    settings.m_standInLoad = 0.8;
+    settings.m_riskLoad = 1.3;
+    ScalePlanner planner(settings);
     const auto ordered = [&](bool isReclaimable, TimePoint now) {
         int total = 0;
         for (const ScaleOrder &order : planner.plan(input, now)) {
@@ -282,6 +287,37 @@
         for (const ScaleOrder &order : planner.plan(input, start))
             CHECK(order.m_count <= 8);
     }
+    SECTION("are for how fast engines read, not for how long a first event takes")
+    {
+        // An engine reads 150,000 tokens a second and answers an empty prompt after 30 ms. With all
+        // of a wait counted as reading, 58,000 a second show, and 41 steady engines are ordered
+        // where 15 are needed.
+        rule.m_most = 40;
+        service.m_scaling = rule;
+        PromptReading reading;
+        for (int time = 0; time < 4; ++time) {
+            for (const int tokens : {800, 1400, 2800, 5800})
+                reading.noteAlone(tokens, 30ms + std::chrono::microseconds(tokens * 1000 / 150));
+        }
+        reading.notePlaced(11'200'000, start);
+        input.m_reading = reading.rate(start);
+        for (const char *dataCentre : {"a", "b", "c"}) {
+            for (int engine = 0; engine < 20; ++engine)
+                add(dataCentre + std::to_string(engine), dataCentre, false);
+        }
+        CHECK(ordered(false, start) == 1);
+        const auto reclaim = [&](const char *dataCentre) {
+            for (int engine = 0; engine < 20; ++engine)
+                add(dataCentre + std::to_string(engine), dataCentre, true);
+        };
+        reclaim("c");
+        CHECK(ordered(false, start) == 1);
+        reclaim("b");
+        // The load is read by 18.7 engines, with 1.3 times as much each by 15.
+        CHECK(ordered(false, start) == 15);
+        reclaim("a");
+        CHECK(ordered(false, start) == 24);
+    }
     SECTION("are not lowered for a moment without load")
     {
         input.m_running = 300;
--- a/tests/src/unit-prompt-reading.cpp
+++ b/tests/src/unit-prompt-reading.cpp
@@ -44,6 +44,30 @@
             reading.noteAlone(100, 12ms);
         CHECK(reading.rate(start).m_speed == Approx(62000));
     }
+    SECTION("is not lowered by the part of a wait that all prompts have")
+    {
+        // Engines of 150,000 tokens a second answer an empty prompt after 30 ms. Of prompts of some
+        // thousand tokens, 86,000 a second show if all of the wait counts as reading, and twice
+        // as many engines as needed are ordered.
+        for (int time = 0; time < 4; ++time) {
+            for (const int tokens : {750, 1500, 3000, 6000, 12000})
+                reading.noteAlone(tokens, 30ms + std::chrono::microseconds(tokens * 1000 / 150));
+        }
+        CHECK(reading.rate(start).m_speed == Approx(150000).epsilon(0.02));
+    }
+    SECTION("is not raised by a short prompt that waited for a busy core")
+    {
+        // Waits at VMs with an eighth of a core vary by as much as a prompt takes: some short ones
+        // took as long as long ones.
+        for (int time = 0; time < 5; ++time) {
+            reading.noteAlone(1000, time < 2 ? 110ms : 40ms);
+            reading.noteAlone(1500, 45ms);
+            reading.noteAlone(6000, time < 2 ? 200ms : 74ms);
+            reading.noteAlone(12000, 115ms);
+        }
+        CHECK(reading.rate(start).m_speed > 120000);
+        CHECK(reading.rate(start).m_speed < 160000);
+    }
     SECTION("follows engines that became slower")
     {
         readAlone(reading, 40);
