List a leaving node that dies and is taken for leaving for ever

By reading: silence makes only an open node suspect, dead needs a second witness or the VM list, and a leaving node counts as live for its jobs.

Not mended: a node that is marked leaving by a notice must stay so when it is heard again, which the state alone can't keep.

--- /dev/null
+++ b/tests/src/unit-leaving-silence.cpp
@@ -0,0 +1,30 @@
+#include "fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace gypsumdale::test;
+
+// An entry VM is reclaimed, hands its jobs over, and dies before it has handed over the last one.
+// The other node of its data centre goes on taking it for a node that leaves, however long it is
+// silent: silence makes only an open node suspect. Nobody takes the last job over, and its caller
+// waits in vain.
+TEST_CASE("a leaving node that falls silent is not taken for one that is still there")
+{
+    FleetWorld world;
+    for (const char *name : {"banos-1", "banos-2"})
+        world.addNode(name, "banos");
+    for (const char *name : {"cuenca-1", "cuenca-2"})
+        world.addNode(name, "cuenca");
+    world.run(seconds(4));
+    world.exchange("banos-1").setDraining();
+    world.run(seconds(2));
+    world.pause(world.node("banos-1"));
+    world.run(seconds(60));
+    const NodeView *view = world.exchange("banos-2").membership().find(NodeId("banos-1"));
+    REQUIRE(view);
+    INFO(nameIn(nodeStateNames, view->m_state));
+    const bool isTakenForGone =
+            view->m_state == NodeState::Suspect || view->m_state == NodeState::Dead;
+    CHECK(isTakenForGone);
+}
