--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -128,9 +128,9 @@
     /// With old reports all VMs see the same upstream as the least loaded one until they have heard
     /// from each other, and overrun it. A plain service's upstreams are then drawn, a busy one more
     /// rarely; engines are compared among the home of the prompt and a few that are drawn, or more
-    /// for a prompt that peers hear of at once. What others had to read there counts less the longer
-    /// ago they said so: engines have read on, and one that was busy at a report was avoided long
-    /// after it was idle again.
+    /// for a prompt that peers hear of at once. What others had to read there counts less the
+    /// longer ago they said so: engines have read on, and one that was busy at a report was avoided
+    /// long after it was idle again.
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Returns the prompt tokens that wait at the engine with the fewest of them, of all data
