--- a/src/serving/prompt_news.cpp
+++ b/src/serving/prompt_news.cpp
@@ -12,7 +12,7 @@
 constexpr Duration longReading = std::chrono::milliseconds(100);
 /// Shorter ones are not worth a word anywhere: they are read before it has come round.
 constexpr Duration shortReading = std::chrono::milliseconds(20);
-/// Words of all VMs in a second. Each VM hears all of them, at some 200 bytes and 50 us of
+/// Words of all VMs in a second. Each VM hears all of them, at an estimated 200 bytes and 50 us of
 /// processor time each way: 12 of the 27 KB a second and 0.3 of the 1.2% of a core that control may
 /// take. A model of 80 VMs before 40 engines that are half busy: of requests 5.6% come late without
 /// a word, 1.2% with 15 words a second, 0.6% with 30 and 0.1% with 60. On a fleet of 80 VMs before
