Let a node be leaving and suspect at once

Cause: a node's state was one of alive, suspect, dead and leaving, so one that fell silent while it left stayed "leaving" for ever: silence made only an alive node suspect. Where no other node of its data centre could confirm its death, its last job was never taken over and its caller waited in vain.

Ruled out: to judge leaving nodes by silence as a special case, which would have lost that they leave once they are heard again.

Change: whether a node leaves is a field of its own beside its state, holds for the incarnation whatever is heard, and is told with each change. The logs and gypsumctl show "leaving" of a node that is heard and "suspect, leaving" of one that is not.

--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -90,7 +90,7 @@
     /// holders at a time do no harm. In order of names. Linear.
     std::vector<NodeId> dutyNodes() const;
 
-    /// Alive nodes of a data centre, without the own one. Linear.
+    /// Nodes of a data centre that are alive and not leaving, without the own one. Linear.
     std::vector<NodeIdentity> aliveNodes(const DataCentreId &dataCentre) const;
 
     /// Other data centres that nodes are known of. Linear in nodes.
--- a/include/gypsumdale/fleet/membership_message.hpp
+++ b/include/gypsumdale/fleet/membership_message.hpp
@@ -42,13 +42,14 @@
     MembershipMessage m_content;
 };
 
-/// A node's state is another one now: for logs, the explain history, and whoever chooses nodes.
+/// A node's state is another one now, or it has begun to leave: for logs, the explain history, and whoever chooses nodes.
 struct NodeStateChanged
 {
     NodeId m_node;
     DataCentreId m_dataCentre;
     Incarnation m_incarnation = 0;
     NodeState m_state = NodeState::Suspect;
+    bool m_isLeaving = false;
     std::string m_reason;
 };
 
--- a/include/gypsumdale/fleet/node_watch.hpp
+++ b/include/gypsumdale/fleet/node_watch.hpp
@@ -19,7 +19,7 @@
 
 /// What this node believes of another one, and why: its state with all that moves it.
 ///
-/// Dead holds for an incarnation. Silence is measured in listening time, which the caller gives
+/// Dead and leaving hold for an incarnation. Silence is measured in listening time, which the caller gives
 /// (see ListeningClock). Each change of state is one NodeStateChanged.
 class NodeWatch
 {
@@ -32,6 +32,8 @@
     const NodeIdentity &identity() const { return m_view.m_identity; }
     NodeState state() const { return m_view.m_state; }
     bool isAlive() const { return m_view.m_state == NodeState::Alive; }
+    bool isLeaving() const { return m_view.m_isLeaving; }
+    bool isOpen() const { return m_view.isOpen(); }
     bool isDead() const { return m_view.m_state == NodeState::Dead; }
     Duration silence(Duration listened) const { return listened - m_heardAt; }
     /// When a heartbeat of it last arrived.
@@ -66,6 +68,9 @@
 
 private:
     void setState(NodeState state, std::string reason, TimePoint now, MembershipCommands &commands);
+    void set(NodeState state, bool isLeaving, std::string reason, TimePoint now,
+             MembershipCommands &commands);
+    bool staysLeaving(bool isNewProcess) const;
     bool isUnlisted() const { return m_wasListed && !m_isListed; }
 
     NodeView m_view;
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -377,7 +377,7 @@
     if (!m_isDraining)
         nodes.push_back(self());
     for (const auto &[node, peer] : m_peers) {
-        if (peer.m_watch.isAlive() && isOwn(peer.m_watch.identity().m_dataCentre))
+        if (peer.m_watch.isOpen() && isOwn(peer.m_watch.identity().m_dataCentre))
             nodes.push_back(peer.m_watch.identity());
     }
     return nodes;
@@ -411,10 +411,8 @@
     for (const auto &[node, peer] : m_peers) {
         if (!isOwn(peer.m_watch.identity().m_dataCentre))
             continue;
-        if (peer.m_watch.state() == NodeState::Alive)
-            staying.push_back(node);
-        else if (peer.m_watch.state() == NodeState::Leaving)
-            leaving.push_back(node);
+        if (peer.m_watch.isAlive())
+            (peer.m_watch.isLeaving() ? leaving : staying).push_back(node);
     }
     std::vector<NodeId> &chosen = staying.empty() ? leaving : staying;
     std::sort(chosen.begin(), chosen.end());
@@ -427,7 +425,7 @@
     for (const auto &[node, peer] : m_peers) {
         const NodeView &view = peer.m_watch.view();
         const bool isThere = view.m_identity.m_dataCentre == dataCentre;
-        if (isThere && view.m_state == NodeState::Alive)
+        if (isThere && view.isOpen())
             result.push_back(view.m_identity);
     }
     return result;
--- a/src/fleet/node_watch.cpp
+++ b/src/fleet/node_watch.cpp
@@ -29,14 +29,29 @@
 void NodeWatch::setState(NodeState state, std::string reason, TimePoint now,
                          MembershipCommands &commands)
 {
-    if (m_view.m_state == state)
+    set(state, m_view.m_isLeaving, std::move(reason), now, commands);
+}
+
+void NodeWatch::set(NodeState state, bool isLeaving, std::string reason, TimePoint now,
+                    MembershipCommands &commands)
+{
+    if (m_view.m_state == state && m_view.m_isLeaving == isLeaving)
         return;
     m_view.m_state = state;
+    m_view.m_isLeaving = isLeaving;
     m_view.m_stateSince = now;
     m_view.m_reason = std::move(reason);
     const NodeIdentity &identity = m_view.m_identity;
     commands.push_back(NodeStateChanged{identity.m_node, identity.m_dataCentre,
-                                        identity.m_incarnation, state, m_view.m_reason});
+                                        identity.m_incarnation, state, isLeaving, m_view.m_reason});
+}
+
+/// Leaving ends with the process. A notice may come before the first heartbeat: it concerns the
+/// process that then appears.
+bool NodeWatch::staysLeaving(bool isNewProcess) const
+{
+    const bool isUnheard = m_view.m_identity.m_incarnation == 0;
+    return m_view.m_isLeaving && (!isNewProcess || isUnheard);
 }
 
 HeartbeatNews NodeWatch::hear(const MembershipMessage &message, Duration listened, TimePoint now,
@@ -53,21 +68,18 @@
     if (!isNewProcess && message.m_sequence <= m_sequence)
         return HeartbeatNews::None;
 
-    const bool isMarkedUnheard =
-            m_view.m_state == NodeState::Leaving && m_view.m_identity.m_incarnation == 0;
+    const bool hasBegunDraining = message.m_draining && !m_view.m_isLeaving;
+    const bool isLeaving = message.m_draining || staysLeaving(isNewProcess);
     m_view.m_identity = message.m_from;
     m_view.m_lastHeard = now;
     m_sequence = message.m_sequence;
     m_heardAt = listened;
     m_lastExchange = now;
     m_suspicions = message.m_suspicions;
-    // A notice may come before the first heartbeat: it concerns the incarnation that then appears.
-    if (isNewProcess && !isMarkedUnheard)
-        setState(NodeState::Alive, "started", now, commands);
-    if (message.m_draining)
-        setState(NodeState::Leaving, "it is draining", now, commands);
-    else if (m_view.m_state == NodeState::Suspect)
-        setState(NodeState::Alive, "heard", now, commands);
+    const char *const reason = hasBegunDraining ? "it is draining"
+                               : isNewProcess   ? "started"
+                                                : "heard";
+    set(NodeState::Alive, isLeaving, reason, now, commands);
     return isNewProcess ? HeartbeatNews::FromNewProcess : HeartbeatNews::Fresh;
 }
 
@@ -83,10 +95,11 @@
     // that the data centre it speaks for stays suspect.
     if (isNewProcess)
         m_sequence = 0;
+    const bool isLeaving = staysLeaving(isNewProcess);
     m_view.m_identity = identity;
     m_view.m_lastHeard = now;
     m_heardAt = listened;
-    setState(NodeState::Alive, "in its data centre's summary", now, commands);
+    set(NodeState::Alive, isLeaving, "in its data centre's summary", now, commands);
     return isNewProcess;
 }
 
@@ -108,7 +121,7 @@
 void NodeWatch::leave(std::string reason, TimePoint now, MembershipCommands &commands)
 {
     if (!isDead())
-        setState(NodeState::Leaving, std::move(reason), now, commands);
+        set(m_view.m_state, true, std::move(reason), now, commands);
 }
 
 void NodeWatch::judge(Duration suspectAfter, Duration listened, TimePoint now,
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -232,7 +232,7 @@
             const auto age = wasHeard ? wholeMillis(context.now() - view.m_lastHeard) : -1;
             list.push_back({{"node", view.m_identity.m_node.text()},
                             {"dataCentre", view.m_identity.m_dataCentre.text()},
-                            {"state", nameIn(nodeStateNames, view.m_state)},
+                            {"state", nodeStateText(view.m_state, view.m_isLeaving)},
                             {"incarnation", view.m_identity.m_incarnation},
                             {"configVersion", version},
                             {"ageMillis", age}});
--- a/src/kernel/claim_driver.cpp
+++ b/src/kernel/claim_driver.cpp
@@ -187,7 +187,7 @@
     const NodeId &self = m_context.m_settings.m_node;
     std::vector<NodeId> live{self};
     for (const NodeView &view : m_fleet.membership().nodes()) {
-        if (view.m_state == NodeState::Alive)
+        if (view.isOpen())
             live.push_back(view.m_identity.m_node);
     }
     const auto preferred = preferredNode(shard, live);
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -265,7 +265,7 @@
     else
         ask.__set_upstream(id);
     for (const NodeView &view : m_fleet.membership().nodes()) {
-        if (view.m_state != NodeState::Alive)
+        if (!view.isOpen())
             continue;
         wire::PeerRequestBody body;
         body.__set_decisionsAsk(ask);
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -173,12 +173,11 @@
 {
     std::vector<JobPeer> peers;
     for (const NodeView &view : m_fleet.membership().nodes()) {
-        const bool isLive = view.m_state == NodeState::Alive || view.m_state == NodeState::Leaving;
         const NodeIdentity &identity = view.m_identity;
-        if (isLive && identity.m_incarnation != 0) {
+        if (view.m_state == NodeState::Alive && identity.m_incarnation != 0) {
             peers.push_back({{identity.m_node, identity.m_incarnation},
                              identity.m_dataCentre,
-                             view.m_state == NodeState::Leaving});
+                             view.m_isLeaving});
         }
     }
     m_table.onPeers(std::move(peers), m_context.now());
--- a/src/kernel/job_messenger.cpp
+++ b/src/kernel/job_messenger.cpp
@@ -45,7 +45,7 @@
     }
     for (const NodeView &view : m_fleet.membership().nodes()) {
         const bool isFirst = first && view.m_identity.m_node == *first;
-        if (!isFirst && view.m_state == NodeState::Alive)
+        if (!isFirst && view.isOpen())
             nodes.push_back(view.m_identity);
     }
     return nodes;
