Call a store that doesn't answer once a pause, not from each loop

Change: a circuit breaker in the one client of the store. The first failure opens it for 150 ms, each further one for twice as long up to 1 s; one call goes out at the end of each pause, whichever loop comes first. Calls that were under way together count once, and a long watch keeps no other call from its turn. A VM notices the store's return within a second, where the bounds count from the moment at which it has been in touch for seconds.

Ruled out: longer pauses in each loop, which would all probe a store that one of them has found lost.

Tests on the paused clock: four loops together make ten calls in 10 s at most, and call as before once they are answered.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -97,7 +97,7 @@
         , m_controlLoop("control")
         , m_trafficLoop("traffic")
         , m_client(m_controlLoop)
-        , m_store(m_client, endpointOf(settings.m_store))
+        , m_store(m_client, m_clock, endpointOf(settings.m_store))
         , m_traffic(m_settings, m_trafficLoop, m_clock, *m_log, m_metrics)
         , m_context{m_settings, m_controlLoop, m_trafficLoop, m_traffic, m_clock,
                     *m_log,     m_metrics,     m_client,      m_store,   m_clock.wallNow()}
