Let only the store's readers watch over the lease in a large fleet

Cause: in a fleet of 195 a pair of VMs exchanges every 4.25 s, so that a VM hears of the holder of the duties less often than its lease's term of 3 s ends. Each VM took the lease for standing still and read it, some 50 reads a second over the fleet that change nothing.

Change: a follower of the store's readers neither renews nor takes over the lease unless it holds it. Two VMs of each data centre still watch; all of them would have to be lost at once for the duties to wait for new readers.

Test: 195 leases of which ten watch, a holder that is heard every 4.25 s, a minute on the paused clock: 300 reads at most, the holder keeps the lease.

--- a/include/gypsumdale/entry/entry_config_feed.hpp
+++ b/include/gypsumdale/entry/entry_config_feed.hpp
@@ -28,6 +28,7 @@
 
     /// Says how this VM learns of versions from now on.
     void setRole(StoreRole role) { m_role = role; }
+    StoreRole role() const { return m_role; }
     /// Takes in which version a reader of this data centre holds, and how long ago the store
     /// confirmed it. A newer one is read from the store at once.
     void takeNews(std::int64_t version, Duration age);
--- a/include/gypsumdale/entry/entry_duties.hpp
+++ b/include/gypsumdale/entry/entry_duties.hpp
@@ -42,6 +42,7 @@
         TimePoint m_at{};
     };
 
+    void takeLeaseStep();
     void read();
     void write(const LeaseRecord &record);
     void noteHolding();
--- a/include/gypsumdale/entry/store_role.hpp
+++ b/include/gypsumdale/entry/store_role.hpp
@@ -14,6 +14,14 @@
     Follower,
 };
 
+/// Tells whether a VM in this role renews the lease of the duties or may take it over. In a large
+/// fleet only the store's readers may: the others hear of the holder less often than it renews, and
+/// each of them would read the lease in every term.
+inline bool contendsForLease(StoreRole role, bool holdsLease)
+{
+    return role != StoreRole::Follower || holdsLease;
+}
+
 inline constexpr NameTable<StoreRole, 3> storeRoleNames = {{
         {StoreRole::Alone, "alone"},
         {StoreRole::Reader, "reader"},
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -51,17 +51,21 @@
 void EntryDuties::followLease()
 {
     while (!m_context.m_isStopping && m_cloud) {
-        std::visit(Overloaded{[](const LeaveLease &) {}, [this](const ReadLease &) { read(); },
-                              [this](const WriteLease &step) {
-                                  write(step.m_record);
-                              }},
-                   m_lease.next(bootNow()));
+        if (contendsForLease(m_config.role(), m_lease.fence(bootNow()).has_value()))
+            takeLeaseStep();
         noteHolding();
         sleepFiber(leaseTick);
     }
     m_peers.setDuty(0, 0);
 }
 
+void EntryDuties::takeLeaseStep()
+{
+    std::visit(Overloaded{[](const LeaveLease &) {}, [this](const ReadLease &) { read(); },
+                          [this](const WriteLease &step) { write(step.m_record); }},
+               m_lease.next(bootNow()));
+}
+
 void EntryDuties::read()
 {
     const TimePoint sentAt = bootNow();
--- a/tests/src/unit-duty-lease.cpp
+++ b/tests/src/unit-duty-lease.cpp
@@ -1,7 +1,11 @@
+#include <gypsumdale/entry/store_role.hpp>
 #include <gypsumdale/serving/duty_lease.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <string> // to_string
+#include <vector> // vector
+
 using namespace gypsumdale;
 using namespace std::chrono_literals;
 
@@ -106,3 +110,54 @@
         CHECK(is<LeaveLease>(a.next(start + 1h)));
     }
 }
+
+// Each VM of a fleet of hundreds read the lease in every term, as it heard of the holder less often.
+TEST_CASE("in a large fleet a few VMs watch over the lease")
+{
+    constexpr std::size_t vms = 195;
+    constexpr std::size_t readers = 10;
+    constexpr Duration tick = 150ms;
+    constexpr Duration heardEvery = 4250ms;
+    std::vector<DutyLease> leases;
+    for (std::size_t vm = 0; vm < vms; ++vm)
+        leases.push_back(makeLease(std::to_string(vm)));
+    LeaseRecord stored = acquire(leases.front(), start);
+
+    int reads = 0;
+    const auto step = [&](std::size_t vm, TimePoint now) {
+        DutyLease &lease = leases[vm];
+        const bool isReader = vm < readers;
+        const StoreRole role = isReader ? StoreRole::Reader : StoreRole::Follower;
+        if (!contendsForLease(role, lease.fence(now).has_value()))
+            return;
+        const LeaseStep next = lease.next(now);
+        if (is<ReadLease>(next)) {
+            ++reads;
+            lease.onRead(stored, now);
+        } else if (const auto *write = std::get_if<WriteLease>(&next)) {
+            REQUIRE(write->m_record.m_holder == NodeId("0"));
+            stored = write->m_record;
+            ++stored.m_revision;
+            lease.onWritten(stored, now);
+        }
+    };
+    constexpr int seconds = 60;
+    for (TimePoint now = start; now < start + std::chrono::seconds(seconds); now += tick) {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            const Duration phase = heardEvery * static_cast<int>(vm) / static_cast<int>(vms);
+            if ((now - start + phase) % heardEvery < tick)
+                leases[vm].onHolderHeard(stored.m_fence, stored.m_revision, now);
+            step(vm, now);
+        }
+    }
+    CHECK(leases.front().fence(start + std::chrono::seconds(seconds)) == 1);
+    CHECK(reads <= 5 * seconds);
+}
+
+TEST_CASE("a holder that follows a reader keeps the lease")
+{
+    DutyLease a = makeLease("a");
+    acquire(a, start);
+    CHECK(contendsForLease(StoreRole::Follower, a.fence(start + 1s).has_value()));
+    CHECK_FALSE(contendsForLease(StoreRole::Follower, a.fence(start + 3s).has_value()));
+}
