Let readers send the configuration to who lacks it

Cause: followers of a reader were told that a version exists and each read it from the store: some 185 calls for each version, and as many at each step of a quick succession. A follower without any configuration was never "told", and watched the store until the first one was written.

Change: a follower asks for the version in its receipt of the news, and the reader sends it at once. That there is no configuration is news as well.

Ruled out: to send the text to everybody with the news, which two readers would do twice, and which would fill the links of small VMs when versions follow each other within 80 ms.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -105,6 +105,10 @@
   10: i64 storeReturnedAgoMillis
   /// Upstreams whose entries can't be read: not to be used, and not to be kept for their return.
   11: list<string> unusableUpstreams
+  /// The sender sends that version of the configuration to who asks for it.
+  12: bool configIsSent
+  /// The stored configuration as the store wrote it, for a receiver that asked.
+  13: optional string configText
 }
 
 /// Load that a VM has just put on an upstream, told out of turn.
@@ -116,6 +120,8 @@
 struct StoreNewsTaken {
   /// The receiver lacks more than it was told.
   1: bool needsWholeList
+  /// The receiver asks for the configuration.
+  2: bool needsConfig
 }
 
 /// A message and its answer: both bring a digest, or one brings news of the store and the other its
--- a/include/gypsumdale/entry/entry_config_feed.hpp
+++ b/include/gypsumdale/entry/entry_config_feed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gypsumdale/entry/config_news.hpp>
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/store_role.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
@@ -29,9 +30,9 @@
     /// Says how this VM learns of versions from now on.
     void setRole(StoreRole role) { m_role = role; }
     StoreRole role() const { return m_role; }
-    /// Takes in which version a reader of this data centre holds, and how long ago the store
-    /// confirmed it. A newer one is read from the store at once.
-    void takeNews(std::int64_t version, Duration age);
+    /// Takes in which version a reader of this data centre holds, how long ago the store confirmed
+    /// it, and whether the reader sends it to who asks. Returns whether to ask.
+    bool takeNews(std::int64_t version, Duration age, bool isSent);
     /// How long ago the store, or a reader, confirmed the version in force.
     Duration age() const { return m_context.now() - m_confirmedAt; }
 
@@ -63,8 +64,7 @@
     TimePoint m_confirmedAt{};
     /// When the store last answered this VM itself.
     TimePoint m_readAt{};
-    /// The newest version that a reader spoke of.
-    std::int64_t m_toldVersion = 0;
+    ConfigNews m_news;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -21,6 +21,7 @@
 class EntryExchange;
 class LoadNews;
 class StoreNews;
+class StoreNewsTaken;
 } // namespace gypsumdale::entrywire
 
 namespace gypsumdale {
@@ -82,8 +83,8 @@
     /// next exchange brings it.
     void tellLoad(const UpstreamId &upstream, InFlightLoad load);
 
-    /// Called with news of the store; returns whether this VM lacks more than it was told.
-    using NewsHeard = std::function<bool(const entrywire::StoreNews &)>;
+    /// Called with news of the store; returns what this VM lacks beyond that.
+    using NewsHeard = std::function<entrywire::StoreNewsTaken(const entrywire::StoreNews &)>;
     void onNews(NewsHeard heard) { m_newsHeard = std::move(heard); }
     /// Returns the peers of the own data centre that were heard lately.
     std::vector<NearPeer> nearPeers() const;
--- a/include/gypsumdale/entry/entry_store_news.hpp
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -15,10 +15,11 @@
 
 /// Lets a few VMs of each data centre read the store for the others in a large fleet.
 ///
-/// Each call to the store is paid for, and every VM would read every change of every upstream. All
-/// VMs name the same readers from the peers they hear, without a word; where they differ for a
-/// moment, more VMs read. A follower that isn't told in time reads for itself, so that readers may
-/// be lost at any moment: the bounds hold with a part of them left for its own reading.
+/// Each call to the store is paid for, and every VM would read every change of every upstream and
+/// every version of the configuration. All VMs name the same readers from the peers they hear,
+/// without a word; where they differ for a moment, more VMs read. A follower that isn't told in
+/// time reads for itself, so that readers may be lost at any moment: the bounds hold with a part of
+/// them left for its own reading.
 class EntryStoreNews
 {
 public:
@@ -40,7 +41,9 @@
     bool isNewsDue() const;
     void tellAll();
     void tell(const NearPeer &peer);
-    bool take(const entrywire::StoreNews &news);
+    enum class ConfigPart { Version, Whole };
+    entrywire::StoreNewsTaken tellPart(const NearPeer &peer, ConfigPart part);
+    entrywire::StoreNewsTaken take(const entrywire::StoreNews &news);
 
     EntryContext &m_context;
     EntryConfigFeed &m_config;
--- a/src/entry/entry_config_feed.cpp
+++ b/src/entry/entry_config_feed.cpp
@@ -52,17 +52,16 @@
 {
     if (m_role != StoreRole::Follower || m_store.isLost())
         return false;
-    const bool isBehind = m_version == 0 || m_version < m_toldVersion;
     const auto limit = std::chrono::duration_cast<Duration>(
             toldPartOfBound * m_context.m_settings.m_bounds.m_configApply);
-    return !isBehind && age() < limit;
+    return !m_news.mustRead(m_version, m_context.now()) && age() < limit;
 }
 
-void EntryConfigFeed::takeNews(std::int64_t version, Duration age)
+bool EntryConfigFeed::takeNews(std::int64_t version, Duration age, bool isSent)
 {
-    m_toldVersion = std::max(m_toldVersion, version);
     if (version == m_version)
         m_confirmedAt = std::max(m_confirmedAt, m_context.now() - age);
+    return m_news.take(version, m_version, isSent, m_context.now());
 }
 
 Duration EntryConfigFeed::watchWait() const
@@ -132,6 +131,7 @@
     if (valueOf(decoded).m_version <= m_version)
         return false;
     m_version = valueOf(decoded).m_version;
+    m_news.onAdopted(m_context.now());
     m_text = text;
     m_view = std::make_shared<const ServingView>(valueOf(std::move(decoded)));
     m_context.m_log.info("config-adopted",
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -247,7 +247,8 @@
     if (received.__isset.news) {
         entrywire::EntryExchange taken;
         taken.__isset.newsTaken = true;
-        taken.newsTaken.needsWholeList = m_newsHeard && m_newsHeard(received.news);
+        if (m_newsHeard)
+            taken.newsTaken = m_newsHeard(received.news);
         return wire::encode(taken);
     }
     if (received.__isset.loadNews) {
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -27,6 +27,9 @@
 /// Stands for a store that was never away.
 constexpr std::int64_t neverAway = -1;
 constexpr Duration tellTimeout = std::chrono::milliseconds(600);
+/// Larger configurations are read from the store by each VM: sent to all of a data centre, they
+/// would hold up the slowest link of a VM for longer than followers wait.
+constexpr std::size_t largestConfigSent = std::size_t{32} * 1024;
 
 entrywire::StoreNews wireNews(const UpstreamNews &upstreams)
 {
@@ -88,7 +91,7 @@
     , m_upstreams(upstreams)
     , m_peers(peers)
 {
-    m_peers.onNews([this](const entrywire::StoreNews &news) { return !take(news); });
+    m_peers.onNews([this](const entrywire::StoreNews &news) { return take(news); });
 }
 
 void EntryStoreNews::run()
@@ -150,6 +153,15 @@
 
 /// Tells one follower what it lacks.
 void EntryStoreNews::tell(const NearPeer &peer)
+{
+    m_followers[peer.m_address].m_isBusy = true;
+    if (tellPart(peer, ConfigPart::Version).needsConfig)
+        tellPart(peer, ConfigPart::Whole);
+    m_followers[peer.m_address].m_isBusy = false;
+}
+
+/// Returns what the follower still needs; nothing if it didn't answer.
+entrywire::StoreNewsTaken EntryStoreNews::tellPart(const NearPeer &peer, ConfigPart part)
 {
     const UpstreamNews upstreams = m_upstreams.newsFor(m_followers[peer.m_address].m_state);
     entrywire::EntryExchange message;
@@ -158,27 +170,37 @@
     message.news.upstreamAgeMillis = wholeMillis(m_upstreams.age());
     message.news.configVersion = m_config.version();
     message.news.configAgeMillis = wholeMillis(m_config.age());
-    m_followers[peer.m_address].m_isBusy = true;
+    message.news.configIsSent = m_config.text().size() <= largestConfigSent;
+    if (part == ConfigPart::Whole)
+        message.news.__set_configText(m_config.text());
     const auto reply = peer.m_channel->exchange(wire::encode(message), tellTimeout);
-    Follower &follower = m_followers[peer.m_address];
-    follower.m_isBusy = false;
     if (!succeeded(reply))
-        return;
+        return {};
     const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
-    const bool isTaken = succeeded(decoded) && valueOf(decoded).__isset.newsTaken
-                         && !valueOf(decoded).newsTaken.needsWholeList;
-    if (isTaken)
-        follower.m_state.onTaken(upstreams);
+    FollowerState &state = m_followers[peer.m_address].m_state;
+    if (!succeeded(decoded) || !valueOf(decoded).__isset.newsTaken) {
+        state.onLacking();
+        return {};
+    }
+    const entrywire::StoreNewsTaken &taken = valueOf(decoded).newsTaken;
+    if (taken.needsWholeList)
+        state.onLacking();
     else
-        follower.m_state.onLacking();
+        state.onTaken(upstreams);
+    return taken;
 }
 
-/// Takes what a reader tells. Returns false if this VM lacks more than that.
-bool EntryStoreNews::take(const entrywire::StoreNews &news)
+/// Takes what a reader tells. Returns what this VM lacks beyond that.
+entrywire::StoreNewsTaken EntryStoreNews::take(const entrywire::StoreNews &news)
 {
-    m_config.takeNews(news.configVersion, std::chrono::milliseconds(news.configAgeMillis));
-    return m_upstreams.takeNews(upstreamNews(news),
-                                std::chrono::milliseconds(news.upstreamAgeMillis), news.node);
+    if (news.__isset.configText)
+        m_config.takeFromPeer(news.configText, news.node);
+    const Duration configAge = std::chrono::milliseconds(news.configAgeMillis);
+    const Duration upstreamAge = std::chrono::milliseconds(news.upstreamAgeMillis);
+    entrywire::StoreNewsTaken taken;
+    taken.needsConfig = m_config.takeNews(news.configVersion, configAge, news.configIsSent);
+    taken.needsWholeList = !m_upstreams.takeNews(upstreamNews(news), upstreamAge, news.node);
+    return taken;
 }
 
 } // namespace gypsumdale
