Make the exchange between VMs smaller

Change: usage by window, whole numbers for quota use (demand in thousandths), and 16 peers in a list, others each time. A VM that starts without the store is told of 16 others by each of those it hears of. The protocol's number is raised, as the fields changed their types.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -1,15 +1,15 @@
 /// What entry VMs on the users' platform tell each other: one message each way.
 namespace cpp gypsumdale.entrywire
 
-const i32 PROTOCOL_VERSION = 2
+const i32 PROTOCOL_VERSION = 3
 
 /// What one VM has admitted for a client account.
 struct AccountUse {
   1: string account
   /// Everything admitted since the start, in the quota's unit.
-  2: double admittedTotal
-  /// Asked for a second, averaged over the last seconds.
-  3: double demandPerSecond
+  2: i64 admittedTotal
+  /// Asked for in a thousand seconds, averaged over the last seconds.
+  3: i64 demandPer1000Seconds
 }
 
 /// What one VM has in flight at an upstream.
@@ -23,11 +23,10 @@
   4: i64 startedAt
 }
 
-/// Requests of an account that began to run in a usage window.
-struct UsageCount {
+/// Requests that began to run in a usage window, by account.
+struct UsageWindow {
   1: i64 window
-  2: string account
-  3: i64 count
+  2: map<string, i64> counts
 }
 
 /// What one VM asks a service's engines to read, and how fast it saw one of them read.
@@ -67,11 +66,12 @@
   8: i64 upstreamAgeMillis
   9: list<AccountUse> accounts
   10: list<UpstreamLoad> loads
-  11: list<UsageCount> usage
+  11: list<UsageWindow> usage
   /// The fencing number under which the sender holds the duties; 0 if it doesn't.
   12: i64 dutyFence
   /// Offset of the sender's wall clock to its steady clock's start, for the median.
   13: i64 wallMillis
+  /// Some of the VMs that the sender hears, others each time.
   14: list<NodeAddress> peers
   15: bool leaving
   /// Revision of the stored lease that the sender holds, which every renewal raises.
--- a/include/gypsumdale/entry/exchange_writer.hpp
+++ b/include/gypsumdale/entry/exchange_writer.hpp
@@ -19,7 +19,7 @@
 class ExchangeWriter
 {
 public:
-    static constexpr std::int32_t protocolVersion = 2;
+    static constexpr std::int32_t protocolVersion = 3;
 
     ExchangeWriter(const EntryContext &context, const EntryConfigFeed &config,
                    const EntryUpstreamFeed &upstreams, const PeerTable &table)
@@ -52,7 +52,7 @@
 private:
     void fillOwnState(entrywire::EntryDigest &digest) const;
     bool tellsEndedTo(const KnownPeer &peer) const;
-    void fillPeers(entrywire::EntryDigest &digest) const;
+    void fillPeers(entrywire::EntryDigest &digest);
     bool sendsConfigTo(const KnownPeer &peer) const;
     bool sendsUpstreamsTo(const KnownPeer &peer) const;
 
@@ -65,6 +65,8 @@
     std::int64_t m_dutyFence = 0;
     std::int64_t m_dutyRevision = 0;
     std::size_t m_messages = 0;
+    /// Where the next list of peers begins.
+    std::size_t m_nextPeerTold = 0;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -49,6 +49,11 @@
 
 using KnownPeerPointer = std::shared_ptr<KnownPeer>;
 
+/// Returns up to so many of some peers, from a place on that wraps around. Linear in those
+/// returned.
+std::vector<KnownPeerPointer> sliceOf(const std::vector<KnownPeerPointer> &peers, std::size_t first,
+                                      std::size_t count);
+
 /// The other VMs that this one knows, and who of them belongs to the fleet: those that were heard
 /// within half a minute.
 class PeerTable
--- a/src/entry/exchange_writer.cpp
+++ b/src/entry/exchange_writer.cpp
@@ -12,9 +12,11 @@
 
 /// A VM that started is told for this long what it can't hear any more: several exchanges.
 constexpr Duration tellsEndedFor = std::chrono::seconds(2);
-/// The list of peers goes into one message of so many, and into the first to a new peer: it grows
-/// with the fleet, and was a third of what a fleet of 65 sent.
+/// A list of peers goes into one message of so many, and into the first to a new peer.
 constexpr std::size_t messagesPerPeerList = 16;
+/// Peers in a list. A VM that starts without the store knows a whole fleet after a few exchanges,
+/// as each of those whom it is told tells it of others.
+constexpr std::size_t peersPerList = 16;
 
 } // namespace
 
@@ -78,13 +80,15 @@
 
 /// Only what was heard is passed on: hearsay would keep the address of a VM that is gone going
 /// round for ever.
-void ExchangeWriter::fillPeers(entrywire::EntryDigest &digest) const
+void ExchangeWriter::fillPeers(entrywire::EntryDigest &digest)
 {
-    for (const KnownPeerPointer &known : m_table.heardJustNow(m_context.now())) {
+    for (const KnownPeerPointer &known :
+         sliceOf(m_table.heardJustNow(m_context.now()), m_nextPeerTold, peersPerList)) {
         auto &entry = digest.peers.emplace_back();
         entry.node = known->m_node;
         entry.address = known->m_address;
     }
+    m_nextPeerTold += peersPerList;
 }
 
 /// In a small fleet everybody who seems to be behind is sent a new version. In a large one that
--- a/src/entry/peer_table.cpp
+++ b/src/entry/peer_table.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/entry/peer_table.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // max, min
 #include <cstddef> // ptrdiff_t
 #include <iterator> // next
 #include <utility> // exchange
@@ -20,6 +20,15 @@
 
 } // namespace
 
+std::vector<KnownPeerPointer> sliceOf(const std::vector<KnownPeerPointer> &peers, std::size_t first,
+                                      std::size_t count)
+{
+    std::vector<KnownPeerPointer> slice;
+    for (std::size_t taken = 0; taken < std::min(count, peers.size()); ++taken)
+        slice.push_back(peers[(first + taken) % peers.size()]);
+    return slice;
+}
+
 KnownPeerPointer PeerTable::learn(const std::string &node, const std::string &address, bool isSeed,
                                   TimePoint now)
 {
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -3,6 +3,7 @@
 #include <entry_types.h>
 
 #include <algorithm> // min
+#include <cmath> // llround
 #include <cstddef> // ptrdiff_t
 #include <iterator> // prev, ssize
 
@@ -12,6 +13,8 @@
 
 /// Usage windows in a message: the one under way, and those that may not be reported yet.
 constexpr std::ptrdiff_t windowsTold = 4;
+/// Demand is told in whole numbers of this part of one a second.
+constexpr double demandUnit = 1000;
 
 void fillUsage(const std::map<WindowNumber, WindowCounts> &usage, entrywire::EntryDigest &digest)
 {
@@ -19,12 +22,10 @@
             std::prev(usage.end(), std::min<std::ptrdiff_t>(windowsTold, std::ssize(usage)));
     for (auto entry = firstTold; entry != usage.end(); ++entry) {
         const auto &[window, counts] = *entry;
-        for (const auto &[account, count] : counts) {
-            auto &told = digest.usage.emplace_back();
-            told.window = window;
-            told.account = account.text();
-            told.count = count;
-        }
+        auto &told = digest.usage.emplace_back();
+        told.window = window;
+        for (const auto &[account, count] : counts)
+            told.counts.emplace(account.text(), count);
     }
 }
 
@@ -50,8 +51,8 @@
     for (const auto &[account, use] : report.m_accounts) {
         auto &entry = digest.accounts.emplace_back();
         entry.account = account.text();
-        entry.admittedTotal = use.m_admittedTotal;
-        entry.demandPerSecond = use.m_demandPerSecond;
+        entry.admittedTotal = std::llround(use.m_admittedTotal);
+        entry.demandPer1000Seconds = std::llround(use.m_demandPerSecond * demandUnit);
     }
     for (const auto &[upstream, load] : report.m_loads)
         digest.loads.push_back(wireLoad(upstream, load));
@@ -89,14 +90,19 @@
     report.m_node = digest.node;
     report.m_incarnation = digest.incarnation;
     report.m_wallOffset = digest.wallMillis - ownWall;
-    for (const auto &use : digest.accounts)
-        report.m_accounts[AccountId(use.account)] = {use.admittedTotal, use.demandPerSecond};
+    for (const auto &use : digest.accounts) {
+        report.m_accounts[AccountId(use.account)] = {static_cast<double>(use.admittedTotal),
+                                                     static_cast<double>(use.demandPer1000Seconds)
+                                                             / demandUnit};
+    }
     for (const auto &load : digest.loads)
         report.m_loads[UpstreamId(load.upstream)] = loadOf(load);
     for (const auto &reading : digest.reading)
         report.m_reading[ServiceId(reading.serviceName)] = {reading.demand, reading.speed};
-    for (const auto &usage : digest.usage)
-        report.m_usage[usage.window][AccountId(usage.account)] = usage.count;
+    for (const auto &usage : digest.usage) {
+        for (const auto &[account, count] : usage.counts)
+            report.m_usage[usage.window][AccountId(account)] = count;
+    }
     for (const auto &ended : digest.ended)
         report.m_endedUsage.push_back(
                 {ended.process, ended.window, {{AccountId(ended.account), ended.count}}});
--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/peer_table.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
 #include <gypsumdale/entry/registry_silence.hpp>
+#include <gypsumdale/wire/thrift_codec.hpp>
 
 #include <entry_types.h>
 
@@ -10,6 +11,10 @@
 
 #include <fmt/format.h>
 
+#include <memory> // make_shared
+#include <string> // string, to_string
+#include <vector> // vector
+
 using namespace gypsumdale;
 using namespace std::chrono_literals;
 
@@ -439,6 +444,45 @@
     }
 }
 
+// All pairs of a fleet exchange digests: their size is most of what a large one sends between its
+// data centres.
+TEST_CASE("a digest of a VM in a large fleet is small")
+{
+    TrafficReport report;
+    for (int account = 0; account < 19; ++account) {
+        const AccountId id("account" + std::to_string(account));
+        report.m_accounts[id] = {12'345'678, 43'210.5};
+        for (WindowNumber window = 353'445'120; window < 353'445'124; ++window)
+            report.m_usage[window][id] = 100 + account;
+    }
+    for (int upstream = 0; upstream < 4; ++upstream)
+        report.m_loads[UpstreamId("i-7f3a91c" + std::to_string(upstream))] = {2, 9'000,
+                                                                              1'790'000'000'000};
+    entrywire::EntryDigest digest;
+    fillReport(report, digest);
+    CHECK(wire::encode(digest).size() <= 1'600);
+}
+
+TEST_CASE("a list of peers is a part of those that are heard, another each time")
+{
+    std::vector<KnownPeerPointer> peers;
+    for (int peer = 0; peer < 10; ++peer) {
+        peers.push_back(std::make_shared<KnownPeer>());
+        peers.back()->m_node = std::to_string(peer);
+    }
+    const auto names = [&](std::size_t first, std::size_t count) {
+        std::string result;
+        for (const KnownPeerPointer &peer : sliceOf(peers, first, count))
+            result += peer->m_node;
+        return result;
+    };
+    CHECK(names(0, 4) == "0123");
+    CHECK(names(8, 4) == "8901");
+    CHECK(names(12, 4) == "2345");
+    CHECK(names(3, 100) == "3456789012");
+    CHECK(sliceOf({}, 3, 4).empty());
+}
+
 TEST_CASE("a peer whose upstream list is stale tells no age")
 {
     entrywire::EntryDigest digest;
