Admit less of a quota's tolerance in fleets of over 160 VMs

Each part takes the others for heard until their silence shows after 4.8 s.

Change: the least part of the tolerance that is admitted, which only fleets of more than 160 VMs reach, is 0.58 in place of 0.65. Smaller fleets are as before.

Conclusion: a margin, not the cause. The cause is the age of reports; sums by data centre would bound it.

--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -12,7 +12,7 @@
 constexpr double usedPart = 0.90;
 /// As much less for each step by which exchanges are spread out, and the least that is admitted.
 constexpr double usedLessPerStep = 0.02;
-constexpr double leastUsed = 0.65;
+constexpr double leastUsed = 0.58;
 /// As much less after a restart in a large fleet, until the VM had the time to hear the others:
 /// what they admitted before it heard them is in nobody's report, and what the fleet admitted too
 /// much before the restart is forgotten.
