Spread a VM's exchanges over the time between two

Cause: a VM of a large fleet began all of its exchanges at one moment, with up to 194 peers every 4.25 s. On a tenth of a core the callers' requests and the events of their streams waited behind them.

Change: at each exchange time a VM begins with as many as make up the whole round, those first with whom it began longest ago.

Test: 194 peers, three rounds on the paused clock: 12 at a time at most, and each peer once a round. A small fleet begins with all each time, as before.

--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -38,6 +38,8 @@
     PeerState m_state;
     TimePoint m_heardAt{};
     TimePoint m_knownSince{};
+    /// When this VM last began an exchange with it in its turn.
+    TimePoint m_begunAt{};
     /// When this process of it was first heard.
     TimePoint m_startHeardAt{};
     bool m_isSeed = false;
@@ -105,6 +107,10 @@
 
     /// Returns those with whom it is this VM's turn to begin an exchange. Linear in the peers.
     std::vector<KnownPeerPointer> toBegin(TimePoint now) const;
+    /// Returns those of them to begin with at this exchange time, and notes that: in a large fleet
+    /// as many each time, so that a VM never exchanges with half of the fleet at one moment and
+    /// keeps its callers waiting. Linear in the peers, and sorts those that are due.
+    std::vector<KnownPeerPointer> takeTurns(TimePoint now);
     /// Returns up to so many that are not asked yet, others at each call.
     std::vector<KnownPeerPointer> someOutOfTurn(std::size_t count);
 
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -93,19 +93,17 @@
 
 void EntryPeers::run()
 {
-    int tick = 0;
     while (!m_context.m_isStopping) {
         takeReport();
         expire();
         tellTraffic();
         m_upstreams.expire();
-        std::vector<KnownPeerPointer> asked;
-        if (++tick % pace().stretch() == 0)
-            asked = m_table.toBegin(m_context.now());
-        else if (m_config.isStoreLost() || m_config.version() == 0)
-            asked = m_table.someOutOfTurn(askedOutOfTurn);
-        for (const KnownPeerPointer &peer : asked)
+        for (const KnownPeerPointer &peer : m_table.takeTurns(m_context.now()))
             spawnExchange(peer);
+        if (isLargeFleet() && (m_config.isStoreLost() || m_config.version() == 0)) {
+            for (const KnownPeerPointer &peer : m_table.someOutOfTurn(askedOutOfTurn))
+                spawnExchange(peer);
+        }
         sleepFiber(ExchangePace::exchangeEvery);
     }
 }
@@ -216,6 +214,7 @@
 
 void EntryPeers::spawnExchange(const KnownPeerPointer &peer)
 {
+    peer->m_isBusy = true;
     m_context.m_loop.spawn([this, peer] { exchange(peer); });
 }
 
--- a/src/entry/peer_table.cpp
+++ b/src/entry/peer_table.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/entry/peer_table.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // max, min, stable_sort
 #include <cstddef> // ptrdiff_t
 #include <iterator> // next
 #include <utility> // exchange
@@ -150,6 +150,25 @@
     return due;
 }
 
+std::vector<KnownPeerPointer> PeerTable::takeTurns(TimePoint now)
+{
+    const int stretch = pace(now).stretch();
+    const auto parts = static_cast<std::size_t>(stretch);
+    std::vector<KnownPeerPointer> due = toBegin(now);
+    const std::size_t atOnce = (due.size() + parts - 1) / parts;
+    // Exchange times come a little late, never early: half of one tells two turns apart.
+    const Duration between =
+            ExchangePace::exchangeEvery * stretch - ExchangePace::exchangeEvery / 2;
+    std::erase_if(due, [now, between](const KnownPeerPointer &peer) {
+        return now - peer->m_begunAt < between;
+    });
+    std::ranges::stable_sort(due, {}, [](const KnownPeerPointer &peer) { return peer->m_begunAt; });
+    due.resize(std::min(due.size(), atOnce));
+    for (const KnownPeerPointer &peer : due)
+        peer->m_begunAt = now;
+    return due;
+}
+
 std::vector<KnownPeerPointer> PeerTable::someOutOfTurn(std::size_t count)
 {
     std::vector<KnownPeerPointer> some;
--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <memory> // make_shared
+#include <set> // set
 #include <string> // string, to_string
 #include <vector> // vector
 
@@ -233,6 +234,37 @@
     }
 }
 
+// A VM that began with half of the fleet at one moment kept its callers waiting meanwhile.
+TEST_CASE("exchanges of a large fleet are spread over the time between two")
+{
+    constexpr int peers = 194;
+    constexpr std::size_t mostAtOnce = 12;
+    Table vm;
+    vm.hearMany(peers);
+    const int stretch = vm.m_table.pace(vm.now()).stretch();
+    for (int round = 0; round < 3; ++round) {
+        std::set<std::string> begun;
+        for (int time = 0; time < stretch; ++time) {
+            const auto turns = vm.m_table.takeTurns(vm.now());
+            CHECK(turns.size() <= mostAtOnce);
+            for (const KnownPeerPointer &peer : turns)
+                begun.insert(peer->m_address);
+            vm.advance(ExchangePace::exchangeEvery + 3ms);
+        }
+        CHECK(begun.size() == peers);
+    }
+}
+
+TEST_CASE("a VM of a small fleet begins with all at each exchange time")
+{
+    Table vm;
+    vm.hearMany(12);
+    for (int time = 0; time < 5; ++time) {
+        CHECK(vm.m_table.takeTurns(vm.now()).size() == 12);
+        vm.advance(ExchangePace::exchangeEvery);
+    }
+}
+
 TEST_CASE("peers asked out of turn are others each time")
 {
     Table vm;
