--- a/include/gypsumdale/entry/entry_store_news.hpp
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -36,12 +36,13 @@
         FollowerState m_state;
         bool m_isBusy = false;
     };
+    /// What a follower is told of the configuration.
+    enum class ConfigPart { Version, Whole };
 
     void chooseRole();
     bool isNewsDue() const;
     void tellAll();
     void tell(const NearPeer &peer);
-    enum class ConfigPart { Version, Whole };
     entrywire::StoreNewsTaken tellPart(const NearPeer &peer, ConfigPart part);
     entrywire::StoreNewsTaken take(const entrywire::StoreNews &news);
 
--- a/include/gypsumdale/fleet/membership_message.hpp
+++ b/include/gypsumdale/fleet/membership_message.hpp
@@ -42,7 +42,8 @@
     MembershipMessage m_content;
 };
 
-/// A node's state is another one now, or it has begun to leave: for logs, the explain history, and whoever chooses nodes.
+/// A node's state is another one now, or it has begun to leave: for logs, the explain history, and
+/// whoever chooses nodes.
 struct NodeStateChanged
 {
     NodeId m_node;
--- a/include/gypsumdale/fleet/node_watch.hpp
+++ b/include/gypsumdale/fleet/node_watch.hpp
@@ -19,8 +19,8 @@
 
 /// What this node believes of another one, and why: its state with all that moves it.
 ///
-/// Dead and leaving hold for an incarnation. Silence is measured in listening time, which the caller gives
-/// (see ListeningClock). Each change of state is one NodeStateChanged.
+/// Dead and leaving hold for an incarnation. Silence is measured in listening time, which the
+/// caller gives (see ListeningClock). Each change of state is one NodeStateChanged.
 class NodeWatch
 {
 public:
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -62,7 +62,9 @@
 void EntryDuties::takeLeaseStep()
 {
     std::visit(Overloaded{[](const LeaveLease &) {}, [this](const ReadLease &) { read(); },
-                          [this](const WriteLease &step) { write(step.m_record); }},
+                          [this](const WriteLease &step) {
+                              write(step.m_record);
+                          }},
                m_lease.next(bootNow()));
 }
 
--- a/src/kernel/fleet_driver.cpp
+++ b/src/kernel/fleet_driver.cpp
@@ -193,12 +193,11 @@
 
 void FleetDriver::execute(const NodeStateChanged &command)
 {
-    m_context.m_log.info(
-            "node-state",
-            {{LogField::Peer, command.m_node},
-             {LogField::State, nodeStateText(command.m_state, command.m_isLeaving)},
-             {LogField::Incarnation, command.m_incarnation},
-             {LogField::Reason, command.m_reason}});
+    m_context.m_log.info("node-state",
+                         {{LogField::Peer, command.m_node},
+                          {LogField::State, nodeStateText(command.m_state, command.m_isLeaving)},
+                          {LogField::Incarnation, command.m_incarnation},
+                          {LogField::Reason, command.m_reason}});
     if (command.m_state == NodeState::Dead)
         m_loads.erase(command.m_node);
     if (m_listeners.m_nodeChanged)
--- a/tests/src/unit-duty-lease.cpp
+++ b/tests/src/unit-duty-lease.cpp
@@ -111,7 +111,8 @@
     }
 }
 
-// Each VM of a fleet of hundreds read the lease in every term, as it heard of the holder less often.
+// Each VM of a fleet of hundreds read the lease in every term, as it heard of the holder less
+// often.
 TEST_CASE("in a large fleet a few VMs watch over the lease")
 {
     constexpr std::size_t vms = 195;
