--- a/include/gypsumdale/fleet/node.hpp
+++ b/include/gypsumdale/fleet/node.hpp
@@ -52,7 +52,7 @@
 /// one that is not.
 inline std::string nodeStateText(NodeState state, bool isLeaving)
 {
-    const std::string name(nameIn(nodeStateNames, state));
+    std::string name(nameIn(nodeStateNames, state));
     if (!isLeaving)
         return name;
     return state == NodeState::Alive ? "leaving" : name + ", leaving";
