Log how old the list is that a request is placed by, and late loops

The hypotheses on requests after an upstream's leaving could not be told apart: request-placed named the revision of its list, not its age nor the upstream's state, and a thread that was late showed nowhere.

No decision depends on any of it.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -109,6 +109,9 @@
     /// Tells whether a request should wait for what this process doesn't know yet.
     bool isWorthWaiting() const { return m_firstKnowledge.isWorthWaiting(now()); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
+    /// Takes in when the store last confirmed the list in use.
+    void setListConfirmed(TimePoint confirmedAt) { m_listConfirmedAt = confirmedAt; }
+    Duration listAge() const { return now() - m_listConfirmedAt; }
     void setPeer(const PeerReport &report);
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
@@ -173,6 +176,7 @@
     HttpClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    TimePoint m_listConfirmedAt{};
     FleetReading m_reading;
     PromptNews m_promptNews;
     bool m_isSpreadOut = false;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -78,6 +78,7 @@
     TokensAhead,
     ForecastMillis,
     ReadingSpeed,
+    ListAgeMillis,
 };
 
 /// Returns the key that stands in the line, such as "data_centre". Linear in the keys.
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -100,8 +100,9 @@
     VmsLive,
     CostPerHourMicros,
     ResidentBytes,
+    UpstreamListAgeMillis,
 };
-constexpr std::size_t gaugeCount = 19;
+constexpr std::size_t gaugeCount = 20;
 
 /// Return the names that the exposition carries, such as "gypsumdale_retries_total". Linear in
 /// the names of that kind.
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -11,6 +11,15 @@
 constexpr Duration earliestReturn = std::chrono::milliseconds(150);
 constexpr Duration returnSpread = std::chrono::milliseconds(350);
 
+std::string_view stateOf(const PooledUpstream &upstream)
+{
+    if (upstream.m_isReplaced)
+        return "replaced";
+    if (upstream.m_isGone)
+        return "gone";
+    return upstream.m_record.m_isDraining ? "draining" : "ready";
+}
+
 } // namespace
 
 /// Ends a request that no upstream answered well.
@@ -78,7 +87,9 @@
              {LogField::OutputTokens, m_caller.m_outputTokens},
              upstream.m_record.m_id,
              {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
+             {LogField::State, stateOf(upstream)},
              {LogField::Revision, m_traffic.pool().revision()},
+             {LogField::ListAgeMillis, toMillis(m_traffic.listAge())},
              {LogField::Running, upstream.m_own.m_running},
              {LogField::OthersRunning, upstream.m_others.m_running},
              {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -45,6 +45,9 @@
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 constexpr Duration logFlushTick = std::chrono::milliseconds(100);
 constexpr Duration settingsTick = std::chrono::seconds(2);
+constexpr Duration loopTick = std::chrono::milliseconds(200);
+/// A tenth of the shortest time in which a leaving upstream is to be left alone.
+constexpr Duration lateLoop = std::chrono::milliseconds(200);
 constexpr Duration suppressedTick = std::chrono::seconds(5);
 constexpr std::size_t mostCallerConnections = 3000;
 constexpr Duration callerWriteTimeout = std::chrono::seconds(10);
@@ -139,6 +142,8 @@
         m_controlLoop.spawn([this] { m_duties.scale(); });
         m_controlLoop.spawn([this] { keepHouse(); });
         m_controlLoop.spawn([this] { writeLog(); });
+        m_controlLoop.spawn([this] { watchLoop("control"); });
+        m_trafficLoop.spawn([this] { watchLoop("traffic"); });
         return Done{};
     }
 
@@ -218,6 +223,8 @@
         m_metrics.set(Gauge::Draining, m_isShuttingDown ? 1 : 0);
         m_metrics.set(Gauge::RequestsInFlight,
                       static_cast<std::int64_t>(m_callers->requestsInFlight()));
+        if (m_upstreams.isKnown())
+            m_metrics.set(Gauge::UpstreamListAgeMillis, wholeMillis(m_upstreams.age()));
         m_metrics.assign(Counter::PlatformCalls, m_store.calls());
         m_metrics.assign(Counter::PlatformFailures, m_store.failures());
         m_metrics.assign(Counter::LogLinesSuppressed, m_log->suppressedLines());
@@ -243,6 +250,20 @@
         }
     }
 
+    /// Says when this thread was busy or waited for the processor for so long that whatever came in
+    /// meanwhile was read late.
+    void watchLoop(const char *name)
+    {
+        while (!m_isEnded) {
+            const TimePoint due = m_clock.now() + loopTick;
+            sleepFiber(loopTick);
+            const Duration late = m_clock.now() - due;
+            if (late >= lateLoop)
+                m_log->warning("loop-late",
+                               {{LogField::Name, name}, {LogField::Millis, toMillis(late)}});
+        }
+    }
+
     /// What is due by the clock: reloads without a signal, counts of what the log held back.
     void keepHouse()
     {
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -214,7 +214,8 @@
                               {LogField::UpstreamDataCentre, record.m_dataCentre},
                               {LogField::State, record.m_isDraining ? "draining" : "ready"},
                               {LogField::Source, source},
-                              {LogField::Revision, m_feed.revision()}});
+                              {LogField::Revision, m_feed.revision()},
+                              {LogField::ListAgeMillis, toMillis(age())}});
     }
     for (const auto &[id, record] : m_published) {
         if (!upstreams.contains(id))
@@ -223,6 +224,9 @@
                     {id, {LogField::Source, source}, {LogField::Revision, m_feed.revision()}});
     }
     logUnusable(source);
+    m_context.m_trafficLoop.spawn([this, confirmedAt = m_feed.confirmedAt()] {
+        m_context.m_traffic.setListConfirmed(confirmedAt);
+    });
     if (!isChanged)
         return;
     m_published = upstreams;
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 66> logFieldNames = {{
+constexpr NameTable<LogField, 67> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -72,6 +72,7 @@
         {LogField::TokensAhead, "tokens_ahead"},
         {LogField::ForecastMillis, "forecast_millis"},
         {LogField::ReadingSpeed, "reading_speed"},
+        {LogField::ListAgeMillis, "list_age_millis"},
 }};
 
 } // namespace
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -171,6 +171,8 @@
         {Gauge::CostPerHourMicros, "gypsumdale_cost_per_hour_micros",
          "Price of the VMs that run, in millionths of the currency per hour."},
         {Gauge::ResidentBytes, "gypsumdale_resident_bytes", "Memory of the process."},
+        {Gauge::UpstreamListAgeMillis, "gypsumdale_upstream_list_age_millis",
+         "Time since the store confirmed the list of upstreams in use."},
 }};
 static_assert(isInOrder(gaugeTexts));
 
