Take how a VM follows the upstreams out of its fibers, and play the whole way of the news

The way of an upstream's leaving (store, reader, follower, traffic thread, placement) could be tested in its parts only: when a VM reads the store, how long that waits and what it takes from whom were written between calls that suspend.

UpstreamFollowing decides it now without a network, as next steps in a variant, and NewsPace when a reader tells; EntryUpstreamFeed carries them out. No decision is changed. upstream_news_world plays store, readers, followers with slow, killed and turned away VMs, lost answers and dropped history on a paused clock at 9, 65 and 195 VMs, and counts VMs that nothing disturbed and that use an upstream for longer after its leaving than the bound less 450 ms allows.

--- a/include/gypsumdale/entry/entry_store_news.hpp
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -4,10 +4,10 @@
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
+#include <gypsumdale/entry/news_pace.hpp>
 #include <gypsumdale/entry/store_role.hpp>
 #include <gypsumdale/serving/upstream_news.hpp>
 
-#include <cstdint> // int64_t
 #include <map> // map
 #include <string> // string
 
@@ -40,7 +40,7 @@
     enum class ConfigPart { Version, Whole };
 
     void chooseRole();
-    bool isNewsDue() const;
+    NewsState newsState() const;
     void tellAll();
     void tell(const NearPeer &peer);
     entrywire::StoreNewsTaken tellPart(const NearPeer &peer, ConfigPart part);
@@ -53,9 +53,7 @@
     StoreRole m_role = StoreRole::Alone;
     /// By address.
     std::map<std::string, Follower> m_followers;
-    TimePoint m_toldAt{};
-    std::int64_t m_toldChange = 0;
-    std::int64_t m_toldVersion = 0;
+    NewsPace m_pace;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -2,7 +2,7 @@
 
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/store_role.hpp>
-#include <gypsumdale/serving/upstream_feed.hpp>
+#include <gypsumdale/entry/upstream_following.hpp>
 #include <gypsumdale/serving/upstream_news.hpp>
 
 #include <cstdint> // int64_t
@@ -29,45 +29,37 @@
                       const std::string &peer);
 
     /// Says how this VM learns the list from now on.
-    void setRole(StoreRole role) { m_role = role; }
+    void setRole(StoreRole role) { m_following.setRole(role); }
     /// Takes what a reader of this data centre tells, whose list was that old. Returns false if
     /// this VM lacks more than that.
     bool takeNews(const UpstreamNews &news, Duration age, std::string_view reader);
     /// Returns what a follower lacks.
     UpstreamNews newsFor(const FollowerState &follower) const;
-    std::int64_t newestChange() const { return m_feed.history().newest(); }
+    std::int64_t newestChange() const { return feed().history().newest(); }
 
     /// Tells whether the store has not confirmed the list for so long that a peer's is better.
-    bool isStale() const { return age() > staleAfter; }
-    Duration age() const;
-    bool isKnown() const { return m_feed.isKnown(); }
-    std::int64_t revision() const { return m_feed.revision(); }
+    bool isStale() const { return m_following.isStale(m_context.now()); }
+    Duration age() const { return m_following.age(m_context.now()); }
+    bool isKnown() const { return feed().isKnown(); }
+    std::int64_t revision() const { return feed().revision(); }
     /// Returns the list for a peer.
     std::string text() const;
-    const std::map<UpstreamId, UpstreamRecord> &upstreams() const { return m_feed.upstreams(); }
+    const std::map<UpstreamId, UpstreamRecord> &upstreams() const { return feed().upstreams(); }
 
 private:
-    /// Longer than a watch and the pause after it take.
-    static constexpr Duration staleAfter = std::chrono::milliseconds(1600);
-
-    Duration toldLimit() const;
-    bool isTold() const;
-    bool isOvertaken(std::int64_t revision) const;
-    Duration pauseAfterReading() const;
-    Duration waitForRole() const;
+    const UpstreamFeed &feed() const { return m_following.feed(); }
     void readWhole();
-    void watchOnce();
+    void watchOnce(const WatchStep &step);
+    void noteFailed(const Error &error);
     /// Hands the list on if it changed for routing; the source is for the log.
     void publish(std::string_view source);
     void logUnusable(std::string_view source);
 
     EntryContext &m_context;
     DependencyWatch m_store;
-    UpstreamFeed m_feed;
-    std::int64_t m_revision = 0;
+    UpstreamFollowing m_following;
     std::map<UpstreamId, UpstreamRecord> m_published;
     std::set<UpstreamId> m_loggedUnusable;
-    StoreRole m_role = StoreRole::Alone;
 };
 
 } // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/entry/news_pace.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+
+#include <chrono> // milliseconds
+#include <cstdint> // int64_t
+
+namespace gypsumdale {
+
+/// What a reader has to tell its followers.
+struct NewsState
+{
+    /// The newest change of the upstreams, counted by the reader.
+    std::int64_t m_change = 0;
+    std::int64_t m_configVersion = 0;
+
+    bool operator==(const NewsState &) const = default;
+};
+
+/// Decides when a reader tells its followers. Called from one thread.
+class NewsPace
+{
+public:
+    /// How often the reader looks.
+    static constexpr Duration tick = std::chrono::milliseconds(100);
+    /// How often followers are told though nothing changed: three times within the shortest time
+    /// after which they read for themselves.
+    static constexpr Duration tellEvery = std::chrono::milliseconds(500);
+    /// Longest wait for a follower's receipt.
+    static constexpr Duration receiptTimeout = std::chrono::milliseconds(600);
+
+    /// Constant.
+    bool isDue(const NewsState &state, TimePoint now) const
+    {
+        return m_told != state || now - m_toldAt >= tellEvery;
+    }
+
+    /// Constant.
+    void noteTold(const NewsState &state, TimePoint now)
+    {
+        m_told = state;
+        m_toldAt = now;
+    }
+
+private:
+    NewsState m_told;
+    TimePoint m_toldAt{};
+};
+
+} // namespace gypsumdale
--- /dev/null
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <gypsumdale/entry/store_role.hpp>
+#include <gypsumdale/serving/upstream_feed.hpp>
+#include <gypsumdale/settings/entry_settings.hpp>
+
+#include <cstdint> // int64_t
+#include <variant> // variant
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// The list needs no reading for this long.
+struct RestStep
+{
+    Duration m_time{};
+};
+
+/// All upstreams are to be read from the store.
+struct ListStep
+{};
+
+/// The store is to be asked for changes after a revision, and may wait so long for one.
+struct WatchStep
+{
+    std::int64_t m_revision = 0;
+    Duration m_wait{};
+};
+
+using FollowingStep = std::variant<RestStep, ListStep, WatchStep>;
+
+/// Why a reading brought nothing.
+enum class ReadingFailure {
+    Unanswered,
+    /// The store has dropped the history behind the revision.
+    HistoryGone,
+};
+
+/// Decides how a VM follows the upstreams' entries: when it reads the store itself, how long that
+/// waits, and what it takes from the store, from a reader of its data centre or from a peer.
+///
+/// It answers two loads. In a large fleet each VM that reads would pay for every change, so that a
+/// follower goes by what readers tell and reads only once it was not told for half of the bound.
+/// And upstreams write all the time, so that a watch answers at once: pauses let changes collect.
+///
+/// Knows no network and no clock of its own; called from one thread.
+class UpstreamFollowing
+{
+public:
+    /// Keeps a reference to the bounds, which a reload may change.
+    explicit UpstreamFollowing(const EntryBounds &bounds);
+
+    /// Says how this VM learns the list from now on.
+    void setRole(StoreRole role) { m_role = role; }
+
+    /// Returns what to do next. After a reading, pauseAfterReading comes first. Constant.
+    FollowingStep next(TimePoint now) const;
+    Duration pauseAfterReading(TimePoint now) const;
+
+    /// Take in what a reading that began at a time brought by now. Return false if a peer told of a
+    /// later revision meanwhile, which the answer would undo. Linear.
+    bool takeListing(UpstreamList list, TimePoint sentAt, TimePoint now);
+    bool takeChanges(const std::vector<UpstreamChange> &changes, std::int64_t revision,
+                     TimePoint sentAt, TimePoint now);
+    void noteFailed(ReadingFailure failure);
+
+    /// Takes the list that a peer read, which was so old when the message was received, if the own
+    /// one has gone stale. Returns whether it was taken. Linear.
+    bool takeFromPeer(UpstreamList list, Duration age, TimePoint now);
+    /// Takes what a reader of this data centre tells, whose list was that old. Linear.
+    UpstreamFeed::Taking takeNews(const UpstreamNews &news, Duration age, TimePoint now);
+
+    /// Drops entries whose time to come back is over. Returns true if any was. Linear.
+    bool expire(TimePoint now) { return m_feed.expire(now); }
+
+    const UpstreamFeed &feed() const { return m_feed; }
+    /// How long ago the store is known to have confirmed the list.
+    Duration age(TimePoint now) const;
+    /// Tells whether the store has not confirmed the list for so long that a peer's is better.
+    bool isStale(TimePoint now) const { return age(now) > staleAfter; }
+
+private:
+    /// Longer than a watch and the pause after it take.
+    static constexpr Duration staleAfter = std::chrono::milliseconds(1600);
+
+    Duration toldLimit() const;
+    bool isTold(TimePoint now) const;
+    Duration watchWait() const;
+    bool isOvertaken(std::int64_t revision) const { return revision < m_feed.revision(); }
+
+    const EntryBounds &m_bounds;
+    UpstreamFeed m_feed;
+    StoreRole m_role = StoreRole::Alone;
+    /// Where the next watch begins; 0 to read the list anew.
+    std::int64_t m_revision = 0;
+    bool m_isStoreLost = false;
+};
+
+} // namespace gypsumdale
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -18,15 +18,10 @@
 /// Readers of a data centre: with two, the loss of one goes unnoticed.
 constexpr std::size_t readers = 2;
 constexpr const char *readersKey = "store-reader";
-constexpr Duration tick = std::chrono::milliseconds(100);
-/// How often followers are told though nothing changed: three times within the shortest time after
-/// which they read for themselves.
-constexpr Duration tellEvery = std::chrono::milliseconds(500);
 /// Stands for no revision in a message that brings the whole list.
 constexpr std::int64_t wholeList = -1;
 /// Stands for a store that was never away.
 constexpr std::int64_t neverAway = -1;
-constexpr Duration tellTimeout = std::chrono::milliseconds(600);
 /// Larger configurations are read from the store by each VM: sent to all of a data centre, they
 /// would hold up the slowest link of a VM for longer than followers wait.
 constexpr std::size_t largestConfigSent = std::size_t{32} * 1024;
@@ -98,9 +93,9 @@
 {
     while (!m_context.m_isStopping) {
         chooseRole();
-        if (m_role == StoreRole::Reader && isNewsDue())
+        if (m_role == StoreRole::Reader && m_pace.isDue(newsState(), m_context.now()))
             tellAll();
-        sleepFiber(tick);
+        sleepFiber(NewsPace::tick);
     }
 }
 
@@ -131,20 +126,16 @@
                                         {LogField::Count, m_peers.nearPeers().size()}});
 }
 
-bool EntryStoreNews::isNewsDue() const
+NewsState EntryStoreNews::newsState() const
 {
-    const bool isChanged =
-            m_toldChange != m_upstreams.newestChange() || m_toldVersion != m_config.version();
-    return isChanged || m_context.now() - m_toldAt >= tellEvery;
+    return {m_upstreams.newestChange(), m_config.version()};
 }
 
 void EntryStoreNews::tellAll()
 {
     if (!m_upstreams.isKnown())
         return;
-    m_toldAt = m_context.now();
-    m_toldChange = m_upstreams.newestChange();
-    m_toldVersion = m_config.version();
+    m_pace.noteTold(newsState(), m_context.now());
     for (const NearPeer &peer : m_peers.nearPeers()) {
         if (!m_followers[peer.m_address].m_isBusy)
             m_context.m_loop.spawn([this, peer] { tell(peer); });
@@ -173,7 +164,7 @@
     message.news.configIsSent = m_config.text().size() <= largestConfigSent;
     if (part == ConfigPart::Whole)
         message.news.__set_configText(m_config.text());
-    const auto reply = peer.m_channel->exchange(wire::encode(message), tellTimeout);
+    const auto reply = peer.m_channel->exchange(wire::encode(message), NewsPace::receiptTimeout);
     if (!succeeded(reply))
         return {};
     const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
--- /dev/null
+++ b/src/entry/upstream_following.cpp
@@ -0,0 +1,136 @@
+#include <gypsumdale/entry/upstream_following.hpp>
+
+#include <algorithm> // clamp
+#include <utility> // move
+
+namespace gypsumdale {
+
+namespace {
+
+constexpr Duration aloneWatchWait = std::chrono::milliseconds(1000);
+/// A reader that has nothing new says so more often than its followers lose patience.
+constexpr Duration readerWatchWait = std::chrono::milliseconds(500);
+/// A follower reads when it wasn't told for half of its bound. If the answer to that is lost too, a
+/// long wait would use up the other half.
+constexpr Duration followerWatchWait = std::chrono::milliseconds(50);
+/// Pauses in the time in which a leaving upstream must be left alone.
+constexpr int pausesPerBound = 5;
+/// A reader's pause is shorter: its word goes a step further.
+constexpr int readerPausesPerBound = 6;
+/// A follower that isn't told for this part of the bound reads itself; the rest is for that.
+constexpr int toldPartsPerBound = 2;
+constexpr Duration toldTick = std::chrono::milliseconds(100);
+constexpr Duration failurePause = std::chrono::milliseconds(150);
+/// Between the tries of a follower whom the store turns away, but who is told: each is paid for.
+constexpr Duration failurePauseIfTold = std::chrono::milliseconds(1000);
+
+} // namespace
+
+UpstreamFollowing::UpstreamFollowing(const EntryBounds &bounds)
+    : m_bounds(bounds)
+    , m_feed(bounds.m_upstreamHeartbeat)
+{}
+
+FollowingStep UpstreamFollowing::next(TimePoint now) const
+{
+    if (isTold(now) && !m_isStoreLost)
+        return RestStep{toldTick};
+    if (m_revision == 0)
+        return ListStep{};
+    return WatchStep{m_revision, watchWait()};
+}
+
+/// Returns how old a list may be that a follower doesn't read for itself; nothing for others, who
+/// read always.
+Duration UpstreamFollowing::toldLimit() const
+{
+    if (m_role != StoreRole::Follower || !m_feed.isKnown())
+        return Duration::zero();
+    return m_bounds.m_leavingApply / toldPartsPerBound;
+}
+
+/// Tells whether a reader has confirmed the list lately enough for this VM not to read it.
+bool UpstreamFollowing::isTold(TimePoint now) const
+{
+    return age(now) < toldLimit();
+}
+
+Duration UpstreamFollowing::pauseAfterReading(TimePoint now) const
+{
+    // Not beyond the moment at which the list counts as untold: a failed reading just before it
+    // would add the whole pause to the half of the bound that was waited.
+    if (m_isStoreLost)
+        return std::clamp(toldLimit() - age(now), failurePause, failurePauseIfTold);
+    const int parts = m_role == StoreRole::Reader ? readerPausesPerBound : pausesPerBound;
+    return m_bounds.m_leavingApply / parts;
+}
+
+Duration UpstreamFollowing::watchWait() const
+{
+    switch (m_role) {
+    case StoreRole::Reader:
+        return readerWatchWait;
+    case StoreRole::Follower:
+        return followerWatchWait;
+    case StoreRole::Alone:
+        break;
+    }
+    return aloneWatchWait;
+}
+
+bool UpstreamFollowing::takeListing(UpstreamList list, TimePoint /*sentAt*/, TimePoint now)
+{
+    m_isStoreLost = false;
+    if (isOvertaken(list.m_revision))
+        return false;
+    m_revision = list.m_revision;
+    m_feed.replaceAll(std::move(list), now);
+    return true;
+}
+
+bool UpstreamFollowing::takeChanges(const std::vector<UpstreamChange> &changes,
+                                    std::int64_t revision, TimePoint /*sentAt*/, TimePoint now)
+{
+    m_isStoreLost = false;
+    if (isOvertaken(revision))
+        return false;
+    m_revision = revision;
+    m_feed.apply(changes, revision, now);
+    return true;
+}
+
+void UpstreamFollowing::noteFailed(ReadingFailure failure)
+{
+    m_feed.storeFailed();
+    m_isStoreLost = true;
+    if (failure == ReadingFailure::HistoryGone)
+        m_revision = 0;
+}
+
+bool UpstreamFollowing::takeFromPeer(UpstreamList list, Duration age, TimePoint now)
+{
+    if (!isStale(now) || list.m_revision <= m_feed.revision())
+        return false;
+    // The own watch goes on from where the peer's list ends.
+    m_revision = list.m_revision;
+    // As old as it is at the peer: counted as confirmed now, it would put off the own reading by
+    // that much once more.
+    m_feed.replaceAll(std::move(list), now - age);
+    return true;
+}
+
+UpstreamFeed::Taking UpstreamFollowing::takeNews(const UpstreamNews &news, Duration age,
+                                                 TimePoint now)
+{
+    const UpstreamFeed::Taking taking = m_feed.take(news, now - age, now);
+    if (taking == UpstreamFeed::Taking::Taken)
+        m_revision = news.m_revision;
+    return taking;
+}
+
+Duration UpstreamFollowing::age(TimePoint now) const
+{
+    return m_feed.isKnown() ? now - m_feed.confirmedAt() : Duration::max();
+}
+
+} // namespace gypsumdale
--- /dev/null
+++ b/tests/support/upstream_news_world.hpp
@@ -0,0 +1,481 @@
+#pragma once
+
+#include <gypsumdale/entry/news_pace.hpp>
+#include <gypsumdale/entry/upstream_following.hpp>
+#include <gypsumdale/policy/circuit_breaker.hpp>
+#include <gypsumdale/serving/upstream_news.hpp>
+
+#include <pcg_random.hpp>
+
+#include <algorithm> // max, min
+#include <cstddef> // size_t
+#include <cstdint> // int64_t, uint32_t, uint64_t
+#include <functional> // function
+#include <map> // map
+#include <memory> // make_unique, unique_ptr
+#include <queue> // priority_queue
+#include <string> // to_string
+#include <utility> // exchange, move
+#include <vector> // vector
+
+namespace gypsumdale::testing {
+
+/// What is done at a later time. The time stands still while it is done.
+class Agenda
+{
+public:
+    TimePoint now() const { return m_now; }
+
+    void after(Duration delay, std::function<void()> work)
+    {
+        m_entries.push({m_now + delay, m_added++, std::move(work)});
+    }
+
+    void runUntil(TimePoint end)
+    {
+        while (!m_entries.empty() && m_entries.top().m_at <= end) {
+            const Entry entry = m_entries.top();
+            m_entries.pop();
+            m_now = entry.m_at;
+            entry.m_work();
+        }
+        m_now = end;
+    }
+
+private:
+    struct Entry
+    {
+        TimePoint m_at{};
+        std::uint64_t m_number = 0;
+        std::function<void()> m_work;
+
+        bool operator<(const Entry &other) const
+        {
+            return m_at != other.m_at ? m_at > other.m_at : m_number > other.m_number;
+        }
+    };
+
+    TimePoint m_now{std::chrono::hours(1)};
+    std::uint64_t m_added = 0;
+    std::priority_queue<Entry> m_entries;
+};
+
+/// The store's list of upstreams with its history.
+class UpstreamStore
+{
+public:
+    void put(const UpstreamId &id, bool isDraining)
+    {
+        UpstreamRecord record;
+        record.m_id = id;
+        record.m_isDraining = isDraining;
+        m_list.m_upstreams[id] = record;
+        note({record, UpstreamChangeKind::Present});
+    }
+    void remove(const UpstreamId &id)
+    {
+        UpstreamChange change;
+        change.m_record.m_id = id;
+        change.m_kind = UpstreamChangeKind::Removed;
+        m_list.m_upstreams.erase(id);
+        note(change);
+    }
+    void dropHistory() { m_keptFrom = m_list.m_revision; }
+    /// Calls something once, at the next change.
+    void onChange(std::function<void()> told) { m_told.push_back(std::move(told)); }
+
+    const UpstreamList &list() const { return m_list; }
+    bool hasSince(std::int64_t revision) const { return revision >= m_keptFrom; }
+    std::vector<UpstreamChange> since(std::int64_t revision) const
+    {
+        return {m_changes.begin() + revision, m_changes.end()};
+    }
+
+private:
+    void note(const UpstreamChange &change)
+    {
+        m_changes.push_back(change);
+        m_list.m_revision = static_cast<std::int64_t>(m_changes.size());
+        for (const auto &told : std::exchange(m_told, {}))
+            told();
+    }
+
+    UpstreamList m_list;
+    std::vector<UpstreamChange> m_changes;
+    std::int64_t m_keptFrom = 0;
+    std::vector<std::function<void()>> m_told;
+};
+
+/// What a play disturbs.
+struct NewsTroubles
+{
+    /// Answers and messages of slow VMs take up to this.
+    Duration m_slowest{};
+    /// VMs that are slow, turned away by the store, or killed, one after the other.
+    bool m_hasSlow = false;
+    bool m_hasTurnedAway = false;
+    bool m_hasKilled = false;
+    /// The store drops its history.
+    bool m_hasDropped = false;
+    /// An answer of the store is lost, for each VM at most once in the bound.
+    bool m_hasLostAnswers = false;
+    /// Changes of upstreams are rare, so that watches wait.
+    bool m_isQuiet = false;
+};
+
+/// A fleet that follows a list of upstreams, on a paused clock: store, readers, followers and peers
+/// with all their decisions; network and patience as the processes have them.
+class UpstreamNewsWorld
+{
+public:
+    /// From learning that an upstream leaves until the last request reaches it: the traffic thread
+    /// takes the list over, and a connection may take its time.
+    static constexpr Duration placement = std::chrono::milliseconds(450);
+
+    UpstreamNewsWorld(std::size_t vms, std::size_t dataCentres, Duration bound,
+                      NewsTroubles troubles, std::uint64_t seed)
+        : m_troubles(troubles)
+        , m_random(seed)
+    {
+        m_bounds.m_leavingApply = bound;
+        // Between data centres nothing is told while the store answers: a part stands for a whole.
+        const std::size_t near = vms / dataCentres;
+        for (std::size_t index = 0; index < std::max<std::size_t>(near, 3); ++index)
+            m_vms.push_back(std::make_unique<Vm>(m_bounds));
+        m_isLarge = vms > 12;
+    }
+
+    /// Plays for a time. Returns how many VMs that nothing disturbed used an upstream for longer
+    /// after its leaving than the bound allows.
+    int play(Duration time)
+    {
+        for (std::size_t index = 0; index < upstreams; ++index)
+            m_store.put(idOf(m_nextUpstream++), false);
+        for (const auto &vm : m_vms)
+            begin(*vm);
+        chooseReaders();
+        changeUpstreams();
+        disturb();
+        m_agenda.runUntil(m_agenda.now() + time);
+        return m_late;
+    }
+
+private:
+    static constexpr std::size_t upstreams = 8;
+    static constexpr std::size_t readers = 2;
+    /// A VM counts as undisturbed so long after its last trouble.
+    static constexpr Duration settling = std::chrono::seconds(4);
+    /// Until peers notice that a reader is silent or turned away.
+    static constexpr Duration noticed = std::chrono::milliseconds(2500);
+    static constexpr Duration listTimeout = std::chrono::milliseconds(800);
+    static constexpr Duration watchSlack = std::chrono::milliseconds(500);
+
+    struct Told
+    {
+        FollowerState m_state;
+        bool m_isBusy = false;
+    };
+    struct Vm
+    {
+        explicit Vm(const EntryBounds &bounds)
+            : m_following(std::make_unique<UpstreamFollowing>(bounds))
+        {}
+
+        std::unique_ptr<UpstreamFollowing> m_following;
+        CircuitBreaker m_breaker;
+        NewsPace m_pace;
+        std::map<Vm *, Told> m_told;
+        StoreRole m_role = StoreRole::Follower;
+        /// Counts its processes: what an earlier one began ends with it.
+        int m_life = 0;
+        bool m_isSlow = false;
+        bool m_isTurnedAway = false;
+        bool m_isDead = false;
+        TimePoint m_troubledAt{};
+        TimePoint m_lostAnswerAt{};
+    };
+
+    static UpstreamId idOf(std::size_t number) { return UpstreamId(std::to_string(number)); }
+    Duration draw(Duration most) { return most * (m_random(1000) + 1) / 1000; }
+    Duration wayOf(const Vm &vm)
+    {
+        return draw(vm.m_isSlow ? m_troubles.m_slowest : std::chrono::milliseconds(3));
+    }
+    /// Does something later unless the process has ended by then.
+    void later(Vm &vm, Duration delay, std::function<void()> work)
+    {
+        m_agenda.after(delay, [&vm, life = vm.m_life, work = std::move(work)] {
+            if (vm.m_life == life)
+                work();
+        });
+    }
+
+    void begin(Vm &vm)
+    {
+        vm.m_following = std::make_unique<UpstreamFollowing>(m_bounds);
+        vm.m_following->setRole(vm.m_role);
+        vm.m_breaker = CircuitBreaker();
+        vm.m_told.clear();
+        follow(vm);
+        tellLoop(vm);
+    }
+
+    void follow(Vm &vm)
+    {
+        const TimePoint now = m_agenda.now();
+        vm.m_following->expire(now);
+        const FollowingStep step = vm.m_following->next(now);
+        if (const auto *rest = std::get_if<RestStep>(&step))
+            later(vm, rest->m_time, [this, &vm] { follow(vm); });
+        else if (const auto *watch = std::get_if<WatchStep>(&step))
+            ask(vm, watch->m_revision, watch->m_wait, watch->m_wait + watchSlack);
+        else
+            ask(vm, noRevision, {}, listTimeout);
+    }
+
+    /// Sends a call to the store; its answer, or the lack of one, comes later.
+    void ask(Vm &vm, std::int64_t revision, Duration wait, Duration timeout)
+    {
+        const TimePoint sentAt = m_agenda.now();
+        if (!vm.m_breaker.tryCall(sentAt))
+            return failed(vm, ReadingFailure::Unanswered);
+        if (vm.m_isTurnedAway)
+            return later(vm, wayOf(vm), [this, &vm, sentAt] {
+                vm.m_breaker.onFailed(sentAt, m_agenda.now());
+                failed(vm, ReadingFailure::Unanswered);
+            });
+        const Duration way = wayOf(vm);
+        if (loses(vm))
+            return timeOut(vm, sentAt, timeout);
+        later(vm, way, [this, &vm, revision, wait, timeout, sentAt] {
+            answer(vm, revision, wait, timeout, sentAt);
+        });
+    }
+
+    void timeOut(Vm &vm, TimePoint sentAt, Duration timeout)
+    {
+        later(vm, sentAt + timeout - m_agenda.now(), [this, &vm, sentAt] {
+            vm.m_breaker.onFailed(sentAt, m_agenda.now());
+            failed(vm, ReadingFailure::Unanswered);
+        });
+    }
+
+    bool loses(Vm &vm)
+    {
+        const bool isDue = m_agenda.now() - vm.m_lostAnswerAt > settling;
+        if (!m_troubles.m_hasLostAnswers || !isDue || m_random(8) != 0)
+            return false;
+        vm.m_lostAnswerAt = m_agenda.now();
+        return true;
+    }
+
+    /// The store's side of a call: a watch waits until something changes or its time is over.
+    void answer(Vm &vm, std::int64_t revision, Duration wait, Duration timeout, TimePoint sentAt)
+    {
+        const bool isWatch = revision != noRevision;
+        const bool isHistoryGone = isWatch && !m_store.hasSince(revision);
+        const bool isQuiet = isWatch && !isHistoryGone && m_store.list().m_revision == revision;
+        if (isQuiet && wait > Duration::zero()) {
+            const TimePoint end = m_agenda.now() + wait;
+            const auto isAnswered = std::make_shared<bool>(false);
+            const auto again = [this, &vm, revision, timeout, sentAt, end, isAnswered] {
+                if (std::exchange(*isAnswered, true))
+                    return;
+                answer(vm, revision, {}, timeout, sentAt);
+            };
+            later(vm, wait, again);
+            m_store.onChange([this, &vm, again] { later(vm, {}, again); });
+            return;
+        }
+        const Duration way = wayOf(vm);
+        if (m_agenda.now() + way - sentAt > timeout)
+            return timeOut(vm, sentAt, timeout);
+        const UpstreamList list = m_store.list();
+        std::vector<UpstreamChange> changes;
+        if (isWatch && !isHistoryGone)
+            changes = m_store.since(revision);
+        later(vm, way, [this, &vm, isWatch, isHistoryGone, list, changes, sentAt] {
+            const TimePoint now = m_agenda.now();
+            vm.m_breaker.onAnswered();
+            if (isHistoryGone)
+                return failed(vm, ReadingFailure::HistoryGone);
+            if (isWatch)
+                vm.m_following->takeChanges(changes, list.m_revision, sentAt, now);
+            else
+                vm.m_following->takeListing(list, sentAt, now);
+            pause(vm);
+        });
+    }
+
+    void failed(Vm &vm, ReadingFailure failure)
+    {
+        vm.m_following->noteFailed(failure);
+        pause(vm);
+    }
+
+    void pause(Vm &vm)
+    {
+        later(vm, vm.m_following->pauseAfterReading(m_agenda.now()), [this, &vm] { follow(vm); });
+    }
+
+    void tellLoop(Vm &vm)
+    {
+        const TimePoint now = m_agenda.now();
+        const NewsState state{vm.m_following->feed().history().newest(), 0};
+        const bool isReader = vm.m_role == StoreRole::Reader && vm.m_following->feed().isKnown();
+        if (isReader && vm.m_pace.isDue(state, now)) {
+            vm.m_pace.noteTold(state, now);
+            for (const auto &other : m_vms) {
+                if (other.get() != &vm && !vm.m_told[other.get()].m_isBusy)
+                    tell(vm, *other);
+            }
+        }
+        later(vm, NewsPace::tick, [this, &vm] { tellLoop(vm); });
+    }
+
+    void tell(Vm &reader, Vm &follower)
+    {
+        Told &told = reader.m_told[&follower];
+        told.m_isBusy = true;
+        const TimePoint now = m_agenda.now();
+        const UpstreamNews news = told.m_state.newsFor(reader.m_following->feed(), now);
+        const Duration age = reader.m_following->age(now);
+        const auto receipt = std::make_shared<bool>(false);
+        const Duration way = wayOf(reader.m_isSlow ? reader : follower);
+        later(follower, way, [this, &reader, &follower, news, age, receipt, now, way] {
+            if (follower.m_isDead)
+                return;
+            const auto taking = follower.m_following->takeNews(news, age, m_agenda.now());
+            const Duration back = wayOf(reader);
+            if (m_agenda.now() + back - now > NewsPace::receiptTimeout)
+                return;
+            *receipt = true;
+            later(reader, back, [&reader, &follower, news, taking] {
+                Told &answered = reader.m_told[&follower];
+                answered.m_isBusy = false;
+                if (taking == UpstreamFeed::Taking::Lacking)
+                    answered.m_state.onLacking();
+                else
+                    answered.m_state.onTaken(news);
+            });
+        });
+        later(reader, NewsPace::receiptTimeout, [&reader, &follower, receipt] {
+            if (!*receipt)
+                reader.m_told[&follower].m_isBusy = false;
+        });
+    }
+
+    /// The first two that are not known to be lost read for the others.
+    void chooseReaders()
+    {
+        std::size_t chosen = 0;
+        const TimePoint now = m_agenda.now();
+        for (const auto &vm : m_vms) {
+            const bool isLost = vm->m_isDead || vm->m_isTurnedAway;
+            const bool isNoticed = isLost && now - vm->m_troubledAt > noticed;
+            StoreRole role = StoreRole::Follower;
+            if (!m_isLarge)
+                role = StoreRole::Alone;
+            else if (!isNoticed && chosen++ < readers)
+                role = StoreRole::Reader;
+            if (role == vm->m_role)
+                continue;
+            vm->m_role = role;
+            vm->m_told.clear();
+            vm->m_following->setRole(role);
+        }
+        m_agenda.after(NewsPace::tick, [this] { chooseReaders(); });
+    }
+
+    void changeUpstreams()
+    {
+        const UpstreamId leaving = idOf(m_nextUpstream - upstreams);
+        m_store.put(idOf(m_nextUpstream++), false);
+        m_store.put(leaving, true);
+        const Duration checkedAfter = m_bounds.m_leavingApply - placement;
+        m_agenda.after(checkedAfter, [this, leaving] { check(leaving); });
+        m_agenda.after(checkedAfter + draw(std::chrono::seconds(2)),
+                       [this, leaving] { m_store.remove(leaving); });
+        const Duration gap =
+                m_troubles.m_isQuiet ? std::chrono::seconds(3) : std::chrono::milliseconds(400);
+        m_agenda.after(draw(gap), [this] { changeUpstreams(); });
+    }
+
+    void check(const UpstreamId &leaving)
+    {
+        for (const auto &vm : m_vms) {
+            if (vm->m_isDead || vm->m_isSlow || vm->m_isTurnedAway
+                || m_agenda.now() - vm->m_troubledAt < settling)
+                continue;
+            const auto &known = vm->m_following->feed().upstreams();
+            const auto found = known.find(leaving);
+            if (found != known.end() && !found->second.m_isDraining)
+                ++m_late;
+        }
+    }
+
+    /// Troubles strike readers more than others: what they do wrong reaches all.
+    void disturb()
+    {
+        const bool strikesReader = m_random(2) == 0;
+        Vm &vm = *m_vms[strikesReader ? m_random(readers) : m_random(m_vms.size())];
+        const Duration time = draw(std::chrono::seconds(6));
+        switch (m_random(4)) {
+        case 0:
+            if (m_troubles.m_hasSlow)
+                trouble(vm, vm.m_isSlow, time);
+            break;
+        case 1:
+            if (m_troubles.m_hasTurnedAway)
+                trouble(vm, vm.m_isTurnedAway, time);
+            break;
+        case 2:
+            if (m_troubles.m_hasKilled)
+                kill(vm, time);
+            break;
+        default:
+            if (m_troubles.m_hasDropped)
+                m_store.dropHistory();
+            break;
+        }
+        m_agenda.after(draw(std::chrono::milliseconds(1500)), [this] { disturb(); });
+    }
+
+    void trouble(Vm &vm, bool &flag, Duration time)
+    {
+        flag = true;
+        vm.m_troubledAt = m_agenda.now();
+        m_agenda.after(time, [this, &vm, &flag] {
+            flag = false;
+            vm.m_troubledAt = m_agenda.now();
+        });
+    }
+
+    void kill(Vm &vm, Duration time)
+    {
+        if (vm.m_isDead)
+            return;
+        ++vm.m_life;
+        vm.m_isDead = true;
+        vm.m_troubledAt = m_agenda.now();
+        m_agenda.after(time, [this, &vm] {
+            vm.m_isDead = false;
+            vm.m_troubledAt = m_agenda.now();
+            begin(vm);
+        });
+    }
+
+    static constexpr std::int64_t noRevision = -1;
+
+    EntryBounds m_bounds;
+    NewsTroubles m_troubles;
+    pcg32 m_random;
+    Agenda m_agenda;
+    UpstreamStore m_store;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+    bool m_isLarge = false;
+    std::size_t m_nextUpstream = 0;
+    int m_late = 0;
+};
+
+} // namespace gypsumdale::testing
