Read the list anew where the store has dropped the history, whatever peers tell

Callers: their requests went on to upstreams that had said that they leave, also for seconds after the bound, from VMs that nothing disturbed.

Cause: a VM kept twice where its next watch begins: in the list's revision and in a cursor beside it, which a refused watch set to 0 so that the list be read. News of the other reader, of the very revision that was refused, set the cursor back to it. Two readers of a data centre that were both refused did that to each other within each pause of 150 ms, and their news to all their followers: none of them read the list until by chance no news came in a pause. Only fleets of more than 12 VMs have readers, so that small ones never showed it.

Class: one fact kept in two places with two writers.

Change: the cursor is the list's revision. What the store refused is remembered and outlasts every word of that revision or an earlier one; a listing or a later list ends it.

Ruled out as the same: the configuration's feed takes no cursor from peers.

--- a/include/gypsumdale/entry/upstream_following.hpp
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -5,6 +5,7 @@
 #include <gypsumdale/settings/entry_settings.hpp>
 
 #include <cstdint> // int64_t
+#include <optional> // optional
 #include <variant> // variant
 #include <vector> // vector
 
@@ -86,13 +87,15 @@
     Duration toldLimit() const;
     bool isTold(TimePoint now) const;
     Duration watchWait() const;
+    bool mustList() const;
     bool isOvertaken(std::int64_t revision) const { return revision < m_feed.revision(); }
 
     const EntryBounds &m_bounds;
     UpstreamFeed m_feed;
     StoreRole m_role = StoreRole::Alone;
-    /// Where the next watch begins; 0 to read the list anew.
-    std::int64_t m_revision = 0;
+    /// The store refused to tell what changed after this revision. Nobody's word of it, or of an
+    /// earlier one, ends that: only a later list does, or the listing.
+    std::optional<std::int64_t> m_refusedRevision;
     bool m_isStoreLost = false;
 };
 
--- a/src/entry/upstream_following.cpp
+++ b/src/entry/upstream_following.cpp
@@ -35,9 +35,15 @@
 {
     if (isTold(now) && !m_isStoreLost)
         return RestStep{toldTick};
-    if (m_revision == 0)
+    if (mustList())
         return ListStep{};
-    return WatchStep{m_revision, watchWait()};
+    return WatchStep{m_feed.revision(), watchWait()};
+}
+
+bool UpstreamFollowing::mustList() const
+{
+    const bool isHistoryGone = m_refusedRevision && m_feed.revision() <= *m_refusedRevision;
+    return !m_feed.isKnown() || isHistoryGone;
 }
 
 /// Returns how old a list may be that a follower doesn't read for itself; nothing for others, who
@@ -83,7 +89,7 @@
     m_isStoreLost = false;
     if (isOvertaken(list.m_revision))
         return false;
-    m_revision = list.m_revision;
+    m_refusedRevision.reset();
     m_feed.replaceAll(std::move(list), now);
     return true;
 }
@@ -94,7 +100,6 @@
     m_isStoreLost = false;
     if (isOvertaken(revision))
         return false;
-    m_revision = revision;
     m_feed.apply(changes, revision, now);
     return true;
 }
@@ -104,15 +109,13 @@
     m_feed.storeFailed();
     m_isStoreLost = true;
     if (failure == ReadingFailure::HistoryGone)
-        m_revision = 0;
+        m_refusedRevision = m_feed.revision();
 }
 
 bool UpstreamFollowing::takeFromPeer(UpstreamList list, Duration age, TimePoint now)
 {
     if (!isStale(now) || list.m_revision <= m_feed.revision())
         return false;
-    // The own watch goes on from where the peer's list ends.
-    m_revision = list.m_revision;
     // As old as it is at the peer: counted as confirmed now, it would put off the own reading by
     // that much once more.
     m_feed.replaceAll(std::move(list), now - age);
@@ -122,10 +125,7 @@
 UpstreamFeed::Taking UpstreamFollowing::takeNews(const UpstreamNews &news, Duration age,
                                                  TimePoint now)
 {
-    const UpstreamFeed::Taking taking = m_feed.take(news, now - age, now);
-    if (taking == UpstreamFeed::Taking::Taken)
-        m_revision = news.m_revision;
-    return taking;
+    return m_feed.take(news, now - age, now);
 }
 
 Duration UpstreamFollowing::age(TimePoint now) const
