Count a list's age from the question that confirmed it, not from its receipt

Callers: a VM that nothing disturbed sent their requests to upstreams that had left, as the readers of its data centre were slow.

Cause: a list counted as fresh from the moment at which its confirmation was read. A reader stated an age of nought for an answer that had lain in its socket, and a follower took off the stated age but not the time that the message was under way or lay unread. With the half of the bound that a follower waits before it reads the store itself, 1.5 s of each were too many. Class: freshness counted from receipt; a lease is judged from when it was asked for.

Change: a reading confirms what was true when it was sent, or until when a watch waited in vain. Messages between VMs carry the sender's clock and echo the last one that it had from the receiver with the time since, so that the receiver knows a moment of its own clock after which the message was sent; what it tells is that much older. News without an echo bring their changes and confirm nothing. An answer or news of an earlier revision confirm the later list.

The cases in unit-entry-upstream-following state the rule. The wire has two optional fields more; a process of before is understood.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -52,6 +52,22 @@
   2: string address
 }
 
+/// A moment on the clock of one process.
+struct ClockMark {
+  /// Its start in wall milliseconds.
+  1: i64 process
+  /// Milliseconds of its steady clock.
+  2: i64 millis
+}
+
+/// The receiver's own mark that the sender heard last: the receiver knows by it that the message was
+/// sent later than that, and so how old what it tells may be.
+struct ClockEcho {
+  1: ClockMark mark
+  /// Milliseconds between the sender's hearing of the mark and this message.
+  2: i64 heldMillis
+}
+
 /// What the sender believes and has done.
 struct EntryDigest {
   1: i32 protocol
@@ -137,4 +153,7 @@
   6: optional StoreNews news
   7: optional StoreNewsTaken newsTaken
   8: optional LoadNews loadNews
+  /// The sender's clock as of this message.
+  9: optional ClockMark mark
+  10: optional ClockEcho echo
 }
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -11,7 +11,6 @@
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <functional> // function
-#include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
 #include <vector> // vector
@@ -30,8 +29,7 @@
 struct NearPeer
 {
     NodeId m_node;
-    std::string m_address;
-    std::shared_ptr<FrameChannel> m_channel;
+    KnownPeerPointer m_peer;
     /// Whether it can read the store for others.
     bool m_mayRead = false;
 };
@@ -83,9 +81,15 @@
     /// next exchange brings it.
     void tellLoad(const UpstreamId &upstream, InFlightLoad load);
 
-    /// Called with news of the store; returns what this VM lacks beyond that.
-    using NewsHeard = std::function<entrywire::StoreNewsTaken(const entrywire::StoreNews &)>;
+    /// Called with news of the store, and with a moment after which they were sent if that is
+    /// known; returns what this VM lacks beyond that.
+    using NewsHeard = std::function<entrywire::StoreNewsTaken(const entrywire::StoreNews &,
+                                                              std::optional<TimePoint> sentAfter)>;
     void onNews(NewsHeard heard) { m_newsHeard = std::move(heard); }
+    /// Sends a message to a peer, stamped so that it can tell the message's age, and waits for the
+    /// answer. Errors: those of the channel, and PeerMalformed, which is logged.
+    Result<entrywire::EntryExchange> ask(const KnownPeerPointer &peer,
+                                         entrywire::EntryExchange message, Duration timeout);
     /// Returns the peers of the own data centre that were heard lately.
     std::vector<NearPeer> nearPeers() const;
     /// Tells whether exchanges are spread out for the size of the fleet.
@@ -104,6 +108,8 @@
     void expire();
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
+    MessageStamp stampFor(const KnownPeer *peer) const;
+    std::optional<TimePoint> sentAfter(const entrywire::EntryExchange &message) const;
     void takeLoad(const entrywire::LoadNews &news);
     void hear(const entrywire::EntryDigest &digest);
 
--- a/include/gypsumdale/entry/entry_store_news.hpp
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -9,6 +9,7 @@
 #include <gypsumdale/serving/upstream_news.hpp>
 
 #include <map> // map
+#include <optional> // optional
 #include <string> // string
 
 namespace gypsumdale {
@@ -44,7 +45,8 @@
     void tellAll();
     void tell(const NearPeer &peer);
     entrywire::StoreNewsTaken tellPart(const NearPeer &peer, ConfigPart part);
-    entrywire::StoreNewsTaken take(const entrywire::StoreNews &news);
+    entrywire::StoreNewsTaken take(const entrywire::StoreNews &news,
+                                   std::optional<TimePoint> sentAfter);
 
     EntryContext &m_context;
     EntryConfigFeed &m_config;
--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -25,14 +25,14 @@
     void expire();
 
     /// Takes a list that a peer read at a revision, if the own one has gone stale.
-    void takeFromPeer(const std::string &text, std::int64_t revision, Duration age,
+    void takeFromPeer(const std::string &text, std::int64_t revision, ToldAge age,
                       const std::string &peer);
 
     /// Says how this VM learns the list from now on.
     void setRole(StoreRole role) { m_following.setRole(role); }
-    /// Takes what a reader of this data centre tells, whose list was that old. Returns false if
-    /// this VM lacks more than that.
-    bool takeNews(const UpstreamNews &news, Duration age, std::string_view reader);
+    /// Takes what a reader of this data centre tells. Returns false if this VM lacks more than
+    /// that.
+    bool takeNews(const UpstreamNews &news, ToldAge age, std::string_view reader);
     /// Returns what a follower lacks.
     UpstreamNews newsFor(const FollowerState &follower) const;
     std::int64_t newestChange() const { return feed().history().newest(); }
--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/entry/exchange_pace.hpp>
+#include <gypsumdale/entry/message_age.hpp>
 
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
@@ -36,6 +37,7 @@
     /// For whoever exchanges with it; the table only keeps it.
     std::shared_ptr<FrameChannel> m_channel;
     PeerState m_state;
+    HeardMark m_mark;
     TimePoint m_heardAt{};
     TimePoint m_knownSince{};
     /// When this VM last began an exchange with it in its turn.
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -8,6 +8,7 @@
 
 namespace gypsumdale::entrywire {
 class EntryDigest;
+class EntryExchange;
 class UpstreamLoad;
 } // namespace gypsumdale::entrywire
 
@@ -30,4 +31,8 @@
 /// Reads what a peer says of itself.
 PeerState stateOf(const entrywire::EntryDigest &digest);
 
+/// Write and read what a message carries so that its age can be told.
+void writeStamp(const MessageStamp &stamp, entrywire::EntryExchange &message);
+MessageStamp readStamp(const entrywire::EntryExchange &message);
+
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/upstream_following.hpp
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/serving/upstream_feed.hpp>
 #include <gypsumdale/settings/entry_settings.hpp>
 
+#include <algorithm> // max
 #include <cstdint> // int64_t
 #include <optional> // optional
 #include <variant> // variant
@@ -30,6 +31,23 @@
 
 using FollowingStep = std::variant<RestStep, ListStep, WatchStep>;
 
+/// When a watch was sent, how long it might wait at the store, and when its answer was read.
+struct WatchTimes
+{
+    TimePoint m_sentAt{};
+    Duration m_wait{};
+    TimePoint m_answeredAt{};
+};
+
+/// How old a list was that another VM tells.
+struct ToldAge
+{
+    /// As the other VM sent it.
+    Duration m_atSending{};
+    /// A moment after which it was sent; nothing where that isn't known.
+    std::optional<TimePoint> m_sentAfter;
+};
+
 /// Why a reading brought nothing.
 enum class ReadingFailure {
     Unanswered,
@@ -58,24 +76,26 @@
     FollowingStep next(TimePoint now) const;
     Duration pauseAfterReading(TimePoint now) const;
 
-    /// Take in what a reading that began at a time brought by now. Return false if a peer told of a
-    /// later revision meanwhile, which the answer would undo. Linear.
+    /// Take in what a reading brought. Return false if a peer told of a later revision meanwhile,
+    /// which the answer would undo. Linear.
     bool takeListing(UpstreamList list, TimePoint sentAt, TimePoint now);
     bool takeChanges(const std::vector<UpstreamChange> &changes, std::int64_t revision,
-                     TimePoint sentAt, TimePoint now);
+                     const WatchTimes &times);
     void noteFailed(ReadingFailure failure);
 
-    /// Takes the list that a peer read, which was so old when the message was received, if the own
-    /// one has gone stale. Returns whether it was taken. Linear.
-    bool takeFromPeer(UpstreamList list, Duration age, TimePoint now);
-    /// Takes what a reader of this data centre tells, whose list was that old. Linear.
-    UpstreamFeed::Taking takeNews(const UpstreamNews &news, Duration age, TimePoint now);
+    /// Takes the list that a peer read, if the own one has gone stale. Returns whether it was
+    /// taken. Linear.
+    bool takeFromPeer(UpstreamList list, const ToldAge &age, TimePoint now);
+    /// Takes what a reader of this data centre tells. Linear.
+    UpstreamFeed::Taking takeNews(const UpstreamNews &news, const ToldAge &age, TimePoint now);
 
     /// Drops entries whose time to come back is over. Returns true if any was. Linear.
     bool expire(TimePoint now) { return m_feed.expire(now); }
 
     const UpstreamFeed &feed() const { return m_feed; }
-    /// How long ago the store is known to have confirmed the list.
+    /// A moment at which the store surely had nothing that the list lacks. Counted from when a
+    /// question was sent, not from when its answer was read: that may have been long under way.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
     Duration age(TimePoint now) const;
     /// Tells whether the store has not confirmed the list for so long that a peer's is better.
     bool isStale(TimePoint now) const { return age(now) > staleAfter; }
@@ -88,10 +108,13 @@
     bool isTold(TimePoint now) const;
     Duration watchWait() const;
     bool mustList() const;
+    void confirm(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
+    void confirm(const ToldAge &age);
     bool isOvertaken(std::int64_t revision) const { return revision < m_feed.revision(); }
 
     const EntryBounds &m_bounds;
     UpstreamFeed m_feed;
+    TimePoint m_confirmedAt{};
     StoreRole m_role = StoreRole::Alone;
     /// The store refused to tell what changed after this revision. Nobody's word of it, or of an
     /// earlier one, ends that: only a later list does, or the listing.
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -207,7 +207,7 @@
         if (state.m_dataCentre != m_context.m_settings.m_dataCentre)
             continue;
         const bool mayRead = !state.m_isStoreLost && !state.m_isLeaving;
-        near.push_back({NodeId(peer->m_node), peer->m_address, peer->m_channel, mayRead});
+        near.push_back({NodeId(peer->m_node), peer, mayRead});
     }
     return near;
 }
@@ -221,18 +221,45 @@
 void EntryPeers::exchange(const KnownPeerPointer &peer)
 {
     peer->m_isBusy = true;
-    const auto reply =
-            peer->m_channel->exchange(wire::encode(m_writer.message(peer.get())), exchangeTimeout);
+    const auto answer = ask(peer, m_writer.message(peer.get()), exchangeTimeout);
     peer->m_isBusy = false;
+    if (succeeded(answer))
+        take(valueOf(answer));
+}
+
+Result<entrywire::EntryExchange> EntryPeers::ask(const KnownPeerPointer &peer,
+                                                 entrywire::EntryExchange message, Duration timeout)
+{
+    writeStamp(stampFor(peer.get()), message);
+    const auto reply = peer->m_channel->exchange(wire::encode(message), timeout);
     if (!succeeded(reply))
-        return;
-    const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
+        return errorOf(reply);
+    auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
     if (!succeeded(decoded)) {
         m_context.m_log.failure("peer-malformed", errorOf(decoded),
                                 {{LogField::Address, peer->m_address}});
-        return;
+        return decoded;
     }
-    take(valueOf(decoded));
+    if (const auto mark = readStamp(valueOf(decoded)).m_mark)
+        peer->m_mark.hear(*mark, m_context.now());
+    return decoded;
+}
+
+/// Returns the stamp of a message to a peer, or to a VM that this one doesn't know, for nullptr.
+MessageStamp EntryPeers::stampFor(const KnownPeer *peer) const
+{
+    const TimePoint now = m_context.now();
+    MessageStamp stamp;
+    stamp.m_mark = ClockMark{m_context.m_incarnation, now};
+    if (peer)
+        stamp.m_echo = peer->m_mark.echo(now);
+    return stamp;
+}
+
+std::optional<TimePoint> EntryPeers::sentAfter(const entrywire::EntryExchange &message) const
+{
+    return gypsumdale::sentAfter(readStamp(message).m_echo, m_context.m_incarnation,
+                                 m_context.now());
 }
 
 std::string EntryPeers::answer(const std::string &frame)
@@ -247,7 +274,8 @@
         entrywire::EntryExchange taken;
         taken.__isset.newsTaken = true;
         if (m_newsHeard)
-            taken.newsTaken = m_newsHeard(received.news);
+            taken.newsTaken = m_newsHeard(received.news, sentAfter(received));
+        writeStamp(stampFor(nullptr), taken);
         return wire::encode(taken);
     }
     if (received.__isset.loadNews) {
@@ -257,7 +285,10 @@
     if (received.digest.protocol != ExchangeWriter::protocolVersion)
         return {};
     take(received);
-    return wire::encode(m_writer.message(m_table.find(received.digest.address).get()));
+    const KnownPeerPointer peer = m_table.find(received.digest.address);
+    entrywire::EntryExchange message = m_writer.message(peer.get());
+    writeStamp(stampFor(peer.get()), message);
+    return wire::encode(message);
 }
 
 void EntryPeers::takeLoad(const entrywire::LoadNews &news)
@@ -271,12 +302,16 @@
 void EntryPeers::take(const entrywire::EntryExchange &message)
 {
     hear(message.digest);
+    const KnownPeerPointer peer = m_table.find(message.digest.address);
+    if (const auto mark = readStamp(message).m_mark; mark && peer)
+        peer->m_mark.hear(*mark, m_context.now());
     if (message.__isset.configText)
         m_config.takeFromPeer(message.configText, message.digest.node);
     if (message.__isset.upstreamText)
-        m_upstreams.takeFromPeer(message.upstreamText, message.upstreamRevision,
-                                 std::chrono::milliseconds(message.digest.upstreamAgeMillis),
-                                 message.digest.node);
+        m_upstreams.takeFromPeer(
+                message.upstreamText, message.upstreamRevision,
+                {std::chrono::milliseconds(message.digest.upstreamAgeMillis), sentAfter(message)},
+                message.digest.node);
 }
 
 void EntryPeers::hear(const entrywire::EntryDigest &digest)
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -8,7 +8,9 @@
 
 #include <cstddef> // size_t
 #include <map> // map
+#include <optional> // optional
 #include <string> // string
+#include <utility> // move
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -86,7 +88,9 @@
     , m_upstreams(upstreams)
     , m_peers(peers)
 {
-    m_peers.onNews([this](const entrywire::StoreNews &news) { return take(news); });
+    m_peers.onNews([this](const entrywire::StoreNews &news, std::optional<TimePoint> sentAfter) {
+        return take(news, sentAfter);
+    });
 }
 
 void EntryStoreNews::run()
@@ -137,7 +141,7 @@
         return;
     m_pace.noteTold(newsState(), m_context.now());
     for (const NearPeer &peer : m_peers.nearPeers()) {
-        if (!m_followers[peer.m_address].m_isBusy)
+        if (!m_followers[peer.m_peer->m_address].m_isBusy)
             m_context.m_loop.spawn([this, peer] { tell(peer); });
     }
 }
@@ -145,16 +149,16 @@
 /// Tells one follower what it lacks.
 void EntryStoreNews::tell(const NearPeer &peer)
 {
-    m_followers[peer.m_address].m_isBusy = true;
+    m_followers[peer.m_peer->m_address].m_isBusy = true;
     if (tellPart(peer, ConfigPart::Version).needsConfig)
         tellPart(peer, ConfigPart::Whole);
-    m_followers[peer.m_address].m_isBusy = false;
+    m_followers[peer.m_peer->m_address].m_isBusy = false;
 }
 
 /// Returns what the follower still needs; nothing if it didn't answer.
 entrywire::StoreNewsTaken EntryStoreNews::tellPart(const NearPeer &peer, ConfigPart part)
 {
-    const UpstreamNews upstreams = m_upstreams.newsFor(m_followers[peer.m_address].m_state);
+    const UpstreamNews upstreams = m_upstreams.newsFor(m_followers[peer.m_peer->m_address].m_state);
     entrywire::EntryExchange message;
     message.__set_news(wireNews(upstreams));
     message.news.node = m_context.m_settings.m_node.text();
@@ -164,16 +168,15 @@
     message.news.configIsSent = m_config.text().size() <= largestConfigSent;
     if (part == ConfigPart::Whole)
         message.news.__set_configText(m_config.text());
-    const auto reply = peer.m_channel->exchange(wire::encode(message), NewsPace::receiptTimeout);
-    if (!succeeded(reply))
+    const auto answer = m_peers.ask(peer.m_peer, std::move(message), NewsPace::receiptTimeout);
+    if (!succeeded(answer))
         return {};
-    const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
-    FollowerState &state = m_followers[peer.m_address].m_state;
-    if (!succeeded(decoded) || !valueOf(decoded).__isset.newsTaken) {
+    FollowerState &state = m_followers[peer.m_peer->m_address].m_state;
+    if (!valueOf(answer).__isset.newsTaken) {
         state.onLacking();
         return {};
     }
-    const entrywire::StoreNewsTaken &taken = valueOf(decoded).newsTaken;
+    const entrywire::StoreNewsTaken &taken = valueOf(answer).newsTaken;
     if (taken.needsWholeList)
         state.onLacking();
     else
@@ -182,7 +185,8 @@
 }
 
 /// Takes what a reader tells. Returns what this VM lacks beyond that.
-entrywire::StoreNewsTaken EntryStoreNews::take(const entrywire::StoreNews &news)
+entrywire::StoreNewsTaken EntryStoreNews::take(const entrywire::StoreNews &news,
+                                               std::optional<TimePoint> sentAfter)
 {
     if (news.__isset.configText)
         m_config.takeFromPeer(news.configText, news.node);
@@ -190,7 +194,8 @@
     const Duration upstreamAge = std::chrono::milliseconds(news.upstreamAgeMillis);
     entrywire::StoreNewsTaken taken;
     taken.needsConfig = m_config.takeNews(news.configVersion, configAge, news.configIsSent);
-    taken.needsWholeList = !m_upstreams.takeNews(upstreamNews(news), upstreamAge, news.node);
+    taken.needsWholeList =
+            !m_upstreams.takeNews(upstreamNews(news), {upstreamAge, sentAfter}, news.node);
     return taken;
 }
 
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -57,7 +57,8 @@
     const TimePoint now = m_context.now();
     m_store.answered(now);
     const std::int64_t revision = valueOf(changes).m_revision;
-    if (m_following.takeChanges(platform::decodeChanges(valueOf(changes)), revision, sentAt, now))
+    const WatchTimes times{sentAt, step.m_wait, now};
+    if (m_following.takeChanges(platform::decodeChanges(valueOf(changes)), revision, times))
         publish("store");
 }
 
@@ -80,7 +81,7 @@
     return platform::encodeUpstreams(feed().present());
 }
 
-void EntryUpstreamFeed::takeFromPeer(const std::string &text, std::int64_t revision, Duration age,
+void EntryUpstreamFeed::takeFromPeer(const std::string &text, std::int64_t revision, ToldAge age,
                                      const std::string &peer)
 {
     UpstreamList list;
@@ -98,7 +99,7 @@
     return follower.newsFor(feed(), m_context.now());
 }
 
-bool EntryUpstreamFeed::takeNews(const UpstreamNews &news, Duration age, std::string_view reader)
+bool EntryUpstreamFeed::takeNews(const UpstreamNews &news, ToldAge age, std::string_view reader)
 {
     const UpstreamFeed::Taking taking = m_following.takeNews(news, age, m_context.now());
     if (taking == UpstreamFeed::Taking::Taken)
@@ -148,7 +149,7 @@
                     {id, {LogField::Source, source}, {LogField::Revision, feed().revision()}});
     }
     logUnusable(source);
-    m_context.m_trafficLoop.spawn([this, confirmedAt = feed().confirmedAt()] {
+    m_context.m_trafficLoop.spawn([this, confirmedAt = m_following.confirmedAt()] {
         m_context.m_traffic.setListConfirmed(confirmedAt);
     });
     if (!isChanged)
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -122,4 +122,44 @@
     return state;
 }
 
+namespace {
+
+entrywire::ClockMark wireMark(const ClockMark &mark)
+{
+    entrywire::ClockMark result;
+    result.process = mark.m_process;
+    result.millis = wholeMillis(mark.m_time.time_since_epoch());
+    return result;
+}
+
+ClockMark markOf(const entrywire::ClockMark &mark)
+{
+    return {mark.process, TimePoint(std::chrono::milliseconds(mark.millis))};
+}
+
+} // namespace
+
+void writeStamp(const MessageStamp &stamp, entrywire::EntryExchange &message)
+{
+    if (stamp.m_mark)
+        message.__set_mark(wireMark(*stamp.m_mark));
+    if (!stamp.m_echo)
+        return;
+    entrywire::ClockEcho echo;
+    echo.mark = wireMark(stamp.m_echo->m_mark);
+    echo.heldMillis = wholeMillis(stamp.m_echo->m_heldFor);
+    message.__set_echo(echo);
+}
+
+MessageStamp readStamp(const entrywire::EntryExchange &message)
+{
+    MessageStamp stamp;
+    if (message.__isset.mark)
+        stamp.m_mark = markOf(message.mark);
+    if (message.__isset.echo)
+        stamp.m_echo = ClockEcho{markOf(message.echo.mark),
+                                 std::chrono::milliseconds(message.echo.heldMillis)};
+    return stamp;
+}
+
 } // namespace gypsumdale
--- a/src/entry/upstream_following.cpp
+++ b/src/entry/upstream_following.cpp
@@ -84,9 +84,10 @@
     return aloneWatchWait;
 }
 
-bool UpstreamFollowing::takeListing(UpstreamList list, TimePoint /*sentAt*/, TimePoint now)
+bool UpstreamFollowing::takeListing(UpstreamList list, TimePoint sentAt, TimePoint now)
 {
     m_isStoreLost = false;
+    confirm(sentAt);
     if (isOvertaken(list.m_revision))
         return false;
     m_refusedRevision.reset();
@@ -95,12 +96,15 @@
 }
 
 bool UpstreamFollowing::takeChanges(const std::vector<UpstreamChange> &changes,
-                                    std::int64_t revision, TimePoint /*sentAt*/, TimePoint now)
+                                    std::int64_t revision, const WatchTimes &times)
 {
     m_isStoreLost = false;
+    const TimePoint waitedUntil = times.m_sentAt + times.m_wait;
+    const bool hasWaited = changes.empty() && times.m_answeredAt >= waitedUntil;
+    confirm(hasWaited ? waitedUntil : times.m_sentAt);
     if (isOvertaken(revision))
         return false;
-    m_feed.apply(changes, revision, now);
+    m_feed.apply(changes, revision, times.m_answeredAt);
     return true;
 }
 
@@ -112,25 +116,34 @@
         m_refusedRevision = m_feed.revision();
 }
 
-bool UpstreamFollowing::takeFromPeer(UpstreamList list, Duration age, TimePoint now)
+/// A list that is the same or later than another holds all that the other was confirmed to hold.
+void UpstreamFollowing::confirm(const ToldAge &age)
+{
+    if (age.m_sentAfter)
+        confirm(*age.m_sentAfter - age.m_atSending);
+}
+
+bool UpstreamFollowing::takeFromPeer(UpstreamList list, const ToldAge &age, TimePoint now)
 {
     if (!isStale(now) || list.m_revision <= m_feed.revision())
         return false;
-    // As old as it is at the peer: counted as confirmed now, it would put off the own reading by
-    // that much once more.
-    m_feed.replaceAll(std::move(list), now - age);
+    m_feed.replaceAll(std::move(list), now - age.m_atSending);
+    confirm(age);
     return true;
 }
 
-UpstreamFeed::Taking UpstreamFollowing::takeNews(const UpstreamNews &news, Duration age,
+UpstreamFeed::Taking UpstreamFollowing::takeNews(const UpstreamNews &news, const ToldAge &age,
                                                  TimePoint now)
 {
-    return m_feed.take(news, now - age, now);
+    const UpstreamFeed::Taking taking = m_feed.take(news, now - age.m_atSending, now);
+    if (taking != UpstreamFeed::Taking::Lacking)
+        confirm(age);
+    return taking;
 }
 
 Duration UpstreamFollowing::age(TimePoint now) const
 {
-    return m_feed.isKnown() ? now - m_feed.confirmedAt() : Duration::max();
+    return m_feed.isKnown() ? now - m_confirmedAt : Duration::max();
 }
 
 } // namespace gypsumdale
--- /dev/null
+++ b/tests/src/unit-entry-message-age.cpp
@@ -0,0 +1,35 @@
+#include <gypsumdale/entry/message_age.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+TEST_CASE("a message tells after which moment it was sent")
+{
+    constexpr WallMillis process = 17;
+    const TimePoint asked{1h};
+    // The other VM's clock is another one.
+    const TimePoint heardThere{20h};
+    HeardMark heard;
+    REQUIRE_FALSE(heard.echo(heardThere));
+    heard.hear({process, asked}, heardThere);
+    const auto echo = heard.echo(heardThere + 400ms);
+
+    SECTION("whenever it is read")
+    {
+        CHECK(sentAfter(echo, process, asked + 401ms) == asked + 400ms);
+        CHECK(sentAfter(echo, process, asked + 9s) == asked + 400ms);
+    }
+
+    SECTION("but not after its receipt, where clocks differ in speed")
+    {
+        CHECK(sentAfter(echo, process, asked + 390ms) == asked + 390ms);
+    }
+
+    SECTION("nor to a later process, whose clock may be another")
+    {
+        CHECK_FALSE(sentAfter(echo, process + 1, asked + 9s));
+        CHECK_FALSE(sentAfter(std::nullopt, process, asked));
+    }
+}
--- a/tests/src/unit-entry-upstream-following.cpp
+++ b/tests/src/unit-entry-upstream-following.cpp
@@ -79,8 +79,8 @@
     {
         Vm vm(StoreRole::Follower);
         vm.m_following.takeListing(listAt(10), vm.m_now, vm.m_now);
-        vm.m_following.takeNews(newsAt(12), 0ms, vm.m_now);
-        CHECK_FALSE(vm.m_following.takeChanges({}, 11, vm.m_now, vm.m_now));
+        vm.m_following.takeNews(newsAt(12), ToldAge(), vm.m_now);
+        CHECK_FALSE(vm.m_following.takeChanges({}, 11, {vm.m_now, 1s, vm.m_now}));
         CHECK(vm.m_following.feed().revision() == 12);
     }
 }
@@ -97,7 +97,7 @@
 
     SECTION("a reader tells of the revision that was refused")
     {
-        vm.m_following.takeNews(newsAt(10), 2s, vm.m_now);
+        vm.m_following.takeNews(newsAt(10), ToldAge(), vm.m_now);
         CHECK(vm.isNext<ListStep>());
     }
 
@@ -109,7 +109,58 @@
 
     SECTION("so does a later list")
     {
-        vm.m_following.takeNews(newsAt(11), 0ms, vm.m_now);
+        vm.m_following.takeNews(newsAt(11), ToldAge(), vm.m_now);
         CHECK_FALSE(vm.isNext<ListStep>());
     }
 }
+
+// Guards against lists that count as fresh since their news lay unread or were long under way.
+TEST_CASE("a list is as old as what surely confirmed it")
+{
+    Vm vm(StoreRole::Follower);
+    vm.m_following.takeListing(listAt(10), vm.m_now, vm.m_now + 700ms);
+    CHECK(vm.m_following.confirmedAt() == vm.m_now);
+    const TimePoint sentAt = vm.m_now + 1s;
+
+    SECTION("a watch that waited in vain confirms what was true until its end")
+    {
+        vm.m_following.takeChanges({}, 10, {sentAt, 50ms, sentAt + 400ms});
+        CHECK(vm.m_following.confirmedAt() == sentAt + 50ms);
+    }
+
+    SECTION("a watch that brought changes may have been answered when it was sent")
+    {
+        const UpstreamChange change{recordOf("b"), UpstreamChangeKind::Present};
+        vm.m_following.takeChanges({change}, 11, {sentAt, 500ms, sentAt + 900ms});
+        CHECK(vm.m_following.confirmedAt() == sentAt);
+    }
+
+    SECTION("an answer that is overtaken confirms the later list")
+    {
+        vm.m_following.takeNews(newsAt(12), ToldAge(), sentAt);
+        CHECK(vm.m_following.confirmedAt() == vm.m_now);
+        vm.m_following.takeChanges({}, 11, {sentAt, 50ms, sentAt + 50ms});
+        CHECK(vm.m_following.confirmedAt() == sentAt + 50ms);
+    }
+
+    SECTION("news are as old as they were when they were sent, and older by their way")
+    {
+        vm.m_following.takeNews(newsAt(12), {300ms, sentAt}, sentAt + 2s);
+        CHECK(vm.m_following.confirmedAt() == sentAt - 300ms);
+        CHECK(vm.m_following.age(sentAt + 2s) == 2300ms);
+    }
+
+    SECTION("news of unknown age bring a later list and confirm nothing")
+    {
+        vm.m_following.takeNews(newsAt(12), {0ms, std::nullopt}, sentAt);
+        CHECK(vm.m_following.feed().revision() == 12);
+        CHECK(vm.m_following.confirmedAt() == vm.m_now);
+    }
+
+    SECTION("so is a list that a peer passes on")
+    {
+        const TimePoint later = vm.m_now + 5s;
+        vm.m_following.takeFromPeer(listAt(12), {500ms, later - 1s}, later);
+        CHECK(vm.m_following.confirmedAt() == later - 1500ms);
+    }
+}
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gypsumdale/entry/message_age.hpp>
 #include <gypsumdale/entry/news_pace.hpp>
 #include <gypsumdale/entry/upstream_following.hpp>
 #include <gypsumdale/policy/circuit_breaker.hpp>
@@ -12,7 +13,8 @@
 #include <cstdint> // int64_t, uint32_t, uint64_t
 #include <functional> // function
 #include <map> // map
-#include <memory> // make_unique, unique_ptr
+#include <memory> // make_shared, make_unique, unique_ptr
+#include <optional> // optional
 #include <queue> // priority_queue
 #include <string> // to_string
 #include <utility> // exchange, move
@@ -185,6 +187,8 @@
         CircuitBreaker m_breaker;
         NewsPace m_pace;
         std::map<Vm *, Told> m_told;
+        /// Of the followers' clocks, as their receipts brought them.
+        std::map<Vm *, HeardMark> m_marks;
         StoreRole m_role = StoreRole::Follower;
         /// Counts its processes: what an earlier one began ends with it.
         int m_life = 0;
@@ -195,6 +199,15 @@
         TimePoint m_lostAnswerAt{};
     };
 
+    /// A call to the store: a watch from a revision, or the list.
+    struct Call
+    {
+        std::optional<std::int64_t> m_revision;
+        Duration m_wait{};
+        Duration m_timeout{};
+        TimePoint m_sentAt{};
+    };
+
     static UpstreamId idOf(std::size_t number) { return UpstreamId(std::to_string(number)); }
     Duration draw(Duration most) { return most * (m_random(1000) + 1) / 1000; }
     Duration wayOf(const Vm &vm)
@@ -216,6 +229,7 @@
         vm.m_following->setRole(vm.m_role);
         vm.m_breaker = CircuitBreaker();
         vm.m_told.clear();
+        vm.m_marks.clear();
         follow(vm);
         tellLoop(vm);
     }
@@ -228,34 +242,27 @@
         if (const auto *rest = std::get_if<RestStep>(&step))
             later(vm, rest->m_time, [this, &vm] { follow(vm); });
         else if (const auto *watch = std::get_if<WatchStep>(&step))
-            ask(vm, watch->m_revision, watch->m_wait, watch->m_wait + watchSlack);
+            ask(vm, {watch->m_revision, watch->m_wait, watch->m_wait + watchSlack, now});
         else
-            ask(vm, noRevision, {}, listTimeout);
+            ask(vm, {std::nullopt, {}, listTimeout, now});
     }
 
     /// Sends a call to the store; its answer, or the lack of one, comes later.
-    void ask(Vm &vm, std::int64_t revision, Duration wait, Duration timeout)
+    void ask(Vm &vm, const Call &call)
     {
-        const TimePoint sentAt = m_agenda.now();
-        if (!vm.m_breaker.tryCall(sentAt))
+        if (!vm.m_breaker.tryCall(call.m_sentAt))
             return failed(vm, ReadingFailure::Unanswered);
         if (vm.m_isTurnedAway)
-            return later(vm, wayOf(vm), [this, &vm, sentAt] {
-                vm.m_breaker.onFailed(sentAt, m_agenda.now());
-                failed(vm, ReadingFailure::Unanswered);
-            });
-        const Duration way = wayOf(vm);
+            return fail(vm, call, wayOf(vm));
         if (loses(vm))
-            return timeOut(vm, sentAt, timeout);
-        later(vm, way, [this, &vm, revision, wait, timeout, sentAt] {
-            answer(vm, revision, wait, timeout, sentAt);
-        });
+            return fail(vm, call, call.m_timeout);
+        later(vm, wayOf(vm), [this, &vm, call] { answer(vm, call, call.m_wait); });
     }
 
-    void timeOut(Vm &vm, TimePoint sentAt, Duration timeout)
+    void fail(Vm &vm, const Call &call, Duration delay)
     {
-        later(vm, sentAt + timeout - m_agenda.now(), [this, &vm, sentAt] {
-            vm.m_breaker.onFailed(sentAt, m_agenda.now());
+        later(vm, call.m_sentAt + delay - m_agenda.now(), [this, &vm, call] {
+            vm.m_breaker.onFailed(call.m_sentAt, m_agenda.now());
             failed(vm, ReadingFailure::Unanswered);
         });
     }
@@ -270,43 +277,44 @@
     }
 
     /// The store's side of a call: a watch waits until something changes or its time is over.
-    void answer(Vm &vm, std::int64_t revision, Duration wait, Duration timeout, TimePoint sentAt)
+    void answer(Vm &vm, const Call &call, Duration wait)
     {
-        const bool isWatch = revision != noRevision;
-        const bool isHistoryGone = isWatch && !m_store.hasSince(revision);
-        const bool isQuiet = isWatch && !isHistoryGone && m_store.list().m_revision == revision;
-        if (isQuiet && wait > Duration::zero()) {
-            const TimePoint end = m_agenda.now() + wait;
-            const auto isAnswered = std::make_shared<bool>(false);
-            const auto again = [this, &vm, revision, timeout, sentAt, end, isAnswered] {
-                if (std::exchange(*isAnswered, true))
-                    return;
-                answer(vm, revision, {}, timeout, sentAt);
-            };
-            later(vm, wait, again);
-            m_store.onChange([this, &vm, again] { later(vm, {}, again); });
-            return;
-        }
+        const UpstreamList &list = m_store.list();
+        const bool isHistoryGone = call.m_revision && !m_store.hasSince(*call.m_revision);
+        const bool isQuiet = !isHistoryGone && call.m_revision == list.m_revision;
+        if (isQuiet && wait > Duration::zero())
+            return waitForChange(vm, call, wait);
         const Duration way = wayOf(vm);
-        if (m_agenda.now() + way - sentAt > timeout)
-            return timeOut(vm, sentAt, timeout);
-        const UpstreamList list = m_store.list();
+        if (m_agenda.now() + way - call.m_sentAt > call.m_timeout)
+            return fail(vm, call, call.m_timeout);
         std::vector<UpstreamChange> changes;
-        if (isWatch && !isHistoryGone)
-            changes = m_store.since(revision);
-        later(vm, way, [this, &vm, isWatch, isHistoryGone, list, changes, sentAt] {
-            const TimePoint now = m_agenda.now();
+        if (call.m_revision && !isHistoryGone)
+            changes = m_store.since(*call.m_revision);
+        later(vm, way, [this, &vm, call, isHistoryGone, list, changes] {
             vm.m_breaker.onAnswered();
             if (isHistoryGone)
                 return failed(vm, ReadingFailure::HistoryGone);
-            if (isWatch)
-                vm.m_following->takeChanges(changes, list.m_revision, sentAt, now);
+            const TimePoint now = m_agenda.now();
+            const WatchTimes times{call.m_sentAt, call.m_wait, now};
+            if (call.m_revision)
+                vm.m_following->takeChanges(changes, list.m_revision, times);
             else
-                vm.m_following->takeListing(list, sentAt, now);
+                vm.m_following->takeListing(list, call.m_sentAt, now);
             pause(vm);
         });
     }
 
+    void waitForChange(Vm &vm, const Call &call, Duration wait)
+    {
+        const auto isAnswered = std::make_shared<bool>(false);
+        const auto again = [this, &vm, call, isAnswered] {
+            if (!std::exchange(*isAnswered, true))
+                answer(vm, call, {});
+        };
+        later(vm, wait, again);
+        m_store.onChange([this, &vm, again] { later(vm, {}, again); });
+    }
+
     void failed(Vm &vm, ReadingFailure failure)
     {
         vm.m_following->noteFailed(failure);
@@ -340,17 +348,22 @@
         const TimePoint now = m_agenda.now();
         const UpstreamNews news = told.m_state.newsFor(reader.m_following->feed(), now);
         const Duration age = reader.m_following->age(now);
+        const auto echo = reader.m_marks[&follower].echo(now);
         const auto receipt = std::make_shared<bool>(false);
         const Duration way = wayOf(reader.m_isSlow ? reader : follower);
-        later(follower, way, [this, &reader, &follower, news, age, receipt, now, way] {
+        later(follower, way, [this, &reader, &follower, news, age, echo, receipt, now] {
             if (follower.m_isDead)
                 return;
-            const auto taking = follower.m_following->takeNews(news, age, m_agenda.now());
+            const TimePoint takenAt = m_agenda.now();
+            const ToldAge told{age, sentAfter(echo, follower.m_life, takenAt)};
+            const auto taking = follower.m_following->takeNews(news, told, takenAt);
             const Duration back = wayOf(reader);
-            if (m_agenda.now() + back - now > NewsPace::receiptTimeout)
+            if (takenAt + back - now > NewsPace::receiptTimeout)
                 return;
             *receipt = true;
-            later(reader, back, [&reader, &follower, news, taking] {
+            const ClockMark mark{follower.m_life, takenAt};
+            later(reader, back, [this, &reader, &follower, news, taking, mark] {
+                reader.m_marks[&follower].hear(mark, m_agenda.now());
                 Told &answered = reader.m_told[&follower];
                 answered.m_isBusy = false;
                 if (taking == UpstreamFeed::Taking::Lacking)
@@ -465,8 +478,6 @@
         });
     }
 
-    static constexpr std::int64_t noRevision = -1;
-
     EntryBounds m_bounds;
     NewsTroubles m_troubles;
     pcg32 m_random;
