Pass over news of the revision that is held

Cause: the two readers of a data centre tell each other as they tell followers. Taken at the revision that is held, the same list counted as replaced, and the same removal as one more, so that the other was told it in turn, with each tick of 100 ms. Class: news that are passed on without a look whether they are new.

--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -161,6 +161,12 @@
         return Taking::Older;
     if (news.m_returnedAgo && (!isKnown() || mayHaveLapsed(confirmedAt)))
         m_returnedAt = std::max(m_returnedAt, now - *news.m_returnedAgo);
+    // Taken once more, it would be news for whoever told it.
+    const bool isHeldAlready = isKnown() && news.m_revision == m_list.m_revision;
+    if (isHeldAlready) {
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        return Taking::Taken;
+    }
     if (isWhole) {
         UpstreamList list;
         for (const UpstreamChange &change : news.m_changes) {
--- a/tests/src/unit-upstream-feed.cpp
+++ b/tests/src/unit-upstream-feed.cpp
@@ -124,6 +124,15 @@
         CHECK(has(feed, "b"));
         CHECK(feed.confirmedAt() == start);
     }
+    SECTION("of the revision that is held confirm it and are no news to pass on")
+    {
+        news.m_revision = 10;
+        news.m_sinceRevision = GENERATE(std::optional<std::int64_t>(9), std::nullopt);
+        const std::int64_t newest = feed.history().newest();
+        CHECK(feed.take(news, start + 2s, start + 2s) == UpstreamFeed::Taking::Taken);
+        CHECK(feed.history().newest() == newest);
+        CHECK(feed.confirmedAt() == start + 2s);
+    }
     SECTION("may be the whole list")
     {
         news.m_sinceRevision.reset();
