Bound what a VM waits for with an old list by the bound itself

Cause: patiences that hold each by itself and not in sum. A VM that reads alone waited a second for a watch and half a second more for a lost answer, of a bound of 2 s; one that became a reader with a list 1.5 s old did the same; and a refused watch was followed by the pause of a store that doesn't answer, though the store had just said that it has more to tell.

Change: the watch of a VM that reads alone waits for a fifth of the bound. Any VM whose list is older than half of the bound asks briefly, whatever its role. After a refused watch the list is read at once; a refused listing still pauses.

The play itself was wrong in one place: a watch of a killed process was answered to the next one. That is mended here; it touched plays with kills only.

--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -50,7 +50,7 @@
     const UpstreamFeed &feed() const { return m_following.feed(); }
     void readWhole();
     void watchOnce(const WatchStep &step);
-    void noteFailed(const Error &error);
+    void noteFailed(const Error &error, ReadingFailure failure);
     /// Hands the list on if it changed for routing; the source is for the log.
     void publish(std::string_view source);
     void logUnusable(std::string_view source);
--- a/include/gypsumdale/entry/upstream_following.hpp
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -104,9 +104,12 @@
     /// Longer than a watch and the pause after it take.
     static constexpr Duration staleAfter = std::chrono::milliseconds(1600);
 
+    /// Half of the bound: a list that is older is to be read at once.
+    Duration patience() const;
     Duration toldLimit() const;
     bool isTold(TimePoint now) const;
-    Duration watchWait() const;
+    Duration watchWait(TimePoint now) const;
+    void noteAnswered();
     bool mustList() const;
     void confirm(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt, at); }
     void confirm(const ToldAge &age);
@@ -120,6 +123,8 @@
     /// earlier one, ends that: only a later list does, or the listing.
     std::optional<std::int64_t> m_refusedRevision;
     bool m_isStoreLost = false;
+    /// The last reading was a watch that the store refused: it is known to have more to tell.
+    bool m_isHistoryGone = false;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -36,7 +36,7 @@
     const auto listing = m_context.m_store.list(platform::names::upstreamKind,
                                                 platform::ReadFreshness::Linearizable);
     if (!succeeded(listing)) {
-        noteFailed(errorOf(listing));
+        noteFailed(errorOf(listing), ReadingFailure::Unanswered);
         return;
     }
     const TimePoint now = m_context.now();
@@ -51,7 +51,9 @@
     const auto changes =
             m_context.m_store.watch(platform::names::upstreamKind, step.m_revision, step.m_wait);
     if (!succeeded(changes)) {
-        noteFailed(errorOf(changes));
+        const bool isHistoryGone = errorOf(changes).m_id == ErrorId::PlatformRefused;
+        noteFailed(errorOf(changes),
+                   isHistoryGone ? ReadingFailure::HistoryGone : ReadingFailure::Unanswered);
         return;
     }
     const TimePoint now = m_context.now();
@@ -62,11 +64,9 @@
         publish("store");
 }
 
-void EntryUpstreamFeed::noteFailed(const Error &error)
+void EntryUpstreamFeed::noteFailed(const Error &error, ReadingFailure failure)
 {
-    const bool isHistoryGone = error.m_id == ErrorId::PlatformRefused;
-    m_following.noteFailed(isHistoryGone ? ReadingFailure::HistoryGone
-                                         : ReadingFailure::Unanswered);
+    m_following.noteFailed(failure);
     m_store.failed(error);
 }
 
--- a/src/entry/upstream_following.cpp
+++ b/src/entry/upstream_following.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-constexpr Duration aloneWatchWait = std::chrono::milliseconds(1000);
 /// A reader that has nothing new says so more often than its followers lose patience.
 constexpr Duration readerWatchWait = std::chrono::milliseconds(500);
-/// A follower reads when it wasn't told for half of its bound. If the answer to that is lost too, a
-/// long wait would use up the other half.
-constexpr Duration followerWatchWait = std::chrono::milliseconds(50);
-/// Pauses in the time in which a leaving upstream must be left alone.
+/// Of a VM whose list has used up its patience: if the answer is lost too, a long wait would use up
+/// the other half of the bound.
+constexpr Duration urgentWatchWait = std::chrono::milliseconds(50);
+/// Pauses, or watches of a VM that reads alone, in the time in which a leaving upstream must be
+/// left alone: a pause, a watch that is lost and the next one fit in with room for the placement.
 constexpr int pausesPerBound = 5;
 /// A reader's pause is shorter: its word goes a step further.
 constexpr int readerPausesPerBound = 6;
-/// A follower that isn't told for this part of the bound reads itself; the rest is for that.
-constexpr int toldPartsPerBound = 2;
+/// A list may be so old, as a part of the bound, before it is read at once; the rest is for that.
+constexpr int patiencesPerBound = 2;
 constexpr Duration toldTick = std::chrono::milliseconds(100);
 constexpr Duration failurePause = std::chrono::milliseconds(150);
 /// Between the tries of a follower whom the store turns away, but who is told: each is paid for.
@@ -37,7 +37,7 @@
         return RestStep{toldTick};
     if (mustList())
         return ListStep{};
-    return WatchStep{m_feed.revision(), watchWait()};
+    return WatchStep{m_feed.revision(), watchWait(now)};
 }
 
 bool UpstreamFollowing::mustList() const
@@ -46,13 +46,18 @@
     return !m_feed.isKnown() || isHistoryGone;
 }
 
+Duration UpstreamFollowing::patience() const
+{
+    return m_bounds.m_leavingApply / patiencesPerBound;
+}
+
 /// Returns how old a list may be that a follower doesn't read for itself; nothing for others, who
 /// read always.
 Duration UpstreamFollowing::toldLimit() const
 {
     if (m_role != StoreRole::Follower || !m_feed.isKnown())
         return Duration::zero();
-    return m_bounds.m_leavingApply / toldPartsPerBound;
+    return patience();
 }
 
 /// Tells whether a reader has confirmed the list lately enough for this VM not to read it.
@@ -63,6 +68,8 @@
 
 Duration UpstreamFollowing::pauseAfterReading(TimePoint now) const
 {
+    if (m_isHistoryGone)
+        return Duration::zero();
     // Not beyond the moment at which the list counts as untold: a failed reading just before it
     // would add the whole pause to the half of the bound that was waited.
     if (m_isStoreLost)
@@ -71,22 +78,18 @@
     return m_bounds.m_leavingApply / parts;
 }
 
-Duration UpstreamFollowing::watchWait() const
+Duration UpstreamFollowing::watchWait(TimePoint now) const
 {
-    switch (m_role) {
-    case StoreRole::Reader:
+    if (m_role == StoreRole::Follower || age(now) >= patience())
+        return urgentWatchWait;
+    if (m_role == StoreRole::Reader)
         return readerWatchWait;
-    case StoreRole::Follower:
-        return followerWatchWait;
-    case StoreRole::Alone:
-        break;
-    }
-    return aloneWatchWait;
+    return m_bounds.m_leavingApply / pausesPerBound;
 }
 
 bool UpstreamFollowing::takeListing(UpstreamList list, TimePoint sentAt, TimePoint now)
 {
-    m_isStoreLost = false;
+    noteAnswered();
     confirm(sentAt);
     if (isOvertaken(list.m_revision))
         return false;
@@ -98,7 +101,7 @@
 bool UpstreamFollowing::takeChanges(const std::vector<UpstreamChange> &changes,
                                     std::int64_t revision, const WatchTimes &times)
 {
-    m_isStoreLost = false;
+    noteAnswered();
     const TimePoint waitedUntil = times.m_sentAt + times.m_wait;
     const bool hasWaited = changes.empty() && times.m_answeredAt >= waitedUntil;
     confirm(hasWaited ? waitedUntil : times.m_sentAt);
@@ -108,11 +111,18 @@
     return true;
 }
 
+void UpstreamFollowing::noteAnswered()
+{
+    m_isStoreLost = false;
+    m_isHistoryGone = false;
+}
+
 void UpstreamFollowing::noteFailed(ReadingFailure failure)
 {
     m_feed.storeFailed();
     m_isStoreLost = true;
-    if (failure == ReadingFailure::HistoryGone)
+    m_isHistoryGone = failure == ReadingFailure::HistoryGone;
+    if (m_isHistoryGone)
         m_refusedRevision = m_feed.revision();
 }
 
--- a/tests/src/unit-entry-upstream-following.cpp
+++ b/tests/src/unit-entry-upstream-following.cpp
@@ -114,6 +114,26 @@
     }
 }
 
+// Guards against patiences that add up: a VM whose list is old asks briefly, in any role.
+TEST_CASE("a list that has used up half of the bound is read at once")
+{
+    const StoreRole role = GENERATE(StoreRole::Reader, StoreRole::Follower, StoreRole::Alone);
+    Vm vm(role);
+    vm.m_following.takeListing(listAt(10), vm.m_now, vm.m_now);
+    vm.m_now += vm.m_bounds.m_leavingApply / 2;
+    const FollowingStep next = vm.m_following.next(vm.m_now);
+    REQUIRE(std::holds_alternative<WatchStep>(next));
+    CHECK(std::get<WatchStep>(next).m_wait == 50ms);
+
+    SECTION("and read whole without a pause where the store refuses its changes")
+    {
+        vm.m_following.noteFailed(ReadingFailure::HistoryGone);
+        CHECK(vm.m_following.pauseAfterReading(vm.m_now) == 0ms);
+        vm.m_following.noteFailed(ReadingFailure::Unanswered);
+        CHECK(vm.m_following.pauseAfterReading(vm.m_now) > 0ms);
+    }
+}
+
 // Guards against lists that count as fresh since their news lay unread or were long under way.
 TEST_CASE("a list is as old as what surely confirmed it")
 {
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -312,7 +312,10 @@
                 answer(vm, call, {});
         };
         later(vm, wait, again);
-        m_store.onChange([this, &vm, again] { later(vm, {}, again); });
+        m_store.onChange([this, &vm, again, life = vm.m_life] {
+            if (vm.m_life == life)
+                later(vm, {}, again);
+        });
     }
 
     void failed(Vm &vm, ReadingFailure failure)
