--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -108,6 +108,7 @@
     void expire();
     std::string answer(const std::string &frame);
     void take(const entrywire::EntryExchange &message);
+    void hearMark(KnownPeer &peer, const entrywire::EntryExchange &message);
     MessageStamp stampFor(const KnownPeer *peer) const;
     std::optional<TimePoint> sentAfter(const entrywire::EntryExchange &message) const;
     void takeLoad(const entrywire::LoadNews &news);
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -240,11 +240,16 @@
                                 {{LogField::Address, peer->m_address}});
         return decoded;
     }
-    if (const auto mark = readStamp(valueOf(decoded)).m_mark)
-        peer->m_mark.hear(*mark, m_context.now());
+    hearMark(*peer, valueOf(decoded));
     return decoded;
 }
 
+void EntryPeers::hearMark(KnownPeer &peer, const entrywire::EntryExchange &message)
+{
+    if (const auto mark = readStamp(message).m_mark)
+        peer.m_mark.hear(*mark, m_context.now());
+}
+
 /// Returns the stamp of a message to a peer, or to a VM that this one doesn't know, for nullptr.
 MessageStamp EntryPeers::stampFor(const KnownPeer *peer) const
 {
@@ -286,6 +291,8 @@
         return {};
     take(received);
     const KnownPeerPointer peer = m_table.find(received.digest.address);
+    if (peer)
+        hearMark(*peer, received);
     entrywire::EntryExchange message = m_writer.message(peer.get());
     writeStamp(stampFor(peer.get()), message);
     return wire::encode(message);
@@ -302,9 +309,6 @@
 void EntryPeers::take(const entrywire::EntryExchange &message)
 {
     hear(message.digest);
-    const KnownPeerPointer peer = m_table.find(message.digest.address);
-    if (const auto mark = readStamp(message).m_mark; mark && peer)
-        peer->m_mark.hear(*mark, m_context.now());
     if (message.__isset.configText)
         m_config.takeFromPeer(message.configText, message.digest.node);
     if (message.__isset.upstreamText)
