Let readers tell when they have read, and pause from when they asked

Hypothesis: a reader told every half second, whether or not it had read in between, and paused after a watch that had already waited half a second; what it tells is up to 1.6 s old then, so that followers, whose patience is 1.5 s, read for themselves though nothing is wrong.

Change: news are due when the reader has read; its pause counts from when it asked, as a watch that waited has let changes collect.

--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -36,6 +36,7 @@
     /// Returns what a follower lacks.
     UpstreamNews newsFor(const FollowerState &follower) const;
     std::int64_t newestChange() const { return feed().history().newest(); }
+    TimePoint readAt() const { return m_following.readAt(); }
 
     /// Tells whether the store has not confirmed the list for so long that a peer's is better.
     bool isStale() const { return m_following.isStale(m_context.now()); }
--- a/include/gypsumdale/entry/news_pace.hpp
+++ b/include/gypsumdale/entry/news_pace.hpp
@@ -13,6 +13,8 @@
     /// The newest change of the upstreams, counted by the reader.
     std::int64_t m_change = 0;
     std::int64_t m_configVersion = 0;
+    /// When the reader last read: its word is as fresh as that.
+    TimePoint m_readAt{};
 
     bool operator==(const NewsState &) const = default;
 };
--- a/include/gypsumdale/entry/upstream_following.hpp
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -78,6 +78,8 @@
     const UpstreamFeed &feed() const { return m_feed; }
     /// A moment at which the store surely had nothing that the list lacks.
     TimePoint confirmedAt() const { return m_confirmation.at(); }
+    /// When the last reading that was answered had been sent.
+    TimePoint readAt() const { return m_readAt; }
     Duration age(TimePoint now) const;
     /// Tells whether the store has not confirmed the list for so long that a peer's is better.
     bool isStale(TimePoint now) const { return age(now) > staleAfter; }
@@ -91,13 +93,14 @@
     Duration toldLimit() const;
     bool isTold(TimePoint now) const;
     Duration watchWait(TimePoint now) const;
-    void noteAnswered();
+    void noteAnswered(TimePoint sentAt);
     bool mustList() const;
     bool isOvertaken(std::int64_t revision) const { return revision < m_feed.revision(); }
 
     const EntryBounds &m_bounds;
     UpstreamFeed m_feed;
     Confirmation m_confirmation;
+    TimePoint m_readAt{};
     StoreRole m_role = StoreRole::Alone;
     /// The store refused to tell what changed after this revision. Nobody's word of it, or of an
     /// earlier one, ends that: only a later list does, or the listing.
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -132,7 +132,7 @@
 
 NewsState EntryStoreNews::newsState() const
 {
-    return {m_upstreams.newestChange(), m_config.version()};
+    return {m_upstreams.newestChange(), m_config.version(), m_upstreams.readAt()};
 }
 
 void EntryStoreNews::tellAll()
--- a/src/entry/upstream_following.cpp
+++ b/src/entry/upstream_following.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/entry/upstream_following.hpp>
 
-#include <algorithm> // clamp
+#include <algorithm> // clamp, max
 #include <utility> // move
 
 namespace gypsumdale {
@@ -74,8 +74,11 @@
     // would add the whole pause to the half of the bound that was waited.
     if (m_isStoreLost)
         return std::clamp(toldLimit() - age(now), failurePause, failurePauseIfTold);
-    const int parts = m_role == StoreRole::Reader ? readerPausesPerBound : pausesPerBound;
-    return m_bounds.m_leavingApply / parts;
+    if (m_role != StoreRole::Reader)
+        return m_bounds.m_leavingApply / pausesPerBound;
+    // A watch that waited has let changes collect already.
+    const Duration pause = m_bounds.m_leavingApply / readerPausesPerBound;
+    return std::max(m_readAt + pause - now, Duration::zero());
 }
 
 Duration UpstreamFollowing::watchWait(TimePoint now) const
@@ -89,7 +92,7 @@
 
 bool UpstreamFollowing::takeListing(UpstreamList list, TimePoint sentAt, TimePoint now)
 {
-    noteAnswered();
+    noteAnswered(sentAt);
     m_confirmation.take(sentAt);
     if (isOvertaken(list.m_revision))
         return false;
@@ -101,7 +104,7 @@
 bool UpstreamFollowing::takeChanges(const std::vector<UpstreamChange> &changes,
                                     std::int64_t revision, const WatchTimes &times)
 {
-    noteAnswered();
+    noteAnswered(times.m_sentAt);
     m_confirmation.take(times, changes.empty() ? WatchResult::Nothing : WatchResult::Changes);
     if (isOvertaken(revision))
         return false;
@@ -109,8 +112,9 @@
     return true;
 }
 
-void UpstreamFollowing::noteAnswered()
+void UpstreamFollowing::noteAnswered(TimePoint sentAt)
 {
+    m_readAt = sentAt;
     m_isStoreLost = false;
     m_isHistoryGone = false;
 }
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -332,7 +332,8 @@
     void tellLoop(Vm &vm)
     {
         const TimePoint now = m_agenda.now();
-        const NewsState state{vm.m_following->feed().history().newest(), 0};
+        const NewsState state{vm.m_following->feed().history().newest(), 0,
+                              vm.m_following->readAt()};
         const bool isReader = vm.m_role == StoreRole::Reader && vm.m_following->feed().isKnown();
         if (isReader && vm.m_pace.isDue(state, now)) {
             vm.m_pace.noteTold(state, now);
