--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -52,16 +52,9 @@
     double m_spare = 1.5;
     /// Upstreams that can't be reclaimed, kept over all data centres, in the cheapest first.
     int m_steadyEngines = 1;
-    /// Part of an engine's reading speed that prompts may take while first tokens come in time. On
-    /// a fleet with engines of 62 tokens a ms, 4, 8, 12 and 20 of them under one load were worth
-    /// 0.40, 0.46, 0.47 and 0.47 of what callers pay, their own price taken off: 12 are loaded to a
-    /// fifth. Reclaimable ones cost a fifth of steady ones: where a data centre had 22 of them in
-    /// place of 38 as the others lost theirs, these seconds were worth 0.54 of what callers pay in
-    /// place of 0.74.
+    /// Part of an engine's reading speed that prompts may take while first tokens come in time.
     double m_readingLoad = 0.3;
-    /// The same for steady engines that stand in for reclaimable ones, at five times the price. On
-    /// a fleet of 60, windows in which an engine read 0.53, 0.68, 0.72 and 0.90 of the speed seen
-    /// were worth 0.94, 0.88, 0.83 and 0.73 of what callers pay.
+    /// The same for steady engines that stand in for reclaimable ones, at several times the price.
     double m_standInLoad = 0.6;
     /// The same for what a further reclaim would leave, which may not come.
     double m_riskLoad = 0.8;
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -19,8 +19,7 @@
 constexpr Duration restartMargin = std::chrono::milliseconds(1000);
 /// A prompt is read alone if what others wait for there is less than this part of it.
 constexpr std::int64_t mostBesides = 10;
-/// Part of a pause that prompts are let to fill: a prompt of 57,000 tokens was read at 0.6 of the
-/// speed that shorter ones show.
+/// Part of a pause that prompts are let to fill, as long ones are read more slowly than others.
 constexpr double pauseUsed = 0.6;
 constexpr int highestPriority = 9;
 /// Room for the routes' priorities within one priority of accounts.
--- a/src/serving/first_event_forecast.cpp
+++ b/src/serving/first_event_forecast.cpp
@@ -13,10 +13,8 @@
 /// were lost in a row are a link or a VM in trouble, or a fleet too large to be compared.
 constexpr Duration oldestReport = std::chrono::milliseconds(500);
 /// Part of the time left that a forecast must be beyond. It lies below one as the forecast leaves
-/// out what makes the wait longer: urgent requests that come later, and long prompts, which were
-/// read at 0.6 of the speed that shorter ones show. Load: engines taken away until one was left for
-/// five, 10 plays with 24,467 forecasts that were only written down. Of 53 requests beyond 0.8, 51
-/// waited in vain, 2 were late, none was in time; beyond 1.0 it were 38 of 38, beyond 0.6 65 of 72.
+/// out what makes the wait longer: urgent requests that come later, and long prompts, which are
+/// read more slowly than shorter ones.
 constexpr double uncertainty = 0.8;
 /// Callers come back within this part of the time that they were told, beyond it: at one moment
 /// they would be the next queue.
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -188,8 +188,7 @@
         return decision;
     }
     // When the fleet's bucket has it, not this VM's part: a caller that comes back is sent to
-    // another VM. Told to wait for this one's part, callers came back after two seconds and were
-    // late: hard days were worth 0.450 in place of 0.442 of what callers pay.
+    // another VM, and would come back late if told to wait for this one's part.
     const double missing = cost - std::min(bucket.m_level, 0.0);
     const double rate = rateOf(account) * fleet.heardShare();
     const Duration refillTime = fromSeconds(missing / std::max(rate, 1.0));
--- a/src/serving/prompt_news.cpp
+++ b/src/serving/prompt_news.cpp
@@ -12,11 +12,8 @@
 constexpr Duration longReading = std::chrono::milliseconds(100);
 /// Shorter ones are not worth a word anywhere: they are read before it has come round.
 constexpr Duration shortReading = std::chrono::milliseconds(20);
-/// Words of all VMs in a second. Each VM hears all of them, at an estimated 200 bytes and 50 us of
-/// processor time each way: 12 of the 27 KB a second and 0.3 of the 1.2% of a core that control may
-/// take. A model of 80 VMs before 40 engines that are half busy: of requests 5.6% come late without
-/// a word, 1.2% with 15 words a second, 0.6% with 30 and 0.1% with 60. On a fleet of 80 VMs before
-/// 60 engines 12.1% of a hard day's requests came late without words, 7.0% with 30.
+/// Words of all VMs in a second. Each VM hears all of them, so that they are bounded by what
+/// control may take of a VM's link and processor.
 constexpr double wordsPerSecond = 30;
 /// A VM's longest prompts are taken from this: some 50 of a VM that gets five in a second.
 constexpr Duration rankedSpan = std::chrono::seconds(10);
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -31,8 +31,7 @@
 constexpr std::size_t drawnNear = 2;
 constexpr std::size_t drawnInAll = 3;
 /// More of them for a prompt that peers hear of at once: the engine with the fewest streams makes
-/// them wait least, and no other VM sends its long prompt there too. In a calm moment of 80 VMs
-/// before 60 engines 4.5% of long streams had a pause of over 600 ms, 9.3% with three compared.
+/// them wait least, and no other VM sends its long prompt there too.
 constexpr std::size_t drawnNearIfTold = 8;
 constexpr std::size_t drawnInAllIfTold = 12;
 /// A plain service's upstream elsewhere is drawn this much more rarely, for the way and the bytes.
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -359,8 +359,8 @@
             if (follower.m_isDead)
                 return;
             const TimePoint takenAt = m_agenda.now();
-            const ToldAge told{age, sentAfter(echo, follower.m_life, takenAt)};
-            const auto taking = follower.m_following->takeNews(news, told, takenAt);
+            const ToldAge toldAge{age, sentAfter(echo, follower.m_life, takenAt)};
+            const auto taking = follower.m_following->takeNews(news, toldAge, takenAt);
             const Duration back = wayOf(reader);
             if (takenAt + back - now > NewsPace::receiptTimeout)
                 return;
