--- a/include/gypsumdale/entry/message_age.hpp
+++ b/include/gypsumdale/entry/message_age.hpp
@@ -3,7 +3,6 @@
 #include <gypsumdale/core/clock.hpp>
 
 #include <algorithm> // min
-#include <cstdint> // int64_t
 #include <optional> // optional
 
 namespace gypsumdale {
