--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -135,7 +135,7 @@
 
     Fleet lookAround(TimePoint now);
     double demandOfPeers(const AccountId &account, TimePoint now) const;
-    void noteHeard(TimePoint now);
+    Fleet noteHeard(TimePoint now);
     Bucket &bucketOf(const AccountId &account, TimePoint now);
     double capacityOf(const ClientAccount &account) const;
     double rateOf(const ClientAccount &account) const;
--- a/src/serving/fleet_quota.cpp
+++ b/src/serving/fleet_quota.cpp
@@ -122,11 +122,13 @@
 
 /// Counts the time since the last call by the part of the VMs that was heard: the part of the rate
 /// that the others may have admitted unheard is never filled in, also not into a bucket that is
-/// asked only later.
-void FleetQuota::noteHeard(TimePoint now)
+/// asked only later. Returns the fleet as of now.
+FleetQuota::Fleet FleetQuota::noteHeard(TimePoint now)
 {
+    const Fleet fleet = lookAround(now);
     const double passed = toSeconds(now - std::exchange(m_heardUntil, now));
-    m_heardSeconds += passed * lookAround(now).heardShare();
+    m_heardSeconds += passed * fleet.heardShare();
+    return fleet;
 }
 
 /// Returns an account's bucket. It fills from the moment on at which this VM first hears of the
@@ -163,10 +165,9 @@
     QuotaDecision decision;
     if (account.m_ratePerSecond <= 0)
         return decision;
-    noteHeard(now);
+    const Fleet fleet = noteHeard(now);
     Bucket &bucket = bucketOf(account.m_id, now);
     bucket.m_demand.add(cost, now);
-    const Fleet fleet = lookAround(now);
     const double ownDemand = bucket.m_demand.sum(now) / toSeconds(demandSpan);
     const double demand = ownDemand + demandOfPeers(account.m_id, now);
     const double share =
