--- a/tests/src/unit-entry-upstream-following.cpp
+++ b/tests/src/unit-entry-upstream-following.cpp
@@ -125,6 +125,15 @@
     REQUIRE(std::holds_alternative<WatchStep>(next));
     CHECK(std::get<WatchStep>(next).m_wait == 50ms);
 
+    SECTION("and before that no watch waits beyond it")
+    {
+        Vm reader(StoreRole::Reader);
+        reader.m_following.takeListing(listAt(10), reader.m_now, reader.m_now);
+        reader.m_now += reader.m_bounds.m_leavingApply / 2 - 200ms;
+        const FollowingStep last = reader.m_following.next(reader.m_now);
+        CHECK(std::get<WatchStep>(last).m_wait == 200ms);
+    }
+
     SECTION("and read whole without a pause where the store refuses its changes")
     {
         vm.m_following.noteFailed(ReadingFailure::HistoryGone);
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -254,7 +254,7 @@
         if (!vm.m_breaker.tryCall(call.m_sentAt))
             return failed(vm, ReadingFailure::Unanswered);
         if (vm.m_isTurnedAway)
-            return fail(vm, call, wayOf(vm));
+            return fail(vm, call, std::min(wayOf(vm), call.m_timeout));
         if (loses(vm))
             return fail(vm, call, call.m_timeout);
         later(vm, wayOf(vm), [this, &vm, call] { answer(vm, call, call.m_wait); });
@@ -356,14 +356,15 @@
         const auto echo = reader.m_marks[&follower].echo(now);
         const auto receipt = std::make_shared<bool>(false);
         const Duration way = wayOf(reader.m_isSlow ? reader : follower);
-        later(follower, way, [this, &reader, &follower, news, age, echo, receipt, now] {
+        const int life = reader.m_life;
+        later(follower, way, [this, &reader, &follower, news, age, echo, receipt, now, life] {
             if (follower.m_isDead)
                 return;
             const TimePoint takenAt = m_agenda.now();
             const ToldAge toldAge{age, sentAfter(echo, follower.m_life, takenAt)};
             const auto taking = follower.m_following->takeNews(news, toldAge, takenAt);
             const Duration back = wayOf(reader);
-            if (takenAt + back - now > NewsPace::receiptTimeout)
+            if (reader.m_life != life || takenAt + back - now > NewsPace::receiptTimeout)
                 return;
             *receipt = true;
             const ClockMark mark{follower.m_life, takenAt};
