--- /dev/null
+++ b/tests/support/agenda.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+
+#include <chrono> // hours
+#include <cstdint> // uint64_t
+#include <functional> // function
+#include <queue> // priority_queue
+#include <utility> // move
+
+namespace gypsumdale::testing {
+
+/// What is done at a later time. The time stands still while it is done.
+class Agenda
+{
+public:
+    TimePoint now() const { return m_now; }
+
+    void after(Duration delay, std::function<void()> work)
+    {
+        m_entries.push({m_now + delay, m_added++, std::move(work)});
+    }
+
+    void runUntil(TimePoint end)
+    {
+        while (!m_entries.empty() && m_entries.top().m_at <= end) {
+            const Entry entry = m_entries.top();
+            m_entries.pop();
+            m_now = entry.m_at;
+            entry.m_work();
+        }
+        m_now = end;
+    }
+
+private:
+    struct Entry
+    {
+        TimePoint m_at{};
+        std::uint64_t m_number = 0;
+        std::function<void()> m_work;
+
+        bool operator<(const Entry &other) const
+        {
+            return m_at != other.m_at ? m_at > other.m_at : m_number > other.m_number;
+        }
+    };
+
+    TimePoint m_now{std::chrono::hours(1)};
+    std::uint64_t m_added = 0;
+    std::priority_queue<Entry> m_entries;
+};
+
+} // namespace gypsumdale::testing
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "support/agenda.hpp"
+#include "support/upstream_store.hpp"
+
 #include <gypsumdale/entry/message_age.hpp>
 #include <gypsumdale/entry/news_pace.hpp>
 #include <gypsumdale/entry/upstream_following.hpp>
@@ -17,99 +20,12 @@
 #include <map> // map
 #include <memory> // make_shared, make_unique, unique_ptr
 #include <optional> // optional
-#include <queue> // priority_queue
 #include <string> // to_string
 #include <utility> // exchange, move
 #include <vector> // vector
 
 namespace gypsumdale::testing {
 
-/// What is done at a later time. The time stands still while it is done.
-class Agenda
-{
-public:
-    TimePoint now() const { return m_now; }
-
-    void after(Duration delay, std::function<void()> work)
-    {
-        m_entries.push({m_now + delay, m_added++, std::move(work)});
-    }
-
-    void runUntil(TimePoint end)
-    {
-        while (!m_entries.empty() && m_entries.top().m_at <= end) {
-            const Entry entry = m_entries.top();
-            m_entries.pop();
-            m_now = entry.m_at;
-            entry.m_work();
-        }
-        m_now = end;
-    }
-
-private:
-    struct Entry
-    {
-        TimePoint m_at{};
-        std::uint64_t m_number = 0;
-        std::function<void()> m_work;
-
-        bool operator<(const Entry &other) const
-        {
-            return m_at != other.m_at ? m_at > other.m_at : m_number > other.m_number;
-        }
-    };
-
-    TimePoint m_now{std::chrono::hours(1)};
-    std::uint64_t m_added = 0;
-    std::priority_queue<Entry> m_entries;
-};
-
-/// The store's list of upstreams with its history.
-class UpstreamStore
-{
-public:
-    void put(const UpstreamId &id, bool isDraining)
-    {
-        UpstreamRecord record;
-        record.m_id = id;
-        record.m_isDraining = isDraining;
-        m_list.m_upstreams[id] = record;
-        note({record, UpstreamChangeKind::Present});
-    }
-    void remove(const UpstreamId &id)
-    {
-        UpstreamChange change;
-        change.m_record.m_id = id;
-        change.m_kind = UpstreamChangeKind::Removed;
-        m_list.m_upstreams.erase(id);
-        note(change);
-    }
-    void dropHistory() { m_keptFrom = m_list.m_revision; }
-    /// Calls something once, at the next change.
-    void onChange(std::function<void()> told) { m_told.push_back(std::move(told)); }
-
-    const UpstreamList &list() const { return m_list; }
-    bool hasSince(std::int64_t revision) const { return revision >= m_keptFrom; }
-    std::vector<UpstreamChange> since(std::int64_t revision) const
-    {
-        return {m_changes.begin() + revision, m_changes.end()};
-    }
-
-private:
-    void note(const UpstreamChange &change)
-    {
-        m_changes.push_back(change);
-        m_list.m_revision = static_cast<std::int64_t>(m_changes.size());
-        for (const auto &told : std::exchange(m_told, {}))
-            told();
-    }
-
-    UpstreamList m_list;
-    std::vector<UpstreamChange> m_changes;
-    std::int64_t m_keptFrom = 0;
-    std::vector<std::function<void()>> m_told;
-};
-
 /// What a play disturbs.
 struct NewsTroubles
 {
