Take a restarted fleet for as large as the registry says while it is not heard yet

What callers saw: after all VMs had lost their power, links were full for ten seconds and more. Cause: pace and size of the fleet were judged by who had been heard. In the first moments that is a handful, so that a fleet of 65 exchanged at the pace of a small one, each VM with all others each 250 ms; what did not come through on full links kept the number of those heard small. And five seconds after its start a VM that had heard 10 of 65 took its quota's part as one of 11. Change: exchanges go at the pace of the VMs that the registry names. Those of them that were never heard count as expected, and as silent for quotas and budgets, until they would be given up if they had fallen silent, 20 s.

--- a/include/gypsumdale/entry/fleet_size_estimate.hpp
+++ b/include/gypsumdale/entry/fleet_size_estimate.hpp
@@ -18,9 +18,11 @@
 
     /// Notes how many VMs the registry had when it was last read.
     void setRegistered(std::size_t vms) { m_registered = vms; }
+    bool isRegistryRead() const { return m_registered > 0; }
 
     /// Returns the VMs that the fleet should have, as long as this process has not had the time to
-    /// hear them; 0 after that. Members are the peers heard, seeds those that the settings name.
+    /// hear them, or hears fewer than the registry names and may still hear the rest; 0 after that.
+    /// Members are the peers heard, seeds those that the settings name.
     std::size_t expected(std::size_t members, std::size_t seeds, TimePoint now) const;
 
     /// Returns the VMs that budgets are shared with, this one among them.
@@ -28,6 +30,7 @@
 
 private:
     bool isLearning(TimePoint now) const;
+    bool isMissingRegistered(std::size_t members, TimePoint now) const;
 
     TimePoint m_startedAt;
     bool m_isFirstStart;
--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -97,7 +97,10 @@
     bool isMember(const std::string &address, TimePoint now) const;
     /// Returns the number of peers that are part of the fleet. Linear in the peers.
     std::size_t members(TimePoint now) const;
-    ExchangePace pace(TimePoint now) const { return ExchangePace(members(now)); }
+    /// Takes in how many VMs the fleet should have, until they could be heard; 0 from then on.
+    void setExpected(std::size_t vms) { m_expected = vms; }
+    /// Returns the pace for the peers that are heard or expected. Linear in the peers.
+    ExchangePace pace(TimePoint now) const;
 
     /// Returns the members that don't count as silent. Linear in the peers.
     std::vector<KnownPeerPointer> heardMembers(TimePoint now) const;
@@ -127,6 +130,7 @@
     /// By address.
     std::map<std::string, KnownPeerPointer> m_peers;
     std::size_t m_nextAsked = 0;
+    std::size_t m_expected = 0;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -116,7 +116,8 @@
     const std::size_t size = m_fleetSize.size(members, now);
     const std::size_t expected =
             m_fleetSize.expected(members, m_context.m_settings.m_seeds.size(), now);
-    const int stretch = ExchangePace(std::max(members, expected)).stretch();
+    m_table.setExpected(m_fleetSize.isRegistryRead() ? expected : 0);
+    const int stretch = m_table.pace(now).stretch();
     m_context.m_trafficLoop.spawn([this, stretch, expected, size] {
         m_context.m_traffic.setExchangePace(stretch);
         m_context.m_traffic.setFleetSize(size, expected);
--- a/src/entry/fleet_size_estimate.cpp
+++ b/src/entry/fleet_size_estimate.cpp
@@ -10,6 +10,9 @@
 /// today's sites have.
 constexpr std::size_t assumedFleet = 8;
 constexpr Duration fleetLearningTime = std::chrono::seconds(5);
+/// A registered VM that was never heard counts as one that fell silent: it is given up when such a
+/// one would be.
+constexpr Duration registeredKeptFor = std::chrono::seconds(20);
 /// A restarted process counts on so many VMs until it has read the registry, or for this long if
 /// the store doesn't answer: more than have been played, as each VM that takes the fleet for
 /// smaller admits more than its part.
@@ -23,8 +26,16 @@
     return now < m_startedAt + fleetLearningTime;
 }
 
+/// Tells whether VMs of the registry were not heard yet and may still be there.
+bool FleetSizeEstimate::isMissingRegistered(std::size_t members, TimePoint now) const
+{
+    return members + 1 < m_registered && now < m_startedAt + registeredKeptFor;
+}
+
 std::size_t FleetSizeEstimate::expected(std::size_t members, std::size_t seeds, TimePoint now) const
 {
+    if (isMissingRegistered(members, now))
+        return std::max(m_registered, seeds);
     if (!isLearning(now))
         return 0;
     if (m_registered > 0)
@@ -38,7 +49,9 @@
 std::size_t FleetSizeEstimate::size(std::size_t members, TimePoint now) const
 {
     const std::size_t known = members + 1;
-    return isLearning(now) ? std::max({known, assumedFleet, m_registered}) : known;
+    if (isLearning(now))
+        return std::max({known, assumedFleet, m_registered});
+    return isMissingRegistered(members, now) ? m_registered : known;
 }
 
 } // namespace gypsumdale
--- a/src/entry/peer_table.cpp
+++ b/src/entry/peer_table.cpp
@@ -101,6 +101,12 @@
     return count;
 }
 
+ExchangePace PeerTable::pace(TimePoint now) const
+{
+    const std::size_t expectedPeers = m_expected > 0 ? m_expected - 1 : 0;
+    return ExchangePace(std::max(members(now), expectedPeers));
+}
+
 std::vector<KnownPeerPointer> PeerTable::heardMembers(TimePoint now) const
 {
     std::vector<KnownPeerPointer> heard;
