Drop a peer's message that a later one has overtaken

Cause: an exchange that was given up after 600 ms may still arrive, after the next one, and both sides begin exchanges. Its lower totals looked like those of a process that has restarted, so that all that the peer had admitted was taken off the account's bucket once more, and old loads and states replaced new ones. Change: a message of the same process that was sent before the last one taken is dropped and logged. The unit test guards the order; nothing else compared it before.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -112,7 +112,7 @@
     MessageStamp stampFor(const KnownPeer *peer) const;
     std::optional<TimePoint> sentAfter(const entrywire::EntryExchange &message) const;
     void takeLoad(const entrywire::LoadNews &news);
-    void hear(const entrywire::EntryDigest &digest);
+    void hear(const entrywire::EntryExchange &message);
 
     EntryContext &m_context;
     EntryConfigFeed &m_config;
--- a/include/gypsumdale/entry/message_age.hpp
+++ b/include/gypsumdale/entry/message_age.hpp
@@ -54,6 +54,26 @@
     TimePoint m_heardAt{};
 };
 
+/// Tells messages of a peer that were overtaken by a later one: each side begins exchanges, and
+/// what was given up as late may still arrive.
+class NewestMark
+{
+public:
+    /// Takes in when a message was sent. Returns false if one of the same process that was sent
+    /// later has been taken in. Constant.
+    bool take(const ClockMark &mark)
+    {
+        const bool isSameProcess = m_newest && m_newest->m_process == mark.m_process;
+        if (isSameProcess && mark.m_time < m_newest->m_time)
+            return false;
+        m_newest = mark;
+        return true;
+    }
+
+private:
+    std::optional<ClockMark> m_newest;
+};
+
 /// Returns a moment of this process's clock after which a message was sent, however long it was
 /// under way or lay unread; nothing if it echoes no mark of this process. Constant.
 inline std::optional<TimePoint> sentAfter(const std::optional<ClockEcho> &echo, WallMillis process,
--- a/include/gypsumdale/entry/peer_table.hpp
+++ b/include/gypsumdale/entry/peer_table.hpp
@@ -38,6 +38,7 @@
     std::shared_ptr<FrameChannel> m_channel;
     PeerState m_state;
     HeardMark m_mark;
+    NewestMark m_newestDigest;
     TimePoint m_heardAt{};
     TimePoint m_knownSince{};
     /// When this VM last began an exchange with it in its turn.
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -310,7 +310,7 @@
 
 void EntryPeers::take(const entrywire::EntryExchange &message)
 {
-    hear(message.digest);
+    hear(message);
     if (message.__isset.configText)
         m_config.takeFromPeer(message.configText, message.digest.node);
     if (message.__isset.upstreamText)
@@ -320,12 +320,19 @@
                 message.digest.node);
 }
 
-void EntryPeers::hear(const entrywire::EntryDigest &digest)
+void EntryPeers::hear(const entrywire::EntryExchange &message)
 {
+    const entrywire::EntryDigest &digest = message.digest;
     learn(digest.node, digest.address, false);
     const KnownPeerPointer peer = m_table.find(digest.address);
     if (!peer)
         return;
+    // Its lower totals would be taken for those of a restarted VM, and counted once more.
+    const auto mark = readStamp(message).m_mark;
+    if (mark && !peer->m_newestDigest.take(*mark)) {
+        m_context.m_log.info("digest-overtaken", {{LogField::Peer, digest.node}});
+        return;
+    }
     if (PeerTable::hear(*peer, stateOf(digest), m_context.now()))
         m_context.m_log.info("peer-heard-again", {{LogField::Peer, digest.node}});
     for (const auto &known : digest.peers)
--- a/tests/src/unit-entry-message-age.cpp
+++ b/tests/src/unit-entry-message-age.cpp
@@ -33,3 +33,24 @@
         CHECK_FALSE(sentAfter(std::nullopt, process, asked));
     }
 }
+
+// Guards against totals of a peer that are counted twice, as an earlier message that was long under
+// way looks like the first of a restarted process.
+TEST_CASE("a message that a later one has overtaken")
+{
+    NewestMark newest;
+    const TimePoint sent{10s};
+    REQUIRE(newest.take({1, sent}));
+
+    SECTION("is told by the sender's clock")
+    {
+        CHECK_FALSE(newest.take({1, sent - 1ms}));
+        CHECK(newest.take({1, sent}));
+        CHECK(newest.take({1, sent + 1ms}));
+    }
+    SECTION("is none of another process, whose clock says nothing of it")
+    {
+        CHECK(newest.take({2, sent - 5s}));
+        CHECK_FALSE(newest.take({2, sent - 6s}));
+    }
+}
