Say until when a request that rests on a list may arrive

A placement rested on a list of any age, and nothing on the way from the choice to the upstream's first byte asked again. The term is counted from what confirmed the list, so that each later step can compare it with the time that it is.

--- /dev/null
+++ b/tests/src/unit-placement-term.cpp
@@ -0,0 +1,159 @@
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/serving/placement_term.hpp>
+
+#include <chrono> // milliseconds, seconds
+#include <optional> // optional
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace gypsumdale;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration leavingApply = 3s;
+
+/// A list whose age a test moves by a paused clock.
+struct ListInUse
+{
+    ListInUse() { m_clock.pause(); }
+
+    /// Notes that the store confirms the list now.
+    void confirm() { m_list.m_confirmedAt = m_clock.now(); }
+    std::optional<TimePoint> until() const { return m_term.until(m_list, m_clock.now()); }
+
+    Clock m_clock;
+    PlacementTerm m_term{leavingApply};
+    ListStanding m_list;
+};
+
+} // namespace
+
+TEST_CASE("a placement holds from the confirmation of its list on")
+{
+    // The time was counted from the placement, so that an old list held as long as a new one.
+    ListInUse use;
+    use.confirm();
+    const TimePoint confirmedAt = use.m_clock.now();
+    const TimePoint expected = confirmedAt + leavingApply - PlacementTerm::wayReserve;
+    REQUIRE(use.until() == expected);
+
+    SECTION("also when the list has aged")
+    {
+        use.m_clock.advance(2s);
+        REQUIRE(use.until() == expected);
+    }
+
+    SECTION("longer once the list is confirmed anew")
+    {
+        use.m_clock.advance(2s);
+        use.confirm();
+        REQUIRE(use.until() == expected + 2s);
+    }
+
+    SECTION("to the last moment and no longer")
+    {
+        use.m_clock.advance(leavingApply - PlacementTerm::wayReserve - 1ns);
+        REQUIRE(use.until() == expected);
+        use.m_clock.advance(1ns);
+        REQUIRE_FALSE(use.until());
+    }
+}
+
+TEST_CASE("a list that can't be had any newer is placed by for a short time")
+{
+    // A VM cut off from the store would serve nobody, or go by its old list without an end.
+    ListInUse use;
+    use.confirm();
+    use.m_list.m_isUnconfirmable = true;
+
+    SECTION("while it is new it holds as any other")
+    {
+        REQUIRE(use.until() == use.m_clock.now() + leavingApply - PlacementTerm::wayReserve);
+    }
+
+    SECTION("an old one holds from the placement on")
+    {
+        use.m_clock.advance(60s);
+        REQUIRE(use.until() == use.m_clock.now() + PlacementTerm::unconfirmableTerm);
+    }
+}
+
+TEST_CASE("the term of a placement made is moved by a confirmation only")
+{
+    // A term that was worked out anew at each look would never end while the store is away.
+    ListInUse use;
+    use.confirm();
+    use.m_list.m_isUnconfirmable = true;
+    use.m_clock.advance(60s);
+    const TimePoint placed = *use.until();
+
+    SECTION("not by time")
+    {
+        use.m_clock.advance(400ms);
+        REQUIRE(use.m_term.renewed(placed, use.m_list) == placed);
+    }
+
+    SECTION("by a confirmation")
+    {
+        use.m_clock.advance(400ms);
+        use.confirm();
+        REQUIRE(use.m_term.renewed(placed, use.m_list)
+                == use.m_clock.now() + leavingApply - PlacementTerm::wayReserve);
+    }
+
+    SECTION("never to an earlier moment")
+    {
+        use.m_list.m_confirmedAt = use.m_clock.now() - 2700ms;
+        REQUIRE(use.m_term.renewed(placed, use.m_list) == placed);
+    }
+}
+
+TEST_CASE("a request goes out only if its bytes arrive within its term")
+{
+    // A connection that came about late says that the bytes will be late as well.
+    Clock clock;
+    clock.pause();
+    const TimePoint now = clock.now();
+
+    SECTION("a fast connection needs what is left and no more")
+    {
+        REQUIRE(PlacementTerm::maySend(now + 1ns, 1ms, now));
+        REQUIRE_FALSE(PlacementTerm::maySend(now, 1ms, now));
+    }
+
+    SECTION("a slow one may use the reserve for the way")
+    {
+        REQUIRE(PlacementTerm::maySend(now + 51ms, 250ms, now));
+        REQUIRE_FALSE(PlacementTerm::maySend(now + 50ms, 250ms, now));
+    }
+
+    SECTION("a term that was ended ends it at any speed")
+    {
+        REQUIRE_FALSE(PlacementTerm::maySend(TimePoint::min(), 0ms, now));
+    }
+}
+
+TEST_CASE("no term of a confirmable list outlasts the time to leave an upstream alone")
+{
+    // Each step kept within its own patience while their sum broke the bound.
+    rc::prop("a request that may go out arrives in time if its way takes as long as its connection",
+             [] {
+                 Clock clock;
+                 clock.pause();
+                 const auto age = std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+                 const auto connecting = std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+                 const PlacementTerm term(leavingApply);
+                 const TimePoint now = clock.now();
+                 const ListStanding list{now - age, false};
+                 const auto until = term.until(list, now);
+                 RC_ASSERT(until.has_value() == (age < leavingApply - PlacementTerm::wayReserve));
+                 if (!until)
+                     return;
+                 const TimePoint connectedAt = now + connecting;
+                 if (PlacementTerm::maySend(*until, connecting, connectedAt))
+                     RC_ASSERT(connectedAt + connecting < list.m_confirmedAt + leavingApply);
+             });
+}
