Reset the connection of an exchange that ends before its answer

A request that was given up reached its upstream when the path healed: close() sent the connection's end behind bytes that the kernel still held. From the first byte of a request to its answer's proper end the stream now resets its connection on close, whoever closes it: a cancellation, a passed time, a destroyed exchange or the end of the loop. A finished exchange closes, or goes to the pool, as before.

Callers of the client: the platform's calls and the orders to engines see a reset in place of an end where they were given up, which says no less; a server on HttpServer learns of its caller's going by either.

The proxy of the tests now loses what it holds back when the sender resets, as the users' network does; it held the bytes in its own buffer and passed them on.

--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -214,6 +214,8 @@
     m_closed = true;
     m_onEnd = nullptr;
     error_code error;
+    if (m_resetsOnClose)
+        m_socket.set_option(asio::socket_base::linger(true, 0), error);
     m_socket.close(error);
     m_timer.cancel();
 }
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -87,6 +87,10 @@
     /// answer that the other side hasn't read yet.
     void closeGently();
 
+    /// Says whether close() resets the connection: what the kernel still holds, or a path that has
+    /// fallen silent, then never arrives.
+    void resetOnClose(bool isOn) { m_resetsOnClose = isOn; }
+
     void close() override;
     bool isClosed() const { return m_closed; }
 
@@ -126,6 +130,7 @@
     std::function<void()> m_onEnd;
     bool m_timedOut = false;
     bool m_closed = false;
+    bool m_resetsOnClose = false;
 };
 
 } // namespace gypsumdale::detail
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -101,10 +101,12 @@
     , m_isHead(call.m_method == "HEAD")
     , m_closeAfter(call.m_closeAfter)
     , m_acceptsUnframed(call.m_acceptsUnframed)
-{}
+{
+    m_stream->resetOnClose(true);
+}
 
 /// Guards the next request of a connection against the rest of an answer that nobody read: unless
-/// the message has ended, the connection goes.
+/// the message has ended, the connection goes, and with it what of the request is still under way.
 HttpExchange::State::~State()
 {
     if (!m_finished)
@@ -236,6 +238,7 @@
     if (m_finished)
         return;
     m_finished = true;
+    m_stream->resetOnClose(false);
     const std::shared_ptr<detail::ConnectionPool> pool = m_pool.lock();
     const bool isReusable = m_parser->keep_alive() && m_stream->input().size() == 0;
     if (pool && isReusable && !m_cancelled && !m_closeAfter)
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -4,6 +4,8 @@
 
 #include <gypsumdale/core/clock.hpp>
 
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -11,6 +13,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array> // array
+#include <cerrno> // ECONNRESET
 #include <chrono> // milliseconds
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t
@@ -36,7 +39,8 @@
 };
 
 /// Passes connections on to a port on loopback, and harms them when told to. Bytes are never lost
-/// while a connection lives, as TCP sends them again when a link heals.
+/// while a connection lives, as TCP sends them again when a link heals; those held back are lost
+/// when their sender resets it.
 class FaultProxy
 {
 public:
@@ -147,6 +151,9 @@
         template <typename Next>
         void passOn(Way &way, Next next)
         {
+            // What a link holds back is lost with a sender that resets its connection.
+            if (isReset(way.m_from))
+                return reset();
             if (m_proxy.holds(way.m_isToTarget))
                 return after(way, retryEvery, [this, &way, next] { passOn(way, next); });
             if (m_proxy.m_fault == LinkFault::Delay)
@@ -154,6 +161,14 @@
             next();
         }
 
+        static bool isReset(Socket &socket)
+        {
+            char byte = 0;
+            const ssize_t peeked =
+                    ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            return peeked < 0 && errno == ECONNRESET;
+        }
+
         template <typename Next>
         void after(Way &way, std::chrono::milliseconds wait, Next next)
         {
