Reset the connection of a frame that was given up

What callers saw: after a joint restart with a large configuration, requests and answers stood in links for seconds, ten seconds after everybody had what was sent. Cause: a message to a peer that took longer than its time was given up and its connection closed in the ordinary way. What the kernel had taken of it went out all the same, up to half a megabyte each, in front of whatever came later: of a message to each of 64 peers, half a minute of a link of 10 Mbit/s. The store turned nobody away. Ruled out: late threads (52 late loops, all within 3 s of the restart); callers (as many as before). Change: from its first byte to its answer a frame's connection is reset if it ends.

--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -58,9 +58,9 @@
     FrameChannel(const FrameChannel &) = delete;
     FrameChannel &operator=(const FrameChannel &) = delete;
 
-    /// Sends a frame and returns the answer. A failure or a timeout closes the connection, so that
-    /// a late answer can't be taken for the next one's. The time covers waiting, connecting,
-    /// sending and the answer.
+    /// Sends a frame and returns the answer. A failure or a timeout resets the connection, so that
+    /// neither a late answer can be taken for the next one's nor a frame that was given up takes
+    /// room on the way of later ones. The time covers waiting, connecting, sending and the answer.
     Result<std::string> exchange(const std::string &frame, Duration timeout);
 
     FrameTraffic traffic() const;
--- a/src/runtime/frame_channel.cpp
+++ b/src/runtime/frame_channel.cpp
@@ -157,8 +157,12 @@
     const Result<Done> connected = ensureConnected(deadline);
     if (!succeeded(connected))
         return errorOf(connected);
+    const std::shared_ptr<Stream> stream = m_stream;
+    stream->resetOnClose(true);
     Result<std::string> answer = sendAndReceive(frame, deadline);
-    if (!succeeded(answer))
+    if (succeeded(answer))
+        stream->resetOnClose(false);
+    else
         closeStream();
     return answer;
 }
--- a/tests/src/unit-frame-channel.cpp
+++ b/tests/src/unit-frame-channel.cpp
@@ -1,8 +1,12 @@
+#include "support/fault_proxy.hpp"
+
 #include <gypsumdale/runtime/frame_channel.hpp>
 
+#include <atomic> // atomic
 #include <chrono> // milliseconds, seconds
 #include <future> // future, promise
 #include <string> // string
+#include <thread> // sleep_for
 #include <vector> // vector
 
 #include <boost/asio/io_context.hpp>
@@ -104,6 +108,33 @@
     REQUIRE(valueOf(next) == "echo next");
 }
 
+// Guards against frames that were given up and still fill a slow way, in front of later ones.
+TEST_CASE("a frame that was given up doesn't arrive when its way heals")
+{
+    FiberLoop loop("frames");
+    loop.start();
+    std::atomic<int> arrived = 0;
+    FrameServer server = listenOn(loop, [&arrived](std::string frame) {
+        ++arrived;
+        return echo(std::move(frame));
+    });
+    gypsumdale::testing::FaultProxy proxy(server.port());
+    FrameChannel channel(loop, {"127.0.0.1", proxy.port()});
+    REQUIRE(succeeded(loop.call([&] { return channel.exchange("before", 10s); })));
+
+    proxy.set(gypsumdale::testing::LinkFault::CutToTarget);
+    REQUIRE_FALSE(succeeded(loop.call([&] { return channel.exchange("given up", 60ms); })));
+    proxy.set(gypsumdale::testing::LinkFault::None);
+
+    // It comes after what the proxy held back.
+    FrameChannel other(loop, {"127.0.0.1", proxy.port()});
+    for (int marker = 0; marker < 20; ++marker) {
+        REQUIRE(succeeded(loop.call([&] { return other.exchange("marker", 10s); })));
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(arrived == 21);
+}
+
 TEST_CASE("a channel survives its peer's restart")
 {
     // A peer's process is replaced by one on the same address. The old connection is dead on the
