Show that peers fill a narrow link with configurations that never arrive

What callers saw: after a fleet of 65 VMs restarted, a third of them had no configuration for ten seconds and links were full, so that connections to upstreams timed out and lists of upstreams went stale.

Cause: each peer that is ahead puts the whole configuration into each exchange with a VM that has none. Five peers at once take more than the 600 ms that an exchange has; all are cut and begin anew.

The test lets all that enters one of six VMs pass a link of 10 Mbit/s.

--- /dev/null
+++ b/tests/src/process-entry-restart.cpp
@@ -0,0 +1,91 @@
+#include "support/entry_world.hpp"
+#include "support/narrow_link.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal> // SIGKILL
+#include <cstdint> // uint64_t
+#include <string> // string
+#include <vector> // vector
+
+using namespace gypsumdale;
+using namespace gypsumdale::testing;
+
+namespace {
+
+constexpr std::size_t nodeCount = 6;
+/// Of some 500 bytes each as the store sends them.
+constexpr int furtherRoutes = 1100;
+constexpr std::uint64_t configBytes = 500'000;
+/// Configurations that may enter a VM before it is ready: one from a peer, one from the store, and
+/// as much again for what was begun in vain and for the exchanges.
+constexpr std::uint64_t configsAtMost = 4;
+/// 10 Mbit/s.
+constexpr double linkBytesPerSecond = 1'250'000;
+
+/// A fleet with a large configuration, one VM of which has all that enters it on one narrow link.
+class NarrowWorld
+{
+public:
+    NarrowWorld()
+        : m_link(linkBytesPerSecond)
+        , m_world(static_cast<int>(nodeCount), true)
+    {
+        m_world.configure(2, {"key"}, furtherRoutes);
+        for (std::size_t index = 0; index < nodeCount; ++index)
+            m_world.waitUntil("adopted", [this, index] { return holdsVersion(index, 2); });
+        // Answers of the others count whoever they are for: among themselves they send little.
+        for (std::size_t index = 1; index < nodeCount; ++index)
+            m_world.node(index).m_peerLink->narrow(nullptr, &m_link);
+        m_world.node().m_peerLink->narrow(&m_link, nullptr);
+        m_world.node().m_storeLink->narrow(nullptr, &m_link);
+        for (std::size_t index = 0; index < nodeCount; ++index)
+            m_world.node(index).m_peerLink->resetAll();
+    }
+
+    EntryWorld::EntryNode &node() { return m_world.node(); }
+
+    /// Ends the VM's process without warning, starts it again, and returns what has entered it
+    /// until it is ready.
+    std::uint64_t restart(LinkFault storeFault)
+    {
+        node().m_process->send(SIGKILL);
+        m_world.waitUntil("ended", [this] { return node().m_process->exited(); });
+        node().m_storeLink->set(storeFault);
+        const std::uint64_t before = m_link.bytes();
+        m_world.start(node());
+        m_world.waitUntil("ready", [this] { return m_world.isReady(node()); });
+        return m_link.bytes() - before;
+    }
+
+private:
+    bool holdsVersion(std::size_t index, int version)
+    {
+        const std::string body = m_world.get(m_world.node(index).m_metricsPort, "/metrics").m_body;
+        const std::string line = fmt::format("\ngypsumdale_config_version {}\n", version);
+        return body.find(line) != std::string::npos;
+    }
+
+    NarrowLink m_link;
+    EntryWorld m_world;
+};
+
+} // namespace
+
+// Guards against whole configurations from all peers at once, none of which arrives.
+TEST_CASE("a VM behind a narrow link that the store doesn't answer gets the configuration")
+{
+    NarrowWorld world;
+    const std::uint64_t entered = world.restart(LinkFault::Silence);
+    INFO("bytes entered: " << entered);
+    CHECK(entered < configsAtMost * configBytes);
+}
+
+// Guards against peers that fill the link on which the store's answer comes.
+TEST_CASE("a VM behind a narrow link reads the configuration from the store")
+{
+    NarrowWorld world;
+    const std::uint64_t entered = world.restart(LinkFault::None);
+    INFO("bytes entered: " << entered);
+    CHECK(entered < configsAtMost * configBytes);
+}
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -393,8 +393,8 @@
     }
 
     /// Writes a version with four routes: may repeat, at most once, and streams that may not and
-    /// that may be resumed. The upstreams' runs can be moved.
-    void configure(int version, const std::vector<std::string> &keys)
+    /// that may be resumed, and so many further ones. The upstreams' runs can be moved.
+    void configure(int version, const std::vector<std::string> &keys, int furtherRoutes = 0)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumes) {
             return Json{{"name", prefix},   {"hostname", "h.example"},  {"path-prefix", prefix},
@@ -402,13 +402,17 @@
                         {"service", "app"}, {"max-attempts", attempts}, {"stream-resume", resumes},
                         {"public", false}};
         };
+        Json routes = {route("/again/", "idempotent", 2, false),
+                       route("/once/", "non_idempotent", 2, false),
+                       route("/draft/", "streaming", 2, false),
+                       route("/stream/", "streaming", 2, true)};
+        for (int number = 0; number < furtherRoutes; ++number) {
+            const std::string prefix = fmt::format("/further-{}/{:0>150}/", number, number);
+            routes.push_back(route(prefix.c_str(), "idempotent", 2, false));
+        }
         m_store->put("config", "main",
                      {{"version", version},
-                      {"routes",
-                       {route("/again/", "idempotent", 2, false),
-                        route("/once/", "non_idempotent", 2, false),
-                        route("/draft/", "streaming", 2, false),
-                        route("/stream/", "streaming", 2, true)}},
+                      {"routes", routes},
                       {"services",
                        {{{"name", "app"},
                          {"max-connections", 100},
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/child_process.hpp"
+#include "support/narrow_link.hpp"
 
 #include <gypsumdale/core/clock.hpp>
 
@@ -64,6 +65,18 @@
         });
     }
 
+    /// Lets what goes one way pass a narrow link from now on, before it is held up in other ways.
+    /// Nothing for a way that is as wide as loopback.
+    void narrow(NarrowLink *toTarget, NarrowLink *fromTarget)
+    {
+        boost::asio::post(m_context, [this, toTarget, fromTarget] {
+            m_narrowToTarget = toTarget;
+            m_narrowFromTarget = fromTarget;
+            if (toTarget)
+                NarrowLink::shape(m_acceptor);
+        });
+    }
+
     /// Resets the connections that there are, with all that is held back on them, and returns when
     /// that is done.
     void resetAll()
@@ -104,6 +117,10 @@
 
         void start()
         {
+            if (m_proxy.m_narrowFromTarget) {
+                m_server.open(m_proxy.m_target.protocol());
+                NarrowLink::shape(m_server);
+            }
             m_server.async_connect(m_proxy.m_target, [self = shared_from_this()](auto error) {
                 if (error)
                     return self->reset();
@@ -140,7 +157,17 @@
                 return passOn(way, [this, &way] { endWay(way); });
             if (error)
                 return reset();
-            passOn(way, [this, &way] { write(way); });
+            const auto next = [this, &way] {
+                passOn(way, [this, &way] { write(way); });
+            };
+            NarrowLink *link = m_proxy.narrowLink(way.m_isToTarget);
+            if (!link)
+                return next();
+            way.m_timer.expires_at(link->pass(length));
+            way.m_timer.async_wait([self = shared_from_this(), next](auto waited) {
+                if (!waited)
+                    next();
+            });
         }
 
         /// Goes on at once, late, or when the link heals.
@@ -202,6 +229,11 @@
         return m_fault == LinkFault::Silence || m_fault == oneWay;
     }
 
+    NarrowLink *narrowLink(bool isToTarget) const
+    {
+        return isToTarget ? m_narrowToTarget : m_narrowFromTarget;
+    }
+
     void accept()
     {
         m_acceptor.async_accept([this](auto error, Socket socket) {
@@ -223,6 +255,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Link>> m_links;
     LinkFault m_fault = LinkFault::None;
+    NarrowLink *m_narrowToTarget = nullptr;
+    NarrowLink *m_narrowFromTarget = nullptr;
     std::jthread m_thread;
 };
 
