End an exchange of frames by silence, and tell when a peer has an answer

A whole configuration on a narrow link takes longer than a digest may. An exchange has now two limits, of its silence and of its whole time, and an answer that is the last on its connection holds something until the peer has closed that, or has taken nothing for 3 s: with it a VM can count the texts that it is sending. What other exchanges wait for is as before.

--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -10,6 +10,7 @@
 #include <functional> // function
 #include <memory> // shared_ptr
 #include <string> // string
+#include <utility> // move
 
 namespace gypsumdale {
 
@@ -22,9 +23,35 @@
     std::uint64_t m_bytesReceived = 0;
 };
 
-/// Answers one frame from a peer with one frame. Runs in a fiber of the server's loop; an empty
-/// answer closes the connection.
-using FrameHandler = std::function<std::string(std::string frame)>;
+/// What a frame is answered with; an empty one closes the connection.
+struct FrameAnswer
+{
+    /// Not explicit, so that handlers may return just the bytes.
+    FrameAnswer(std::string bytes)
+        : m_bytes(std::move(bytes))
+    {}
+    FrameAnswer(std::string bytes, std::shared_ptr<void> held)
+        : m_bytes(std::move(bytes))
+        , m_held(std::move(held))
+    {}
+
+    std::string m_bytes;
+    /// Of an answer that is the last on its connection: let go once the peer has closed that, or
+    /// has taken nothing for so long that it won't.
+    std::shared_ptr<void> m_held;
+};
+
+/// Answers one frame from a peer with one frame. Runs in a fiber of the server's loop.
+using FrameHandler = std::function<FrameAnswer(std::string frame)>;
+
+/// What ends an exchange.
+struct ExchangeLimits
+{
+    /// Nothing was sent or came for so long.
+    Duration m_silence{};
+    /// It took so long in all.
+    Duration m_total{};
+};
 
 /// Accepts connections from peers and answers their frames in the order they come. A frame is a
 /// length of four bytes, big-endian, and that many bytes; longer ones than the limit close the
@@ -62,6 +89,8 @@
     /// a late answer can't be taken for the next one's. The time covers waiting, connecting,
     /// sending and the answer.
     Result<std::string> exchange(const std::string &frame, Duration timeout);
+    /// The same for an answer that may take long but makes progress.
+    Result<std::string> exchange(const std::string &frame, const ExchangeLimits &limits);
 
     FrameTraffic traffic() const;
 
--- a/src/runtime/detail/frame_stream.cpp
+++ b/src/runtime/detail/frame_stream.cpp
@@ -15,10 +15,10 @@
 /// Capacity that a connection keeps between frames.
 constexpr std::size_t keptCapacity = std::size_t{256} * 1024;
 
-StreamStatus fillTo(Stream &stream, std::size_t size, SteadyTime deadline)
+StreamStatus fillTo(Stream &stream, std::size_t size, const FrameLimits &limits)
 {
     while (stream.input().size() < size) {
-        const StreamStatus status = stream.fill(deadline);
+        const StreamStatus status = stream.fill(limits.nextPiece());
         if (status != StreamStatus::Good)
             return status;
     }
@@ -33,17 +33,17 @@
 }
 
 FrameRead readFrame(Stream &stream, FrameCounters &counters, std::size_t maxBytes,
-                    SteadyTime deadline)
+                    const FrameLimits &limits)
 {
     boost::beast::flat_buffer &input = stream.input();
-    StreamStatus status = fillTo(stream, prefixBytes, deadline);
+    StreamStatus status = fillTo(stream, prefixBytes, limits);
     if (status != StreamStatus::Good)
         return status;
     const std::size_t length =
             boost::endian::load_big_u32(static_cast<const unsigned char *>(input.data().data()));
     if (length > maxBytes)
         return FrameTooLong();
-    status = fillTo(stream, prefixBytes + length, deadline);
+    status = fillTo(stream, prefixBytes + length, limits);
     if (status != StreamStatus::Good)
         return status;
     const char *begin = static_cast<const char *>(input.data().data()) + prefixBytes;
@@ -57,14 +57,13 @@
 }
 
 StreamStatus writeFrame(Stream &stream, FrameCounters &counters, std::string_view frame,
-                        SteadyTime deadline)
+                        const FrameLimits &limits)
 {
     std::array<unsigned char, prefixBytes> prefix;
     boost::endian::store_big_u32(prefix.data(), static_cast<std::uint32_t>(frame.size()));
     std::array<asio::const_buffer, 2> buffers = {asio::buffer(prefix),
                                                  asio::buffer(frame.data(), frame.size())};
-    const Duration timeout = deadline - std::chrono::steady_clock::now();
-    const StreamStatus status = stream.write(buffers, timeout, deadline);
+    const StreamStatus status = stream.write(buffers, limits.m_silence, limits.m_deadline);
     if (status != StreamStatus::Good)
         return status;
     ++counters.m_framesSent;
--- a/src/runtime/detail/frame_stream.hpp
+++ b/src/runtime/detail/frame_stream.hpp
@@ -4,6 +4,7 @@
 
 #include <runtime/detail/stream.hpp>
 
+#include <algorithm> // min
 #include <atomic> // atomic
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
@@ -30,12 +31,22 @@
 
 using FrameRead = std::variant<std::string, StreamStatus, FrameTooLong>;
 
+/// When a frame must be whole, and how long its connection may be silent until then.
+struct FrameLimits
+{
+    SteadyTime m_deadline;
+    Duration m_silence = Duration::max();
+
+    /// Returns when the next piece must have come.
+    SteadyTime nextPiece() const { return std::min(m_deadline, deadlineAfter(m_silence)); }
+};
+
 /// Reads one frame whole. After anything but a frame the connection must be closed.
 FrameRead readFrame(Stream &stream, FrameCounters &counters, std::size_t maxBytes,
-                    SteadyTime deadline);
+                    const FrameLimits &limits);
 
 /// Writes one frame. After a failure the connection must be closed.
 StreamStatus writeFrame(Stream &stream, FrameCounters &counters, std::string_view frame,
-                        SteadyTime deadline);
+                        const FrameLimits &limits);
 
 } // namespace gypsumdale::detail
--- a/src/runtime/frame_channel.cpp
+++ b/src/runtime/frame_channel.cpp
@@ -16,12 +16,16 @@
 
 namespace {
 
+using detail::FrameLimits;
 using detail::SteadyTime;
 using detail::Stream;
 using detail::StreamStatus;
 
 /// Time for a frame that has begun to arrive, and for an answer to be taken.
 constexpr Duration frameTime = std::chrono::seconds(30);
+/// Silence after which a peer that is sent a last answer counts as gone, and time that it has then
+/// to close the connection.
+constexpr Duration lastAnswerSilence = std::chrono::seconds(3);
 /// Bound on what a peer may answer.
 constexpr std::size_t largestAnswer = std::size_t{16} * 1024 * 1024;
 
@@ -37,6 +41,7 @@
 
     void serve(detail::NativeSocket &socket);
     bool answerOne(Stream &stream);
+    bool writeLast(Stream &stream, const std::string &answer);
     void closeAll();
 
     FiberLoop &m_loop;
@@ -66,17 +71,30 @@
     if (isWaiting && stream.fill(SteadyTime::max()) != StreamStatus::Good)
         return false;
     detail::FrameRead read = detail::readFrame(stream, m_counters, m_maxFrameBytes,
-                                               detail::deadlineAfter(frameTime));
+                                               {detail::deadlineAfter(frameTime)});
     auto *frame = std::get_if<std::string>(&read);
     if (!frame)
         return false;
-    const std::string answer = m_handler(std::move(*frame));
-    if (answer.empty())
+    const FrameAnswer answer = m_handler(std::move(*frame));
+    if (answer.m_bytes.empty())
         return false;
-    return detail::writeFrame(stream, m_counters, answer, detail::deadlineAfter(frameTime))
+    if (answer.m_held)
+        return writeLast(stream, answer.m_bytes);
+    return detail::writeFrame(stream, m_counters, answer.m_bytes,
+                              {detail::deadlineAfter(frameTime)})
            == StreamStatus::Good;
 }
 
+/// Writes an answer and waits until the peer has closed the connection: what is written may be
+/// under way for long. Returns false, for the connection's end.
+bool FrameServer::State::writeLast(Stream &stream, const std::string &answer)
+{
+    const FrameLimits limits{detail::deadlineAfter(frameTime), lastAnswerSilence};
+    if (detail::writeFrame(stream, m_counters, answer, limits) == StreamStatus::Good)
+        stream.fill(limits.nextPiece());
+    return false;
+}
+
 void FrameServer::State::closeAll()
 {
     for (const std::shared_ptr<Stream> &stream : m_streams)
@@ -135,9 +153,9 @@
         , m_endpoint(std::move(endpoint))
     {}
 
-    Result<std::string> exchange(const std::string &frame, SteadyTime deadline);
-    Result<Done> ensureConnected(SteadyTime deadline);
-    Result<std::string> sendAndReceive(const std::string &frame, SteadyTime deadline);
+    Result<std::string> exchange(const std::string &frame, const FrameLimits &limits);
+    Result<Done> ensureConnected(const FrameLimits &limits);
+    Result<std::string> sendAndReceive(const std::string &frame, const FrameLimits &limits);
     Error fail(StreamStatus status, ErrorId otherwise, std::string_view what) const;
     void closeStream();
 
@@ -149,21 +167,22 @@
     bool m_closed = false;
 };
 
-Result<std::string> FrameChannel::State::exchange(const std::string &frame, SteadyTime deadline)
+Result<std::string> FrameChannel::State::exchange(const std::string &frame,
+                                                  const FrameLimits &limits)
 {
-    if (!m_turn.try_lock_until(deadline))
+    if (!m_turn.try_lock_until(limits.m_deadline))
         return fail(StreamStatus::TimedOut, ErrorId::Timeout, "waiting for a turn");
     const std::unique_lock<boost::fibers::timed_mutex> turn(m_turn, std::adopt_lock);
-    const Result<Done> connected = ensureConnected(deadline);
+    const Result<Done> connected = ensureConnected(limits);
     if (!succeeded(connected))
         return errorOf(connected);
-    Result<std::string> answer = sendAndReceive(frame, deadline);
+    Result<std::string> answer = sendAndReceive(frame, limits);
     if (!succeeded(answer))
         closeStream();
     return answer;
 }
 
-Result<Done> FrameChannel::State::ensureConnected(SteadyTime deadline)
+Result<Done> FrameChannel::State::ensureConnected(const FrameLimits &limits)
 {
     if (m_closed)
         return fail(StreamStatus::Closed, ErrorId::Cancelled, "connecting");
@@ -177,7 +196,7 @@
         return fail(StreamStatus::Broken, ErrorId::PeerUnreachable, "connecting");
     m_stream = std::make_shared<Stream>(*detail::LoopCore::current());
     const std::shared_ptr<Stream> stream = m_stream;
-    const Duration remaining = deadline - std::chrono::steady_clock::now();
+    const Duration remaining = limits.nextPiece() - std::chrono::steady_clock::now();
     const StreamStatus status = stream->connect({address, m_endpoint.m_port}, remaining);
     if (status == StreamStatus::Good)
         return Done();
@@ -186,13 +205,13 @@
 }
 
 Result<std::string> FrameChannel::State::sendAndReceive(const std::string &frame,
-                                                        SteadyTime deadline)
+                                                        const FrameLimits &limits)
 {
     const std::shared_ptr<Stream> stream = m_stream;
-    const StreamStatus sent = detail::writeFrame(*stream, m_counters, frame, deadline);
+    const StreamStatus sent = detail::writeFrame(*stream, m_counters, frame, limits);
     if (sent != StreamStatus::Good)
         return fail(sent, ErrorId::ConnectionClosed, "sending");
-    detail::FrameRead read = detail::readFrame(*stream, m_counters, largestAnswer, deadline);
+    detail::FrameRead read = detail::readFrame(*stream, m_counters, largestAnswer, limits);
     return std::visit(
             Overloaded{
                     [](std::string &answer) -> Result<std::string> { return std::move(answer); },
@@ -239,7 +258,13 @@
 Result<std::string> FrameChannel::exchange(const std::string &frame, Duration timeout)
 {
     const std::shared_ptr<State> state = m_state;
-    return state->exchange(frame, detail::deadlineAfter(timeout));
+    return state->exchange(frame, {detail::deadlineAfter(timeout)});
+}
+
+Result<std::string> FrameChannel::exchange(const std::string &frame, const ExchangeLimits &limits)
+{
+    const std::shared_ptr<State> state = m_state;
+    return state->exchange(frame, {detail::deadlineAfter(limits.m_total), limits.m_silence});
 }
 
 FrameTraffic FrameChannel::traffic() const
--- a/tests/src/unit-frame-channel.cpp
+++ b/tests/src/unit-frame-channel.cpp
@@ -2,7 +2,9 @@
 
 #include <chrono> // milliseconds, seconds
 #include <future> // future, promise
+#include <memory> // make_shared
 #include <string> // string
+#include <thread> // jthread, sleep_for
 #include <vector> // vector
 
 #include <boost/asio/io_context.hpp>
@@ -160,3 +162,74 @@
     const auto second = FrameServer::listen(loop, {"127.0.0.1", server.port()}, echo, 1);
     REQUIRE(errorOf(second).m_id == ErrorId::AddressInUse);
 }
+
+namespace {
+
+/// Takes one frame and answers it with the length of ten bytes and so many single bytes, then waits
+/// until the other side closes.
+void answerSlowly(tcp::acceptor &acceptor, int bytes, std::chrono::milliseconds between)
+{
+    tcp::socket socket = acceptor.accept();
+    std::string request(5, ' ');
+    asio::read(socket, asio::buffer(request));
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(std::string("\0\0\0\x0a", 4)), error);
+    for (int sent = 0; sent < bytes && !error; ++sent) {
+        std::this_thread::sleep_for(between);
+        asio::write(socket, asio::buffer("x", 1), error);
+    }
+    while (!error)
+        asio::read(socket, asio::buffer(request, 1), error);
+}
+
+} // namespace
+
+// Guards against transfers that are cut, and begun anew, though they make progress.
+TEST_CASE("an exchange that is limited by silence")
+{
+    FiberLoop loop("frames");
+    loop.start();
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    FrameChannel channel(loop, {"127.0.0.1", acceptor.local_endpoint().port()});
+    const auto exchange = [&](const ExchangeLimits &limits) {
+        return loop.call([&] { return channel.exchange("a", limits); });
+    };
+
+    SECTION("goes on while bytes come")
+    {
+        std::jthread server([&] { answerSlowly(acceptor, 10, 100ms); });
+        CHECK(valueOf(exchange({800ms, 30s})) == std::string(10, 'x'));
+        // The second is answered by nobody, so that the connection closes.
+        CHECK(errorOf(exchange({100ms, 30s})).m_id == ErrorId::Timeout);
+    }
+
+    SECTION("ends when none comes")
+    {
+        std::jthread server([&] { answerSlowly(acceptor, 3, 10ms); });
+        REQUIRE(errorOf(exchange({300ms, 30s})).m_id == ErrorId::Timeout);
+    }
+
+    SECTION("ends when its whole time is over")
+    {
+        std::jthread server([&] { answerSlowly(acceptor, 10, 100ms); });
+        REQUIRE(errorOf(exchange({30s, 300ms})).m_id == ErrorId::Timeout);
+    }
+}
+
+TEST_CASE("what a last answer holds is let go when the peer has closed the connection")
+{
+    FiberLoop loop("frames");
+    loop.start();
+    const auto held = std::make_shared<int>();
+    FrameServer server = listenOn(loop, [&](const std::string &) {
+        return FrameAnswer("whole", std::shared_ptr<void>(held));
+    });
+    {
+        FrameChannel channel(loop, {"127.0.0.1", server.port()});
+        REQUIRE(valueOf(loop.call([&] { return channel.exchange("a", 10s); })) == "whole");
+        CHECK(held.use_count() == 2);
+    }
+    while (held.use_count() > 1)
+        std::this_thread::sleep_for(1ms);
+}
