Tell a follower without receipts its whole list after growing pauses

Both readers of a data centre told a follower whose receipt did not come within 600 ms the whole list again at the next tick, and filled a link that was too narrow for it. They pause 250 ms, 500 ms, then a second. It costs no freshness that the sum of the way counts on: a follower that isn't told for half of the bound, 1.5 s, reads the store. A follower that fetches the configuration from a peer asks no reader for it besides.

--- a/include/gypsumdale/entry/entry_store_news.hpp
+++ b/include/gypsumdale/entry/entry_store_news.hpp
@@ -35,7 +35,14 @@
     struct Follower
     {
         FollowerState m_state;
+        ReceiptPause m_pause;
         bool m_isBusy = false;
+
+        /// Tells whether it may be told now.
+        bool isDue(TimePoint now) const
+        {
+            return !m_isBusy && (m_state.isKnown() || m_pause.isOver(now));
+        }
     };
     /// What a follower is told of the configuration.
     enum class ConfigPart { Version, Whole };
--- a/include/gypsumdale/entry/news_pace.hpp
+++ b/include/gypsumdale/entry/news_pace.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 
+#include <algorithm> // min
 #include <chrono> // milliseconds
 #include <cstdint> // int64_t
 
@@ -49,4 +50,27 @@
     TimePoint m_toldAt{};
 };
 
+/// Decides when a follower that gives no receipts is told the whole list again: each time fills its
+/// link a little more. Called from one thread.
+class ReceiptPause
+{
+public:
+    static constexpr Duration firstPause = std::chrono::milliseconds(250);
+    /// A follower that isn't told reads the store after half of the bound, which is longer.
+    static constexpr Duration longestPause = std::chrono::milliseconds(1000);
+
+    /// Constant.
+    bool isOver(TimePoint now) const { return now >= m_until; }
+    void onMissed(TimePoint now)
+    {
+        m_until = now + m_next;
+        m_next = std::min(2 * m_next, longestPause);
+    }
+    void onTaken() { *this = ReceiptPause(); }
+
+private:
+    TimePoint m_until{};
+    Duration m_next = firstPause;
+};
+
 } // namespace gypsumdale
--- a/include/gypsumdale/serving/upstream_news.hpp
+++ b/include/gypsumdale/serving/upstream_news.hpp
@@ -20,6 +20,9 @@
     /// The follower lacks more than it was told.
     void onLacking() { m_isKnown = false; }
 
+    /// Tells whether what the follower holds is known, so that the whole list isn't needed.
+    bool isKnown() const { return m_isKnown; }
+
 private:
     std::int64_t m_change = 0;
     std::int64_t m_revision = 0;
--- a/src/entry/entry_store_news.cpp
+++ b/src/entry/entry_store_news.cpp
@@ -140,7 +140,7 @@
         return;
     m_pace.noteTold(newsState(), m_context.now());
     for (const NearPeer &peer : m_peers.nearPeers()) {
-        if (!m_followers[peer.m_peer->m_address].m_isBusy)
+        if (m_followers[peer.m_peer->m_address].isDue(m_context.now()))
             m_context.m_loop.spawn([this, peer] { tell(peer); });
     }
 }
@@ -168,8 +168,12 @@
     if (part == ConfigPart::Whole)
         message.news.__set_configText(m_config.text());
     const auto answer = m_peers.ask(peer.m_peer, message, NewsPace::receiptTimeout);
-    if (!succeeded(answer))
+    ReceiptPause &pause = m_followers[peer.m_peer->m_address].m_pause;
+    if (!succeeded(answer)) {
+        pause.onMissed(m_context.now());
         return {};
+    }
+    pause.onTaken();
     FollowerState &state = m_followers[peer.m_peer->m_address].m_state;
     if (!valueOf(answer).__isset.newsTaken) {
         state.onLacking();
@@ -192,8 +196,9 @@
     const Duration configAge = std::chrono::milliseconds(news.configAgeMillis);
     const Duration upstreamAge = std::chrono::milliseconds(news.upstreamAgeMillis);
     entrywire::StoreNewsTaken taken;
-    taken.needsConfig =
+    const bool isWanted =
             m_config.takeNews(news.configVersion, {configAge, sentAfter}, news.configIsSent);
+    taken.needsConfig = isWanted && !m_config.isFetching();
     taken.needsWholeList =
             !m_upstreams.takeNews(upstreamNews(news), {upstreamAge, sentAfter}, news.node);
     return taken;
--- a/tests/src/unit-entry-news-pace.cpp
+++ b/tests/src/unit-entry-news-pace.cpp
@@ -26,3 +26,32 @@
         CHECK(pace.isDue({3, 7, start + 1ms}, start + 2ms));
     }
 }
+
+// Guards against whole lists that fill the link of a follower which can't confirm them.
+TEST_CASE("a follower without receipts is told the whole list after pauses that grow")
+{
+    const TimePoint start{1h};
+    ReceiptPause pause;
+    CHECK(pause.isOver(start));
+
+    SECTION("up to a bound")
+    {
+        TimePoint now = start;
+        for (const Duration expected : {250ms, 500ms, 1000ms, 1000ms}) {
+            pause.onMissed(now);
+            CHECK_FALSE(pause.isOver(now + expected - 1ms));
+            CHECK(pause.isOver(now + expected));
+            now += expected;
+        }
+    }
+
+    SECTION("until a receipt comes")
+    {
+        pause.onMissed(start);
+        pause.onMissed(start);
+        pause.onTaken();
+        CHECK(pause.isOver(start));
+        pause.onMissed(start);
+        CHECK(pause.isOver(start + 250ms));
+    }
+}
