Test that a VM cut off from the store gets a version from one peer

A small fleet's VMs have a new version from their peers within 2 s, of which the digests only tell now. The test cuts a VM behind 10 Mbit/s off from the store and writes a version of 0.5 MB.

--- a/tests/src/process-entry-restart.cpp
+++ b/tests/src/process-entry-restart.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono> // duration, steady_clock
 #include <csignal> // SIGKILL
 #include <cstdint> // uint64_t
 #include <string> // string
@@ -59,6 +60,17 @@
         return m_link.bytes() - before;
     }
 
+    /// Cuts the running VM off from the store, writes a version, and returns what has entered the
+    /// VM until it holds that.
+    std::uint64_t configureWithoutStore(int version)
+    {
+        node().m_storeLink->set(LinkFault::Silence);
+        const std::uint64_t before = m_link.bytes();
+        m_world.configure(version, {"key"}, furtherRoutes);
+        m_world.waitUntil("told", [this, version] { return holdsVersion(0, version); });
+        return m_link.bytes() - before;
+    }
+
 private:
     bool holdsVersion(std::size_t index, int version)
     {
@@ -92,3 +104,14 @@
     INFO("bytes entered: " << entered << " at " << bytesPerSecond << " a second");
     CHECK(entered < configsAtMost * configBytes);
 }
+
+// Guards against a promise of small fleets that rests on texts sent unasked.
+TEST_CASE("a VM that is cut off from the store gets a new version from one peer")
+{
+    NarrowWorld world(linkBytesPerSecond);
+    const auto begunAt = std::chrono::steady_clock::now();
+    const std::uint64_t entered = world.configureWithoutStore(3);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begunAt;
+    INFO("bytes entered: " << entered << " in " << took.count() << " s");
+    CHECK(entered < configsAtMost * configBytes);
+}
