--- a/tests/src/fuzz-entry-restart.cpp
+++ b/tests/src/fuzz-entry-restart.cpp
@@ -172,7 +172,7 @@
     {
         std::vector<double> moved;
         for (const Transfer &transfer : m_transfers)
-            moved.push_back(rateOf(transfer) * seconds(step));
+            moved.push_back(std::min(rateOf(transfer) * seconds(step), transfer.m_left));
         for (std::size_t number = 0; number < moved.size(); ++number) {
             Transfer &transfer = m_transfers[number];
             transfer.m_left -= moved[number];
