Show what fills an entry VM's link and how old the lists in use are

The entry process now sums FrameServer and all channels of its peers; the counts of a channel that is given up are kept, so that counters never fall. Frames that break off are counted as far as they came, bytes without a frame: that is what transfers of 0.5 MB, all cut by their time limit, look like, and whole frames alone would have hidden it. Callers' bytes are counted by the HTTP server from its connections' reads and writes, the page's by the same, the store's by its client from whole answers' bodies.

UpstreamClient wraps the HttpClient of the traffic thread: bodies sent in all attempts, connections that timed out, connections refused. How long a connection takes that does come about, and what upstreams send back, can't be seen from there without a change of http_client.cpp; callers' bytes sent are about the latter.

gypsumdale_placement_list_age_millis is the highest age of the list at a placement since the page was last read: which of old lists were used, not only held.

In entry_traffic only the client's type and one line in notePlaced change. No decision changes.

--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -98,6 +98,9 @@
     /// Returns how long the VM of the fleet that was not heard for longest has been silent.
     Duration longestSilence() const { return m_table.longestSilence(m_context.now()); }
     const TrafficReport &report() const { return m_writer.report(); }
+    /// Returns what was exchanged with all peers, those included that are gone. Linear in the
+    /// peers.
+    FrameTraffic traffic() const;
 
 private:
     ExchangePace pace() const { return m_table.pace(m_context.now()); }
@@ -126,6 +129,8 @@
     /// Who said last that it holds the duties.
     std::string m_holderAddress;
     int m_farewellsUnderWay = 0;
+    /// Of channels that were given up.
+    FrameTraffic m_closedTraffic;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -2,9 +2,10 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/entry/first_knowledge.hpp>
+#include <gypsumdale/entry/upstream_client.hpp>
+#include <gypsumdale/observe/highest_value.hpp>
 #include <gypsumdale/observe/log.hpp>
 #include <gypsumdale/observe/metrics.hpp>
-#include <gypsumdale/runtime/http_client.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
@@ -22,6 +23,7 @@
 #include <functional> // function
 #include <map> // map
 #include <memory> // unique_ptr
+#include <optional> // optional
 #include <set> // set
 #include <string> // string
 #include <vector> // vector
@@ -112,6 +114,9 @@
     /// Takes in when the store last confirmed the list in use.
     void setListConfirmed(TimePoint confirmedAt) { m_listConfirmedAt = confirmedAt; }
     Duration listAge() const { return now() - m_listConfirmedAt; }
+    /// Returns the highest age in milliseconds of the list at a placement since the last call, or
+    /// nothing if there was none. Safe from any thread.
+    std::optional<std::int64_t> takePlacementListAge() { return m_placementListAge.take(); }
     void setPeer(const PeerReport &report);
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
@@ -155,7 +160,7 @@
     FleetQuota &quota() { return m_quota; }
     RepeatAllowance &allowance() { return m_allowance; }
     RunMover &mover() { return *m_mover; }
-    HttpClient &client() { return m_client; }
+    UpstreamClient &client() { return m_client; }
     Logger &log() { return m_log; }
     Metrics &metrics() { return m_metrics; }
     const DataCentreId &dataCentre() const { return m_settings.m_dataCentre; }
@@ -173,10 +178,11 @@
     const Clock &m_clock;
     Logger &m_log;
     Metrics &m_metrics;
-    HttpClient m_client;
+    UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
     TimePoint m_listConfirmedAt{};
+    HighestValue m_placementListAge;
     FleetReading m_reading;
     PromptNews m_promptNews;
     bool m_isSpreadOut = false;
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -75,8 +75,15 @@
     ControlProcessorMillis,
     TrafficProcessorMillis,
     NoRoomInTime,
+    CallerBytesReceived,
+    CallerBytesSent,
+    UpstreamBytesSent,
+    UpstreamConnectsTimedOut,
+    UpstreamConnectsRefused,
+    PlatformBytesReceived,
+    MetricsBytesSent,
 };
-constexpr std::size_t counterCount = 38;
+constexpr std::size_t counterCount = 45;
 
 /// What is measured of the process at the moment. A gauge that was never set is not shown, so that
 /// no reader takes a missing measurement for a zero.
@@ -101,8 +108,9 @@
     CostPerHourMicros,
     ResidentBytes,
     UpstreamListAgeMillis,
+    PlacementListAgeMillis,
 };
-constexpr std::size_t gaugeCount = 20;
+constexpr std::size_t gaugeCount = 21;
 
 /// Return the names that the exposition carries, such as "gypsumdale_retries_total". Linear in
 /// the names of that kind.
--- a/include/gypsumdale/observe/metrics.hpp
+++ b/include/gypsumdale/observe/metrics.hpp
@@ -64,6 +64,9 @@
     /// Sets what is measured at the moment. Constant, no lock, any thread.
     void set(Gauge gauge, std::int64_t value);
 
+    /// Says that there is no measurement at the moment. Constant, no lock, any thread.
+    void clear(Gauge gauge);
+
     /// Counts an answer that ended in this error. Constant, no lock, any thread.
     void countError(ErrorId id);
 
--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -20,6 +20,15 @@
     std::uint64_t m_framesReceived = 0;
     std::uint64_t m_bytesSent = 0;
     std::uint64_t m_bytesReceived = 0;
+
+    FrameTraffic &operator+=(const FrameTraffic &other)
+    {
+        m_framesSent += other.m_framesSent;
+        m_framesReceived += other.m_framesReceived;
+        m_bytesSent += other.m_bytesSent;
+        m_bytesReceived += other.m_bytesReceived;
+        return *this;
+    }
 };
 
 /// Answers one frame from a peer with one frame. Runs in a fiber of the server's loop; an empty
--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -6,7 +6,7 @@
 #include <gypsumdale/runtime/http_message.hpp>
 
 #include <cstddef> // size_t
-#include <cstdint> // uint16_t
+#include <cstdint> // uint16_t, uint64_t
 #include <functional> // function
 #include <memory> // unique_ptr
 #include <string> // string
@@ -71,6 +71,13 @@
     Duration m_writeTimeout = std::chrono::seconds(30);
 };
 
+/// Counts the bytes of messages that a server took in and sent.
+struct HttpTraffic
+{
+    std::uint64_t m_bytesReceived = 0;
+    std::uint64_t m_bytesSent = 0;
+};
+
 /// An HTTP/1.1 server on one or several loops; each connection stays on one loop, and each request
 /// is handled by a fiber there. Malformed, oversized and slow requests are answered with 400, 413,
 /// 431 or 408 and a JSON error body without reaching the handler.
@@ -115,6 +122,10 @@
     /// any thread.
     std::size_t connections() const;
 
+    /// Returns the bytes of requests read and of answers handed to the kernel, headers and parts of
+    /// what was cut included. Safe from any thread.
+    HttpTraffic traffic() const;
+
 private:
     friend class HttpServerBuilder;
     struct State;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -225,6 +225,8 @@
                       static_cast<std::int64_t>(m_callers->requestsInFlight()));
         if (m_upstreams.isKnown())
             m_metrics.set(Gauge::UpstreamListAgeMillis, wholeMillis(m_upstreams.age()));
+        countBytes();
+        tellPlacementListAge();
         m_metrics.assign(Counter::PlatformCalls, m_store.calls());
         m_metrics.assign(Counter::PlatformFailures, m_store.failures());
         m_metrics.assign(Counter::LogLinesSuppressed, m_log->suppressedLines());
@@ -235,6 +237,29 @@
         return reply;
     }
 
+    /// Says what goes over this VM's link, by kind.
+    void countBytes()
+    {
+        const HttpTraffic callers = m_callers->traffic();
+        m_metrics.assign(Counter::CallerBytesReceived, callers.m_bytesReceived);
+        m_metrics.assign(Counter::CallerBytesSent, callers.m_bytesSent);
+        const FrameTraffic peers = m_peers.traffic();
+        m_metrics.assign(Counter::PeerFramesSent, peers.m_framesSent);
+        m_metrics.assign(Counter::PeerFramesReceived, peers.m_framesReceived);
+        m_metrics.assign(Counter::PeerBytesSent, peers.m_bytesSent);
+        m_metrics.assign(Counter::PeerBytesReceived, peers.m_bytesReceived);
+        m_metrics.assign(Counter::PlatformBytesReceived, m_store.bytesReceived());
+        m_metrics.assign(Counter::MetricsBytesSent, m_metricsServer->traffic().m_bytesSent);
+    }
+
+    void tellPlacementListAge()
+    {
+        if (const auto millis = m_traffic.takePlacementListAge())
+            m_metrics.set(Gauge::PlacementListAgeMillis, *millis);
+        else
+            m_metrics.clear(Gauge::PlacementListAgeMillis);
+    }
+
     void adopt(const ServingViewPointer &view)
     {
         m_callers->limitTo(limitsOf(view->config().m_limits));
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -131,6 +131,8 @@
                                                 {LogField::AgeMillis, wholeMillis(age)}});
     }
     for (const KnownPeerPointer &peer : silence.m_gone) {
+        if (!peer->m_isSeed)
+            m_closedTraffic += peer->m_channel->traffic();
         if (peer->m_node.empty())
             continue;
         m_context.m_trafficLoop.spawn(
@@ -138,6 +140,16 @@
     }
 }
 
+FrameTraffic EntryPeers::traffic() const
+{
+    FrameTraffic sum = m_closedTraffic;
+    if (m_server)
+        sum += m_server->traffic();
+    for (const auto &[address, peer] : m_table.peers())
+        sum += peer->m_channel->traffic();
+    return sum;
+}
+
 void EntryPeers::tellAll()
 {
     if (isLargeFleet())
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -40,7 +40,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
-    , m_client(loop)
+    , m_client(loop, metrics)
     , m_quota(quotaSettings(settings, clock.now()))
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
@@ -144,6 +144,7 @@
 void EntryTraffic::notePlaced(const PooledUpstream &upstream, std::int64_t ownTokens, bool isTold)
 {
     const UpstreamRecord &record = upstream.m_record;
+    m_placementListAge.note(wholeMillis(listAge()));
     m_reading.own(record.m_service).notePlaced(ownTokens, now());
     if (isTold && m_longPromptPlaced)
         m_longPromptPlaced(record.m_id, loadOf(upstream));
--- a/src/entry/run_mover.cpp
+++ b/src/entry/run_mover.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-RunMover::RunMover(FiberLoop &loop, HttpClient &client, UpstreamPool &pool,
+RunMover::RunMover(FiberLoop &loop, UpstreamClient &client, UpstreamPool &pool,
                    RepeatAllowance &allowance, Logger &log, const DataCentreId &dataCentre,
                    const Clock &clock)
     : m_loop(loop)
--- a/src/entry/run_mover.hpp
+++ b/src/entry/run_mover.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/upstream_client.hpp>
 #include <gypsumdale/observe/log.hpp>
 #include <gypsumdale/runtime/fiber_loop.hpp>
-#include <gypsumdale/runtime/http_client.hpp>
 #include <gypsumdale/serving/repeat_allowance.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 
@@ -23,8 +23,9 @@
 class RunMover
 {
 public:
-    RunMover(FiberLoop &loop, HttpClient &client, UpstreamPool &pool, RepeatAllowance &allowance,
-             Logger &log, const DataCentreId &dataCentre, const Clock &clock);
+    RunMover(FiberLoop &loop, UpstreamClient &client, UpstreamPool &pool,
+             RepeatAllowance &allowance, Logger &log, const DataCentreId &dataCentre,
+             const Clock &clock);
 
     void add(const std::shared_ptr<StreamRun> &run) { m_runs.insert(run); }
     void remove(const std::shared_ptr<StreamRun> &run);
@@ -38,7 +39,7 @@
     void move(const std::shared_ptr<StreamRun> &run);
 
     FiberLoop &m_loop;
-    HttpClient &m_client;
+    UpstreamClient &m_client;
     UpstreamPool &m_pool;
     RepeatAllowance &m_allowance;
     Logger &m_log;
--- a/src/kernel/peer_link.cpp
+++ b/src/kernel/peer_link.cpp
@@ -20,14 +20,6 @@
     return body;
 }
 
-void addTraffic(FrameTraffic &sum, const FrameTraffic &part)
-{
-    sum.m_framesSent += part.m_framesSent;
-    sum.m_framesReceived += part.m_framesReceived;
-    sum.m_bytesSent += part.m_bytesSent;
-    sum.m_bytesReceived += part.m_bytesReceived;
-}
-
 } // namespace
 
 PeerLink::PeerLink(FiberLoop &loop, const Clock &clock, NodeId self, std::string credential)
@@ -97,7 +89,7 @@
     Channel &channel = m_channels[peer.m_node];
     if (!channel.m_channel || channel.m_endpoint != endpoint) {
         if (channel.m_channel)
-            addTraffic(m_closedTraffic, channel.m_channel->traffic());
+            m_closedTraffic += channel.m_channel->traffic();
         channel.m_endpoint = endpoint;
         channel.m_channel = std::make_shared<FrameChannel>(m_loop, endpoint);
     }
@@ -108,9 +100,9 @@
 {
     FrameTraffic sum = m_closedTraffic;
     for (const auto &[node, channel] : m_channels)
-        addTraffic(sum, channel.m_channel->traffic());
+        sum += channel.m_channel->traffic();
     if (m_server)
-        addTraffic(sum, m_server->traffic());
+        sum += m_server->traffic();
     return sum;
 }
 
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -138,6 +138,20 @@
          "Processor time of the traffic threads."},
         {Counter::NoRoomInTime, "gypsumdale_no_room_in_time_total",
          "Requests rejected as no engine would begin them before their deadline."},
+        {Counter::CallerBytesReceived, "gypsumdale_caller_bytes_received_total",
+         "Bytes of requests that callers sent."},
+        {Counter::CallerBytesSent, "gypsumdale_caller_bytes_sent_total",
+         "Bytes of answers sent to callers."},
+        {Counter::UpstreamBytesSent, "gypsumdale_upstream_bytes_sent_total",
+         "Bytes of requests' bodies sent to upstreams, in every attempt."},
+        {Counter::UpstreamConnectsTimedOut, "gypsumdale_upstream_connects_timed_out_total",
+         "Connections to upstreams that did not come about in time."},
+        {Counter::UpstreamConnectsRefused, "gypsumdale_upstream_connects_refused_total",
+         "Connections that the other host refused, as nothing listens there."},
+        {Counter::PlatformBytesReceived, "gypsumdale_platform_bytes_received_total",
+         "Bytes of the bodies of the platform's answers."},
+        {Counter::MetricsBytesSent, "gypsumdale_metrics_bytes_sent_total",
+         "Bytes of pages of metrics sent, this one not counted."},
 }};
 static_assert(isInOrder(counterTexts));
 
@@ -173,6 +187,8 @@
         {Gauge::ResidentBytes, "gypsumdale_resident_bytes", "Memory of the process."},
         {Gauge::UpstreamListAgeMillis, "gypsumdale_upstream_list_age_millis",
          "Time since the store confirmed the list of upstreams in use."},
+        {Gauge::PlacementListAgeMillis, "gypsumdale_placement_list_age_millis",
+         "Highest age of the list of upstreams at a placement since this page was last read."},
 }};
 static_assert(isInOrder(gaugeTexts));
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -105,6 +105,12 @@
     target.m_isSet.store(true, std::memory_order_relaxed);
 }
 
+void Metrics::clear(Gauge gauge)
+{
+    m_state->m_gauges[static_cast<std::size_t>(gauge)].m_isSet.store(false,
+                                                                     std::memory_order_relaxed);
+}
+
 void Metrics::countError(ErrorId id)
 {
     const auto number = static_cast<std::size_t>(id);
--- a/src/runtime/detail/frame_stream.cpp
+++ b/src/runtime/detail/frame_stream.cpp
@@ -25,6 +25,13 @@
     return StreamStatus::Good;
 }
 
+/// Counts what came of a frame that will not be read further, as the connection is closed after it.
+StreamStatus countCut(Stream &stream, FrameCounters &counters, StreamStatus status)
+{
+    counters.m_bytesReceived += stream.input().size();
+    return status;
+}
+
 } // namespace
 
 FrameTraffic FrameCounters::read() const
@@ -38,14 +45,14 @@
     boost::beast::flat_buffer &input = stream.input();
     StreamStatus status = fillTo(stream, prefixBytes, deadline);
     if (status != StreamStatus::Good)
-        return status;
+        return countCut(stream, counters, status);
     const std::size_t length =
             boost::endian::load_big_u32(static_cast<const unsigned char *>(input.data().data()));
     if (length > maxBytes)
         return FrameTooLong();
     status = fillTo(stream, prefixBytes + length, deadline);
     if (status != StreamStatus::Good)
-        return status;
+        return countCut(stream, counters, status);
     const char *begin = static_cast<const char *>(input.data().data()) + prefixBytes;
     std::string frame(begin, length);
     input.consume(prefixBytes + length);
@@ -65,10 +72,9 @@
                                                  asio::buffer(frame.data(), frame.size())};
     const Duration timeout = deadline - std::chrono::steady_clock::now();
     const StreamStatus status = stream.write(buffers, timeout, deadline);
-    if (status != StreamStatus::Good)
-        return status;
-    ++counters.m_framesSent;
-    counters.m_bytesSent += prefixBytes + frame.size();
+    counters.m_bytesSent += prefixBytes + frame.size() - asio::buffer_size(buffers);
+    if (status == StreamStatus::Good)
+        ++counters.m_framesSent;
     return status;
 }
 
--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -120,6 +120,7 @@
         boost::beast::error_code error;
         const std::size_t used = parser.put(m_stream->input().data(), error);
         m_stream->input().consume(used);
+        m_service.m_bytesReceived += used;
         if (error && error != http::error::need_more) {
             refuse(error);
             return false;
@@ -278,7 +279,9 @@
 {
     if (m_callerGone)
         return false;
+    const std::size_t bytes = asio::buffer_size(buffers);
     const StreamStatus status = m_stream->write(buffers, m_service.m_limits.m_writeTimeout);
+    m_service.m_bytesSent += bytes - asio::buffer_size(buffers);
     if (status == StreamStatus::Good)
         return true;
     // Part of a message may be out, so nothing else can follow on this connection.
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -7,6 +7,7 @@
 
 #include <atomic> // atomic
 #include <cstddef> // size_t
+#include <cstdint> // uint64_t
 #include <functional> // function
 #include <memory> // shared_ptr
 #include <span> // span
@@ -24,6 +25,8 @@
     HttpLimits m_limits;
     std::atomic<std::size_t> m_connections = 0;
     std::atomic<std::size_t> m_requestsInFlight = 0;
+    std::atomic<std::uint64_t> m_bytesReceived = 0;
+    std::atomic<std::uint64_t> m_bytesSent = 0;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_saysClose = false;
 };
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -136,6 +136,11 @@
     return m_state->m_service.m_connections;
 }
 
+HttpTraffic HttpServer::traffic() const
+{
+    return {m_state->m_service.m_bytesReceived, m_state->m_service.m_bytesSent};
+}
+
 bool HttpServer::hasCallers() const
 {
     // In this order: what the listener took in last is counted before it says that it is closed.
--- a/tests/src/unit-frame-channel.cpp
+++ b/tests/src/unit-frame-channel.cpp
@@ -104,6 +104,25 @@
     REQUIRE(valueOf(next) == "echo next");
 }
 
+TEST_CASE("what came of a cut frame is counted")
+{
+    // Guards against links full of transfers that all break off while the counters stand still.
+    FiberLoop loop("frames");
+    loop.start();
+    FrameServer server = listenOn(loop, echo);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    const std::string begun("\0\0\2\0half", 8);
+    asio::write(socket, asio::buffer(begun));
+    socket.shutdown(tcp::socket::shutdown_send);
+    char byte = 0;
+    boost::system::error_code error;
+    asio::read(socket, asio::buffer(&byte, 1), error);
+    CHECK(server.traffic().m_bytesReceived == begun.size());
+    CHECK(server.traffic().m_framesReceived == 0);
+}
+
 TEST_CASE("a channel survives its peer's restart")
 {
     // A peer's process is replaced by one on the same address. The old connection is dead on the
--- a/tests/src/unit-metrics.cpp
+++ b/tests/src/unit-metrics.cpp
@@ -1,3 +1,4 @@
+#include <gypsumdale/observe/highest_value.hpp>
 #include <gypsumdale/observe/metrics.hpp>
 
 #include <catch2/catch.hpp>
@@ -93,6 +94,8 @@
         CHECK(contains(text,
                        "gypsumdale_requests_done_total{member=\"acme\",profile=\"phone\"} 1\n"));
         CHECK_FALSE(contains(text, "gypsumdale_ready"));
+        metrics.clear(Gauge::PeersLive);
+        CHECK_FALSE(contains(metrics.expose(), "gypsumdale_peers_live"));
     }
 
     SECTION("escapes labels")
@@ -102,6 +105,20 @@
     }
 }
 
+TEST_CASE("the highest value since the last reading")
+{
+    // Guards against an old value that hides that lists have become young again.
+    HighestValue highest;
+    CHECK_FALSE(highest.take());
+    highest.note(-3);
+    highest.note(40);
+    highest.note(7);
+    CHECK(highest.take() == 40);
+    CHECK_FALSE(highest.take());
+    highest.note(7);
+    CHECK(highest.take() == 7);
+}
+
 TEST_CASE("metrics cardinality")
 {
     // A deployment script creates a member for each shop visitor. Without a cap each adds hundreds
