Count requests by account and by route, not for each pair of both

The page grew with the product of accounts and routes, four histograms of 29 lines and 12 counters each.

unit-entry-metrics-page uses 16 accounts and 12 routes, and one more of both, all with each other.

Each request is counted with its account and with its route. By class the names stay, with the label `profile` alone, so that sums over a name are what they were; by account they are `gypsumdale_member_...`, as one name with both kinds of labels would count each request twice. Counters go by account and by route too: in trouble, when all kinds of ends are non-zero, 192 pairs with six counters of some 75 bytes alone are 86 KB, above the bound at the moment when the link is short. No alert needs the pair, the log has it.

Histograms are kept as before in 26 buckets; the page shows three or four fixed bounds by class and one or two by account, the promises of 51 and 350 ms always among them, so that the share within a promise stays exact. Empty buckets at the beginning, empty histograms and counters that are 0 are left out. Empty buckets at the end stay: left out, a sum by `le` over VMs lacks whoever had nothing that late, and its quantiles are wrong. Sums are of whole milliseconds.

Tests replaced by ones as strict: the sections that asserted series of a pair assert both series that take its place, in value; the one with the empty bucket le="0.25" asserts that an empty one at the beginning isn't there and that later ones are; that of the cardinality counts accounts and routes with series, two and one, and "other" of both, and asserts all five and no other.

--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -5,7 +5,7 @@
 
 namespace gypsumdale {
 
-/// Times kept as a histogram for each member and class; the class of a request is its profile.
+/// Times kept as a histogram for each member and for each class, which is a request's profile.
 enum class Latency {
     /// From the arrival of a request to the first token handed to its caller.
     FirstToken,
@@ -18,7 +18,7 @@
 };
 constexpr std::size_t latencyCount = 4;
 
-/// What is counted for each member and class.
+/// What is counted for each member and for each class.
 enum class RequestCounter {
     Received,
     Done,
--- a/include/gypsumdale/observe/metrics.hpp
+++ b/include/gypsumdale/observe/metrics.hpp
@@ -16,7 +16,7 @@
 
 namespace gypsumdale {
 
-/// How many members and classes have histograms of their own. Those that come later are summed
+/// How many members and classes have series of their own. Those that come later are summed
 /// under "other", so that a misconfigured or hostile caller can't grow the set without end.
 struct MetricsLimits
 {
@@ -27,8 +27,8 @@
 /// The label of members and classes beyond the limits.
 constexpr std::string_view otherSeriesName = "other";
 
-/// Times and counts of one member and class. Safe from any thread, without a lock.
-class RequestSeries
+/// Times and counts of one member, or of one class. Safe from any thread, without a lock.
+class RequestMeasures
 {
 public:
     void record(Latency latency, Duration duration);
@@ -41,6 +41,25 @@
     std::array<std::atomic<std::uint64_t>, requestCounterCount> m_counters{};
 };
 
+/// Where a request of a member and class is counted: with its member and with its class. Not for
+/// each pair of both: pairs are as many as the product, and the page has to pass a slow link. Safe
+/// from any thread, without a lock.
+class RequestSeries
+{
+public:
+    RequestSeries(RequestMeasures &member, RequestMeasures &profile)
+        : m_member(member)
+        , m_profile(profile)
+    {}
+
+    void record(Latency latency, Duration duration);
+    void add(RequestCounter counter, std::uint64_t amount = 1);
+
+private:
+    RequestMeasures &m_member;
+    RequestMeasures &m_profile;
+};
+
 /// All metrics of one process.
 ///
 /// Traffic threads share one set of relaxed atomic counters. A set per thread, merged when read,
@@ -77,14 +96,15 @@
     std::uint64_t value(Counter counter) const;
     std::int64_t value(Gauge gauge) const;
 
-    /// Returns one kind of latency summed over all members and classes. Linear in the series.
+    /// Returns one kind of latency summed over all classes. Linear in the classes.
     LatencySnapshot total(Latency latency) const;
 
-    /// Returns the number of series, which never exceeds (members + 1) * (profiles + 1).
-    std::size_t seriesCount() const;
+    /// Returns for how many members and classes there are measures, which never exceeds members + 1
+    /// and profiles + 1 together.
+    std::size_t measuresCount() const;
 
     /// Writes everything in the text exposition format, version 0.0.4, to be served as
-    /// metricsContentType. Linear in the series.
+    /// metricsContentType. Linear in members and classes.
     std::string expose() const;
 
 private:
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -2,6 +2,7 @@
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/entry_daemon.hpp>
 #include <gypsumdale/entry/entry_duties.hpp>
+#include <gypsumdale/entry/entry_metrics.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
 #include <gypsumdale/entry/entry_registry.hpp>
 #include <gypsumdale/entry/entry_store_news.hpp>
@@ -25,7 +26,6 @@
 constexpr int endSignal = SIGUSR1;
 /// Lines of one kind of event: a busy VM serves some 60 requests a second.
 constexpr LogRate logRate{400, 80};
-constexpr MetricsLimits metricsLimits{16, 12};
 /// After the signal to stop, new connections are still taken: the balancer asks once a second and
 /// sends them until it was told twice that this VM isn't ready.
 constexpr Duration acceptAfterTerm = std::chrono::milliseconds(2600);
@@ -96,7 +96,7 @@
                         .format(LogFormat::Json)
                         .sink(standardOutputSink())
                         .build())
-        , m_metrics(metricsLimits)
+        , m_metrics(entryMetricsLimits)
         , m_controlLoop("control")
         , m_trafficLoop("traffic")
         , m_client(m_controlLoop)
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -2,12 +2,13 @@
 
 #include <observe/detail/exposition.hpp>
 #include <observe/detail/metric_texts.hpp>
+#include <observe/detail/page_bounds.hpp>
 
 #include <fmt/format.h>
 
 #include <map> // map
 #include <mutex> // lock_guard, mutex
-#include <set> // set
+#include <span> // span
 #include <utility> // pair
 
 namespace gypsumdale {
@@ -18,40 +19,48 @@
 constexpr std::string_view errorsName = "gypsumdale_errors_total";
 constexpr std::string_view errorsHelp = "Answers that ended in an error, by the error's name.";
 
-/// Returns the name as a label if it is known or there is room for one more, and "other" otherwise.
-std::string admitName(std::set<std::string> &known, std::size_t limit, const std::string &text)
+constexpr std::string_view metricPrefix = "gypsumdale_";
+
+/// Returns a metric's name with an infix after the prefix that all have.
+std::string withInfix(std::string_view name, std::string_view infix)
 {
-    std::string name = detail::escapeLabel(text);
-    if (known.contains(name))
-        return name;
-    if (known.size() >= limit)
-        return std::string(otherSeriesName);
-    known.insert(name);
-    return name;
+    return fmt::format("{}{}{}", metricPrefix, infix, name.substr(metricPrefix.size()));
 }
 
 } // namespace
 
-void RequestSeries::record(Latency latency, Duration duration)
+void RequestMeasures::record(Latency latency, Duration duration)
 {
     m_latencies[static_cast<std::size_t>(latency)].record(duration);
 }
 
-void RequestSeries::add(RequestCounter counter, std::uint64_t amount)
+void RequestMeasures::add(RequestCounter counter, std::uint64_t amount)
 {
     m_counters[static_cast<std::size_t>(counter)].fetch_add(amount, std::memory_order_relaxed);
 }
 
-std::uint64_t RequestSeries::value(RequestCounter counter) const
+std::uint64_t RequestMeasures::value(RequestCounter counter) const
 {
     return m_counters[static_cast<std::size_t>(counter)].load(std::memory_order_relaxed);
 }
 
-LatencySnapshot RequestSeries::snapshot(Latency latency) const
+LatencySnapshot RequestMeasures::snapshot(Latency latency) const
 {
     return m_latencies[static_cast<std::size_t>(latency)].snapshot();
 }
 
+void RequestSeries::record(Latency latency, Duration duration)
+{
+    m_member.record(latency, duration);
+    m_profile.record(latency, duration);
+}
+
+void RequestSeries::add(RequestCounter counter, std::uint64_t amount)
+{
+    m_member.add(counter, amount);
+    m_profile.add(counter, amount);
+}
+
 struct Metrics::State
 {
     struct GaugeValue
@@ -59,28 +68,63 @@
         std::atomic<std::int64_t> m_value = 0;
         std::atomic<bool> m_isSet = false;
     };
+    /// By their label, escaped. Nodes of a map stay where they are, so that references to what is
+    /// in them stay valid.
+    using MeasuresMap = std::map<std::string, RequestMeasures>;
     /// The labels of member and profile, escaped.
     using SeriesKey = std::pair<std::string, std::string>;
 
+    /// The measures by one of the two labels. What is counted by class has the plain names; by
+    /// member it has names of its own, as a sum over both would count each request twice.
+    struct Dimension
+    {
+        /// Returns the name as a label if it is known or there is room for one more, and "other"
+        /// otherwise.
+        std::string admit(const std::string &text) const;
+        std::string labelsOf(const std::string &label) const
+        {
+            return fmt::format("{}=\"{}\"", m_label, label);
+        }
+        /// Those by member need no second sentence.
+        std::string_view helpOf(std::string_view help) const { return m_isOfMembers ? "" : help; }
+
+        bool m_isOfMembers;
+        std::string_view m_label;
+        /// Put between the common prefix of names and the rest.
+        std::string_view m_infix;
+        std::size_t m_limit;
+        MeasuresMap m_measures;
+    };
+
     explicit State(MetricsLimits limits)
-        : m_limits(limits)
+        : m_members{true, "member", "member_", limits.m_members, {}}
+        , m_profiles{false, "profile", "", limits.m_profiles, {}}
     {}
 
-    void exposeSeries(detail::Exposition &out) const;
+    static void exposeMeasures(const Dimension &dimension, detail::Exposition &out);
+    static void exposeCounter(const Dimension &dimension, RequestCounter counter,
+                              detail::Exposition &out);
+    static void exposeLatency(const Dimension &dimension, Latency latency, detail::Exposition &out);
     void exposeProcess(detail::Exposition &out) const;
     void exposeErrors(detail::Exposition &out) const;
 
-    MetricsLimits m_limits;
     std::array<std::atomic<std::uint64_t>, counterCount> m_counters{};
     std::array<GaugeValue, gaugeCount> m_gauges;
     std::array<std::atomic<std::uint64_t>, errorNumberEnd> m_errors{};
     mutable std::mutex m_mutex;
-    std::set<std::string> m_members;
-    std::set<std::string> m_profiles;
-    /// Nodes of a map stay where they are, so that references to series stay valid.
+    Dimension m_members;
+    Dimension m_profiles;
     std::map<SeriesKey, RequestSeries> m_series;
 };
 
+std::string Metrics::State::Dimension::admit(const std::string &text) const
+{
+    std::string label = detail::escapeLabel(text);
+    if (m_measures.contains(label) || m_measures.size() < m_limit)
+        return label;
+    return std::string(otherSeriesName);
+}
+
 Metrics::Metrics(MetricsLimits limits)
     : m_state(std::make_unique<State>(limits))
 {}
@@ -122,9 +166,15 @@
 RequestSeries &Metrics::series(const MemberId &member, const ProfileId &profile)
 {
     const std::lock_guard lock(m_state->m_mutex);
-    return m_state->m_series[{
-            admitName(m_state->m_members, m_state->m_limits.m_members, member.text()),
-            admitName(m_state->m_profiles, m_state->m_limits.m_profiles, profile.text())}];
+    State::Dimension &members = m_state->m_members;
+    State::Dimension &profiles = m_state->m_profiles;
+    const State::SeriesKey key(members.admit(member.text()), profiles.admit(profile.text()));
+    const auto found = m_state->m_series.find(key);
+    if (found != m_state->m_series.end())
+        return found->second;
+    const auto added = m_state->m_series.try_emplace(key, members.m_measures[key.first],
+                                                     profiles.m_measures[key.second]);
+    return added.first->second;
 }
 
 std::uint64_t Metrics::value(Counter counter) const
@@ -142,15 +192,15 @@
 {
     LatencySnapshot result = LatencyHistogram().snapshot();
     const std::lock_guard lock(m_state->m_mutex);
-    for (const auto &[key, series] : m_state->m_series)
-        result.merge(series.snapshot(latency));
+    for (const auto &[label, measures] : m_state->m_profiles.m_measures)
+        result.merge(measures.snapshot(latency));
     return result;
 }
 
-std::size_t Metrics::seriesCount() const
+std::size_t Metrics::measuresCount() const
 {
     const std::lock_guard lock(m_state->m_mutex);
-    return m_state->m_series.size();
+    return m_state->m_members.m_measures.size() + m_state->m_profiles.m_measures.size();
 }
 
 std::string Metrics::expose() const
@@ -158,7 +208,9 @@
     detail::Exposition out;
     m_state->exposeProcess(out);
     m_state->exposeErrors(out);
-    m_state->exposeSeries(out);
+    const std::lock_guard lock(m_state->m_mutex);
+    State::exposeMeasures(m_state->m_profiles, out);
+    State::exposeMeasures(m_state->m_members, out);
     return out.finish();
 }
 
@@ -190,23 +242,38 @@
     }
 }
 
-void Metrics::State::exposeSeries(detail::Exposition &out) const
+void Metrics::State::exposeMeasures(const Dimension &dimension, detail::Exposition &out)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto labelsOf = [](const SeriesKey &key) {
-        return fmt::format("member=\"{}\",profile=\"{}\"", key.first, key.second);
-    };
-    for (std::size_t place = 0; place < requestCounterCount; ++place) {
-        const auto counter = static_cast<RequestCounter>(place);
-        out.begin(requestCounterName(counter), "counter", detail::requestCounterHelp(counter));
-        for (const auto &[key, series] : m_series)
-            out.sample(requestCounterName(counter), labelsOf(key), series.value(counter));
+    for (std::size_t place = 0; place < requestCounterCount; ++place)
+        exposeCounter(dimension, static_cast<RequestCounter>(place), out);
+    for (std::size_t place = 0; place < latencyCount; ++place)
+        exposeLatency(dimension, static_cast<Latency>(place), out);
+}
+
+void Metrics::State::exposeCounter(const Dimension &dimension, RequestCounter counter,
+                                   detail::Exposition &out)
+{
+    const std::string name = withInfix(requestCounterName(counter), dimension.m_infix);
+    out.begin(name, "counter", dimension.helpOf(detail::requestCounterHelp(counter)));
+    for (const auto &[label, measures] : dimension.m_measures) {
+        const std::uint64_t value = measures.value(counter);
+        if (value > 0)
+            out.sample(name, dimension.labelsOf(label), value);
     }
-    for (std::size_t place = 0; place < latencyCount; ++place) {
-        const auto latency = static_cast<Latency>(place);
-        out.begin(latencyName(latency), "histogram", detail::latencyHelp(latency));
-        for (const auto &[key, series] : m_series)
-            out.histogram(latencyName(latency), labelsOf(key), series.snapshot(latency));
+}
+
+void Metrics::State::exposeLatency(const Dimension &dimension, Latency latency,
+                                   detail::Exposition &out)
+{
+    const std::string name = withInfix(latencyName(latency), dimension.m_infix);
+    out.begin(name, "histogram", dimension.helpOf(detail::latencyHelp(latency)));
+    const detail::PageBounds bounds = detail::pageBounds(latency);
+    const std::span<const int> shown =
+            dimension.m_isOfMembers ? bounds.m_ofMember : bounds.m_ofProfile;
+    for (const auto &[label, measures] : dimension.m_measures) {
+        const LatencySnapshot snapshot = measures.snapshot(latency);
+        if (snapshot.count() > 0)
+            out.histogram(name, dimension.labelsOf(label), snapshot, shown);
     }
 }
 
