--- a/include/gypsumdale/ledger/platform_log.hpp
+++ b/include/gypsumdale/ledger/platform_log.hpp
@@ -3,10 +3,10 @@
 #include <gypsumdale/core/result.hpp>
 #include <gypsumdale/ledger/log_messages.hpp>
 #include <gypsumdale/ledger/moment.hpp>
+#include <gypsumdale/ledger/record_queue.hpp>
 
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
-#include <deque> // deque
 #include <optional> // optional
 #include <set> // set
 #include <string> // string
@@ -23,12 +23,6 @@
     Corrupt, ///< It stands in front of a segment that it can't read.
 };
 
-/// Tells whether an abandoned record can still take effect.
-enum class Abandoned {
-    NotWritten, ///< It never will.
-    MayBeWritten, ///< It may; RecordApplied or RecordDropped tells which, if it is ever learnt.
-};
-
 /// The settings of a log.
 struct PlatformLogSettings
 {
@@ -65,11 +59,11 @@
 
     /// Queues a record. Fails with RequestTooLarge for one above the limit and with QueueFull if
     /// too much waits; then nothing is left behind. Records of one log keep their order.
-    Result<LogTicket> append(std::string record);
+    Result<LogTicket> append(std::string record) { return m_queue.append(std::move(record)); }
 
     /// Gives up on a record and tells whether it can still take effect. A ticket that is no longer
     /// known, because it was applied or dropped, gives MayBeWritten. Linear in what waits.
-    Abandoned abandon(LogTicket ticket);
+    Abandoned abandon(LogTicket ticket) { return m_queue.abandon(ticket); }
 
     /// Asks for a reading up to the end; LogCaughtUp follows.
     void refresh();
@@ -98,7 +92,7 @@
     Duration unavailableFor(TimePoint now) const;
     bool hasOutstanding() const { return m_outstanding != Waiting::Nothing; }
     /// Tells whether records wait, or a create is unsettled. Constant.
-    bool hasWork() const { return !m_queue.empty() || m_batch.has_value(); }
+    bool hasWork() const { return m_queue.hasWaiting() || m_own.has_value(); }
     /// The number that the next new segment gets, as far as is known.
     SegmentNumber nextNumber() const { return m_next; }
     const std::string &writer() const { return m_settings.m_writer; }
@@ -114,18 +108,10 @@
         ByNext, ///< As ByList, and a next segment exists, which names the one it follows.
     };
 
-    struct Entry
-    {
-        LogTicket m_ticket = 0;
-        std::string m_record;
-        bool m_abandoned = false;
-    };
-
-    /// A segment of our own on its way into the log.
-    struct Batch
+    /// A segment of our own on its way into the log, with the records of the queue's batch.
+    struct OwnSegment
     {
-        std::int64_t m_id = 0;
-        std::vector<Entry> m_entries;
+        std::int64_t m_batch = 0;
         std::string m_body;
         WallMillis m_writtenAt = 0;
         /// A create of it may have taken effect, or may yet.
@@ -153,19 +139,18 @@
     void verifyByList(const SegmentsListed &answer, Moment moment);
     void verifyByNext(const std::string &body, Moment moment);
     void moveToListed();
-    void fillBatch(Moment moment);
-    void applyBatch();
-    void returnBatch();
+    void fillOwn(Moment moment);
+    std::string ownIdentity() const;
+    void applyOwn();
+    void returnOwn();
     void settleOwn(Moment moment);
     void voidOwn();
     void backOff(Duration retryAfter, Moment moment);
     void reportCorrupt(std::string reason, Moment moment);
 
     PlatformLogSettings m_settings;
-    std::deque<Entry> m_queue;
-    std::size_t m_queuedBytes = 0;
-    std::optional<Batch> m_batch;
-    LogTicket m_lastTicket = 0;
+    RecordQueue m_queue;
+    std::optional<OwnSegment> m_own;
     std::int64_t m_lastBatch = 0;
 
     SegmentNumber m_next = 1;
--- a/src/ledger/platform_log.cpp
+++ b/src/ledger/platform_log.cpp
@@ -2,7 +2,7 @@
 
 #include <gypsumdale/ledger/platform_log.hpp>
 
-#include <algorithm> // find_if, max, min
+#include <algorithm> // max, min
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -25,39 +25,10 @@
 
 PlatformLog::PlatformLog(PlatformLogSettings settings)
     : m_settings(std::move(settings))
+    , m_queue({m_settings.m_maxSegmentBytes, m_settings.m_maxRecordBytes,
+               m_settings.m_maxWaitingBytes})
 {}
 
-Result<LogTicket> PlatformLog::append(std::string record)
-{
-    if (record.size() > m_settings.m_maxRecordBytes)
-        return Error{ErrorId::RequestTooLarge, "the record is larger than a log takes"};
-    if (m_queuedBytes + record.size() > m_settings.m_maxWaitingBytes)
-        return Error{ErrorId::QueueFull, "too many records wait for the platform"};
-    m_queuedBytes += record.size();
-    m_queue.push_back({++m_lastTicket, std::move(record)});
-    return m_lastTicket;
-}
-
-Abandoned PlatformLog::abandon(LogTicket ticket)
-{
-    const auto hasTicket = [ticket](const Entry &entry) {
-        return entry.m_ticket == ticket;
-    };
-    const auto queued = std::find_if(m_queue.begin(), m_queue.end(), hasTicket);
-    if (queued != m_queue.end()) {
-        m_queuedBytes -= queued->m_record.size();
-        m_queue.erase(queued);
-        return Abandoned::NotWritten;
-    }
-    if (!m_batch)
-        return Abandoned::MayBeWritten;
-    for (Entry &entry : m_batch->m_entries) {
-        if (entry.m_ticket == ticket)
-            entry.m_abandoned = true;
-    }
-    return Abandoned::MayBeWritten;
-}
-
 void PlatformLog::refresh()
 {
     m_refresh = true;
@@ -107,10 +78,10 @@
         return send(Waiting::List, ListSegments{}, moment);
     if (m_lastCreate && moment.m_now < *m_lastCreate + m_settings.m_writeInterval)
         return std::nullopt;
-    if (!m_batch)
-        fillBatch(moment);
+    if (!m_own)
+        fillOwn(moment);
     m_lastCreate = moment.m_now;
-    return send(Waiting::Create, CreateSegment{m_next, m_batch->m_body}, moment);
+    return send(Waiting::Create, CreateSegment{m_next, m_own->m_body}, moment);
 }
 
 LogCommand PlatformLog::send(Waiting waiting, LogCommand command, Moment moment)
@@ -122,7 +93,7 @@
 
 PlatformLog::Settling PlatformLog::settling() const
 {
-    return m_batch ? m_batch->m_settling : Settling::Nothing;
+    return m_own ? m_own->m_settling : Settling::Nothing;
 }
 
 bool PlatformLog::isTrusted(Moment moment) const
@@ -182,7 +153,7 @@
     const SegmentNumber target = *m_listed.begin();
     if (wasPositioned)
         m_events.emplace_back(LogGap{m_next, target - 1});
-    returnBatch();
+    returnOwn();
     m_conflict = false;
     m_next = target;
     m_previous.reset();
@@ -200,7 +171,7 @@
     m_corrupt = false;
     const wire::LogSegment &segment = valueOf(decoded);
     const bool isOwn =
-            m_batch && segment.writer == m_settings.m_writer && segment.batch == m_batch->m_id;
+            m_own && segment.writer == m_settings.m_writer && segment.batch == m_own->m_batch;
     if (m_refreshSent) {
         m_refreshSent = false;
         m_refresh = true;
@@ -208,7 +179,7 @@
     if (isOwn)
         return settleOwn(moment);
     // Another's segment has the number: what we sent for it can't take effect any more.
-    returnBatch();
+    returnOwn();
     m_conflict = false;
     if (m_previous && segment.previous != *m_previous)
         m_events.emplace_back(LogStray{m_next - 1});
@@ -233,7 +204,7 @@
         // Failure: the create was lost on its way, or is still on it and takes effect later. The
         // latter shows as a record that was reported as not written. The same number with the same
         // body is created again: whichever of the two takes effect, the other meets it.
-        m_batch->m_settling = Settling::Nothing;
+        m_own->m_settling = Settling::Nothing;
         return;
     }
     const bool wasKnown = m_conflict || m_corrupt || m_listed.contains(m_next);
@@ -282,8 +253,8 @@
     m_outstanding = Waiting::Nothing;
     if (lost != Waiting::Create)
         return backOff(answer.m_retryAfter, moment);
-    m_batch->m_inDoubt = true;
-    m_batch->m_settling = Settling::ReadBack;
+    m_own->m_inDoubt = true;
+    m_own->m_settling = Settling::ReadBack;
 }
 
 void PlatformLog::handle(const LogRefused &answer, Moment moment)
@@ -291,8 +262,8 @@
     const Waiting refused = m_outstanding;
     m_outstanding = Waiting::Nothing;
     backOff(answer.m_retryAfter, moment);
-    if (refused == Waiting::Create && !m_batch->m_inDoubt)
-        returnBatch();
+    if (refused == Waiting::Create && !m_own->m_inDoubt)
+        returnOwn();
 }
 
 void PlatformLog::backOff(Duration retryAfter, Moment moment)
@@ -311,30 +282,30 @@
         m_endSeen = m_sentAt;
 }
 
-void PlatformLog::fillBatch(Moment moment)
+void PlatformLog::fillOwn(Moment moment)
 {
-    Batch batch;
-    std::size_t bytes = 0;
+    m_queue.fillBatch();
+    OwnSegment own;
+    own.m_batch = ++m_lastBatch;
+    own.m_writtenAt = moment.m_wall;
     wire::LogSegment segment;
-    while (!m_queue.empty()) {
-        Entry &entry = m_queue.front();
-        const std::size_t size = entry.m_record.size();
-        if (!batch.m_entries.empty() && bytes + size > m_settings.m_maxSegmentBytes)
-            break;
-        bytes += size;
-        m_queuedBytes -= size;
-        segment.records.push_back(entry.m_record);
-        batch.m_entries.push_back(std::move(entry));
-        m_queue.pop_front();
-    }
-    batch.m_id = ++m_lastBatch;
-    batch.m_writtenAt = moment.m_wall;
+    for (const QueuedRecord &record : m_queue.batch())
+        segment.records.push_back(record.m_record);
     segment.writer = m_settings.m_writer;
-    segment.batch = batch.m_id;
+    segment.batch = own.m_batch;
     segment.previous = m_previous.value_or("");
     segment.writtenAt = moment.m_wall;
-    batch.m_body = detail::encodeSegment(segment);
-    m_batch = std::move(batch);
+    own.m_body = detail::encodeSegment(segment);
+    m_own = std::move(own);
+}
+
+/// Names the own segment as the one that follows it does.
+std::string PlatformLog::ownIdentity() const
+{
+    wire::LogSegment own;
+    own.writer = m_settings.m_writer;
+    own.batch = m_own->m_batch;
+    return detail::segmentIdentity(own);
 }
 
 void PlatformLog::settleOwn(Moment moment)
@@ -345,10 +316,10 @@
     // claim. The last segment is never trimmed, so that ours is in the log only if it is the last,
     // or the next one names it.
     if (!isTrusted(moment)) {
-        m_batch->m_settling = Settling::ByList;
+        m_own->m_settling = Settling::ByList;
         return;
     }
-    applyBatch();
+    applyOwn();
     confirmEnd(moment);
 }
 
@@ -364,7 +335,7 @@
     if (!all.contains(m_next + 1))
         return voidOwn();
     m_endSeen.reset();
-    m_batch->m_settling = Settling::ByNext;
+    m_own->m_settling = Settling::ByNext;
 }
 
 void PlatformLog::verifyByNext(const std::string &body, Moment moment)
@@ -373,54 +344,38 @@
     if (!succeeded(decoded))
         return reportCorrupt(errorOf(decoded).m_text, moment);
     m_corrupt = false;
-    wire::LogSegment own;
-    own.writer = m_settings.m_writer;
-    own.batch = m_batch->m_id;
-    if (valueOf(decoded).previous != detail::segmentIdentity(own))
+    if (valueOf(decoded).previous != ownIdentity())
         return voidOwn();
-    applyBatch();
+    applyOwn();
     m_listNeeded = true;
 }
 
-void PlatformLog::applyBatch()
+void PlatformLog::applyOwn()
 {
-    Batch batch = std::move(*m_batch);
-    m_batch.reset();
-    for (std::size_t index = 0; index < batch.m_entries.size(); ++index) {
-        Entry &entry = batch.m_entries[index];
-        m_events.emplace_back(RecordApplied{m_next, index, m_settings.m_writer, batch.m_writtenAt,
-                                            std::move(entry.m_record), entry.m_ticket});
+    std::vector<QueuedRecord> batch = m_queue.takeBatch();
+    for (std::size_t index = 0; index < batch.size(); ++index) {
+        QueuedRecord &record = batch[index];
+        m_events.emplace_back(RecordApplied{m_next, index, m_settings.m_writer, m_own->m_writtenAt,
+                                            std::move(record.m_record), record.m_ticket});
     }
-    wire::LogSegment own;
-    own.writer = m_settings.m_writer;
-    own.batch = batch.m_id;
-    m_previous = detail::segmentIdentity(own);
+    m_previous = ownIdentity();
+    m_own.reset();
     m_listed.erase(m_next);
     ++m_next;
     moveToListed();
 }
 
-void PlatformLog::returnBatch()
+void PlatformLog::returnOwn()
 {
-    if (!m_batch)
-        return;
-    Batch batch = std::move(*m_batch);
-    m_batch.reset();
-    for (std::size_t left = batch.m_entries.size(); left > 0; --left) {
-        Entry &entry = batch.m_entries[left - 1];
-        if (entry.m_abandoned) {
-            m_events.emplace_back(RecordDropped{entry.m_ticket});
-            continue;
-        }
-        m_queuedBytes += entry.m_record.size();
-        m_queue.push_front(std::move(entry));
-    }
+    m_own.reset();
+    for (const LogTicket ticket : m_queue.returnBatch())
+        m_events.emplace_back(RecordDropped{ticket});
 }
 
 void PlatformLog::voidOwn()
 {
     m_stray = m_next;
-    returnBatch();
+    returnOwn();
     m_previous.reset();
     m_endSeen.reset();
     m_listNeeded = true;
