--- a/include/gypsumdale/fleet/membership.hpp
+++ b/include/gypsumdale/fleet/membership.hpp
@@ -91,7 +91,7 @@
     std::vector<NodeId> dutyNodes() const;
 
     /// Nodes of a data centre that are alive and not leaving, without the own one. Linear.
-    std::vector<NodeIdentity> aliveNodes(const DataCentreId &dataCentre) const;
+    std::vector<NodeIdentity> openNodes(const DataCentreId &dataCentre) const;
 
     /// Other data centres that nodes are known of. Linear in nodes.
     std::vector<DataCentreId> otherDataCentres() const;
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -419,7 +419,7 @@
     return chosen;
 }
 
-std::vector<NodeIdentity> Membership::aliveNodes(const DataCentreId &dataCentre) const
+std::vector<NodeIdentity> Membership::openNodes(const DataCentreId &dataCentre) const
 {
     std::vector<NodeIdentity> result;
     for (const auto &[node, peer] : m_peers) {
--- a/src/fleet/peer_exchange.cpp
+++ b/src/fleet/peer_exchange.cpp
@@ -376,7 +376,7 @@
     const std::string &key = notices.front().m_id;
     for (const DataCentreId &dataCentre : m_membership.otherDataCentres()) {
         std::vector<NodeId> names;
-        for (const NodeIdentity &node : m_membership.aliveNodes(dataCentre))
+        for (const NodeIdentity &node : m_membership.openNodes(dataCentre))
             names.push_back(node.m_node);
         for (const NodeId &node : rendezvousChoice(key, names, noticeTargetsPerDataCentre))
             commands.push_back(SendToPeer{m_membership.find(node)->m_identity, body});
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -105,7 +105,7 @@
 {
     std::vector<NodeId> nodes{m_context.m_settings.m_node};
     for (const NodeIdentity &node :
-         m_fleet.membership().aliveNodes(m_context.m_settings.m_dataCentre))
+         m_fleet.membership().openNodes(m_context.m_settings.m_dataCentre))
         nodes.push_back(node.m_node);
     std::ranges::sort(nodes);
     return nodes;
--- a/tests/src/unit-membership.cpp
+++ b/tests/src/unit-membership.cpp
@@ -197,7 +197,7 @@
         const auto &summary = membership.summaries().at(other).m_summary;
         REQUIRE(summary.m_services.size() == 1);
         CHECK(summary.m_services.front().m_slots == 8);
-        CHECK(membership.aliveNodes(other).size() == 3);
+        CHECK(membership.openNodes(other).size() == 3);
     }
 
     SECTION("and stay in touch when the chosen nodes die")
@@ -223,7 +223,7 @@
         world.heal();
         world.run(seconds(15));
         CHECK(stateAt(world, "banos-1", "centro-1") == NodeState::Alive);
-        CHECK(world.exchange("banos-1").membership().aliveNodes(other).size() == 3);
+        CHECK(world.exchange("banos-1").membership().openNodes(other).size() == 3);
     }
 }
 
