--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -21,6 +21,15 @@
     std::uint64_t m_framesReceived = 0;
     std::uint64_t m_bytesSent = 0;
     std::uint64_t m_bytesReceived = 0;
+
+    FrameTraffic &operator+=(const FrameTraffic &other)
+    {
+        m_framesSent += other.m_framesSent;
+        m_framesReceived += other.m_framesReceived;
+        m_bytesSent += other.m_bytesSent;
+        m_bytesReceived += other.m_bytesReceived;
+        return *this;
+    }
 };
 
 /// What a frame is answered with; an empty one closes the connection.
