Let a call have a term until when its request may reach the other side

From the choice of an upstream to its first byte nothing asked whether the choice still held: not after a connection that took a quarter of a second, and not while the request lay in the send buffer or on a silent path. A call may now have a term, which is asked before the first byte is handed over, with the time that the connection took, and again at its end or when it is cut short: what isn't written whole then, or of which the kernel holds bytes that the other host hasn't acknowledged, is taken back by a reset. A request that was acknowledged whole goes on. The error is term-over (408), with the phase that tells whether anything had been handed over.

Cost on the good path: a timer, and one SIOCOUTQ only if the answer has not begun by the end of the first term. Where that call isn't known the exchange is left alone.

--- a/include/gypsumdale/core/error.hpp
+++ b/include/gypsumdale/core/error.hpp
@@ -43,6 +43,7 @@
     OutcomeUnknown = 405,
     NoUpstream = 406,
     UpstreamRefused = 407,
+    TermOver = 408,
     // 5xx: the platform
     PlatformUnreachable = 501,
     PlatformConflict = 502,
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/result.hpp>
+#include <gypsumdale/runtime/call_term.hpp>
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_message.hpp>
 
@@ -47,6 +48,8 @@
 {
     Error m_error;
     SendPhase m_phase = SendPhase::NothingSent;
+    /// Bytes of the request that the other side had not acknowledged as its term ended.
+    std::size_t m_unacknowledged = 0;
 };
 
 template <typename T>
@@ -57,8 +60,8 @@
 class CallCancellation
 {
 public:
-    /// Closes the call's connection; what waits on it returns with Cancelled. Calls made with it
-    /// later fail at once.
+    /// Resets the call's connection, so that what is still under way of the request doesn't arrive;
+    /// what waits on it returns with Cancelled. Calls made with it later fail at once.
     void cancel();
     bool isCancelled() const { return m_isCancelled; }
 
@@ -93,12 +96,14 @@
     bool m_acceptsUnframed = false;
     /// Gives the call up from another fiber; may be null.
     std::shared_ptr<CallCancellation> m_cancellation;
+    /// Until when the request may reach the other side; null where it may at any time.
+    std::shared_ptr<CallTerm> m_term;
     /// Bounds the answer of HttpClient::call(), which holds it whole; open() passes pieces on and
     /// has no bound.
     std::size_t m_maxBodyBytes = std::size_t{8} * 1024 * 1024;
 };
 
-/// An answer that is being read piece by piece. Destroying it before the end closes the connection,
+/// An answer that is being read piece by piece. Destroying it before the end resets the connection,
 /// which tells the other side to cancel. All calls are made from fibers of the client's loop, but
 /// cancel() may be called from another fiber of the same loop while one waits in read().
 class HttpExchange
@@ -120,7 +125,7 @@
     /// As read(), with a limit of its own on the silence.
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
 
-    /// Closes the connection; a fiber that waits in read() returns at once with Cancelled.
+    /// Resets the connection; a fiber that waits in read() returns at once with Cancelled.
     void cancel();
 
 private:
@@ -143,7 +148,8 @@
     /// Sends a request and returns once the answer's header has come. Fails with Timeout or
     /// UpstreamUnreachable where no connection came about, UpstreamSilent past the header's time,
     /// ConnectionClosed where the connection ended before the answer, AnswerTruncated within its
-    /// header, and UpstreamFailed for what is no HTTP.
+    /// header, UpstreamFailed for what is no HTTP, and TermOver where the call's term ended before
+    /// the first byte was handed over (NothingSent) or before all of them were acknowledged.
     CallResult<HttpExchange> open(const HttpCall &call);
 
     /// Sends a request and returns the whole answer.
@@ -155,6 +161,8 @@
 
 private:
     static void attach(const HttpCall &call, const std::shared_ptr<detail::Stream> &stream);
+    static std::optional<CallFailure> connect(const HttpCall &call,
+                                              const std::shared_ptr<detail::Stream> &stream);
 
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<ErrorId, 48> errorNames = {{
+constexpr NameTable<ErrorId, 49> errorNames = {{
         {ErrorId::SettingsUnreadable, "settings-unreadable"},
         {ErrorId::SettingsSyntax, "settings-syntax"},
         {ErrorId::SettingsUnknownKey, "settings-unknown-key"},
@@ -37,6 +37,7 @@
         {ErrorId::OutcomeUnknown, "outcome-unknown"},
         {ErrorId::NoUpstream, "no-upstream"},
         {ErrorId::UpstreamRefused, "upstream-refused"},
+        {ErrorId::TermOver, "term-over"},
         {ErrorId::PlatformUnreachable, "platform-unreachable"},
         {ErrorId::PlatformConflict, "platform-conflict"},
         {ErrorId::PlatformAnswerLost, "platform-answer-lost"},
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -3,6 +3,8 @@
 #include <algorithm> // min
 #include <utility> // move
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/error.hpp>
@@ -192,6 +194,14 @@
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::optional<std::size_t> Stream::unacknowledged()
+{
+    int bytes = 0;
+    if (m_closed || ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(bytes);
+}
+
 void Stream::closeGently()
 {
     error_code error;
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -10,6 +10,7 @@
 #include <cstddef> // size_t
 #include <functional> // function
 #include <memory> // enable_shared_from_this, unique_ptr
+#include <optional> // optional
 #include <span> // span
 #include <string> // string
 
@@ -91,6 +92,10 @@
     /// fallen silent, then never arrives.
     void resetOnClose(bool isOn) { m_resetsOnClose = isOn; }
 
+    /// Returns the bytes that were written and that the other host has not acknowledged, or nothing
+    /// where that can't be known. Costs one system call.
+    std::optional<std::size_t> unacknowledged();
+
     void close() override;
     bool isClosed() const { return m_closed; }
 
--- /dev/null
+++ b/src/runtime/detail/term_watch.cpp
@@ -0,0 +1,83 @@
+#include <runtime/detail/term_watch.hpp>
+
+#include <utility> // move
+
+namespace gypsumdale {
+
+void CallTerm::noteShortened()
+{
+    // What is called may end its own listening.
+    if (const std::function<void()> onShortened = m_onShortened)
+        onShortened();
+}
+
+namespace detail {
+
+TermWatch::TermWatch(LoopCore &core, std::shared_ptr<CallTerm> term, std::shared_ptr<Stream> stream)
+    : m_term(std::move(term))
+    , m_stream(std::move(stream))
+    , m_timer(core.m_context)
+{}
+
+TermWatch::~TermWatch()
+{
+    end();
+}
+
+void TermWatch::begin()
+{
+    m_term->m_onShortened = [weak = weak_from_this()] {
+        if (const std::shared_ptr<TermWatch> self = weak.lock())
+            self->look();
+    };
+    lookIn(m_term->left());
+}
+
+void TermWatch::end()
+{
+    if (!m_term)
+        return;
+    m_term->m_onShortened = nullptr;
+    m_term = nullptr;
+    m_timer.cancel();
+}
+
+void TermWatch::lookIn(Duration time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        if (error)
+            return;
+        if (const std::shared_ptr<TermWatch> self = weak.lock())
+            self->look();
+    });
+}
+
+/// Tells whether the other side has all of the request, or this can't be known.
+bool TermWatch::hasArrived() const
+{
+    return m_isHandedOver && m_stream->unacknowledged().value_or(0) == 0;
+}
+
+void TermWatch::look()
+{
+    if (!m_term)
+        return;
+    if (hasArrived()) {
+        end();
+        return;
+    }
+    const Duration left = m_term->left();
+    if (left > Duration::zero()) {
+        lookIn(left);
+        return;
+    }
+    m_hasTakenBack = true;
+    m_unacknowledged = m_stream->unacknowledged().value_or(0);
+    end();
+    m_stream->close();
+}
+
+} // namespace detail
+
+} // namespace gypsumdale
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -4,6 +4,7 @@
 #include <runtime/detail/message_parser.hpp>
 #include <runtime/detail/message_writer.hpp>
 #include <runtime/detail/stream.hpp>
+#include <runtime/detail/term_watch.hpp>
 
 #include <array> // array
 #include <utility> // exchange, move
@@ -52,6 +53,12 @@
                    "cannot connect");
 }
 
+CallFailure termOver(const Endpoint &endpoint)
+{
+    return failure(SendPhase::NothingSent, ErrorId::TermOver, endpoint,
+                   "the term was over before sending");
+}
+
 } // namespace
 
 /// An exchange from the request's first byte to the answer's last.
@@ -74,6 +81,7 @@
     std::optional<CallFailure> parse();
     CallFailure fail(ErrorId id, std::string_view what);
     CallFailure fail(StreamStatus status);
+    CallFailure failTakenBack();
     void finish();
     bool endsByClose(StreamStatus status);
 
@@ -81,8 +89,12 @@
     std::shared_ptr<Stream> m_stream;
     std::weak_ptr<detail::ConnectionPool> m_pool;
     std::unique_ptr<Parser> m_parser;
+    /// Null where the call has no term.
+    std::shared_ptr<detail::TermWatch> m_watch;
     Duration m_silenceTimeout;
     SendPhase m_phase = SendPhase::NothingSent;
+    /// Bytes of the request that were not handed to the kernel.
+    std::size_t m_unsent = 0;
     bool m_isHead;
     bool m_closeAfter;
     bool m_acceptsUnframed;
@@ -103,6 +115,9 @@
     , m_acceptsUnframed(call.m_acceptsUnframed)
 {
     m_stream->resetOnClose(true);
+    if (call.m_term)
+        m_watch = std::make_shared<detail::TermWatch>(*detail::LoopCore::current(), call.m_term,
+                                                      m_stream);
 }
 
 /// Guards the next request of a connection against the rest of an answer that nobody read: unless
@@ -121,12 +136,19 @@
     // A write that fails proves nothing about what the other side has read.
     m_phase = SendPhase::MayHaveBeenRead;
     const detail::SteadyTime deadline = detail::deadlineAfter(call.m_headerTimeout);
+    if (m_watch)
+        m_watch->begin();
     for (;;) {
         const StreamStatus status = m_stream->write(buffers, earlyAnswerCheck, deadline);
-        if (status == StreamStatus::Good)
+        if (status == StreamStatus::Good) {
+            if (m_watch)
+                m_watch->noteHandedOver();
             return std::nullopt;
-        if (status != StreamStatus::TimedOut || std::chrono::steady_clock::now() >= deadline)
+        }
+        if (status != StreamStatus::TimedOut || std::chrono::steady_clock::now() >= deadline) {
+            m_unsent = asio::buffer_size(buffers);
             return fail(status);
+        }
         // An upstream may answer before it has read a long body and stop reading: waiting for it
         // to take the rest would sit out the whole timeout beside the answer.
         if (!m_stream->isQuietAndOpen()) {
@@ -150,6 +172,8 @@
                 if (status != StreamStatus::Good)
                     return fail(status);
                 m_phase = SendPhase::AnswerBegun;
+                if (m_watch)
+                    m_watch->end();
             }
             if (std::optional<CallFailure> malformed = parse())
                 return malformed;
@@ -215,6 +239,8 @@
 
 CallFailure HttpExchange::State::fail(StreamStatus status)
 {
+    if (m_watch && m_watch->hasTakenBack())
+        return failTakenBack();
     if (m_cancelled || status == StreamStatus::Closed)
         return fail(ErrorId::Cancelled, "cancelled");
     if (status == StreamStatus::TimedOut)
@@ -224,6 +250,16 @@
     return fail(ErrorId::ConnectionClosed, "the connection closed before the answer");
 }
 
+CallFailure HttpExchange::State::failTakenBack()
+{
+    const std::size_t bytes = m_watch->unacknowledged() + m_unsent;
+    CallFailure failed =
+            fail(ErrorId::TermOver, fmt::format("taken back with {} bytes unacknowledged", bytes));
+    failed.m_unacknowledged = bytes;
+    m_failure = failed;
+    return failed;
+}
+
 CallFailure HttpExchange::State::fail(ErrorId id, std::string_view what)
 {
     m_stream->close();
@@ -315,6 +351,36 @@
     };
 }
 
+/// Opens a connection within the call's time and term.
+std::optional<CallFailure> HttpClient::connect(const HttpCall &call,
+                                               const std::shared_ptr<detail::Stream> &stream)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(call.m_endpoint.m_address, error);
+    if (error)
+        return connectFailure(call.m_endpoint, StreamStatus::Broken);
+    attach(call, stream);
+    CallTerm *term = call.m_term.get();
+    if (term) {
+        term->m_onShortened = [term, weak = std::weak_ptr<Stream>(stream)] {
+            const std::shared_ptr<Stream> open = weak.lock();
+            if (open && !term->maySend(Duration::zero()))
+                open->close();
+        };
+    }
+    const StreamStatus status =
+            stream->connect({address, call.m_endpoint.m_port}, call.m_connectTimeout);
+    if (term)
+        term->m_onShortened = nullptr;
+    if (status == StreamStatus::Good)
+        return std::nullopt;
+    stream->close();
+    const bool isCancelled = call.m_cancellation && call.m_cancellation->isCancelled();
+    if (term && !isCancelled && !term->maySend(Duration::zero()))
+        return termOver(call.m_endpoint);
+    return connectFailure(call.m_endpoint, status);
+}
+
 CallResult<HttpExchange> HttpClient::open(const HttpCall &call)
 {
     detail::LoopCore &core = *detail::LoopCore::current();
@@ -326,19 +392,15 @@
     std::shared_ptr<Stream> stream;
     if (!call.m_freshConnection)
         stream = state->m_pool->take(call.m_endpoint);
+    const detail::SteadyTime beganAt = std::chrono::steady_clock::now();
     if (!stream) {
-        boost::system::error_code error;
-        const auto address = asio::ip::make_address(call.m_endpoint.m_address, error);
-        if (error)
-            return connectFailure(call.m_endpoint, StreamStatus::Broken);
         stream = std::make_shared<Stream>(core);
-        attach(call, stream);
-        const StreamStatus status =
-                stream->connect({address, call.m_endpoint.m_port}, call.m_connectTimeout);
-        if (status != StreamStatus::Good) {
-            stream->close();
-            return connectFailure(call.m_endpoint, status);
-        }
+        if (std::optional<CallFailure> failed = connect(call, stream))
+            return *std::move(failed);
+    }
+    if (call.m_term && !call.m_term->maySend(std::chrono::steady_clock::now() - beganAt)) {
+        stream->close();
+        return termOver(call.m_endpoint);
     }
     attach(call, stream);
     auto exchange = std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool);
--- a/tests/src/unit-http-term.cpp
+++ b/tests/src/unit-http-term.cpp
@@ -7,11 +7,18 @@
 #include <chrono> // milliseconds, seconds, steady_clock
 #include <future> // future, promise
 #include <memory> // make_shared
+#include <optional> // optional
 #include <string> // string
+#include <string_view> // string_view
 #include <thread> // jthread, sleep_for
 
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace gypsumdale;
@@ -25,6 +32,9 @@
 /// Longer than the proxy takes to pass on what it held when a link heals.
 constexpr auto settleTime = 150ms;
 constexpr auto patience = 3s;
+/// Long enough for a step of the test to come first.
+constexpr auto firstTerm = 1s;
+constexpr auto endlessTerm = 60s;
 
 /// Accepts one connection after the other and counts the bytes that come.
 class CountingServer
@@ -121,6 +131,119 @@
     HttpClient m_client{m_loop};
 };
 
+/// A term that begins as the first byte may go out, and that a test moves on the loop's thread.
+class MovableTerm : public CallTerm
+{
+public:
+    explicit MovableTerm(Duration time)
+        : m_time(time)
+    {}
+
+    Duration left() const override
+    {
+        return m_until ? *m_until - std::chrono::steady_clock::now() : m_time;
+    }
+    bool maySend(Duration connecting) const override
+    {
+        if (!m_until)
+            m_until = std::chrono::steady_clock::now() + m_time;
+        return left() > 0ns && connecting <= m_longestConnecting;
+    }
+    void endNow()
+    {
+        m_until = std::chrono::steady_clock::now();
+        noteShortened();
+    }
+
+    Duration m_time;
+    mutable std::optional<std::chrono::steady_clock::time_point> m_until;
+    Duration m_longestConnecting = patience;
+};
+
+/// Takes in no connection, so that one more has to wait.
+class FullListener
+{
+public:
+    FullListener()
+        : m_acceptor(m_context, tcp::v4())
+    {
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(0);
+        for (tcp::socket &socket : m_sockets) {
+            socket.open(tcp::v4());
+            socket.non_blocking(true);
+            const tcp::endpoint endpoint = m_acceptor.local_endpoint();
+            // The library's own call would wait for the outcome.
+            ::connect(socket.native_handle(), endpoint.data(),
+                      static_cast<socklen_t>(endpoint.size()));
+        }
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::array<tcp::socket, 3> m_sockets{tcp::socket(m_context), tcp::socket(m_context),
+                                         tcp::socket(m_context)};
+};
+
+/// Reads when it is told to, and takes in little before.
+class LazyServer
+{
+public:
+    LazyServer()
+        : m_acceptor(m_context, tcp::v4())
+    {
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(1));
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen();
+    }
+
+    HttpCall call(std::size_t bodySize) const
+    {
+        HttpCall call;
+        call.m_endpoint = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        call.m_method = "POST";
+        call.m_body.assign(bodySize, 'x');
+        call.m_freshConnection = true;
+        call.m_closeAfter = true;
+        return call;
+    }
+
+    /// Reads the head and a body.
+    void readBody(std::size_t size)
+    {
+        accept();
+        std::string input;
+        const std::size_t head =
+                asio::read_until(m_socket, asio::dynamic_buffer(input), "\r\n\r\n");
+        const std::size_t came = input.size() - head;
+        std::string rest(size - came, '\0');
+        asio::read(m_socket, asio::buffer(rest));
+    }
+    void answer()
+    {
+        asio::write(m_socket,
+                    asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    }
+    /// Reads until the connection ends in any way; returns how much came.
+    std::size_t readToEnd()
+    {
+        accept();
+        std::string input;
+        boost::system::error_code error;
+        return asio::read(m_socket, asio::dynamic_buffer(input), error);
+    }
+
+private:
+    void accept() { m_socket = m_acceptor.accept(); }
+
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket{m_context};
+};
+
 const CallFailure &failureOf(const CallResult<HttpReply> &result)
 {
     return std::get<CallFailure>(result);
@@ -164,3 +287,131 @@
     path.heal();
     REQUIRE(path.m_server.bytes() == 0);
 }
+
+TEST_CASE("a request doesn't go out once its term is over")
+{
+    // A connection that came about late carried a request to an upstream that had left meanwhile.
+    SilentPath path;
+    HttpCall call = path.call();
+    const auto term = std::make_shared<MovableTerm>(1s);
+    call.m_term = term;
+
+    SECTION("on a connection that took too long")
+    {
+        term->m_longestConnecting = -1ns;
+    }
+
+    SECTION("as the time has passed")
+    {
+        term->m_until = std::chrono::steady_clock::now();
+    }
+
+    const CallFailure failed = failureOf(path.begin(call).get());
+    REQUIRE(failed.m_error.m_id == ErrorId::TermOver);
+    REQUIRE(failed.m_phase == SendPhase::NothingSent);
+    path.heal();
+    REQUIRE(path.m_server.bytes() == 0);
+}
+
+TEST_CASE("a connection that is awaited ends with the term")
+{
+    // The attempt held its request for the whole time to connect, though it could go elsewhere.
+    FullListener listener;
+    FiberLoop loop("http");
+    loop.start();
+    HttpClient client(loop);
+    HttpCall call;
+    call.m_endpoint = {"127.0.0.1", listener.port()};
+    call.m_connectTimeout = patience;
+    const auto term = std::make_shared<MovableTerm>(patience);
+    call.m_term = term;
+    std::promise<CallResult<HttpReply>> promise;
+    const auto beganAt = std::chrono::steady_clock::now();
+    loop.spawn([&] { promise.set_value(client.call(call)); });
+    std::this_thread::sleep_for(50ms);
+    loop.spawn([term] { term->endNow(); });
+    const CallFailure failed = failureOf(promise.get_future().get());
+    REQUIRE(failed.m_error.m_id == ErrorId::TermOver);
+    REQUIRE(failed.m_phase == SendPhase::NothingSent);
+    REQUIRE(std::chrono::steady_clock::now() - beganAt < patience / 2);
+}
+
+TEST_CASE("what has not arrived within its term is taken back")
+{
+    // A request lay in the send buffer until after its upstream had left, and went out then.
+    const std::size_t size = GENERATE(std::size_t{8000}, std::size_t{6} * 1024 * 1024);
+    LazyServer server;
+    FiberLoop loop("http");
+    loop.start();
+    HttpClient client(loop);
+    HttpCall call = server.call(size);
+    const auto term = std::make_shared<MovableTerm>(firstTerm);
+    call.m_term = term;
+    std::promise<CallResult<HttpReply>> promise;
+    auto future = promise.get_future();
+    const auto begin = [&] {
+        loop.spawn([&] { promise.set_value(client.call(call)); });
+    };
+
+    SECTION("at its end")
+    {
+        begin();
+        const CallFailure failed = failureOf(future.get());
+        REQUIRE(failed.m_error.m_id == ErrorId::TermOver);
+        REQUIRE(failed.m_phase == SendPhase::MayHaveBeenRead);
+        REQUIRE(failed.m_unacknowledged > 0);
+        REQUIRE(server.readToEnd() < size);
+    }
+
+    SECTION("as soon as it is cut short")
+    {
+        term->m_time = endlessTerm;
+        begin();
+        std::this_thread::sleep_for(firstTerm / 2);
+        REQUIRE(future.wait_for(0s) == std::future_status::timeout);
+        loop.spawn([term] { term->endNow(); });
+        REQUIRE(failureOf(future.get()).m_error.m_id == ErrorId::TermOver);
+        REQUIRE(server.readToEnd() < size);
+    }
+
+    SECTION("but not if the term has moved on")
+    {
+        begin();
+        loop.spawn([term] { term->m_until = std::chrono::steady_clock::now() + endlessTerm; });
+        std::this_thread::sleep_for(firstTerm + settleTime);
+        server.readBody(size);
+        server.answer();
+        REQUIRE(std::holds_alternative<HttpReply>(future.get()));
+    }
+}
+
+TEST_CASE("a request that has arrived outlasts its term")
+{
+    // An upstream that leaves finishes what it has: ending that would run it in vain.
+    constexpr std::size_t size = 8000;
+    LazyServer server;
+    FiberLoop loop("http");
+    loop.start();
+    HttpClient client(loop);
+    HttpCall call = server.call(size);
+    const auto term = std::make_shared<MovableTerm>(firstTerm);
+    call.m_term = term;
+    std::promise<CallResult<HttpReply>> promise;
+    loop.spawn([&] { promise.set_value(client.call(call)); });
+    server.readBody(size);
+
+    SECTION("though it ends by itself")
+    {
+        std::this_thread::sleep_for(firstTerm + settleTime);
+    }
+
+    SECTION("though it is cut short")
+    {
+        std::this_thread::sleep_for(50ms);
+        loop.spawn([term] { term->endNow(); });
+        std::this_thread::sleep_for(50ms);
+    }
+
+    server.answer();
+    REQUIRE(std::holds_alternative<HttpReply>(promise.get_future().get()));
+}
