Tell who holds an upstream when it begins to leave

Only the start of another process under its name was told. Now each holder is told once as the upstream drains, is gone or is replaced, and the upstream keeps a moment at which it surely had not begun to leave: when the list before was last confirmed. Of one whose entry vanished that isn't known, as entries are kept for a while. unit-upstream-pool passes.

--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -49,6 +49,11 @@
     bool m_isGone = false;
     /// Another process has taken its name: what ran here has ended and what it held is lost.
     bool m_isReplaced = false;
+    /// A moment at which it surely had not begun to leave, of one that leaves or has left; nothing
+    /// where none is known.
+    std::optional<TimePoint> m_notLeavingAt;
+    /// Told once that it leaves or is gone, by who asked to be.
+    std::map<const void *, std::function<void()>> m_onLeaving;
     /// Told of the start of that other process, by who asked to be.
     std::map<const void *, std::function<void(std::int64_t startedAt)>> m_onReplaced;
 
@@ -107,8 +112,10 @@
     /// Takes in the list of the control thread; load and health of those that stay are kept, and
     /// those that left are marked gone for the requests that still hold them. One that comes back
     /// while requests hold it is the same as before; one that started again is a new one, of which
-    /// nothing is known. Linear.
-    void update(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision = 0);
+    /// nothing is known. Who holds one that begins to leave is told; what leaves in this list had
+    /// not begun to when the list before was last confirmed, if it was. Linear.
+    void update(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision = 0,
+                std::optional<TimePoint> lastConfirmedAt = std::nullopt);
 
     /// Replaces what one other VM has in flight. Linear in the loads of all VMs.
     void setPeerLoad(const std::string &node, const std::map<UpstreamId, InFlightLoad> &loads,
--- a/src/entry/upstream_hold.cpp
+++ b/src/entry/upstream_hold.cpp
@@ -4,6 +4,21 @@
 
 namespace gypsumdale {
 
+namespace {
+
+/// Hands a listener on to the hold that takes the place of another.
+template <typename Listeners>
+void handOn(Listeners &listeners, const void *from, const void *to)
+{
+    auto listener = listeners.extract(from);
+    if (listener.empty())
+        return;
+    listener.key() = to;
+    listeners.insert(std::move(listener));
+}
+
+} // namespace
+
 UpstreamHold::UpstreamHold(PooledUpstreamPointer upstream, std::int64_t pendingTokens)
     : m_upstream(std::move(upstream))
     , m_pendingTokens(pendingTokens)
@@ -18,11 +33,8 @@
 {
     if (!m_upstream)
         return;
-    auto listener = m_upstream->m_onReplaced.extract(&other);
-    if (listener.empty())
-        return;
-    listener.key() = this;
-    m_upstream->m_onReplaced.insert(std::move(listener));
+    handOn(m_upstream->m_onReplaced, &other, this);
+    handOn(m_upstream->m_onLeaving, &other, this);
 }
 
 UpstreamHold::~UpstreamHold()
@@ -31,6 +43,7 @@
         return;
     promptIsRead();
     m_upstream->m_onReplaced.erase(this);
+    m_upstream->m_onLeaving.erase(this);
     --m_upstream->m_own.m_running;
 }
 
@@ -39,6 +52,11 @@
     m_upstream->m_onReplaced[this] = std::move(listener);
 }
 
+void UpstreamHold::onLeaving(std::function<void()> listener)
+{
+    m_upstream->m_onLeaving[this] = std::move(listener);
+}
+
 void UpstreamHold::promptIsRead()
 {
     m_upstream->m_own.m_pendingTokens -= std::exchange(m_pendingTokens, 0);
--- a/src/entry/upstream_hold.hpp
+++ b/src/entry/upstream_hold.hpp
@@ -24,6 +24,8 @@
     void promptIsRead();
     /// Asks to be told when the upstream has started again, with the time of that.
     void onReplaced(std::function<void(std::int64_t startedAt)> listener);
+    /// Asks to be told when the upstream begins to leave, or is gone.
+    void onLeaving(std::function<void()> listener);
 
 private:
     PooledUpstreamPointer m_upstream;
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -223,8 +223,42 @@
     return unread + static_cast<double>(m_own.m_pendingTokens);
 }
 
+namespace {
+
+bool isLeaving(const PooledUpstream &upstream)
+{
+    return upstream.m_isGone || upstream.m_record.m_isDraining;
+}
+
+/// Tells all who hold an upstream that it leaves or is gone.
+void tellOfLeaving(PooledUpstream &upstream)
+{
+    // A listener may end its own listening.
+    const auto listeners = std::exchange(upstream.m_onLeaving, {});
+    for (const auto &[holder, listener] : listeners)
+        listener();
+}
+
+/// Notes whether an upstream leaves, after its state has changed. The entry of one that vanished
+/// may have been kept a while, so that when it went isn't known.
+void noteLeaving(PooledUpstream &upstream, bool wasLeaving,
+                 std::optional<TimePoint> lastConfirmedAt)
+{
+    if (!isLeaving(upstream)) {
+        upstream.m_notLeavingAt.reset();
+        return;
+    }
+    if (wasLeaving)
+        return;
+    if (!upstream.m_isGone)
+        upstream.m_notLeavingAt = lastConfirmedAt;
+    tellOfLeaving(upstream);
+}
+
+} // namespace
+
 void UpstreamPool::update(const std::map<UpstreamId, UpstreamRecord> &upstreams,
-                          std::int64_t revision)
+                          std::int64_t revision, std::optional<TimePoint> lastConfirmedAt)
 {
     m_revision = revision;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
@@ -232,14 +266,18 @@
             ++entry;
             continue;
         }
+        const bool wasLeaving = isLeaving(*entry->second);
         entry->second->m_isGone = true;
+        noteLeaving(*entry->second, wasLeaving, lastConfirmedAt);
         m_departed[entry->first] = entry->second;
         entry = m_upstreams.erase(entry);
     }
     for (const auto &[id, record] : upstreams) {
         PooledUpstreamPointer pooled = pooledFor(record);
+        const bool wasLeaving = isLeaving(*pooled);
         pooled->m_record = record;
         pooled->m_isGone = false;
+        noteLeaving(*pooled, wasLeaving, lastConfirmedAt);
         m_upstreams[id] = std::move(pooled);
     }
     std::erase_if(m_departed, [this](const auto &entry) {
@@ -255,6 +293,7 @@
 {
     upstream.m_isGone = true;
     upstream.m_isReplaced = true;
+    tellOfLeaving(upstream);
     // A listener may end its own listening.
     const auto listeners = std::exchange(upstream.m_onReplaced, {});
     for (const auto &[holder, listener] : listeners)
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -260,6 +260,67 @@
     }
 }
 
+TEST_CASE("who holds an upstream is told when it leaves")
+{
+    // What was under way to an upstream went on as if it stayed.
+    UpstreamPool pool;
+    UpstreamRecord ready = recordOf("a1", "a");
+    ready.m_startedAt = 500;
+    UpstreamRecord leaving = ready;
+    leaving.m_isDraining = true;
+    pool.update(upstreamsOf({ready}), 1);
+    const PooledUpstreamPointer held = pool.upstreams().at(UpstreamId("a1"));
+    int told = 0;
+    const auto listen = [&] {
+        held->m_onLeaving[&told] = [&told] {
+            ++told;
+        };
+    };
+    listen();
+
+    SECTION("once, however often its entry is written")
+    {
+        pool.update(upstreamsOf({ready}), 2, start);
+        CHECK(told == 0);
+        pool.update(upstreamsOf({leaving}), 3, start);
+        CHECK(told == 1);
+        listen();
+        pool.update(upstreamsOf({leaving}), 4, start + 1s);
+        pool.update({}, 5, start + 2s);
+        CHECK(told == 1);
+        CHECK(held->m_notLeavingAt == start);
+    }
+    SECTION("once more when it had come back")
+    {
+        pool.update(upstreamsOf({leaving}), 2, start);
+        pool.update(upstreamsOf({ready}), 3, start + 1s);
+        CHECK_FALSE(held->m_notLeavingAt);
+        listen();
+        pool.update(upstreamsOf({leaving}), 4, start + 2s);
+        CHECK(told == 2);
+        CHECK(held->m_notLeavingAt == start + 2s);
+    }
+    SECTION("when its entry is gone, which may have been kept since")
+    {
+        pool.update({}, 2, start);
+        CHECK(told == 1);
+        CHECK_FALSE(held->m_notLeavingAt);
+    }
+    SECTION("when another process has taken its name")
+    {
+        UpstreamRecord next = ready;
+        next.m_startedAt = 900;
+        pool.update(upstreamsOf({next}), 2, start);
+        CHECK(told == 1);
+    }
+    SECTION("and nothing is known of a list that was never confirmed")
+    {
+        pool.update(upstreamsOf({leaving}), 2);
+        CHECK(told == 1);
+        CHECK_FALSE(held->m_notLeavingAt);
+    }
+}
+
 namespace {
 
 /// A prompt without shared parts, at engines that read 36,000 tokens within the pause of a stream.
