Place by a list of upstreams only until its term, down to the first byte

Placements went by a list of any age, and a request that had been decided on was connected, buffered and sent however long that took. EntryCall now asks for the term of the list in use: where it is over and the store's answer is to come, the request is rejected as not run (list-too-old, 503, with a time to come back); otherwise the term goes with the call. An attempt given up before sending blames no upstream. A run that goes back to a leaving engine must reach it within the term of the last list in which that one had not begun to leave, and is ended where that isn't known.

The traffic thread learns of each reading that failed, and of a list before its confirmation: the other order let the confirmation vouch for the list before. The bounds go with the message, as a reload changes them on the control thread.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -8,6 +8,7 @@
 #include <gypsumdale/runtime/http_server.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
+#include <gypsumdale/serving/placement_term.hpp>
 #include <gypsumdale/serving/prompt_news.hpp>
 #include <gypsumdale/serving/prompt_reading.hpp>
 #include <gypsumdale/serving/repeat_allowance.hpp>
@@ -22,6 +23,7 @@
 #include <functional> // function
 #include <map> // map
 #include <memory> // unique_ptr
+#include <optional> // optional
 #include <set> // set
 #include <string> // string
 #include <vector> // vector
@@ -109,9 +111,20 @@
     /// Tells whether a request should wait for what this process doesn't know yet.
     bool isWorthWaiting() const { return m_firstKnowledge.isWorthWaiting(now()); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
-    /// Takes in when the store last confirmed the list in use.
-    void setListConfirmed(TimePoint confirmedAt) { m_listConfirmedAt = confirmedAt; }
-    Duration listAge() const { return now() - m_listConfirmedAt; }
+    /// Takes in what is known of the age of the list in use, and for how long a list holds.
+    void setListStanding(const ListStanding &list, const PlacementTerm &term);
+    Duration listAge() const { return now() - m_list.m_confirmedAt; }
+    /// Returns until when a request placed now may reach its upstream, or nothing where the list is
+    /// too old to place by. Constant.
+    std::optional<TimePoint> placementUntil() const { return m_term.until(m_list, now()); }
+    /// Returns the same for a request placed earlier, at an upstream that doesn't leave. Constant.
+    TimePoint renewedUntil(TimePoint placedUntil) const
+    {
+        return m_term.renewed(placedUntil, m_list);
+    }
+    /// Returns until when a run may go on at an upstream that leaves, or nothing where that time is
+    /// over or unknown. Constant.
+    std::optional<TimePoint> untilWhileLeaving(const PooledUpstream &upstream) const;
     void setPeer(const PeerReport &report);
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
@@ -176,7 +189,9 @@
     HttpClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
-    TimePoint m_listConfirmedAt{};
+    /// A list that was never confirmed can't be waited for: without it nobody would be served.
+    ListStanding m_list{TimePoint{}, true};
+    PlacementTerm m_term;
     FleetReading m_reading;
     PromptNews m_promptNews;
     bool m_isSpreadOut = false;
--- a/include/gypsumdale/entry/entry_upstream_feed.hpp
+++ b/include/gypsumdale/entry/entry_upstream_feed.hpp
@@ -54,6 +54,7 @@
     void noteFailed(const Error &error, ReadingFailure failure);
     /// Hands the list on if it changed for routing; the source is for the log.
     void publish(std::string_view source);
+    void publishStanding();
     void logUnusable(std::string_view source);
 
     EntryContext &m_context;
--- a/include/gypsumdale/entry/upstream_following.hpp
+++ b/include/gypsumdale/entry/upstream_following.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/entry/confirmation.hpp>
 #include <gypsumdale/entry/store_role.hpp>
+#include <gypsumdale/serving/placement_term.hpp>
 #include <gypsumdale/serving/upstream_feed.hpp>
 #include <gypsumdale/settings/entry_settings.hpp>
 
@@ -78,6 +79,12 @@
     const UpstreamFeed &feed() const { return m_feed; }
     /// A moment at which the store surely had nothing that the list lacks.
     TimePoint confirmedAt() const { return m_confirmation.at(); }
+    /// What a placement may go by.
+    ListStanding standing() const
+    {
+        // A store that has dropped the history has answered: there is a newer list to be had.
+        return {m_confirmation.at(), m_isStoreLost && !m_isHistoryGone};
+    }
     /// When the last reading that was answered had been sent.
     TimePoint readAt() const { return m_readAt; }
     Duration age(TimePoint now) const;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -79,6 +79,8 @@
     ForecastMillis,
     ReadingSpeed,
     ListAgeMillis,
+    TermMillis,
+    UnacknowledgedBytes,
 };
 
 /// Returns the key that stands in the line, such as "data_centre". Linear in the keys.
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -75,8 +75,11 @@
     ControlProcessorMillis,
     TrafficProcessorMillis,
     NoRoomInTime,
+    ListTooOld,
+    TermOverUnsent,
+    RequestsTakenBack,
 };
-constexpr std::size_t counterCount = 38;
+constexpr std::size_t counterCount = 41;
 
 /// What is measured of the process at the moment. A gauge that was never set is not shown, so that
 /// no reader takes a missing measurement for a zero.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -149,6 +149,11 @@
         const bool isFirst = m_arrivals == 0 && m_connectFailures == 0;
         if (const auto stop = whyNoFurtherAttempt(isFirst))
             return *stop;
+        const std::optional<TimePoint> until = m_traffic.placementUntil();
+        if (!until) {
+            m_traffic.metrics().add(Counter::ListTooOld);
+            return AttemptStop::ListTooOld;
+        }
         PlacementRequest request = placement();
         request.m_draw = m_traffic.draw();
         request.m_isTold = m_traffic.isTold(m_service, ownTokens());
@@ -158,14 +163,16 @@
         if (m_arrivals > 0 && !m_traffic.allowance().tryTake(m_service, m_traffic.now()))
             return AttemptStop::NotAllowed;
         m_tried.insert(upstream->m_record.m_id);
-        logPlaced(*upstream);
+        logPlaced(*upstream, *until);
         const bool isAlone = readsAlone(*upstream);
         UpstreamHold hold(upstream, m_caller.m_promptTokens);
         const TimePoint sentAt = m_traffic.now();
         m_traffic.notePlaced(*upstream, ownTokens(), request.m_isTold);
         m_traffic.forecaster().notePlaced(m_service, priority(), m_caller.m_promptTokens,
                                           ownTokens(), sentAt);
-        CallResult<HttpExchange> opened = send(hold);
+        CallResult<HttpExchange> opened =
+                send(hold,
+                     std::make_shared<PlacementCallTerm>(m_traffic, *until, TermRenewal::WithList));
         if (const auto *failure = std::get_if<CallFailure>(&opened)) {
             noteFailure(hold, *failure);
             continue;
@@ -188,8 +195,10 @@
 
 /// Sends the request to an upstream. The attempt ends as broken as soon as the upstream is known to
 /// have started again after that: a connection to the process before may stay silent for good where
-/// it was cut off as it crashed, and its caller would wait in vain until the deadline.
-CallResult<HttpExchange> EntryCall::send(UpstreamHold &hold)
+/// it was cut off as it crashed, and its caller would wait in vain until the deadline. It ends as
+/// well where the request has not arrived within the term of its placement.
+CallResult<HttpExchange> EntryCall::send(UpstreamHold &hold,
+                                         const std::shared_ptr<PlacementCallTerm> &term)
 {
     m_cancellation = std::make_shared<CallCancellation>();
     if (m_isCallerGone || m_isStopping)
@@ -200,7 +209,10 @@
         if (sentAt + wholeMillis(restartMargin) < startedAt)
             cancellation->cancel();
     });
-    return m_traffic.client().open(callFor(hold.upstream()));
+    hold.onLeaving([term] { term->noteLeaving(); });
+    HttpCall call = callFor(hold.upstream());
+    call.m_term = term;
+    return m_traffic.client().open(call);
 }
 
 PlacementRequest EntryCall::placement() const
@@ -246,6 +258,8 @@
 /// Names the limit that an attempt reached, for the log.
 std::string_view EntryCall::passedLimit(const CallFailure &failure) const
 {
+    if (failure.m_error.m_id == ErrorId::TermOver)
+        return "term";
     if (failure.m_error.m_id != ErrorId::UpstreamSilent)
         return "none";
     if (timeLeft() < leastTimeLeft)
@@ -259,11 +273,25 @@
     return failure.m_error.m_id == ErrorId::Cancelled && m_isStopping;
 }
 
+/// Counts an attempt that its placement's term ended. Returns true if nothing had been sent: then
+/// the upstream isn't blamed, and may be chosen anew unless it leaves.
+bool EntryCall::noteTermOver(const PooledUpstream &upstream, const CallFailure &failure)
+{
+    if (failure.m_error.m_id != ErrorId::TermOver)
+        return false;
+    const bool isUnsent = failure.m_phase == SendPhase::NothingSent;
+    m_traffic.metrics().add(isUnsent ? Counter::TermOverUnsent : Counter::RequestsTakenBack);
+    if (isUnsent)
+        m_tried.erase(upstream.m_record.m_id);
+    return isUnsent;
+}
+
 void EntryCall::noteFailure(UpstreamHold &hold, const CallFailure &failure)
 {
     if (failure.m_error.m_id == ErrorId::Cancelled && m_isCallerGone)
         return;
-    if (!isGivenUpHere(failure))
+    const bool isUnsentInTerm = noteTermOver(hold.upstream(), failure);
+    if (!isGivenUpHere(failure) && !isUnsentInTerm)
         UpstreamPool::note(hold.upstream(), AttemptVerdict::Broken, m_traffic.now());
     if (failure.m_phase == SendPhase::NothingSent) {
         ++m_connectFailures;
@@ -279,6 +307,7 @@
              {LogField::ErrorName, errorName(failure.m_error.m_id)},
              {LogField::Text, failure.m_error.m_text},
              {LogField::Reason, passedLimit(failure)},
+             {LogField::UnacknowledgedBytes, failure.m_unacknowledged},
              {LogField::Outcome,
               failure.m_phase == SendPhase::NothingSent ? "not-run" : "may-have-run"}});
 }
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/serving/event_splitter.hpp>
 
+#include <entry/placement_call_term.hpp>
 #include <entry/stream_run.hpp>
 #include <entry/upstream_hold.hpp>
 #include <platform/request_codec.hpp>
@@ -27,14 +28,17 @@
     CallerGone,
     /// The process ends, and with it what is under way.
     Stopping,
+    /// The list of upstreams is too old to place by, and a newer one is to be had.
+    ListTooOld,
 };
 
-inline constexpr NameTable<AttemptStop, 5> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 6> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
         {AttemptStop::NotAllowed, "not-allowed"},
         {AttemptStop::DeadlinePassed, "deadline-passed"},
         {AttemptStop::CallerGone, "caller-gone"},
         {AttemptStop::Stopping, "stopping"},
+        {AttemptStop::ListTooOld, "list-too-old"},
 }};
 
 /// An upstream's answer whose header has come.
@@ -79,7 +83,8 @@
     void serveStream();
 
     Opening openAnswer();
-    CallResult<HttpExchange> send(UpstreamHold &hold);
+    CallResult<HttpExchange> send(UpstreamHold &hold,
+                                  const std::shared_ptr<PlacementCallTerm> &term);
     std::optional<AttemptStop> whyNoFurtherAttempt(bool isFirst);
     PlacementRequest placement() const;
     bool readsAlone(const PooledUpstream &upstream) const;
@@ -95,6 +100,7 @@
     bool passRun(OpenAnswer &answer);
     /// Goes on with a run that was moved. Returns nothing if it was not, or its new place refuses.
     std::optional<OpenAnswer> followMove();
+    std::shared_ptr<PlacementCallTerm> termAt(const PooledUpstream &upstream) const;
     bool cutsEvents() const;
     void noteFirstEvent(OpenAnswer &answer);
     bool passPiece(const std::string &piece, OpenAnswer &answer);
@@ -104,6 +110,7 @@
 
     std::string_view passedLimit(const CallFailure &failure) const;
     void noteFailure(UpstreamHold &hold, const CallFailure &failure);
+    bool noteTermOver(const PooledUpstream &upstream, const CallFailure &failure);
     bool isGivenUpHere(const CallFailure &failure) const;
     void noteRan();
     void conclude(AttemptStop stop);
@@ -111,7 +118,7 @@
     void passOn(const HttpReply &reply);
     Duration retryAfter();
     Duration timeLeft() const { return m_deadline - m_traffic.now(); }
-    void logPlaced(const PooledUpstream &upstream);
+    void logPlaced(const PooledUpstream &upstream, TimePoint until);
     void logEnd(std::string_view outcome, int status);
 
     EntryTraffic &m_traffic;
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -76,7 +76,7 @@
     logEnd(isDone ? "done" : "upstream-error", reply.m_status);
 }
 
-void EntryCall::logPlaced(const PooledUpstream &upstream)
+void EntryCall::logPlaced(const PooledUpstream &upstream, TimePoint until)
 {
     m_traffic.log().info(
             "request-placed",
@@ -90,6 +90,7 @@
              {LogField::State, stateOf(upstream)},
              {LogField::Revision, m_traffic.pool().revision()},
              {LogField::ListAgeMillis, toMillis(m_traffic.listAge())},
+             {LogField::TermMillis, toMillis(until - m_traffic.now())},
              {LogField::Running, upstream.m_own.m_running},
              {LogField::OthersRunning, upstream.m_others.m_running},
              {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -99,6 +99,18 @@
     }
 }
 
+/// Returns the term of a run that goes on at an upstream, or nothing where none is left or known.
+std::shared_ptr<PlacementCallTerm> EntryCall::termAt(const PooledUpstream &upstream) const
+{
+    const bool isLeaving = upstream.m_isGone || upstream.m_record.m_isDraining;
+    const std::optional<TimePoint> until =
+            isLeaving ? m_traffic.untilWhileLeaving(upstream) : m_traffic.placementUntil();
+    if (!until)
+        return nullptr;
+    return std::make_shared<PlacementCallTerm>(
+            m_traffic, *until, isLeaving ? TermRenewal::None : TermRenewal::WithList);
+}
+
 std::optional<OpenAnswer> EntryCall::followMove()
 {
     // The stream of a run that is moved ends before the copy is complete.
@@ -113,10 +125,18 @@
     // The memory went with the process that held it.
     if (moved.m_upstream->m_isReplaced)
         return std::nullopt;
+    const std::shared_ptr<PlacementCallTerm> term = termAt(*moved.m_upstream);
+    if (!term) {
+        m_traffic.log().warning("moved-run-too-late",
+                                {m_caller.m_id,
+                                 moved.m_upstream->m_record.m_id,
+                                 {LogField::ListAgeMillis, toMillis(m_traffic.listAge())}});
+        return std::nullopt;
+    }
     m_memory = moved.m_memory;
-    logPlaced(*moved.m_upstream);
+    logPlaced(*moved.m_upstream, term->until());
     UpstreamHold hold(moved.m_upstream, 0);
-    CallResult<HttpExchange> opened = send(hold);
+    CallResult<HttpExchange> opened = send(hold, term);
     m_memory.reset();
     if (const auto *failure = std::get_if<CallFailure>(&opened)) {
         noteFailure(hold, *failure);
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -41,6 +41,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop)
+    , m_term(settings.m_bounds.m_leavingApply)
     , m_quota(quotaSettings(settings, clock.now()))
     , m_allowance({settings.m_bounds.m_retryRatio, settings.m_bounds.m_retrySlack,
                    settings.m_bounds.m_retryWindow})
@@ -79,10 +80,27 @@
                                 std::int64_t revision)
 {
     m_firstKnowledge.noteUpstreams();
-    m_pool.update(upstreams, revision);
+    const bool isConfirmed = m_list.m_confirmedAt != TimePoint{};
+    m_pool.update(upstreams, revision,
+                  isConfirmed ? std::optional(m_list.m_confirmedAt) : std::nullopt);
     m_mover->look();
 }
 
+void EntryTraffic::setListStanding(const ListStanding &list, const PlacementTerm &term)
+{
+    m_list = list;
+    m_list.m_isUnconfirmable = list.m_isUnconfirmable || list.m_confirmedAt == TimePoint{};
+    m_term = term;
+}
+
+std::optional<TimePoint> EntryTraffic::untilWhileLeaving(const PooledUpstream &upstream) const
+{
+    if (!upstream.m_notLeavingAt)
+        return std::nullopt;
+    const TimePoint until = m_term.holdsUntil(*upstream.m_notLeavingAt);
+    return now() < until ? std::optional(until) : std::nullopt;
+}
+
 void EntryTraffic::setPeer(const PeerReport &report)
 {
     m_quota.setPeerUse(report.m_node, report.m_accounts, now());
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -43,6 +43,8 @@
     m_store.answered(now);
     if (m_following.takeListing(platform::decodeUpstreams(valueOf(listing)), sentAt, now))
         publish("store");
+    else
+        publishStanding();
 }
 
 void EntryUpstreamFeed::watchOnce(const WatchStep &step)
@@ -62,12 +64,15 @@
     const WatchTimes times{sentAt, step.m_wait, now};
     if (m_following.takeChanges(platform::decodeChanges(valueOf(changes)), revision, times))
         publish("store");
+    else
+        publishStanding();
 }
 
 void EntryUpstreamFeed::noteFailed(const Error &error, ReadingFailure failure)
 {
     m_following.noteFailed(failure);
     m_store.failed(error);
+    publishStanding();
 }
 
 void EntryUpstreamFeed::expire()
@@ -104,6 +109,8 @@
     const UpstreamFeed::Taking taking = m_following.takeNews(news, age, m_context.now());
     if (taking == UpstreamFeed::Taking::Taken)
         publish(reader);
+    else
+        publishStanding();
     return taking != UpstreamFeed::Taking::Lacking;
 }
 
@@ -149,14 +156,22 @@
                     {id, {LogField::Source, source}, {LogField::Revision, feed().revision()}});
     }
     logUnusable(source);
-    m_context.m_trafficLoop.spawn([this, confirmedAt = m_following.confirmedAt()] {
-        m_context.m_traffic.setListConfirmed(confirmedAt);
-    });
-    if (!isChanged)
-        return;
-    m_published = upstreams;
-    m_context.m_trafficLoop.spawn([this, copy = m_published, revision = feed().revision()] {
-        m_context.m_traffic.setUpstreams(copy, revision);
+    if (isChanged) {
+        m_published = upstreams;
+        m_context.m_trafficLoop.spawn([this, copy = m_published, revision = feed().revision()] {
+            m_context.m_traffic.setUpstreams(copy, revision);
+        });
+    }
+    // A confirmation that overtook its list would vouch for the one before.
+    publishStanding();
+}
+
+/// Tells the traffic thread how old the list in use is, and whether it can be had any newer.
+void EntryUpstreamFeed::publishStanding()
+{
+    const PlacementTerm term(m_context.m_settings.m_bounds.m_leavingApply);
+    m_context.m_trafficLoop.spawn([this, term, standing = m_following.standing()] {
+        m_context.m_traffic.setListStanding(standing, term);
     });
 }
 
--- /dev/null
+++ b/src/entry/placement_call_term.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <gypsumdale/entry/entry_traffic.hpp>
+#include <gypsumdale/runtime/call_term.hpp>
+#include <gypsumdale/serving/placement_term.hpp>
+
+#include <algorithm> // min
+#include <optional> // optional
+
+namespace gypsumdale {
+
+/// Whether a term moves when the list of upstreams is confirmed anew.
+enum class TermRenewal { WithList, None };
+
+/// Until when a request may reach the upstream that was chosen for it: as long as the list in use
+/// vouches for that upstream.
+class PlacementCallTerm : public CallTerm
+{
+public:
+    PlacementCallTerm(const EntryTraffic &traffic, TimePoint until, TermRenewal renewal)
+        : m_traffic(traffic)
+        , m_until(until)
+        , m_isRenewed(renewal == TermRenewal::WithList)
+    {}
+
+    TimePoint until() const { return m_isRenewed ? m_traffic.renewedUntil(m_until) : m_until; }
+
+    /// The upstream begins to leave: nothing more goes out to it, and bytes have the time that they
+    /// take on an ordinary way.
+    void noteLeaving()
+    {
+        m_until = std::min(until(), m_traffic.now() + PlacementTerm::wayReserve);
+        m_isRenewed = false;
+        m_isLeaving = true;
+        noteShortened();
+    }
+
+    Duration left() const override { return until() - m_traffic.now(); }
+    bool maySend(Duration connecting) const override
+    {
+        return !m_isLeaving && PlacementTerm::maySend(until(), connecting, m_traffic.now());
+    }
+
+private:
+    const EntryTraffic &m_traffic;
+    TimePoint m_until;
+    bool m_isRenewed;
+    bool m_isLeaving = false;
+};
+
+} // namespace gypsumdale
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 67> logFieldNames = {{
+constexpr NameTable<LogField, 69> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -73,6 +73,8 @@
         {LogField::ForecastMillis, "forecast_millis"},
         {LogField::ReadingSpeed, "reading_speed"},
         {LogField::ListAgeMillis, "list_age_millis"},
+        {LogField::TermMillis, "term_millis"},
+        {LogField::UnacknowledgedBytes, "unacknowledged_bytes"},
 }};
 
 } // namespace
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -138,6 +138,12 @@
          "Processor time of the traffic threads."},
         {Counter::NoRoomInTime, "gypsumdale_no_room_in_time_total",
          "Requests rejected as no engine would begin them before their deadline."},
+        {Counter::ListTooOld, "gypsumdale_list_too_old_total",
+         "Attempts not made as the list of upstreams was too old to place by."},
+        {Counter::TermOverUnsent, "gypsumdale_term_over_unsent_total",
+         "Attempts given up before sending as the term of their placement was over."},
+        {Counter::RequestsTakenBack, "gypsumdale_requests_taken_back_total",
+         "Requests whose connection was reset as they had not arrived within their term."},
 }};
 static_assert(isInOrder(counterTexts));
 
--- a/tests/src/unit-entry-upstream-following.cpp
+++ b/tests/src/unit-entry-upstream-following.cpp
@@ -193,3 +193,26 @@
         CHECK(vm.m_following.confirmedAt() == later - 1500ms);
     }
 }
+
+TEST_CASE("a list can't be had any newer only where a question was left unanswered")
+{
+    // A VM cut off from the store must serve; one that has a newer list to come must not by an old.
+    Vm vm(StoreRole::Alone);
+    vm.m_following.takeListing(listAt(10), vm.m_now, vm.m_now);
+    CHECK(vm.m_following.standing().m_confirmedAt == vm.m_now);
+    CHECK_FALSE(vm.m_following.standing().m_isUnconfirmable);
+
+    SECTION("by a store that stays silent, until it answers")
+    {
+        vm.m_following.noteFailed(ReadingFailure::Unanswered);
+        CHECK(vm.m_following.standing().m_isUnconfirmable);
+        vm.m_following.takeChanges({}, 10, {vm.m_now + 1s, 50ms, vm.m_now + 2s});
+        CHECK_FALSE(vm.m_following.standing().m_isUnconfirmable);
+    }
+
+    SECTION("not by a store that has dropped the history")
+    {
+        vm.m_following.noteFailed(ReadingFailure::HistoryGone);
+        CHECK_FALSE(vm.m_following.standing().m_isUnconfirmable);
+    }
+}
