--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -9,6 +9,7 @@
 #include <gypsumdale/runtime/http_server.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
+#include <gypsumdale/serving/placement_term.hpp>
 #include <gypsumdale/serving/prompt_news.hpp>
 #include <gypsumdale/serving/prompt_reading.hpp>
 #include <gypsumdale/serving/repeat_allowance.hpp>
@@ -111,9 +112,20 @@
     /// Tells whether a request should wait for what this process doesn't know yet.
     bool isWorthWaiting() const { return m_firstKnowledge.isWorthWaiting(now()); }
     void setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision);
-    /// Takes in when the store last confirmed the list in use.
-    void setListConfirmed(TimePoint confirmedAt) { m_listConfirmedAt = confirmedAt; }
-    Duration listAge() const { return now() - m_listConfirmedAt; }
+    /// Takes in what is known of the age of the list in use, and for how long a list holds.
+    void setListStanding(const ListStanding &list, const PlacementTerm &term);
+    Duration listAge() const { return now() - m_list.m_confirmedAt; }
+    /// Returns until when a request placed now may reach its upstream, or nothing where the list is
+    /// too old to place by. Constant.
+    std::optional<TimePoint> placementUntil() const { return m_term.until(m_list, now()); }
+    /// Returns the same for a request placed earlier, at an upstream that doesn't leave. Constant.
+    TimePoint renewedUntil(TimePoint placedUntil) const
+    {
+        return m_term.renewed(placedUntil, m_list);
+    }
+    /// Returns until when a run may go on at an upstream that leaves, or nothing where that time is
+    /// over or unknown. Constant.
+    std::optional<TimePoint> untilWhileLeaving(const PooledUpstream &upstream) const;
     /// Returns the highest age in milliseconds of the list at a placement since the last call, or
     /// nothing if there was none. Safe from any thread.
     std::optional<std::int64_t> takePlacementListAge() { return m_placementListAge.take(); }
@@ -181,8 +193,10 @@
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
-    TimePoint m_listConfirmedAt{};
     HighestValue m_placementListAge;
+    /// A list that was never confirmed can't be waited for: without it nobody would be served.
+    ListStanding m_list{TimePoint{}, true};
+    PlacementTerm m_term;
     FleetReading m_reading;
     PromptNews m_promptNews;
     bool m_isSpreadOut = false;
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -82,8 +82,11 @@
     UpstreamConnectsRefused,
     PlatformBytesReceived,
     MetricsBytesSent,
+    ListTooOld,
+    TermOverUnsent,
+    RequestsTakenBack,
 };
-constexpr std::size_t counterCount = 45;
+constexpr std::size_t counterCount = 48;
 
 /// What is measured of the process at the moment. A gauge that was never set is not shown, so that
 /// no reader takes a missing measurement for a zero.
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -152,6 +152,12 @@
          "Bytes of the bodies of the platform's answers."},
         {Counter::MetricsBytesSent, "gypsumdale_metrics_bytes_sent_total",
          "Bytes of pages of metrics sent, this one not counted."},
+        {Counter::ListTooOld, "gypsumdale_list_too_old_total",
+         "Attempts not made as the list of upstreams was too old to place by."},
+        {Counter::TermOverUnsent, "gypsumdale_term_over_unsent_total",
+         "Attempts given up before sending as the term of their placement was over."},
+        {Counter::RequestsTakenBack, "gypsumdale_requests_taken_back_total",
+         "Requests whose connection was reset as they had not arrived within their term."},
 }};
 static_assert(isInOrder(counterTexts));
 
