Give the stand-ins of the entry tests a header of their own

Its worlds may now be given the time after which a leaving upstream must be left alone, and requests a body.

--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -1,18 +1,15 @@
 #pragma once
 
 #include "support/child_process.hpp"
+#include "support/entry_stand_ins.hpp"
 #include "support/fault_proxy.hpp"
 
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
-#include <gypsumdale/runtime/http_server.hpp>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
-#include <algorithm> // max
-#include <atomic> // atomic
 #include <chrono> // steady_clock
 #include <csignal> // signal, SIGPIPE
 #include <cstdlib> // getenv
@@ -22,278 +19,15 @@
 #include <iterator> // istreambuf_iterator
 #include <map> // map
 #include <memory> // unique_ptr
-#include <mutex> // lock_guard, mutex
+#include <optional> // optional
 #include <string> // string
 #include <vector> // vector
 
 namespace gypsumdale::testing {
 
-using Json = nlohmann::json;
-
 /// Limits hangs only; no verdict depends on it.
 inline constexpr Duration entryHangGuard = std::chrono::seconds(30);
 
-/// The users' platform's store, small: objects by kind with conditional updates and watches. It can
-/// be told to answer nobody. All calls are made on the loop's thread.
-class StoreStandIn
-{
-public:
-    explicit StoreStandIn(FiberLoop &loop)
-        : m_loop(loop)
-        , m_port(openPortFor({}))
-    {}
-
-    /// The port for everybody.
-    std::uint16_t port() const { return m_port; }
-
-    /// Returns a further port, whose callers are all one VM.
-    std::uint16_t openPortFor(const std::string &node)
-    {
-        const std::uint16_t port = freePort();
-        const auto handler = [this, node](const HttpRequest &request, HttpResponder &responder) {
-            answer(node, request, responder);
-        };
-        m_servers.push_back(valueOf(HttpServerBuilder()
-                                            .listenOn("127.0.0.1", port)
-                                            .runOn({&m_loop})
-                                            .handleWith(handler)
-                                            .build()));
-        return port;
-    }
-
-    /// Returns the revision of the object.
-    std::int64_t put(const std::string &kind, const std::string &name, const Json &spec)
-    {
-        return m_loop.call([&] {
-            store(kind, name, spec);
-            return m_revision;
-        });
-    }
-
-    /// Returns up to which revision a VM has taken in the upstreams: from there it has asked for
-    /// changes.
-    std::int64_t upstreamsTakenIn(const std::string &node)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_takenIn[node];
-    }
-    /// Forgets it, for a process that begins.
-    void forgetTakenIn(const std::string &node)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_takenIn[node] = 0;
-    }
-
-    void remove(const std::string &kind, const std::string &name)
-    {
-        m_loop.call([&] {
-            m_events.push_back({++m_revision, kind, object(kind, name), true});
-            m_objects[kind].erase(name);
-        });
-    }
-
-    /// Turns callers away from now on, or serves them again.
-    void refuse(bool refuses) { m_refuses = refuses; }
-
-    /// Lets each removal of an object take so long from now on.
-    void delayRemovals(Duration delay) { m_removalDelay = delay; }
-
-    /// Lets each listing of objects take so long from now on.
-    void delayListings(Duration delay) { m_listingDelay = delay; }
-
-private:
-    struct Event
-    {
-        std::int64_t m_revision;
-        std::string m_kind;
-        Json m_object;
-        bool m_isRemoved;
-    };
-    struct Stored
-    {
-        std::int64_t m_revision = 0;
-        Json m_spec;
-    };
-
-    Json object(const std::string &kind, const std::string &name)
-    {
-        const Stored &stored = m_objects[kind][name];
-        return {{"metadata", {{"name", name}, {"revision", stored.m_revision}}},
-                {"spec", stored.m_spec}};
-    }
-
-    Json store(const std::string &kind, const std::string &name, const Json &spec)
-    {
-        m_objects[kind][name] = {++m_revision, spec};
-        m_events.push_back({m_revision, kind, object(kind, name), false});
-        return object(kind, name);
-    }
-
-    static void send(HttpResponder &responder, int status, const Json &body = Json::object())
-    {
-        responder.send({status, {}, body.dump()});
-    }
-
-    void answer(const std::string &node, const HttpRequest &request, HttpResponder &responder)
-    {
-        constexpr std::string_view prefix = "/-/objects/";
-        const std::string path(request.path());
-        if (m_refuses || !path.starts_with(prefix)) {
-            send(responder, 503);
-            return;
-        }
-        const std::string rest = path.substr(prefix.size());
-        const std::string kind = rest.substr(0, rest.find('/'));
-        const bool hasName = rest.find('/') != std::string::npos;
-        const std::string name = hasName ? rest.substr(rest.find('/') + 1) : std::string();
-        if (request.m_method == "GET" && hasName)
-            answerOne(kind, name, responder);
-        else if (request.m_method == "GET" && request.parameter("watch"))
-            answerWatch(node, kind, request, responder);
-        else if (request.m_method == "GET")
-            answerList(kind, responder);
-        else
-            answerWrite(kind, name, request, responder);
-    }
-
-    void answerOne(const std::string &kind, const std::string &name, HttpResponder &responder)
-    {
-        if (m_objects[kind].contains(name))
-            send(responder, 200, object(kind, name));
-        else
-            send(responder, 404);
-    }
-
-    void answerList(const std::string &kind, HttpResponder &responder)
-    {
-        sleepFiber(m_listingDelay);
-        Json items = Json::array();
-        for (const auto &[name, stored] : m_objects[kind])
-            items.push_back(object(kind, name));
-        send(responder, 200, {{"items", items}, {"has-more", false}, {"current-rev", m_revision}});
-    }
-
-    void noteTakenIn(const std::string &node, std::int64_t revision)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_takenIn[node] = std::max(m_takenIn[node], revision);
-    }
-
-    void answerWatch(const std::string &node, const std::string &kind, const HttpRequest &request,
-                     HttpResponder &responder)
-    {
-        const std::int64_t since = std::stoll(*request.parameter("watch"));
-        if (kind == "servers")
-            noteTakenIn(node, since);
-        const int wait = std::stoi(request.parameter("wait-ms").value_or("0"));
-        Json events = Json::array();
-        for (int waited = 0; events.empty() && waited <= wait && !m_refuses; waited += 10) {
-            if (waited > 0)
-                sleepFiber(std::chrono::milliseconds(10));
-            for (const Event &event : m_events) {
-                if (event.m_kind == kind && event.m_revision > since)
-                    events.push_back({{"object", event.m_object}, {"removed", event.m_isRemoved}});
-            }
-        }
-        send(responder, m_refuses ? 503 : 200, {{"events", events}, {"current-rev", m_revision}});
-    }
-
-    void answerWrite(const std::string &kind, const std::string &named, const HttpRequest &request,
-                     HttpResponder &responder)
-    {
-        const Json body = Json::parse(request.m_body, nullptr, false);
-        const std::string name =
-                named.empty() ? body["metadata"].value("name", std::string()) : named;
-        auto &objects = m_objects[kind];
-        if (request.m_method == "DELETE") {
-            sleepFiber(m_removalDelay);
-            objects.erase(name);
-            send(responder, 200);
-            return;
-        }
-        const bool exists = objects.contains(name);
-        const std::int64_t expected = body["metadata"].value("revision", std::int64_t(0));
-        const bool isCreation = request.m_method == "POST";
-        if (isCreation ? exists : expected != 0 && objects[name].m_revision != expected) {
-            send(responder, 409, object(kind, name));
-            return;
-        }
-        send(responder, 200, store(kind, name, body["spec"]));
-    }
-
-    FiberLoop &m_loop;
-    std::atomic<bool> m_refuses = false;
-    std::atomic<Duration> m_removalDelay = Duration::zero();
-    std::atomic<Duration> m_listingDelay = Duration::zero();
-    std::int64_t m_revision = 1;
-    std::map<std::string, std::map<std::string, Stored>> m_objects;
-    std::vector<Event> m_events;
-    std::mutex m_mutex;
-    std::map<std::string, std::int64_t> m_takenIn;
-    std::vector<HttpServer> m_servers;
-    std::uint16_t m_port;
-};
-
-/// One upstream that signs its answers and echoes the request's id; a test may take its place for
-/// single requests.
-class UpstreamStandIn
-{
-public:
-    using Behaviour = std::function<void(const HttpRequest &, HttpResponder &, HttpHeaders)>;
-
-    UpstreamStandIn(FiberLoop &loop, std::string id)
-        : m_id(std::move(id))
-        , m_port(freePort())
-        , m_server(valueOf(
-                  HttpServerBuilder()
-                          .listenOn("127.0.0.1", m_port)
-                          .runOn({&loop})
-                          .handleWith([this](const HttpRequest &request, HttpResponder &responder) {
-                              answer(request, responder);
-                          })
-                          .build()))
-    {}
-
-    const std::string &id() const { return m_id; }
-    std::uint16_t port() const { return m_port; }
-    void behave(Behaviour behaviour)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_behaviour = std::move(behaviour);
-    }
-    std::vector<HttpRequest> seen() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_seen;
-    }
-
-private:
-    void answer(const HttpRequest &request, HttpResponder &responder)
-    {
-        Behaviour behaviour;
-        {
-            const std::lock_guard lock(m_mutex);
-            m_seen.push_back(request);
-            behaviour = m_behaviour;
-        }
-        HttpHeaders headers;
-        headers.add("Gypsumdale-Request-Id",
-                    std::string(request.m_headers.value("Gypsumdale-Request-Id")));
-        headers.add("Gypsumdale-Response-Signature", m_id);
-        if (behaviour)
-            behaviour(request, responder, headers);
-        else
-            responder.send({200, headers, "from " + m_id});
-    }
-
-    std::string m_id;
-    std::uint16_t m_port;
-    mutable std::mutex m_mutex;
-    Behaviour m_behaviour;
-    std::vector<HttpRequest> m_seen;
-    HttpServer m_server;
-};
-
 /// What a caller got; status 0 if the connection ended first.
 struct EntryAnswer
 {
@@ -307,10 +41,13 @@
 {
 public:
     /// With proxies, processes reach the store, the upstreams and each other through links that can
-    /// be harmed.
-    explicit EntryWorld(int nodes = 1, bool hasProxies = false)
+    /// be harmed. Takes after what time a leaving upstream must be left alone; nothing for the
+    /// usual one.
+    explicit EntryWorld(int nodes = 1, bool hasProxies = false,
+                        std::optional<std::chrono::milliseconds> leavingApply = std::nullopt)
         : m_loop("test")
         , m_client(m_loop)
+        , m_leavingApply(leavingApply)
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_loop.start();
@@ -440,6 +177,13 @@
         return ask(node, target, id, key, 5000, {}, true);
     }
 
+    /// Sends a request with a body, whose caller waits for so long.
+    EntryAnswer callWith(const EntryNode &node, const std::string &target, const std::string &id,
+                         const std::string &body, int deadlineMillis)
+    {
+        return ask(node, target, id, "key", deadlineMillis, {}, false, body);
+    }
+
     /// Sends a request with a prompt, whose caller waits for so long.
     EntryAnswer askPrompt(const EntryNode &node, const std::string &target, const std::string &id,
                           int promptTokens, int deadlineMillis)
@@ -450,7 +194,7 @@
 private:
     EntryAnswer ask(const EntryNode &node, const std::string &target, const std::string &id,
                     const std::string &key, int deadlineMillis, const std::string &tokenUsage,
-                    bool usesKept = false)
+                    bool usesKept = false, const std::string &body = "body")
     {
         HttpCall call;
         call.m_endpoint = {"127.0.0.1", node.m_callerPort};
@@ -462,7 +206,7 @@
         if (!tokenUsage.empty())
             call.m_headers.add("Gypsumdale-Token-Usage", tokenUsage);
         call.m_headers.add("Authorization", "Bearer " + key);
-        call.m_body = "body";
+        call.m_body = body;
         call.m_freshConnection = !usesKept;
         call.m_headerTimeout = entryHangGuard;
         call.m_silenceTimeout = entryHangGuard;
@@ -556,11 +300,17 @@
                            "peer-listen: 127.0.0.1:{}\npeer-advertise: 127.0.0.1:{}\n"
                            "metrics-listen: 127.0.0.1:{}\n"
                            "store: 127.0.0.1:{}\nseeds:\n{}data-centres: [here]\n"
-                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n",
+                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n{}",
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
                            peerPortOf(node), node.m_metricsPort,
                            node.m_storeLink ? node.m_storeLink->port() : m_store->port(), seeds,
-                           node.m_process == nullptr);
+                           node.m_process == nullptr, leavingBound());
+    }
+
+    std::string leavingBound() const
+    {
+        return m_leavingApply ? fmt::format("  leaving-apply: {}ms\n", m_leavingApply->count())
+                              : std::string();
     }
 
     /// Returns the port at which processes reach an upstream.
@@ -581,6 +331,7 @@
 
     FiberLoop m_loop;
     HttpClient m_client;
+    std::optional<std::chrono::milliseconds> m_leavingApply;
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
