--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -10,6 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h> // getsockopt
+
+#include <algorithm> // count_if
 #include <array> // array
 #include <chrono> // milliseconds
 #include <cstddef> // size_t
@@ -76,6 +79,22 @@
         isDone.get_future().wait();
     }
 
+    /// Returns on how many connections bytes are held back.
+    std::size_t heldLinks()
+    {
+        return ask([this] {
+            return std::count_if(m_links.begin(), m_links.end(), [](const auto &link) {
+                return link->m_toTarget.m_isHeld || link->m_fromTarget.m_isHeld;
+            });
+        });
+    }
+
+    /// Returns how many connections there are.
+    std::size_t openLinks()
+    {
+        return ask([this] { return m_links.size(); });
+    }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
@@ -90,6 +109,7 @@
         boost::asio::steady_timer m_timer;
         std::array<char, 16384> m_buffer{};
         std::size_t m_length = 0;
+        bool m_isHeld = false;
     };
 
     struct Link : std::enable_shared_from_this<Link>
@@ -143,17 +163,29 @@
             passOn(way, [this, &way] { write(way); });
         }
 
-        /// Goes on at once, late, or when the link heals.
+        /// Goes on at once, late, or when the link heals. What is held back is lost if its sender
+        /// resets the connection: it would have to send it again.
         template <typename Next>
         void passOn(Way &way, Next next)
         {
-            if (m_proxy.holds(way.m_isToTarget))
+            way.m_isHeld = m_proxy.holds(way.m_isToTarget);
+            if (way.m_isHeld && isReset(way.m_from))
+                return reset();
+            if (way.m_isHeld)
                 return after(way, retryEvery, [this, &way, next] { passOn(way, next); });
             if (m_proxy.m_fault == LinkFault::Delay)
                 return after(way, delay, next);
             next();
         }
 
+        static bool isReset(Socket &socket)
+        {
+            int error = 0;
+            socklen_t length = sizeof(error);
+            ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &length);
+            return error != 0;
+        }
+
         template <typename Next>
         void after(Way &way, std::chrono::milliseconds wait, Next next)
         {
@@ -190,6 +222,14 @@
         int m_endedWays = 0;
     };
 
+    template <typename Question>
+    std::size_t ask(Question question)
+    {
+        std::promise<std::size_t> answer;
+        boost::asio::post(m_context, [&] { answer.set_value(question()); });
+        return answer.get_future().get();
+    }
+
     void resetLinks()
     {
         for (const auto &link : std::set<std::shared_ptr<Link>>(m_links))
