Let the play of the news be played on by another one

Its VMs and its fleets have headers of their own, several data centres may be played, and a world that is derived from it is told when a list is confirmed or a question is left unanswered. What the play draws is the same as before.

fuzz-entry-upstream-news passes.

--- a/tests/src/fuzz-entry-upstream-news.cpp
+++ b/tests/src/fuzz-entry-upstream-news.cpp
@@ -1,3 +1,4 @@
+#include "support/news_plays.hpp"
 #include "support/upstream_news_world.hpp"
 
 #include <catch2/catch.hpp>
@@ -13,31 +14,7 @@
 
 namespace {
 
-struct Fleet
-{
-    std::size_t m_vms = 0;
-    std::size_t m_dataCentres = 0;
-    Duration m_bound{};
-};
-
-constexpr Fleet smallFleet{9, 4, 2s};
-constexpr Fleet largeFleet{65, 3, 3s};
-constexpr Fleet hugeFleet{195, 5, 4s};
-constexpr std::array<Fleet, 3> fleets = {smallFleet, largeFleet, hugeFleet};
-
-NewsTroubles allTroubles()
-{
-    NewsTroubles troubles;
-    troubles.m_slowest = 3s;
-    troubles.m_hasSlow = true;
-    troubles.m_hasTurnedAway = true;
-    troubles.m_hasKilled = true;
-    troubles.m_hasDropped = true;
-    troubles.m_hasLostAnswers = true;
-    return troubles;
-}
-
-int play(const Fleet &fleet, const NewsTroubles &troubles, std::uint64_t seed)
+int play(const NewsFleet &fleet, const NewsTroubles &troubles, std::uint64_t seed)
 {
     UpstreamNewsWorld world(fleet.m_vms, fleet.m_dataCentres, fleet.m_bound, troubles, seed);
     return world.play(60s);
@@ -46,26 +23,26 @@
 /// A play in which a VM was late.
 struct KeptPlay
 {
-    Fleet m_fleet;
+    NewsFleet m_fleet;
     bool m_isQuiet = false;
     std::uint64_t m_seed = 0;
 };
 
 constexpr std::array<KeptPlay, 9> keptPlays = {{
-        {largeFleet, false, 59},
-        {largeFleet, false, 4283},
-        {largeFleet, false, 6795928},
-        {largeFleet, false, 6990989},
-        {largeFleet, false, 85942977},
-        {largeFleet, false, 399816998},
-        {largeFleet, true, 1774742},
-        {hugeFleet, false, 2891061},
-        {hugeFleet, true, 262299407},
+        {largeNewsFleet, false, 59},
+        {largeNewsFleet, false, 4283},
+        {largeNewsFleet, false, 6795928},
+        {largeNewsFleet, false, 6990989},
+        {largeNewsFleet, false, 85942977},
+        {largeNewsFleet, false, 399816998},
+        {largeNewsFleet, true, 1774742},
+        {hugeNewsFleet, false, 2891061},
+        {hugeNewsFleet, true, 262299407},
 }};
 
 void checkFleets(NewsTroubles troubles)
 {
-    for (const Fleet &fleet : fleets) {
+    for (const NewsFleet &fleet : newsFleets) {
         INFO(fleet.m_vms << " VMs");
         REQUIRE(rc::check([&fleet, troubles](std::uint32_t seed) {
             RC_ASSERT(play(fleet, troubles, seed) == 0);
@@ -89,7 +66,7 @@
 // Guards against patiences on the way of an upstream's leaving that add up to more than the bound.
 TEST_CASE("a leaving upstream is left alone in time in all troubles at once")
 {
-    NewsTroubles troubles = allTroubles();
+    NewsTroubles troubles = allNewsTroubles();
     troubles.m_isQuiet = GENERATE(false, true);
     checkFleets(troubles);
 }
@@ -100,7 +77,7 @@
 {
     for (const KeptPlay &kept : keptPlays) {
         CAPTURE(kept.m_fleet.m_vms, kept.m_isQuiet, kept.m_seed);
-        NewsTroubles troubles = allTroubles();
+        NewsTroubles troubles = allNewsTroubles();
         troubles.m_isQuiet = kept.m_isQuiet;
         CHECK(play(kept.m_fleet, troubles, kept.m_seed) == 0);
     }
--- a/tests/support/agenda.hpp
+++ b/tests/support/agenda.hpp
@@ -2,11 +2,12 @@
 
 #include <gypsumdale/core/clock.hpp>
 
+#include <algorithm> // pop_heap, push_heap
 #include <chrono> // hours
 #include <cstdint> // uint64_t
 #include <functional> // function
-#include <queue> // priority_queue
 #include <utility> // move
+#include <vector> // vector
 
 namespace gypsumdale::testing {
 
@@ -18,14 +19,16 @@
 
     void after(Duration delay, std::function<void()> work)
     {
-        m_entries.push({m_now + delay, m_added++, std::move(work)});
+        m_entries.push_back({m_now + delay, m_added++, std::move(work)});
+        std::push_heap(m_entries.begin(), m_entries.end());
     }
 
     void runUntil(TimePoint end)
     {
-        while (!m_entries.empty() && m_entries.top().m_at <= end) {
-            const Entry entry = m_entries.top();
-            m_entries.pop();
+        while (!m_entries.empty() && m_entries.front().m_at <= end) {
+            std::pop_heap(m_entries.begin(), m_entries.end());
+            const Entry entry = std::move(m_entries.back());
+            m_entries.pop_back();
             m_now = entry.m_at;
             entry.m_work();
         }
@@ -47,7 +50,8 @@
 
     TimePoint m_now{std::chrono::hours(1)};
     std::uint64_t m_added = 0;
-    std::priority_queue<Entry> m_entries;
+    /// A heap with the next one first.
+    std::vector<Entry> m_entries;
 };
 
 } // namespace gypsumdale::testing
--- /dev/null
+++ b/tests/support/news_vm.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <gypsumdale/entry/message_age.hpp>
+#include <gypsumdale/entry/news_pace.hpp>
+#include <gypsumdale/entry/upstream_following.hpp>
+#include <gypsumdale/policy/circuit_breaker.hpp>
+#include <gypsumdale/serving/upstream_news.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <map> // map
+#include <memory> // make_unique, unique_ptr
+#include <optional> // optional
+
+namespace gypsumdale::testing {
+
+/// What a play disturbs.
+struct NewsTroubles
+{
+    /// Answers and messages of slow VMs take up to this.
+    Duration m_slowest{};
+    /// VMs that are slow, turned away by the store, or killed, one after the other.
+    bool m_hasSlow = false;
+    bool m_hasTurnedAway = false;
+    bool m_hasKilled = false;
+    /// The store drops its history.
+    bool m_hasDropped = false;
+    /// An answer of the store is lost, for each VM at most once in the bound.
+    bool m_hasLostAnswers = false;
+    /// Changes of upstreams are rare, so that watches wait.
+    bool m_isQuiet = false;
+};
+
+/// What a VM has told another one, and whether it waits for the receipt.
+struct ToldNews
+{
+    FollowerState m_state;
+    bool m_isBusy = false;
+};
+
+/// A VM in a play of the news, with the decisions of its process.
+struct NewsVm
+{
+    NewsVm(const EntryBounds &bounds, std::size_t dataCentre)
+        : m_following(std::make_unique<UpstreamFollowing>(bounds))
+        , m_dataCentre(dataCentre)
+    {}
+
+    std::unique_ptr<UpstreamFollowing> m_following;
+    std::size_t m_dataCentre;
+    CircuitBreaker m_breaker;
+    NewsPace m_pace;
+    std::map<NewsVm *, ToldNews> m_told;
+    /// Of the others' clocks, as their receipts brought them.
+    std::map<NewsVm *, HeardMark> m_marks;
+    StoreRole m_role = StoreRole::Follower;
+    /// Counts its processes: what an earlier one began ends with it.
+    int m_life = 0;
+    bool m_isSlow = false;
+    bool m_isTurnedAway = false;
+    bool m_isDead = false;
+    TimePoint m_troubledAt{};
+    TimePoint m_lostAnswerAt{};
+};
+
+/// A call to the store: a watch from a revision, or the list.
+struct StoreCall
+{
+    std::optional<std::int64_t> m_revision;
+    Duration m_wait{};
+    Duration m_timeout{};
+    TimePoint m_sentAt{};
+};
+
+} // namespace gypsumdale::testing
--- a/tests/support/upstream_news_world.hpp
+++ b/tests/support/upstream_news_world.hpp
@@ -1,48 +1,25 @@
 #pragma once
 
 #include "support/agenda.hpp"
+#include "support/news_vm.hpp"
 #include "support/upstream_store.hpp"
 
-#include <gypsumdale/entry/message_age.hpp>
-#include <gypsumdale/entry/news_pace.hpp>
-#include <gypsumdale/entry/upstream_following.hpp>
-#include <gypsumdale/policy/circuit_breaker.hpp>
-#include <gypsumdale/serving/upstream_news.hpp>
-
 #include <platform/store_client.hpp>
 
 #include <pcg_random.hpp>
 
 #include <algorithm> // max, min
 #include <cstddef> // size_t
-#include <cstdint> // int64_t, uint32_t, uint64_t
+#include <cstdint> // uint64_t
 #include <functional> // function
-#include <map> // map
 #include <memory> // make_shared, make_unique, unique_ptr
-#include <optional> // optional
+#include <optional> // nullopt
 #include <string> // to_string
 #include <utility> // exchange, move
 #include <vector> // vector
 
 namespace gypsumdale::testing {
 
-/// What a play disturbs.
-struct NewsTroubles
-{
-    /// Answers and messages of slow VMs take up to this.
-    Duration m_slowest{};
-    /// VMs that are slow, turned away by the store, or killed, one after the other.
-    bool m_hasSlow = false;
-    bool m_hasTurnedAway = false;
-    bool m_hasKilled = false;
-    /// The store drops its history.
-    bool m_hasDropped = false;
-    /// An answer of the store is lost, for each VM at most once in the bound.
-    bool m_hasLostAnswers = false;
-    /// Changes of upstreams are rare, so that watches wait.
-    bool m_isQuiet = false;
-};
-
 /// A fleet that follows a list of upstreams, on a paused clock: store, readers, followers and peers
 /// with all their decisions; network and patience as the processes have them.
 class UpstreamNewsWorld
@@ -52,18 +29,23 @@
     /// takes the list over, and a connection may take its time.
     static constexpr Duration placement = std::chrono::milliseconds(450);
 
+    /// Takes how many data centres are played. Between them nothing is told while the store
+    /// answers, so that one stands for all where peers' lists are left out.
     UpstreamNewsWorld(std::size_t vms, std::size_t dataCentres, Duration bound,
-                      NewsTroubles troubles, std::uint64_t seed)
+                      NewsTroubles troubles, std::uint64_t seed, std::size_t playedDataCentres = 1)
         : m_troubles(troubles)
         , m_random(seed)
+        , m_near(std::max<std::size_t>(vms / dataCentres, 3))
+        , m_playedDataCentres(playedDataCentres)
     {
         m_bounds.m_leavingApply = bound;
-        // Between data centres nothing is told while the store answers: a part stands for a whole.
-        const std::size_t near = vms / dataCentres;
-        for (std::size_t index = 0; index < std::max<std::size_t>(near, 3); ++index)
-            m_vms.push_back(std::make_unique<Vm>(m_bounds));
+        for (std::size_t index = 0; index < m_near * m_playedDataCentres; ++index)
+            m_vms.push_back(std::make_unique<NewsVm>(m_bounds, index / m_near));
         m_isLarge = vms > 12;
     }
+    virtual ~UpstreamNewsWorld() = default;
+    UpstreamNewsWorld(const UpstreamNewsWorld &) = delete;
+    UpstreamNewsWorld &operator=(const UpstreamNewsWorld &) = delete;
 
     /// Plays for a time. Returns how many VMs that nothing disturbed used an upstream for longer
     /// after its leaving than the bound allows.
@@ -80,66 +62,52 @@
         return m_late;
     }
 
-private:
+protected:
     static constexpr std::size_t upstreams = 8;
-    static constexpr std::size_t readers = 2;
     /// A VM counts as undisturbed so long after its last trouble.
     static constexpr Duration settling = std::chrono::seconds(4);
-    /// Until peers notice that a reader is silent or turned away.
-    static constexpr Duration noticed = std::chrono::milliseconds(2500);
 
-    struct Told
-    {
-        FollowerState m_state;
-        bool m_isBusy = false;
-    };
-    struct Vm
-    {
-        explicit Vm(const EntryBounds &bounds)
-            : m_following(std::make_unique<UpstreamFollowing>(bounds))
-        {}
-
-        std::unique_ptr<UpstreamFollowing> m_following;
-        CircuitBreaker m_breaker;
-        NewsPace m_pace;
-        std::map<Vm *, Told> m_told;
-        /// Of the followers' clocks, as their receipts brought them.
-        std::map<Vm *, HeardMark> m_marks;
-        StoreRole m_role = StoreRole::Follower;
-        /// Counts its processes: what an earlier one began ends with it.
-        int m_life = 0;
-        bool m_isSlow = false;
-        bool m_isTurnedAway = false;
-        bool m_isDead = false;
-        TimePoint m_troubledAt{};
-        TimePoint m_lostAnswerAt{};
-    };
-
-    /// A call to the store: a watch from a revision, or the list.
-    struct Call
-    {
-        std::optional<std::int64_t> m_revision;
-        Duration m_wait{};
-        Duration m_timeout{};
-        TimePoint m_sentAt{};
-    };
+    /// The process of a VM has begun.
+    virtual void begun(NewsVm & /*vm*/) {}
+    /// A VM's list was confirmed by the store, a reader or a peer.
+    virtual void confirmed(NewsVm & /*vm*/) {}
+    /// The store has left a VM's question unanswered.
+    virtual void leftUnanswered(NewsVm & /*vm*/) {}
+    /// The store has taken the word of an upstream that it leaves.
+    virtual void left(const UpstreamId & /*upstream*/) {}
 
     static UpstreamId idOf(std::size_t number) { return UpstreamId(std::to_string(number)); }
-    Duration draw(Duration most) { return most * (m_random(1000) + 1) / 1000; }
-    Duration wayOf(const Vm &vm)
+    /// Returns the number of the upstream that leaves next.
+    std::size_t nextToLeave() const { return m_nextUpstream - upstreams; }
+    bool isUndisturbed(const NewsVm &vm) const
     {
-        return draw(vm.m_isSlow ? m_troubles.m_slowest : std::chrono::milliseconds(3));
+        const bool isStruck = vm.m_isDead || vm.m_isSlow || vm.m_isTurnedAway;
+        return !isStruck && m_agenda.now() - vm.m_troubledAt >= settling;
     }
     /// Does something later unless the process has ended by then.
-    void later(Vm &vm, Duration delay, std::function<void()> work)
+    void later(NewsVm &vm, Duration delay, std::function<void()> work)
     {
         m_agenda.after(delay, [&vm, life = vm.m_life, work = std::move(work)] {
             if (vm.m_life == life)
                 work();
         });
     }
+    Duration wayOf(const NewsVm &vm)
+    {
+        return draw(vm.m_isSlow ? m_troubles.m_slowest : std::chrono::milliseconds(3));
+    }
+    Agenda &agenda() { return m_agenda; }
+    const EntryBounds &bounds() const { return m_bounds; }
+    const std::vector<std::unique_ptr<NewsVm>> &vms() const { return m_vms; }
 
-    void begin(Vm &vm)
+private:
+    static constexpr std::size_t readers = 2;
+    /// Until peers notice that a reader is silent or turned away.
+    static constexpr Duration noticed = std::chrono::milliseconds(2500);
+
+    Duration draw(Duration most) { return most * (m_random(1000) + 1) / 1000; }
+
+    void begin(NewsVm &vm)
     {
         vm.m_following = std::make_unique<UpstreamFollowing>(m_bounds);
         vm.m_following->setRole(vm.m_role);
@@ -148,9 +116,10 @@
         vm.m_marks.clear();
         follow(vm);
         tellLoop(vm);
+        begun(vm);
     }
 
-    void follow(Vm &vm)
+    void follow(NewsVm &vm)
     {
         const TimePoint now = m_agenda.now();
         vm.m_following->expire(now);
@@ -165,7 +134,7 @@
     }
 
     /// Sends a call to the store; its answer, or the lack of one, comes later.
-    void ask(Vm &vm, const Call &call)
+    void ask(NewsVm &vm, const StoreCall &call)
     {
         if (!vm.m_breaker.tryCall(call.m_sentAt))
             return failed(vm, ReadingFailure::Unanswered);
@@ -176,7 +145,7 @@
         later(vm, wayOf(vm), [this, &vm, call] { answer(vm, call, call.m_wait); });
     }
 
-    void fail(Vm &vm, const Call &call, Duration delay)
+    void fail(NewsVm &vm, const StoreCall &call, Duration delay)
     {
         later(vm, call.m_sentAt + delay - m_agenda.now(), [this, &vm, call] {
             vm.m_breaker.onFailed(call.m_sentAt, m_agenda.now());
@@ -184,7 +153,7 @@
         });
     }
 
-    bool loses(Vm &vm)
+    bool loses(NewsVm &vm)
     {
         const bool isDue = m_agenda.now() - vm.m_lostAnswerAt > settling;
         if (!m_troubles.m_hasLostAnswers || !isDue || m_random(8) != 0)
@@ -194,7 +163,7 @@
     }
 
     /// The store's side of a call: a watch waits until something changes or its time is over.
-    void answer(Vm &vm, const Call &call, Duration wait)
+    void answer(NewsVm &vm, const StoreCall &call, Duration wait)
     {
         const UpstreamList &list = m_store.list();
         const bool isHistoryGone = call.m_revision && !m_store.hasSince(*call.m_revision);
@@ -217,11 +186,12 @@
                 vm.m_following->takeChanges(changes, list.m_revision, times);
             else
                 vm.m_following->takeListing(list, call.m_sentAt, now);
+            confirmed(vm);
             pause(vm);
         });
     }
 
-    void waitForChange(Vm &vm, const Call &call, Duration wait)
+    void waitForChange(NewsVm &vm, const StoreCall &call, Duration wait)
     {
         const auto isAnswered = std::make_shared<bool>(false);
         const auto again = [this, &vm, call, isAnswered] {
@@ -235,18 +205,20 @@
         });
     }
 
-    void failed(Vm &vm, ReadingFailure failure)
+    void failed(NewsVm &vm, ReadingFailure failure)
     {
         vm.m_following->noteFailed(failure);
+        if (failure == ReadingFailure::Unanswered)
+            leftUnanswered(vm);
         pause(vm);
     }
 
-    void pause(Vm &vm)
+    void pause(NewsVm &vm)
     {
         later(vm, vm.m_following->pauseAfterReading(m_agenda.now()), [this, &vm] { follow(vm); });
     }
 
-    void tellLoop(Vm &vm)
+    void tellLoop(NewsVm &vm)
     {
         const TimePoint now = m_agenda.now();
         const NewsState state{vm.m_following->feed().history().newest(), 0,
@@ -255,16 +227,17 @@
         if (isReader && vm.m_pace.isDue(state, now)) {
             vm.m_pace.noteTold(state, now);
             for (const auto &other : m_vms) {
-                if (other.get() != &vm && !vm.m_told[other.get()].m_isBusy)
+                const bool isNear = other->m_dataCentre == vm.m_dataCentre;
+                if (isNear && other.get() != &vm && !vm.m_told[other.get()].m_isBusy)
                     tell(vm, *other);
             }
         }
         later(vm, NewsPace::tick, [this, &vm] { tellLoop(vm); });
     }
 
-    void tell(Vm &reader, Vm &follower)
+    void tell(NewsVm &reader, NewsVm &follower)
     {
-        Told &told = reader.m_told[&follower];
+        ToldNews &told = reader.m_told[&follower];
         told.m_isBusy = true;
         const TimePoint now = m_agenda.now();
         const UpstreamNews news = told.m_state.newsFor(reader.m_following->feed(), now);
@@ -279,6 +252,8 @@
             const TimePoint takenAt = m_agenda.now();
             const ToldAge toldAge{age, sentAfter(echo, follower.m_life, takenAt)};
             const auto taking = follower.m_following->takeNews(news, toldAge, takenAt);
+            if (taking != UpstreamFeed::Taking::Lacking)
+                confirmed(follower);
             const Duration back = wayOf(reader);
             if (reader.m_life != life || takenAt + back - now > NewsPace::receiptTimeout)
                 return;
@@ -286,7 +261,7 @@
             const ClockMark mark{follower.m_life, takenAt};
             later(reader, back, [this, &reader, &follower, news, taking, mark] {
                 reader.m_marks[&follower].hear(mark, m_agenda.now());
-                Told &answered = reader.m_told[&follower];
+                ToldNews &answered = reader.m_told[&follower];
                 answered.m_isBusy = false;
                 if (taking == UpstreamFeed::Taking::Lacking)
                     answered.m_state.onLacking();
@@ -300,10 +275,10 @@
         });
     }
 
-    /// The first two that are not known to be lost read for the others.
+    /// The first two of a data centre that are not known to be lost read for its others.
     void chooseReaders()
     {
-        std::size_t chosen = 0;
+        std::vector<std::size_t> chosen(m_playedDataCentres);
         const TimePoint now = m_agenda.now();
         for (const auto &vm : m_vms) {
             const bool isLost = vm->m_isDead || vm->m_isTurnedAway;
@@ -311,7 +286,7 @@
             StoreRole role = StoreRole::Follower;
             if (!m_isLarge)
                 role = StoreRole::Alone;
-            else if (!isNoticed && chosen++ < readers)
+            else if (!isNoticed && chosen[vm->m_dataCentre]++ < readers)
                 role = StoreRole::Reader;
             if (role == vm->m_role)
                 continue;
@@ -324,9 +299,10 @@
 
     void changeUpstreams()
     {
-        const UpstreamId leaving = idOf(m_nextUpstream - upstreams);
+        const UpstreamId leaving = idOf(nextToLeave());
         m_store.put(idOf(m_nextUpstream++), false);
         m_store.put(leaving, true);
+        left(leaving);
         const Duration checkedAfter = m_bounds.m_leavingApply - placement;
         m_agenda.after(checkedAfter, [this, leaving] { check(leaving); });
         m_agenda.after(checkedAfter + draw(std::chrono::seconds(2)),
@@ -339,8 +315,7 @@
     void check(const UpstreamId &leaving)
     {
         for (const auto &vm : m_vms) {
-            if (vm->m_isDead || vm->m_isSlow || vm->m_isTurnedAway
-                || m_agenda.now() - vm->m_troubledAt < settling)
+            if (!isUndisturbed(*vm))
                 continue;
             const auto &known = vm->m_following->feed().upstreams();
             const auto found = known.find(leaving);
@@ -353,7 +328,7 @@
     void disturb()
     {
         const bool strikesReader = m_random(2) == 0;
-        Vm &vm = *m_vms[strikesReader ? m_random(readers) : m_random(m_vms.size())];
+        NewsVm &vm = *m_vms[strikesReader ? drawReader() : m_random(m_vms.size())];
         const Duration time = draw(std::chrono::seconds(6));
         switch (m_random(4)) {
         case 0:
@@ -376,7 +351,13 @@
         m_agenda.after(draw(std::chrono::milliseconds(1500)), [this] { disturb(); });
     }
 
-    void trouble(Vm &vm, bool &flag, Duration time)
+    std::size_t drawReader()
+    {
+        const std::size_t first = m_random(readers);
+        return m_playedDataCentres == 1 ? first : first + m_near * m_random(m_playedDataCentres);
+    }
+
+    void trouble(NewsVm &vm, bool &flag, Duration time)
     {
         flag = true;
         vm.m_troubledAt = m_agenda.now();
@@ -386,7 +367,7 @@
         });
     }
 
-    void kill(Vm &vm, Duration time)
+    void kill(NewsVm &vm, Duration time)
     {
         if (vm.m_isDead)
             return;
@@ -405,7 +386,10 @@
     pcg32 m_random;
     Agenda m_agenda;
     UpstreamStore m_store;
-    std::vector<std::unique_ptr<Vm>> m_vms;
+    /// VMs of a data centre.
+    std::size_t m_near;
+    std::size_t m_playedDataCentres;
+    std::vector<std::unique_ptr<NewsVm>> m_vms;
     bool m_isLarge = false;
     std::size_t m_nextUpstream = 0;
     int m_late = 0;
