Play the way of a request on to the first byte at its upstream

Callers: requests ran at upstreams that had left for longer than the bound, sent by VMs that nothing disturbed.

The play of the news ended at what a VM has learned, with 450 ms for the rest. Here the traffic thread gets the list up to 200 ms later, chooses, connects for 250 ms at most and hands the request to a send buffer; paths fall silent and heal, links have a queue of up to a second. VMs of two data centres exchange whole lists, also with one that the store turns away or that no reader tells. A request is late if it arrives after the bound from a VM that nothing disturbed for 4 s. The check of what a VM has learned is made as well, as strict as before.

--- /dev/null
+++ b/tests/support/request_way.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "support/agenda.hpp"
+
+#include <gypsumdale/serving/upstream_record.hpp>
+
+#include <pcg_random.hpp>
+
+#include <algorithm> // max
+#include <chrono> // milliseconds
+#include <cstddef> // size_t
+#include <cstdint> // uint32_t, uint64_t
+#include <functional> // function
+#include <map> // map
+#include <memory> // shared_ptr
+#include <utility> // move, pair
+
+namespace gypsumdale::testing {
+
+/// A request on its way from a VM to an upstream.
+struct WayRequest
+{
+    /// The VM's number.
+    std::size_t m_vm = 0;
+    UpstreamId m_upstream;
+    /// Its sender has reset the connection: what has not left is dropped.
+    bool m_isTakenBack = false;
+    bool m_hasArrived = false;
+};
+
+/// The network between VMs and upstreams, on a paused clock. Paths fall silent and heal, and a VM's
+/// link may have a queue. Nothing is lost for good but what its sender takes back.
+class RequestWay
+{
+public:
+    using Arrived = std::function<void(const WayRequest &)>;
+    /// Told whether a connection has come about, and how long that took.
+    using Connected = std::function<void(bool, Duration)>;
+
+    /// A connection that takes longer is given up.
+    static constexpr Duration connectTimeout = std::chrono::milliseconds(250);
+
+    RequestWay(Agenda &agenda, std::uint64_t seed, Arrived arrived)
+        : m_agenda(agenda)
+        , m_random(seed, 2)
+        , m_arrived(std::move(arrived))
+    {}
+
+    /// Returns a time up to the given one, never none.
+    Duration draw(Duration most) { return most * (m_random(1000) + 1) / 1000; }
+    std::size_t drawIndex(std::size_t size) { return m_random(static_cast<std::uint32_t>(size)); }
+
+    /// Lets nothing pass between a VM and an upstream until a time.
+    void silence(std::size_t vm, const UpstreamId &upstream, TimePoint until)
+    {
+        TimePoint &silentUntil = m_silentUntil[{vm, upstream}];
+        silentUntil = std::max(silentUntil, until);
+    }
+
+    /// Lets packets wait in a VM's link until a time, each for so long.
+    void slow(std::size_t vm, Duration queue, TimePoint until) { m_queues[vm] = {queue, until}; }
+
+    void connect(std::size_t vm, const UpstreamId &upstream, const Connected &connected)
+    {
+        const auto fail = [connected] {
+            connected(false, connectTimeout);
+        };
+        const Duration there = wayOf(vm);
+        const Duration whole = there + wayOf(vm) / 2;
+        const bool isLost = isSilent(vm, upstream) || whole > connectTimeout;
+        if (isLost)
+            return m_agenda.after(connectTimeout, fail);
+        m_agenda.after(whole, [this, vm, upstream, whole, connected, fail] {
+            if (isSilent(vm, upstream))
+                return m_agenda.after(connectTimeout - whole, fail);
+            connected(true, whole);
+        });
+    }
+
+    /// Hands a request to the send buffer, from where it goes when the path allows.
+    void send(const std::shared_ptr<WayRequest> &request)
+    {
+        if (request->m_isTakenBack)
+            return;
+        const TimePoint now = m_agenda.now();
+        const TimePoint silentUntil = m_silentUntil[{request->m_vm, request->m_upstream}];
+        if (now < silentUntil)
+            return m_agenda.after(silentUntil - now + draw(resendEvery),
+                                  [this, request] { send(request); });
+        m_agenda.after(wayOf(request->m_vm), [this, request] { reach(request); });
+    }
+
+private:
+    /// Of what was lost, while its sender tries often.
+    static constexpr Duration resendEvery = std::chrono::milliseconds(200);
+    /// Of a path with an empty queue, there or back.
+    static constexpr Duration usualWay = std::chrono::milliseconds(15);
+
+    struct Queue
+    {
+        Duration m_wait{};
+        TimePoint m_until{};
+    };
+
+    bool isSilent(std::size_t vm, const UpstreamId &upstream)
+    {
+        return m_agenda.now() < m_silentUntil[{vm, upstream}];
+    }
+
+    Duration wayOf(std::size_t vm)
+    {
+        const Queue &queue = m_queues[vm];
+        const bool hasQueue = m_agenda.now() < queue.m_until;
+        return draw(usualWay) + (hasQueue ? queue.m_wait : Duration::zero());
+    }
+
+    /// What has left arrives, whatever its sender does, unless the path has fallen silent.
+    void reach(const std::shared_ptr<WayRequest> &request)
+    {
+        if (isSilent(request->m_vm, request->m_upstream))
+            return send(request);
+        request->m_hasArrived = true;
+        m_arrived(*request);
+    }
+
+    Agenda &m_agenda;
+    pcg32 m_random;
+    Arrived m_arrived;
+    std::map<std::pair<std::size_t, UpstreamId>, TimePoint> m_silentUntil;
+    std::map<std::size_t, Queue> m_queues;
+};
+
+} // namespace gypsumdale::testing
--- /dev/null
+++ b/tests/support/request_way_world.hpp
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "support/peer_lists.hpp"
+#include "support/request_way.hpp"
+#include "support/upstream_news_world.hpp"
+
+#include <algorithm> // max, min_element
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <map> // map
+#include <memory> // make_shared, shared_ptr
+#include <optional> // nullopt, optional
+#include <string> // stoul
+#include <vector> // vector
+
+namespace gypsumdale::testing {
+
+/// A play of the news of upstreams that goes on to the first byte of requests at them: each VM's
+/// traffic thread, its connections and send buffers, and the paths.
+class RequestWayWorld : public UpstreamNewsWorld
+{
+public:
+    static constexpr std::size_t playedDataCentres = 2;
+
+    RequestWayWorld(std::size_t vms, std::size_t dataCentres, Duration bound,
+                    const NewsTroubles &troubles, std::uint64_t seed)
+        : UpstreamNewsWorld(vms, dataCentres, bound, troubles, seed, playedDataCentres)
+        , m_way(agenda(), seed, [this](const WayRequest &request) { judge(request); })
+        , m_traffic(this->vms().size())
+        , m_peers(this->vms().size())
+    {
+        for (std::size_t index = 0; index < m_traffic.size(); ++index)
+            m_numbers[this->vms()[index].get()] = index;
+        agenda().after({}, [this] { harmPaths(); });
+    }
+
+    /// Returns how many requests reached an upstream later after its leaving than the bound allows,
+    /// from VMs that nothing disturbed.
+    int lateRequests() const { return m_lateRequests; }
+    /// Returns how many requests have reached an upstream.
+    int arrivals() const { return m_arrivals; }
+
+protected:
+    void begun(NewsVm &vm) override
+    {
+        trafficOf(vm) = Traffic{};
+        m_peers.forget(m_numbers[&vm]);
+        exchangeLoop(vm);
+        placeLoop(vm);
+    }
+
+    void confirmed(NewsVm &vm) override { handOver(vm); }
+
+    void left(const UpstreamId &upstream) override { m_leftAt[upstream] = agenda().now(); }
+
+private:
+    using Upstreams = std::map<UpstreamId, UpstreamRecord>;
+
+    /// Until the traffic thread has what the control thread hands over.
+    static constexpr Duration longestHandOver = std::chrono::milliseconds(200);
+    static constexpr Duration longestPause = std::chrono::milliseconds(600);
+    static constexpr int mostConnectFailures = 4;
+
+    /// What a VM's traffic thread knows.
+    struct Traffic
+    {
+        Upstreams m_upstreams;
+        /// What is handed over later arrives later.
+        TimePoint m_handedOverAt{};
+    };
+
+    Traffic &trafficOf(const NewsVm &vm) { return m_traffic[m_numbers[&vm]]; }
+
+    void handOver(NewsVm &vm)
+    {
+        Traffic &traffic = trafficOf(vm);
+        const TimePoint now = agenda().now();
+        traffic.m_handedOverAt =
+                std::max(traffic.m_handedOverAt, now + m_way.draw(longestHandOver));
+        const auto upstreams =
+                std::make_shared<const Upstreams>(vm.m_following->feed().upstreams());
+        later(vm, traffic.m_handedOverAt - now,
+              [&traffic, upstreams] { traffic.m_upstreams = *upstreams; });
+    }
+
+    void placeLoop(NewsVm &vm)
+    {
+        later(vm, m_way.draw(longestPause), [this, &vm] {
+            place(vm, 0);
+            placeLoop(vm);
+        });
+    }
+
+    /// Sends a request to an upstream of the list, or to another if no connection comes about.
+    void place(NewsVm &vm, int connectFailures)
+    {
+        const std::optional<UpstreamId> upstream = choose(trafficOf(vm).m_upstreams);
+        if (!upstream || connectFailures >= mostConnectFailures)
+            return;
+        const auto connected = [this, &vm, upstream, connectFailures,
+                                life = vm.m_life](bool isConnected, Duration /*connecting*/) {
+            if (vm.m_life != life)
+                return;
+            if (!isConnected)
+                return place(vm, connectFailures + 1);
+            const auto request = std::make_shared<WayRequest>();
+            request->m_vm = m_numbers[&vm];
+            request->m_upstream = *upstream;
+            m_way.send(request);
+        };
+        m_way.connect(m_numbers[&vm], *upstream, connected);
+    }
+
+    /// Draws one that isn't known to leave; the oldest, which leaves next, half of the time.
+    std::optional<UpstreamId> choose(const Upstreams &upstreams)
+    {
+        std::vector<std::size_t> ready;
+        for (const auto &[id, record] : upstreams) {
+            if (!record.m_isDraining)
+                ready.push_back(std::stoul(id.text()));
+        }
+        if (ready.empty())
+            return std::nullopt;
+        const bool takesOldest = m_way.drawIndex(2) == 0;
+        return idOf(takesOldest ? *std::min_element(ready.begin(), ready.end())
+                                : ready[m_way.drawIndex(ready.size())]);
+    }
+
+    void judge(const WayRequest &request)
+    {
+        ++m_arrivals;
+        const auto leftAt = m_leftAt.find(request.m_upstream);
+        if (leftAt == m_leftAt.end())
+            return;
+        const bool isLate = agenda().now() - leftAt->second > bounds().m_leavingApply;
+        if (isLate && isUndisturbed(*vms()[request.m_vm]))
+            ++m_lateRequests;
+    }
+
+    /// Lets a path to an upstream fall silent, those of a whole data centre, or a VM's link fill.
+    void harmPaths()
+    {
+        const TimePoint now = agenda().now();
+        const std::size_t struck = m_way.drawIndex(vms().size());
+        const TimePoint until = now + m_way.draw(std::chrono::seconds(5));
+        const UpstreamId upstream = idOf(nextToLeave() + m_way.drawIndex(upstreams));
+        switch (m_way.drawIndex(3)) {
+        case 0:
+            m_way.silence(struck, upstream, until);
+            break;
+        case 1:
+            for (const auto &vm : vms()) {
+                if (vm->m_dataCentre == vms()[struck]->m_dataCentre)
+                    m_way.silence(m_numbers[vm.get()], upstream, until);
+            }
+            break;
+        default:
+            m_way.slow(struck, m_way.draw(std::chrono::seconds(1)), until);
+            break;
+        }
+        agenda().after(m_way.draw(std::chrono::milliseconds(400)), [this] { harmPaths(); });
+    }
+
+    /// Exchanges words with another VM now and then, of whatever data centre.
+    void exchangeLoop(NewsVm &vm)
+    {
+        later(vm, PeerLists::exchangeEvery, [this, &vm] {
+            NewsVm &peer = *vms()[m_way.drawIndex(vms().size())];
+            if (&peer != &vm)
+                exchange(vm, peer);
+            exchangeLoop(vm);
+        });
+    }
+
+    void exchange(NewsVm &vm, NewsVm &peer)
+    {
+        const auto word = m_peers.wordFor(vm, m_numbers[&vm], m_numbers[&peer], now());
+        const int life = vm.m_life;
+        later(peer, wayOf(vm) + wayOf(peer), [this, &vm, &peer, word, life] {
+            take(peer, vm, word);
+            if (peer.m_isDead || vm.m_life != life)
+                return;
+            const auto answer = m_peers.wordFor(peer, m_numbers[&peer], m_numbers[&vm], now());
+            later(vm, wayOf(vm) + wayOf(peer),
+                  [this, &vm, &peer, answer] { take(vm, peer, answer); });
+        });
+    }
+
+    void take(NewsVm &vm, NewsVm &sender, const PeerWord &word)
+    {
+        if (vm.m_isDead)
+            return;
+        if (m_peers.take(vm, m_numbers[&vm], m_numbers[&sender], word, now()))
+            confirmed(vm);
+    }
+
+    TimePoint now() { return agenda().now(); }
+
+    RequestWay m_way;
+    std::vector<Traffic> m_traffic;
+    PeerLists m_peers;
+    std::map<const NewsVm *, std::size_t> m_numbers;
+    std::map<UpstreamId, TimePoint> m_leftAt;
+    int m_arrivals = 0;
+    int m_lateRequests = 0;
+};
+
+} // namespace gypsumdale::testing
