--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -39,7 +39,8 @@
 };
 
 /// Passes connections on to a port on loopback, and harms them when told to. Bytes are never lost
-/// while a connection lives, as TCP sends them again when a link heals.
+/// while a connection lives, as TCP sends them again when a link heals; those held back are lost
+/// when their sender resets it.
 class FaultProxy
 {
 public:
@@ -169,7 +170,7 @@
         void passOn(Way &way, Next next)
         {
             way.m_isHeld = m_proxy.holds(way.m_isToTarget);
-            if (way.m_isHeld && isReset(way.m_from))
+            if (isReset(way.m_from))
                 return reset();
             if (way.m_isHeld)
                 return after(way, retryEvery, [this, &way, next] { passOn(way, next); });
@@ -178,6 +179,7 @@
             next();
         }
 
+        /// Also while data are unread.
         static bool isReset(Socket &socket)
         {
             int error = 0;
