Play the way of a request with its term, and keep what is still late

The traffic thread of the play asks PlacementTerm for the end of a placement, asks maySend before the first byte, and takes back at the end, up to 20 ms later, what has not left. What is in a link's queue by then arrives.

A connection takes 130 to 200 ms, and the link's queue grows to 0.7 s before the first byte goes. maySend allows the way that was measured and spends the whole reserve on it; nothing is left for one that grows.

--- /dev/null
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -0,0 +1,30 @@
+#include "support/request_way_plays.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array> // array
+#include <cstdint> // uint64_t
+
+using namespace gypsumdale::testing;
+
+// Guards against late requests from VMs that go by peers' lists, or whose answers are lost.
+TEST_CASE("a leaving upstream gets no late request in all troubles at once")
+{
+    checkWay(allNewsTroubles());
+}
+
+// Guards against a link's queue that grows between the connection and the first byte.
+TEST_CASE("a leaving upstream gets no late request from a link that fills meanwhile")
+{
+    constexpr std::array<std::uint64_t, 3> seeds = {125, 167229452944, 536196023723};
+    for (const std::uint64_t seed : seeds) {
+        CAPTURE(seed);
+        CHECK(playWay(smallNewsFleet, allNewsTroubles(), seed).m_requests == 0);
+    }
+}
+
+// Guards against entries that are kept for their return though their upstream has left.
+TEST_CASE("a leaving upstream gets no late request by an entry that is kept for its return")
+{
+    CHECK(playWay(smallNewsFleet, allNewsTroubles(), 1101590840816U).m_requests == 0);
+}
--- /dev/null
+++ b/tests/support/request_way_plays.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "support/news_plays.hpp"
+#include "support/request_way_world.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <chrono> // seconds
+#include <cstdint> // uint32_t, uint64_t
+
+namespace gypsumdale::testing {
+
+/// How often something was late in a play.
+struct WayLateness
+{
+    int m_learned = 0;
+    int m_requests = 0;
+    int m_arrivals = 0;
+};
+
+inline WayLateness playWay(const NewsFleet &fleet, const NewsTroubles &troubles, std::uint64_t seed)
+{
+    RequestWayWorld world(fleet.m_vms, fleet.m_dataCentres, fleet.m_bound, troubles, seed);
+    const int learned = world.play(std::chrono::seconds(60));
+    return {learned, world.lateRequests(), world.arrivals()};
+}
+
+/// Plays of large fleets take ten times as long: one of so many seeds is played.
+inline std::uint32_t seedsPerPlay(const NewsFleet &fleet)
+{
+    constexpr std::uint32_t ofLarge = 16;
+    return fleet.m_vms == smallNewsFleet.m_vms ? 1 : ofLarge;
+}
+
+inline void checkWay(NewsTroubles troubles)
+{
+    troubles.m_isQuiet = GENERATE(false, true);
+    for (const NewsFleet &fleet : newsFleets) {
+        INFO(fleet.m_vms << " VMs");
+        REQUIRE(rc::check([&fleet, troubles](std::uint32_t seed) {
+            if (seed % seedsPerPlay(fleet) != 0)
+                return;
+            const WayLateness lateness = playWay(fleet, troubles, seed);
+            RC_ASSERT(lateness.m_arrivals > 0);
+            RC_ASSERT(lateness.m_learned == 0);
+            RC_ASSERT(lateness.m_requests == 0);
+        }));
+    }
+}
+
+} // namespace gypsumdale::testing
