--- a/tests/src/fuzz-entry-request-way-troubles.cpp
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -23,6 +23,14 @@
     }
 }
 
+// Guards against a path that heals just before the end of a term, behind a link that fills.
+TEST_CASE("a leaving upstream gets no late request from a path that heals late")
+{
+    NewsTroubles troubles;
+    troubles.m_isQuiet = true;
+    CHECK(playWay(smallNewsFleet, troubles, 90657115).m_requests == 0);
+}
+
 // Guards against entries that are kept for their return though their upstream has left.
 TEST_CASE("a leaving upstream gets no late request by an entry that is kept for its return")
 {
--- a/tests/src/process-entry-leaving.cpp
+++ b/tests/src/process-entry-leaving.cpp
@@ -85,6 +85,26 @@
     CHECK(isHonest(once));
 }
 
+// Guards against such requests whose callers still wait when the path heals.
+TEST_CASE("requests held up on a silent path are taken back while their callers wait")
+{
+    EntryWorld world(1, true, leavingApply);
+    leaveOneUpstream(world);
+    FaultProxy &link = world.upstreamLink(0);
+    link.set(LinkFault::CutToTarget);
+    EntryAnswer once;
+    std::thread caller(
+            [&] { once = world.callWith(world.node(), "/once/x", "r-once", largeBody, 5000); });
+    world.waitUntil("it is held up", [&] { return link.heldLinks() == 1; });
+    world.announce(world.upstream(0), "draining");
+    std::this_thread::sleep_for(2 * leavingApply);
+    heal(world);
+    caller.join();
+
+    CHECK_FALSE(isSeen(world.upstream(0), "r-once"));
+    CHECK(isHonest(once));
+}
+
 // Guards against requests that run after their caller was told that its time is over.
 TEST_CASE("a request whose caller's time is over doesn't reach its upstream when the path heals")
 {
