--- a/tests/src/fuzz-entry-request-way-troubles.cpp
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -4,6 +4,7 @@
 
 #include <array> // array
 #include <cstdint> // uint64_t
+#include <map> // map
 
 using namespace gypsumdale::testing;
 
@@ -26,9 +27,13 @@
 // Guards against a path that heals just before the end of a term, behind a link that fills.
 TEST_CASE("a leaving upstream gets no late request from a path that heals late")
 {
-    NewsTroubles troubles;
-    troubles.m_isQuiet = true;
-    CHECK(playWay(smallNewsFleet, troubles, 90657115).m_requests == 0);
+    for (const auto &[seed, isQuiet] :
+         std::map<std::uint64_t, bool>{{90657115, true}, {6371847, false}, {166828, false}}) {
+        CAPTURE(seed);
+        NewsTroubles troubles;
+        troubles.m_isQuiet = isQuiet;
+        CHECK(playWay(smallNewsFleet, troubles, seed).m_requests == 0);
+    }
 }
 
 // Guards against entries that are kept for their return though their upstream has left.
