--- /dev/null
+++ b/tests/src/fuzz-entry-request-way.cpp
@@ -0,0 +1,11 @@
+#include "support/request_way_plays.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale::testing;
+
+// Guards against requests that wait for a path or a link and arrive after the upstream's leaving.
+TEST_CASE("a leaving upstream gets no late request though paths fall silent and links fill")
+{
+    checkWay({});
+}
