Leave a placement's whole reserve to a way that gets longer after the connection

Cause: a request might go out if its bytes, under way as long as its connection had been, arrived within the bound itself, so that the way used up the reserve as well. The unit test's bounds are replaced by tighter ones.

--- a/include/gypsumdale/serving/placement_term.hpp
+++ b/include/gypsumdale/serving/placement_term.hpp
@@ -27,7 +27,8 @@
 class PlacementTerm
 {
 public:
-    /// For bytes that have left this VM when the term ends, and can't be taken back.
+    /// For bytes that have left this VM when the term ends, and can't be taken back, and for a way
+    /// that gets longer after the connection.
     static constexpr Duration wayReserve = std::chrono::milliseconds(200);
     /// Of a list that can't be had any newer: long enough for a connection and a request.
     static constexpr Duration unconfirmableTerm = std::chrono::milliseconds(500);
@@ -67,7 +68,7 @@
     /// bytes will take as long again. Constant.
     static bool maySend(TimePoint until, Duration connecting, TimePoint now)
     {
-        return now + connecting < until + wayReserve && now < until;
+        return until > now && until - now > connecting;
     }
 
 private:
--- a/tests/src/unit-placement-term.cpp
+++ b/tests/src/unit-placement-term.cpp
@@ -120,14 +120,14 @@
 
     SECTION("a fast connection needs what is left and no more")
     {
-        REQUIRE(PlacementTerm::maySend(now + 1ns, 1ms, now));
-        REQUIRE_FALSE(PlacementTerm::maySend(now, 1ms, now));
+        REQUIRE(PlacementTerm::maySend(now + 1ms + 1ns, 1ms, now));
+        REQUIRE_FALSE(PlacementTerm::maySend(now + 1ms, 1ms, now));
     }
 
-    SECTION("a slow one may use the reserve for the way")
+    SECTION("a slow one needs as long again, and leaves the reserve for a way that gets longer")
     {
-        REQUIRE(PlacementTerm::maySend(now + 51ms, 250ms, now));
-        REQUIRE_FALSE(PlacementTerm::maySend(now + 50ms, 250ms, now));
+        REQUIRE(PlacementTerm::maySend(now + 251ms, 250ms, now));
+        REQUIRE_FALSE(PlacementTerm::maySend(now + 250ms, 250ms, now));
     }
 
     SECTION("a term that was ended ends it at any speed")
@@ -154,6 +154,7 @@
                      return;
                  const TimePoint connectedAt = now + connecting;
                  if (PlacementTerm::maySend(*until, connecting, connectedAt))
-                     RC_ASSERT(connectedAt + connecting < list.m_confirmedAt + leavingApply);
+                     RC_ASSERT(connectedAt + connecting + PlacementTerm::wayReserve
+                               < list.m_confirmedAt + leavingApply);
              });
 }
