Append a successor's takeover at once where the log took its predecessor's offer

What callers saw: after a hand-over in an outage a job's progress was not kept for up to 10 s after the platform's return; the loss of its owner in that time threw it back to the hand-over, and its tokens were generated again.

Cause: former owner and successor find no offer in the log and both append one. The log takes the first; the successor went on as if its own had been taken, so that its progress named an epoch which the log did not know and refused. Only the append time-out of 10 s made it read the log's state again.

Change: an owner remembers the epoch of its offer and, once the log shows another one, appends what the log lacks.

--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -241,6 +241,8 @@
         std::int64_t m_tokens = 0;
         bool m_isOver = false;
         bool m_isRemoved = false;
+        /// The epoch of this node's offer until the log is known to have taken it; otherwise 0.
+        std::int64_t m_offeredEpoch = 0;
         TimePoint m_changedAt{};
     };
 
@@ -348,6 +350,7 @@
     void fence(OwnedJob &owned, const Job &logged);
     void settle(OwnedJob &owned, const Job &logged, TimePoint now);
     void appendMissing(OwnedJob &owned, const FollowedLog &log, TimePoint now);
+    void checkOffer(OwnedJob &owned, const Job &logged);
     void appendOffer(OwnedJob &owned);
     void appendEarlierEpochs(OwnedJob &owned);
     void appendProgress(OwnedJob &owned, std::int64_t tokens);
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -264,6 +264,8 @@
     const Job *logged = log.m_state.find(owned.m_job.m_id);
     if (owned.m_appended && now - owned.m_appended->m_changedAt >= m_settings.m_appendTimeout)
         owned.m_appended.reset();
+    if (owned.m_appended && logged != nullptr)
+        checkOffer(owned, *logged);
     if (!owned.m_appended) {
         if (owned.m_mode == Mode::Withdrawn && logged == nullptr)
             return;
@@ -320,6 +322,19 @@
     record.__set_offered(offered);
     appendRecord(owned, record);
     owned.m_appended->m_epoch = owned.m_job.m_epochs.current();
+    owned.m_appended->m_offeredEpoch = owned.m_appended->m_epoch;
+}
+
+/// Former owner and successor may both append the offer. If the log took the other one, what this
+/// node appended behind its own counts for nothing, and is appended again behind the log's.
+void JobTable::checkOffer(OwnedJob &owned, const Job &logged)
+{
+    const std::int64_t offered = std::exchange(owned.m_appended->m_offeredEpoch, 0);
+    if (offered == 0)
+        return;
+    const std::size_t index = indexOfEpoch(logged.m_epochs, offered);
+    if (index == logged.m_epochs.starts().size())
+        owned.m_appended.reset();
 }
 
 /// Hand-overs made while the platform was out are not in the log yet: each one follows as a
--- a/tests/src/unit-job-outage.cpp
+++ b/tests/src/unit-job-outage.cpp
@@ -157,3 +157,27 @@
     CHECK(world.poll(caller, k_owner) == "");
     CHECK(caller.m_isWhole);
 }
+
+// Guards against a job that leaves no trace in the log for seconds after a hand-over in an outage.
+TEST_CASE("a successor's epoch is in the log soon after both wrote the job's offer", "[jobs]")
+{
+    JobWorld world({"a", "b", "c"});
+    world.setPlatform(false);
+    const std::size_t job = *world.offer(k_third, "roper");
+    const JobId id = world.jobs()[job].m_id;
+    world.settle();
+    world.generate(k_third, 4);
+    world.notice(k_third, NoticeScope::OwnVm);
+    // Neither finds the offer in the log, so both append it.
+    world.setPlatform(true);
+    world.step();
+    world.settle(5);
+    const auto successor = world.runner(id);
+    REQUIRE(successor);
+    REQUIRE(*successor != k_third);
+    world.generate(*successor, JobWorld::k_answerTokens);
+    world.settle(5);
+    JobWorld::Caller caller{job};
+    CHECK(world.poll(caller, *successor) == "");
+    CHECK(caller.m_isWhole);
+}
