Append a takeover again that the log refused

What callers saw: an accepted job whose owners had died was never run again; its callers waited in vain.

Cause: a takeover was appended once. If the log refused it (it named an epoch that the log had not yet, as the taker had read the log before an outage and offered the job anew), or the record was lost, what the log lacks was appended again, but not the takeover: its epoch was drawn already, which counted as appended.

Change: whether the takeover was appended belongs to what is on its way to the log and is forgotten with it; the epoch stays, so that two copies of it count once.

--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -241,6 +241,7 @@
         std::int64_t m_tokens = 0;
         bool m_isOver = false;
         bool m_isRemoved = false;
+        bool m_isTakenOver = false;
         /// The epoch of this node's offer until the log is known to have taken it; otherwise 0.
         std::int64_t m_offeredEpoch = 0;
         TimePoint m_changedAt{};
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -406,10 +406,15 @@
 
 void JobTable::appendTakeover(OwnedJob &owned)
 {
-    if (owned.m_mode != Mode::TakingOver || owned.m_takeoverEpoch != 0 || owned.m_job.isOver())
+    if (owned.m_mode != Mode::TakingOver || owned.m_appended->m_isTakenOver
+        || owned.m_job.isOver()) {
         return;
+    }
+    owned.m_appended->m_isTakenOver = true;
     const std::int64_t previous = owned.m_job.m_epochs.current();
-    owned.m_takeoverEpoch = nextEpoch(previous, m_random());
+    // Appended again, the takeover is the same one: both may reach the log.
+    if (owned.m_takeoverEpoch == 0)
+        owned.m_takeoverEpoch = nextEpoch(previous, m_random());
     wire::JobTakeover takeover;
     takeover.job = owned.m_job.m_id.text();
     takeover.previousEpoch = previous;
--- a/tests/src/unit-job-outage.cpp
+++ b/tests/src/unit-job-outage.cpp
@@ -181,3 +181,28 @@
     CHECK(world.poll(caller, *successor) == "");
     CHECK(caller.m_isWhole);
 }
+
+// Guards against an accepted job that nobody runs: its takeover was refused by the log and never
+// appended again.
+TEST_CASE("a takeover that the log refused is appended again", "[jobs]")
+{
+    JobWorld world({"a", "b", "c"});
+    const std::size_t job = *world.offer(k_third, "roper");
+    // This node has read the log while it was empty.
+    CHECK(world.pry(job, k_other) == "");
+    world.settle(1);
+    REQUIRE(world.jobs()[job].m_isAccepted);
+    world.notice(k_third, NoticeScope::OwnVm);
+    world.setPlatform(false);
+    world.deliverAll();
+    world.step();
+    REQUIRE(world.runner(world.jobs()[job].m_id) == k_owner);
+    world.crash(k_owner);
+    world.settle();
+    world.setPlatform(true);
+    world.settle(k_takeoverSteps);
+    finishAll(world);
+    JobWorld::Caller caller{job};
+    readThrough(world, caller, k_other);
+    CHECK(caller.m_isWhole);
+}
