Deny a job only 10 s after its first process was last seen

What callers saw: a caller that came back for an accepted job was told that there is none (703), and some seconds later the job was there.

Cause: a node that reaches the platform denied a job that its log lacks, unless the platform had come back within 10 s: in that time a holder may have to append what the owner could not. Where the owner alone had lost the platform, there is no return to count from; its death is the moment at which the holder's turn begins.

Change: 10 s count from the later of the platform's return and the last sight of the process that took the job; for one never seen, from when its log is followed. The check of unit-job-table that a job of a process suspected a second ago is denied at once can't hold: nobody can know then whether a holder has it. In its place: not ready within the 10 s, unknown after them.

--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -61,8 +61,8 @@
     Duration m_orphanDelay = std::chrono::seconds(10);
     /// From the last use of another process's log until it is no longer read.
     Duration m_logIdle = std::chrono::seconds(60);
-    /// From the platform's return until a job that is not in its log counts as unknown: its holder
-    /// may have to append it first.
+    /// From the platform's return, and from the death of the process that took the job, until a job
+    /// that is not in its log counts as unknown: its holder may have to append it first.
     Duration m_settleTime = std::chrono::seconds(10);
     CheckpointPolicy m_checkpoints = EveryInterval{std::chrono::seconds(5)};
     std::uint64_t m_seed = 0;
@@ -296,6 +296,8 @@
         TimePoint m_readFrom{};
         std::optional<TimePoint> m_readAskedAt;
         TimePoint m_usedAt;
+        /// When the process that began the log was last seen alive, or following began.
+        TimePoint m_originSeenAt;
         std::optional<TimePoint> m_takeOverAt;
     };
 
--- a/src/jobs/job_table_log.cpp
+++ b/src/jobs/job_table_log.cpp
@@ -44,8 +44,10 @@
 {
     const auto [entry, isNew] = m_logs.try_emplace(log);
     entry->second.m_usedAt = now;
-    if (isNew)
+    if (isNew) {
+        entry->second.m_originSeenAt = now;
         readAnew(log, entry->second, now);
+    }
     return entry->second;
 }
 
--- a/src/jobs/job_table_read.cpp
+++ b/src/jobs/job_table_read.cpp
@@ -1,5 +1,7 @@
 #include <gypsumdale/jobs/job_table.hpp>
 
+#include <algorithm> // max
+
 namespace gypsumdale {
 
 namespace {
@@ -97,7 +99,8 @@
         return unknownJob();
     if (isOriginLive)
         return AskNode{origin.m_node};
-    if (!m_platformUp || now - m_platformUpSince < m_settings.m_settleTime)
+    const TimePoint reportsFrom = std::max(m_platformUpSince, found->second.m_originSeenAt);
+    if (!m_platformUp || now - reportsFrom < m_settings.m_settleTime)
         return Error{ErrorId::NotReady, "the job's holder may still have to report"};
     // Guards against an old reading: a job may have been accepted by the log while this node was
     // paused, and its caller was told that there is none. That it isn't there is known only of a
--- a/src/jobs/job_table_takeover.cpp
+++ b/src/jobs/job_table_takeover.cpp
@@ -146,6 +146,8 @@
 {
     std::vector<JobLogId> idle;
     for (auto &[log, followed] : m_logs) {
+        if (const auto origin = processOf(log); origin && isLive(*origin))
+            followed.m_originSeenAt = now;
         const bool isDue = followed.m_takeOverAt && now >= *followed.m_takeOverAt;
         // After an outage, live owners and holders get to append what they have first.
         const bool isSettled =
--- a/tests/src/unit-job-outage.cpp
+++ b/tests/src/unit-job-outage.cpp
@@ -206,3 +206,27 @@
     readThrough(world, caller, k_other);
     CHECK(caller.m_isWhole);
 }
+
+// Guards against a caller that is told there is no such job while only its holder knows it.
+TEST_CASE("a job that only a holder has is not denied at its owner's death", "[jobs]")
+{
+    JobWorld world({"a", "a", "b", "b"});
+    constexpr int k_longUp = 120;
+    world.settle(k_longUp);
+    world.setReach(k_owner, false);
+    const std::size_t job = *world.offer(k_owner, "roper");
+    world.settle();
+    REQUIRE(world.jobs()[job].m_isAccepted);
+    constexpr std::size_t k_fourth = 3;
+    const std::size_t holder = world.table(k_third).copiesHeld() > 0 ? k_third : k_fourth;
+    const std::size_t asked = holder == k_third ? k_fourth : k_third;
+    world.pause(holder);
+    world.crash(k_owner);
+    JobWorld::Caller caller{job};
+    readThrough(world, caller, asked);
+    world.resume(holder);
+    world.settle(k_takeoverSteps);
+    finishAll(world);
+    readThrough(world, caller, asked);
+    CHECK(caller.m_isWhole);
+}
--- a/tests/src/unit-job-table.cpp
+++ b/tests/src/unit-job-table.cpp
@@ -399,6 +399,11 @@
         };
         ask();
         world.settle(2);
+        // A holder may still have it.
+        CHECK(ask() == ErrorId::NotReady);
+        world.step(10s);
+        ask();
+        world.settle(2);
         CHECK(ask() == ErrorId::JobUnknown);
     }
 }
