Place by kept entries only while half of a service's upstreams are missing

What callers saw: requests to an upstream 3.7 to 6.3 s after it had said that it leaves, at a bound of 2 s. Such a request may be cut off as the upstream ends.

Cause: a VM whose questions to the store fail for two heartbeats keeps entries that vanished meanwhile for up to 2 s, for those of upstreams that live lapse in an outage of the store. Had the store been out of this VM's reach only, what is missing has left: it was kept and placed by all the same.

Ruled out: the term of the placement (the list was confirmed lately), links (2 to 13 ms), a peer's list (kept entries are not told).

Change: a record says that it is kept. It is placed by only while as many of its service's entries are missing as are there, which is an outage that made entries lapse. Requests that run at it are left alone, and it comes back into use with its entry.

--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -140,6 +140,11 @@
     /// long after it was idle again.
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
+    /// Tells whether upstreams whose entries vanished, and are kept for their return, are placed
+    /// by: while as many of a service are missing as are there. Where fewer are, the store was out
+    /// of this VM's reach only, and what is missing has left. Constant.
+    static constexpr bool usesKept(std::size_t kept, std::size_t all) { return 2 * kept >= all; }
+
     /// Returns the prompt tokens that wait at the engine with the fewest of them, of all data
     /// centres, or nothing where each is avoided or there is none. Linear in the upstreams.
     std::optional<std::int64_t> leastPendingTokens(const PlacementRequest &request,
--- a/include/gypsumdale/serving/upstream_record.hpp
+++ b/include/gypsumdale/serving/upstream_record.hpp
@@ -26,6 +26,8 @@
     std::int64_t m_startedAt = 0;
     bool m_isDraining = false;
     bool m_isReclaimable = false;
+    /// Its entry vanished around an outage of the store, and is kept for its return.
+    bool m_isKept = false;
     /// Time until it is taken away, where it has been told.
     std::optional<Duration> m_leavesIn;
 };
@@ -33,9 +35,9 @@
 /// Tells whether two entries of one upstream mean the same for where requests go.
 inline bool isSameForRouting(const UpstreamRecord &left, const UpstreamRecord &right)
 {
-    return left.m_isDraining == right.m_isDraining && left.m_ip == right.m_ip
-           && left.m_port == right.m_port && left.m_service == right.m_service
-           && left.m_startedAt == right.m_startedAt;
+    return left.m_isDraining == right.m_isDraining && left.m_isKept == right.m_isKept
+           && left.m_ip == right.m_ip && left.m_port == right.m_port
+           && left.m_service == right.m_service && left.m_startedAt == right.m_startedAt;
 }
 
 /// All upstreams at one revision of the store.
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -3,11 +3,23 @@
 #include <platform/upstream_codec.hpp>
 #include <platform/wire_names.hpp>
 
+#include <string_view> // string_view
 #include <utility> // move
 #include <variant> // get_if
 
 namespace gypsumdale {
 
+namespace {
+
+std::string_view stateOf(const UpstreamRecord &record)
+{
+    if (record.m_isKept)
+        return "kept";
+    return record.m_isDraining ? "draining" : "ready";
+}
+
+} // namespace
+
 EntryUpstreamFeed::EntryUpstreamFeed(EntryContext &context)
     : m_context(context)
     , m_store(context.m_log, "store-upstreams")
@@ -145,7 +157,7 @@
                               {LogField::Kind, known == m_published.end() ? "joined" : "changed"},
                               record.m_service,
                               {LogField::UpstreamDataCentre, record.m_dataCentre},
-                              {LogField::State, record.m_isDraining ? "draining" : "ready"},
+                              {LogField::State, stateOf(record)},
                               {LogField::Source, source},
                               {LogField::Revision, feed().revision()},
                               {LogField::ListAgeMillis, toMillis(age())}});
--- a/src/serving/upstream_feed.cpp
+++ b/src/serving/upstream_feed.cpp
@@ -64,6 +64,7 @@
     if (known == m_list.m_upstreams.end())
         return;
     if (keepsVanished(known->second, now)) {
+        known->second.m_isKept = true;
         m_vanished.try_emplace(id, m_returnedAt + returnTime);
         return;
     }
@@ -89,6 +90,7 @@
             continue;
         if (listed->second.m_startedAt > 0) {
             listed->second = known;
+            listed->second.m_isKept = false;
             continue;
         }
         list.m_upstreams.erase(listed);
@@ -108,7 +110,7 @@
             m_vanished.erase(id);
             continue;
         }
-        list.m_upstreams.emplace(id, record);
+        list.m_upstreams.emplace(id, record).first->second.m_isKept = true;
         m_vanished.try_emplace(id, m_returnedAt + returnTime);
     }
     m_list = std::move(list);
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -386,9 +386,17 @@
 UpstreamPool::Candidates UpstreamPool::candidatesFor(const PlacementRequest &request) const
 {
     Candidates candidates;
+    std::size_t kept = 0;
     for (const auto &[id, pooled] : m_upstreams) {
-        if (isCandidate(*pooled, request))
-            candidates.push_back(pooled);
+        if (!isCandidate(*pooled, request))
+            continue;
+        candidates.push_back(pooled);
+        kept += pooled->m_record.m_isKept ? 1 : 0;
+    }
+    if (!usesKept(kept, candidates.size())) {
+        std::erase_if(candidates, [](const PooledUpstreamPointer &candidate) {
+            return candidate->m_record.m_isKept;
+        });
     }
     return candidates;
 }
@@ -411,10 +419,10 @@
                                                              TimePoint now) const
 {
     std::optional<std::int64_t> least;
-    for (const auto &[id, pooled] : m_upstreams) {
-        if (!isCandidate(*pooled, request) || pooled->m_avoidUntil > now)
+    for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
+        if (candidate->m_avoidUntil > now)
             continue;
-        const std::int64_t pending = pooled->pendingTokens();
+        const std::int64_t pending = candidate->pendingTokens();
         least = std::min(least.value_or(pending), pending);
     }
     return least;
--- a/tests/src/fuzz-entry-request-way-troubles.cpp
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -39,5 +39,9 @@
 // Guards against entries that are kept for their return though their upstream has left.
 TEST_CASE("a leaving upstream gets no late request by an entry that is kept for its return")
 {
-    CHECK(playWay(smallNewsFleet, allNewsTroubles(), 1101590840816U).m_requests == 0);
+    constexpr std::array<std::uint64_t, 3> seeds = {1101590840816, 200086, 200165};
+    for (const std::uint64_t seed : seeds) {
+        CAPTURE(seed);
+        CHECK(playWay(smallNewsFleet, allNewsTroubles(), seed).m_requests == 0);
+    }
 }
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -48,6 +48,40 @@
 
 } // namespace
 
+// Guards against requests to upstreams that left while this VM alone had lost the store.
+TEST_CASE("upstreams that are kept for their return are placed by while half of them are missing")
+{
+    const auto kept = [](const std::string &id) {
+        UpstreamRecord record = recordOf(id, "a");
+        record.m_isKept = true;
+        return record;
+    };
+    UpstreamPool pool;
+    PlacementRequest request = requestFrom("a");
+
+    SECTION("not where most are there, however busy")
+    {
+        pool.update(upstreamsOf({recordOf("a1", "a"), recordOf("a2", "a"), kept("a3")}));
+        pool.upstreams().at(UpstreamId("a1"))->m_own.m_running = 9;
+        pool.upstreams().at(UpstreamId("a2"))->m_own.m_running = 9;
+        CHECK(chosen(pool, request) != "a3");
+        CHECK(pool.leastPendingTokens(request, start) == 0);
+    }
+    SECTION("where half of them have gone")
+    {
+        pool.update(upstreamsOf({recordOf("a1", "a"), kept("a2")}));
+        pool.upstreams().at(UpstreamId("a1"))->m_own.m_running = 9;
+        CHECK(chosen(pool, request) == "a2");
+    }
+    SECTION("by service")
+    {
+        UpstreamRecord other = recordOf("b1", "a");
+        other.m_service = ServiceId("shop");
+        pool.update(upstreamsOf({kept("a1"), other}));
+        CHECK(chosen(pool, request) == "a1");
+    }
+}
+
 TEST_CASE("the choice of an upstream")
 {
     UpstreamPool pool;
--- a/tests/support/request_way_world.hpp
+++ b/tests/support/request_way_world.hpp
@@ -5,6 +5,7 @@
 #include "support/upstream_news_world.hpp"
 
 #include <gypsumdale/serving/placement_term.hpp>
+#include <gypsumdale/serving/upstream_pool.hpp>
 
 #include <algorithm> // max, min_element
 #include <cstddef> // size_t
@@ -146,9 +147,16 @@
     /// Draws one that isn't known to leave; the oldest, which leaves next, half of the time.
     std::optional<UpstreamId> choose(const Upstreams &upstreams)
     {
+        std::size_t kept = 0;
+        std::size_t all = 0;
+        for (const auto &[id, record] : upstreams) {
+            kept += !record.m_isDraining && record.m_isKept ? 1 : 0;
+            all += record.m_isDraining ? 0 : 1;
+        }
+        const bool usesKept = UpstreamPool::usesKept(kept, all);
         std::vector<std::size_t> ready;
         for (const auto &[id, record] : upstreams) {
-            if (!record.m_isDraining)
+            if (!record.m_isDraining && (usesKept || !record.m_isKept))
                 ready.push_back(std::stoul(id.text()));
         }
         if (ready.empty())
