Keep a finished job where two leaving nodes hand it to each other

What callers saw: an accepted job that had finished was unknown for good, after announced reclaims only.

Cause: a node that is offered a job which it owns says that it has it, if what it has goes on from what is offered. A running job has a new epoch at its successor, which tells the two directions apart; a finished one has not. Two nodes that both leave, and hand it to each other while a hand-over is doubled, each heard that the other had it, and both dropped it.

Change: a node that is handing a job over itself doesn't claim one that is offered in the same epoch. The offer goes to another node, or comes again.

--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -354,12 +354,15 @@
     if (isOwner && !handOver.snapshot.epochs.empty()) {
         // A hand-over may come twice. It may also come back from the node that this one has just
         // handed the job to, when that is to be reclaimed too: said to be taken, the job would be
-        // dropped by both. What is here counts only if it goes on from what is offered.
+        // dropped by both. What is here counts only if it goes on from what is offered; a finished
+        // job has no new epoch to tell by, and counts only where it stays.
         const auto &starts = owned->m_job.m_epochs.starts();
         const std::int64_t offered = handOver.snapshot.epochs.back().epoch;
-        answer.taken = std::any_of(
+        const bool isKnown = std::any_of(
                 starts.begin(), starts.end(),
                 [offered](const EpochHistory::Start &start) { return start.m_epoch == offered; });
+        const bool isSame = offered == owned->m_job.m_epochs.current();
+        answer.taken = isKnown && !(isSame && owned->m_mode == Mode::HandingOver);
         answer.epoch = owned->m_job.m_epochs.current();
     }
     if (!answer.taken && !isOwner && !m_notice) {
--- a/tests/src/unit-job-outage.cpp
+++ b/tests/src/unit-job-outage.cpp
@@ -230,3 +230,36 @@
     readThrough(world, caller, asked);
     CHECK(caller.m_isWhole);
 }
+
+// Guards against jobs that two leaving nodes each drop, as the other says that it has them.
+TEST_CASE("finished jobs that come back from a successor that leaves too are not dropped", "[jobs]")
+{
+    // Hashing chooses successors: some of the jobs come back to the first owner.
+    constexpr std::size_t jobs = 8;
+    JobWorld world({"a", "b", "c"});
+    world.setPlatform(false);
+    std::vector<JobWorld::Caller> callers;
+    while (callers.size() < jobs)
+        callers.push_back({*world.offer(k_owner, "roper")});
+    world.settle();
+    world.generate(k_owner, JobWorld::k_answerTokens);
+    world.settle();
+    world.notice(k_owner, NoticeScope::OwnVm);
+    // The hand-overs come twice, and the answers to the first ones are lost.
+    const std::size_t handOvers = world.messages().size();
+    for (std::size_t index = 0; index < handOvers; ++index)
+        world.deliver(index, true);
+    std::erase_if(world.messages(), [](const JobWorld::Message &message) {
+        return std::holds_alternative<AnswerHandOver>(message.m_body);
+    });
+    // A successor leaves before it hears that the first owner does.
+    world.notice(k_other, NoticeScope::OwnVm);
+    world.settle(k_takeoverSteps);
+    world.setPlatform(true);
+    world.settle(k_takeoverSteps);
+    for (JobWorld::Caller &caller : callers) {
+        REQUIRE(world.jobs()[caller.m_job].m_isAccepted);
+        readThrough(world, caller, k_third);
+        CHECK(caller.m_isWhole);
+    }
+}
