--- /dev/null
+++ b/tests/src/fuzz-order-lease-pauses.cpp
@@ -0,0 +1,11 @@
+#include "support/order_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace gypsumdale::testing;
+
+// Guards against an order that is held up beyond the longest pause and undoes a newer one.
+TEST_CASE("one orderer under faults in any order and pauses without a bound")
+{
+    REQUIRE(playOrders(HoldUps::Unbounded));
+}
