--- a/tests/src/fuzz-entry-request-way-troubles.cpp
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -45,3 +45,13 @@
         CHECK(playWay(smallNewsFleet, allNewsTroubles(), seed).m_requests == 0);
     }
 }
+
+// Guards against a link whose queue jumps right after the connection.
+TEST_CASE("a leaving upstream gets no late request from a queue that jumps after the connection")
+{
+    constexpr std::array<std::uint64_t, 3> seeds = {300095, 301446, 301580};
+    for (const std::uint64_t seed : seeds) {
+        CAPTURE(seed);
+        CHECK(playWay(smallNewsFleet, allNewsTroubles(), seed).m_requests == 0);
+    }
+}
