--- a/tests/support/job_trial.hpp
+++ b/tests/support/job_trial.hpp
@@ -2,7 +2,8 @@
 
 #include <support/job_world.hpp>
 
-#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <algorithm> // all_of
 #include <cstddef> // size_t
@@ -233,4 +234,39 @@
     std::vector<JobWorld::Caller> m_callers;
 };
 
+inline rc::Gen<Operation> operationsOf(const rc::Gen<Act> &acts)
+{
+    return rc::gen::build<Operation>(rc::gen::set(&Operation::m_act, acts),
+                                     rc::gen::set(&Operation::m_where, rc::gen::inRange(0, 16)),
+                                     rc::gen::set(&Operation::m_amount, rc::gen::inRange(0, 8)));
+}
+
+inline void checkFleet(const std::vector<std::string> &dataCentres, const rc::Gen<Act> &acts,
+                       double lengthScale)
+{
+    const auto history = *rc::gen::scale(
+            lengthScale, rc::gen::container<std::vector<Operation>>(operationsOf(acts)));
+    Trial trial(dataCentres);
+    for (const Operation &operation : history)
+        trial.run(operation);
+    trial.conclude();
+}
+
+/// Holds what is promised against histories of many lengths, as rare meetings of faults need long
+/// ones.
+inline void checkJobs(const rc::Gen<Act> &acts)
+{
+    constexpr int lengths = 20;
+    for (int length = 1; length <= lengths; ++length) {
+        const double scale = 1 + 0.15 * length;
+        const std::string suffix = ", length " + std::to_string(length);
+        rc::prop("three nodes in three data centres" + suffix, [scale, &acts] {
+            checkFleet({"a", "b", "c"}, acts, scale);
+        });
+        rc::prop("four nodes in two data centres" + suffix, [scale, &acts] {
+            checkFleet({"a", "a", "b", "b"}, acts, scale);
+        });
+    }
+}
+
 } // namespace gypsumdale::testing
