Drop a copy only at the word of the process that had it held

What callers saw: a job that was accepted in an outage was unknown for good, after one death without a notice, which is promised to be survived.

Cause: the owner's node came back as a new process. A doubled message of the one before reached the holder late; its answer went to the node, where the new process knew no such job and took the copy for one that nobody wants. The holder compared nodes, not processes, and dropped the only copy.

The holder was paused and had not heard of the death. unit-job-outage, "a restarted owner's node doesn't have the copy of its former process dropped", fails with the check taken out.

Change: a release names the process that gives the copy up; the holder ignores that of another one. The field is optional on the wire: a release of the version before counts as it did.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -97,6 +97,8 @@
 
 struct JobRelease {
   1: string job
+  // The process that gives the copy up; missing from one of a version before.
+  2: optional JobOwner owner
 }
 
 /** Owner to its successor: from now on the job is yours. The successor begins an epoch of its own
--- a/include/gypsumdale/jobs/job_commands.hpp
+++ b/include/gypsumdale/jobs/job_commands.hpp
@@ -42,7 +42,7 @@
 struct ReleaseAtPeer
 {
     NodeId m_peer;
-    JobId m_job;
+    wire::JobRelease m_release;
 };
 
 /// Answer a peer's hold request.
--- a/include/gypsumdale/jobs/job_table.hpp
+++ b/include/gypsumdale/jobs/job_table.hpp
@@ -184,7 +184,7 @@
 
     // As holder and successor, from owners.
     void onHoldRequest(const NodeId &peer, const wire::JobHold &hold, TimePoint now);
-    void onReleaseRequest(const NodeId &peer, const JobId &job, TimePoint now);
+    void onReleaseRequest(const NodeId &peer, const wire::JobRelease &release, TimePoint now);
     void onHandOverRequest(const NodeId &peer, const wire::JobHandOver &handOver, TimePoint now);
 
     // From the attempt that runs. Events of an earlier attempt are counted and change nothing.
@@ -380,6 +380,7 @@
     void syncToHolder(OwnedJob &owned, TimePoint now);
     void sendToHolder(OwnedJob &owned, const wire::JobRecord &record, TimePoint now);
     void failHolder(OwnedJob &owned);
+    ReleaseAtPeer releaseOf(const NodeId &holder, const JobId &job) const;
     void releaseCopies(OwnedJob &owned, const NodeId &except);
     void beginHandOver(OwnedJob &owned, TimePoint now);
     void driveHandOver(OwnedJob &owned, TimePoint now);
--- a/src/jobs/job_table_peers.cpp
+++ b/src/jobs/job_table_peers.cpp
@@ -132,11 +132,19 @@
     owned.m_holder.reset();
 }
 
+ReleaseAtPeer JobTable::releaseOf(const NodeId &holder, const JobId &job) const
+{
+    wire::JobRelease release;
+    release.job = job.text();
+    release.__set_owner(toWire(m_settings.m_self));
+    return {holder, release};
+}
+
 void JobTable::releaseCopies(OwnedJob &owned, const NodeId &except)
 {
     for (const NodeId &node : owned.m_copies) {
         if (node != except)
-            emit(ReleaseAtPeer{node, owned.m_job.m_id});
+            emit(releaseOf(node, owned.m_job.m_id));
     }
     const bool isExceptHeld = owned.m_copies.contains(except);
     owned.m_copies.clear();
@@ -155,7 +163,7 @@
         const bool isHeld = owned != nullptr && owned->m_holder && owned->m_holder->m_isHeld;
         if (answer.held && !isCopy) {
             // The answer to a question given up on: the copy would be kept for nobody.
-            emit(ReleaseAtPeer{peer, job});
+            emit(releaseOf(peer, job));
             return;
         }
         const JobPeer *holder = findPeer(peer);
@@ -240,12 +248,17 @@
     return !isShorter && !copy->isOver();
 }
 
-void JobTable::onReleaseRequest(const NodeId &peer, const JobId &job, TimePoint /*now*/)
+void JobTable::onReleaseRequest(const NodeId &peer, const wire::JobRelease &release,
+                                TimePoint /*now*/)
 {
+    const JobId job(release.job);
     const auto owner = m_copyOwners.find(job);
-    // A former owner's release may come late; the copy is its successor's by then.
+    // A former owner's release may come late; the copy is its successor's by then. One of the same
+    // node's next process knows nothing of the job.
     if (owner == m_copyOwners.end() || owner->second.m_node != peer)
         return;
+    if (release.__isset.owner && fromWire(release.owner) != owner->second)
+        return;
     forgetCopy(job);
 }
 
--- a/src/kernel/job_driver.cpp
+++ b/src/kernel/job_driver.cpp
@@ -208,7 +208,7 @@
 
 void JobDriver::onRelease(const NodeId &sender, const wire::JobRelease &release)
 {
-    m_table.onReleaseRequest(sender, JobId(release.job), m_context.now());
+    m_table.onReleaseRequest(sender, release, m_context.now());
     run();
 }
 
@@ -294,10 +294,8 @@
 
 void JobDriver::execute(const ReleaseAtPeer &command)
 {
-    wire::JobRelease release;
-    release.job = command.m_job.text();
     wire::PeerRequestBody body;
-    body.__set_jobRelease(release);
+    body.__set_jobRelease(command.m_release);
     m_messenger.tell(command.m_peer, body);
 }
 
--- a/tests/src/unit-job-outage.cpp
+++ b/tests/src/unit-job-outage.cpp
@@ -263,3 +263,28 @@
         CHECK(caller.m_isWhole);
     }
 }
+
+// Guards against the loss of an accepted job by the next process of its owner's node.
+TEST_CASE("a restarted owner's node doesn't have the copy of its former process dropped", "[jobs]")
+{
+    JobWorld world({"a", "b", "c"});
+    world.setPlatform(false);
+    const std::size_t job = *world.offer(k_owner, "roper");
+    // The copy's message comes twice, the second time after the owner's death.
+    const JobWorld::Message hold = world.messages().front();
+    world.settle();
+    REQUIRE(world.jobs()[job].m_isAccepted);
+    const std::size_t holder = hold.m_to;
+    world.pause(holder);
+    world.crash(k_owner);
+    world.start(k_owner);
+    world.resume(holder);
+    world.messages().push_back(hold);
+    world.deliverAll();
+    world.setPlatform(true);
+    world.settle(k_takeoverSteps);
+    finishAll(world);
+    JobWorld::Caller caller{job};
+    readThrough(world, caller, k_owner);
+    CHECK(caller.m_isWhole);
+}
--- a/tests/support/job_world.hpp
+++ b/tests/support/job_world.hpp
@@ -594,7 +594,7 @@
                                table.onHoldAnswered(peer, answer.m_answer, m_now);
                            },
                            [&](const ReleaseAtPeer &release) {
-                               table.onReleaseRequest(peer, release.m_job, m_now);
+                               table.onReleaseRequest(peer, release.m_release, m_now);
                            },
                            [&](const HandOver &handOver) {
                                table.onHandOverRequest(peer, handOver.m_handOver, m_now);
