--- a/tests/src/fuzz-entry-request-way-troubles.cpp
+++ b/tests/src/fuzz-entry-request-way-troubles.cpp
@@ -39,7 +39,8 @@
 // Guards against entries that are kept for their return though their upstream has left.
 TEST_CASE("a leaving upstream gets no late request by an entry that is kept for its return")
 {
-    constexpr std::array<std::uint64_t, 3> seeds = {1101590840816, 200086, 200165};
+    constexpr std::array<std::uint64_t, 6> seeds = {1101590840816, 200086, 200165,
+                                                    400024,        401618, 402032};
     for (const std::uint64_t seed : seeds) {
         CAPTURE(seed);
         CHECK(playWay(smallNewsFleet, allNewsTroubles(), seed).m_requests == 0);
