Read and log the software versions of upstreams

An entry's version is now read (text only; missing or of another type: unknown), passed on to peers with the list, and logged with each placement, each change of an upstream and each move of a run. `service-versions` says once which versions serve side by side, when that changes.

No decision changes, but that an upstream whose version changes under its id counts as changed for followers and the log.

--- a/include/gypsumdale/core/ids.hpp
+++ b/include/gypsumdale/core/ids.hpp
@@ -50,6 +50,9 @@
 using ProfileId = Id<struct ProfileIdTag>;
 /// Name of a kind of upstream, as requests specify it, such as "gypsum-llm" or "trade-app".
 using ServiceId = Id<struct ServiceIdTag>;
+/// Version of an upstream's software, as it reports it; empty where unknown. Streams don't go on
+/// between versions.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using RequestId = Id<struct RequestIdTag>;
 using JobId = Id<struct JobIdTag>;
 
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -14,6 +14,7 @@
 #include <gypsumdale/serving/prefill_estimator.hpp>
 #include <gypsumdale/serving/prompt_announcer.hpp>
 #include <gypsumdale/serving/retry_budget_share.hpp>
+#include <gypsumdale/serving/service_versions.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
 #include <gypsumdale/serving/steady_wall_clock.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
@@ -203,6 +204,8 @@
     std::uint64_t draw();
 
 private:
+    void logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams);
+
     const EntrySettings &m_settings;
     const Clock &m_clock;
     Logger &m_log;
@@ -210,6 +213,7 @@
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    std::map<ServiceId, SoftwareVersions> m_loggedVersions;
     HighestValue m_placementListAge;
     /// A list that was never confirmed counts as unconfirmable: waiting for a confirmation would
     /// leave all requests unserved.
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -81,6 +81,9 @@
     ListAgeMillis,
     TermMillis,
     UnacknowledgedBytes,
+    SoftwareVersion,
+    TargetSoftwareVersion,
+    Resumed,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
@@ -147,6 +150,9 @@
     LogFieldValue(const RequestId &id)
         : LogFieldValue(LogField::Request, id)
     {}
+    LogFieldValue(const SoftwareVersion &version)
+        : LogFieldValue(LogField::SoftwareVersion, version)
+    {}
     LogFieldValue(const JobId &id)
         : LogFieldValue(LogField::Job, id)
     {}
--- a/include/gypsumdale/serving/upstream_record.hpp
+++ b/include/gypsumdale/serving/upstream_record.hpp
@@ -18,6 +18,7 @@
     UpstreamId m_id;
     ServiceId m_service;
     DataCentreId m_dataCentre;
+    SoftwareVersion m_softwareVersion;
     std::string m_ip;
     std::uint16_t m_port = 0;
     int m_slots = 1;
@@ -37,7 +38,8 @@
 {
     return left.m_isDraining == right.m_isDraining && left.m_isRetained == right.m_isRetained
            && left.m_ip == right.m_ip && left.m_port == right.m_port
-           && left.m_service == right.m_service && left.m_startedAt == right.m_startedAt;
+           && left.m_service == right.m_service && left.m_startedAt == right.m_startedAt
+           && left.m_softwareVersion == right.m_softwareVersion;
 }
 
 /// All upstreams at one revision of the store.
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -102,6 +102,7 @@
              upstream.m_record.m_id,
              {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
              {LogField::State, stateOf(upstream)},
+             upstream.m_record.m_softwareVersion,
              {LogField::Revision, m_traffic.pool().revision()},
              {LogField::ListAgeMillis, toMillis(m_traffic.listAge())},
              {LogField::TermMillis, toMillis(until - m_traffic.now())},
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -99,9 +99,24 @@
     const bool isConfirmed = m_listConfirmation.m_confirmedAt != TimePoint{};
     m_pool.update(upstreams, revision,
                   isConfirmed ? std::optional(m_listConfirmation.m_confirmedAt) : std::nullopt);
+    logVersions(upstreams);
     m_mover->scheduleMoves();
 }
 
+/// Logs once which software versions serve side by side, whenever that changes.
+void EntryTraffic::logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams)
+{
+    std::map<ServiceId, SoftwareVersions> versions = versionsByService(upstreams);
+    for (const auto &[service, present] : versions) {
+        if (m_loggedVersions[service] == present)
+            continue;
+        m_log.info("service-versions", {service,
+                                        {LogField::Count, present.size()},
+                                        {LogField::SoftwareVersion, versionsText(present)}});
+    }
+    m_loggedVersions = std::move(versions);
+}
+
 void EntryTraffic::setListConfirmation(const ListConfirmation &list,
                                        const PlacementDeadline &deadline)
 {
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -159,6 +159,7 @@
                               record.m_service,
                               {LogField::UpstreamDataCentre, record.m_dataCentre},
                               {LogField::State, stateOf(record)},
+                              record.m_softwareVersion,
                               {LogField::Source, source},
                               {LogField::Revision, feed().revision()},
                               {LogField::ListAgeMillis, toMillis(age())}});
--- a/src/entry/run_mover.cpp
+++ b/src/entry/run_mover.cpp
@@ -100,6 +100,8 @@
         run->m_moved = MovedRun{answer.m_isCopied ? target : run->m_upstream, answer.m_memory};
     m_log.info("run-moved", {run->m_request,
                              source.m_id,
+                             source.m_softwareVersion,
+                             {LogField::TargetSoftwareVersion, target->m_record.m_softwareVersion},
                              {LogField::Name, target->m_record.m_id.text()},
                              {LogField::Status, status},
                              {LogField::Outcome, answer.m_isCopied ? "copied" : "not-copied"}});
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 69> logFieldNames = {{
+constexpr NameTable<LogField, 72> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -75,6 +75,9 @@
         {LogField::ListAgeMillis, "list_age_millis"},
         {LogField::TermMillis, "term_millis"},
         {LogField::UnacknowledgedBytes, "unacknowledged_bytes"},
+        {LogField::SoftwareVersion, "software_version"},
+        {LogField::TargetSoftwareVersion, "target_software_version"},
+        {LogField::Resumed, "resumed"},
 }};
 
 } // namespace
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -98,6 +98,28 @@
         CHECK_FALSE(succeeded(decodeUpstream({"i-1", 1, "no json"})));
         CHECK(decodeUpstreamText("no json").empty());
     }
+    SECTION("names the software's version, or leaves it unknown")
+    {
+        const auto versionIn = [](const std::string &field) {
+            const auto decoded = decodeUpstream(
+                    {"i-1", 1,
+                     R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":1,)" + field
+                             + R"("state":"ready"})"});
+            REQUIRE(succeeded(decoded));
+            return valueOf(decoded);
+        };
+        const UpstreamRecord known = versionIn(R"("version":"v1.2",)");
+        CHECK(known.m_softwareVersion == SoftwareVersion("v1.2"));
+        const auto copy = decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), known}}));
+        CHECK(copy.at(UpstreamId("i-1")).m_softwareVersion == SoftwareVersion("v1.2"));
+
+        CHECK(versionIn("").m_softwareVersion.isEmpty());
+        CHECK(versionIn(R"("version":12,)").m_softwareVersion.isEmpty());
+        CHECK(versionIn(R"("version":null,)").m_softwareVersion.isEmpty());
+        const auto unknown =
+                decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), versionIn("")}}));
+        CHECK(unknown.at(UpstreamId("i-1")).m_softwareVersion.isEmpty());
+    }
     SECTION("that was removed needs only its name")
     {
         const auto changes = decodeChanges({5, {{{"i-2", 5, "null"}, true}}});
