--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -36,15 +36,17 @@
     std::string m_body;
 };
 
-/// Entry processes in front of two upstreams of one service, with a store, on loopback.
+/// Entry processes in front of upstreams of one service, with a store, on loopback.
 class EntryWorld
 {
 public:
     /// With proxies, processes reach the store, the upstreams and each other through links that can
     /// be disturbed. `leavingApply` is the time after which a leaving upstream must not be used any
-    /// more; nothing selects the default.
+    /// more; nothing selects the default. There is one upstream for each software version in
+    /// `versions`.
     explicit EntryWorld(int nodes = 1, bool hasProxies = false,
-                        std::optional<std::chrono::milliseconds> leavingApply = std::nullopt)
+                        std::optional<std::chrono::milliseconds> leavingApply = std::nullopt,
+                        const std::vector<std::string> &versions = {"v1", "v1"})
         : m_loop("test")
         , m_client(m_loop)
         , m_leavingApply(leavingApply)
@@ -55,7 +57,9 @@
                    / fmt::format("gypsumdale-entry-{}-{}", getpid(), freePort());
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<StoreStandIn>(m_loop);
-        for (const char *id : {"u-1", "u-2"}) {
+        for (const std::string &version : versions) {
+            const std::string id = fmt::format("u-{}", m_upstreams.size() + 1);
+            m_versions[id] = version;
             m_upstreams.push_back(std::make_unique<UpstreamStandIn>(m_loop, id));
             if (hasProxies)
                 m_upstreamLinks[id] = std::make_unique<FaultProxy>(m_upstreams.back()->port());
@@ -138,6 +142,11 @@
         for (const auto &upstream : m_upstreams)
             upstream->behave(behaviour);
     }
+    std::size_t upstreamCount() const { return m_upstreams.size(); }
+    const std::string &versionOf(const UpstreamStandIn &upstream) const
+    {
+        return m_versions.at(upstream.id());
+    }
     EntryNode &node(std::size_t index = 0) { return m_nodes.at(index); }
     std::size_t nodeCount() const { return m_nodes.size(); }
 
@@ -146,11 +155,9 @@
     std::int64_t announce(const UpstreamStandIn &upstream, const std::string &state,
                           std::int64_t startedAt = 0)
     {
-        Json entry = {{"service", "app"},
-                      {"address", addressOf(portTo(upstream))},
-                      {"zone", "here"},
-                      {"slots", 8},
-                      {"state", state}};
+        Json entry = {{"service", "app"}, {"address", addressOf(portTo(upstream))},
+                      {"zone", "here"},   {"version", versionOf(upstream)},
+                      {"slots", 8},       {"state", state}};
         if (startedAt > 0)
             entry["born"] = startedAt;
         return m_store->put("servers", upstream.id(), entry);
@@ -370,6 +377,8 @@
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
+    /// Software versions, by upstream.
+    std::map<std::string, std::string> m_versions;
     /// By upstream; empty where links can't be disturbed.
     std::map<std::string, std::unique_ptr<FaultProxy>> m_upstreamLinks;
     /// By VM.
