Go on with a stream only at the software version that began it

What callers saw: streams with events of two software versions in one answer, after a crash or after their run was moved; with clients that take streams up, over two attempts.

Cause: work that is tied to where it began was placed again as if it were new. What a first event decides (service and software version) was neither read from the upstream's entry nor kept with the request, so the second choice of an upstream, the target of a moved run, a relay, and the VM at which a client takes the stream up all chose by service alone; the last one drew even the service anew.

Ruled out: addresses used again (each request names its upstream, and mixed streams went to upstreams of other addresses), and engines that go on elsewhere by themselves.

Change: a stream is bound by its first forwarded event (CallBinding); placement, forecast, moves and relays take the version as a condition; the record of a stream's origin goes to three holders by rendezvous hashing of the attempt's id, and whoever is asked to go on asks them. Who can't know rejects at once.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -169,8 +169,36 @@
   2: i64 upstreamAgeMillis
 }
 
+/// Where a stream began, which decides where it may go on.
+struct StreamOrigin {
+  /// The client's attempt that brought the first event.
+  1: string request
+  2: string serviceName
+  /// Empty where it isn't known.
+  3: string softwareVersion
+  /// The VM that forwarded the first event.
+  4: string node
+  /// Milliseconds since the first event.
+  5: i64 ageMillis
+  /// Milliseconds for which the client can still take the stream up.
+  6: i64 remainingMillis
+  /// Attempts under that id began at different origins.
+  7: bool isAmbiguous
+}
+
+/// Asks for a stream's origin.
+struct OriginQuestion {
+  1: string request
+}
+
+/// What the receiver of an origin or of a question knows of that stream.
+struct OriginAnswer {
+  1: optional StreamOrigin origin
+}
+
 /// A message and its answer: both bring a digest, or one brings news of the store and the other its
-/// receipt, or one brings news of load and the other nothing, or one asks for a text.
+/// receipt, or one brings news of load and the other nothing, or one asks for a text,
+/// or one tells or asks where a stream began.
 struct EntryExchange {
   1: optional EntryDigest digest
   /// The stored configuration as the store wrote it, for a receiver that asked. Processes of an
@@ -188,4 +216,7 @@
   10: optional ClockEcho echo
   11: optional TextRequest textRequest
   12: optional TextAnswer textAnswer
+  13: optional StreamOrigin streamOrigin
+  14: optional OriginQuestion originQuestion
+  15: optional OriginAnswer originAnswer
 }
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/entry/exchange_writer.hpp>
 #include <gypsumdale/entry/fleet_size_estimate.hpp>
+#include <gypsumdale/entry/origin_exchange.hpp>
 #include <gypsumdale/entry/peer_table.hpp>
 #include <gypsumdale/runtime/frame_channel.hpp>
 
@@ -85,6 +86,9 @@
     /// isn't asked again, as the next exchange brings the load.
     void announceLoad(const UpstreamId &upstream, InFlightLoad load);
 
+    /// Returns the part that exchanges where streams began.
+    OriginExchange &origins() { return m_origins; }
+
     /// Called with a store update, and with a time after which it was sent if that is known.
     /// Returns what this VM still needs.
     using StoreUpdateReceived = std::function<entrywire::StoreNewsTaken(
@@ -139,6 +143,7 @@
     FleetSizeEstimate m_fleetSize;
     ExchangeWriter m_writer;
     EntryTexts m_texts;
+    OriginExchange m_origins;
     DutyReported m_dutyReported;
     StoreUpdateReceived m_storeUpdateReceived;
     /// Address of the peer that last reported holding the duties.
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/startup_knowledge.hpp>
 #include <gypsumdale/entry/upstream_client.hpp>
@@ -189,6 +190,7 @@
     FleetQuota &quota() { return m_quota; }
     RetryBudgetShare &allowance() { return m_retryBudget; }
     EntryRelay &relay() { return m_relay; }
+    EntryOrigins &origins() { return m_origins; }
     RunMover &mover() { return *m_mover; }
     UpstreamClient &client() { return m_client; }
     Logger &log() { return m_log; }
@@ -230,6 +232,7 @@
     UsageCounts m_usage;
     std::unique_ptr<RunMover> m_mover;
     EntryRelay m_relay;
+    EntryOrigins m_origins;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
     StartupKnowledge m_startupKnowledge;
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/entry/peer_table.hpp>
+#include <gypsumdale/serving/stream_origins.hpp>
 
 #include <string> // string
 #include <vector> // vector
@@ -9,6 +10,7 @@
 namespace gypsumdale::entrywire {
 class EntryDigest;
 class EntryExchange;
+class StreamOrigin;
 class UpstreamLoad;
 } // namespace gypsumdale::entrywire
 
@@ -37,6 +39,10 @@
 /// Decodes a peer's report about itself.
 PeerState stateOf(const entrywire::EntryDigest &digest);
 
+/// Encode and decode where a stream began. Its times travel as ages.
+entrywire::StreamOrigin encodeOrigin(const StreamOriginRecord &record, TimePoint now);
+StreamOriginRecord decodeOrigin(const entrywire::StreamOrigin &origin, TimePoint now);
+
 /// Encode and decode the fields of a message that allow its age to be computed.
 void writeStamp(const MessageStamp &stamp, entrywire::EntryExchange &message);
 MessageStamp readStamp(const entrywire::EntryExchange &message);
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -90,8 +90,12 @@
     RequestsRelayed,
     RelaysFailed,
     RequestsTakenForPeers,
+    StreamsTakenUp,
+    StreamOriginsUnknown,
+    StreamOriginsDropped,
+    NoUpstreamOfVersion,
 };
-constexpr std::size_t counterCount = 53;
+constexpr std::size_t counterCount = 57;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/include/gypsumdale/serving/relay_headers.hpp
+++ b/include/gypsumdale/serving/relay_headers.hpp
@@ -11,4 +11,9 @@
 /// Why the receiver did not take the request. It has not run.
 inline constexpr std::string_view refused = "Relay-Refused";
 
+/// Service and software version at which a stream began: where the receiver must go on with it, or,
+/// in an answer, where its events come from.
+inline constexpr std::string_view originService = "Relay-Origin-Service";
+inline constexpr std::string_view originVersion = "Relay-Origin-Version";
+
 } // namespace gypsumdale::relay_headers
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -94,6 +94,9 @@
     std::string m_affinityKey;
     /// Upstreams that must not be selected.
     std::set<UpstreamId> m_excluded;
+    /// Software version of the upstreams that may be selected, for work that goes on; with an
+    /// unknown (empty) one none may. Not set for work that begins.
+    std::optional<SoftwareVersion> m_softwareVersion;
     /// Random number of this request, used for the randomised part of the selection.
     std::uint64_t m_draw = 0;
 };
@@ -115,10 +118,10 @@
 public:
     /// Applies the list of the control thread. Load and health of remaining upstreams are kept;
     /// those that left are marked as gone for the requests that still hold them. An upstream that
-    /// returns while requests hold it keeps its state; one that restarted is a new one without
-    /// state. The holders of an upstream that begins to leave are notified; one that leaves in this
-    /// list was not leaving when the previous list was last confirmed, if it was. Complexity:
-    /// linear.
+    /// returns while requests hold it keeps its state; one that restarted, or whose software
+    /// version has changed, is a new one without state. The holders of an upstream that begins to
+    /// leave are notified; one that leaves in this list was not leaving when the previous list was
+    /// last confirmed, if it was. Complexity: linear.
     void update(const std::map<UpstreamId, UpstreamRecord> &upstreams, std::int64_t revision = 0,
                 std::optional<TimePoint> lastConfirmedAt = std::nullopt);
 
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -49,17 +49,18 @@
     , m_source(source)
     , m_caller(platform::decodeRequest(request))
     , m_view(traffic.view())
+    , m_binding(traffic, m_caller)
     , m_arrivedAt(traffic.now())
 {}
 
 void EntryCall::run()
 {
     awaitStartupData();
-    if (!resolve())
+    if (!resolve() || !bindStream())
         return;
     selectService();
     // A request rejected for lack of capacity doesn't use the account's quota.
-    if (!canMeetDeadline() || !admitByQuota())
+    if (!hasUpstreamToGoOn() || !canMeetDeadline() || !admitByQuota())
         return;
     const EntryTraffic::CallRegistration registration = m_traffic.registerCall(*this);
     m_responder.onCallerGone([this] {
@@ -186,7 +187,7 @@
         request.m_isAnnounced = m_traffic.shouldAnnounce(m_service, ownTokens());
         const PooledUpstreamPointer upstream = m_traffic.pool().choose(request, m_traffic.now());
         if (!upstream)
-            return AttemptStop::NoUpstream;
+            return m_binding.isBound() ? AttemptStop::NoSameVersion : AttemptStop::NoUpstream;
         if (m_deliveredAttempts > 0 && !m_traffic.allowance().tryTake(m_service, m_traffic.now()))
             return AttemptStop::NotAllowed;
         m_triedUpstreams.insert(upstream->m_record.m_id);
@@ -209,7 +210,7 @@
         if (!acceptsAnswer(exchange, *upstream))
             continue;
         return UpstreamAnswer{std::move(exchange), std::move(guard),
-                              isAlone ? std::optional(sentAt) : std::nullopt};
+                              isAlone ? std::optional(sentAt) : std::nullopt, originAt(*upstream)};
     }
 }
 
@@ -265,6 +266,7 @@
     if (m_route->m_hasPrefixAffinity)
         placement.m_affinityKey = m_caller.m_lastSharedPart;
     placement.m_excluded = m_triedUpstreams;
+    placement.m_softwareVersion = m_binding.requiredVersion();
     return placement;
 }
 
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/serving/event_splitter.hpp>
 
+#include <entry/call_binding.hpp>
 #include <entry/in_flight_guard.hpp>
 #include <entry/placement_call_deadline.hpp>
 #include <entry/stream_run.hpp>
@@ -21,6 +22,8 @@
 enum class AttemptStop {
     /// No upstream is left to try.
     NoUpstream,
+    /// No upstream of the software version that began the stream is left to try.
+    NoSameVersion,
     /// A further attempt is not allowed: the request may have run, or its attempts or the retry
     /// budget are used up.
     NotAllowed,
@@ -37,8 +40,9 @@
     AnsweredByPeer,
 };
 
-inline constexpr NameTable<AttemptStop, 8> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 9> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
+        {AttemptStop::NoSameVersion, "no-upstream-of-version"},
         {AttemptStop::NotAllowed, "not-allowed"},
         {AttemptStop::DeadlinePassed, "deadline-passed"},
         {AttemptStop::CallerGone, "caller-gone"},
@@ -68,6 +72,8 @@
     InFlightGuard m_guard;
     /// When the request was sent, if its prompt was the only one for the upstream to read.
     std::optional<TimePoint> m_readAloneSince;
+    /// Where its events come from.
+    StreamOrigin m_origin;
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
@@ -96,7 +102,9 @@
     void awaitStartupData();
     bool resolve();
     bool admitByQuota();
+    bool bindStream();
     void selectService();
+    bool hasUpstreamToGoOn();
     bool canMeetDeadline();
     int priority() const;
     void serve();
@@ -122,6 +130,9 @@
     /// Returns the number of prompt tokens that no other request shares.
     std::int64_t ownTokens() const { return m_caller.m_promptTokens - m_caller.m_sharedTokens; }
     bool acceptsAnswer(const HttpExchange &exchange, PooledUpstream &upstream);
+    StreamOrigin originAt(const PooledUpstream &upstream) const;
+    bool mayFollow(UpstreamAnswer &answer);
+    void recordOrigin(const UpstreamAnswer &answer);
     HttpCall buildCall(const PooledUpstream &upstream) const;
     Duration firstAnswerTimeout() const;
     AnswerReadResult readFullAnswer(UpstreamAnswer &answer);
@@ -170,6 +181,7 @@
     const ClientAccount *m_account = nullptr;
     RequestSeries *m_series = nullptr;
     ServiceId m_service;
+    CallBinding m_binding;
     /// Cancels the current attempt.
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     TimePoint m_arrivedAt;
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -81,8 +81,40 @@
     return false;
 }
 
+/// Finds where a stream began that the client takes up. Sends an error answer and returns false if
+/// it can't go on.
+bool EntryCall::bindStream()
+{
+    if (m_route->m_kind != RouteRepeatSafety::Stream)
+        return true;
+    std::optional<StreamOrigin> relayed;
+    if (m_source == CallSource::Peer)
+        relayed = platform::relayedOrigin(m_request.m_headers);
+    const auto reason = m_binding.resolve(*m_route, relayed);
+    if (!reason)
+        return true;
+    sendOwnAnswer(statusUnavailable, *reason, retryAfter());
+    return false;
+}
+
+/// Rejects a stream that would go on if none of its service's upstreams can.
+bool EntryCall::hasUpstreamToGoOn()
+{
+    if (!m_binding.isBound() || m_traffic.relay().isUsedFor(m_service))
+        return true;
+    if (m_traffic.pool().choose(placement(), m_traffic.now()))
+        return true;
+    finishUnserved(AttemptStop::NoSameVersion);
+    return false;
+}
+
+/// Draws one of the route's services by weight. A stream goes on at the one where it began.
 void EntryCall::selectService()
 {
+    if (m_binding.isBound()) {
+        m_service = m_binding.origin()->m_service;
+        return;
+    }
     double weights = 0;
     for (const WeightedService &target : m_route->m_services)
         weights += target.m_weight;
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -30,6 +30,8 @@
         logEnd("caller-gone", 0);
         return;
     }
+    if (stop == AttemptStop::NoSameVersion)
+        m_traffic.metrics().add(Counter::NoUpstreamOfVersion);
     if (m_hasStreamStarted && !m_responder.takeBack()) {
         // The end marker is left out, so that the caller sees a stream that was cut off, not a
         // regular end.
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -50,7 +50,10 @@
     const platform::AnswerTraits traits =
             platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
     const bool isOwnAnswer = exchange.status() / 100 != 2 && !traits.m_isSigned;
-    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt};
+    // A peer of an earlier release doesn't say where the events come from.
+    const StreamOrigin origin = platform::relayedOrigin(exchange.headers())
+                                        .value_or(StreamOrigin{m_service, SoftwareVersion()});
+    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt, origin};
     if (isOwnAnswer)
         return takePeerAnswer(answer);
     if (!acceptsAnswer(answer.m_exchange, *peer))
@@ -83,7 +86,7 @@
 {
     HttpCall call = callTo(peer);
     call.m_headers = platform::relayHeaders(m_request.m_headers, timeLeft(), m_lastEventId,
-                                            m_view->config().m_version);
+                                            m_view->config().m_version, m_binding.origin());
     return call;
 }
 
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -52,7 +52,7 @@
             }
             continue;
         }
-        if (forwardStream(answer))
+        if (mayFollow(answer) && forwardStream(answer))
             return;
         if (m_isCallerGone) {
             finishUnserved(AttemptStop::CallerGone);
@@ -153,7 +153,43 @@
                                                       {LogField::Status, exchange.status()}});
         return std::nullopt;
     }
-    return UpstreamAnswer{std::move(exchange), std::move(guard), std::nullopt};
+    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt,
+                          originAt(*moved.m_upstream)};
+    if (!mayFollow(answer))
+        return std::nullopt;
+    return answer;
+}
+
+/// Returns where the events of an upstream's answer come from. If another process has taken its id,
+/// it isn't known which of them answers.
+StreamOrigin EntryCall::originAt(const PooledUpstream &upstream) const
+{
+    const SoftwareVersion &version = upstream.m_record.m_softwareVersion;
+    return {m_service, upstream.m_isReplaced ? SoftwareVersion() : version};
+}
+
+/// Returns whether an answer's events may follow those that the client holds.
+bool EntryCall::mayFollow(UpstreamAnswer &answer)
+{
+    if (m_binding.allows(answer.m_origin))
+        return true;
+    m_traffic.log().warning("answer-of-other-version", {m_caller.m_id,
+                                                        answer.m_guard.upstream().m_record.m_id,
+                                                        answer.m_origin.m_softwareVersion,
+                                                        {LogField::TargetSoftwareVersion,
+                                                         m_binding.origin()->m_softwareVersion}});
+    return false;
+}
+
+/// Binds the stream to where its first event comes from, which is about to be forwarded.
+void EntryCall::recordOrigin(const UpstreamAnswer &answer)
+{
+    if (!m_binding.begin(answer.m_origin) || !m_route->isRetryable())
+        return;
+    // The client's last attempt may be under way to another VM when its time is over.
+    constexpr Duration takeUpMargin = std::chrono::seconds(5);
+    const Duration lifetime = m_caller.m_timeLeft.value_or(m_route->m_timeout) + takeUpMargin;
+    m_binding.record(lifetime, m_source == CallSource::Peer);
 }
 
 bool EntryCall::forwardRun(UpstreamAnswer &answer)
@@ -232,6 +268,7 @@
         return true;
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
+    recordOrigin(answer);
     return forward(bytes);
 }
 
@@ -241,8 +278,10 @@
     m_streamStartedAt = m_traffic.now();
     m_lastEventAt = m_streamStartedAt;
     m_series->record(Latency::FirstToken, m_streamStartedAt - m_arrivedAt);
-    const bool isGood = m_responder.begin(answer.m_exchange.status(),
-                                          platform::callerHeaders(answer.m_exchange.headers()));
+    HttpHeaders headers = platform::callerHeaders(answer.m_exchange.headers());
+    if (m_source == CallSource::Peer)
+        platform::addRelayedOrigin(headers, answer.m_origin);
+    const bool isGood = m_responder.begin(answer.m_exchange.status(), headers);
     m_isCallerGone = m_isCallerGone || !isGood;
     return isGood;
 }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -121,6 +121,7 @@
                 m_controlLoop.spawn(
                         [this, upstream, load] { m_peers.announceLoad(upstream, load); });
             });
+            connectOrigins();
         });
         m_controlLoop.spawn([this] { m_peers.run(); });
         m_controlLoop.spawn([this] { m_registry.follow(); });
@@ -160,6 +161,18 @@
     }
 
 private:
+    /// Connects the traffic thread's records of streams' origins with those of the peers.
+    void connectOrigins()
+    {
+        const auto announce = [this](const StreamOriginRecord &record) {
+            m_controlLoop.spawn([this, record] { m_peers.origins().announce(record); });
+        };
+        const auto ask = [this](const RequestId &request) {
+            return m_controlLoop.call([this, request] { return m_peers.origins().ask(request); });
+        };
+        m_traffic.origins().connect(announce, ask);
+    }
+
     std::optional<Error> listen()
     {
         auto callers = serve(m_settings.m_callerListen, m_trafficLoop,
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -43,6 +43,7 @@
     , m_fleetSize(context.now(), context.m_settings.m_isFirstStart)
     , m_writer(context, config, upstreams, m_table)
     , m_texts(context, config, upstreams, m_table, *this)
+    , m_origins(context, m_table)
 {
     m_config.onStoreReadFailed([this] { m_texts.startFetches(); });
     for (const Address &seed : context.m_settings.m_seeds)
@@ -303,6 +304,10 @@
         applyLoad(received.loadNews);
         return wire::encode(entrywire::EntryExchange());
     }
+    if (received.__isset.streamOrigin)
+        return wire::encode(m_origins.answerRecord(received.streamOrigin));
+    if (received.__isset.originQuestion)
+        return wire::encode(m_origins.answerQuestion(received.originQuestion));
     if (received.__isset.textRequest)
         return answerText(received);
     if (received.digest.protocol != ExchangeWriter::protocolVersion)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -49,6 +49,7 @@
     , m_mover(std::make_unique<RunMover>(loop, m_client, m_pool, m_retryBudget, log,
                                          settings.m_dataCentre, clock))
     , m_relay(loop, m_pool, clock, log, metrics, [this] { return draw(); })
+    , m_origins(clock, metrics, settings.m_node.text())
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
--- /dev/null
+++ b/src/entry/origin_exchange.cpp
@@ -0,0 +1,169 @@
+#include <gypsumdale/entry/entry_origins.hpp>
+#include <gypsumdale/entry/origin_exchange.hpp>
+#include <gypsumdale/entry/peer_wire.hpp>
+#include <gypsumdale/runtime/frame_channel.hpp>
+#include <gypsumdale/wire/thrift_codec.hpp>
+
+#include <entry_types.h>
+
+#include <algorithm> // min
+#include <map> // map
+
+#include <boost/fiber/future/promise.hpp>
+
+namespace gypsumdale {
+
+namespace {
+
+/// Longest wait for one peer's answer. Less would reset the connection that other exchanges use.
+constexpr Duration answerTimeout = std::chrono::milliseconds(600);
+/// Longest wait for an answer of any peer, while a client waits.
+constexpr Duration inquiryTimeout = std::chrono::milliseconds(250);
+
+entrywire::EntryExchange answerWith(const std::optional<StreamOriginRecord> &record, TimePoint now)
+{
+    entrywire::EntryExchange message;
+    message.__isset.originAnswer = true;
+    if (record)
+        message.originAnswer.__set_origin(encodeOrigin(*record, now));
+    return message;
+}
+
+} // namespace
+
+/// One question to several peers. The first record, or the last peer's answer, ends it.
+struct OriginExchange::Inquiry
+{
+    using Answer = std::optional<StreamOriginRecord>;
+
+    boost::fibers::promise<Answer> m_promise;
+    std::size_t m_pending = 0;
+    bool m_isAnswered = false;
+
+    void end(const Answer &answer)
+    {
+        if (m_isAnswered)
+            return;
+        m_isAnswered = true;
+        m_promise.set_value(answer);
+    }
+};
+
+/// Returns the peers among the first VMs, by rank, that hold a stream's record.
+std::vector<KnownPeerPointer> OriginExchange::holders(const RequestId &request,
+                                                      std::size_t count) const
+{
+    std::vector<OriginHolder> vms = {
+            {m_context.m_settings.m_node, m_context.m_settings.m_dataCentre}};
+    std::map<NodeId, KnownPeerPointer> byNode;
+    for (const KnownPeerPointer &peer : m_table.respondingPeers(m_context.now())) {
+        const NodeId node(peer->m_node);
+        byNode[node] = peer;
+        vms.push_back({node, peer->m_state.m_dataCentre});
+    }
+    const std::vector<NodeId> ranked = rankOriginHolders(request, vms);
+    std::vector<KnownPeerPointer> peers;
+    for (std::size_t rank = 0; rank < std::min(count, ranked.size()); ++rank) {
+        if (const auto found = byNode.find(ranked[rank]); found != byNode.end())
+            peers.push_back(found->second);
+    }
+    return peers;
+}
+
+void OriginExchange::announce(const StreamOriginRecord &record)
+{
+    for (const KnownPeerPointer &peer : holders(record.m_request, copies))
+        m_context.m_loop.spawn([this, peer, record] { send(peer, record); });
+}
+
+/// Sends a record to one holder. If the holder knows another origin under that id, the stream must
+/// not go on from here either.
+void OriginExchange::send(const KnownPeerPointer &peer, const StreamOriginRecord &record)
+{
+    entrywire::EntryExchange message;
+    message.__set_streamOrigin(encodeOrigin(record, m_context.now()));
+    const auto known = exchange(peer, wire::encode(message));
+    if (!known || !known->m_isAmbiguous || record.m_isAmbiguous)
+        return;
+    m_context.m_log.warning("stream-origin-ambiguous",
+                            {record.m_request, {LogField::Peer, peer->m_node}});
+    m_context.m_trafficLoop.spawn(
+            [this, ambiguous = *known] { m_context.m_traffic.origins().keep(ambiguous); });
+}
+
+std::optional<StreamOriginRecord> OriginExchange::ask(const RequestId &request)
+{
+    entrywire::EntryExchange message;
+    message.__isset.originQuestion = true;
+    message.originQuestion.request = request.text();
+    const std::string frame = wire::encode(message);
+    const std::vector<KnownPeerPointer> asked = holders(request, askedVms);
+    if (asked.empty())
+        return std::nullopt;
+    const auto inquiry = std::make_shared<Inquiry>();
+    auto answer = inquiry->m_promise.get_future();
+    inquiry->m_pending = asked.size();
+    for (const KnownPeerPointer &peer : asked)
+        m_context.m_loop.spawn([this, peer, frame, inquiry] { askOne(peer, frame, inquiry); });
+    if (answer.wait_for(inquiryTimeout) == boost::fibers::future_status::ready)
+        return answer.get();
+    m_context.m_log.warning("stream-origin-unanswered",
+                            {request, {LogField::Count, inquiry->m_pending}});
+    return std::nullopt;
+}
+
+void OriginExchange::askOne(const KnownPeerPointer &peer, const std::string &frame,
+                            const std::shared_ptr<Inquiry> &inquiry)
+{
+    const auto record = exchange(peer, frame);
+    --inquiry->m_pending;
+    if (record || inquiry->m_pending == 0)
+        inquiry->end(record);
+}
+
+/// Sends a frame to a peer and returns the record in its answer. A peer of an earlier release
+/// answers with an empty frame.
+std::optional<StreamOriginRecord> OriginExchange::exchange(const KnownPeerPointer &peer,
+                                                           const std::string &frame)
+{
+    const auto reply = peer->m_channel->exchange(frame, answerTimeout);
+    if (!succeeded(reply)) {
+        m_context.m_log.info("stream-origin-not-sent",
+                             {{LogField::Peer, peer->m_node},
+                              {LogField::ErrorName, errorName(errorOf(reply).m_id)},
+                              {LogField::Text, errorOf(reply).m_text}});
+        return std::nullopt;
+    }
+    if (valueOf(reply).empty())
+        return std::nullopt;
+    const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
+    if (!succeeded(decoded)) {
+        m_context.m_log.failure("peer-malformed", errorOf(decoded),
+                                {{LogField::Address, peer->m_address}});
+        return std::nullopt;
+    }
+    const entrywire::EntryExchange &message = valueOf(decoded);
+    if (!message.__isset.originAnswer || !message.originAnswer.__isset.origin)
+        return std::nullopt;
+    return decodeOrigin(message.originAnswer.origin, m_context.now());
+}
+
+entrywire::EntryExchange OriginExchange::answerRecord(const entrywire::StreamOrigin &received)
+{
+    const TimePoint now = m_context.now();
+    const StreamOriginRecord known =
+            m_context.m_trafficLoop.call([this, record = decodeOrigin(received, now)] {
+                return m_context.m_traffic.origins().keep(record);
+            });
+    return answerWith(known, now);
+}
+
+entrywire::EntryExchange OriginExchange::answerQuestion(const entrywire::OriginQuestion &question)
+{
+    const auto known = m_context.m_trafficLoop.call([this, request = RequestId(question.request)] {
+        return m_context.m_traffic.origins().findHere(request);
+    });
+    return answerWith(known, m_context.now());
+}
+
+} // namespace gypsumdale
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm> // min
+#include <algorithm> // clamp, min
 #include <charconv> // from_chars
 #include <cmath> // llround
 #include <cstddef> // ptrdiff_t
@@ -19,6 +19,8 @@
 constexpr std::ptrdiff_t windowsPerMessage = 4;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
+/// Longer than any client waits. A later time is not from a VM, and would overflow.
+constexpr std::chrono::milliseconds maxOriginLifetime = std::chrono::hours(1);
 
 void fillUsage(const std::map<WindowNumber, WindowCounts> &usage, entrywire::EntryDigest &digest)
 {
@@ -164,6 +166,35 @@
     return state;
 }
 
+entrywire::StreamOrigin encodeOrigin(const StreamOriginRecord &record, TimePoint now)
+{
+    entrywire::StreamOrigin origin;
+    origin.request = record.m_request.text();
+    origin.serviceName = record.m_origin.m_service.text();
+    origin.softwareVersion = record.m_origin.m_softwareVersion.text();
+    origin.node = record.m_source;
+    origin.ageMillis = toWholeMillis(now - record.m_recordedAt);
+    origin.remainingMillis = toWholeMillis(record.m_expiresAt - now);
+    origin.isAmbiguous = record.m_isAmbiguous;
+    return origin;
+}
+
+StreamOriginRecord decodeOrigin(const entrywire::StreamOrigin &origin, TimePoint now)
+{
+    const auto within = [](std::int64_t millis) {
+        return std::chrono::milliseconds(
+                std::clamp<std::int64_t>(millis, 0, maxOriginLifetime.count()));
+    };
+    StreamOriginRecord record;
+    record.m_request = RequestId(origin.request);
+    record.m_origin = {ServiceId(origin.serviceName), SoftwareVersion(origin.softwareVersion)};
+    record.m_source = origin.node;
+    record.m_recordedAt = now - within(origin.ageMillis);
+    record.m_expiresAt = now + within(origin.remainingMillis);
+    record.m_isAmbiguous = origin.isAmbiguous;
+    return record;
+}
+
 namespace {
 
 entrywire::ClockMark wireMark(const ClockMark &mark)
--- a/src/entry/run_mover.cpp
+++ b/src/entry/run_mover.cpp
@@ -82,6 +82,7 @@
     // Little is left to read at the target, so the selection depends on how busy it is.
     placement.m_promptTokens = 1;
     placement.m_excluded = {source.m_id};
+    placement.m_softwareVersion = source.m_softwareVersion;
     const PooledUpstreamPointer target = m_pool.choose(placement, m_clock.now());
     if (run->m_isOver || !target || !m_allowance.tryTake(source.m_service, m_clock.now()))
         return;
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -168,6 +168,14 @@
          "Attempts at a peer that broke or could not be made."},
         {Counter::RequestsTakenForPeers, "gypsumdale_requests_taken_for_peers_total",
          "Requests taken from peers that are cut off."},
+        {Counter::StreamsTakenUp, "gypsumdale_streams_taken_up_total",
+         "Streams taken up whose origin was known."},
+        {Counter::StreamOriginsUnknown, "gypsumdale_stream_origins_unknown_total",
+         "Streams taken up and rejected, as their origin was not known."},
+        {Counter::StreamOriginsDropped, "gypsumdale_stream_origins_dropped_total",
+         "Records of origins dropped for lack of room."},
+        {Counter::NoUpstreamOfVersion, "gypsumdale_no_upstream_of_version_total",
+         "Streams for which no upstream of their software version was left."},
 }};
 static_assert(isInOrder(counterTexts));
 
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -75,6 +75,12 @@
            && !request.m_excluded.contains(record.m_id);
 }
 
+/// Returns whether an upstream is known to run a software version.
+bool runsVersion(const PooledUpstream &upstream, const SoftwareVersion &version)
+{
+    return !version.isEmpty() && upstream.m_record.m_softwareVersion == version;
+}
+
 /// Inputs of one selection among engines.
 struct SelectionContext
 {
@@ -277,7 +283,10 @@
     for (const auto &[id, record] : upstreams) {
         PooledUpstreamPointer pooled = pooledFor(record);
         const bool wasLeaving = isLeaving(*pooled);
+        const SoftwareVersion knownVersion = pooled->m_record.m_softwareVersion;
         pooled->m_record = record;
+        if (record.m_softwareVersion.isEmpty())
+            pooled->m_record.m_softwareVersion = knownVersion;
         pooled->m_isGone = false;
         updateLeaving(*pooled, wasLeaving, lastConfirmedAt);
         m_upstreams[id] = std::move(pooled);
@@ -302,6 +311,16 @@
         listener(startedAt);
 }
 
+/// Returns whether a record may describe the same process as an earlier one. A process doesn't
+/// change its software, and a list from a peer of an earlier release names no version.
+bool isSameProcess(const UpstreamRecord &known, const UpstreamRecord &record)
+{
+    const SoftwareVersion &version = record.m_softwareVersion;
+    const bool hasOtherVersion = !version.isEmpty() && !known.m_softwareVersion.isEmpty()
+                                 && version != known.m_softwareVersion;
+    return known.m_startedAt == record.m_startedAt && !hasOtherVersion;
+}
+
 } // namespace
 
 /// Returns the process that a record describes: the known one, one that left and is still held, or
@@ -313,7 +332,7 @@
         known = present->second;
     else if (const auto left = m_departed.find(record.m_id); left != m_departed.end())
         known = left->second.lock();
-    if (known && known->m_record.m_startedAt == record.m_startedAt)
+    if (known && isSameProcess(known->m_record, record))
         return known;
     if (known)
         markReplaced(*known, record.m_startedAt);
@@ -335,6 +354,11 @@
             return candidate->m_record.m_isRetained;
         });
     }
+    if (request.m_softwareVersion) {
+        std::erase_if(candidates, [&request](const PooledUpstreamPointer &candidate) {
+            return !runsVersion(*candidate, *request.m_softwareVersion);
+        });
+    }
     return candidates;
 }
 
--- a/tests/src/process-entry-versions.cpp
+++ b/tests/src/process-entry-versions.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-/// Few enough that the retry budget of a small fleet allows each one to go on once.
 constexpr int streamCount = 8;
+/// Enough for each stream to go on several times.
+constexpr int retrySlack = 200;
 constexpr int lastEvent = 6;
 /// Events that an upstream sends before it breaks off.
 constexpr int eventsBeforeBreak = 2;
@@ -39,7 +40,7 @@
 struct VersionWorld : EntryWorld
 {
     explicit VersionWorld(int nodes, const std::vector<std::string> &versions)
-        : EntryWorld(nodes, true, std::nullopt, versions)
+        : EntryWorld(nodes, true, std::nullopt, versions, retrySlack)
     {
         for (std::size_t index = 0; index < upstreamCount(); ++index) {
             const std::string version = versionOf(upstream(index));
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -198,6 +198,39 @@
     }
 }
 
+TEST_CASE("a client that takes a stream up")
+{
+    const auto decoded = [](std::initializer_list<std::pair<const char *, const char *>> fields) {
+        HttpRequest request;
+        for (const auto &[name, value] : fields)
+            request.m_headers.add(name, value);
+        return decodeRequest(request);
+    };
+    CHECK_FALSE(decoded({{"Gypsumdale-Request-Id", "9c41"}}).m_isTakeUp);
+    const CallerRequest named = decoded({{"Last-Event-Id", "7"}, {"resumes", "9c40"}});
+    CHECK(named.m_isTakeUp);
+    CHECK(named.m_resumed == RequestId("9c40"));
+    const CallerRequest unnamed = decoded({{"Last-Event-Id", "7"}});
+    CHECK(unnamed.m_isTakeUp);
+    CHECK(unnamed.m_resumed.isEmpty());
+    CHECK(decoded({{"Resumes", "9c40"}}).m_isTakeUp);
+}
+
+TEST_CASE("where a stream began travels between VMs only")
+{
+    const StreamOrigin origin{ServiceId("s"), SoftwareVersion("v1")};
+    const HttpHeaders forged = headersOf(
+            {{"Relay-Origin-Service", "s"}, {"Relay-Origin-Version", "v9"}, {"Accept", "a"}});
+    CHECK_FALSE(relayedOrigin(relayHeaders(forged, 1500ms, std::nullopt, 12)));
+    CHECK(relayedOrigin(relayHeaders(forged, 1500ms, std::nullopt, 12, origin)) == origin);
+    CHECK_FALSE(relayedOrigin(callerHeaders(forged)));
+    CHECK_FALSE(relayedOrigin(upstreamHeaders(forged, Forwarding())));
+
+    HttpHeaders answer;
+    addRelayedOrigin(answer, {ServiceId("s"), SoftwareVersion()});
+    CHECK(relayedOrigin(answer) == StreamOrigin{ServiceId("s"), SoftwareVersion()});
+}
+
 TEST_CASE("the header of a request that a peer relays")
 {
     const HttpHeaders caller = headersOf({{"Authorization", "Bearer key"},
--- a/tests/src/unit-upstream-pool.cpp
+++ b/tests/src/unit-upstream-pool.cpp
@@ -467,3 +467,74 @@
         CHECK(chosen(pool, request, start + 1s) == "a2");
     }
 }
+
+// Guards against work that goes on at an upstream of another software version.
+TEST_CASE("work that goes on is placed at upstreams of its software version only")
+{
+    const auto running = [](const std::string &id, const std::string &version) {
+        UpstreamRecord record = recordOf(id, "a");
+        record.m_softwareVersion = SoftwareVersion(version);
+        return record;
+    };
+    UpstreamPool pool;
+    pool.update(upstreamsOf({running("i-1", "v1"), running("i-2", "v2"), running("i-3", "")}));
+    PlacementRequest request = requestFrom("a");
+
+    SECTION("and nowhere if the version is unknown or gone")
+    {
+        request.m_softwareVersion = SoftwareVersion("v2");
+        CHECK(chosen(pool, request) == "i-2");
+        request.m_excluded = {UpstreamId("i-2")};
+        CHECK(chosen(pool, request).empty());
+        request.m_excluded.clear();
+        request.m_softwareVersion = SoftwareVersion("v3");
+        CHECK(chosen(pool, request).empty());
+        CHECK_FALSE(pool.minPendingTokens(request, start));
+        request.m_softwareVersion = SoftwareVersion();
+        CHECK(chosen(pool, request).empty());
+    }
+    SECTION("with old reports too")
+    {
+        pool.setExchangeStretch(2);
+        request.m_softwareVersion = SoftwareVersion("v2");
+        for (std::uint64_t draw = 0; draw < 20; ++draw) {
+            request.m_draw = draw;
+            CHECK(chosen(pool, request) == "i-2");
+        }
+    }
+    SECTION("which doesn't make an upstream usable that is kept for its return")
+    {
+        UpstreamRecord kept = running("i-2", "v2");
+        kept.m_isRetained = true;
+        pool.update(upstreamsOf({running("i-1", "v1"), kept, running("i-3", "v1")}));
+        request.m_softwareVersion = SoftwareVersion("v2");
+        CHECK(chosen(pool, request).empty());
+    }
+}
+
+// Guards against a version that is taken from the entry of a later process.
+TEST_CASE("an upstream whose software version changes is another process")
+{
+    UpstreamRecord record = recordOf("i-1", "a");
+    record.m_softwareVersion = SoftwareVersion("v1");
+    UpstreamPool pool;
+    pool.update(upstreamsOf({record}));
+    const PooledUpstreamPointer first = pool.choose(requestFrom("a"), start);
+
+    SECTION("and those who hold the earlier one know it as replaced")
+    {
+        record.m_softwareVersion = SoftwareVersion("v2");
+        pool.update(upstreamsOf({record}));
+        CHECK(first->m_isReplaced);
+        CHECK(first->m_record.m_softwareVersion == SoftwareVersion("v1"));
+        CHECK(pool.choose(requestFrom("a"), start) != first);
+    }
+    SECTION("but not where a list names none")
+    {
+        record.m_softwareVersion = SoftwareVersion();
+        pool.update(upstreamsOf({record}));
+        CHECK_FALSE(first->m_isReplaced);
+        CHECK(first->m_record.m_softwareVersion == SoftwareVersion("v1"));
+        CHECK(pool.choose(requestFrom("a"), start) == first);
+    }
+}
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -43,13 +43,16 @@
     /// With proxies, processes reach the store, the upstreams and each other through links that can
     /// be disturbed. `leavingApply` is the time after which a leaving upstream must not be used any
     /// more; nothing selects the default. There is one upstream for each software version in
-    /// `versions`.
+    /// `versions`. `retrySlack` is the part of the retry budget that doesn't depend on requests;
+    /// nothing selects the default.
     explicit EntryWorld(int nodes = 1, bool hasProxies = false,
                         std::optional<std::chrono::milliseconds> leavingApply = std::nullopt,
-                        const std::vector<std::string> &versions = {"v1", "v1"})
+                        const std::vector<std::string> &versions = {"v1", "v1"},
+                        std::optional<int> retrySlack = std::nullopt)
         : m_loop("test")
         , m_client(m_loop)
         , m_leavingApply(leavingApply)
+        , m_retrySlack(retrySlack)
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_loop.start();
@@ -340,11 +343,11 @@
                            "peer-listen: 127.0.0.1:{}\npeer-advertise: 127.0.0.1:{}\n"
                            "relay-listen: 127.0.0.1:{}\nmetrics-listen: 127.0.0.1:{}\n"
                            "store: 127.0.0.1:{}\nseeds:\n{}data-centres: [here]\n"
-                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n{}",
+                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n{}{}",
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
                            peerPortOf(node), node.m_relayPort, node.m_metricsPort,
                            node.m_storeLink ? node.m_storeLink->port() : m_store->port(), seeds,
-                           node.m_process == nullptr, leavingTimeoutSetting());
+                           node.m_process == nullptr, leavingTimeoutSetting(), retrySetting());
     }
 
     static std::string addressOf(std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); }
@@ -355,6 +358,11 @@
                               : std::string();
     }
 
+    std::string retrySetting() const
+    {
+        return m_retrySlack ? fmt::format("  retry-slack: {}\n", *m_retrySlack) : std::string();
+    }
+
     /// Returns the port at which processes reach an upstream.
     std::uint16_t portTo(const UpstreamStandIn &upstream) const
     {
@@ -374,6 +382,7 @@
     FiberLoop m_loop;
     HttpClient m_client;
     std::optional<std::chrono::milliseconds> m_leavingApply;
+    std::optional<int> m_retrySlack;
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
