Don't hold a relay responsible for a stream that its upstream breaks off

What callers saw: at a VM that is cut off from the upstreams, 503 (cut-off) for half a second and more after two relayed streams had broken at each peer, although both peers reached all upstreams.

Cause: a relay passes on the break of its upstream by closing its connection, and the VM of the caller noted that as a failure of the relay, which it then avoids like a broken upstream. With few peers all are avoided at once. Found by the relay case of process-entry-versions; its logs show two broken streams at each of two peers, then `cut-off`.

Change: a stream that breaks after its answer has begun counts for the request, not against the relay. Other answers still do, as a relay sends those whole: there a break is the relay's own. A relay that died is found out by the next connection.

The two places that took a broken answer's counts back are one now.

--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -334,9 +334,14 @@
         UpstreamPool::note(guard.upstream(), AttemptResult::Broken, m_traffic.now());
     countFailedAttempt(failure);
     recordConnectFailure(guard.upstream(), failure);
+    logAttemptFailure(guard.upstream(), failure);
+}
+
+void EntryCall::logAttemptFailure(const PooledUpstream &upstream, const CallFailure &failure)
+{
     m_traffic.log().warning("attempt-failed",
                             {m_caller.m_id,
-                             guard.upstream().m_record.m_id,
+                             upstream.m_record.m_id,
                              {LogField::ErrorName, errorName(failure.m_error.m_id)},
                              {LogField::Text, failure.m_error.m_text},
                              {LogField::Reason, exceededLimit(failure)},
@@ -344,6 +349,21 @@
                              {LogField::Outcome, outcomeName(failure)}});
 }
 
+/// Records an answer that broke off after it had started, when its attempt was counted. A relay
+/// passes on the break of a stream's upstream, which says nothing of the relay.
+void EntryCall::recordBrokenAnswer(UpstreamAnswer &answer, const CallFailure &failure)
+{
+    --m_deliveredAttempts;
+    --m_possibleRuns;
+    const bool isRelayedStream = answer.m_isRelayed && m_route->m_kind == RouteRepeatSafety::Stream;
+    if (!isRelayedStream || failure.m_error.m_id == ErrorId::Cancelled) {
+        recordAttemptFailure(answer.m_guard, failure);
+        return;
+    }
+    countFailedAttempt(failure);
+    logAttemptFailure(answer.m_guard.upstream(), failure);
+}
+
 void EntryCall::countFailedAttempt(const CallFailure &failure)
 {
     if (failure.m_phase == SendPhase::NothingSent) {
@@ -398,10 +418,7 @@
         auto &answer = std::get<UpstreamAnswer>(attempt);
         AnswerReadResult reading = readFullAnswer(answer);
         if (const auto *failure = std::get_if<CallFailure>(&reading)) {
-            // The attempt was counted when its answer started.
-            --m_deliveredAttempts;
-            --m_possibleRuns;
-            recordAttemptFailure(answer.m_guard, *failure);
+            recordBrokenAnswer(answer, *failure);
             continue;
         }
         recordUsage();
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -74,6 +74,8 @@
     std::optional<TimePoint> m_readAloneSince;
     /// Where its events come from.
     StreamOrigin m_origin;
+    /// A peer relays it.
+    bool m_isRelayed = false;
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
@@ -153,6 +155,8 @@
 
     std::string_view exceededLimit(const CallFailure &failure) const;
     void recordAttemptFailure(InFlightGuard &guard, const CallFailure &failure);
+    void recordBrokenAnswer(UpstreamAnswer &answer, const CallFailure &failure);
+    void logAttemptFailure(const PooledUpstream &upstream, const CallFailure &failure);
     void recordConnectFailure(const PooledUpstream &upstream, const CallFailure &failure);
     void recordRelayFailure(PooledUpstream &peer, const CallFailure &failure);
     void recordRelayRefusal(PooledUpstream &peer, std::string_view reason);
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -53,7 +53,7 @@
     // A peer of an earlier release doesn't say where the events come from.
     const StreamOrigin origin = platform::relayedOrigin(exchange.headers())
                                         .value_or(StreamOrigin{m_service, SoftwareVersion()});
-    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt, origin};
+    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt, origin, true};
     if (isOwnAnswer)
         return takePeerAnswer(answer);
     if (!acceptsAnswer(answer.m_exchange, *peer))
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -203,9 +203,7 @@
         const Duration limit = std::clamp(timeLeft(), Duration::zero(), silence);
         auto piece = answer.m_exchange.read(limit);
         if (auto *failure = std::get_if<CallFailure>(&piece)) {
-            --m_deliveredAttempts;
-            --m_possibleRuns;
-            recordAttemptFailure(answer.m_guard, *failure);
+            recordBrokenAnswer(answer, *failure);
             return false;
         }
         const auto &text = std::get<std::optional<std::string>>(piece);
--- a/tests/src/process-entry-cut-off.cpp
+++ b/tests/src/process-entry-cut-off.cpp
@@ -285,3 +285,22 @@
     world.waitUntil("and relays for the others",
                     [&] { return isServed(world, 0, "/once/x", "r-3"); });
 }
+
+// Guards against relays that are avoided, until none is left, because upstreams broke off.
+TEST_CASE("a relay is not held responsible for a stream that its upstream breaks off")
+{
+    CutOffWorld world;
+    std::atomic<bool> breaksOff = true;
+    world.behave([&](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+        responder.begin(200, headers);
+        responder.write("id: 1\ndata: served\n\n");
+        if (breaksOff)
+            responder.abandon();
+        else
+            responder.finish();
+    });
+    for (int number = 0; number < 6; ++number)
+        CHECK_FALSE(isServed(world, 0, "/draft/x", fmt::format("broken-{}", number)));
+    breaksOff = false;
+    CHECK(isServed(world, 0, "/draft/x", "whole"));
+}
