Send records of streams' origins again until they arrive

What clients would see: a stream that began at a VM which was cut off from its peers for a moment could not be taken up elsewhere, even long after the cut, as its record was sent once.

Change: records for a holder wait in order, at most 500, until they arrive or expire; tried again with each exchange interval.

--- a/include/gypsumdale/entry/origin_exchange.hpp
+++ b/include/gypsumdale/entry/origin_exchange.hpp
@@ -5,6 +5,8 @@
 #include <gypsumdale/serving/stream_origins.hpp>
 
 #include <cstddef> // size_t
+#include <deque> // deque
+#include <map> // map
 #include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
@@ -37,6 +39,9 @@
     /// Sends a record to its holders. Doesn't wait.
     void announce(const StreamOriginRecord &record);
 
+    /// Sends records again that did not reach a holder. To be called several times per second.
+    void resend();
+
     /// Asks the VMs that may hold a record, all at once. Returns the first record that one of them
     /// has, or nothing if none has or too much time passes.
     std::optional<StreamOriginRecord> ask(const RequestId &request);
@@ -47,16 +52,28 @@
 
 private:
     struct Inquiry;
+    /// Records for one holder, in order.
+    struct Outbox
+    {
+        KnownPeerPointer m_peer;
+        std::deque<StreamOriginRecord> m_records;
+        bool m_isSending = false;
+    };
 
     std::vector<KnownPeerPointer> holders(const RequestId &request, std::size_t count) const;
-    void send(const KnownPeerPointer &peer, const StreamOriginRecord &record);
+    void startSending(Outbox &outbox);
+    void sendAll(Outbox &outbox);
+    bool send(const KnownPeerPointer &peer, const StreamOriginRecord &record);
     void askOne(const KnownPeerPointer &peer, const std::string &frame,
                 const std::shared_ptr<Inquiry> &inquiry);
-    std::optional<StreamOriginRecord> exchange(const KnownPeerPointer &peer,
-                                               const std::string &frame);
+    Result<std::optional<StreamOriginRecord>> exchange(const KnownPeerPointer &peer,
+                                                       const std::string &frame);
 
     EntryContext &m_context;
     const PeerTable &m_table;
+    /// By the holder's address. Entries stay until their peer is no longer known and nothing is
+    /// being sent to it.
+    std::map<std::string, Outbox> m_outboxes;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -89,6 +89,7 @@
         for (const KnownPeerPointer &peer : m_table.selectDuePeers(m_context.now()))
             spawnExchange(peer);
         m_texts.startFetches();
+        m_origins.resend();
         if (isLargeFleet() && m_config.isStoreLost() && !m_config.isFetching()) {
             for (const KnownPeerPointer &peer : m_table.selectOutOfTurn(peersOutOfTurn))
                 spawnExchange(peer);
--- a/src/entry/origin_exchange.cpp
+++ b/src/entry/origin_exchange.cpp
@@ -17,6 +17,8 @@
 
 /// Longest wait for one peer's answer. Less would reset the connection that other exchanges use.
 constexpr Duration answerTimeout = std::chrono::milliseconds(600);
+/// Most records that wait for one holder.
+constexpr std::size_t maxUnsent = 500;
 /// Longest wait for an answer of any peer, while a client waits.
 constexpr Duration inquiryTimeout = std::chrono::milliseconds(250);
 
@@ -72,23 +74,67 @@
 
 void OriginExchange::announce(const StreamOriginRecord &record)
 {
-    for (const KnownPeerPointer &peer : holders(record.m_request, copies))
-        m_context.m_loop.spawn([this, peer, record] { send(peer, record); });
+    for (const KnownPeerPointer &peer : holders(record.m_request, copies)) {
+        Outbox &outbox = m_outboxes[peer->m_address];
+        outbox.m_peer = peer;
+        outbox.m_records.push_back(record);
+        if (outbox.m_records.size() > maxUnsent) {
+            outbox.m_records.pop_front();
+            m_context.m_log.warning("stream-origin-unsent", {{LogField::Peer, peer->m_node}});
+        }
+        startSending(outbox);
+    }
+}
+
+void OriginExchange::resend()
+{
+    std::erase_if(m_outboxes, [this](const auto &entry) {
+        return !entry.second.m_isSending && !m_table.find(entry.first);
+    });
+    for (auto &[address, outbox] : m_outboxes)
+        startSending(outbox);
+}
+
+void OriginExchange::startSending(Outbox &outbox)
+{
+    if (outbox.m_isSending || outbox.m_records.empty())
+        return;
+    outbox.m_isSending = true;
+    m_context.m_loop.spawn([this, &outbox] { sendAll(outbox); });
 }
 
-/// Sends a record to one holder. If the holder knows another origin under that id, the stream must
-/// not go on from here either.
-void OriginExchange::send(const KnownPeerPointer &peer, const StreamOriginRecord &record)
+/// Sends a holder's records until one does not arrive. It is tried again later with those behind
+/// it: a client may take a stream up seconds after its VM was cut off from the holder.
+void OriginExchange::sendAll(Outbox &outbox)
+{
+    while (!outbox.m_records.empty()) {
+        const StreamOriginRecord record = outbox.m_records.front();
+        outbox.m_records.pop_front();
+        if (record.m_expiresAt <= m_context.now() || send(outbox.m_peer, record))
+            continue;
+        outbox.m_records.push_front(record);
+        break;
+    }
+    outbox.m_isSending = false;
+}
+
+/// Sends a record to one holder. Returns whether it arrived. If the holder knows another origin
+/// under that id, the stream must not go on from here either.
+bool OriginExchange::send(const KnownPeerPointer &peer, const StreamOriginRecord &record)
 {
     entrywire::EntryExchange message;
     message.__set_streamOrigin(encodeOrigin(record, m_context.now()));
-    const auto known = exchange(peer, wire::encode(message));
+    const auto answer = exchange(peer, wire::encode(message));
+    if (!succeeded(answer))
+        return false;
+    const std::optional<StreamOriginRecord> &known = valueOf(answer);
     if (!known || !known->m_isAmbiguous || record.m_isAmbiguous)
-        return;
+        return true;
     m_context.m_log.warning("stream-origin-ambiguous",
                             {record.m_request, {LogField::Peer, peer->m_node}});
     m_context.m_trafficLoop.spawn(
             [this, ambiguous = *known] { m_context.m_traffic.origins().keep(ambiguous); });
+    return true;
 }
 
 std::optional<StreamOriginRecord> OriginExchange::ask(const RequestId &request)
@@ -115,16 +161,17 @@
 void OriginExchange::askOne(const KnownPeerPointer &peer, const std::string &frame,
                             const std::shared_ptr<Inquiry> &inquiry)
 {
-    const auto record = exchange(peer, frame);
+    const auto answer = exchange(peer, frame);
+    const auto record = succeeded(answer) ? valueOf(answer) : std::nullopt;
     --inquiry->m_pending;
     if (record || inquiry->m_pending == 0)
         inquiry->end(record);
 }
 
 /// Sends a frame to a peer and returns the record in its answer. A peer of an earlier release
-/// answers with an empty frame.
-std::optional<StreamOriginRecord> OriginExchange::exchange(const KnownPeerPointer &peer,
-                                                           const std::string &frame)
+/// answers with an empty frame. Errors: those of the channel, and PeerMalformed, which are logged.
+Result<std::optional<StreamOriginRecord>> OriginExchange::exchange(const KnownPeerPointer &peer,
+                                                                   const std::string &frame)
 {
     const auto reply = peer->m_channel->exchange(frame, answerTimeout);
     if (!succeeded(reply)) {
@@ -132,20 +179,20 @@
                              {{LogField::Peer, peer->m_node},
                               {LogField::ErrorName, errorName(errorOf(reply).m_id)},
                               {LogField::Text, errorOf(reply).m_text}});
-        return std::nullopt;
+        return errorOf(reply);
     }
     if (valueOf(reply).empty())
-        return std::nullopt;
+        return std::optional<StreamOriginRecord>();
     const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
     if (!succeeded(decoded)) {
         m_context.m_log.failure("peer-malformed", errorOf(decoded),
                                 {{LogField::Address, peer->m_address}});
-        return std::nullopt;
+        return errorOf(decoded);
     }
     const entrywire::EntryExchange &message = valueOf(decoded);
     if (!message.__isset.originAnswer || !message.originAnswer.__isset.origin)
-        return std::nullopt;
-    return decodeOrigin(message.originAnswer.origin, m_context.now());
+        return std::optional<StreamOriginRecord>();
+    return std::optional(decodeOrigin(message.originAnswer.origin, m_context.now()));
 }
 
 entrywire::EntryExchange OriginExchange::answerRecord(const entrywire::StreamOrigin &received)
