--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Two commands do all the set-up on a fresh Debian machine: `make demo` and `make test`.
 BUILD ?= build
+.DEFAULT_GOAL := build
 
 .PHONY: deps build test demo check bench clean
 
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -171,7 +171,7 @@
                                                  TimePoint now) const;
 
     /// Records the result of an attempt. Complexity: constant.
-    static void note(PooledUpstream &upstream, AttemptResult verdict, TimePoint now);
+    static void note(PooledUpstream &upstream, AttemptResult result, TimePoint now);
 
     const std::map<UpstreamId, PooledUpstreamPointer> &upstreams() const { return m_upstreams; }
     /// Returns the revision of the list in use.
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -407,22 +407,21 @@
     return least;
 }
 
-void UpstreamPool::note(PooledUpstream &upstream, AttemptResult verdict, TimePoint now)
+void UpstreamPool::note(PooledUpstream &upstream, AttemptResult result, TimePoint now)
 {
-    const bool isFailure =
-            verdict == AttemptResult::Broken || verdict == AttemptResult::ServerError;
+    const bool isFailure = result == AttemptResult::Broken || result == AttemptResult::ServerError;
     upstream.m_failureShare += failureWeight * ((isFailure ? 1.0 : 0.0) - upstream.m_failureShare);
-    if (verdict == AttemptResult::Good) {
+    if (result == AttemptResult::Good) {
         upstream.m_failuresInRow = 0;
         return;
     }
-    if (verdict == AttemptResult::Refused) {
+    if (result == AttemptResult::Refused) {
         upstream.m_avoidUntil = std::max(upstream.m_avoidUntil, now + minAvoidTime / 5);
         return;
     }
     ++upstream.m_failuresInRow;
     const bool isBroken =
-            verdict == AttemptResult::Broken && upstream.m_failuresInRow >= failuresInRowLimit;
+            result == AttemptResult::Broken && upstream.m_failuresInRow >= failuresInRowLimit;
     if (!isBroken && upstream.m_failureShare < failureLimit)
         return;
     const int doublings = std::clamp(upstream.m_failuresInRow - failuresInRowLimit, 0, 3);
--- a/tests/src/process-entry-versions.cpp
+++ b/tests/src/process-entry-versions.cpp
@@ -1,9 +1,7 @@
-#include "support/entry_world.hpp"
-#include "support/stream_caller.hpp"
+#include "support/version_world.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm> // min
 #include <atomic> // atomic
 #include <chrono> // milliseconds
 #include <csignal> // SIGKILL
@@ -18,67 +16,14 @@
 namespace {
 
 constexpr int streamCount = 8;
-/// Enough for each stream to go on several times.
-constexpr int retrySlack = 200;
-constexpr int lastEvent = 6;
-/// Events that an upstream sends before it breaks off.
+/// Events that an upstream sends before it breaks off, unless a case sets another number.
 constexpr int eventsBeforeBreak = 2;
 
-int resumedAfter(const HttpRequest &request)
-{
-    const std::string last(request.m_headers.value("Last-Event-Id"));
-    return last.empty() ? 0 : std::stoi(last);
-}
-
 bool isRunOf(const HttpRequest &request, const std::string &id)
 {
     return request.m_headers.value("Gypsumdale-Request-Id") == id;
 }
 
-/// Upstreams of several software versions, whose events name the version that made them. A run ends
-/// in the middle of an event after `m_eventsPerRun` events, unless it reaches the last one.
-struct VersionWorld : EntryWorld
-{
-    explicit VersionWorld(int nodes, const std::vector<std::string> &versions)
-        : EntryWorld(nodes, true, std::nullopt, versions, retrySlack)
-    {
-        for (std::size_t index = 0; index < upstreamCount(); ++index) {
-            const std::string version = versionOf(upstream(index));
-            upstream(index).behave([this, version](const HttpRequest &request,
-                                                   HttpResponder &responder,
-                                                   const HttpHeaders &headers) {
-                serve(version, request, responder, headers);
-            });
-        }
-    }
-
-    void serve(const std::string &version, const HttpRequest &request, HttpResponder &responder,
-               const HttpHeaders &headers)
-    {
-        responder.begin(200, headers);
-        const int first = resumedAfter(request) + 1;
-        const int end = std::min(lastEvent + 1, first + m_eventsPerRun);
-        for (int number = first; number < end; ++number)
-            responder.write(versionEvent(version, number));
-        if (m_staysOpen) {
-            for (int wait = 0; wait < 2000 && m_staysOpen; ++wait)
-                sleepFiber(std::chrono::milliseconds(10));
-            return;
-        }
-        if (end > lastEvent) {
-            responder.finish();
-            return;
-        }
-        responder.write(fmt::format("id: {}\ndata: {}", end, version));
-        // A reset would overtake the events.
-        sleepFiber(std::chrono::milliseconds(20));
-        responder.abandon();
-    }
-
-    std::atomic<int> m_eventsPerRun = eventsBeforeBreak;
-    std::atomic<bool> m_staysOpen = false;
-};
-
 /// Returns the number of streams with events of several software versions.
 int mixedCount(const std::deque<StreamCaller> &callers)
 {
@@ -225,6 +170,24 @@
     CHECK(wholeCount(callers) == streamCount);
 }
 
+// Guards against streams that go on at an address where an upstream of another version stands now.
+TEST_CASE("a stream does not go on at an upstream that took the address of its own")
+{
+    VersionWorld world(2, {"v1", "v1"});
+    std::deque<StreamCaller> callers;
+    for (int number = 0; number < streamCount; ++number) {
+        StreamCaller &caller = callers.emplace_back("/stream/x");
+        caller.attempt(world.node(0).m_callerPort, fmt::format("r-{}", number));
+    }
+    for (std::size_t index = 0; index < world.upstreamCount(); ++index)
+        world.replaceUpstream(index, "v2");
+    for (int number = 0; number < streamCount; ++number) {
+        StreamCaller &caller = callers[static_cast<std::size_t>(number)];
+        caller.attempt(world.node(1).m_callerPort, fmt::format("r-{}-again", number));
+    }
+    CHECK(mixedCount(callers) == 0);
+}
+
 // Guards against a run whose memory is moved to an upstream of another software version.
 TEST_CASE("a run is moved only to an upstream of its software version")
 {
