--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -11,6 +11,8 @@
 
 #include <fmt/format.h>
 
+#include <cstdint> // int64_t
+#include <limits> // numeric_limits
 #include <memory> // make_shared
 #include <set> // set
 #include <string> // string, to_string
@@ -591,3 +593,40 @@
         CHECK(offer.m_port == 0);
     }
 }
+
+TEST_CASE("where a stream began reaches a peer with its times as ages")
+{
+    const TimePoint now{1000s};
+    StreamOriginRecord record;
+    record.m_request = RequestId("r-1");
+    record.m_origin = {ServiceId("llm"), SoftwareVersion("v1.2")};
+    record.m_source = "vm-1";
+    record.m_recordedAt = now - 300ms;
+    record.m_expiresAt = now + 15s;
+
+    SECTION("whatever the receiver's clock says")
+    {
+        const TimePoint there{5s};
+        const StreamOriginRecord received = decodeOrigin(encodeOrigin(record, now), there);
+        CHECK(received.m_request == record.m_request);
+        CHECK(received.m_origin == record.m_origin);
+        CHECK(received.m_source == "vm-1");
+        CHECK(received.m_recordedAt == there - 300ms);
+        CHECK(received.m_expiresAt == there + 15s);
+        CHECK_FALSE(received.m_isAmbiguous);
+    }
+    SECTION("and that it can't be used")
+    {
+        record.m_isAmbiguous = true;
+        CHECK_FALSE(decodeOrigin(encodeOrigin(record, now), now).isUsable());
+    }
+    SECTION("but no time that a VM would not send")
+    {
+        entrywire::StreamOrigin origin = encodeOrigin(record, now);
+        origin.remainingMillis = std::numeric_limits<std::int64_t>::max();
+        origin.ageMillis = std::numeric_limits<std::int64_t>::min();
+        const StreamOriginRecord received = decodeOrigin(origin, now);
+        CHECK(received.m_expiresAt == now + 1h);
+        CHECK(received.m_recordedAt == now);
+    }
+}
--- a/tests/src/unit-stream-origins.cpp
+++ b/tests/src/unit-stream-origins.cpp
@@ -83,8 +83,10 @@
 
 TEST_CASE("the holders of a stream's record")
 {
+    constexpr int vmCount = 12;
     std::vector<OriginHolder> vms;
-    for (int number = 0; number < 12; ++number)
+    vms.reserve(vmCount);
+    for (int number = 0; number < vmCount; ++number)
         vms.push_back({NodeId("vm-" + std::to_string(number)),
                        DataCentreId("dc-" + std::to_string(number % 3))});
     const auto dataCentreOf = [&vms](const NodeId &node) {
