Test: VMs that reach most upstreams believe that they are cut off (fails)

The model of relaying judged the callers of cut-off VMs only, so it could not see that other VMs, whose paths are whole, take dead upstreams for a cut. It now counts, beside what it judged, how often a VM with a path to half of a service's upstreams or more comes to believe that it is cut off, and which of its first tries fail; and a part of all upstreams can die at one moment.

--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/event_queue.hpp"
+#include "support/relay_plan.hpp"
 
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/exchange_pacing.hpp>
@@ -25,48 +26,6 @@
 
 namespace gypsumdale::testing {
 
-/// Size of a simulated fleet, and its requests.
-struct RelayFleet
-{
-    std::size_t m_vms = 6;
-    std::size_t m_dataCentres = 3;
-    std::size_t m_engines = 9;
-    std::size_t m_plain = 3;
-    double m_requestsPerSecond = 10;
-    /// Time after the beginning of a cut from which it is judged.
-    Duration m_contact = std::chrono::seconds(3);
-};
-
-/// What may happen beside VMs that are cut off from all upstreams.
-struct RelayFaults
-{
-    bool m_hasDeadUpstreams = false;
-    bool m_hasKilledVms = false;
-    /// Further cuts from one service, or from most upstreams.
-    bool m_hasPartialCuts = false;
-};
-
-/// First tries while VMs were cut off from all upstreams.
-struct CutVerdict
-{
-    int m_sentAtCut = 0;
-    int m_servedAtCut = 0;
-    int m_sentAtOthers = 0;
-    int m_servedAtOthers = 0;
-
-    /// Returns whether first tries at the cut-off VMs were served less than two thirds as often as
-    /// at the others, and more of them failed than users accept.
-    bool isBroken() const
-    {
-        if (m_sentAtCut == 0 || m_sentAtOthers == 0)
-            return false;
-        const double atCut = static_cast<double>(m_servedAtCut) / m_sentAtCut;
-        const double atOthers = static_cast<double>(m_servedAtOthers) / m_sentAtOthers;
-        const int tolerated = 10 + (m_sentAtCut + m_sentAtOthers) / 50;
-        return 3 * atCut < 2 * atOthers && m_sentAtCut - m_servedAtCut > tolerated;
-    }
-};
-
 /// Entry VMs that send requests to upstreams over paths that are cut for some of them, with the
 /// decisions of the product: which service a VM is cut off from, and which peer relays.
 class RelaySimulation
@@ -80,7 +39,8 @@
         createUpstreams();
         for (std::size_t number = 0; number < fleet.m_vms; ++number)
             createVm(number);
-        planCuts();
+        if (!faults.m_hasNoCuts)
+            planCuts();
         for (std::size_t number = 0; number < fleet.m_vms; ++number) {
             exchangeFrom(number);
             scheduleRequest(number);
@@ -89,6 +49,8 @@
             planDeadUpstreams();
         if (faults.m_hasKilledVms)
             planKills();
+        if (faults.m_deadAtOnce > 0)
+            planDeadAtOnce();
     }
 
     /// Returns the verdict on each cut from all upstreams.
@@ -103,6 +65,8 @@
         return verdicts;
     }
 
+    const SoundVmVerdict &soundVms() const { return m_soundVms; }
+
 private:
     static constexpr Duration length = std::chrono::seconds(30);
     static constexpr Duration hop = std::chrono::milliseconds(2);
@@ -288,6 +252,34 @@
         }
     }
 
+    /// Lets the same part of each service die at one moment, and again later.
+    void planDeadAtOnce()
+    {
+        for (const Duration at : {std::chrono::seconds(6), std::chrono::seconds(18)}) {
+            m_queue.after(at, [this] {
+                const TimePoint until = m_queue.now() + std::chrono::seconds(6);
+                for (const auto &[id, record] : m_records) {
+                    if (random() < m_faults.m_deadAtOnce)
+                        m_dead[id] = {m_queue.now(), until};
+                }
+            });
+        }
+    }
+
+    /// Returns whether a VM has a path to half of a service's upstreams or more.
+    bool reachesMost(std::size_t vm, const ServiceId &service) const
+    {
+        std::size_t all = 0;
+        std::size_t open = 0;
+        for (const auto &[id, record] : m_records) {
+            if (record.m_service != service)
+                continue;
+            ++all;
+            open += pathTo(vm, id) == Path::Open ? 1 : 0;
+        }
+        return 2 * open >= all;
+    }
+
     void planKills()
     {
         for (std::size_t count = 0; count < 1 + m_fleet.m_vms / 10; ++count) {
@@ -345,9 +337,12 @@
         request->m_deadline = m_queue.now() + std::chrono::seconds(isEngine ? 3 : 1);
         request->m_work = isEngine ? between(300, 4000) : between(20, 40);
         const std::vector<int *> counts = countArrival(number);
-        request->m_done = [counts](Outcome outcome) {
+        const bool isSound = reachesMost(number, request->m_service);
+        m_soundVms.m_sent += isSound ? 1 : 0;
+        request->m_done = [this, counts, isSound](Outcome outcome) {
             for (int *served : counts)
                 *served += outcome == Outcome::Served ? 1 : 0;
+            m_soundVms.m_failed += isSound && outcome != Outcome::Served ? 1 : 0;
         };
         attempt(request);
     }
@@ -461,8 +456,10 @@
         Vm &vm = *m_vms[number];
         const ServiceId service = upstream.m_record.m_service;
         const std::size_t known = vm.m_pool.placeable(service).size();
-        if (vm.m_reach.recordUnreachable(service, upstream.m_record.m_id, known, m_queue.now()))
-            probe(number, service, std::chrono::milliseconds(20));
+        if (!vm.m_reach.recordUnreachable(service, upstream.m_record.m_id, known, m_queue.now()))
+            return;
+        m_soundVms.m_falseCutOffs += reachesMost(number, service) ? 1 : 0;
+        probe(number, service, std::chrono::milliseconds(20));
     }
 
     void probe(std::size_t number, const ServiceId &service, Duration pause)
@@ -537,13 +534,9 @@
     std::vector<std::unique_ptr<Vm>> m_vms;
     std::vector<Cut> m_cuts;
     std::map<UpstreamId, std::pair<TimePoint, TimePoint>> m_dead;
+    SoundVmVerdict m_soundVms;
 };
 
-inline constexpr RelayFleet smallRelayFleet{};
-inline constexpr RelayFleet idleRelayFleet{6, 3, 9, 3, 1.5, std::chrono::seconds(3)};
-inline constexpr RelayFleet grownRelayFleet{65, 3, 60, 3, 15, std::chrono::seconds(4)};
-inline constexpr RelayFleet largeRelayFleet{195, 5, 62, 6, 4.5, std::chrono::seconds(5)};
-
 /// Returns whether callers of VMs that were cut off were served as the users ask, in one play.
 inline bool areServed(const RelayFleet &fleet, RelayFaults faults, std::uint64_t seed)
 {
