Keep records of streams that begin while no peer responds

What clients saw: streams of a VM that was killed shortly after its start could not be taken up (503).

Cause: the holders of a record are chosen among the peers that respond. A process that has just started, or whose peers count as silent after a longer cut, has none, and the record was sent to nobody; the resending of the commit on cuts knows only records that had a holder.

--- a/include/gypsumdale/entry/origin_exchange.hpp
+++ b/include/gypsumdale/entry/origin_exchange.hpp
@@ -39,7 +39,8 @@
     /// Sends a record to its holders. Doesn't wait.
     void announce(const StreamOriginRecord &record);
 
-    /// Sends records again that did not reach a holder. To be called several times per second.
+    /// Sends records again that did not reach a holder, or had none. To be called several times per
+    /// second.
     void resend();
 
     /// Asks the VMs that may hold a record, all at once. Returns the first record that one of them
@@ -61,6 +62,7 @@
     };
 
     std::vector<KnownPeerPointer> holders(const RequestId &request, std::size_t count) const;
+    void placeLate();
     void startSending(Outbox &outbox);
     void sendAll(Outbox &outbox);
     bool send(const KnownPeerPointer &peer, const StreamOriginRecord &record);
@@ -74,6 +76,8 @@
     /// By the holder's address. Entries stay until their peer is no longer known and nothing is
     /// being sent to it.
     std::map<std::string, Outbox> m_outboxes;
+    /// Records of streams that began while no peer responded.
+    std::deque<StreamOriginRecord> m_unplaced;
 };
 
 } // namespace gypsumdale
--- a/src/entry/origin_exchange.cpp
+++ b/src/entry/origin_exchange.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm> // min
 #include <map> // map
+#include <utility> // exchange
 
 #include <boost/fiber/future/promise.hpp>
 
@@ -74,6 +75,12 @@
 
 void OriginExchange::announce(const StreamOriginRecord &record)
 {
+    if (m_table.respondingPeers(m_context.now()).empty()) {
+        m_unplaced.push_back(record);
+        if (m_unplaced.size() > maxUnsent)
+            m_unplaced.pop_front();
+        return;
+    }
     for (const KnownPeerPointer &peer : holders(record.m_request, copies)) {
         Outbox &outbox = m_outboxes[peer->m_address];
         outbox.m_peer = peer;
@@ -86,8 +93,24 @@
     }
 }
 
+/// Sends the records of streams that began while no peer responded, once one does: shortly after
+/// the start of a process, or after it was cut off from its peers.
+void OriginExchange::placeLate()
+{
+    const TimePoint now = m_context.now();
+    std::erase_if(m_unplaced,
+                  [now](const StreamOriginRecord &record) { return record.m_expiresAt <= now; });
+    if (m_unplaced.empty() || m_table.respondingPeers(now).empty())
+        return;
+    m_context.m_log.info("stream-origins-sent-late", {{LogField::Count, m_unplaced.size()}});
+    const std::deque<StreamOriginRecord> records = std::exchange(m_unplaced, {});
+    for (const StreamOriginRecord &record : records)
+        announce(record);
+}
+
 void OriginExchange::resend()
 {
+    placeLate();
     std::erase_if(m_outboxes, [this](const auto &entry) {
         return !entry.second.m_isSending && !m_table.find(entry.first);
     });
--- a/tests/src/process-entry-versions.cpp
+++ b/tests/src/process-entry-versions.cpp
@@ -8,6 +8,7 @@
 #include <deque> // deque
 #include <set> // set
 #include <string> // string
+#include <thread> // sleep_for
 #include <vector> // vector
 
 using namespace gypsumdale;
@@ -116,6 +117,50 @@
     CHECK(2 * wholeCount(callers) >= streamCount);
 }
 
+// Guards against streams that can't be taken up because their VM knew no live peer as they began.
+TEST_CASE("streams of a VM that was cut off from its peers for a while go on after its death")
+{
+    VersionWorld world(3, {"v1", "v2", "v1", "v2"});
+    const auto setPeerLinks = [&world](LinkFault fault) {
+        for (std::size_t node = 0; node < world.nodeCount(); ++node)
+            world.node(node).m_peerLink->set(fault);
+    };
+    const auto logged = [&world](const std::string &event) {
+        const std::string log = world.fullLog(world.node(0));
+        std::size_t count = 0;
+        for (auto at = log.find(event); at != std::string::npos; at = log.find(event, at + 1))
+            ++count;
+        return count;
+    };
+    setPeerLinks(LinkFault::Silence);
+    world.waitUntil("it hears of no peer", [&] { return logged("\"peer-silent\"") == 2; });
+    world.m_staysOpen = true;
+    std::deque<StreamCaller> callers;
+    for (int number = 0; number < streamCount; ++number) {
+        StreamCaller &caller = callers.emplace_back("/stream/x");
+        REQUIRE(caller.begin(world.node(0).m_callerPort, fmt::format("r-{}", number)));
+    }
+    setPeerLinks(LinkFault::None);
+    world.waitUntil("it hears of them", [&] { return logged("\"peer-heard-again\"") == 2; });
+    world.waitUntil("the records are sent", [&] {
+        return world.fullLog(world.node(0)).find("\"stream-origins-sent-late\"")
+               != std::string::npos;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    world.node(0).m_process->send(SIGKILL);
+    world.m_staysOpen = false;
+    world.m_eventsPerRun = lastEvent;
+    for (int number = 0; number < streamCount; ++number) {
+        StreamCaller &caller = callers[static_cast<std::size_t>(number)];
+        caller.finish();
+        const auto node = static_cast<std::size_t>(1 + number % 2);
+        caller.attempt(world.node(node).m_callerPort, fmt::format("r-{}-again", number));
+    }
+    CHECK(mixedCount(callers) == 0);
+    // Half as often as new streams begin.
+    CHECK(2 * wholeCount(callers) >= streamCount);
+}
+
 // Guards against a VM that guesses, where it can't learn the software version that began a stream.
 TEST_CASE("a VM that can't know a stream's software version rejects it as not run")
 {
