--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -85,6 +85,7 @@
     TargetSoftwareVersion,
     Resumed,
     Digest,
+    PromptParts,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -2,6 +2,8 @@
 
 #include <entry/entry_call.hpp>
 
+#include <fmt/format.h>
+
 /// How a request ends, and what is logged about it.
 namespace gypsumdale {
 
@@ -101,6 +103,7 @@
              {LogField::Route, m_route->m_name},
              {LogField::ConfigVersion, m_view->config().m_version},
              {LogField::PromptTokens, m_caller.m_promptTokens},
+             {LogField::PromptParts, fmt::format("{}", fmt::join(m_caller.m_promptParts, ","))},
              {LogField::OutputTokens, m_caller.m_outputTokens},
              upstream.m_record.m_id,
              {LogField::UpstreamDataCentre, upstream.m_record.m_dataCentre},
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 73> logFieldNames = {{
+constexpr NameTable<LogField, 74> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -79,6 +79,7 @@
         {LogField::TargetSoftwareVersion, "target_software_version"},
         {LogField::Resumed, "resumed"},
         {LogField::Digest, "digest"},
+        {LogField::PromptParts, "prompt_parts"},
 }};
 
 } // namespace
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -146,6 +146,7 @@
     CHECK(decoded.m_outputTokens == 80);
     CHECK(decoded.m_sharedTokens == 1210);
     CHECK(decoded.m_lastSharedPart == "91bd");
+    CHECK(decoded.m_promptParts == std::vector<std::string>{"5c1e", "91bd", "e440"});
 }
 
 TEST_CASE("the header that an upstream gets")
