--- a/tests/support/crash_world.hpp
+++ b/tests/support/crash_world.hpp
@@ -8,6 +8,7 @@
 #include <mutex> // lock_guard, mutex
 #include <optional> // optional
 #include <string> // string
+#include <string_view> // string_view
 #include <thread> // jthread, sleep_for
 #include <vector> // vector
 
@@ -15,9 +16,14 @@
 
 /// Body of a request that crashes each upstream that begins to run it.
 inline const std::string crashingBody = "crash";
-
-/// Upstreams that end when they run one request, and are back as another process after a while. All
-/// that runs at one of them ends with it. Other requests are answered with some events.
+/// Part of a prompt that crashes each upstream that begins to run a request with it.
+inline const std::string crashingPart = "dead0001";
+/// First part of most prompts.
+inline const std::string sharedPart = "5c1e07a2";
+
+/// Upstreams that end when they run one request, or one with a part of a prompt, and are back as
+/// another process after a while. All that runs at one of them ends with it. Other requests are
+/// answered with some events.
 struct CrashWorld : EntryWorld
 {
     static constexpr std::size_t defaultUpstreams = 24;
@@ -67,10 +73,32 @@
         return send(index, crashingBody, fmt::format("crash-{}", m_sent++));
     }
 
+    /// Sends a request with the part that crashes its upstreams to a VM. No two are alike.
+    EntryAnswer sendCrashingPart(std::size_t index)
+    {
+        const int number = m_sent++;
+        return sendParts(index, number,
+                         fmt::format("{}:100,{}:40,c{:06x}:10", sharedPart, crashingPart, number));
+    }
+
     /// Sends a request with a body to a VM, and returns whether it is served.
     bool isServed(std::size_t index, const std::string &body)
     {
-        const EntryAnswer answer = send(index, body, fmt::format("r-{}", m_sent++));
+        return isServed(send(index, body, fmt::format("r-{}", m_sent++)));
+    }
+
+    /// Sends a request with the shared first part to a VM, and returns whether it is served. No two
+    /// are alike.
+    bool isPromptServed(std::size_t index)
+    {
+        const int number = m_sent++;
+        return isServed(
+                sendParts(index, number, fmt::format("{}:100,a{:06x}:10", sharedPart, number)));
+    }
+
+    /// Returns whether an answer is complete.
+    static bool isServed(const EntryAnswer &answer)
+    {
         return answer.m_status == 200
                && answer.m_body.find(fmt::format("id: {}\n", eventsPerRun)) != std::string::npos;
     }
@@ -87,11 +115,23 @@
         return callWith(node(index), "/stream/x", id, body, 8000);
     }
 
+    EntryAnswer sendParts(std::size_t index, int number, const std::string &parts)
+    {
+        return askParts(node(index), "/stream/x", fmt::format("p-{}", number),
+                        fmt::format("prompt {}", number), parts, 8000);
+    }
+
+    static bool isCrashing(const HttpRequest &request)
+    {
+        const std::string_view parts = request.m_headers.value("Gypsumdale-Prompt-Prefix");
+        return request.m_body == crashingBody || parts.find(crashingPart) != std::string::npos;
+    }
+
     void serve(std::size_t index, const HttpRequest &request, HttpResponder &responder,
                const HttpHeaders &headers)
     {
         responder.begin(200, headers);
-        if (request.m_body == crashingBody) {
+        if (isCrashing(request)) {
             sleepFiber(timeToCrash);
             ++m_ends;
             crash(index);
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -226,6 +226,13 @@
         return ask(node, target, id, "key", deadlineMillis, {}, false, body);
     }
 
+    /// The same for a request whose prompt consists of parts, such as "5c1e:800,91bd:410".
+    EntryAnswer askParts(const EntryNode &node, const std::string &target, const std::string &id,
+                         const std::string &body, const std::string &parts, int deadlineMillis)
+    {
+        return ask(node, target, id, "key", deadlineMillis, "100,20", false, body, parts);
+    }
+
     /// Sends a request with a prompt, whose caller waits for `deadlineMillis`.
     EntryAnswer askPrompt(const EntryNode &node, const std::string &target, const std::string &id,
                           int promptTokens, int deadlineMillis)
@@ -236,7 +243,8 @@
 private:
     EntryAnswer ask(const EntryNode &node, const std::string &target, const std::string &id,
                     const std::string &key, int deadlineMillis, const std::string &tokenUsage,
-                    bool usesRetained = false, const std::string &body = "body")
+                    bool usesRetained = false, const std::string &body = "body",
+                    const std::string &parts = {})
     {
         HttpCall call;
         call.m_endpoint = {"127.0.0.1", node.m_callerPort};
@@ -247,6 +255,8 @@
         call.m_headers.add("Gypsumdale-Deadline-Ms", std::to_string(deadlineMillis));
         if (!tokenUsage.empty())
             call.m_headers.add("Gypsumdale-Token-Usage", tokenUsage);
+        if (!parts.empty())
+            call.m_headers.add("Gypsumdale-Prompt-Prefix", parts);
         call.m_headers.add("Authorization", "Bearer " + key);
         call.m_body = body;
         call.m_requiresNewConnection = !usesRetained;
