Find what crashes its upstreams, and reject it

Cause: nothing remembered what was under way where an upstream ended; each attempt was judged for itself, so such a request took as many upstreams as it had attempts, at whichever VM.

Change: VMs tell each other of upstreams that ended (a refused connection, confirmed by peers that try one too) and of the runs there that had delivered nothing. The whole request and each part of its prompt are elements; one table serves both matters. The cause is the element at most ends, with all elements that its runs have in common; a run that has delivered something proves its elements harmless, at any VM. Requests that hold the whole set are rejected at once, before quota and placement, with 503 and a time to come back. A verdict goes to all peers at once and with each exchange; it ends by proof or by a single trial at one VM after a time that doubles.

Works because what a lethal cause has in common can't be proved harmless: no run with it ever delivers.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -69,6 +69,64 @@
   2: RetryHistory history
 }
 
+/// A run that had delivered nothing when its upstream ended.
+struct SuspectRun {
+  /// The request and the parts of its prompt.
+  1: list<string> elements
+  /// The header of its answer had arrived.
+  2: bool hasBegun
+}
+
+/// An upstream's process that ended without notice.
+struct UpstreamEnd {
+  1: string upstream
+  2: i64 startedAt
+  3: string serviceName
+  4: i64 ageMillis
+  5: list<SuspectRun> runs
+}
+
+/// Asks whether an upstream's process has ended, or tells that others find so too.
+struct EndReport {
+  1: UpstreamEnd upstreamEnd
+  /// Where it was reached.
+  2: string address
+  3: bool isConfirmed
+}
+
+/// What the receiver found there.
+const i32 END_UNKNOWN = 0
+const i32 END_CONFIRMED = 1
+const i32 END_DENIED = 2
+
+struct EndAnswer {
+  1: i32 finding
+  /// Elements of the runs with which other runs have delivered something.
+  2: list<string> proven
+  /// Ends at which one of the elements was under way, and what of the receiver's was at this one.
+  3: list<UpstreamEnd> ends
+}
+
+/// Asks with which elements runs have delivered something lately.
+struct ProofQuestion {
+  1: string serviceName
+  2: list<string> elements
+}
+
+struct ProofAnswer {
+  1: list<string> proven
+}
+
+/// Requests with all these elements are rejected because they crash their upstreams.
+struct Quarantine {
+  1: string serviceName
+  2: list<string> elements
+  /// How often they were found to.
+  3: i32 times
+  4: i64 remainingMillis
+  5: bool isLifted
+}
+
 struct NodeAddress {
   1: string node
   2: string address
@@ -128,6 +186,7 @@
   23: optional RetryHistory retries
   /// For a receiver that started lately.
   24: optional EarlierRetries earlierRetries
+  25: list<Quarantine> quarantine
 }
 
 /// What a VM that reads the store tells one of its data centre that doesn't.
@@ -223,7 +282,9 @@
 
 /// A message and its answer: both bring a digest, or one brings news of the store and the other its
 /// receipt, or one brings news of load and the other nothing, or one asks for a text,
-/// or one tells or asks where a stream began.
+/// or one tells or asks where a stream began, or one tells of an upstream's end and the other what
+/// its receiver knows of it, or one asks which elements of requests are harmless, or one tells of
+/// requests that are rejected and the other nothing.
 struct EntryExchange {
   1: optional EntryDigest digest
   /// The stored configuration as the store wrote it, for a receiver that asked. Processes of an
@@ -244,4 +305,9 @@
   13: optional StreamOrigin streamOrigin
   14: optional OriginQuestion originQuestion
   15: optional OriginAnswer originAnswer
+  16: optional EndReport endReport
+  17: optional EndAnswer endAnswer
+  18: optional list<Quarantine> quarantine
+  19: optional ProofQuestion proofQuestion
+  20: optional ProofAnswer proofAnswer
 }
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gypsumdale/entry/crash_exchange.hpp>
 #include <gypsumdale/entry/entry_config_feed.hpp>
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/entry_texts.hpp>
@@ -92,6 +93,8 @@
 
     /// Returns the part that exchanges where streams began.
     OriginExchange &origins() { return m_origins; }
+    /// Returns the part that finds out which requests crash their upstreams.
+    CrashExchange &crashes() { return m_crashes; }
 
     /// Called with a store update, and with a time after which it was sent if that is known.
     /// Returns what this VM still needs.
@@ -148,6 +151,7 @@
     ExchangeWriter m_writer;
     EntryTexts m_texts;
     OriginExchange m_origins;
+    CrashExchange m_crashes;
     DutyReported m_dutyReported;
     StoreUpdateReceived m_storeUpdateReceived;
     /// Address of the peer that last reported holding the duties.
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/entry_crashes.hpp>
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/startup_knowledge.hpp>
@@ -194,6 +195,10 @@
     RetryBudgetShare &allowance() { return m_retryBudget; }
     EntryRelay &relay() { return m_relay; }
     EntryOrigins &origins() { return m_origins; }
+    EntryCrashes &crashes() { return m_crashes; }
+    /// Returns what is known here of elements that may be the cause of an upstream's end, and of
+    /// its service. Complexity: n log n.
+    CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
     RunMover &mover() { return *m_mover; }
     UpstreamClient &client() { return m_client; }
     Logger &log() { return m_log; }
@@ -237,6 +242,7 @@
     std::unique_ptr<RunMover> m_mover;
     EntryRelay m_relay;
     EntryOrigins m_origins;
+    EntryCrashes m_crashes;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
     StartupKnowledge m_startupKnowledge;
--- a/include/gypsumdale/entry/exchange_writer.hpp
+++ b/include/gypsumdale/entry/exchange_writer.hpp
@@ -52,6 +52,9 @@
     /// Returns a message to a peer, or, for nullptr, to a VM that this one doesn't know.
     entrywire::EntryExchange message(const KnownPeer *peer);
 
+    /// Sets what is rejected because it crashes its upstreams.
+    void setQuarantine(std::vector<QuarantineEntry> entries) { m_quarantine = std::move(entries); }
+
 private:
     void fillOwnState(entrywire::EntryDigest &digest) const;
     bool sendsEndedCountsTo(const KnownPeer &peer) const;
@@ -64,6 +67,7 @@
     const EntryUpstreamFeed &m_upstreams;
     const PeerTable &m_table;
     TrafficReport m_report;
+    std::vector<QuarantineEntry> m_quarantine;
     TimePoint m_reportedAt{};
     std::int64_t m_dutyFence = 0;
     std::int64_t m_dutyRevision = 0;
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -2,6 +2,8 @@
 
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/entry/peer_table.hpp>
+#include <gypsumdale/serving/crash_quarantine.hpp>
+#include <gypsumdale/serving/crash_suspects.hpp>
 #include <gypsumdale/serving/stream_origins.hpp>
 
 #include <optional> // optional
@@ -12,8 +14,10 @@
 class EarlierRetries;
 class EntryDigest;
 class EntryExchange;
+class Quarantine;
 class RetryHistory;
 class StreamOrigin;
+class UpstreamEnd;
 class UpstreamLoad;
 } // namespace gypsumdale::entrywire
 
@@ -56,6 +60,20 @@
 std::optional<EarlierRetries> decodeEarlierRetries(const entrywire::EntryDigest &digest,
                                                    TimePoint now);
 
+/// Encode and decode an upstream's end. Its time travels as an age.
+entrywire::UpstreamEnd encodeEnd(const UpstreamEnd &end, TimePoint now);
+UpstreamEnd decodeEnd(const entrywire::UpstreamEnd &end, TimePoint now);
+
+/// Encode and decode what may be the cause of an end.
+std::vector<std::string> encodeElements(const CrashElements &elements);
+CrashElements decodeElements(const std::vector<std::string> &elements);
+
+/// Encode and decode what is rejected. Times travel as what remains of them.
+std::vector<entrywire::Quarantine> encodeQuarantine(const std::vector<QuarantineEntry> &entries,
+                                                    TimePoint now);
+std::vector<QuarantineEntry> decodeQuarantine(const std::vector<entrywire::Quarantine> &entries,
+                                              TimePoint now);
+
 /// Encode and decode the fields of a message that allow its age to be computed.
 void writeStamp(const MessageStamp &stamp, entrywire::EntryExchange &message);
 MessageStamp readStamp(const entrywire::EntryExchange &message);
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -94,8 +94,11 @@
     StreamOriginsUnknown,
     StreamOriginsDropped,
     NoUpstreamOfVersion,
+    UpstreamsEnded,
+    UpstreamEndsUnjudged,
+    QuarantineRejections,
 };
-constexpr std::size_t counterCount = 57;
+constexpr std::size_t counterCount = 60;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -121,8 +124,9 @@
     ResidentBytes,
     UpstreamListAgeMillis,
     PlacementListAgeMillis,
+    QuarantinedRequests,
 };
-constexpr std::size_t gaugeCount = 21;
+constexpr std::size_t gaugeCount = 22;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -140,6 +140,14 @@
     std::unique_ptr<State> m_state;
 };
 
+/// What became of a connection that was tried.
+enum class ConnectOutcome {
+    Connected,
+    /// The other host answered that nothing listens there.
+    Refused,
+    Unanswered,
+};
+
 /// Calls HTTP servers from the fibers of one loop. Keeps connections for reuse. The client itself
 /// doesn't retry a call whose pooled connection proves closed before any byte of the answer.
 class HttpClient
@@ -161,8 +169,14 @@
     /// Sends a request and returns the complete answer.
     CallResult<HttpReply> call(const HttpCall &call);
 
+    /// Tries to open a connection within a time, and closes it.
+    static ConnectOutcome tryConnect(const Endpoint &endpoint, Duration timeout);
+
     /// Returns whether a connection can be opened within a time, and closes it.
-    static bool canConnect(const Endpoint &endpoint, Duration timeout);
+    static bool canConnect(const Endpoint &endpoint, Duration timeout)
+    {
+        return tryConnect(endpoint, timeout) == ConnectOutcome::Connected;
+    }
 
     /// Closes all pooled connections to an endpoint, after one of them stopped responding.
     /// Complexity: linear in their number.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -61,6 +61,8 @@
     if (!resolve() || !bindStream())
         return;
     selectService();
+    if (rejectIfQuarantined())
+        return;
     // A request rejected for lack of capacity doesn't use the account's quota.
     if (!hasUpstreamToGoOn() || !canMeetDeadline() || !admitByQuota())
         return;
@@ -111,13 +113,15 @@
         return AttemptStop::CallerGone;
     if (m_isShuttingDown)
         return AttemptStop::Stopping;
+    if (isQuarantined())
+        return AttemptStop::Quarantined;
     if (timeLeft() < minTimeLeft) {
         m_timedOut = m_timedOut || m_attempts.mayHaveRun();
         return AttemptStop::DeadlinePassed;
     }
     if (m_attempts.isNone())
         return std::nullopt;
-    if (m_attempts.mayHaveRun() && !m_route->isRetryable())
+    if (m_attempts.mayHaveRun() && (!m_route->isRetryable() || m_isCrashTrial))
         return AttemptStop::NotAllowed;
     if (m_attempts.possibleRuns() >= maxAttempts())
         return AttemptStop::NotAllowed;
@@ -179,6 +183,7 @@
 EntryCall::AttemptOutcome EntryCall::awaitAnswer()
 {
     for (;;) {
+        awaitJudgement();
         if (const auto stop = attemptStopReason())
             return *stop;
         if (m_source == CallSource::Peer && m_traffic.relay().isCutOff(m_service))
@@ -217,6 +222,7 @@
             continue;
         }
         m_attempts.recordAnswer();
+        m_runStage = RunStage::Begun;
         auto &exchange = std::get<HttpExchange>(opened);
         if (!acceptsAnswer(exchange, *upstream))
             continue;
@@ -259,6 +265,7 @@
 void EntryCall::beginAttempt()
 {
     m_cancellation = std::make_shared<CallCancellation>();
+    m_runStage = RunStage::Waiting;
     if (m_isCallerGone || m_isShuttingDown)
         m_cancellation->cancel();
 }
@@ -348,6 +355,7 @@
     if (isCancelledByCaller(failure))
         return;
     countFailedAttempt(failure);
+    reportBroken(guard.upstream(), failure);
     recordUpstreamFailure(guard.upstream(), failure);
 }
 
@@ -380,6 +388,8 @@
     if (isCancelledByCaller(failure))
         return;
     recordTimeout(failure);
+    if (!answer.m_isRelayed)
+        reportBroken(answer.m_guard.upstream(), failure);
     const bool isRelayedStream = answer.m_isRelayed && m_route->m_kind == RouteRepeatSafety::Stream;
     if (isRelayedStream && failure.m_error.m_id != ErrorId::Cancelled)
         logAttemptFailure(answer.m_guard.upstream(), failure);
@@ -448,6 +458,8 @@
         }
         recordUsage();
         auto &reply = std::get<HttpReply>(reading);
+        if (reply.m_status / 100 == 2)
+            recordDelivery();
         const bool isServerError = reply.m_status >= 500;
         UpstreamPool::note(answer.m_guard.upstream(),
                            isServerError ? AttemptResult::ServerError : AttemptResult::Good,
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -39,9 +39,11 @@
     CutOff,
     /// A peer answered that the request has not run.
     AnsweredByPeer,
+    /// The request is known to crash its upstreams.
+    Quarantined,
 };
 
-inline constexpr NameTable<AttemptStop, 9> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 10> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
         {AttemptStop::NoSameVersion, "no-upstream-of-version"},
         {AttemptStop::NotAllowed, "not-allowed"},
@@ -51,6 +53,7 @@
         {AttemptStop::ListTooOld, "list-too-old"},
         {AttemptStop::CutOff, "cut-off"},
         {AttemptStop::AnsweredByPeer, "answered-by-peer"},
+        {AttemptStop::Quarantined, "quarantined"},
 }};
 
 /// Who has sent a request to this VM.
@@ -66,6 +69,15 @@
         {CallSource::Peer, "peer"},
 }};
 
+/// How far the current run of a request has come.
+enum class RunStage {
+    Waiting,
+    /// The header of its answer was received.
+    Begun,
+    /// A part of the answer was received that is whole by itself.
+    Delivering,
+};
+
 /// An upstream's answer whose header was received.
 struct UpstreamAnswer
 {
@@ -109,9 +121,16 @@
     void selectService();
     bool hasUpstreamToGoOn();
     bool canMeetDeadline();
+    bool isQuarantined();
+    bool rejectIfQuarantined();
+    void awaitJudgement();
+    void reportBroken(const PooledUpstream &upstream, const CallFailure &failure);
+    void recordDelivery();
     int priority() const;
     /// Returns the request's digest, which is computed when it is needed for the first time.
     const RequestDigest &digest();
+    /// Returns what of the request may be the cause of an upstream's end.
+    const CrashElements &crashElements();
     void serve();
     void serveBuffered();
     void serveStream();
@@ -193,6 +212,8 @@
     ServiceId m_service;
     CallBinding m_binding;
     std::optional<RequestDigest> m_digest;
+    std::optional<CrashElements> m_crashElements;
+    RunStage m_runStage = RunStage::Waiting;
     /// Cancels the current attempt.
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     TimePoint m_arrivedAt;
@@ -213,6 +234,8 @@
     std::optional<std::string> m_lastEventId;
     std::size_t m_events = 0;
     CallAttempts m_attempts;
+    /// The request is sent although it crashed its upstreams, to see whether it still does.
+    bool m_isCrashTrial = false;
     bool m_isUsageCounted = false;
     bool m_hasStreamStarted = false;
     bool m_isCallerGone = false;
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -57,6 +57,8 @@
     }
     if (refuseRelay(stop))
         return;
+    if (stop == AttemptStop::Quarantined && rejectIfQuarantined())
+        return;
     sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), retryAfter());
 }
 
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -144,6 +144,7 @@
         return std::nullopt;
     }
     m_attempts.recordAnswer();
+    m_runStage = RunStage::Begun;
     auto &exchange = std::get<HttpExchange>(opened);
     if (!acceptsAnswer(exchange, *moved.m_upstream))
         return std::nullopt;
@@ -241,6 +242,7 @@
     recordUsage();
     if (splitsEvents())
         return forwardEvents(piece, answer);
+    recordDelivery();
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
     ++m_events;
@@ -253,6 +255,7 @@
 {
     std::string bytes;
     for (const StreamEvent &event : m_splitter.push(piece)) {
+        recordDelivery();
         const auto number = eventNumber(event.m_id);
         const auto last = eventNumber(m_lastEventId);
         if (number && last && *number <= *last)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -124,6 +124,7 @@
                         [this, upstream, load] { m_peers.announceLoad(upstream, load); });
             });
             connectOrigins();
+            connectCrashes();
         });
         m_controlLoop.spawn([this] { m_peers.run(); });
         m_controlLoop.spawn([this] { m_registry.follow(); });
@@ -175,6 +176,20 @@
         m_traffic.origins().connect(announce, ask);
     }
 
+    /// Connects the traffic thread's broken runs with what the peers know of them.
+    void connectCrashes()
+    {
+        const auto report = [this](const BrokenRun &run) {
+            m_controlLoop.spawn([this, run] { m_peers.crashes().report(run); });
+        };
+        const auto proven = [this](const ServiceId &service, const CrashElements &elements) {
+            m_controlLoop.spawn([this, service, elements] {
+                m_peers.crashes().recordProof(service, elements);
+            });
+        };
+        m_traffic.crashes().connect(report, proven);
+    }
+
     std::optional<Error> listen()
     {
         auto callers = serve(m_settings.m_callerListen, m_trafficLoop,
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -45,7 +45,11 @@
     , m_writer(context, config, upstreams, m_table)
     , m_texts(context, config, upstreams, m_table, *this)
     , m_origins(context, m_table)
+    , m_crashes(context, m_table)
 {
+    m_crashes.onQuarantineChanged([this](const std::vector<QuarantineEntry> &entries) {
+        m_writer.setQuarantine(entries);
+    });
     m_config.onStoreReadFailed([this] { m_texts.startFetches(); });
     for (const Address &seed : context.m_settings.m_seeds)
         learn({}, textOf(seed), true);
@@ -91,6 +95,7 @@
             spawnExchange(peer);
         m_texts.startFetches();
         m_origins.resend();
+        m_crashes.update();
         if (isLargeFleet() && m_config.isStoreLost() && !m_config.isFetching()) {
             for (const KnownPeerPointer &peer : m_table.selectOutOfTurn(peersOutOfTurn))
                 spawnExchange(peer);
@@ -324,6 +329,14 @@
         return wire::encode(m_origins.answerRecord(received.streamOrigin));
     if (received.__isset.originQuestion)
         return wire::encode(m_origins.answerQuestion(received.originQuestion));
+    if (received.__isset.endReport)
+        return wire::encode(m_crashes.answerReport(received.endReport));
+    if (received.__isset.proofQuestion)
+        return wire::encode(m_crashes.answerQuestion(received.proofQuestion));
+    if (received.__isset.quarantine) {
+        m_crashes.merge(decodeQuarantine(received.quarantine, m_context.now()), std::string());
+        return wire::encode(entrywire::EntryExchange());
+    }
     if (received.__isset.textRequest)
         return answerText(received);
     if (received.digest.protocol != ExchangeWriter::protocolVersion)
@@ -389,6 +402,8 @@
         state.m_retries = decodeRetries(digest.retries, now);
     if (PeerTable::recordReceived(*peer, state, now))
         m_context.m_log.info("peer-heard-again", {{LogField::Peer, digest.node}});
+    if (!digest.quarantine.empty())
+        m_crashes.merge(decodeQuarantine(digest.quarantine, now), digest.node);
     for (const auto &known : digest.peers)
         learn(known.node, known.address, false);
     if (digest.dutyFence > 0)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -60,6 +60,7 @@
                                          settings.m_dataCentre, clock))
     , m_relay(loop, m_pool, clock, log, metrics, [this] { return draw(); })
     , m_origins(clock, metrics, settings.m_node.text())
+    , m_crashes(clock)
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
@@ -185,6 +186,12 @@
                 {LogField::AgeMillis, toMillis(now() - earlier.m_lastReportAt)}});
 }
 
+CrashKnowledge EntryTraffic::crashKnowledge(const ServiceId &service,
+                                            const CrashElements &elements) const
+{
+    return {m_crashes.provenOf(service, elements), m_relay.isCutOff(service)};
+}
+
 void EntryTraffic::removePeer(const std::string &node)
 {
     m_pool.removePeer(node);
--- a/src/entry/exchange_writer.cpp
+++ b/src/entry/exchange_writer.cpp
@@ -37,6 +37,7 @@
     entrywire::EntryDigest &digest = message.digest;
     fillOwnState(digest);
     fillReport(m_report, digest);
+    digest.quarantine = encodeQuarantine(m_quarantine, m_context.now());
     if (sendsRetries())
         digest.__set_retries(encodeRetries(m_report.m_retries, m_context.now()));
     if (peer && sendsEndedCountsTo(*peer))
--- a/src/entry/origin_exchange.cpp
+++ b/src/entry/origin_exchange.cpp
@@ -4,10 +4,10 @@
 #include <gypsumdale/runtime/frame_channel.hpp>
 #include <gypsumdale/wire/thrift_codec.hpp>
 
+#include <entry/peer_ranking.hpp>
+
 #include <entry_types.h>
 
-#include <algorithm> // min
-#include <map> // map
 #include <utility> // exchange
 
 #include <boost/fiber/future/promise.hpp>
@@ -56,21 +56,7 @@
 std::vector<KnownPeerPointer> OriginExchange::holders(const RequestId &request,
                                                       std::size_t count) const
 {
-    std::vector<OriginHolder> vms = {
-            {m_context.m_settings.m_node, m_context.m_settings.m_dataCentre}};
-    std::map<NodeId, KnownPeerPointer> byNode;
-    for (const KnownPeerPointer &peer : m_table.respondingPeers(m_context.now())) {
-        const NodeId node(peer->m_node);
-        byNode[node] = peer;
-        vms.push_back({node, peer->m_state.m_dataCentre});
-    }
-    const std::vector<NodeId> ranked = rankOriginHolders(request, vms);
-    std::vector<KnownPeerPointer> peers;
-    for (std::size_t rank = 0; rank < std::min(count, ranked.size()); ++rank) {
-        if (const auto found = byNode.find(ranked[rank]); found != byNode.end())
-            peers.push_back(found->second);
-    }
-    return peers;
+    return rankedPeers(m_context, m_table, request.text(), count);
 }
 
 void OriginExchange::announce(const StreamOriginRecord &record)
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -241,6 +241,74 @@
                           decodeRetries(earlier.history, now)};
 }
 
+std::vector<std::string> encodeElements(const CrashElements &elements)
+{
+    std::vector<std::string> encoded;
+    for (const CrashElement &element : elements)
+        encoded.push_back(element.text());
+    return encoded;
+}
+
+CrashElements decodeElements(const std::vector<std::string> &elements)
+{
+    CrashElements decoded;
+    for (const std::string &element : elements)
+        decoded.insert(CrashElement(element));
+    return decoded;
+}
+
+entrywire::UpstreamEnd encodeEnd(const UpstreamEnd &end, TimePoint now)
+{
+    entrywire::UpstreamEnd encoded;
+    encoded.upstream = end.m_process.m_id.text();
+    encoded.startedAt = end.m_process.m_startedAt;
+    encoded.serviceName = end.m_service.text();
+    encoded.ageMillis = toWholeMillis(now - end.m_endedAt);
+    for (const SuspectRun &suspect : end.m_runs) {
+        auto &run = encoded.runs.emplace_back();
+        run.elements = encodeElements(suspect.m_elements);
+        run.hasBegun = suspect.m_hasBegun;
+    }
+    return encoded;
+}
+
+UpstreamEnd decodeEnd(const entrywire::UpstreamEnd &end, TimePoint now)
+{
+    UpstreamEnd decoded;
+    decoded.m_process = {UpstreamId(end.upstream), end.startedAt};
+    decoded.m_service = ServiceId(end.serviceName);
+    decoded.m_endedAt = now - withinLimit(end.ageMillis);
+    for (const auto &run : end.runs)
+        decoded.m_runs.push_back({decodeElements(run.elements), run.hasBegun});
+    return decoded;
+}
+
+std::vector<entrywire::Quarantine> encodeQuarantine(const std::vector<QuarantineEntry> &entries,
+                                                    TimePoint now)
+{
+    std::vector<entrywire::Quarantine> encoded;
+    for (const QuarantineEntry &entry : entries) {
+        auto &sent = encoded.emplace_back();
+        sent.serviceName = entry.m_service.text();
+        sent.elements = encodeElements(entry.m_elements);
+        sent.times = entry.m_times;
+        sent.remainingMillis = std::max<std::int64_t>(toWholeMillis(entry.m_until - now), 0);
+        sent.isLifted = entry.m_isLifted;
+    }
+    return encoded;
+}
+
+std::vector<QuarantineEntry> decodeQuarantine(const std::vector<entrywire::Quarantine> &entries,
+                                              TimePoint now)
+{
+    std::vector<QuarantineEntry> decoded;
+    for (const auto &entry : entries) {
+        decoded.push_back({ServiceId(entry.serviceName), decodeElements(entry.elements),
+                           entry.times, now + withinLimit(entry.remainingMillis), entry.isLifted});
+    }
+    return decoded;
+}
+
 entrywire::StreamOrigin encodeOrigin(const StreamOriginRecord &record, TimePoint now)
 {
     entrywire::StreamOrigin origin;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -415,15 +415,18 @@
     return HttpExchange(std::move(exchange));
 }
 
-bool HttpClient::canConnect(const Endpoint &endpoint, Duration timeout)
+ConnectOutcome HttpClient::tryConnect(const Endpoint &endpoint, Duration timeout)
 {
     HttpCall call;
     call.m_endpoint = endpoint;
     call.m_connectTimeout = timeout;
     const auto stream = std::make_shared<Stream>(*detail::LoopCore::current());
-    const bool isConnected = !connect(call, stream);
+    const std::optional<CallFailure> failure = connect(call, stream);
     stream->close();
-    return isConnected;
+    if (!failure)
+        return ConnectOutcome::Connected;
+    return failure->m_error.m_id == ErrorId::UpstreamUnreachable ? ConnectOutcome::Refused
+                                                                 : ConnectOutcome::Unanswered;
 }
 
 CallResult<HttpReply> HttpClient::call(const HttpCall &call)
