Recognise streams that end with their connection inside an event

An answer with neither a length nor chunks ends with its connection, whatever closed that. Callers of a route whose events are not split got a stream that broke inside an event as a whole one; on others it was cut or went on, but nothing was logged, counted or held against the upstream. An upstream that ended after the header gave an empty success on both. Cause: EntryCall::forwardRun took any proper end of the connection for the end of the stream, and returned on half an event without recordBrokenAnswer.

Whole answers that end with their connection were forwarded before and are.

Change: a stream that ends with its connection is broken off without any event, inside an event, or while its run is being moved; an unsplit text/event-stream is watched for blank lines. It is recorded like any answer that breaks off, so that its run also counts where its upstream has crashed. Not told apart: a stream that is cut between two events, and a buffered answer without a length.

--- a/include/gypsumdale/serving/event_splitter.hpp
+++ b/include/gypsumdale/serving/event_splitter.hpp
@@ -32,4 +32,19 @@
     std::string m_pending;
 };
 
+/// Tells whether a stream that is passed on as it comes stands between two events.
+class EventBoundary
+{
+public:
+    /// Takes note of a piece. Complexity: constant.
+    void push(std::string_view piece);
+
+    /// Returns whether an event has begun and not ended.
+    bool isWithinEvent() const;
+
+private:
+    /// The last bytes of the stream.
+    std::string m_tail;
+};
+
 } // namespace gypsumdale
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -169,6 +169,7 @@
     std::optional<UpstreamAnswer> resumeMovedRun();
     std::shared_ptr<PlacementCallDeadline> deadlineAt(const PooledUpstream &upstream) const;
     bool splitsEvents() const;
+    bool isTruncated(const UpstreamAnswer &answer) const;
     void recordFirstEvent(UpstreamAnswer &answer);
     bool processBytes(const std::string &piece, UpstreamAnswer &answer);
     bool forwardEvents(const std::string &piece, UpstreamAnswer &answer);
@@ -231,6 +232,8 @@
     std::shared_ptr<StreamRun> m_run;
     std::optional<std::string> m_memory;
     EventSplitter m_splitter;
+    /// Of a stream that isn't split.
+    EventBoundary m_eventBoundary;
     std::optional<std::string> m_lastEventId;
     std::size_t m_events = 0;
     CallAttempts m_attempts;
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -213,8 +213,11 @@
         if (!processBytes(*text, answer))
             return false;
     }
-    if (m_splitter.hasPartial())
+    if (isTruncated(answer)) {
+        recordBrokenAnswer(answer, {{ErrorId::AnswerTruncated, "the stream ended within an event"},
+                                    SendPhase::AnswerStarted});
         return false;
+    }
     UpstreamPool::note(answer.m_guard.upstream(), AttemptResult::Good, m_traffic.now());
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
@@ -228,6 +231,20 @@
     return true;
 }
 
+/// Returns whether a stream that ended properly, as far as its connection tells, lacks its end. One
+/// without a length or chunks ends with its connection, whatever closed that.
+bool EntryCall::isTruncated(const UpstreamAnswer &answer) const
+{
+    const HttpHeaders &headers = answer.m_exchange.headers();
+    const bool isCloseDelimited =
+            headers.value("Content-Length").empty() && headers.value("Transfer-Encoding").empty();
+    const bool isMoved = m_run && (m_run->m_isMoving || m_run->m_moved);
+    if (isCloseDelimited && (isMoved || m_runStage != RunStage::Delivering))
+        return true;
+    const bool hasEvents = headers.value("Content-Type").starts_with("text/event-stream");
+    return m_splitter.hasPartial() || (hasEvents && m_eventBoundary.isWithinEvent());
+}
+
 /// The first bytes of an answer show that the prompt has been read.
 void EntryCall::recordFirstEvent(UpstreamAnswer &answer)
 {
@@ -243,6 +260,7 @@
     if (splitsEvents())
         return forwardEvents(piece, answer);
     recordDelivery();
+    m_eventBoundary.push(piece);
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
     ++m_events;
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -302,6 +302,7 @@
                                               TimePoint now)
 {
     std::vector<QuarantineEntry> decoded;
+    decoded.reserve(entries.size());
     for (const auto &entry : entries) {
         decoded.push_back({ServiceId(entry.serviceName), decodeElements(entry.elements),
                            entry.times, now + withinLimit(entry.remainingMillis), entry.isLifted});
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/serving/event_splitter.hpp>
 
+#include <algorithm> // min
 #include <cstddef> // size_t
 #include <utility> // move
 
@@ -64,4 +65,18 @@
     return events;
 }
 
+void EventBoundary::push(std::string_view piece)
+{
+    // An event ends with a blank line, of at most three bytes with the end of the line before.
+    constexpr std::size_t tailSize = 3;
+    m_tail += piece.substr(piece.size() - std::min(piece.size(), tailSize));
+    if (m_tail.size() > tailSize)
+        m_tail.erase(0, m_tail.size() - tailSize);
+}
+
+bool EventBoundary::isWithinEvent() const
+{
+    return !m_tail.empty() && !m_tail.ends_with("\n\n") && !m_tail.ends_with("\n\r\n");
+}
+
 } // namespace gypsumdale
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -170,6 +170,12 @@
     /// requests that run at most once, and one each for streams that may not and that may be
     /// resumed; and with `furtherRoutes` more. Running requests can be moved between the upstreams.
     void configure(int version, const std::vector<std::string> &keys, int furtherRoutes = 0)
+    {
+        m_store->put("config", "main", configuration(version, keys, furtherRoutes));
+    }
+
+    static Json configuration(int version, const std::vector<std::string> &keys,
+                              int furtherRoutes = 0)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumes) {
             return Json{{"name", prefix},   {"hostname", "h.example"},  {"path-prefix", prefix},
@@ -185,20 +191,19 @@
             const std::string prefix = fmt::format("/further-{}/{:0>150}/", number, number);
             routes.push_back(route(prefix.c_str(), "idempotent", 2, false));
         }
-        m_store->put("config", "main",
-                     {{"version", version},
-                      {"routes", routes},
-                      {"services",
-                       {{{"name", "app"},
-                         {"max-connections", 100},
-                         {"engine", {{"slots", 8}, {"moves", true}}}}}},
-                      {"limits", Json::object()},
-                      {"tenants",
-                       {{{"name", "huber"}, {"api-keys", keys}},
-                        {{"name", "meier"},
-                         {"api-keys", {limitedKey}},
-                         {"rate-per-s", limitedRate},
-                         {"burst", limitedBurst}}}}});
+        return {{"version", version},
+                {"routes", routes},
+                {"services",
+                 {{{"name", "app"},
+                   {"max-connections", 100},
+                   {"engine", {{"slots", 8}, {"moves", true}}}}}},
+                {"limits", Json::object()},
+                {"tenants",
+                 {{{"name", "huber"}, {"api-keys", keys}},
+                  {{"name", "meier"},
+                   {"api-keys", {limitedKey}},
+                   {"rate-per-s", limitedRate},
+                   {"burst", limitedBurst}}}}};
     }
 
     /// Key of an account with a quota, and that quota.
