Take whole events only as proof that a request is harmless

An upstream that crashes may cut its stream off in the middle of an event. Found by reading.

Change: an unsplit stream proves its elements where it stands between two events. The check for half an event at its end no longer asks for a content type: routes that stream carry events by contract, and split ones never asked.

--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -241,8 +241,7 @@
     const bool isMoved = m_run && (m_run->m_isMoving || m_run->m_moved);
     if (isCloseDelimited && (isMoved || m_runStage != RunStage::Delivering))
         return true;
-    const bool hasEvents = headers.value("Content-Type").starts_with("text/event-stream");
-    return m_splitter.hasPartial() || (hasEvents && m_eventBoundary.isWithinEvent());
+    return m_splitter.hasPartial() || m_eventBoundary.isWithinEvent();
 }
 
 /// The first bytes of an answer show that the prompt has been read.
@@ -259,8 +258,9 @@
     recordUsage();
     if (splitsEvents())
         return forwardEvents(piece, answer);
-    recordDelivery();
     m_eventBoundary.push(piece);
+    if (!m_eventBoundary.isWithinEvent())
+        recordDelivery();
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
     ++m_events;
--- a/tests/src/process-entry-close-delimited.cpp
+++ b/tests/src/process-entry-close-delimited.cpp
@@ -23,7 +23,7 @@
         : EntryWorld(1, false, std::nullopt, {"v1"})
     {
         if (!movesRuns)
-            configureWithoutMoves();
+            configureWithoutMoves(2);
         store().put("servers", upstream(0).id(),
                     {{"service", "app"},
                      {"address", fmt::format("127.0.0.1:{}", m_raw.port())},
@@ -73,14 +73,6 @@
     RawUpstream m_raw;
 
 private:
-    void configureWithoutMoves()
-    {
-        Json config = configuration(2, {"key"});
-        config["services"][0].erase("engine");
-        store().put("config", "main", config);
-        waitUntilLogged("\"config_version\":2");
-    }
-
     int m_sent = 0;
 };
 
--- a/tests/src/process-entry-crashing-parts.cpp
+++ b/tests/src/process-entry-crashing-parts.cpp
@@ -128,3 +128,19 @@
     CHECK_FALSE(answer.m_headers.value("Retry-After").empty());
     CHECK(world.ends() == before);
 }
+
+// Guards against a part of an event being taken for a delivery, which would prove the part
+// harmless.
+TEST_CASE("a prompt part that crashes its upstreams within an event is found")
+{
+    const std::string target = GENERATE("/draft/x", "/stream/x");
+    CrashWorld world(vms);
+    world.writePartialEvents();
+    world.configureWithoutMoves(2);
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        world.sendCrashingPart(static_cast<std::size_t>(attempt) % world.nodeCount(), target);
+        std::this_thread::sleep_for(betweenAttempts);
+    }
+    CAPTURE(target);
+    CHECK(world.ends() <= toleratedEnds);
+}
--- a/tests/support/crash_world.hpp
+++ b/tests/support/crash_world.hpp
@@ -73,11 +73,14 @@
         return send(index, crashingBody, fmt::format("crash-{}", m_sent++));
     }
 
+    /// Lets upstreams write a part of an event before they crash.
+    void writePartialEvents() { m_writesPartialEvents = true; }
+
     /// Sends a request with the part that crashes its upstreams to a VM. No two are alike.
-    EntryAnswer sendCrashingPart(std::size_t index)
+    EntryAnswer sendCrashingPart(std::size_t index, const std::string &target = "/stream/x")
     {
         const int number = m_sent++;
-        return sendParts(index, number,
+        return sendParts(index, target, number,
                          fmt::format("{}:100,{}:40,c{:06x}:10", sharedPart, crashingPart, number));
     }
 
@@ -92,8 +95,8 @@
     bool isPromptServed(std::size_t index)
     {
         const int number = m_sent++;
-        return isServed(
-                sendParts(index, number, fmt::format("{}:100,a{:06x}:10", sharedPart, number)));
+        return isServed(sendParts(index, "/stream/x", number,
+                                  fmt::format("{}:100,a{:06x}:10", sharedPart, number)));
     }
 
     /// Returns whether an answer is complete.
@@ -115,9 +118,10 @@
         return callWith(node(index), "/stream/x", id, body, 8000);
     }
 
-    EntryAnswer sendParts(std::size_t index, int number, const std::string &parts)
+    EntryAnswer sendParts(std::size_t index, const std::string &target, int number,
+                          const std::string &parts)
     {
-        return askParts(node(index), "/stream/x", fmt::format("p-{}", number),
+        return askParts(node(index), target, fmt::format("p-{}", number),
                         fmt::format("prompt {}", number), parts, 8000);
     }
 
@@ -132,6 +136,8 @@
     {
         responder.begin(200, headers);
         if (isCrashing(request)) {
+            if (m_writesPartialEvents)
+                responder.write("id: 1\nda");
             sleepFiber(timeToCrash);
             ++m_ends;
             crash(index);
@@ -186,6 +192,7 @@
     std::vector<std::optional<std::chrono::steady_clock::time_point>> m_crashedAt;
     /// Of the processes that run, or ran last. Used by the restarter only.
     std::vector<std::string> m_ids;
+    std::atomic<bool> m_writesPartialEvents = false;
     std::atomic<int> m_ends = 0;
     std::atomic<int> m_sent = 0;
     int m_restarts = 0;
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -174,6 +174,18 @@
         m_store->put("config", "main", configuration(version, keys, furtherRoutes));
     }
 
+    /// Writes a configuration version with the same routes, without runs that can be moved: streams
+    /// that may not be resumed are then passed on as they come. Waits until all VMs use it.
+    void configureWithoutMoves(int version)
+    {
+        Json config = configuration(version, {"key"});
+        config["services"][0].erase("engine");
+        m_store->put("config", "main", config);
+        const std::string text = fmt::format("\"config_version\":{}", version);
+        for (const EntryNode &node : m_nodes)
+            waitUntil("it is used", [&] { return fullLog(node).find(text) != std::string::npos; });
+    }
+
     static Json configuration(int version, const std::vector<std::string> &keys,
                               int furtherRoutes = 0)
     {
