Let quarantine entries grow old at all VMs

Once the time of an entry was over, what remained of it travelled as zero, so that the receiver took "until now" for later than what it knew: two VMs renewed the entry for each other with every exchange.

Change: the time travels with its sign.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -123,6 +123,7 @@
   2: list<string> elements
   /// How often they were found to.
   3: i32 times
+  /// Milliseconds until one may be tried; negative once they are over.
   4: i64 remainingMillis
   5: bool isLifted
 }
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -292,7 +292,7 @@
         sent.serviceName = entry.m_service.text();
         sent.elements = encodeElements(entry.m_elements);
         sent.times = entry.m_times;
-        sent.remainingMillis = std::max<std::int64_t>(toWholeMillis(entry.m_until - now), 0);
+        sent.remainingMillis = toWholeMillis(entry.m_until - now);
         sent.isLifted = entry.m_isLifted;
     }
     return encoded;
@@ -304,8 +304,11 @@
     std::vector<QuarantineEntry> decoded;
     decoded.reserve(entries.size());
     for (const auto &entry : entries) {
+        const std::int64_t remaining =
+                std::clamp(entry.remainingMillis, -maxAge.count(), maxAge.count());
+        const TimePoint until = now + std::chrono::milliseconds(remaining);
         decoded.push_back({ServiceId(entry.serviceName), decodeElements(entry.elements),
-                           entry.times, now + withinLimit(entry.remainingMillis), entry.isLifted});
+                           entry.times, until, entry.isLifted});
     }
     return decoded;
 }
