--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -11,6 +11,7 @@
 
 #include <entry/request_limits.hpp>
 #include <entry/request_servers.hpp>
+#include <entry/thread_connections.hpp>
 
 #include <algorithm> // min
 #include <atomic> // atomic
@@ -116,16 +117,7 @@
                      {LogField::State, m_settings.m_isFirstStart ? "first-start" : "restart"}});
         m_controlLoop.spawn([this] { m_config.follow(); });
         m_controlLoop.spawn([this] { m_upstreams.follow(); });
-        m_trafficLoop.call([this] {
-            m_traffic.onRetriesTaken(
-                    [this] { m_controlLoop.spawn([this] { m_peers.reportRetries(); }); });
-            m_traffic.onLongPromptPlaced([this](const UpstreamId &upstream, InFlightLoad load) {
-                m_controlLoop.spawn(
-                        [this, upstream, load] { m_peers.announceLoad(upstream, load); });
-            });
-            connectOrigins();
-            connectCrashes();
-        });
+        m_trafficLoop.call([this] { connectThreads(m_context, m_peers); });
         m_controlLoop.spawn([this] { m_peers.run(); });
         m_controlLoop.spawn([this] { m_registry.follow(); });
         m_controlLoop.spawn([this] { m_storeRelay.run(); });
@@ -164,32 +156,6 @@
     }
 
 private:
-    /// Connects the traffic thread's records of streams' origins with those of the peers.
-    void connectOrigins()
-    {
-        const auto announce = [this](const StreamOriginRecord &record) {
-            m_controlLoop.spawn([this, record] { m_peers.origins().announce(record); });
-        };
-        const auto ask = [this](const RequestId &request) {
-            return m_controlLoop.call([this, request] { return m_peers.origins().ask(request); });
-        };
-        m_traffic.origins().connect(announce, ask);
-    }
-
-    /// Connects the traffic thread's broken runs with what the peers know of them.
-    void connectCrashes()
-    {
-        const auto report = [this](const BrokenRun &run) {
-            m_controlLoop.spawn([this, run] { m_peers.crashes().report(run); });
-        };
-        const auto proven = [this](const ServiceId &service, const CrashElements &elements) {
-            m_controlLoop.spawn([this, service, elements] {
-                m_peers.crashes().recordProof(service, elements);
-            });
-        };
-        m_traffic.crashes().connect(report, proven);
-    }
-
     std::optional<Error> listen()
     {
         auto callers = serve(m_settings.m_callerListen, m_trafficLoop,
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -1,5 +1,6 @@
 #include <gypsumdale/runtime/http_client.hpp>
 
+#include <runtime/detail/call_failure.hpp>
 #include <runtime/detail/connection_pool.hpp>
 #include <runtime/detail/deadline_watch.hpp>
 #include <runtime/detail/message_parser.hpp>
@@ -18,6 +19,10 @@
 
 namespace {
 
+using detail::connectFailure;
+using detail::deadlinePassed;
+using detail::failure;
+using detail::nameOf;
 using detail::Stream;
 using detail::StreamStatus;
 namespace asio = boost::asio;
@@ -29,36 +34,6 @@
 /// Interval at which a request that the other side doesn't read is checked for an early answer.
 constexpr Duration earlyAnswerCheckInterval = std::chrono::milliseconds(50);
 
-std::string nameOf(const Endpoint &endpoint)
-{
-    const bool isVersion6 = endpoint.m_address.find(':') != std::string::npos;
-    if (isVersion6)
-        return fmt::format("[{}]:{}", endpoint.m_address, endpoint.m_port);
-    return fmt::format("{}:{}", endpoint.m_address, endpoint.m_port);
-}
-
-CallFailure failure(SendPhase phase, ErrorId id, const Endpoint &endpoint, std::string_view what)
-{
-    return CallFailure{Error{id, fmt::format("{}: {}", nameOf(endpoint), what)}, phase};
-}
-
-/// Returns the failure of a connection that could not be opened.
-CallFailure connectFailure(const Endpoint &endpoint, StreamStatus status)
-{
-    if (status == StreamStatus::TimedOut)
-        return failure(SendPhase::NothingSent, ErrorId::Timeout, endpoint, "connecting timed out");
-    if (status == StreamStatus::Closed)
-        return failure(SendPhase::NothingSent, ErrorId::Cancelled, endpoint, "cancelled");
-    return failure(SendPhase::NothingSent, ErrorId::UpstreamUnreachable, endpoint,
-                   "cannot connect");
-}
-
-CallFailure deadlinePassed(const Endpoint &endpoint)
-{
-    return failure(SendPhase::NothingSent, ErrorId::TermOver, endpoint,
-                   "the delivery deadline passed before sending");
-}
-
 } // namespace
 
 /// State of an exchange, from the first byte of the request to the last byte of the answer.
