--- a/tests/src/fuzz-entry-crashing-chance.cpp
+++ b/tests/src/fuzz-entry-crashing-chance.cpp
@@ -37,7 +37,13 @@
     faults.m_hasWaves = true;
     for (const std::uint32_t seed : {164, 790})
         CHECK(wronglyRejected(busyCrashFleet, faults, seed) == 0);
+    CrashFaults persistent = faults;
+    persistent.m_triesWithoutLimit = true;
+    CHECK(wronglyRejected(busyCrashFleet, persistent, 164) == 0);
     faults.m_hasCutPaths = true;
     faults.m_hasKilledVms = true;
+    persistent.m_hasCutPaths = true;
+    persistent.m_hasKilledVms = true;
     CHECK(wronglyRejected(smallCrashFleet, faults, 186) == 0);
+    CHECK(wronglyRejected(smallCrashFleet, persistent, 186) == 0);
 }
--- a/tests/src/fuzz-entry-crashing-requests.cpp
+++ b/tests/src/fuzz-entry-crashing-requests.cpp
@@ -14,45 +14,9 @@
 constexpr int toleratedArrivals = 3;
 constexpr std::uint32_t controlPlays = 5;
 
-CrashFaults lethal(std::size_t requests, std::size_t parts)
-{
-    CrashFaults faults;
-    faults.m_lethalRequests = requests;
-    faults.m_lethalParts = parts;
-    return faults;
-}
-
-CrashFaults withSiblings(CrashFaults faults)
-{
-    faults.m_hasSiblings = true;
-    return faults;
-}
-
-CrashFaults withWaves(CrashFaults faults)
-{
-    faults.m_hasWaves = true;
-    return faults;
-}
-
-CrashFaults withCutPaths(CrashFaults faults)
-{
-    faults.m_hasCutPaths = true;
-    return faults;
-}
-
-CrashFaults withKilledVms(CrashFaults faults)
-{
-    faults.m_hasKilledVms = true;
-    return faults;
-}
-
 /// Everything but requests that crash their upstreams.
-CrashFaults onlyOthers()
-{
-    CrashFaults faults = withKilledVms(withCutPaths(withWaves({})));
-    faults.m_hasPartedVms = true;
-    return faults;
-}
+constexpr CrashFaults onlyOthers{
+        .m_hasWaves = true, .m_hasCutPaths = true, .m_hasKilledVms = true, .m_hasPartedVms = true};
 
 /// Returns whether no sound request was rejected as a lethal one, and few lethal ones reached
 /// upstreams once they were known.
@@ -86,59 +50,76 @@
 // against others being taken for their cause.
 TEST_CASE("what crashes its upstreams is found in a small fleet")
 {
-    checkSmallFleets(lethal(1, 0));
-    checkSmallFleets(lethal(0, 1));
+    checkSmallFleets({.m_lethalRequests = 1});
+    checkSmallFleets({.m_lethalParts = 1});
 }
 
 TEST_CASE("two causes at once are found in a small fleet")
 {
-    checkSmallFleets(lethal(0, 2));
-    checkSmallFleets(lethal(1, 1));
+    checkSmallFleets({.m_lethalParts = 2});
+    checkSmallFleets({.m_lethalRequests = 1, .m_lethalParts = 1});
 }
 
 TEST_CASE("a part that is sent beside one which crashes its upstreams is not rejected")
 {
-    checkSmallFleets(withSiblings(lethal(0, 1)));
+    checkSmallFleets({.m_lethalParts = 1, .m_hasSiblings = true});
 }
 
 TEST_CASE("what crashes its upstreams is found while paths to upstreams are cut")
 {
-    checkSmallFleets(withCutPaths(lethal(0, 1)));
+    checkSmallFleets({.m_lethalParts = 1, .m_hasCutPaths = true});
 }
 
 TEST_CASE("what crashes its upstreams is found while others crash by themselves")
 {
-    checkSmallFleets(withWaves(lethal(0, 1)));
-    checkSmallFleets(withWaves(lethal(1, 0)));
+    checkSmallFleets({.m_lethalParts = 1, .m_hasWaves = true});
+    checkSmallFleets({.m_lethalRequests = 1, .m_hasWaves = true});
 }
 
 TEST_CASE("what crashes its upstreams is found while VMs are killed")
 {
-    checkSmallFleets(withKilledVms(lethal(0, 1)));
+    checkSmallFleets({.m_lethalParts = 1, .m_hasKilledVms = true});
 }
 
 TEST_CASE("what crashes its upstreams is found in large fleets")
 {
-    checkLargeFleets(lethal(0, 1));
-    checkLargeFleets(lethal(1, 2));
-    checkLargeFleets(withCutPaths(withWaves(lethal(0, 1))));
+    checkLargeFleets({.m_lethalParts = 1});
+    checkLargeFleets({.m_lethalRequests = 1, .m_lethalParts = 2});
+    checkLargeFleets({.m_lethalParts = 1, .m_hasWaves = true, .m_hasCutPaths = true});
 }
 
 // Guards against requests being taken for the cause of crashes of upstreams, cut paths and killed
 // VMs.
 TEST_CASE("nothing is found where upstreams crash by themselves")
 {
-    checkSmallFleets(onlyOthers());
-    checkLargeFleets(onlyOthers());
+    checkSmallFleets(onlyOthers);
+    checkLargeFleets(onlyOthers);
+}
+
+// Guards against a popular part being rejected, as the report of a run that ended an upstream comes
+// after that of another one there.
+TEST_CASE("a part of all requests is not rejected right after the start of a fleet")
+{
+    CHECK(isKept(smallCrashFleet, {.m_lethalParts = 1}, 92));
+    CHECK(isKept(smallCrashFleet, {.m_lethalParts = 1, .m_triesWithoutLimit = true}, 92));
+}
+
+// Guards against a request being rejected whose attempts hadn't all begun at three upstreams that
+// crashed by themselves.
+TEST_CASE("a request that waited at an upstream which crashed is not rejected")
+{
+    for (const std::uint32_t seed : {2, 24}) {
+        CHECK(isKept(busyCrashFleet, {.m_lethalParts = 1, .m_hasWaves = true}, seed));
+        CHECK(isKept(busyCrashFleet,
+                     {.m_lethalParts = 1, .m_hasWaves = true, .m_triesWithoutLimit = true}, seed));
+    }
 }
 
 // Guards against plays that would pass without the decisions that they are about.
 TEST_CASE("plays fail without verdicts and without proofs")
 {
-    CrashFaults noVerdicts = lethal(0, 1);
-    noVerdicts.m_findsNothing = true;
-    CrashFaults noProofs = lethal(0, 1);
-    noProofs.m_ignoresProofs = true;
+    constexpr CrashFaults noVerdicts{.m_lethalParts = 1, .m_findsNothing = true};
+    constexpr CrashFaults noProofs{.m_lethalParts = 1, .m_ignoresProofs = true};
     int wronglyRejected = 0;
     for (std::uint32_t seed = 1; seed <= controlPlays; ++seed) {
         CHECK(CrashSimulation(smallCrashFleet, noVerdicts, seed).play().m_mostLateArrivals
--- a/tests/support/crash_plan.hpp
+++ b/tests/support/crash_plan.hpp
@@ -33,6 +33,8 @@
     bool m_hasKilledVms = false;
     /// VMs that reach no other VM for seconds.
     bool m_hasPartedVms = false;
+    /// Requests are tried at upstreams that refuse them without a limit.
+    bool m_triesWithoutLimit = false;
     /// Runs that delivered something prove nothing.
     bool m_ignoresProofs = false;
     /// Nothing is ever found to be the cause of ends.
--- a/tests/support/crash_simulation.hpp
+++ b/tests/support/crash_simulation.hpp
@@ -264,7 +264,8 @@
         const std::size_t index = below(m_upstreams.size());
         if (!m_upstreams[index].m_isUp) {
             reportRefused(request->m_vm, index);
-            if (++request->m_refusals % maxRefusals == 0) {
+            const bool isGivenUp = ++request->m_refusals % maxRefusals == 0;
+            if (isGivenUp && !m_faults.m_triesWithoutLimit) {
                 repeatRequest(request);
                 return;
             }
