Show what is rejected as crashing its upstreams, and let operators lift it

On-call could see a verdict in the logs only, and a wrong one lasted until its trial, a minute or more. `gypsumctl quarantine` lists the entries of any entry process, at its address for metrics; `quarantine lift ID` ends one at all VMs: the process that is asked tells its peers at once and with each exchange, as it does when a run delivers something. Entry processes know no operators' credentials, so a list is given to whoever reads metrics, and a lift is taken from the machine itself only.

Entries that are dropped for lack of room are logged; they were counted for nobody.

--- a/include/gypsumdale/entry/crash_exchange.hpp
+++ b/include/gypsumdale/entry/crash_exchange.hpp
@@ -12,6 +12,7 @@
 #include <memory> // shared_ptr
 #include <set> // set
 #include <string> // string
+#include <string_view> // string_view
 #include <utility> // move
 #include <vector> // vector
 
@@ -65,6 +66,12 @@
     /// Takes over what a peer rejects. `peer` is its name, empty if it isn't known.
     void merge(const std::vector<QuarantineEntry> &told, const std::string &peer);
 
+    /// Returns what is rejected, or was.
+    std::vector<QuarantineEntry> entries() const { return m_quarantine.entries(); }
+
+    /// Ends the entry with an id, by hand, at all VMs. Returns whether there is one.
+    bool lift(std::string_view id);
+
     /// Drops what is old, and settles which VM may try what is due. To be called regularly.
     void update();
 
--- a/include/gypsumdale/runtime/http_status.hpp
+++ b/include/gypsumdale/runtime/http_status.hpp
@@ -7,6 +7,7 @@
 inline constexpr int statusCreated = 201;
 inline constexpr int statusNoContent = 204;
 inline constexpr int statusUnauthorized = 401;
+inline constexpr int statusForbidden = 403;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusConflict = 409;
 inline constexpr int statusGone = 410;
--- a/include/gypsumdale/serving/crash_quarantine.hpp
+++ b/include/gypsumdale/serving/crash_quarantine.hpp
@@ -7,7 +7,9 @@
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
 #include <map> // map
-#include <utility> // pair
+#include <string> // string
+#include <string_view> // string_view
+#include <utility> // exchange, pair
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -29,13 +31,18 @@
     bool m_isTrialHere = false;
 };
 
+/// Returns a short id of an entry, the same at all VMs, by which operators name it. Complexity:
+/// linear in its elements.
+std::string idOf(const QuarantineEntry &entry);
+
 /// What crashes its upstreams, as one VM knows it. Each time that it is found again, it is rejected
 /// for twice as long, so that a wrong verdict, or one on software that was mended since, ends with
 /// a single trial.
 class CrashQuarantine
 {
 public:
-    /// Rejects requests from now on. Entries that are narrower than an earlier one replace it.
+    /// Rejects requests from now on. An entry replaces earlier ones that hold all its elements and
+    /// more.
     /// Returns what is to be told to the peers. Complexity: linear in the entries.
     const QuarantineEntry &add(const ServiceId &service, const CrashElements &elements,
                                bool isLocal, TimePoint now);
@@ -47,6 +54,10 @@
     /// something. Returns the number. Complexity: linear in the entries.
     std::size_t lift(const CrashElements &request);
 
+    /// Ends the entry with an id, by hand. Returns what is to be told to the peers, or nullptr if
+    /// there is none that rejects. Complexity: linear in the entries.
+    const QuarantineEntry *liftById(std::string_view id);
+
     /// Returns whether something was found to be a cause, and is due to be tried again.
     bool isExpired(const ServiceId &service, const CrashElements &elements, TimePoint now) const;
 
@@ -62,8 +73,8 @@
     /// Drops what was not found to be a cause again for long. Complexity: linear.
     void expire(TimePoint now);
 
-    /// Returns how many entries were dropped for lack of room.
-    std::uint64_t dropped() const { return m_dropped; }
+    /// Returns how many entries were dropped for lack of room since the last call.
+    std::uint64_t takeDropped() { return std::exchange(m_dropped, 0); }
 
 private:
     using Key = std::pair<ServiceId, CrashElements>;
--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -59,7 +59,8 @@
     request.m_headerTimeout = answerTimeout;
     request.m_silenceTimeout = answerTimeout;
     request.m_requiresNewConnection = call.m_resend == Resend::IfNothingSent;
-    request.m_headers.add("Authorization", "Bearer " + m_credential);
+    if (!m_credential.empty())
+        request.m_headers.add("Authorization", "Bearer " + m_credential);
     return m_transport(request);
 }
 
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -37,8 +37,10 @@
 
 /// Groups of options that a command can support in addition to --help.
 enum class OptionGroup {
-    /// --entry, --operator-key-file, --json
+    /// --entry, --json
     Entry,
+    /// --operator-key-file
+    Credential,
     /// --file, --kind, --name
     Document,
     /// --base-version
@@ -95,6 +97,7 @@
 ExitCode runExplain(Session &session);
 ExitCode runExplainFromLogs(Session &session);
 ExitCode runDrain(Session &session);
+ExitCode runQuarantine(Session &session);
 ExitCode runKeys(Session &session);
 
 } // namespace gypsumdale::ctl
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -27,7 +27,7 @@
 /// Group of each option; --help belongs to all commands.
 constexpr std::array<OptionInGroup, 10> groupedOptions = {{
         {"entry", OptionGroup::Entry},
-        {"operator-key-file", OptionGroup::Entry},
+        {"operator-key-file", OptionGroup::Credential},
         {"json", OptionGroup::Entry},
         {"file", OptionGroup::Document},
         {"kind", OptionGroup::Document},
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -106,6 +106,27 @@
                     eventsView());
 }
 
+ExitCode runQuarantine(Session &session)
+{
+    const auto &words = session.m_invocation.m_positionals;
+    if (words.empty())
+        return showList(session, "/-/quarantine", quarantineView());
+    if (words.size() != 2 || words[0] != "lift") {
+        session.m_surroundings.m_printError("gypsumctl: usage: gypsumctl quarantine [lift ID]\n");
+        return ExitCode::Usage;
+    }
+    // Lifting is idempotent, so the call may be sent again.
+    const AdminResult result = session.m_client.call(
+            {"POST", "/-/quarantine/lift/" + encodeSegment(words[1]), "", Resend::Always, false});
+    if (const auto *failure = std::get_if<AdminFailure>(&result))
+        return complain(session, *failure);
+    const HttpReply &reply = std::get<HttpReply>(result);
+    if (exitCodeFor(reply) != ExitCode::Ok)
+        return complain(session, reply);
+    session.m_surroundings.m_print(fmt::format("lifted {}\n", words[1]));
+    return ExitCode::Ok;
+}
+
 ExitCode runDrain(Session &session)
 {
     const auto &words = session.m_invocation.m_positionals;
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -18,7 +18,7 @@
              "Show the status of the entry VM that answers.",
              "Example:\n"
              "  gypsumctl --entry 10.0.1.4:8081 status\n",
-             {Entry},
+             {Entry, Credential},
              0,
              0,
              runStatus},
@@ -28,7 +28,7 @@
              "HEARD is the time since the last received report of the node.\n\n"
              "Example:\n"
              "  gypsumctl nodes\n",
-             {Entry},
+             {Entry, Credential},
              0,
              0,
              runNodes},
@@ -37,7 +37,7 @@
              "List the upstreams with their state, load and reason.",
              "Example:\n"
              "  gypsumctl upstreams\n",
-             {Entry},
+             {Entry, Credential},
              0,
              0,
              runUpstreams},
@@ -46,7 +46,7 @@
              "List the members with their share of the fleet.",
              "Example:\n"
              "  gypsumctl members\n",
-             {Entry},
+             {Entry, Credential},
              0,
              0,
              runMembers},
@@ -55,7 +55,7 @@
              "List the durable jobs and which node runs them.",
              "Example:\n"
              "  gypsumctl jobs --json\n",
-             {Entry},
+             {Entry, Credential},
              0,
              0,
              runJobs},
@@ -67,7 +67,7 @@
              "Examples:\n"
              "  gypsumctl get\n"
              "  gypsumctl get profile phone > phone.yaml\n",
-             {Entry},
+             {Entry, Credential},
              0,
              2,
              runGet},
@@ -87,7 +87,7 @@
              "  gypsumctl get profile phone > phone.yaml\n"
              "  vi phone.yaml\n"
              "  gypsumctl apply -f phone.yaml --wait --timeout 30\n",
-             {Entry, Document, Version, Wait, Timeout},
+             {Entry, Credential, Document, Version, Wait, Timeout},
              0,
              1000,
              runApply},
@@ -97,7 +97,7 @@
              "Lines of the current version begin with '-', lines of the file with '+'.\n\n"
              "Example:\n"
              "  gypsumctl diff -f phone.yaml\n",
-             {Entry, Document},
+             {Entry, Credential, Document},
              0,
              1000,
              runDiff},
@@ -108,7 +108,7 @@
              "\n"
              "Example:\n"
              "  gypsumctl watch profile phone --timeout 60\n",
-             {Entry, Timeout},
+             {Entry, Credential, Timeout},
              2,
              2,
              runWatch},
@@ -135,7 +135,7 @@
              "read instead (- is standard input) and merged in time order, with clock offsets\n"
              "corrected. Only logs can explain `config VERSION` and `window NUMBER`.\n\n"
              "  gypsumctl explain request f3eccc41d981904d --log entry-*.log\n",
-             {Entry, Logs},
+             {Entry, Credential, Logs},
              2,
              2,
              runExplain},
@@ -147,10 +147,24 @@
              "Examples:\n"
              "  gypsumctl drain upstream runner-7\n"
              "  gypsumctl drain node olten-a-1\n",
-             {Entry},
+             {Entry, Credential},
              2,
              2,
              runDrain},
+            {"quarantine",
+             "quarantine [lift ID]",
+             "Show what is rejected as crashing its upstreams, or lift it.",
+             "Asks an entry process of the platform (--entry is its address for metrics). Each\n"
+             "knows what all know. An entry is lifted for all VMs at once, and only from the\n"
+             "machine of the process that is asked. Should it crash its upstreams still, it is\n"
+             "found again.\n\n"
+             "Examples:\n"
+             "  gypsumctl quarantine --entry 10.0.1.4:9464\n"
+             "  gypsumctl quarantine lift 5b0c91d2e7aa --entry 10.0.1.4:9464\n",
+             {Entry},
+             0,
+             2,
+             runQuarantine},
             {"keys",
              "keys new|hash",
              "Create a key, or the hash of a key for a member's document.",
--- a/src/ctl/run_tool.cpp
+++ b/src/ctl/run_tool.cpp
@@ -89,6 +89,8 @@
     Result<std::vector<Endpoint>> entries = readEntries(invocation, surroundings);
     if (!succeeded(entries))
         return errorOf(entries);
+    if (!invocation.m_command->takes(OptionGroup::Credential))
+        return AdminClient(valueOf(std::move(entries)), "", surroundings.m_transport);
     Result<std::string> credential = readCredential(invocation, surroundings);
     if (!succeeded(credential))
         return errorOf(credential);
--- a/src/ctl/view.cpp
+++ b/src/ctl/view.cpp
@@ -83,6 +83,19 @@
     return view;
 }
 
+const ListView &quarantineView()
+{
+    static const ListView view = {"entries",
+                                  {{"id", "ID", Show::Text},
+                                   {"service", "SERVICE", Show::Text},
+                                   {"state", "STATE", Show::Text},
+                                   {"remainingMillis", "REMAINING", Show::Seconds},
+                                   {"times", "TIMES", Show::Number},
+                                   {"known", "KNOWN", Show::Text},
+                                   {"elements", "ELEMENTS", Show::Text}}};
+    return view;
+}
+
 const ListView &objectsView()
 {
     static const ListView view = {"objects",
--- a/src/ctl/view.hpp
+++ b/src/ctl/view.hpp
@@ -34,6 +34,8 @@
 const ListView &jobsView();
 const ListView &objectsView();
 const ListView &eventsView();
+/// Layout of what an entry process rejects as crashing its upstreams.
+const ListView &quarantineView();
 
 /// Formats one member for display: milliseconds as seconds, times as UTC. Complexity: constant.
 std::string cellText(const Json &object, const ViewColumn &column);
--- a/src/entry/crash_exchange.cpp
+++ b/src/entry/crash_exchange.cpp
@@ -203,6 +203,8 @@
                                bool isAlone)
 {
     const QuarantineEntry entry = m_quarantine.add(service, elements, isAlone, m_context.now());
+    if (const std::uint64_t dropped = m_quarantine.takeDropped())
+        m_context.m_log.warning("quarantine-dropped", {{LogField::Count, dropped}});
     m_context.m_log.warning(
             "requests-quarantined",
             {service,
@@ -219,13 +221,29 @@
 {
     m_suspects.clear(elements);
     if (m_quarantine.lift(elements) > 0) {
-        m_context.m_log.info("quarantine-lifted", {service, {LogField::Text, textOf(elements)}});
+        m_context.m_log.info(
+                "quarantine-lifted",
+                {service, {LogField::Text, textOf(elements)}, {LogField::Reason, "delivered"}});
         tellQuarantine();
     }
     findCauses(service, false);
     publish();
 }
 
+bool CrashExchange::lift(std::string_view id)
+{
+    const QuarantineEntry *entry = m_quarantine.liftById(id);
+    if (entry == nullptr)
+        return false;
+    m_suspects.clear(entry->m_elements);
+    m_context.m_log.warning("quarantine-lifted", {entry->m_service,
+                                                  {LogField::Text, textOf(entry->m_elements)},
+                                                  {LogField::Reason, "by-hand"}});
+    publish();
+    tellQuarantine();
+    return true;
+}
+
 CrashKnowledge CrashExchange::ownKnowledge(const ServiceId &service, const CrashElements &elements)
 {
     return m_context.m_trafficLoop.call(
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -9,6 +9,7 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
+#include <entry/quarantine_page.hpp>
 #include <entry/request_limits.hpp>
 #include <entry/request_servers.hpp>
 #include <entry/thread_connections.hpp>
@@ -177,8 +178,11 @@
         if (!m_settings.m_metricsListen)
             return std::nullopt;
         auto metrics = serve(*m_settings.m_metricsListen, m_controlLoop,
-                             [this](const HttpRequest &, HttpResponder &responder) {
-                                 responder.send(exposeMetrics());
+                             [this](const HttpRequest &request, HttpResponder &responder) {
+                                 if (isQuarantinePage(request))
+                                     responder.send(quarantinePage(request));
+                                 else
+                                     responder.send(exposeMetrics());
                              });
         if (!succeeded(metrics))
             return errorOf(metrics);
@@ -239,6 +243,17 @@
         return reply;
     }
 
+    HttpReply quarantinePage(const HttpRequest &request)
+    {
+        const bool isLocal = isLoopback(request.m_remoteAddress)
+                             || request.m_remoteAddress == m_settings.m_metricsListen->m_ip;
+        const auto lift = [this](std::string_view id) {
+            return m_peers.crashes().lift(id);
+        };
+        return answerQuarantinePage(request, isLocal,
+                                    {m_peers.crashes().entries(), lift, m_clock.now()});
+    }
+
     /// Updates the byte counters of this VM's connections, by kind.
     void updateByteCounters()
     {
--- a/src/serving/crash_quarantine.cpp
+++ b/src/serving/crash_quarantine.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/serving/crash_quarantine.hpp>
+#include <gypsumdale/settings/account_table.hpp>
 
 #include <algorithm> // min, min_element
 
@@ -26,6 +27,12 @@
 
 } // namespace
 
+std::string idOf(const QuarantineEntry &entry)
+{
+    constexpr std::size_t idLength = 12;
+    return sha256Hex(entry.m_service.text() + ' ' + textOf(entry.m_elements)).substr(0, idLength);
+}
+
 const QuarantineEntry &CrashQuarantine::add(const ServiceId &service, const CrashElements &elements,
                                             bool isLocal, TimePoint now)
 {
@@ -64,6 +71,17 @@
     return lifted;
 }
 
+const QuarantineEntry *CrashQuarantine::liftById(std::string_view id)
+{
+    for (auto &[key, entry] : m_entries) {
+        if (entry.m_isLifted || idOf(entry) != id)
+            continue;
+        entry.m_isLifted = true;
+        return &entry;
+    }
+    return nullptr;
+}
+
 bool CrashQuarantine::isExpired(const ServiceId &service, const CrashElements &elements,
                                 TimePoint now) const
 {
--- a/tests/src/unit-ctl.cpp
+++ b/tests/src/unit-ctl.cpp
@@ -446,6 +446,42 @@
 
 // Guards the explanation of a past request from logs alone: no process can be queried, and the
 // clock of the machine that served the request was one hour ahead of the other two.
+TEST_CASE("what is rejected as crashing its upstreams")
+{
+    Bench bench;
+    bench.m_environment.erase("GYPSUMDALE_OPERATOR_KEY");
+
+    SECTION("is shown, without a credential")
+    {
+        bench.m_answers = {reply(200, R"({"entries":[{"id":"5b0c","service":"llm","times":1,)"
+                                      R"("state":"rejected","remainingMillis":40000,)"
+                                      R"("known":"everywhere","elements":"part:m:x"}]})")};
+        CHECK(bench.run({"quarantine"}) == ExitCode::Ok);
+        CHECK(bench.m_calls.at(0).m_target == "/-/quarantine");
+        CHECK(bench.m_calls.at(0).m_headers.value("Authorization").empty());
+        CHECK(bench.m_out.find("5b0c") != std::string::npos);
+        CHECK(bench.m_out.find("part:m:x") != std::string::npos);
+    }
+    SECTION("is lifted by its id")
+    {
+        bench.m_answers = {reply(200, R"({"lifted":"5b0c"})")};
+        CHECK(bench.run({"quarantine", "lift", "5b0c"}) == ExitCode::Ok);
+        CHECK(bench.m_calls.at(0).m_method == "POST");
+        CHECK(bench.m_calls.at(0).m_target == "/-/quarantine/lift/5b0c");
+    }
+    SECTION("is lifted from the machine itself only")
+    {
+        bench.m_answers = {errorReply(403, ErrorId::CredentialRefused)};
+        CHECK(bench.run({"quarantine", "lift", "5b0c"}) == ExitCode::CredentialRefused);
+    }
+    SECTION("is not lifted without an id")
+    {
+        CHECK(bench.run({"quarantine", "lift"}) == ExitCode::Usage);
+        CHECK(bench.run({"quarantine", "drop", "5b0c"}) == ExitCode::Usage);
+        CHECK(bench.m_calls.empty());
+    }
+}
+
 TEST_CASE("explain from logs")
 {
     Bench bench;
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -292,6 +292,16 @@
         return m_loop.call([&] { return read(call); });
     }
 
+    EntryAnswer post(std::uint16_t port, const std::string &target)
+    {
+        HttpCall call;
+        call.m_endpoint = {"127.0.0.1", port};
+        call.m_method = "POST";
+        call.m_target = target;
+        call.m_requiresNewConnection = true;
+        return m_loop.call([&] { return read(call); });
+    }
+
     bool isReady(const EntryNode &node)
     {
         return get(node.m_readyPort, "/-/ready").m_status == 200;
