Ask and tell peers in one place

The exchange about crashes had written again what the exchange about streams' origins had: one question to several peers, one call and its decoding, the timeout. Behaviour stays but for the missing lines: crash-news-not-sent.

The address of the settings was made an endpoint in three places; the entry process now uses the one of peer_wire (the two of the other program are left).

--- a/include/gypsumdale/entry/crash_exchange.hpp
+++ b/include/gypsumdale/entry/crash_exchange.hpp
@@ -9,7 +9,6 @@
 #include <cstddef> // size_t
 #include <functional> // function
 #include <map> // map
-#include <memory> // shared_ptr
 #include <set> // set
 #include <string> // string
 #include <string_view> // string_view
@@ -78,7 +77,6 @@
 private:
     /// Runs of one upstream's process that broke off, until they are judged.
     using BrokenRuns = std::vector<BrokenRun>;
-    struct Inquiry;
     /// What is known of an end.
     struct Finding
     {
@@ -98,12 +96,7 @@
     void judge(const UpstreamProcess &process);
     void judgeEnd(const BrokenRuns &runs);
     void askAboutEnd(const BrokenRun &run, Finding &finding);
-    std::vector<entrywire::EntryExchange> ask(const std::vector<KnownPeerPointer> &peers,
-                                              const entrywire::EntryExchange &question);
-    void askOne(const KnownPeerPointer &peer, const std::string &frame,
-                const std::shared_ptr<Inquiry> &inquiry);
     void take(const entrywire::EndAnswer &answer, Finding &finding);
-    void tell(const std::vector<KnownPeerPointer> &peers, const entrywire::EntryExchange &message);
     void tellEnd(const UpstreamEnd &end);
     void tellQuarantine();
     std::vector<KnownPeerPointer> toldPeers(const ServiceId &service) const;
--- a/include/gypsumdale/entry/origin_exchange.hpp
+++ b/include/gypsumdale/entry/origin_exchange.hpp
@@ -7,7 +7,6 @@
 #include <cstddef> // size_t
 #include <deque> // deque
 #include <map> // map
-#include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
 #include <vector> // vector
@@ -52,7 +51,6 @@
     entrywire::EntryExchange answerQuestion(const entrywire::OriginQuestion &question);
 
 private:
-    struct Inquiry;
     /// Records for one holder, in order.
     struct Outbox
     {
@@ -66,10 +64,6 @@
     void startSending(Outbox &outbox);
     void sendAll(Outbox &outbox);
     bool send(const KnownPeerPointer &peer, const StreamOriginRecord &record);
-    void askOne(const KnownPeerPointer &peer, const std::string &frame,
-                const std::shared_ptr<Inquiry> &inquiry);
-    Result<std::optional<StreamOriginRecord>> exchange(const KnownPeerPointer &peer,
-                                                       const std::string &frame);
 
     EntryContext &m_context;
     const PeerTable &m_table;
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -26,6 +26,8 @@
 /// Convert between an address and its text, such as "10.1.0.16:7500". A text without a port has
 /// port 0.
 Endpoint endpointOf(const std::string &address);
+/// The same for an address of the settings.
+Endpoint endpointOf(const Address &address);
 std::string textOf(const Address &address);
 
 /// Encodes this VM's load at an upstream.
--- a/src/entry/crash_exchange.cpp
+++ b/src/entry/crash_exchange.cpp
@@ -1,18 +1,14 @@
 #include <gypsumdale/entry/crash_exchange.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
-#include <gypsumdale/runtime/frame_channel.hpp>
-#include <gypsumdale/wire/thrift_codec.hpp>
 
+#include <entry/peer_calls.hpp>
 #include <entry/peer_ranking.hpp>
 
 #include <entry_constants.h>
-#include <entry_types.h>
 
 #include <algorithm> // any_of, min
 #include <utility> // move
 
-#include <boost/fiber/future/promise.hpp>
-
 namespace gypsumdale {
 
 namespace {
@@ -24,13 +20,19 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(100);
 /// Time between two judgements of one upstream's refused connections.
 constexpr Duration refusalInterval = std::chrono::seconds(5);
-/// Longest wait for one peer's answer. Less would reset the connection that other exchanges use.
-constexpr Duration answerTimeout = std::chrono::milliseconds(600);
 /// Longest wait for all peers' answers, while a client may wait.
 constexpr Duration inquiryTimeout = std::chrono::milliseconds(200);
 /// Limit of upstreams that are judged at the same time.
 constexpr std::size_t maxJudged = 32;
 
+/// Event of the log where a message can't be sent to a peer.
+constexpr LogEvent notSent("crash-news-not-sent");
+
+PeerQuestion newQuestion()
+{
+    return {{}, inquiryTimeout, nullptr, notSent};
+}
+
 CrashElements elementsOf(const UpstreamEnd &end)
 {
     CrashElements elements;
@@ -57,15 +59,6 @@
 
 } // namespace
 
-/// One question to several peers, with their answers.
-struct CrashExchange::Inquiry
-{
-    boost::fibers::promise<void> m_promise;
-    std::size_t m_pending = 0;
-    bool m_isOver = false;
-    std::vector<entrywire::EntryExchange> m_answers;
-};
-
 void CrashExchange::report(const BrokenRun &run)
 {
     const bool isNews = m_broken.contains(run.m_process) || !run.m_suspect.m_elements.empty()
@@ -190,11 +183,12 @@
 CrashElements CrashExchange::provenAnywhere(const ServiceId &service, const CrashElements &elements)
 {
     CrashElements proven = ownKnowledge(service, elements).m_proven;
-    entrywire::EntryExchange question;
-    question.__isset.proofQuestion = true;
-    question.proofQuestion.serviceName = service.text();
-    question.proofQuestion.elements = encodeElements(elements);
-    for (const auto &answer : ask(m_table.respondingPeers(m_context.now()), question))
+    PeerQuestion question = newQuestion();
+    question.m_message.__isset.proofQuestion = true;
+    question.m_message.proofQuestion.serviceName = service.text();
+    question.m_message.proofQuestion.elements = encodeElements(elements);
+    const auto peers = m_table.respondingPeers(m_context.now());
+    for (const auto &answer : askPeers(m_context, peers, question).m_answers)
         proven.merge(decodeElements(answer.proofAnswer.proven));
     return commonElements(proven, elements);
 }
@@ -263,50 +257,17 @@
 void CrashExchange::askAboutEnd(const BrokenRun &run, Finding &finding)
 {
     const UpstreamEnd &end = finding.m_end;
-    entrywire::EntryExchange question;
-    question.__isset.endReport = true;
-    question.endReport.upstreamEnd = encodeEnd(end, m_context.now());
-    question.endReport.address = textOf({run.m_endpoint.m_address, run.m_endpoint.m_port});
-    const auto answers = ask(toldPeers(end.m_service), question);
+    PeerQuestion question = newQuestion();
+    question.m_message.__isset.endReport = true;
+    question.m_message.endReport.upstreamEnd = encodeEnd(end, m_context.now());
+    question.m_message.endReport.address =
+            textOf({run.m_endpoint.m_address, run.m_endpoint.m_port});
+    const auto answers = askPeers(m_context, toldPeers(end.m_service), question).m_answers;
     finding.m_isAlone = answers.empty();
     for (const entrywire::EntryExchange &answer : answers)
         take(answer.endAnswer, finding);
 }
 
-/// Asks peers, and returns the answers that come in time. Suspends the calling fiber.
-std::vector<entrywire::EntryExchange> CrashExchange::ask(const std::vector<KnownPeerPointer> &peers,
-                                                         const entrywire::EntryExchange &question)
-{
-    if (peers.empty())
-        return {};
-    const std::string frame = wire::encode(question);
-    const auto inquiry = std::make_shared<Inquiry>();
-    auto answered = inquiry->m_promise.get_future();
-    inquiry->m_pending = peers.size();
-    for (const KnownPeerPointer &peer : peers)
-        m_context.m_loop.spawn([this, peer, frame, inquiry] { askOne(peer, frame, inquiry); });
-    answered.wait_for(inquiryTimeout);
-    inquiry->m_isOver = true;
-    return std::move(inquiry->m_answers);
-}
-
-void CrashExchange::askOne(const KnownPeerPointer &peer, const std::string &frame,
-                           const std::shared_ptr<Inquiry> &inquiry)
-{
-    const auto reply = peer->m_channel->exchange(frame, answerTimeout);
-    // A peer of an earlier release answers with an empty frame.
-    if (succeeded(reply) && !valueOf(reply).empty() && !inquiry->m_isOver) {
-        auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
-        if (succeeded(decoded))
-            inquiry->m_answers.push_back(valueOf(decoded));
-        else
-            m_context.m_log.failure("peer-malformed", errorOf(decoded),
-                                    {{LogField::Address, peer->m_address}});
-    }
-    if (--inquiry->m_pending == 0 && !inquiry->m_isOver)
-        inquiry->m_promise.set_value();
-}
-
 void CrashExchange::take(const entrywire::EndAnswer &answer, Finding &finding)
 {
     finding.m_isConfirmed |= answer.finding == entrywire::g_entry_constants.END_CONFIRMED;
@@ -322,16 +283,6 @@
     }
 }
 
-void CrashExchange::tell(const std::vector<KnownPeerPointer> &peers,
-                         const entrywire::EntryExchange &message)
-{
-    const std::string frame = wire::encode(message);
-    for (const KnownPeerPointer &peer : peers) {
-        m_context.m_loop.spawn(
-                [channel = peer->m_channel, frame] { channel->exchange(frame, answerTimeout); });
-    }
-}
-
 /// Tells peers of an end that is confirmed.
 void CrashExchange::tellEnd(const UpstreamEnd &end)
 {
@@ -339,7 +290,7 @@
     message.__isset.endReport = true;
     message.endReport.upstreamEnd = encodeEnd(end, m_context.now());
     message.endReport.isConfirmed = true;
-    tell(toldPeers(end.m_service), message);
+    tellPeers(m_context, toldPeers(end.m_service), message, notSent);
 }
 
 void CrashExchange::tellQuarantine()
@@ -347,7 +298,7 @@
     entrywire::EntryExchange message;
     message.__isset.quarantine = true;
     message.quarantine = encodeQuarantine(m_quarantine.sharedEntries(), m_context.now());
-    tell(m_table.respondingPeers(m_context.now()), message);
+    tellPeers(m_context, m_table.respondingPeers(m_context.now()), message, notSent);
 }
 
 entrywire::EntryExchange CrashExchange::answerReport(const entrywire::EndReport &report)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -7,6 +7,7 @@
 #include <gypsumdale/entry/entry_registry.hpp>
 #include <gypsumdale/entry/entry_store_relay.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
+#include <gypsumdale/entry/peer_wire.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
 #include <entry/quarantine_page.hpp>
@@ -56,11 +57,6 @@
 constexpr Duration loopLatenessLimit = std::chrono::milliseconds(200);
 constexpr Duration suppressedReportInterval = std::chrono::seconds(5);
 
-Endpoint endpointOf(const Address &address)
-{
-    return {address.m_ip, address.m_port};
-}
-
 sigset_t handledSignals()
 {
     sigset_t signals;
--- a/src/entry/origin_exchange.cpp
+++ b/src/entry/origin_exchange.cpp
@@ -1,28 +1,30 @@
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/origin_exchange.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
-#include <gypsumdale/runtime/frame_channel.hpp>
 #include <gypsumdale/wire/thrift_codec.hpp>
 
+#include <entry/peer_calls.hpp>
 #include <entry/peer_ranking.hpp>
 
-#include <entry_types.h>
-
 #include <utility> // exchange
 
-#include <boost/fiber/future/promise.hpp>
-
 namespace gypsumdale {
 
 namespace {
 
-/// Longest wait for one peer's answer. Less would reset the connection that other exchanges use.
-constexpr Duration answerTimeout = std::chrono::milliseconds(600);
 /// Most records that wait for one holder.
 constexpr std::size_t maxUnsent = 500;
 /// Longest wait for an answer of any peer, while a client waits.
 constexpr Duration inquiryTimeout = std::chrono::milliseconds(250);
 
+/// Event of the log where a message can't be sent to a peer.
+constexpr LogEvent notSent("stream-origin-not-sent");
+
+bool hasOrigin(const entrywire::EntryExchange &answer)
+{
+    return answer.__isset.originAnswer && answer.originAnswer.__isset.origin;
+}
+
 entrywire::EntryExchange answerWith(const std::optional<StreamOriginRecord> &record, TimePoint now)
 {
     entrywire::EntryExchange message;
@@ -34,24 +36,6 @@
 
 } // namespace
 
-/// One question to several peers. The first record, or the last peer's answer, ends it.
-struct OriginExchange::Inquiry
-{
-    using Answer = std::optional<StreamOriginRecord>;
-
-    boost::fibers::promise<Answer> m_promise;
-    std::size_t m_pending = 0;
-    bool m_isAnswered = false;
-
-    void end(const Answer &answer)
-    {
-        if (m_isAnswered)
-            return;
-        m_isAnswered = true;
-        m_promise.set_value(answer);
-    }
-};
-
 /// Returns the peers among the first VMs, by rank, that hold a stream's record.
 std::vector<KnownPeerPointer> OriginExchange::holders(const RequestId &request,
                                                       std::size_t count) const
@@ -133,75 +117,36 @@
 {
     entrywire::EntryExchange message;
     message.__set_streamOrigin(encodeOrigin(record, m_context.now()));
-    const auto answer = exchange(peer, wire::encode(message));
+    const auto answer = callPeer(m_context, peer, wire::encode(message), notSent);
     if (!succeeded(answer))
         return false;
-    const std::optional<StreamOriginRecord> &known = valueOf(answer);
-    if (!known || !known->m_isAmbiguous || record.m_isAmbiguous)
+    if (!valueOf(answer) || !hasOrigin(*valueOf(answer)))
+        return true;
+    const StreamOriginRecord known =
+            decodeOrigin(valueOf(answer)->originAnswer.origin, m_context.now());
+    if (!known.m_isAmbiguous || record.m_isAmbiguous)
         return true;
     m_context.m_log.warning("stream-origin-ambiguous",
                             {record.m_request, {LogField::Peer, peer->m_node}});
     m_context.m_trafficLoop.spawn(
-            [this, ambiguous = *known] { m_context.m_traffic.origins().keep(ambiguous); });
+            [this, ambiguous = known] { m_context.m_traffic.origins().keep(ambiguous); });
     return true;
 }
 
 std::optional<StreamOriginRecord> OriginExchange::ask(const RequestId &request)
 {
-    entrywire::EntryExchange message;
-    message.__isset.originQuestion = true;
-    message.originQuestion.request = request.text();
-    const std::string frame = wire::encode(message);
-    const std::vector<KnownPeerPointer> asked = holders(request, askedVms);
-    if (asked.empty())
-        return std::nullopt;
-    const auto inquiry = std::make_shared<Inquiry>();
-    auto answer = inquiry->m_promise.get_future();
-    inquiry->m_pending = asked.size();
-    for (const KnownPeerPointer &peer : asked)
-        m_context.m_loop.spawn([this, peer, frame, inquiry] { askOne(peer, frame, inquiry); });
-    if (answer.wait_for(inquiryTimeout) == boost::fibers::future_status::ready)
-        return answer.get();
-    m_context.m_log.warning("stream-origin-unanswered",
-                            {request, {LogField::Count, inquiry->m_pending}});
-    return std::nullopt;
-}
-
-void OriginExchange::askOne(const KnownPeerPointer &peer, const std::string &frame,
-                            const std::shared_ptr<Inquiry> &inquiry)
-{
-    const auto answer = exchange(peer, frame);
-    const auto record = succeeded(answer) ? valueOf(answer) : std::nullopt;
-    --inquiry->m_pending;
-    if (record || inquiry->m_pending == 0)
-        inquiry->end(record);
-}
-
-/// Sends a frame to a peer and returns the record in its answer. A peer of an earlier release
-/// answers with an empty frame. Errors: those of the channel, and PeerMalformed, which are logged.
-Result<std::optional<StreamOriginRecord>> OriginExchange::exchange(const KnownPeerPointer &peer,
-                                                                   const std::string &frame)
-{
-    const auto reply = peer->m_channel->exchange(frame, answerTimeout);
-    if (!succeeded(reply)) {
-        m_context.m_log.info("stream-origin-not-sent",
-                             {{LogField::Peer, peer->m_node},
-                              {LogField::ErrorName, errorName(errorOf(reply).m_id)},
-                              {LogField::Text, errorOf(reply).m_text}});
-        return errorOf(reply);
+    PeerQuestion question{{}, inquiryTimeout, hasOrigin, notSent};
+    question.m_message.__isset.originQuestion = true;
+    question.m_message.originQuestion.request = request.text();
+    const PeerAnswers answers = askPeers(m_context, holders(request, askedVms), question);
+    for (const entrywire::EntryExchange &answer : answers.m_answers) {
+        if (hasOrigin(answer))
+            return decodeOrigin(answer.originAnswer.origin, m_context.now());
     }
-    if (valueOf(reply).empty())
-        return std::optional<StreamOriginRecord>();
-    const auto decoded = wire::decode<entrywire::EntryExchange>(valueOf(reply));
-    if (!succeeded(decoded)) {
-        m_context.m_log.failure("peer-malformed", errorOf(decoded),
-                                {{LogField::Address, peer->m_address}});
-        return errorOf(decoded);
-    }
-    const entrywire::EntryExchange &message = valueOf(decoded);
-    if (!message.__isset.originAnswer || !message.originAnswer.__isset.origin)
-        return std::optional<StreamOriginRecord>();
-    return std::optional(decodeOrigin(message.originAnswer.origin, m_context.now()));
+    if (answers.m_missing > 0)
+        m_context.m_log.warning("stream-origin-unanswered",
+                                {request, {LogField::Count, answers.m_missing}});
+    return std::nullopt;
 }
 
 entrywire::EntryExchange OriginExchange::answerRecord(const entrywire::StreamOrigin &received)
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -46,6 +46,11 @@
 
 } // namespace
 
+Endpoint endpointOf(const Address &address)
+{
+    return {address.m_ip, address.m_port};
+}
+
 Endpoint endpointOf(const std::string &address)
 {
     Endpoint endpoint;
