Roll out software versions: leased exposure, judged by a control group

Cause: nothing read the operator's orders of roll-outs. Ruled out as a cure: counts shared between VMs, which die with a VM or are spent twice in a parted fleet, and a counter in the store, which costs a call a request.

Change: the VM that holds the duties follows the orders, judges the new version by the answers that all VMs count against those of the other versions at the same time, and leases a part of the placements to it, first at a few upstreams, then growing, until what runs at the others has ended; it records the result under its lease and the order's revision. Each placement draws by itself under a lease that ends by itself, so that the bound over the fleet needs no count. A version that nobody has vouched for gets nothing. Operators see, pause and roll back with `gypsumctl rollouts`.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -281,11 +281,81 @@
   1: optional StreamOrigin origin
 }
 
+/// Answers of one kind of request, of one upstream of a roll-out's target or, with an empty
+/// upstream, of all others.
+struct AnswerCounts {
+  1: string route
+  2: string upstream
+  3: i64 errors
+  /// Answers by the bin of their time.
+  4: map<i32, i64> times
+}
+
+/// What a VM has counted since its start for a service with a roll-out.
+struct RolloutReport {
+  1: string serviceName
+  2: string target
+  3: list<AnswerCounts> answers
+  /// Requests under way at upstreams of other versions.
+  4: i64 runningAtOthers
+}
+
+/// An operator's order about a roll-out.
+struct RolloutOrder {
+  1: string rollout
+  2: string action
+}
+
+/// Asks the VM that decides on roll-outs on which versions requests may be placed.
+struct RolloutQuestion {
+  1: string node
+  2: i64 incarnation
+  3: list<RolloutReport> reports
+  4: list<RolloutOrder> orders
+}
+
+/// On which versions of a service requests may be placed.
+struct VersionAccess {
+  1: string serviceName
+  2: list<string> open
+  3: list<string> closed
+  /// The version that gets a part; empty if none does.
+  4: string target
+  5: double share
+  /// The upstreams that get it; empty for all of the version.
+  6: list<string> upstreams
+}
+
+/// A roll-out, for operators.
+struct RolloutView {
+  1: string rollout
+  2: string serviceName
+  3: string target
+  4: string stage
+  5: string reason
+  6: double share
+  7: i64 answers
+  8: i64 badAnswers
+  9: i64 controlAnswers
+  10: i64 remainingMillis
+  11: bool isPaused
+}
+
+struct RolloutAnswer {
+  /// Fencing number under which the sender decides; 0 if it doesn't.
+  1: i64 fence
+  2: list<VersionAccess> services
+  3: list<RolloutView> rollouts
+  /// Grows with each answer under one fencing number.
+  4: i64 sequence
+}
+
 /// A message and its answer: both bring a digest, or one brings news of the store and the other its
 /// receipt, or one brings news of load and the other nothing, or one asks for a text,
 /// or one tells or asks where a stream began, or one tells of an upstream's end and the other what
 /// its receiver knows of it, or one asks which elements of requests are harmless, or one tells of
-/// requests that are rejected and the other nothing.
+/// requests that are rejected and the other nothing, or one asks on which versions of a service
+/// requests may be placed and the other tells.
 struct EntryExchange {
   1: optional EntryDigest digest
   /// The stored configuration as the store wrote it, for a receiver that asked. Processes of an
@@ -311,4 +381,6 @@
   18: optional list<Quarantine> quarantine
   19: optional ProofQuestion proofQuestion
   20: optional ProofAnswer proofAnswer
+  21: optional RolloutQuestion rolloutQuestion
+  22: optional RolloutAnswer rolloutAnswer
 }
--- a/include/gypsumdale/entry/entry_duties.hpp
+++ b/include/gypsumdale/entry/entry_duties.hpp
@@ -4,7 +4,9 @@
 #include <gypsumdale/entry/entry_context.hpp>
 #include <gypsumdale/entry/entry_peers.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
+#include <gypsumdale/entry/rollout_controller.hpp>
 #include <gypsumdale/serving/duty_lease.hpp>
+#include <gypsumdale/serving/order_book.hpp>
 #include <gypsumdale/serving/scale_planner.hpp>
 #include <gypsumdale/serving/usage_windows.hpp>
 
@@ -14,7 +16,7 @@
 #include <cstdint> // int64_t
 #include <map> // map
 #include <optional> // optional
-#include <utility> // pair
+#include <set> // set
 
 namespace gypsumdale {
 
@@ -31,17 +33,14 @@
     void reportUsage();
     /// Orders upstreams while the lease is held. Runs in a fiber of its own.
     void scale();
+    /// Sets the part that knows which versions are being rolled out.
+    void setRollouts(const RolloutController &rollouts) { m_rollouts = &rollouts; }
+    /// Returns the fencing number if this VM may perform the duties at this moment.
+    std::optional<std::int64_t> fence() const;
     /// Gives up the lease at shutdown.
     void resign() { m_lease.resign(); }
 
 private:
-    using OrderKey = std::pair<std::pair<ServiceId, DataCentreId>, bool>;
-    struct OrderRecord
-    {
-        int m_count = 0;
-        TimePoint m_at{};
-    };
-
     void performLeaseStep();
     void read();
     void write(const LeaseRecord &record);
@@ -54,8 +53,12 @@
     bool sendWindow(const UsageReport &report);
 
     void scaleService(const ServingService &service);
-    void send(const ScaleOrder &order);
+    OrderSituation situationOf(const ScaleOrder &order, bool isServiceShort) const;
+    void send(const ScaleOrder &planned);
     int countPresent(const ScaleOrder &order) const;
+    int countUndecided(const ScaleOrder &order) const;
+    std::map<UpstreamId, UpstreamRecord> orderedUpstreams(const ServiceId &service) const;
+    std::set<SoftwareVersion> undecidedTargets(const ServiceId &service) const;
     /// Logs a refused call, and gives up the lease if the call was fenced. Returns whether the call
     /// was accepted.
     bool handleReply(const platform::CloudReply &reply, std::int64_t fence, const char *call);
@@ -64,6 +67,7 @@
     EntryConfigFeed &m_config;
     EntryUpstreamFeed &m_upstreams;
     EntryPeers &m_peers;
+    const RolloutController *m_rollouts = nullptr;
     std::optional<platform::CloudClient> m_cloud;
     DutyLease m_lease;
     std::int64_t m_loggedFence = 0;
@@ -72,7 +76,7 @@
     /// Fence under which the ledger was read. Under a new fence it is read again.
     std::int64_t m_ledgerFence = 0;
     ScalePlanner m_planner;
-    std::map<OrderKey, OrderRecord> m_sentOrders;
+    OrderBook m_orders;
     std::int64_t m_sentFence = 0;
 };
 
--- a/include/gypsumdale/entry/entry_peers.hpp
+++ b/include/gypsumdale/entry/entry_peers.hpp
@@ -9,6 +9,7 @@
 #include <gypsumdale/entry/fleet_size_estimate.hpp>
 #include <gypsumdale/entry/origin_exchange.hpp>
 #include <gypsumdale/entry/peer_table.hpp>
+#include <gypsumdale/entry/rollout_client.hpp>
 #include <gypsumdale/runtime/frame_channel.hpp>
 
 #include <cstddef> // size_t
@@ -95,6 +96,10 @@
     OriginExchange &origins() { return m_origins; }
     /// Returns the part that finds out which requests crash their upstreams.
     CrashExchange &crashes() { return m_crashes; }
+    /// Returns the part that learns on which versions requests may be placed.
+    RolloutClient &rollouts() { return m_rollouts; }
+    /// Returns the address of the peer that last told that it holds the duties.
+    const std::string &holderAddress() const { return m_holderAddress; }
 
     /// Called with a store update, and with a time after which it was sent if that is known.
     /// Returns what this VM still needs.
@@ -152,6 +157,7 @@
     EntryTexts m_texts;
     OriginExchange m_origins;
     CrashExchange m_crashes;
+    RolloutClient m_rollouts;
     DutyReported m_dutyReported;
     StoreUpdateReceived m_storeUpdateReceived;
     /// Address of the peer that last reported holding the duties.
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/entry/entry_crashes.hpp>
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
+#include <gypsumdale/entry/entry_rollouts.hpp>
 #include <gypsumdale/entry/startup_knowledge.hpp>
 #include <gypsumdale/entry/upstream_client.hpp>
 #include <gypsumdale/observe/highest_value.hpp>
@@ -196,6 +197,7 @@
     EntryRelay &relay() { return m_relay; }
     EntryOrigins &origins() { return m_origins; }
     EntryCrashes &crashes() { return m_crashes; }
+    EntryRollouts &rollouts() { return m_rollouts; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
     /// its service. Complexity: n log n.
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
@@ -243,6 +245,7 @@
     EntryRelay m_relay;
     EntryOrigins m_origins;
     EntryCrashes m_crashes;
+    EntryRollouts m_rollouts;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
     StartupKnowledge m_startupKnowledge;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -86,6 +86,12 @@
     Resumed,
     Digest,
     PromptParts,
+    Stage,
+    Share,
+    Answers,
+    BadAnswers,
+    ControlShare,
+    Score,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -97,8 +97,10 @@
     UpstreamsEnded,
     UpstreamEndsUnjudged,
     QuarantineRejections,
+    CanaryPlacements,
+    CanaryErrors,
 };
-constexpr std::size_t counterCount = 60;
+constexpr std::size_t counterCount = 62;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -125,8 +127,9 @@
     UpstreamListAgeMillis,
     PlacementListAgeMillis,
     QuarantinedRequests,
+    RolloutsUnderWay,
 };
-constexpr std::size_t gaugeCount = 22;
+constexpr std::size_t gaugeCount = 23;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
+#include <gypsumdale/serving/version_gate.hpp>
 
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
@@ -94,6 +95,8 @@
     std::string m_affinityKey;
     /// Upstreams that must not be selected.
     std::set<UpstreamId> m_excluded;
+    /// Upstreams that may be selected by their version; unset for all.
+    std::optional<VersionScope> m_versions;
     /// Software version of the upstreams that may be selected, for work that goes on; with an
     /// unknown (empty) one none may. Not set for work that begins.
     std::optional<SoftwareVersion> m_softwareVersion;
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -38,6 +38,10 @@
     /// Interval at which an upstream writes its entry. The entry expires after three intervals
     /// without a write.
     Duration m_upstreamHeartbeat = std::chrono::milliseconds(1200);
+    /// Fraction of a service's requests, and requests beyond it, that a new version may get before
+    /// it is accepted.
+    double m_exposureShare = 0.1;
+    double m_exposureSlack = 50;
     /// Time from the stop signal until the process is killed.
     Duration m_shutdownGrace = std::chrono::seconds(8);
 };
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -98,6 +98,7 @@
 ExitCode runExplainFromLogs(Session &session);
 ExitCode runDrain(Session &session);
 ExitCode runQuarantine(Session &session);
+ExitCode runRollouts(Session &session);
 ExitCode runKeys(Session &session);
 
 } // namespace gypsumdale::ctl
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -106,6 +106,24 @@
                     eventsView());
 }
 
+namespace {
+
+/// Sends an order that may be sent again, as it is idempotent.
+ExitCode giveOrder(Session &session, const std::string &target, const std::string &done)
+{
+    const AdminResult result =
+            session.m_client.call({"POST", target, "", Resend::Always, false});
+    if (const auto *failure = std::get_if<AdminFailure>(&result))
+        return complain(session, *failure);
+    const HttpReply &reply = std::get<HttpReply>(result);
+    if (exitCodeFor(reply) != ExitCode::Ok)
+        return complain(session, reply);
+    session.m_surroundings.m_print(done);
+    return ExitCode::Ok;
+}
+
+} // namespace
+
 ExitCode runQuarantine(Session &session)
 {
     const auto &words = session.m_invocation.m_positionals;
@@ -115,16 +133,24 @@
         session.m_surroundings.m_printError("gypsumctl: usage: gypsumctl quarantine [lift ID]\n");
         return ExitCode::Usage;
     }
-    // Lifting is idempotent, so the call may be sent again.
-    const AdminResult result = session.m_client.call(
-            {"POST", "/-/quarantine/lift/" + encodeSegment(words[1]), "", Resend::Always, false});
-    if (const auto *failure = std::get_if<AdminFailure>(&result))
-        return complain(session, *failure);
-    const HttpReply &reply = std::get<HttpReply>(result);
-    if (exitCodeFor(reply) != ExitCode::Ok)
-        return complain(session, reply);
-    session.m_surroundings.m_print(fmt::format("lifted {}\n", words[1]));
-    return ExitCode::Ok;
+    return giveOrder(session, "/-/quarantine/lift/" + encodeSegment(words[1]),
+                     fmt::format("lifted {}\n", words[1]));
+}
+
+ExitCode runRollouts(Session &session)
+{
+    const auto &words = session.m_invocation.m_positionals;
+    if (words.empty())
+        return showList(session, "/-/rollouts", rolloutsView());
+    const bool isOrder = words[0] == "pause" || words[0] == "resume" || words[0] == "rollback";
+    if (words.size() != 2 || !isOrder) {
+        session.m_surroundings.m_printError(
+                "gypsumctl: usage: gypsumctl rollouts [pause|resume|rollback NAME]\n");
+        return ExitCode::Usage;
+    }
+    return giveOrder(session, fmt::format("/-/rollouts/{}/{}", words[0], encodeSegment(words[1])),
+                     fmt::format("{} of {} is passed on to the VM that decides\n", words[0],
+                                 printable(words[1])));
 }
 
 ExitCode runDrain(Session &session)
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -165,6 +165,20 @@
              0,
              2,
              runQuarantine},
+            {"rollouts",
+             "rollouts [pause|resume|rollback NAME]",
+             "Show the roll-outs of software versions, or order what becomes of one.",
+             "Asks an entry process of the platform (--entry is its address for metrics), which\n"
+             "passes orders on to the VM that decides. Orders are taken only from the machine of\n"
+             "the process. While a roll-out is paused its time goes on, and one that has no time\n"
+             "left is rolled back.\n\n"
+             "Examples:\n"
+             "  gypsumctl rollouts --entry 10.0.1.4:9464\n"
+             "  gypsumctl rollouts rollback gypsum-llm --entry 10.0.1.4:9464\n",
+             {Entry},
+             0,
+             2,
+             runRollouts},
             {"keys",
              "keys new|hash",
              "Create a key, or the hash of a key for a member's document.",
--- a/src/ctl/view.cpp
+++ b/src/ctl/view.cpp
@@ -96,6 +96,21 @@
     return view;
 }
 
+const ListView &rolloutsView()
+{
+    static const ListView view = {"rollouts",
+                                  {{"name", "NAME", Show::Text},
+                                   {"target", "TARGET", Show::Text},
+                                   {"stage", "STAGE", Show::Text},
+                                   {"reason", "REASON", Show::Text},
+                                   {"share", "SHARE", Show::Text},
+                                   {"answers", "ANSWERS", Show::Number},
+                                   {"badAnswers", "BAD", Show::Number},
+                                   {"controlAnswers", "CONTROL", Show::Number},
+                                   {"remainingMillis", "REMAINING", Show::Seconds}}};
+    return view;
+}
+
 const ListView &objectsView()
 {
     static const ListView view = {"objects",
--- a/src/ctl/view.hpp
+++ b/src/ctl/view.hpp
@@ -36,6 +36,7 @@
 const ListView &eventsView();
 /// Layout of what an entry process rejects as crashing its upstreams.
 const ListView &quarantineView();
+const ListView &rolloutsView();
 
 /// Formats one member for display: milliseconds as seconds, times as UTC. Complexity: constant.
 std::string cellText(const Json &object, const ViewColumn &column);
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -201,7 +201,7 @@
         PlacementRequest request = placement();
         request.m_draw = m_traffic.draw();
         request.m_isAnnounced = m_traffic.shouldAnnounce(m_service, ownTokens());
-        const PooledUpstreamPointer upstream = m_traffic.pool().choose(request, m_traffic.now());
+        const PooledUpstreamPointer upstream = chooseUpstream(request);
         if (!upstream)
             return m_binding.isBound() ? AttemptStop::NoSameVersion : AttemptStop::NoUpstream;
         if (m_attempts.hasArrived() && !m_traffic.takeRetry(m_service))
@@ -226,11 +226,34 @@
         auto &exchange = std::get<HttpExchange>(opened);
         if (!acceptsAnswer(exchange, *upstream))
             continue;
-        return UpstreamAnswer{std::move(exchange), std::move(guard),
-                              isAlone ? std::optional(sentAt) : std::nullopt, originAt(*upstream)};
+        return UpstreamAnswer{std::move(exchange),
+                              std::move(guard),
+                              isAlone ? std::optional(sentAt) : std::nullopt,
+                              originAt(*upstream),
+                              false,
+                              sentAt};
     }
 }
 
+/// Selects an upstream, of a version that the request may be placed on. A part of the requests goes
+/// to the target of a roll-out.
+PooledUpstreamPointer EntryCall::chooseUpstream(PlacementRequest &request)
+{
+    if (m_binding.isBound())
+        return m_traffic.pool().choose(request, m_traffic.now());
+    const bool isRepeat = !m_triedUpstreams.empty();
+    request.m_versions = m_traffic.rollouts().scope(m_service, m_traffic.random(), isRepeat);
+    PooledUpstreamPointer upstream = m_traffic.pool().choose(request, m_traffic.now());
+    if (!request.m_versions || !request.m_versions->m_isCanary)
+        return upstream;
+    if (upstream) {
+        m_traffic.rollouts().recordCanary();
+        return upstream;
+    }
+    request.m_versions = m_traffic.rollouts().openScope(m_service);
+    return m_traffic.pool().choose(request, m_traffic.now());
+}
+
 /// Returns whether an upstream has, as far as is known, hardly any other prompt left to read.
 bool EntryCall::readsAlone(const PooledUpstream &upstream) const
 {
@@ -285,6 +308,10 @@
         placement.m_affinityKey = m_caller.m_lastSharedPart;
     placement.m_excluded = m_triedUpstreams;
     placement.m_softwareVersion = m_binding.requiredVersion();
+    placement.m_versions =
+            placement.m_softwareVersion
+                    ? m_traffic.rollouts().boundScope(m_service, *placement.m_softwareVersion)
+                    : m_traffic.rollouts().openScope(m_service);
     return placement;
 }
 
@@ -348,6 +375,7 @@
         if (reply.m_status / 100 == 2)
             recordDelivery();
         const bool isServerError = reply.m_status >= 500;
+        recordVersionAnswer(answer, isServerError);
         UpstreamPool::note(answer.m_guard.upstream(),
                            isServerError ? AttemptResult::ServerError : AttemptResult::Good,
                            m_traffic.now());
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -89,6 +89,8 @@
     StreamOrigin m_origin;
     /// A peer relays it.
     bool m_isRelayed = false;
+    /// When the request was sent, if the answer says how well its upstream's version serves.
+    std::optional<TimePoint> m_sentAt{};
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
@@ -150,6 +152,7 @@
                                   const std::shared_ptr<PlacementCallDeadline> &deadline);
     std::optional<AttemptStop> attemptStopReason();
     PlacementRequest placement() const;
+    PooledUpstreamPointer chooseUpstream(PlacementRequest &request);
     bool readsAlone(const PooledUpstream &upstream) const;
     /// Returns the number of prompt tokens that no other request shares.
     std::int64_t ownTokens() const { return m_caller.m_promptTokens - m_caller.m_sharedTokens; }
@@ -191,6 +194,9 @@
     bool isCancelledByShutdown(const CallFailure &failure) const;
     bool isCancelledByCaller(const CallFailure &failure) const;
     void recordUsage();
+    void recordVersionAnswer(UpstreamAnswer &answer, bool isError);
+    void recordVersionError(UpstreamAnswer &answer);
+    void countVersionError();
     void finishUnserved(AttemptStop stop);
     void sendOwnAnswer(int status, std::string_view reason, Duration retryAfter = Duration::zero());
     void forwardAnswer(const HttpReply &reply);
@@ -228,6 +234,14 @@
     std::optional<HttpReply> m_peerReply;
     /// An upstream's error answer, forwarded if no further attempt succeeds.
     std::optional<HttpReply> m_fallback;
+    /// An upstream that answered with an error, and the time it took. Whether the fault is its own
+    /// shows when the request is sent to another one.
+    struct DoubtfulError
+    {
+        UpstreamRecord m_upstream;
+        Duration m_time{};
+    };
+    std::optional<DoubtfulError> m_doubtfulError;
     /// The current run, if it can be moved.
     std::shared_ptr<StreamRun> m_run;
     std::optional<std::string> m_memory;
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -34,6 +34,7 @@
     }
     if (stop == AttemptStop::NoSameVersion)
         m_traffic.metrics().add(Counter::NoUpstreamOfVersion);
+    countVersionError();
     if (m_hasStreamStarted && !m_responder.takeBack()) {
         // The end marker is left out, so that the caller sees a stream that was cut off, not a
         // regular end.
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -44,6 +44,7 @@
             UpstreamPool::note(answer.m_guard.upstream(), AttemptResult::ServerError,
                                m_traffic.now());
             recordUsage();
+            recordVersionAnswer(answer, answer.m_exchange.status() >= 500);
             if (reply && !m_hasStreamStarted)
                 m_fallback = *reply;
             if (!m_route->isRetryable() || (reply && reply->m_status < 500)) {
@@ -248,6 +249,7 @@
 void EntryCall::recordFirstEvent(UpstreamAnswer &answer)
 {
     answer.m_guard.onPromptRead();
+    recordVersionAnswer(answer, false);
     if (const auto since = std::exchange(answer.m_readAloneSince, std::nullopt))
         m_traffic.reading().own(m_service).recordUncontended(ownTokens(), m_traffic.now() - *since);
 }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -8,11 +8,13 @@
 #include <gypsumdale/entry/entry_store_relay.hpp>
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/entry/peer_wire.hpp>
+#include <gypsumdale/entry/rollout_controller.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
 #include <entry/quarantine_page.hpp>
 #include <entry/request_limits.hpp>
 #include <entry/request_servers.hpp>
+#include <entry/rollout_page.hpp>
 #include <entry/thread_connections.hpp>
 
 #include <algorithm> // min
@@ -95,7 +97,13 @@
         , m_registry(m_context, m_peers)
         , m_storeRelay(m_context, m_config, m_upstreams, m_peers)
         , m_duties(m_context, m_config, m_upstreams, m_peers)
-    {}
+        , m_rollouts(
+                  m_context, m_upstreams, [this] { return m_duties.fence(); },
+                  [this] { m_peers.rollouts().tellDecision(); })
+    {
+        m_peers.rollouts().setController(m_rollouts);
+        m_duties.setRollouts(m_rollouts);
+    }
 
     Result<Done> start()
     {
@@ -121,6 +129,8 @@
         m_controlLoop.spawn([this] { m_duties.followLease(); });
         m_controlLoop.spawn([this] { m_duties.reportUsage(); });
         m_controlLoop.spawn([this] { m_duties.scale(); });
+        if (m_settings.m_cloud)
+            spawnRollouts();
         m_controlLoop.spawn([this] { runPeriodicTasks(); });
         m_controlLoop.spawn([this] { flushLog(); });
         m_controlLoop.spawn([this] { watchLoop("control"); });
@@ -153,6 +163,14 @@
     }
 
 private:
+    void spawnRollouts()
+    {
+        m_controlLoop.spawn([this] { m_rollouts.followOrders(); });
+        m_controlLoop.spawn([this] { m_rollouts.run(); });
+        m_controlLoop.spawn(
+                [this] { m_peers.rollouts().run([this] { return m_peers.holderAddress(); }); });
+    }
+
     std::optional<Error> listen()
     {
         auto callers = serve(m_settings.m_callerListen, m_trafficLoop,
@@ -175,10 +193,7 @@
             return std::nullopt;
         auto metrics = serve(*m_settings.m_metricsListen, m_controlLoop,
                              [this](const HttpRequest &request, HttpResponder &responder) {
-                                 if (isQuarantinePage(request))
-                                     responder.send(quarantinePage(request));
-                                 else
-                                     responder.send(exposeMetrics());
+                                 responder.send(answerOperator(request));
                              });
         if (!succeeded(metrics))
             return errorOf(metrics);
@@ -239,14 +254,36 @@
         return reply;
     }
 
+    HttpReply answerOperator(const HttpRequest &request)
+    {
+        if (isQuarantinePage(request))
+            return quarantinePage(request);
+        if (isRolloutPage(request))
+            return rolloutPage(request);
+        return exposeMetrics();
+    }
+
+    bool isLocal(const HttpRequest &request) const
+    {
+        return isLoopback(request.m_remoteAddress)
+               || request.m_remoteAddress == m_settings.m_metricsListen->m_ip;
+    }
+
+    HttpReply rolloutPage(const HttpRequest &request)
+    {
+        const auto order = [this](const RolloutOrder &given) {
+            m_peers.rollouts().addOrder(given);
+        };
+        return answerRolloutPage(request, isLocal(request),
+                                 {m_peers.rollouts().views(), order});
+    }
+
     HttpReply quarantinePage(const HttpRequest &request)
     {
-        const bool isLocal = isLoopback(request.m_remoteAddress)
-                             || request.m_remoteAddress == m_settings.m_metricsListen->m_ip;
         const auto lift = [this](std::string_view id) {
             return m_peers.crashes().lift(id);
         };
-        return answerQuarantinePage(request, isLocal,
+        return answerQuarantinePage(request, isLocal(request),
                                     {m_peers.crashes().entries(), lift, m_clock.now()});
     }
 
@@ -412,6 +449,7 @@
     EntryRegistry m_registry;
     EntryStoreRelay m_storeRelay;
     EntryDuties m_duties;
+    RolloutController m_rollouts;
     RequestServers m_requestServers;
     std::optional<HttpServer> m_readyServer;
     std::optional<HttpServer> m_metricsServer;
--- a/src/entry/entry_duties.cpp
+++ b/src/entry/entry_duties.cpp
@@ -1,8 +1,9 @@
 #include <gypsumdale/entry/boot_clock.hpp>
 #include <gypsumdale/entry/entry_duties.hpp>
 
-#include <algorithm> // count_if
+#include <algorithm> // any_of, count_if
 #include <utility> // move
+#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -60,6 +61,11 @@
     m_peers.setDuty(0, 0);
 }
 
+std::optional<std::int64_t> EntryDuties::fence() const
+{
+    return m_lease.fence(bootNow());
+}
+
 void EntryDuties::performLeaseStep()
 {
     std::visit(Overloaded{[](const NoLeaseAction &) {}, [this](const ReadLease &) { read(); },
@@ -236,50 +242,98 @@
     }
 }
 
+std::set<SoftwareVersion> EntryDuties::undecidedTargets(const ServiceId &service) const
+{
+    return m_rollouts ? m_rollouts->undecidedTargets(service) : std::set<SoftwareVersion>();
+}
+
+/// Returns the upstreams that orders are about: those of a version that is being rolled out come
+/// and go with the roll-out.
+std::map<UpstreamId, UpstreamRecord> EntryDuties::orderedUpstreams(const ServiceId &service) const
+{
+    std::map<UpstreamId, UpstreamRecord> upstreams = m_upstreams.upstreams();
+    const std::set<SoftwareVersion> undecided = undecidedTargets(service);
+    std::erase_if(upstreams, [&](const auto &entry) {
+        return entry.second.m_service == service
+               && undecided.contains(entry.second.m_softwareVersion);
+    });
+    return upstreams;
+}
+
+namespace {
+
+bool isOfOrder(const UpstreamRecord &record, const ScaleOrder &order)
+{
+    return record.m_service == order.m_service && record.m_dataCentre == order.m_dataCentre
+           && !record.m_isDraining && record.m_isReclaimable == order.m_isReclaimable;
+}
+
+} // namespace
+
 int EntryDuties::countPresent(const ScaleOrder &order) const
 {
+    const auto &upstreams = m_upstreams.upstreams();
+    const auto present =
+            std::count_if(upstreams.begin(), upstreams.end(),
+                          [&order](const auto &entry) { return isOfOrder(entry.second, order); });
+    return static_cast<int>(present) - countUndecided(order);
+}
+
+/// Returns how many upstreams of undecided versions the platform counts under an order.
+int EntryDuties::countUndecided(const ScaleOrder &order) const
+{
+    const std::set<SoftwareVersion> undecided = undecidedTargets(order.m_service);
     const auto &upstreams = m_upstreams.upstreams();
     return static_cast<int>(
-            std::count_if(upstreams.begin(), upstreams.end(), [&order](const auto &entry) {
-                const UpstreamRecord &record = entry.second;
-                return record.m_service == order.m_service
-                       && record.m_dataCentre == order.m_dataCentre && !record.m_isDraining
-                       && record.m_isReclaimable == order.m_isReclaimable;
+            std::count_if(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+                return isOfOrder(entry.second, order)
+                       && undecided.contains(entry.second.m_softwareVersion);
             }));
 }
 
 void EntryDuties::scaleService(const ServingService &service)
 {
+    const std::map<UpstreamId, UpstreamRecord> upstreams = orderedUpstreams(service.m_id);
     ScaleInput input;
     input.m_service = &service;
     input.m_dataCentres = m_context.m_settings.m_dataCentres;
-    input.m_upstreams = &m_upstreams.upstreams();
+    input.m_upstreams = &upstreams;
     const auto running = m_peers.report().m_running.find(service.m_id);
     input.m_running = running == m_peers.report().m_running.end() ? 0 : running->second;
     const auto reading = m_peers.report().m_fleetPrefill.find(service.m_id);
     if (reading != m_peers.report().m_fleetPrefill.end())
         input.m_reading = reading->second;
-    const TimePoint now = m_context.now();
-    for (const ScaleOrder &order : m_planner.plan(input, now)) {
-        const OrderKey key{{order.m_service, order.m_dataCentre}, order.m_isReclaimable};
-        const auto sent = m_sentOrders.find(key);
-        const Duration timeout = service.m_scaling->m_bootTime + orderTimeout;
-        const bool isNew = sent == m_sentOrders.end() || sent->second.m_count != order.m_count;
-        const bool isMissing =
-                !isNew && countPresent(order) != order.m_count && now > sent->second.m_at + timeout;
-        if (isNew || isMissing)
+    const std::vector<ScaleOrder> orders = m_planner.plan(input, m_context.now());
+    const bool isShort = std::any_of(orders.begin(), orders.end(), [this](const ScaleOrder &order) {
+        return countPresent(order) < order.m_count;
+    });
+    const Duration effectTime = service.m_scaling->m_bootTime + orderTimeout;
+    for (const ScaleOrder &order : orders) {
+        if (m_orders.mustSend(order, situationOf(order, isShort), effectTime, m_context.now()))
             send(order);
     }
 }
 
-void EntryDuties::send(const ScaleOrder &order)
+OrderSituation EntryDuties::situationOf(const ScaleOrder &order, bool isServiceShort) const
+{
+    OrderSituation situation;
+    situation.m_present = countPresent(order);
+    situation.m_hasUndecidedVersion = !undecidedTargets(order.m_service).empty();
+    situation.m_wasReplaced = m_rollouts && m_rollouts->hasReplaced(order.m_service);
+    situation.m_isServiceShort = isServiceShort;
+    return situation;
+}
+
+void EntryDuties::send(const ScaleOrder &planned)
 {
+    ScaleOrder order = planned;
+    order.m_count += countUndecided(planned);
     const auto fence = m_lease.fence(bootNow());
     if (!fence)
         return;
     if (*fence != m_sentFence) {
         // Orders of an earlier holder are not known here.
-        m_sentOrders.clear();
+        m_orders.clear();
         m_sentFence = *fence;
     }
     const auto reply = m_cloud->order({m_context.m_settings.m_node, *fence}, order);
@@ -300,8 +354,7 @@
              {LogField::Outcome, enumName(platform::cloudVerdictNames, reply.m_verdict)}});
     if (!isAccepted)
         return;
-    const OrderKey key{{order.m_service, order.m_dataCentre}, order.m_isReclaimable};
-    m_sentOrders[key] = {order.m_count, m_context.now()};
+    m_orders.recordSent(planned, m_context.now());
 }
 
 } // namespace gypsumdale
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -46,6 +46,7 @@
     , m_texts(context, config, upstreams, m_table, *this)
     , m_origins(context, m_table)
     , m_crashes(context, m_table)
+    , m_rollouts(context, upstreams, m_table)
 {
     m_crashes.onQuarantineChanged([this](const std::vector<QuarantineEntry> &entries) {
         m_writer.setQuarantine(entries);
@@ -337,6 +338,12 @@
         m_crashes.merge(decodeQuarantine(received.quarantine, m_context.now()), std::string());
         return wire::encode(entrywire::EntryExchange());
     }
+    if (received.__isset.rolloutQuestion)
+        return wire::encode(m_rollouts.answerQuestion(received.rolloutQuestion));
+    if (received.__isset.rolloutAnswer) {
+        m_rollouts.takeNews(received.rolloutAnswer);
+        return wire::encode(entrywire::EntryExchange());
+    }
     if (received.__isset.textRequest)
         return answerText(received);
     if (received.digest.protocol != ExchangeWriter::protocolVersion)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -61,6 +61,7 @@
     , m_relay(loop, m_pool, clock, log, metrics, [this] { return draw(); })
     , m_origins(clock, metrics, settings.m_node.text())
     , m_crashes(clock)
+    , m_rollouts(settings.m_cloud.has_value(), m_pool, clock, metrics)
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
@@ -111,6 +112,7 @@
     const bool isConfirmed = m_listConfirmation.m_confirmedAt != TimePoint{};
     m_pool.update(upstreams, revision,
                   isConfirmed ? std::optional(m_listConfirmation.m_confirmedAt) : std::nullopt);
+    m_rollouts.setUpstreams(upstreams);
     logVersions(upstreams);
     m_mover->scheduleMoves();
 }
--- a/src/entry/quarantine_page.cpp
+++ b/src/entry/quarantine_page.cpp
@@ -1,10 +1,8 @@
-#include <gypsumdale/core/error.hpp>
 #include <gypsumdale/runtime/http_status.hpp>
 
+#include <entry/operator_reply.hpp>
 #include <entry/quarantine_page.hpp>
 
-#include <nlohmann/json.hpp>
-
 #include <string> // string
 
 namespace gypsumdale {
@@ -23,23 +21,6 @@
     return entry.m_until > now ? "rejected" : "due-for-trial";
 }
 
-HttpReply replyOf(int status, const Json &body)
-{
-    HttpReply reply;
-    reply.m_status = status;
-    reply.m_headers.add("Content-Type", "application/json");
-    reply.m_body = body.dump(-1, ' ', true, Json::error_handler_t::replace);
-    return reply;
-}
-
-HttpReply refusal(int status, ErrorId id, std::string_view message)
-{
-    return replyOf(
-            status,
-            {{"error",
-              {{"id", static_cast<int>(id)}, {"name", errorName(id)}, {"message", message}}}});
-}
-
 HttpReply list(const QuarantineAccess &access)
 {
     Json entries = Json::array();
@@ -52,7 +33,7 @@
                            {"remainingMillis", toWholeMillis(entry.m_until - access.m_now)},
                            {"known", entry.m_isLocal ? "here" : "everywhere"}});
     }
-    return replyOf(statusOk, {{"entries", entries}});
+    return operatorReply(statusOk, {{"entries", entries}});
 }
 
 } // namespace
@@ -74,13 +55,13 @@
     if (request.m_method == "GET" && path == listPath)
         return list(access);
     if (request.m_method != "POST" || !path.starts_with(liftPath))
-        return refusal(statusNotFound, ErrorId::NotFound, "no such page");
+        return operatorRefusal(statusNotFound, ErrorId::NotFound, "no such page");
     if (!isLocal)
-        return refusal(statusForbidden, ErrorId::CredentialRefused, "only from the machine itself");
+        return operatorRefusal(statusForbidden, ErrorId::CredentialRefused, "only from the machine itself");
     const std::string id = path.substr(liftPath.size());
     if (!access.m_lift(id))
-        return refusal(statusNotFound, ErrorId::NotFound, "nothing with this id is rejected");
-    return replyOf(statusOk, {{"lifted", id}});
+        return operatorRefusal(statusNotFound, ErrorId::NotFound, "nothing with this id is rejected");
+    return operatorReply(statusOk, {{"lifted", id}});
 }
 
 } // namespace gypsumdale
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 74> logFieldNames = {{
+constexpr NameTable<LogField, 80> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -80,6 +80,12 @@
         {LogField::Resumed, "resumed"},
         {LogField::Digest, "digest"},
         {LogField::PromptParts, "prompt_parts"},
+        {LogField::Stage, "stage"},
+        {LogField::Share, "share"},
+        {LogField::Answers, "answers"},
+        {LogField::BadAnswers, "bad_answers"},
+        {LogField::ControlShare, "control_share"},
+        {LogField::Score, "score"},
 }};
 
 } // namespace
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -72,7 +72,8 @@
 {
     const UpstreamRecord &record = upstream.m_record;
     return record.m_service == request.m_service && !record.m_isDraining
-           && !request.m_excluded.contains(record.m_id);
+           && !request.m_excluded.contains(record.m_id)
+           && (!request.m_versions || request.m_versions->allows(record));
 }
 
 /// Returns whether an upstream is known to run a software version.
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -53,6 +53,10 @@
             .key("upstream-heartbeat", &EntryBounds::m_upstreamHeartbeat,
                  DurationKind(milliseconds(10), minutes(5)),
                  "how often an upstream writes its entry")
+            .key("exposure-share", &EntryBounds::m_exposureShare, NumberKind(0, 1),
+                 "part of a service's requests that an unproved version may get")
+            .key("exposure-slack", &EntryBounds::m_exposureSlack, NumberKind(0, maxSlack),
+                 "requests beyond that part")
             .key("shutdown-grace", &EntryBounds::m_shutdownGrace,
                  DurationKind(seconds(1), minutes(60)),
                  "from the signal to stop until the process is killed");
--- a/tests/support/entry_stand_ins.hpp
+++ b/tests/support/entry_stand_ins.hpp
@@ -73,6 +73,12 @@
         m_takenIn[node] = 0;
     }
 
+    /// Returns what the product has recorded about an object; null if nothing.
+    Json status(const std::string &kind, const std::string &name)
+    {
+        return m_loop.call([&] { return m_objects[kind][name].m_status; });
+    }
+
     void remove(const std::string &kind, const std::string &name)
     {
         m_loop.call([&] {
@@ -109,13 +115,19 @@
     {
         std::int64_t m_revision = 0;
         Json m_spec;
+        Json m_status = nullptr;
+        std::int64_t m_createdRevision = 0;
     };
 
     Json object(const std::string &kind, const std::string &name)
     {
         const Stored &stored = m_objects[kind][name];
-        return {{"metadata", {{"name", name}, {"revision", stored.m_revision}}},
-                {"spec", stored.m_spec}};
+        return {{"metadata",
+                 {{"name", name},
+                  {"revision", stored.m_revision},
+                  {"create-rev", stored.m_createdRevision}}},
+                {"spec", stored.m_spec},
+                {"status", stored.m_status}};
     }
 
     /// Returns an object as a VM is to see it.
@@ -133,7 +145,17 @@
 
     Json store(const std::string &kind, const std::string &name, const Json &spec)
     {
-        m_objects[kind][name] = {++m_revision, spec};
+        Stored &stored = m_objects[kind][name];
+        stored.m_spec = spec;
+        return recordChange(kind, name);
+    }
+
+    Json recordChange(const std::string &kind, const std::string &name)
+    {
+        Stored &stored = m_objects[kind][name];
+        stored.m_revision = ++m_revision;
+        if (stored.m_createdRevision == 0)
+            stored.m_createdRevision = m_revision;
         m_events.push_back({m_revision, kind, object(kind, name), false});
         return object(kind, name);
     }
@@ -212,8 +234,12 @@
                      HttpResponder &responder)
     {
         const Json body = Json::parse(request.m_body, nullptr, false);
-        const std::string name =
+        constexpr std::string_view statusSuffix = "/status";
+        const bool isStatus = named.ends_with(statusSuffix);
+        const std::string path =
                 named.empty() ? body["metadata"].value("name", std::string()) : named;
+        const std::string name =
+                isStatus ? path.substr(0, path.size() - statusSuffix.size()) : path;
         auto &objects = m_objects[kind];
         if (request.m_method == "DELETE") {
             sleepFiber(m_removalDelay);
@@ -228,7 +254,16 @@
             send(responder, 409, object(kind, name));
             return;
         }
-        send(responder, 200, store(kind, name, body["spec"]));
+        if (!isStatus) {
+            send(responder, 200, store(kind, name, body["spec"]));
+            return;
+        }
+        if (!exists) {
+            send(responder, 404);
+            return;
+        }
+        objects[name].m_status = body["status"];
+        send(responder, 200, recordChange(kind, name));
     }
 
     FiberLoop &m_loop;
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -44,15 +44,17 @@
     /// be disturbed. `leavingApply` is the time after which a leaving upstream must not be used any
     /// more; nothing selects the default. There is one upstream for each software version in
     /// `versions`. `retrySlack` is the part of the retry budget that doesn't depend on requests;
-    /// nothing selects the default.
+    /// nothing selects the default. With duties, one of the VMs performs those of the fleet, at a
+    /// cloud that doesn't answer.
     explicit EntryWorld(int nodes = 1, bool hasProxies = false,
                         std::optional<std::chrono::milliseconds> leavingApply = std::nullopt,
                         const std::vector<std::string> &versions = {"v1", "v1"},
-                        std::optional<int> retrySlack = std::nullopt)
+                        std::optional<int> retrySlack = std::nullopt, bool hasDuties = false)
         : m_loop("test")
         , m_client(m_loop)
         , m_leavingApply(leavingApply)
         , m_retrySlack(retrySlack)
+        , m_cloudPort(hasDuties ? std::optional(freePort()) : std::nullopt)
     {
         std::signal(SIGPIPE, SIG_IGN);
         m_loop.start();
@@ -380,15 +382,20 @@
                            "peer-listen: 127.0.0.1:{}\npeer-advertise: 127.0.0.1:{}\n"
                            "relay-listen: 127.0.0.1:{}\nmetrics-listen: 127.0.0.1:{}\n"
                            "store: 127.0.0.1:{}\nseeds:\n{}data-centres: [here]\n"
-                           "first-start: {}\nbounds:\n  shutdown-grace: 6s\n{}{}",
+                           "{}first-start: {}\nbounds:\n  shutdown-grace: 6s\n{}{}",
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
                            peerPortOf(node), node.m_relayPort, node.m_metricsPort,
                            node.m_storeLink ? node.m_storeLink->port() : m_store->port(), seeds,
-                           node.m_process == nullptr, leavingTimeoutSetting(), retrySetting());
+                           cloudSetting(), node.m_process == nullptr, leavingTimeoutSetting(), retrySetting());
     }
 
     static std::string addressOf(std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); }
 
+    std::string cloudSetting() const
+    {
+        return m_cloudPort ? fmt::format("cloud: 127.0.0.1:{}\n", *m_cloudPort) : std::string();
+    }
+
     std::string leavingTimeoutSetting() const
     {
         return m_leavingApply ? fmt::format("  leaving-apply: {}ms\n", m_leavingApply->count())
@@ -420,6 +427,7 @@
     HttpClient m_client;
     std::optional<std::chrono::milliseconds> m_leavingApply;
     std::optional<int> m_retrySlack;
+    std::optional<std::uint16_t> m_cloudPort;
     std::filesystem::path m_folder;
     std::unique_ptr<StoreStandIn> m_store;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
