--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -111,8 +111,7 @@
 /// Sends an order that may be sent again, as it is idempotent.
 ExitCode giveOrder(Session &session, const std::string &target, const std::string &done)
 {
-    const AdminResult result =
-            session.m_client.call({"POST", target, "", Resend::Always, false});
+    const AdminResult result = session.m_client.call({"POST", target, "", Resend::Always, false});
     if (const auto *failure = std::get_if<AdminFailure>(&result))
         return complain(session, *failure);
     const HttpReply &reply = std::get<HttpReply>(result);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -274,8 +274,7 @@
         const auto order = [this](const RolloutOrder &given) {
             m_peers.rollouts().addOrder(given);
         };
-        return answerRolloutPage(request, isLocal(request),
-                                 {m_peers.rollouts().views(), order});
+        return answerRolloutPage(request, isLocal(request), {m_peers.rollouts().views(), order});
     }
 
     HttpReply quarantinePage(const HttpRequest &request)
--- a/src/entry/quarantine_page.cpp
+++ b/src/entry/quarantine_page.cpp
@@ -57,10 +57,12 @@
     if (request.m_method != "POST" || !path.starts_with(liftPath))
         return operatorRefusal(statusNotFound, ErrorId::NotFound, "no such page");
     if (!isLocal)
-        return operatorRefusal(statusForbidden, ErrorId::CredentialRefused, "only from the machine itself");
+        return operatorRefusal(statusForbidden, ErrorId::CredentialRefused,
+                               "only from the machine itself");
     const std::string id = path.substr(liftPath.size());
     if (!access.m_lift(id))
-        return operatorRefusal(statusNotFound, ErrorId::NotFound, "nothing with this id is rejected");
+        return operatorRefusal(statusNotFound, ErrorId::NotFound,
+                               "nothing with this id is rejected");
     return operatorReply(statusOk, {{"lifted", id}});
 }
 
--- a/src/serving/rollout_plan.cpp
+++ b/src/serving/rollout_plan.cpp
@@ -30,7 +30,7 @@
 constexpr double minCanaryShare = 0.01;
 constexpr double maxCanaryShare = 0.25;
 /// More answers a second of the new version say little more.
-constexpr double maxCanaryRate = 60;
+constexpr double maxCanaryRate = 30;
 /// Load of a new version's upstream during the canary, relative to one of the others.
 constexpr double canaryLoad = 1.3;
 constexpr std::size_t minCanaryUpstreams = 1;
--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -386,7 +386,8 @@
                            node.m_name, node.m_callerPort, node.m_readyPort, node.m_peerPort,
                            peerPortOf(node), node.m_relayPort, node.m_metricsPort,
                            node.m_storeLink ? node.m_storeLink->port() : m_store->port(), seeds,
-                           cloudSetting(), node.m_process == nullptr, leavingTimeoutSetting(), retrySetting());
+                           cloudSetting(), node.m_process == nullptr, leavingTimeoutSetting(),
+                           retrySetting());
     }
 
     static std::string addressOf(std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); }
