--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -10,6 +10,9 @@
   2: i64 admittedTotal
   /// Asked for in a thousand seconds, averaged over the last seconds.
   3: i64 demandPer1000Seconds
+  /// The part of that by priority class, the most urgent first; absent while the account stays
+  /// within its quota.
+  4: optional list<i64> demandByPriority
 }
 
 /// What one VM has in flight at an upstream.
@@ -23,6 +26,26 @@
   4: i64 startedAt
 }
 
+/// What one VM served of a service whose room is short, and what waits there.
+struct ServiceTurns {
+  1: string serviceName
+  /// Tokens served since the process started, by account.
+  2: map<string, i64> served
+  3: i32 waiting
+  /// Requests in a thousand seconds, averaged over the last seconds.
+  4: i64 demandPer1000Seconds
+}
+
+/// How fast one VM saw an upstream's process read prompts.
+struct UpstreamSpeed {
+  1: string upstream
+  /// When the upstream's process started, in wall milliseconds; 0 where it doesn't say.
+  2: i64 startedAt
+  /// Prompt tokens a second.
+  3: double tokensPerSecond
+  4: i32 samples
+}
+
 /// Requests that began to run in a usage window, by account.
 struct UsageWindow {
   1: i64 window
@@ -188,6 +211,10 @@
   /// For a receiver that started lately.
   24: optional EarlierRetries earlierRetries
   25: list<Quarantine> quarantine
+  /// For services whose room is short.
+  26: optional list<ServiceTurns> turns
+  /// Of a few upstreams, others each time.
+  27: optional list<UpstreamSpeed> speeds
 }
 
 /// What a VM that reads the store tells one of its data centre that doesn't.
