Know the request rate before a new version is exposed

What callers saw, in plays of roll-outs: requests at a slow version more than five seconds after its fiftieth bad answer where all VMs were lost at once, and good versions of a small fleet rolled back for want of evidence.

Cause: VMs counted answers only while a version was under judgement, and the rate was taken over the time since the first report, so the first leases were planned by a rate up to thirty times too low. What could be lost with all VMs was more than fifty bad answers.

Change: a lease of zero while the deciding VM waits, so that VMs count; the rate is the sum of the VMs' own over the time between their reports (serving/reported_evidence, which the model of the plays now shares with the product in place of a copy); a successor makes up for what was not exposed.

--- a/include/gypsumdale/entry/rollout_controller.hpp
+++ b/include/gypsumdale/entry/rollout_controller.hpp
@@ -5,6 +5,7 @@
 #include <gypsumdale/entry/rollout_orders.hpp>
 #include <gypsumdale/serving/canary_judge.hpp>
 #include <gypsumdale/serving/rollout.hpp>
+#include <gypsumdale/serving/reported_evidence.hpp>
 #include <gypsumdale/serving/rollout_plan.hpp>
 
 #include <platform/rollout_codec.hpp>
@@ -94,11 +95,7 @@
         double m_earlierBadAnswers = 0;
         RolloutPlan m_plan;
         CanaryJudge m_judge;
-        /// When the first VM told what it has counted, and the answers that were counted since.
-        TimePoint m_reportedSince{};
-        std::int64_t m_answersSince = 0;
-        /// By VM and its process.
-        std::map<std::pair<std::string, std::int64_t>, CanaryEvidence> m_known;
+        ReportedEvidence m_reported;
         std::map<std::string, RunningCount> m_running;
         /// When this VM recorded the result, or saw it first.
         TimePoint m_decidedAt{};
--- a/include/gypsumdale/serving/rollout_plan.hpp
+++ b/include/gypsumdale/serving/rollout_plan.hpp
@@ -89,6 +89,8 @@
     std::int64_t m_runningAtOthers = 0;
     /// Requests a second for the service over all VMs.
     double m_requestRate = 0;
+    /// Answers of the new version that are known here, of earlier deciding VMs' time too.
+    std::int64_t m_canaryAnswers = 0;
 };
 
 /// Decides how far one roll-out goes, at the VM that holds the duties. A version is accepted as
@@ -122,6 +124,10 @@
     /// Returns the fraction of requests that the new version gets now.
     double share(const RolloutObservation &seen) const;
 
+    /// Returns whether VMs count answers though the new version gets no requests yet, so that the
+    /// request rate and the control group are known when it gets the first ones.
+    bool isMeasuring() const { return m_stage == RolloutStage::Waiting && !m_isPaused; }
+
     /// Returns how many upstreams of the new version share that part, so that each of them has the
     /// load of one of the others or more; 0 for all.
     std::size_t upstreamCount(const RolloutObservation &seen) const;
@@ -130,7 +136,10 @@
     void enter(RolloutStage stage, RolloutReason reason, TimePoint now);
     std::optional<RolloutReason> reasonToRollBack(const RolloutObservation &seen) const;
     void advanceCanary(const RolloutObservation &seen);
-    double canaryShare(double requestRate) const;
+    double canaryShare(const RolloutObservation &seen) const;
+    double shareAfterTakeover(const RolloutObservation &seen, double allowed) const;
+    TimePoint observedUntil() const;
+    TimePoint latestRamp() const;
     Duration writeMargin() const;
     TimePoint handoverEnd() const { return endsAt() - writeMargin(); }
 
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -151,8 +151,6 @@
                     RolloutPlan(bounds, rollout.m_duration, now - age, now),
                     CanaryJudge(),
                     {},
-                    0,
-                    {},
                     {},
                     now,
                     {}};
--- a/src/entry/rollout_controller_decisions.cpp
+++ b/src/entry/rollout_controller_decisions.cpp
@@ -13,8 +13,6 @@
 constexpr Duration decisionInterval = std::chrono::milliseconds(100);
 /// Time after which what a VM has told of its requests is no longer counted.
 constexpr Duration runningAge = std::chrono::seconds(3);
-/// Least time over which the rate of requests is measured.
-constexpr Duration minRateTime = std::chrono::milliseconds(1500);
 /// Time in which upstreams are ordered in place of those that a roll-out has stopped.
 constexpr Duration replacementTime = std::chrono::seconds(30);
 
@@ -95,9 +93,8 @@
         if (seen.m_now - count.m_at <= runningAge)
             seen.m_runningAtOthers += count.m_running;
     }
-    const Duration measured = seen.m_now - managed.m_reportedSince;
-    if (managed.m_answersSince > 0 && measured >= minRateTime)
-        seen.m_requestRate = static_cast<double>(managed.m_answersSince) / toSeconds(measured);
+    seen.m_requestRate = managed.m_reported.rate(seen.m_now);
+    seen.m_canaryAnswers = managed.m_judge.answers();
     return seen;
 }
 
@@ -191,17 +188,11 @@
         const Rollout &rollout = managed.m_rollout;
         if (rollout.m_service != report.m_service || rollout.m_target != report.m_target)
             continue;
-        if (managed.m_known.empty())
-            managed.m_reportedSince = m_context.now();
-        const auto [known, isFirst] =
-                managed.m_known.try_emplace({report.m_node, report.m_incarnation});
-        const CanaryEvidence increment = evidenceSince(known->second, report.m_answers);
-        managed.m_judge.add(increment, m_context.now());
-        known->second = report.m_answers;
-        // What a VM has counted for an earlier deciding VM says nothing of the rate.
-        if (!isFirst)
-            managed.m_answersSince += answersIn(increment);
-        managed.m_running[report.m_node] = {report.m_runningAtOthers, m_context.now()};
+        const TimePoint now = m_context.now();
+        const CanaryEvidence increment =
+                managed.m_reported.add(report.m_node, report.m_incarnation, report.m_answers, now);
+        managed.m_judge.add(increment, now);
+        managed.m_running[report.m_node] = {report.m_runningAtOthers, now};
     }
 }
 
@@ -282,7 +273,8 @@
         access.m_closed.insert(rollout.m_target);
         const RolloutObservation seen = observe(managed);
         const double share = managed.m_plan.share(seen);
-        if (share > 0 && !rollout.isDecided())
+        const bool isCounting = share > 0 || managed.m_plan.isMeasuring();
+        if (isCounting && !rollout.isDecided())
             access.m_lease =
                     ExposureLease{rollout.m_target, share, canaryUpstreams(managed, seen), {}};
     }
--- a/src/serving/rollout_plan.cpp
+++ b/src/serving/rollout_plan.cpp
@@ -24,11 +24,15 @@
 constexpr double writeFraction = 0.08;
 constexpr Duration minWriteMargin = std::chrono::milliseconds(1000);
 constexpr Duration maxWriteMargin = std::chrono::seconds(3);
-/// Part of the allowed exposure that the canary is to get, as requests are drawn at random and a
-/// ramp adds to them.
+/// Part of the allowed exposure that the canary is to get in the observed part of the time, as
+/// requests are drawn at random and a ramp adds to them.
 constexpr double plannedExposure = 0.6;
+/// The same until the last moment for a ramp, where too little was known before.
+constexpr double extendedExposure = 0.75;
+/// Least time over which the rest is spread, in seconds.
+constexpr double minPlannedSeconds = 1;
 constexpr double minCanaryShare = 0.01;
-constexpr double maxCanaryShare = 0.25;
+constexpr double maxCanaryShare = 0.4;
 /// More answers a second of the new version say little more.
 constexpr double maxCanaryRate = 30;
 /// Load of a new version's upstream during the canary, relative to one of the others.
@@ -82,8 +86,7 @@
     if (seen.m_excessBadAnswers >= maxExcessBadAnswers)
         return RolloutReason::TooManyBadAnswers;
     const bool isHandingOver = m_stage == RolloutStage::Ramp || m_stage == RolloutStage::Handover;
-    const Duration rampTime = rampStep * rampShares.size();
-    if (isHandingOver || seen.m_now < handoverEnd() - rampTime - minHandover)
+    if (isHandingOver || seen.m_now < latestRamp())
         return std::nullopt;
     if (seen.m_targets == 0)
         return RolloutReason::NoUpstreams;
@@ -130,33 +133,57 @@
         enter(RolloutStage::Waiting, RolloutReason::NoUpstreams, seen.m_now);
         return;
     }
-    const auto observed = std::chrono::duration_cast<Duration>(observedFraction * m_duration);
-    if (m_isPaused || seen.m_now < m_orderedAt + observed)
+    if (m_isPaused || seen.m_now < observedUntil())
         return;
     if (hasCapacity(seen) && std::holds_alternative<CanarySound>(seen.m_verdict))
         enter(RolloutStage::Ramp, RolloutReason::Sound, seen.m_now);
 }
 
+TimePoint RolloutPlan::observedUntil() const
+{
+    return m_orderedAt + std::chrono::duration_cast<Duration>(observedFraction * m_duration);
+}
+
+/// Returns the last moment at which a ramp leaves time for the handover.
+TimePoint RolloutPlan::latestRamp() const
+{
+    return handoverEnd() - rampStep * rampShares.size() - minHandover;
+}
+
 /// Returns a fraction with which a version that is found to be bad at the end stays within the
 /// bound.
-double RolloutPlan::canaryShare(double requestRate) const
+double RolloutPlan::canaryShare(const RolloutObservation &seen) const
 {
-    if (requestRate <= 0)
+    if (seen.m_requestRate <= 0)
         return plannedExposure * m_bounds.m_share;
-    const double requests = requestRate * toSeconds(m_duration);
-    const double allowed = m_bounds.m_share + m_bounds.m_slack / requests;
-    const double planned = plannedExposure * allowed / observedFraction;
-    const double limited = maxCanaryRate / requestRate;
+    const double requests = seen.m_requestRate * toSeconds(m_duration);
+    const double allowed = m_bounds.m_share * requests + m_bounds.m_slack;
+    const double even = plannedExposure * allowed / (observedFraction * requests);
+    const double planned = std::max(even, shareAfterTakeover(seen, allowed));
+    const double limited = maxCanaryRate / seen.m_requestRate;
     return std::clamp(std::min(planned, limited), minCanaryShare, maxCanaryShare);
 }
 
+/// Returns the fraction that makes up for what was not exposed while no VM decided, 0 if this VM is
+/// the first that decides. A small fleet would have too few answers otherwise.
+double RolloutPlan::shareAfterTakeover(const RolloutObservation &seen, double allowed) const
+{
+    if (m_begunAt <= m_orderedAt + settleTime)
+        return 0;
+    const bool isExtended = seen.m_now >= observedUntil();
+    const Duration left = (isExtended ? latestRamp() : observedUntil()) - seen.m_now;
+    const double planned = (isExtended ? extendedExposure : plannedExposure) * allowed;
+    const double unspent = planned - static_cast<double>(seen.m_canaryAnswers);
+    return unspent / (seen.m_requestRate * std::max(toSeconds(left), minPlannedSeconds));
+}
+
 double RolloutPlan::share(const RolloutObservation &seen) const
 {
     if (m_isPaused)
         return 0;
     switch (m_stage) {
     case RolloutStage::Canary:
-        return canaryShare(seen.m_requestRate);
+        return canaryShare(seen);
     case RolloutStage::Ramp: {
         const auto step = static_cast<std::size_t>((seen.m_now - m_stageSince) / rampStep);
         return rampShares[std::min(step, rampShares.size() - 1)];
--- a/tests/support/rollout_simulation.hpp
+++ b/tests/support/rollout_simulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/serving/canary_judge.hpp>
+#include <gypsumdale/serving/reported_evidence.hpp>
 #include <gypsumdale/serving/rollout_plan.hpp>
 #include <gypsumdale/serving/version_gate.hpp>
 
@@ -129,10 +130,8 @@
         std::int64_t m_incarnation = 0;
         RolloutPlan m_plan;
         CanaryJudge m_judge;
-        Duration m_reportedSince{};
         double m_earlierExcess = 0;
-        std::int64_t m_answersSince = 0;
-        std::map<std::pair<std::size_t, std::int64_t>, CanaryEvidence> m_known;
+        ReportedEvidence m_reported{};
     };
 
     static ServiceId service() { return ServiceId("llm"); }
@@ -231,14 +230,9 @@
             return;
         const TimePoint begun = now();
         const TimePoint ordered(std::chrono::hours(1));
-        m_leader.emplace(Leader{chosen,
-                                m_vms[chosen].m_incarnation,
+        m_leader.emplace(Leader{chosen, m_vms[chosen].m_incarnation,
                                 RolloutPlan(ExposureBounds{}, m_play.m_duration, ordered, begun),
-                                CanaryJudge(m_play.m_test),
-                                Duration::max(),
-                                m_storedExcess,
-                                0,
-                                {}});
+                                CanaryJudge(m_play.m_test), m_storedExcess});
     }
 
     double shownLoad(const std::set<UpstreamId> &upstreams) const
@@ -356,13 +350,9 @@
         judgeOwn(vm);
         if (!m_leader || uniform() < 0.02)
             return;
-        const auto [known, isFirst] = m_leader->m_known.try_emplace({number, vm.m_incarnation});
-        if (m_leader->m_reportedSince == Duration::max())
-            m_leader->m_reportedSince = m_since;
-        const CanaryEvidence increment = evidenceSince(known->second, vm.m_counted);
-        m_leader->m_judge.add(increment, now());
-        known->second = vm.m_counted;
-        m_leader->m_answersSince += isFirst ? 0 : answersIn(increment);
+        m_leader->m_judge.add(m_leader->m_reported.add(std::to_string(number), vm.m_incarnation,
+                                                       vm.m_counted, now()),
+                              now());
         tell(vm, now() + leaseTerm);
     }
 
@@ -373,7 +363,7 @@
         access.m_closed = {newVersion()};
         const RolloutObservation seen = observe();
         m_shareNow = m_leader->m_plan.share(seen);
-        if (m_shareNow > 0)
+        if (m_shareNow > 0 || m_leader->m_plan.isMeasuring())
             access.m_lease = ExposureLease{newVersion(), m_shareNow, canaries(seen), leasedUntil};
         vm.m_gate.setAccess({{service(), access}});
     }
@@ -402,11 +392,8 @@
         seen.m_others = m_play.m_upstreams;
         seen.m_runningAtOthers =
                 m_handoverAt && m_since > *m_handoverAt + std::chrono::seconds(2) ? 0 : 10;
-        const Duration measured = m_since - m_leader->m_reportedSince;
-        const auto answers = static_cast<double>(m_leader->m_answersSince);
-        if (m_leader->m_reportedSince != Duration::max() && answers > 0
-            && measured >= std::chrono::milliseconds(1500))
-            seen.m_requestRate = answers / toSeconds(measured);
+        seen.m_requestRate = m_leader->m_reported.rate(now());
+        seen.m_canaryAnswers = m_leader->m_judge.answers();
         return seen;
     }
 
