Try all upstreams before a VM believes that it is cut off

What callers saw: with a third of the upstreams dead and every path whole, VMs answered 503 or relayed requests that the other upstreams would have served.

Cause: three failures in a row at different upstreams were taken for a cut of the VM's own path; with half of 24 upstreams dead that happens once in eight tries. Ruled out: a larger number, which delays the finding of a true cut.

Change: the failures are a suspicion; the VM then tries a connection to every upstream of the service in batches that double, and counts as cut off only if all fail (serving/reach_check). A request passes over up to eight refused connections, still four that are not answered.

--- a/include/gypsumdale/entry/entry_relay.hpp
+++ b/include/gypsumdale/entry/entry_relay.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/observe/log.hpp>
 #include <gypsumdale/observe/metrics.hpp>
 #include <gypsumdale/runtime/fiber_loop.hpp>
+#include <gypsumdale/serving/reach_check.hpp>
 #include <gypsumdale/serving/relay_peers.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 #include <gypsumdale/serving/upstream_reach.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint> // uint64_t
 #include <functional> // function
 #include <map> // map
+#include <memory> // shared_ptr
 #include <optional> // optional
 #include <set> // set
 #include <string_view> // string_view
@@ -29,7 +31,8 @@
 /// Relaying of requests between VMs, as seen by one VM's traffic thread: which services it is cut
 /// off from, which peers can take requests for them, and how many requests it has taken itself.
 ///
-/// While a service counts as cut off, connections to its upstreams are tried in the background, and
+/// Before a service counts as cut off, connections to all its upstreams are tried. While it counts
+/// as cut off, connections to its upstreams are tried in the background, and
 /// requests are sent to them again as soon as one is opened.
 class EntryRelay
 {
@@ -92,6 +95,21 @@
     TakenRequest take();
 
 private:
+    /// A check of one service that is under way.
+    struct RunningCheck
+    {
+        ServiceId m_service;
+        ReachCheck m_check;
+        /// Connections of the current batch that are still being tried.
+        std::size_t m_pending = 0;
+        bool m_isReached = false;
+    };
+
+    void check(const ServiceId &service);
+    void tryNextBatch(const std::shared_ptr<RunningCheck> &check);
+    void tryConnection(const std::shared_ptr<RunningCheck> &check,
+                       const PooledUpstreamPointer &upstream);
+    void beginCutOff(const ServiceId &service);
     void probe(const ServiceId &service);
     PooledUpstreamPointer chooseProbed(const ServiceId &service);
 
@@ -103,6 +121,7 @@
     RandomDraw m_draw;
     UpstreamReach m_reach;
     RelayPeers m_peers;
+    std::set<ServiceId> m_checkedServices;
     /// Since when services are cut off.
     std::map<ServiceId, TimePoint> m_cutOffSince;
     int m_taken = 0;
--- a/include/gypsumdale/serving/upstream_reach.hpp
+++ b/include/gypsumdale/serving/upstream_reach.hpp
@@ -12,9 +12,11 @@
 /// Which services this VM is cut off from, judged by the connections that it opens.
 ///
 /// One upstream that can't be reached may have failed. If several different ones can't be reached
-/// and no connection to any other is opened in between, it is this VM that is cut off, and other
-/// VMs may still reach them. Each service is judged by itself, as the paths to only one of them may
-/// be cut. Connections that were opened before a cut may live on, so answers on them prove nothing.
+/// and no connection to any other is opened in between, this VM may be cut off, while other VMs
+/// still reach them; so may it be if many upstreams are down. It is cut off once all of them were
+/// tried in vain, see ReachCheck. Each service is judged by itself, as the paths to only one of
+/// them may be cut. Connections that were opened before a cut may live on, so answers on them prove
+/// nothing.
 class UpstreamReach
 {
 public:
@@ -29,11 +31,19 @@
     bool recordConnected(const ServiceId &service);
 
     /// Records a connection that was refused or not answered. `known` is the number of upstreams of
-    /// the service. Returns whether the service counts as cut off from now on. Complexity: linear
-    /// in the failed upstreams.
+    /// the service. Returns whether so many have failed that the VM may be cut off from a service
+    /// that doesn't count as cut off yet. Complexity: linear in the failed upstreams.
     bool recordUnreachable(const ServiceId &service, const UpstreamId &upstream, std::size_t known,
                            TimePoint now);
 
+    /// Records that all upstreams of a service were tried in vain. Returns whether the service
+    /// counts as cut off from now on: not if a connection was opened meanwhile. Complexity:
+    /// logarithmic in the number of services.
+    bool recordCutOff(const ServiceId &service)
+    {
+        return m_failures.contains(service) && m_cutOff.insert(service).second;
+    }
+
     /// Complexity: logarithmic in the number of services.
     bool isCutOff(const ServiceId &service) const { return m_cutOff.contains(service); }
     const std::set<ServiceId> &cutOffServices() const { return m_cutOff; }
--- a/src/entry/call_attempts.hpp
+++ b/src/entry/call_attempts.hpp
@@ -16,11 +16,13 @@
     /// Records that the last attempt, whose answer has begun, may have run.
     void recordPossibleRun() { ++m_possibleRuns; }
 
-    /// Records an attempt that failed before its answer began.
-    void recordFailure(SendPhase phase)
+    /// Records an attempt that failed before its answer began. A connection that was not answered
+    /// costs the request the time of its timeout, a refused one hardly any.
+    void recordFailure(SendPhase phase, bool isUnanswered = false)
     {
         if (phase == SendPhase::NothingSent) {
             ++m_connectFailures;
+            m_unansweredConnects += isUnanswered ? 1 : 0;
             return;
         }
         ++m_arrived;
@@ -37,12 +39,14 @@
     int arrived() const { return m_arrived; }
     int possibleRuns() const { return m_possibleRuns; }
     int connectFailures() const { return m_connectFailures; }
+    int unansweredConnects() const { return m_unansweredConnects; }
     /// Returns the number of the next attempt, from 1 on.
     int next() const { return m_arrived + m_connectFailures + 1; }
 
 private:
     int m_arrived = 0;
     int m_connectFailures = 0;
+    int m_unansweredConnects = 0;
     int m_possibleRuns = 0;
 };
 
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -12,8 +12,10 @@
 /// A new connection takes a round trip. After this time the upstream counts as stopped or
 /// unreachable.
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
-/// Limit of failed connection attempts of one request.
-constexpr int maxConnectFailures = 4;
+/// Limits of failed connections of one request: of all, so that a request passes over the dead
+/// where half of the upstreams are, and of those that were not answered.
+constexpr int maxConnectFailures = 8;
+constexpr int maxUnansweredConnects = 4;
 /// The same for a peer's request, which the peer may send elsewhere.
 constexpr int maxRelayedConnectFailures = 2;
 /// A repeatable request is given up at an upstream that has not started to answer after this many
@@ -125,13 +127,20 @@
         return AttemptStop::NotAllowed;
     if (m_attempts.possibleRuns() >= maxAttempts())
         return AttemptStop::NotAllowed;
-    const int connectFailures =
-            m_source == CallSource::Peer ? maxRelayedConnectFailures : maxConnectFailures;
-    if (m_attempts.connectFailures() >= connectFailures && !m_traffic.relay().isUsedFor(m_service))
+    if (hasFailedToConnect() && !m_traffic.relay().isUsedFor(m_service))
         return AttemptStop::NotAllowed;
     return std::nullopt;
 }
 
+/// Returns whether too many connections have failed for another one.
+bool EntryCall::hasFailedToConnect() const
+{
+    if (m_source == CallSource::Peer)
+        return m_attempts.connectFailures() >= maxRelayedConnectFailures;
+    return m_attempts.connectFailures() >= maxConnectFailures
+           || m_attempts.unansweredConnects() >= maxUnansweredConnects;
+}
+
 /// Returns the call to an upstream or to a peer that relays, without its headers.
 HttpCall EntryCall::callTo(const PooledUpstream &target) const
 {
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -151,6 +151,7 @@
     CallResult<HttpExchange> send(InFlightGuard &guard,
                                   const std::shared_ptr<PlacementCallDeadline> &deadline);
     std::optional<AttemptStop> attemptStopReason();
+    bool hasFailedToConnect() const;
     PlacementRequest placement() const;
     PooledUpstreamPointer chooseUpstream(PlacementRequest &request);
     bool readsAlone(const PooledUpstream &upstream) const;
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -91,7 +91,7 @@
 
 void EntryCall::countFailedAttempt(const CallFailure &failure)
 {
-    m_attempts.recordFailure(failure.m_phase);
+    m_attempts.recordFailure(failure.m_phase, failure.m_error.m_id == ErrorId::Timeout);
     if (failure.m_phase != SendPhase::NothingSent)
         recordTimeout(failure);
 }
--- a/src/entry/entry_relay.cpp
+++ b/src/entry/entry_relay.cpp
@@ -32,11 +32,60 @@
 {
     const ServiceId service = upstream.m_record.m_service;
     const std::size_t known = m_pool.placeable(service).size();
-    if (!m_reach.recordUnreachable(service, upstream.m_record.m_id, known, m_clock.now()))
+    if (m_reach.recordUnreachable(service, upstream.m_record.m_id, known, m_clock.now()))
+        check(service);
+}
+
+/// Tries connections to all upstreams of a service before it counts as cut off. Where many of them
+/// were down and the path was whole, VMs that took a few failures for a cut relayed or rejected
+/// requests that the remaining upstreams would have served.
+void EntryRelay::check(const ServiceId &service)
+{
+    if (!m_checkedServices.insert(service).second)
+        return;
+    const auto hasFailed = [this, &service](const UpstreamId &upstream) {
+        return m_reach.hasFailed(service, upstream);
+    };
+    const auto check = std::make_shared<RunningCheck>();
+    check->m_service = service;
+    check->m_check = ReachCheck(m_pool.placeable(service), hasFailed, m_draw);
+    tryNextBatch(check);
+}
+
+void EntryRelay::tryNextBatch(const std::shared_ptr<RunningCheck> &check)
+{
+    const std::vector<PooledUpstreamPointer> batch = check->m_check.nextBatch();
+    if (batch.empty() || check->m_isReached) {
+        m_checkedServices.erase(check->m_service);
+        if (!check->m_isReached)
+            beginCutOff(check->m_service);
+        return;
+    }
+    check->m_pending = batch.size();
+    for (const PooledUpstreamPointer &upstream : batch)
+        m_loop.spawn([this, check, upstream] { tryConnection(check, upstream); });
+}
+
+void EntryRelay::tryConnection(const std::shared_ptr<RunningCheck> &check,
+                               const PooledUpstreamPointer &upstream)
+{
+    const UpstreamRecord &record = upstream->m_record;
+    if (UpstreamClient::canConnect({record.m_ip, record.m_port}, probeTimeout)) {
+        check->m_isReached = true;
+        recordConnected(*upstream);
+    }
+    if (--check->m_pending == 0)
+        tryNextBatch(check);
+}
+
+void EntryRelay::beginCutOff(const ServiceId &service)
+{
+    if (!m_reach.recordCutOff(service))
         return;
     m_cutOffSince[service] = m_clock.now();
     m_metrics.add(Counter::ServicesCutOff);
-    m_log.warning("service-cut-off", {service, {LogField::Count, known}});
+    m_log.warning("service-cut-off",
+                  {service, {LogField::Count, m_pool.placeable(service).size()}});
     m_loop.spawn([this, service] { probe(service); });
 }
 
--- a/src/serving/upstream_reach.cpp
+++ b/src/serving/upstream_reach.cpp
@@ -17,9 +17,7 @@
     std::erase_if(failures,
                   [now](const auto &failure) { return now - failure.second > failureMemory; });
     failures[upstream] = now;
-    if (failures.size() < std::min(known, unreachableUpstreams))
-        return false;
-    return m_cutOff.insert(service).second;
+    return failures.size() >= std::min(known, unreachableUpstreams) && !isCutOff(service);
 }
 
 bool UpstreamReach::hasFailed(const ServiceId &service, const UpstreamId &upstream) const
--- a/tests/src/unit-upstream-reach.cpp
+++ b/tests/src/unit-upstream-reach.cpp
@@ -1,8 +1,12 @@
+#include <gypsumdale/serving/reach_check.hpp>
 #include <gypsumdale/serving/upstream_reach.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <memory> // make_shared
+#include <set> // set
 #include <string> // string
+#include <vector> // vector
 
 using namespace gypsumdale;
 using namespace std::chrono_literals;
@@ -16,7 +20,8 @@
 bool fails(UpstreamReach &reach, const std::string &upstream, std::size_t known,
            TimePoint now = start, const ServiceId &service = llm)
 {
-    return reach.recordUnreachable(service, UpstreamId(upstream), known, now);
+    return reach.recordUnreachable(service, UpstreamId(upstream), known, now)
+           && reach.recordCutOff(service);
 }
 
 } // namespace
@@ -71,6 +76,42 @@
     }
 }
 
+// Guards against a cut that is found though a request reached an upstream during the check.
+TEST_CASE("a service is not cut off if a connection was opened while its upstreams were tried")
+{
+    UpstreamReach reach;
+    for (const char *upstream : {"u1", "u2", "u3"})
+        reach.recordUnreachable(llm, UpstreamId(upstream), 9, start);
+    reach.recordConnected(llm);
+    CHECK_FALSE(reach.recordCutOff(llm));
+    CHECK_FALSE(reach.isCutOff(llm));
+}
+
+// Guards against a cut that is found though upstreams without a failure were not tried.
+TEST_CASE("all upstreams are tried before a service counts as cut off, failed ones last")
+{
+    std::vector<PooledUpstreamPointer> upstreams;
+    for (int number = 0; number < 9; ++number) {
+        upstreams.push_back(std::make_shared<PooledUpstream>());
+        upstreams.back()->m_record.m_id =
+                UpstreamId(std::string(1, static_cast<char>('a' + number)));
+    }
+    const std::set<UpstreamId> failed = {UpstreamId("b"), UpstreamId("c"), UpstreamId("g")};
+    ReachCheck check(
+            upstreams, [&failed](const UpstreamId &id) { return failed.contains(id); },
+            [] { return 5; });
+    std::vector<UpstreamId> tried;
+    std::vector<std::size_t> batches;
+    for (auto batch = check.nextBatch(); !batch.empty(); batch = check.nextBatch()) {
+        batches.push_back(batch.size());
+        for (const PooledUpstreamPointer &upstream : batch)
+            tried.push_back(upstream->m_record.m_id);
+    }
+    CHECK(batches == std::vector<std::size_t>{2, 4, 3});
+    CHECK(std::set<UpstreamId>(tried.begin(), tried.end()).size() == 9);
+    CHECK(std::set<UpstreamId>(tried.end() - 3, tried.end()) == failed);
+}
+
 // Guards against relaying requests of a service that is reached, because another one isn't.
 TEST_CASE("each service is judged by itself")
 {
--- a/tests/support/relay_simulation.hpp
+++ b/tests/support/relay_simulation.hpp
@@ -5,6 +5,7 @@
 
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/exchange_pacing.hpp>
+#include <gypsumdale/serving/reach_check.hpp>
 #include <gypsumdale/serving/relay_peers.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 #include <gypsumdale/serving/upstream_reach.hpp>
@@ -72,7 +73,8 @@
     static constexpr Duration hop = std::chrono::milliseconds(2);
     static constexpr Duration connectTimeout = std::chrono::milliseconds(250);
     static constexpr Duration exchangeDelay = std::chrono::milliseconds(5);
-    static constexpr int maxConnectFailures = 4;
+    static constexpr int maxConnectFailures = 8;
+    static constexpr int maxUnansweredConnects = 4;
     static constexpr int maxRelayedConnectFailures = 2;
 
     enum class Path { Open, Refused, Unanswered };
@@ -104,6 +106,7 @@
         DataCentreId m_dataCentre;
         UpstreamPool m_pool;
         UpstreamReach m_reach;
+        std::set<ServiceId> m_checked;
         RelayPeers m_peers;
         int m_taken = 0;
         bool m_isDown = false;
@@ -126,6 +129,7 @@
         std::set<UpstreamId> m_tried;
         std::set<UpstreamId> m_triedPeers;
         int m_connectFailures = 0;
+        int m_unansweredConnects = 0;
         std::function<void(Outcome)> m_done;
     };
     using RequestPointer = std::shared_ptr<Request>;
@@ -401,7 +405,8 @@
             return relay(request);
         const int connectFailures =
                 request->m_isRelayed ? maxRelayedConnectFailures : maxConnectFailures;
-        if (request->m_connectFailures >= connectFailures)
+        if (request->m_connectFailures >= connectFailures
+            || request->m_unansweredConnects >= maxUnansweredConnects)
             return unplaced(request);
         PlacementRequest placement;
         placement.m_service = request->m_service;
@@ -433,6 +438,7 @@
                 return request->m_done(Outcome::Served);
             }
             ++request->m_connectFailures;
+            request->m_unansweredConnects += path == Path::Unanswered ? 1 : 0;
             UpstreamPool::note(*upstream, AttemptResult::Broken, m_queue.now());
             recordUnreachable(request->m_vm, *upstream);
             attempt(request);
@@ -458,8 +464,41 @@
         const std::size_t known = vm.m_pool.placeable(service).size();
         if (!vm.m_reach.recordUnreachable(service, upstream.m_record.m_id, known, m_queue.now()))
             return;
-        m_soundVms.m_falseCutOffs += reachesMost(number, service) ? 1 : 0;
-        probe(number, service, std::chrono::milliseconds(20));
+        if (!vm.m_checked.insert(service).second)
+            return;
+        const ReachCheck check(
+                vm.m_pool.placeable(service),
+                [&](const UpstreamId &id) { return vm.m_reach.hasFailed(service, id); },
+                [this] { return draw(); });
+        tryNextBatch(number, service, check);
+    }
+
+    /// Tries connections to a batch of upstreams at once, and to the next one if none is opened.
+    void tryNextBatch(std::size_t number, const ServiceId &service, ReachCheck check)
+    {
+        Vm &vm = *m_vms[number];
+        const std::vector<PooledUpstreamPointer> batch = check.nextBatch();
+        if (batch.empty()) {
+            vm.m_checked.erase(service);
+            if (!vm.m_reach.recordCutOff(service))
+                return;
+            m_soundVms.m_falseCutOffs += reachesMost(number, service) ? 1 : 0;
+            probe(number, service, std::chrono::milliseconds(20));
+            return;
+        }
+        bool isReached = false;
+        Duration time = hop;
+        for (const PooledUpstreamPointer &upstream : batch) {
+            const Path path = pathTo(number, upstream->m_record.m_id);
+            isReached = isReached || path == Path::Open;
+            time = path == Path::Unanswered ? connectTimeout : time;
+        }
+        m_queue.after(time, [this, number, service, check, isReached] {
+            if (!isReached)
+                return tryNextBatch(number, service, check);
+            m_vms[number]->m_checked.erase(service);
+            recordConnected(*m_vms[number], service);
+        });
     }
 
     void probe(std::size_t number, const ServiceId &service, Duration pause)
