Build only what the demo runs

Cause: make demo built all programs, tests included, before it ran anything. Change: it builds the daemon, the tool and the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -2,19 +2,22 @@
 BUILD ?= build
 .DEFAULT_GOAL := build
 
-.PHONY: deps build test demo check bench clean
+.PHONY: deps configure build test demo check bench clean
 
 deps:
 	scripts/install-deps.sh
 
-build: deps
+configure: deps
 	cmake -S . -B $(BUILD) -G Ninja
+
+build: configure
 	cmake --build $(BUILD)
 
 test: build
 	scripts/run-tests.sh $(BUILD)
 
-demo: build
+demo: configure
+	cmake --build $(BUILD) --target gypsumdaled gypsumctl gypsumdale-standin
 	scripts/demo.sh $(BUILD)
 
 check: build
