Place requests by the prefill speed of each upstream

Cause: placement counted pending tokens, so that engines of 0.7, 0.7 and 1.7 times the nominal speed received the same number of them. With reports that are 1.75 s old the slow ones were overloaded while the fast ones idled.

Change: UpstreamSpeeds estimates the speed of each upstream process from prompts that were alone there, shares estimates of uneven services in EntryDigest.speeds, and takes the median over VMs. UpstreamPool counts an engine's load as the time that it needs for it, and draws fast engines more often as candidates; the tokens read since a report, the pause limit and the forecast of the first event use the engine's own speed. Upstreams near the median have a relative speed of exactly 1, and costs are then as before.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -21,6 +21,7 @@
 #include <gypsumdale/serving/serving_view.hpp>
 #include <gypsumdale/serving/steady_wall_clock.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
+#include <gypsumdale/serving/upstream_speed.hpp>
 #include <gypsumdale/serving/usage_counts.hpp>
 #include <gypsumdale/settings/entry_settings.hpp>
 
@@ -48,6 +49,8 @@
     /// Prompt reading rates as measured by this VM, and of the whole fleet.
     std::map<ServiceId, PrefillRate> m_ownPrefill;
     std::map<ServiceId, PrefillRate> m_fleetPrefill;
+    /// This VM's estimates that peers need.
+    ObservedSpeeds m_speeds;
     WallMillis m_wall = 0;
     RelayStatus m_relay;
     RetryHistory m_retries;
@@ -64,6 +67,8 @@
     /// Counts of processes that have ended, as far as the peer knows them.
     std::vector<EndedProcessUsage> m_endedUsage;
     std::map<ServiceId, PrefillRate> m_reading;
+    /// A few of the peer's estimates.
+    ObservedSpeeds m_speeds;
     /// The peer's wall time minus this VM's at the time of the report.
     WallMillis m_wallOffset = 0;
     RelayOffer m_relay;
@@ -188,6 +193,7 @@
     const ServingViewPointer &view() const { return m_view; }
     UpstreamPool &pool() { return m_pool; }
     FleetPrefillRates &reading() { return m_prefillRates; }
+    UpstreamSpeeds &speeds() { return m_speeds; }
     FirstEventForecaster &forecaster() { return m_forecaster; }
     /// Returns how many prompt tokens an engine of a service reads in the given time; 0 if its
     /// speed isn't known.
@@ -217,6 +223,7 @@
 
 private:
     void continueRetries(const std::string &peer, const EarlierRetries &earlier);
+    void updateSpeeds();
     void logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams);
 
     const EntrySettings &m_settings;
@@ -233,6 +240,7 @@
     ListConfirmation m_listConfirmation{TimePoint{}, true};
     PlacementDeadline m_placementDeadline;
     FleetPrefillRates m_prefillRates;
+    UpstreamSpeeds m_speeds;
     PromptAnnouncer m_promptAnnouncer;
     bool m_isSpreadOut = false;
     FirstEventForecaster m_forecaster;
--- a/include/gypsumdale/entry/exchange_writer.hpp
+++ b/include/gypsumdale/entry/exchange_writer.hpp
@@ -6,7 +6,7 @@
 #include <gypsumdale/entry/peer_table.hpp>
 
 #include <cstddef> // size_t
-#include <cstdint> // int32_t, int64_t
+#include <cstdint> // int32_t, int64_t, uint64_t
 
 namespace gypsumdale::entrywire {
 class EntryDigest;
@@ -59,6 +59,7 @@
     void fillOwnState(entrywire::EntryDigest &digest) const;
     bool sendsEndedCountsTo(const KnownPeer &peer) const;
     bool sendsRetries() const;
+    std::size_t nextSpeedStart();
     void fillEarlier(const KnownPeer &peer, entrywire::EntryDigest &digest) const;
     void fillPeers(entrywire::EntryDigest &digest);
 
@@ -72,6 +73,8 @@
     std::int64_t m_dutyFence = 0;
     std::int64_t m_dutyRevision = 0;
     std::size_t m_messages = 0;
+    /// State of the generator of positions in the speeds.
+    std::uint64_t m_speedDraw = 0;
     /// Position at which the next list of peers begins.
     std::size_t m_nextListedPeer = 0;
 };
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/serving/crash_suspects.hpp>
 #include <gypsumdale/serving/stream_origins.hpp>
 
+#include <cstddef> // size_t
 #include <optional> // optional
 #include <string> // string
 #include <vector> // vector
@@ -38,6 +39,10 @@
 /// few are included.
 void fillReport(const TrafficReport &report, entrywire::EntryDigest &digest);
 
+/// Encodes a few of a VM's estimates of upstream speeds into a digest, beginning at a position
+/// that is wrapped around. Without any the field stays unset.
+void fillSpeeds(const ObservedSpeeds &speeds, std::size_t first, entrywire::EntryDigest &digest);
+
 /// Encodes the counts of ended processes into a digest, except those of the receiver's own process.
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest);
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -128,8 +128,9 @@
     PlacementListAgeMillis,
     QuarantinedRequests,
     RolloutsUnderWay,
+    UnevenUpstreams,
 };
-constexpr std::size_t gaugeCount = 23;
+constexpr std::size_t gaugeCount = 24;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/include/gypsumdale/serving/first_event_forecast.hpp
+++ b/include/gypsumdale/serving/first_event_forecast.hpp
@@ -17,7 +17,8 @@
     PlacementRequest m_placement;
     /// 0 is the most urgent.
     int m_priority = 0;
-    /// Prompt tokens that one engine reads per second; 0 while unknown.
+    /// Prompt tokens that one engine reads per second; 0 while unknown. An engine whose own speed
+    /// is known counts with that.
     double m_speed = 0;
 };
 
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
+#include <gypsumdale/serving/upstream_speed.hpp>
 #include <gypsumdale/serving/version_gate.hpp>
 
 #include <cstddef> // size_t
@@ -43,6 +44,8 @@
     InFlightLoad m_peerTotal;
     /// The pending prompt tokens of that sum by VM, oldest report first.
     std::vector<ReportedPrompts> m_peerPrompts;
+    /// Its prefill speed; the default where the service's upstreams are equally fast.
+    PlacementSpeed m_speed;
     /// Failure rate of the last requests, as a moving average from 0 to 1.
     double m_failureShare = 0;
     int m_failuresInRow = 0;
@@ -73,6 +76,13 @@
 
 using PooledUpstreamPointer = std::shared_ptr<PooledUpstream>;
 
+/// Prompt tokens that wait at one engine, and its speed.
+struct EngineBacklog
+{
+    std::int64_t m_pendingTokens = 0;
+    PlacementSpeed m_speed;
+};
+
 /// Inputs of the selection of an upstream.
 struct PlacementRequest
 {
@@ -149,7 +159,8 @@
     /// ones, or more of them for a prompt that is announced to peers at once. The pending tokens
     /// that others reported there are reduced by the age of their reports, since engines have
     /// continued reading; without this, an engine that was busy at a report was avoided long after
-    /// it was idle again.
+    /// it was idle again. Where engines are unevenly fast, their load counts as the time that they
+    /// need for it, and a fast one is more likely to be compared.
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Returns whether retained upstreams, whose entries vanished, are selected: as long as at
@@ -173,6 +184,14 @@
     std::optional<std::int64_t> minPendingTokens(const PlacementRequest &request,
                                                  TimePoint now) const;
 
+    /// Returns what waits at the engines that are not avoided, over all data centres. Complexity:
+    /// linear in the upstreams.
+    std::vector<EngineBacklog> backlogs(const PlacementRequest &request, TimePoint now) const;
+
+    /// Sets the speeds of the upstreams; those that are not included have the default. Complexity:
+    /// linear in the upstreams.
+    void setSpeeds(const std::map<UpstreamId, PlacementSpeed> &speeds);
+
     /// Records the result of an attempt. Complexity: constant.
     static void note(PooledUpstream &upstream, AttemptResult result, TimePoint now);
 
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -209,6 +209,7 @@
         m_triedUpstreams.insert(upstream->m_record.m_id);
         logPlaced(*upstream, *until);
         const bool isAlone = readsAlone(*upstream);
+        const bool isSpeedSample = isAlone && upstream->running() < upstream->m_record.m_slots;
         InFlightGuard guard(upstream, m_caller.m_promptTokens);
         const TimePoint sentAt = m_traffic.now();
         m_traffic.recordPlacement(*upstream, ownTokens(), request.m_isAnnounced);
@@ -231,7 +232,8 @@
                               isAlone ? std::optional(sentAt) : std::nullopt,
                               originAt(*upstream),
                               false,
-                              sentAt};
+                              sentAt,
+                              isSpeedSample ? std::optional(sentAt) : std::nullopt};
     }
 }
 
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -91,6 +91,8 @@
     bool m_isRelayed = false;
     /// When the request was sent, if the answer says how well its upstream's version serves.
     std::optional<TimePoint> m_sentAt{};
+    /// When the request was sent, if its prompt was the only one to read and a slot was free.
+    std::optional<TimePoint> m_speedSampleSince{};
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -252,6 +252,9 @@
     recordVersionAnswer(answer, false);
     if (const auto since = std::exchange(answer.m_readAloneSince, std::nullopt))
         m_traffic.reading().own(m_service).recordUncontended(ownTokens(), m_traffic.now() - *since);
+    if (const auto since = std::exchange(answer.m_speedSampleSince, std::nullopt))
+        m_traffic.speeds().record(answer.m_guard.upstream().m_record, ownTokens(),
+                                  m_traffic.now() - *since, m_traffic.now());
 }
 
 bool EntryCall::processBytes(const std::string &piece, UpstreamAnswer &answer)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -53,6 +53,7 @@
     , m_metrics(metrics)
     , m_client(loop, metrics)
     , m_placementDeadline(settings.m_bounds.m_leavingApply)
+    , m_speeds(settings.m_dataCentre)
     , m_quota(quotaSettings(settings, clock.now()))
     , m_retryBudget(retrySettings(settings, clock.now()))
     , m_usage(settings.m_bounds.m_usageWindow)
@@ -112,6 +113,7 @@
     const bool isConfirmed = m_listConfirmation.m_confirmedAt != TimePoint{};
     m_pool.update(upstreams, revision,
                   isConfirmed ? std::optional(m_listConfirmation.m_confirmedAt) : std::nullopt);
+    m_speeds.setUpstreams(upstreams);
     m_rollouts.setUpstreams(upstreams);
     logVersions(upstreams);
     m_mover->scheduleMoves();
@@ -162,6 +164,9 @@
     m_quota.setPeerUsage(report.m_node, report.m_accounts, now());
     m_pool.setPeerLoad(report.m_node, report.m_loads, now());
     m_prefillRates.setPeer(report.m_node, report.m_reading);
+    if (const std::size_t invalid = m_speeds.mergePeer(report.m_node, report.m_speeds, now()))
+        m_log.warning("peer-speeds-invalid",
+                      {{LogField::Peer, report.m_node}, {LogField::Count, invalid}});
     m_relay.peers().set(report.m_node, report.m_relay);
     if (report.m_earlierRetries)
         continueRetries(report.m_node, *report.m_earlierRetries);
@@ -198,6 +203,7 @@
 {
     m_pool.removePeer(node);
     m_prefillRates.removePeer(node);
+    m_speeds.removePeer(node);
     m_relay.peers().remove(node);
     m_peerOffsets.erase(node);
 }
@@ -233,6 +239,8 @@
     result.m_ownPrefill = m_prefillRates.ownRates(now());
     m_fleetPrefill = m_prefillRates.fleetRates(now());
     result.m_fleetPrefill = m_fleetPrefill;
+    updateSpeeds();
+    result.m_speeds = m_speeds.shared();
     for (const auto &[id, upstream] : m_pool.upstreams()) {
         if (upstream->m_own.m_running > 0)
             result.m_loads[id] = loadOf(*upstream);
@@ -241,6 +249,25 @@
     return result;
 }
 
+/// Recomputes the upstreams' speeds for placements, and logs each that became faster or slower than
+/// usual.
+void EntryTraffic::updateSpeeds()
+{
+    const std::vector<SpeedChange> changes = m_speeds.update(now());
+    m_pool.setSpeeds(m_speeds.placementSpeeds());
+    for (const SpeedChange &change : changes) {
+        m_log.info("upstream-speed", {change.m_upstream,
+                                      change.m_service,
+                                      {LogField::State, enumName(speedStateNames, change.m_state)},
+                                      {LogField::ReadingSpeed, change.m_tokensPerSecond},
+                                      {LogField::RelativeSpeed, change.m_relative},
+                                      {LogField::Samples, change.m_samples},
+                                      {LogField::Count, change.m_vms}});
+    }
+    if (!changes.empty())
+        m_metrics.set(Gauge::UnevenUpstreams, m_speeds.unevenCount());
+}
+
 bool EntryTraffic::takeRetry(const ServiceId &service)
 {
     if (!m_retryBudget.tryTake(service, now()))
--- a/src/entry/exchange_writer.cpp
+++ b/src/entry/exchange_writer.cpp
@@ -37,6 +37,7 @@
     entrywire::EntryDigest &digest = message.digest;
     fillOwnState(digest);
     fillReport(m_report, digest);
+    fillSpeeds(m_report.m_speeds, nextSpeedStart(), digest);
     digest.quarantine = encodeQuarantine(m_quarantine, m_context.now());
     if (sendsRetries())
         digest.__set_retries(encodeRetries(m_report.m_retries, m_context.now()));
@@ -73,6 +74,14 @@
         digest.relayAddress = textOf(*m_context.m_settings.m_relayListen);
 }
 
+/// Returns the position at which a message's speeds begin. Positions in sequence would repeat for a
+/// peer that is sent one message in as many as there are speeds.
+std::size_t ExchangeWriter::nextSpeedStart()
+{
+    m_speedDraw = m_speedDraw * 6364136223846793005ULL + 1442695040888963407ULL;
+    return static_cast<std::size_t>(m_speedDraw >> 33);
+}
+
 /// Returns whether a VM started so recently that it can't have received the counts of ended
 /// processes. They include those of the VM's own previous process.
 bool ExchangeWriter::sendsEndedCountsTo(const KnownPeer &peer) const
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -7,8 +7,8 @@
 #include <algorithm> // clamp, max, min
 #include <charconv> // from_chars
 #include <cmath> // llround
-#include <cstddef> // ptrdiff_t
-#include <iterator> // prev, ssize
+#include <cstddef> // ptrdiff_t, size_t
+#include <iterator> // next, prev, ssize
 
 namespace gypsumdale {
 
@@ -17,6 +17,8 @@
 /// Number of usage windows in a message: the current one, and those whose report may still be
 /// pending.
 constexpr std::ptrdiff_t windowsPerMessage = 4;
+/// Number of upstream speeds in a message.
+constexpr std::size_t speedsPerMessage = 8;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
 /// Longer than any client waits, and than any count is kept. A longer time is not from a VM, and
@@ -108,6 +110,24 @@
         digest.cutOffServices.push_back(service.text());
 }
 
+void fillSpeeds(const ObservedSpeeds &speeds, std::size_t first, entrywire::EntryDigest &digest)
+{
+    if (speeds.empty())
+        return;
+    digest.__isset.speeds = true;
+    auto entry = std::next(speeds.begin(), static_cast<std::ptrdiff_t>(first % speeds.size()));
+    for (std::size_t count = std::min(speeds.size(), speedsPerMessage); count-- > 0;) {
+        const auto &[upstream, speed] = *entry;
+        auto &encoded = digest.speeds.emplace_back();
+        encoded.upstream = upstream.text();
+        encoded.startedAt = speed.m_startedAt;
+        encoded.tokensPerSecond = speed.m_tokensPerSecond;
+        encoded.samples = speed.m_samples;
+        if (++entry == speeds.end())
+            entry = speeds.begin();
+    }
+}
+
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest)
 {
@@ -157,6 +177,9 @@
         report.m_loads[UpstreamId(load.upstream)] = loadOf(load);
     for (const auto &reading : digest.reading)
         report.m_reading[ServiceId(reading.serviceName)] = {reading.demand, reading.speed};
+    for (const auto &speed : digest.speeds)
+        report.m_speeds[UpstreamId(speed.upstream)] = {speed.startedAt, speed.tokensPerSecond,
+                                                       speed.samples};
     for (const auto &usage : digest.usage) {
         for (const auto &[account, count] : usage.counts)
             report.m_usage[usage.window][AccountId(account)] = count;
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -219,6 +219,8 @@
          "Causes of crashes, rejected now or before."},
         {Gauge::RolloutsUnderWay, "gypsumdale_rollouts_under_way",
          "Roll-outs under way, where decided."},
+        {Gauge::UnevenUpstreams, "gypsumdale_uneven_upstreams",
+         "Upstreams faster or slower than usual."},
 }};
 static_assert(isInOrder(gaugeTexts));
 
--- a/src/serving/first_event_forecast.cpp
+++ b/src/serving/first_event_forecast.cpp
@@ -63,17 +63,24 @@
     if (request.m_speed <= 0 || forecast.m_reportAge > maxReportAge)
         return std::nullopt;
     const std::optional<double> fraction = fractionAhead(request, now);
-    const std::optional<std::int64_t> pending = pool.minPendingTokens(request.m_placement, now);
-    if (!fraction || !pending)
+    if (!fraction)
         return std::nullopt;
-    const double ahead = *fraction * static_cast<double>(*pending);
     const PlacementRequest &placement = request.m_placement;
     const double own = static_cast<double>(
             std::max<std::int64_t>(0, placement.m_promptTokens - placement.m_sharedTokens));
-    forecast.m_tokensAhead = static_cast<std::int64_t>(ahead);
+    std::optional<double> least;
+    for (const EngineBacklog &backlog : pool.backlogs(placement, now)) {
+        const double ahead = *fraction * static_cast<double>(backlog.m_pendingTokens);
+        const double seconds = (ahead + own) / backlog.m_speed.valueOr(request.m_speed);
+        if (least && *least <= seconds)
+            continue;
+        least = seconds;
+        forecast.m_tokensAhead = static_cast<std::int64_t>(ahead);
+    }
+    if (!least)
+        return std::nullopt;
     // Engines have continued reading since the reports.
-    forecast.m_wait = std::max(Duration::zero(),
-                               fromSeconds((ahead + own) / request.m_speed) - forecast.m_reportAge);
+    forecast.m_wait = std::max(Duration::zero(), fromSeconds(*least) - forecast.m_reportAge);
     return forecast;
 }
 
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -1,10 +1,11 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 
+#include <serving/placement_cost.hpp>
 #include <xxhash.h>
 
 #include <algorithm> // clamp, max, min
-#include <cmath> // log
+#include <cmath> // log, pow
 #include <limits> // numeric_limits
 #include <map> // multimap
 #include <utility> // exchange, move
@@ -13,8 +14,6 @@
 
 namespace {
 
-/// Delay that a running request adds for the next one, as prompt tokens with the same prefill time.
-constexpr double runningCostTokens = 400;
 /// Cost of reading a shared token again, as tokens of queueing that are accepted to avoid it: it is
 /// paid for in addition to the time it takes.
 constexpr double rereadCost = 3;
@@ -24,8 +23,6 @@
 constexpr double remoteCostPerByte = 0.25;
 /// A plain service's request stays in its data centre unless its upstreams there are busy.
 constexpr double plainRemoteCost = 6000;
-/// Cost of a plain service's running request; its upstreams have few slots.
-constexpr double plainRunningCost = 4000;
 /// Number of engines compared in addition to the home while reports are old. Two random choices are
 /// known to balance load nearly as well as comparing all; a third one covers other data centres.
 constexpr std::size_t localSampleSize = 2;
@@ -82,46 +79,9 @@
     return !version.isEmpty() && upstream.m_record.m_softwareVersion == version;
 }
 
-/// Inputs of one selection among engines.
-struct SelectionContext
-{
-    const PlacementRequest &m_request;
-    bool m_areReportsOld = false;
-    TimePoint m_now{};
-
-    bool isPlain() const { return m_request.m_promptTokens == 0; }
-
-    /// Returns the known prompt tokens that are still to be read at an engine.
-    double pendingTokens(const PooledUpstream &upstream) const
-    {
-        if (!m_areReportsOld || m_request.m_readingSpeed <= 0)
-            return static_cast<double>(upstream.pendingTokens());
-        return upstream.unreadTokens(m_request.m_readingSpeed, m_now);
-    }
-};
-
-double loadCost(const PooledUpstream &upstream, const SelectionContext &context)
-{
-    const double running = upstream.running();
-    if (context.isPlain())
-        return running * plainRunningCost;
-    return running * runningCostTokens + context.pendingTokens(upstream);
-}
-
-/// Returns a prompt's cost for an engine's other streams. An engine reads prompts in pieces between
-/// the events of its streams, and a long prompt, or several in a row, causes a pause in all of
-/// them. Tokens beyond the permitted pause count once for each stream that waits.
-double pauseCost(const PooledUpstream &upstream, double ownTokens, const SelectionContext &context)
-{
-    const double pauseTokens = context.m_request.m_maxPauseTokens;
-    if (pauseTokens <= 0)
-        return 0;
-    const double beyond = context.pendingTokens(upstream) + ownTokens - pauseTokens;
-    return upstream.running() * std::clamp(beyond, 0.0, ownTokens);
-}
-
 PooledUpstreamPointer selectCheapest(const std::vector<PooledUpstreamPointer> &candidates,
-                                     const PooledUpstream *home, const SelectionContext &context)
+                                     const PooledUpstream *home,
+                                     const PlacementCostContext &context)
 {
     const PlacementRequest &request = context.m_request;
     const bool isPlain = context.isPlain();
@@ -136,8 +96,8 @@
         if (!isHome)
             cost += rereadCost * static_cast<double>(request.m_sharedTokens);
         const std::int64_t cachedTokens = isHome ? request.m_sharedTokens : 0;
-        cost += pauseCost(*candidate, static_cast<double>(request.m_promptTokens - cachedTokens),
-                          context);
+        const auto ownTokens = static_cast<double>(request.m_promptTokens - cachedTokens);
+        cost += ownPrefillCost(*candidate, ownTokens) + pauseCost(*candidate, ownTokens, context);
         if (candidate->m_record.m_dataCentre != request.m_dataCentre)
             cost += remoteCost;
         if (candidate->m_avoidUntil > context.m_now)
@@ -182,6 +142,16 @@
     return best;
 }
 
+/// Returns the rank of an engine among the random candidates, from 0 to 1 and lowest first. An
+/// engine is ranked first in proportion to its speed: among three equally likely ones there often
+/// would be no fast engine, and slow ones would be overloaded while fast ones idle.
+double sampleRank(const PooledUpstream &upstream, const PlacementRequest &request)
+{
+    const double drawn = drawFor(upstream, request);
+    const double relative = upstream.m_speed.m_relative;
+    return relative == 1 ? drawn : 1 - std::pow(1 - drawn, 1 / relative);
+}
+
 void takeFirst(const std::multimap<double, PooledUpstreamPointer> &drawn, std::size_t most,
                std::vector<PooledUpstreamPointer> &taken)
 {
@@ -205,7 +175,7 @@
             sample.push_back(candidate);
         const bool isLocal = candidate->m_record.m_dataCentre == request.m_dataCentre;
         const double avoided = candidate->m_avoidUntil > now ? avoidedCost : 0;
-        const double drawn = drawFor(*candidate, request) + avoided;
+        const double drawn = sampleRank(*candidate, request) + avoided;
         (isLocal ? local : remote).emplace(drawn, std::move(candidate));
     }
     const std::size_t localCount = std::min(
@@ -392,22 +362,37 @@
         home = findHome(request.m_affinityKey, candidates, now);
     if (m_areReportsOld)
         candidates = sampleCandidates(std::move(candidates), home, request, now);
-    return selectCheapest(candidates, home, SelectionContext{request, m_areReportsOld, now});
+    return selectCheapest(candidates, home, PlacementCostContext{request, m_areReportsOld, now});
+}
+
+std::vector<EngineBacklog> UpstreamPool::backlogs(const PlacementRequest &request,
+                                                  TimePoint now) const
+{
+    std::vector<EngineBacklog> backlogs;
+    for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
+        if (candidate->m_avoidUntil <= now)
+            backlogs.push_back({candidate->pendingTokens(), candidate->m_speed});
+    }
+    return backlogs;
 }
 
 std::optional<std::int64_t> UpstreamPool::minPendingTokens(const PlacementRequest &request,
                                                            TimePoint now) const
 {
     std::optional<std::int64_t> least;
-    for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
-        if (candidate->m_avoidUntil > now)
-            continue;
-        const std::int64_t pending = candidate->pendingTokens();
-        least = std::min(least.value_or(pending), pending);
-    }
+    for (const EngineBacklog &backlog : backlogs(request, now))
+        least = std::min(least.value_or(backlog.m_pendingTokens), backlog.m_pendingTokens);
     return least;
 }
 
+void UpstreamPool::setSpeeds(const std::map<UpstreamId, PlacementSpeed> &speeds)
+{
+    for (auto &[id, pooled] : m_upstreams) {
+        const auto found = speeds.find(id);
+        pooled->m_speed = found == speeds.end() ? PlacementSpeed() : found->second;
+    }
+}
+
 void UpstreamPool::note(PooledUpstream &upstream, AttemptResult result, TimePoint now)
 {
     const bool isFailure = result == AttemptResult::Broken || result == AttemptResult::ServerError;
