Report at most four upstream speeds in a digest

Cause: with 71 VMs a digest with eight speeds grows by 400 bytes, and is sent to every VM, also over paid links between data centres.

Change: four. The VMs of a data centre still report all its engines within seconds.

--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -17,8 +17,8 @@
 /// Number of usage windows in a message: the current one, and those whose report may still be
 /// pending.
 constexpr std::ptrdiff_t windowsPerMessage = 4;
-/// Number of upstream speeds in a message.
-constexpr std::size_t speedsPerMessage = 8;
+/// Number of upstream speeds in a message: a VM reports those of its data centre within seconds.
+constexpr std::size_t speedsPerMessage = 4;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
 /// Longer than any client waits, and than any count is kept. A longer time is not from a VM, and
