Limit the sample counts that peers report

Cause: the sum of the sample counts of all VMs could overflow by one invalid message.

Change: a count is limited to the number of samples that a VM keeps. The model of uneven engines is shortened without a change of its figures.

--- a/src/serving/upstream_speed.cpp
+++ b/src/serving/upstream_speed.cpp
@@ -134,6 +134,8 @@
         if (!isValid(speed) || !isCurrent(upstream, speed.m_startedAt))
             continue;
         peer.m_speeds[upstream] = speed;
+        // A larger count is not from a VM, and the sum over VMs would overflow.
+        peer.m_speeds[upstream].m_samples = std::min(speed.m_samples, static_cast<int>(maxSamples));
         peer.m_receivedAt[upstream] = now;
     }
     return invalid;
--- a/tests/src/fuzz-uneven-speeds.cpp
+++ b/tests/src/fuzz-uneven-speeds.cpp
@@ -78,8 +78,10 @@
     {
         m_readUntil = std::max(m_readUntil, now);
         while (tokens > 0) {
-            while (m_phaseEnd <= m_readUntil)
-                nextPhase();
+            while (m_phaseEnd <= m_readUntil) {
+                m_isSlow = !m_isSlow;
+                drawPhase(m_phaseEnd);
+            }
             const double speed = m_speed * nominalSpeed / (m_isSlow ? slowdown : 1);
             const double within = speed * toSeconds(m_phaseEnd - m_readUntil);
             if (tokens < within)
@@ -92,11 +94,6 @@
     }
 
 private:
-    void nextPhase()
-    {
-        m_isSlow = !m_isSlow;
-        drawPhase(m_phaseEnd);
-    }
     void drawPhase(TimePoint begin)
     {
         const double unit = std::generate_canonical<double, 32>(m_random);
@@ -136,8 +133,7 @@
         while (m_now < end) {
             exchange();
             finishDue();
-            const double perStep = requestsPerSecond() * toSeconds(step);
-            for (m_due += perStep; m_due >= 1; --m_due)
+            for (m_due += requestsPerSecond() * toSeconds(step); m_due >= 1; --m_due)
                 placeOne();
             m_now += step;
         }
--- a/tests/src/unit-upstream-speed.cpp
+++ b/tests/src/unit-upstream-speed.cpp
@@ -218,7 +218,7 @@
     {
         speeds.mergePeer("b", speedsWith(2));
         speeds.mergePeer("c", speedsWith(1.8));
-        speeds.mergePeer("d", speedsWith(0.2, 1000000));
+        speeds.mergePeer("d", speedsWith(0.2, std::numeric_limits<int>::max()));
         CHECK(speeds.first().m_relative == Approx(1.8));
     }
     SECTION("needs two VMs that agree, or three")
