Bound every read from upstreams, peers and the store in bytes and time

Cause: a faulty upstream may send bytes without an end that are no response. A read that found input at once never noticed its deadline, silence limits began anew with each piece, the parser counted neither interim heads nor chunk extensions nor trailers, a buffered answer had no limit of size in the entry process, and an event without an end was kept in memory and searched again from its beginning for each piece.

Change: Stream::fill() times out after its deadline also if input is there. MessageParser limits all bytes of a message that are not its body (64 KiB, and 16 for each byte of the body); requests of callers have the same limit. HttpExchange::readBody() limits a buffered body (8 MiB). An error answer of a stream's upstream that breaks off is noted as broken.

--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -92,6 +92,8 @@
     BadAnswers,
     ControlShare,
     Score,
+    SecondRuns,
+    SecondRunsHelped,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/runtime/frame_channel.hpp
+++ b/include/gypsumdale/runtime/frame_channel.hpp
@@ -89,7 +89,11 @@
 class FrameChannel
 {
 public:
-    FrameChannel(FiberLoop &loop, Endpoint endpoint);
+    /// Size limit of an answer where none is given.
+    static constexpr std::size_t defaultMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+
+    FrameChannel(FiberLoop &loop, Endpoint endpoint,
+                 std::size_t maxAnswerBytes = defaultMaxAnswerBytes);
     ~FrameChannel();
     FrameChannel(const FrameChannel &) = delete;
     FrameChannel &operator=(const FrameChannel &) = delete;
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -51,6 +51,8 @@
     /// Bytes of the request that the other side had not acknowledged when its delivery deadline
     /// passed.
     std::size_t m_unacknowledgedBytes = 0;
+    /// The answer was given up because it exceeded a limit of its size.
+    bool m_isAnswerTooLarge = false;
 };
 
 template <typename T>
@@ -86,6 +88,9 @@
     Duration m_headerTimeout = std::chrono::seconds(30);
     /// Longest time between two pieces of the body.
     Duration m_silenceTimeout = std::chrono::seconds(30);
+    /// Time limit of the whole exchange, from its start to the last byte of the answer, also while
+    /// bytes keep arriving.
+    Duration m_totalTimeout = Duration::max();
     /// Opens a new connection instead of taking a pooled one, which may have failed silently while
     /// it was idle. Required for requests that must not run twice.
     bool m_requiresNewConnection = false;
@@ -102,8 +107,8 @@
     std::function<void()> m_onConnected;
     /// Delivery deadline of the request; null if there is none.
     std::shared_ptr<DeliveryDeadline> m_term;
-    /// Size limit of the answer of HttpClient::call(), which buffers it completely; open() passes
-    /// pieces on and has no limit.
+    /// Size limit of a body that is buffered completely, by HttpClient::call() or
+    /// HttpExchange::readBody(); one that is read in pieces has no limit.
     std::size_t m_maxBodyBytes = std::size_t{8} * 1024 * 1024;
 };
 
@@ -124,12 +129,16 @@
     /// connection that closes before the end of the message is a failure (AnswerTruncated), never
     /// an end. This includes a body with neither a length nor chunks, as its end can't be
     /// distinguished from a truncation. Fails with UpstreamSilent if nothing arrives within the
-    /// limit, and with Cancelled after cancel().
+    /// limit or the call's total time is over, and with Cancelled after cancel().
     CallResult<std::optional<std::string>> read();
 
     /// As read(), with its own limit on the time without data.
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
 
+    /// Reads the body to its end. Fails like read(), and with UpstreamFailed if it is larger than
+    /// the call allows; the connection is then closed.
+    CallResult<std::string> readBody();
+
     /// Resets the connection; a fiber that waits in read() returns at once with Cancelled.
     void cancel();
 
@@ -161,9 +170,9 @@
     /// Sends a request and returns once the header of the answer has arrived. Fails with Timeout or
     /// UpstreamUnreachable if no connection could be opened, UpstreamSilent if the header did not
     /// arrive in time, ConnectionClosed if the connection ended before the answer, AnswerTruncated
-    /// if it ended within the header, UpstreamFailed if the answer is not HTTP, and TermOver if the
-    /// delivery deadline passed before the first byte was written (NothingSent) or before all bytes
-    /// were acknowledged.
+    /// if it ended within the header, UpstreamFailed if the answer is not HTTP or has more than
+    /// 64 KiB of headers, interim ones included, and TermOver if the delivery deadline passed
+    /// before the first byte was written (NothingSent) or before all bytes were acknowledged.
     CallResult<HttpExchange> open(const HttpCall &call);
 
     /// Sends a request and returns the complete answer.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -143,6 +143,7 @@
     call.m_connectTimeout = std::min(connectTimeout, timeLeft());
     call.m_headerTimeout = firstAnswerTimeout();
     call.m_silenceTimeout = timeLeft();
+    call.m_totalTimeout = timeLeft();
     // A kept-alive connection may be dead without notice, may deliver a late answer to another
     // request, or may close during this one, which then may or may not have run. A new connection
     // has none of these faults.
@@ -343,15 +344,11 @@
     HttpReply reply;
     reply.m_status = answer.m_exchange.status();
     reply.m_headers = platform::callerHeaders(answer.m_exchange.headers());
-    for (;;) {
-        auto piece = answer.m_exchange.read(std::max(timeLeft(), Duration::zero()));
-        if (auto *failure = std::get_if<CallFailure>(&piece))
-            return std::move(*failure);
-        auto &text = std::get<std::optional<std::string>>(piece);
-        if (!text)
-            return reply;
-        reply.m_body += *text;
-    }
+    auto body = answer.m_exchange.readBody();
+    if (auto *failure = std::get_if<CallFailure>(&body))
+        return std::move(*failure);
+    reply.m_body = std::get<std::string>(std::move(body));
+    return reply;
 }
 
 /// Forwards an answer once it is complete, so that a caller never receives the beginning of one
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -188,6 +188,7 @@
     void recordRelayFailure(PooledUpstream &peer, const CallFailure &failure);
     void recordRelayRefusal(PooledUpstream &peer, std::string_view reason, int arrived);
     void countFailedAttempt(const CallFailure &failure);
+    void countTooLarge(const CallFailure &failure);
     void recordTimeout(const CallFailure &failure);
     static std::string_view outcomeName(const CallFailure &failure);
     bool recordDeadlinePassed(const PooledUpstream &upstream, const CallFailure &failure);
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -46,6 +46,7 @@
 {
     if (isCancelledByCaller(failure))
         return;
+    countTooLarge(failure);
     countFailedAttempt(failure);
     reportBroken(guard.upstream(), failure);
     recordUpstreamFailure(guard.upstream(), failure);
@@ -79,6 +80,7 @@
 {
     if (isCancelledByCaller(failure))
         return;
+    countTooLarge(failure);
     recordTimeout(failure);
     if (!answer.m_isRelayed)
         reportBroken(answer.m_guard.upstream(), failure);
@@ -89,6 +91,13 @@
         recordUpstreamFailure(answer.m_guard.upstream(), failure);
 }
 
+/// Counts an answer that was given up because of its size.
+void EntryCall::countTooLarge(const CallFailure &failure)
+{
+    if (failure.m_isAnswerTooLarge)
+        m_traffic.metrics().add(Counter::AnswersTooLarge);
+}
+
 void EntryCall::countFailedAttempt(const CallFailure &failure)
 {
     m_attempts.recordFailure(failure.m_phase);
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -100,6 +100,7 @@
 
 void EntryCall::recordRelayFailure(PooledUpstream &peer, const CallFailure &failure)
 {
+    countTooLarge(failure);
     if (!isCancelledByShutdown(failure))
         RelayPeers::avoid(peer, m_traffic.now());
     m_traffic.metrics().add(Counter::RelaysFailed);
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -41,8 +41,11 @@
         if (answer.m_exchange.status() / 100 != 2) {
             AnswerReadResult reading = readFullAnswer(answer);
             const auto *reply = std::get_if<HttpReply>(&reading);
-            UpstreamPool::note(answer.m_guard.upstream(), AttemptResult::ServerError,
-                               m_traffic.now());
+            if (const auto *failure = std::get_if<CallFailure>(&reading))
+                recordBrokenAnswer(answer, *failure);
+            else
+                UpstreamPool::note(answer.m_guard.upstream(), AttemptResult::ServerError,
+                                   m_traffic.now());
             recordUsage();
             recordVersionAnswer(answer, answer.m_exchange.status() >= 500);
             if (reply && !m_hasStreamStarted)
@@ -213,6 +216,13 @@
             break;
         if (!processBytes(*text, answer))
             return false;
+        if (m_splitter.isTooLong() || m_eventBoundary.isTooLong()) {
+            recordBrokenAnswer(answer, {{ErrorId::UpstreamFailed, "an event doesn't end"},
+                                        SendPhase::AnswerStarted,
+                                        0,
+                                        true});
+            return false;
+        }
     }
     if (isTruncated(answer)) {
         recordBrokenAnswer(answer, {{ErrorId::AnswerTruncated, "the stream ended within an event"},
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t largeFleetFinalReports = 8;
 constexpr Duration finalReportTick = std::chrono::milliseconds(10);
 constexpr std::size_t maxFrameBytes = std::size_t{4} * 1024 * 1024;
+/// Size limit of a peer's answer, as of a body that is buffered.
+constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
 /// Returns the address at which peers reach a VM, which behind a forwarded port differs from its
 /// listening address.
@@ -75,7 +77,8 @@
     const KnownPeerPointer added = m_table.learn(node, address, isSeed, m_context.now());
     if (!added)
         return;
-    added->m_channel = std::make_shared<FrameChannel>(m_context.m_loop, endpointOf(address));
+    added->m_channel =
+            std::make_shared<FrameChannel>(m_context.m_loop, endpointOf(address), maxAnswerBytes);
     m_context.m_log.info("peer-known", {{LogField::Peer, node}, {LogField::Address, address}});
 }
 
@@ -264,7 +267,7 @@
                                                         entrywire::EntryExchange &message)
 {
     writeStamp(stampFor(peer.get()), message);
-    FrameChannel channel(m_context.m_loop, endpointOf(peer->m_address));
+    FrameChannel channel(m_context.m_loop, endpointOf(peer->m_address), maxAnswerBytes);
     return decodeAnswer(peer, channel.exchange(wire::encode(message), textLimits));
 }
 
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -180,6 +180,12 @@
         {Counter::CanaryPlacements, "gypsumdale_canary_placements_total",
          "Placements on a roll-out's target."},
         {Counter::CanaryErrors, "gypsumdale_canary_errors_total", "Errors of a roll-out's target."},
+        {Counter::AnswersTooLarge, "gypsumdale_answers_too_large_total",
+         "Answers given up at a limit of size."},
+        {Counter::ErrorsRetried, "gypsumdale_errors_retried_total",
+         "Error answers that were tried again."},
+        {Counter::ErrorsNotRetried, "gypsumdale_errors_not_retried_total",
+         "Errors answered at once: retries rarely help."},
 }};
 static_assert(isInOrder(counterTexts));
 
--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -75,8 +75,7 @@
 {
     if (!awaitFirstByte())
         return false;
-    Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_service.m_limits.m_headerBytes));
+    Parser parser(m_service.m_limits.m_headerBytes);
     parser.body_limit(m_service.m_limits.m_bodyBytes);
     if (!readRequest(parser))
         return false;
@@ -119,7 +118,7 @@
     bool askedToContinue = false;
     for (;;) {
         boost::beast::error_code error;
-        const std::size_t used = parser.put(m_stream->input().data(), error);
+        const std::size_t used = parser.parse(m_stream->input().data(), error);
         m_stream->input().consume(used);
         m_service.m_bytesReceived += used;
         if (error && error != http::error::need_more) {
--- a/src/runtime/detail/message_parser.hpp
+++ b/src/runtime/detail/message_parser.hpp
@@ -7,17 +7,50 @@
 #include <string> // string
 #include <utility> // exchange
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace gypsumdale::detail {
 
 /// Parses one HTTP/1.1 message from the pieces in which it arrives. Header and body are written
 /// directly to their final place; the body accumulates until takeBody().
+///
+/// The parser's own limit of a header counts only the bytes that it holds back, so that a header
+/// that arrives field by field, a chunk extension or a trailer could grow without end. parse()
+/// limits all bytes of a message that are not its body.
 template <bool isRequest>
 class MessageParser : public boost::beast::http::basic_parser<isRequest>
 {
 public:
-    MessageParser() { this->eager(true); }
+    /// Takes the limit of the bytes that are not the body, and how many of them came with earlier
+    /// messages that share it.
+    explicit MessageParser(std::size_t framingLimit, std::size_t framingBytes = 0)
+        : m_framingLimit(framingLimit)
+        , m_framingBytes(framingBytes)
+    {
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(framingLimit));
+    }
+
+    /// Parses the input received so far and returns how much of it was used. The error is need_more
+    /// until the message has ended, and header_limit beyond the limit of the bytes that are not the
+    /// body.
+    std::size_t parse(const boost::asio::const_buffer &input, boost::beast::error_code &error)
+    {
+        const std::uint64_t bodyBefore = m_bodyBytes;
+        const std::size_t used = this->put(input, error);
+        m_framingBytes += used - static_cast<std::size_t>(m_bodyBytes - bodyBefore);
+        if (error && error != boost::beast::http::error::need_more)
+            return used;
+        const bool isElementTooLong = error && input.size() - used > m_framingLimit;
+        if (isElementTooLong || m_framingBytes > m_framingLimit + framingPerBodyByte * m_bodyBytes)
+            error = boost::beast::http::error::header_limit;
+        return used;
+    }
+
+    /// Returns the number of bytes so far that are not the body.
+    std::size_t framingBytes() const { return m_framingBytes; }
 
     const std::string &method() const { return m_method; }
     const std::string &target() const { return m_target; }
@@ -29,6 +62,10 @@
     std::string takeBody() { return std::exchange(m_body, std::string()); }
 
 private:
+    /// Allowed bytes around each byte of the body, which covers chunks of one byte with short
+    /// extensions.
+    static constexpr std::uint64_t framingPerBodyByte = 16;
+
     using Verb = boost::beast::http::verb;
     using Field = boost::beast::http::field;
     using Text = boost::beast::string_view;
@@ -49,18 +86,24 @@
     }
     void on_header_impl(ErrorCode &) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override {}
-    std::size_t on_body_impl(Text body, ErrorCode &) override
-    {
-        m_body.append(body.data(), body.size());
-        return body.size();
-    }
+    std::size_t on_body_impl(Text body, ErrorCode &) override { return append(body); }
     void on_chunk_header_impl(std::uint64_t, Text, ErrorCode &) override {}
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, ErrorCode &) override
+    {
+        return append(body);
+    }
+    void on_finish_impl(ErrorCode &) override {}
+
+    std::size_t append(Text body)
     {
         m_body.append(body.data(), body.size());
+        m_bodyBytes += body.size();
         return body.size();
     }
-    void on_finish_impl(ErrorCode &) override {}
+
+    std::size_t m_framingLimit;
+    std::size_t m_framingBytes;
+    std::uint64_t m_bodyBytes = 0;
 
     std::string m_method;
     std::string m_target;
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -88,6 +88,8 @@
         return StreamStatus::Closed;
     if (m_readAhead && (m_readAhead->m_active || m_readAhead->m_failed))
         return awaitReadAhead(deadline);
+    if (std::chrono::steady_clock::now() >= deadline)
+        return StreamStatus::TimedOut;
     startDeadline(deadline);
     AsyncWait wait;
     m_socket.async_read_some(m_input.prepare(m_readSize), wait.handler());
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -63,6 +63,8 @@
     StreamStatus connect(const boost::asio::ip::tcp::endpoint &endpoint, Duration timeout);
 
     /// Waits for input and appends it to the buffer. Takes over a read that watch() left pending.
+    /// After the deadline it times out also if input is there, so that a sender whose bytes never
+    /// stop can't keep its reader beyond it.
     StreamStatus fill(SteadyTime deadline);
 
     /// Writes all buffers, gathered. Fails if the other side accepts nothing for the timeout, or at
--- a/src/runtime/frame_channel.cpp
+++ b/src/runtime/frame_channel.cpp
@@ -26,8 +26,6 @@
 /// Time without progress after which a peer that is sent a last answer counts as gone; afterwards
 /// also the time limit for it to close the connection.
 constexpr Duration lastAnswerIdleTimeout = std::chrono::seconds(3);
-/// Size limit of a peer's answer.
-constexpr std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
 
 } // namespace
 
@@ -151,9 +149,10 @@
 
 struct FrameChannel::State
 {
-    State(FiberLoop &loop, Endpoint endpoint)
+    State(FiberLoop &loop, Endpoint endpoint, std::size_t maxAnswerBytes)
         : m_loop(loop)
         , m_endpoint(std::move(endpoint))
+        , m_maxAnswerBytes(maxAnswerBytes)
     {}
 
     Result<std::string> exchange(const std::string &frame, const FrameLimits &limits);
@@ -164,6 +163,7 @@
 
     FiberLoop &m_loop;
     Endpoint m_endpoint;
+    std::size_t m_maxAnswerBytes;
     boost::fibers::timed_mutex m_turn;
     std::shared_ptr<Stream> m_stream;
     detail::FrameCounters m_counters;
@@ -218,7 +218,7 @@
     const StreamStatus sent = detail::writeFrame(*stream, m_counters, frame, limits);
     if (sent != StreamStatus::Good)
         return fail(sent, ErrorId::ConnectionClosed, "sending");
-    detail::FrameRead read = detail::readFrame(*stream, m_counters, maxAnswerBytes, limits);
+    detail::FrameRead read = detail::readFrame(*stream, m_counters, m_maxAnswerBytes, limits);
     return std::visit(
             Overloaded{
                     [](std::string &answer) -> Result<std::string> { return std::move(answer); },
@@ -250,8 +250,8 @@
         stream->close();
 }
 
-FrameChannel::FrameChannel(FiberLoop &loop, Endpoint endpoint)
-    : m_state(std::make_shared<State>(loop, std::move(endpoint)))
+FrameChannel::FrameChannel(FiberLoop &loop, Endpoint endpoint, std::size_t maxAnswerBytes)
+    : m_state(std::make_shared<State>(loop, std::move(endpoint), maxAnswerBytes))
 {}
 
 FrameChannel::~FrameChannel()
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,8 +1,7 @@
 #include <gypsumdale/serving/event_splitter.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // max, min
 #include <cstddef> // size_t
-#include <utility> // move
 
 namespace gypsumdale {
 
@@ -10,21 +9,16 @@
 
 constexpr std::string_view idField = "id:";
 
-/// Returns the length of the first complete event including the blank line that ends it, or npos.
-std::size_t eventEnd(std::string_view text)
+/// Returns where the last event in a text ends, or 0 if none does.
+std::size_t lastEventEnd(std::string_view text)
 {
-    std::size_t lineStart = 0;
-    for (;;) {
-        const std::size_t newline = text.find('\n', lineStart);
-        if (newline == std::string_view::npos)
-            return std::string_view::npos;
-        std::string_view line = text.substr(lineStart, newline - lineStart);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        lineStart = newline + 1;
-        if (line.empty())
-            return lineStart;
+    std::size_t end = 0;
+    for (const std::string_view mark : {std::string_view("\n\n"), std::string_view("\n\r\n")}) {
+        const std::size_t at = text.rfind(mark);
+        if (at != std::string_view::npos)
+            end = std::max(end, at + mark.size());
     }
+    return end;
 }
 
 std::optional<std::string> idOf(std::string_view event)
@@ -52,16 +46,23 @@
 {
     m_pending += piece;
     std::vector<StreamEvent> events;
-    std::string_view rest = m_pending;
-    for (;;) {
-        const std::size_t end = eventEnd(rest);
-        if (end == std::string_view::npos)
-            break;
-        const std::string_view bytes = rest.substr(0, end);
+    const std::string_view text = m_pending;
+    std::size_t eventBegin = 0;
+    std::size_t newline = text.find('\n', m_searched);
+    for (; newline != std::string_view::npos; newline = text.find('\n', newline + 1)) {
+        std::string_view line = text.substr(m_lineBegin, newline - m_lineBegin);
+        m_lineBegin = newline + 1;
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.empty())
+            continue;
+        const std::string_view bytes = text.substr(eventBegin, m_lineBegin - eventBegin);
         events.push_back({std::string(bytes), idOf(bytes)});
-        rest.remove_prefix(end);
+        eventBegin = m_lineBegin;
     }
-    m_pending = std::string(rest);
+    m_pending.erase(0, eventBegin);
+    m_lineBegin -= eventBegin;
+    m_searched = m_pending.size();
     return events;
 }
 
@@ -69,6 +70,13 @@
 {
     // An event ends with a blank line, of at most three bytes with the end of the line before.
     constexpr std::size_t tailSize = 3;
+    const std::string border = m_tail + std::string(piece.substr(0, tailSize - 1));
+    if (const std::size_t end = lastEventEnd(piece); end > 0)
+        m_eventBytes = piece.size() - end;
+    else if (const std::size_t after = lastEventEnd(border); after > 0)
+        m_eventBytes = m_tail.size() + piece.size() - after;
+    else
+        m_eventBytes += piece.size();
     m_tail += piece.substr(piece.size() - std::min(piece.size(), tailSize));
     if (m_tail.size() > tailSize)
         m_tail.erase(0, m_tail.size() - tailSize);
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -93,6 +93,18 @@
             kill(m_pid, signal);
     }
 
+    /// Returns the most memory that the running process has held so far, in bytes; 0 if unknown.
+    std::size_t peakMemory() const
+    {
+        std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+        constexpr std::string_view name = "VmHWM:";
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with(name))
+                return std::stoul(line.substr(name.size())) * 1024;
+        }
+        return 0;
+    }
+
     bool exited()
     {
         int status = 0;
--- a/tests/support/fault_proxy.hpp
+++ b/tests/support/fault_proxy.hpp
@@ -94,6 +94,19 @@
         isDone.get_future().wait();
     }
 
+    /// Resets the open connections, and forwards new ones to another port. Returns when it is in
+    /// force.
+    void redirect(std::uint16_t target)
+    {
+        std::promise<void> isDone;
+        boost::asio::post(m_context, [&] {
+            m_target.port(target);
+            resetLinks();
+            isDone.set_value();
+        });
+        isDone.get_future().wait();
+    }
+
     /// Sends the bytes of each direction through a narrow link from now on, before they are delayed
     /// in other ways. Null for a direction that is as wide as loopback.
     void narrow(NarrowLink *toTarget, NarrowLink *fromTarget)
