--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -94,6 +94,8 @@
     Score,
     RelativeSpeed,
     Samples,
+    SecondRuns,
+    SecondRunsHelped,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -191,12 +191,15 @@
     void recordRelayFailure(PooledUpstream &peer, const CallFailure &failure);
     void recordRelayRefusal(PooledUpstream &peer, std::string_view reason, int arrived);
     void countFailedAttempt(const CallFailure &failure);
+    void countTooLarge(const CallFailure &failure);
     void recordTimeout(const CallFailure &failure);
     static std::string_view outcomeName(const CallFailure &failure);
     bool recordDeadlinePassed(const PooledUpstream &upstream, const CallFailure &failure);
     bool isCancelledByShutdown(const CallFailure &failure) const;
     bool isCancelledByCaller(const CallFailure &failure) const;
     void recordUsage();
+    void recordRunResult(UpstreamAnswer &answer, int status);
+    bool isWorthSecondRun(UpstreamAnswer &answer, int status);
     void recordVersionAnswer(UpstreamAnswer &answer, bool isError);
     void recordVersionError(UpstreamAnswer &answer);
     void countVersionError();
@@ -245,6 +248,8 @@
         Duration m_time{};
     };
     std::optional<DoubtfulError> m_doubtfulError;
+    /// The error answer after which the request is run again.
+    std::optional<ErrorKind> m_errorKind;
     /// The current run, if it can be moved.
     std::shared_ptr<StreamRun> m_run;
     std::optional<std::string> m_memory;
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 82> logFieldNames = {{
+constexpr NameTable<LogField, 84> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -88,6 +88,8 @@
         {LogField::Score, "score"},
         {LogField::RelativeSpeed, "relative_speed"},
         {LogField::Samples, "samples"},
+        {LogField::SecondRuns, "second_runs"},
+        {LogField::SecondRunsHelped, "second_runs_helped"},
 }};
 
 } // namespace
