Share an upstream's connections among the VMs

An upstream resets connections beyond its max-connections, and nothing used that number: under overload callers got 502 for requests that reached no upstream. A VM now keeps its requests in flight at an upstream within an even share of the connections, and beyond it within what no share includes. A request without a free connection waits briefly in order, or is rejected at once as not run with a Retry-After. A connection that ends before a byte was written counts as not run. A plain service with fewer slots than VMs has its upstreams drawn by power of two choices.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/connection_waiting.hpp>
 #include <gypsumdale/entry/entry_crashes.hpp>
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
@@ -117,11 +118,7 @@
     /// calls.
     std::size_t cancelCalls();
 
-    void setView(ServingViewPointer view)
-    {
-        m_view = std::move(view);
-        m_startupKnowledge.recordConfiguration();
-    }
+    void setView(ServingViewPointer view);
     /// Returns whether a request should wait for the first configuration or upstream list of this
     /// process.
     bool shouldWaitForStartup() const { return m_startupKnowledge.shouldWaitForStartup(now()); }
@@ -164,7 +161,7 @@
     void onRetriesTaken(RetriesTaken taken) { m_retriesTaken = std::move(taken); }
     /// Records that a request was placed, and announces the load to the peers if the last argument
     /// is set.
-    void recordPlacement(const PooledUpstream &upstream, std::int64_t ownTokens,
+    void recordPlacement(PooledUpstream &upstream, std::int64_t ownTokens,
                          bool shouldAnnounce);
     /// Records a prompt that is about to be placed. Returns whether to announce it to the peers at
     /// once.
@@ -198,6 +195,7 @@
     EntryOrigins &origins() { return m_origins; }
     EntryCrashes &crashes() { return m_crashes; }
     EntryRollouts &rollouts() { return m_rollouts; }
+    ConnectionWaiting &connections() { return m_connections; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
     /// its service. Complexity: n log n.
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
@@ -217,6 +215,7 @@
 
 private:
     void continueRetries(const std::string &peer, const EarlierRetries &earlier);
+    void logConnectionShares() const;
     void logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams);
 
     const EntrySettings &m_settings;
@@ -226,6 +225,7 @@
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    ConnectionWaiting m_connections;
     std::map<ServiceId, SoftwareVersions> m_loggedVersions;
     HighestValue m_placementListAge;
     /// A list that was never confirmed counts as unconfirmable: waiting for a confirmation would
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/policy/slot_share.hpp>
+#include <gypsumdale/serving/connection_share.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
 #include <gypsumdale/serving/version_gate.hpp>
 
@@ -13,6 +15,7 @@
 #include <set> // set
 #include <string> // string
 #include <string_view> // string_view
+#include <utility> // move
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -43,6 +46,16 @@
     InFlightLoad m_peerTotal;
     /// The pending prompt tokens of that sum by VM, oldest report first.
     std::vector<ReportedPrompts> m_peerPrompts;
+    /// The requests of that sum by VM, for VMs that have any.
+    std::vector<int> m_peerRunning;
+    /// This VM's recent requests in flight, where connections are limited.
+    InFlightHistory m_ownHistory;
+    /// Fewest own requests in flight since the last entry of the history.
+    int m_ownLowest = 0;
+    /// This VM's recent placements of requests without a prompt.
+    RecentDispatches m_recentPlacements;
+    /// Called when a request has ended that was in flight here.
+    std::function<void()> m_onRequestEnded;
     /// Failure rate of the last requests, as a moving average from 0 to 1.
     double m_failureShare = 0;
     int m_failuresInRow = 0;
@@ -138,7 +151,43 @@
 
     /// Sets the factor by which exchange intervals with peers are stretched. From 2 on, their loads
     /// are too old to be compared, and the selection is partly random.
-    void setExchangeStretch(int stretch) { m_areReportsOld = stretch > 1; }
+    void setExchangeStretch(int stretch)
+    {
+        m_exchangeStretch = stretch;
+        m_areReportsOld = stretch > 1;
+    }
+
+    /// Sets the number of VMs that place requests at the upstreams. Returns whether it has changed.
+    bool setFleetSize(std::size_t vms);
+
+    /// Sets how many connections an upstream accepts from all VMs, by service, for the services
+    /// with a limit.
+    void setConnectionLimits(std::map<ServiceId, int> limits);
+
+    /// Sets what is called when a request has ended that was in flight at an upstream of a service.
+    /// Must be set before the first list.
+    void onRequestEnded(std::function<void(const ServiceId &)> listener)
+    {
+        m_onRequestEnded = std::move(listener);
+    }
+
+    /// Returns whether a service's connections are limited. Complexity: logarithmic.
+    bool limitsConnections(const ServiceId &service) const
+    {
+        return m_connectionLimits.contains(service);
+    }
+
+    const std::map<ServiceId, int> &connectionLimits() const { return m_connectionLimits; }
+    int fleetSize() const { return m_vms; }
+
+    /// Returns the decision on an upstream's connections, if all upstreams that the request may be
+    /// placed on are refused for lack of one; nothing if one has a free connection or there is no
+    /// upstream. Complexity: linear in the service's upstreams.
+    std::optional<ConnectionDecision> connectionShortage(const PlacementRequest &request,
+                                                         TimePoint now) const;
+
+    /// Records the placement of a request without a prompt. Complexity: amortised constant.
+    void recordPlacement(PooledUpstream &upstream, TimePoint now) const;
 
     /// Selects the upstream that would serve the request soonest, or nullptr if there is none.
     /// Complexity: linear in the service's upstreams.
@@ -149,7 +198,12 @@
     /// ones, or more of them for a prompt that is announced to peers at once. The pending tokens
     /// that others reported there are reduced by the age of their reports, since engines have
     /// continued reading; without this, an engine that was busy at a report was avoided long after
-    /// it was idle again.
+    /// it was idle again. A plain service with fewer slots than there are VMs has its upstream drawn
+    /// by power of two choices: random draws alone would let queues build up at one while another
+    /// has free slots.
+    ///
+    /// Upstreams without a free connection are skipped, and nullptr is returned if only they, or
+    /// ones that failed recently, are left; see connectionShortage().
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Returns whether retained upstreams, whose entries vanished, are selected: as long as at
@@ -191,6 +245,11 @@
     void sumPeerLoads();
     static void addPeerLoad(PooledUpstream &upstream, const ReportedLoad &report);
     Candidates candidatesFor(const PlacementRequest &request) const;
+    /// Returns the age that the other VMs' reports normally don't exceed.
+    Duration reportAgeLimit() const;
+    bool isShortOfSlots(const Candidates &candidates) const;
+    std::optional<ConnectionDecision> keepConnectable(Candidates &candidates, TimePoint now) const;
+    ConnectionDecision decideAt(PooledUpstream &upstream, ConnectionView view, TimePoint now) const;
 
     std::map<UpstreamId, PooledUpstreamPointer> m_upstreams;
     /// Upstreams that left and are still held by a request.
@@ -208,6 +267,10 @@
     std::map<std::string, PeerLoad> m_peerLoads;
     std::int64_t m_revision = 0;
     bool m_areReportsOld = false;
+    int m_exchangeStretch = 1;
+    int m_vms = 1;
+    std::map<ServiceId, int> m_connectionLimits;
+    std::function<void(const ServiceId &)> m_onRequestEnded;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -63,21 +63,29 @@
     selectService();
     if (rejectIfQuarantined())
         return;
-    // A request rejected for lack of capacity doesn't use the account's quota.
-    if (!hasUpstreamToGoOn() || !canMeetDeadline() || !admitByQuota())
+    if (!hasUpstreamToGoOn() || !canMeetDeadline())
         return;
     const EntryTraffic::CallRegistration registration = m_traffic.registerCall(*this);
     m_responder.onCallerGone([this] {
         m_isCallerGone = true;
-        m_cancellation->cancel();
+        cancelAttempt();
     });
-    serve();
+    // A request rejected for lack of capacity doesn't use the account's quota.
+    if (hasConnection() && admitByQuota())
+        serve();
     m_responder.onCallerGone(nullptr);
 }
 
 void EntryCall::cancelForShutdown()
 {
     m_isShuttingDown = true;
+    cancelAttempt();
+}
+
+void EntryCall::cancelAttempt()
+{
+    if (m_connectionPlace)
+        m_connectionPlace->cancel();
     m_cancellation->cancel();
 }
 
@@ -193,6 +201,8 @@
                 return *std::move(outcome);
             continue;
         }
+        if (const auto stop = awaitConnection())
+            return *stop;
         const std::optional<TimePoint> until = m_traffic.placementDeadline();
         if (!until) {
             m_traffic.metrics().add(Counter::ListTooOld);
@@ -210,6 +220,7 @@
         logPlaced(*upstream, *until);
         const bool isAlone = readsAlone(*upstream);
         InFlightGuard guard(upstream, m_caller.m_promptTokens);
+        m_connectionPlace.reset();
         const TimePoint sentAt = m_traffic.now();
         m_traffic.recordPlacement(*upstream, ownTokens(), request.m_isAnnounced);
         m_traffic.forecaster().recordPlacement(m_service, priority(), m_caller.m_promptTokens,
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gypsumdale/entry/connection_waiting.hpp>
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/serving/event_splitter.hpp>
 
@@ -41,9 +42,11 @@
     AnsweredByPeer,
     /// The request is known to crash its upstreams.
     Quarantined,
+    /// No upstream left to try has a free connection for this VM.
+    NoConnection,
 };
 
-inline constexpr NameTable<AttemptStop, 10> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 11> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
         {AttemptStop::NoSameVersion, "no-upstream-of-version"},
         {AttemptStop::NotAllowed, "not-allowed"},
@@ -54,6 +57,7 @@
         {AttemptStop::CutOff, "cut-off"},
         {AttemptStop::AnsweredByPeer, "answered-by-peer"},
         {AttemptStop::Quarantined, "quarantined"},
+        {AttemptStop::NoConnection, "no-connection"},
 }};
 
 /// Who has sent a request to this VM.
@@ -138,9 +142,15 @@
     void serveStream();
 
     AttemptOutcome awaitAnswer();
+    bool hasConnection();
+    std::optional<AttemptStop> awaitConnection();
+    Duration connectionWaitLeft() const;
+    AttemptStop rejectForConnection(const ConnectionDecision &shortage,
+                                    const ConnectionWaitDecision &wait);
     std::optional<AttemptOutcome> relayOnce();
     std::optional<AttemptOutcome> takePeerAnswer(UpstreamAnswer &answer);
     void beginAttempt();
+    void cancelAttempt();
     HttpCall callTo(const PooledUpstream &target) const;
     HttpCall buildRelayCall(const PooledUpstream &peer) const;
     bool isFromLaterConfiguration() const;
@@ -242,6 +252,10 @@
         Duration m_time{};
     };
     std::optional<DoubtfulError> m_doubtfulError;
+    /// The request's place among those that wait for a connection, until it was placed.
+    std::optional<ConnectionWaiting::Place> m_connectionPlace;
+    Duration m_waitedForConnection{};
+    Duration m_connectionRetryAfter{};
     /// The current run, if it can be moved.
     std::shared_ptr<StreamRun> m_run;
     std::optional<std::string> m_memory;
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -102,7 +102,9 @@
 {
     if (!m_binding.isBound() || m_traffic.relay().isUsedFor(m_service))
         return true;
-    if (m_traffic.pool().choose(placement(), m_traffic.now()))
+    const PlacementRequest request = placement();
+    if (m_traffic.pool().choose(request, m_traffic.now())
+        || m_traffic.pool().connectionShortage(request, m_traffic.now()))
         return true;
     finishUnserved(AttemptStop::NoSameVersion);
     return false;
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -60,7 +60,9 @@
         return;
     if (stop == AttemptStop::Quarantined && rejectIfQuarantined())
         return;
-    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), retryAfter());
+    const Duration delay =
+            stop == AttemptStop::NoConnection ? m_connectionRetryAfter : Duration::zero();
+    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), delay + retryAfter());
 }
 
 Duration EntryCall::retryAfter()
@@ -77,6 +79,7 @@
 /// Sends an answer of this VM or of a peer that relayed the request.
 void EntryCall::sendReply(const HttpReply &reply, std::string_view reason)
 {
+    m_connectionPlace.reset();
     m_responder.send(reply);
     const bool isRefusal =
             reply.m_status == statusUnavailable || reply.m_status == statusTooManyRequests;
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -3,6 +3,19 @@
 /// What is recorded of attempts that fail.
 namespace gypsumdale {
 
+namespace {
+
+/// Returns what a failed attempt says of its upstream. One that resets a connection before it can
+/// have read anything has too many of them, and serves the requests that it has.
+AttemptResult attemptResult(const CallFailure &failure)
+{
+    const bool isReset = failure.m_error.m_id == ErrorId::ConnectionClosed;
+    return isReset && failure.m_phase == SendPhase::NothingSent ? AttemptResult::Refused
+                                                                : AttemptResult::Broken;
+}
+
+} // namespace
+
 /// Returns the name of the limit that an attempt exceeded, for the log.
 std::string_view EntryCall::exceededLimit(const CallFailure &failure) const
 {
@@ -56,7 +69,7 @@
 {
     const bool isUnsent = recordDeadlinePassed(upstream, failure);
     if (!isCancelledByShutdown(failure) && !isUnsent)
-        UpstreamPool::note(upstream, AttemptResult::Broken, m_traffic.now());
+        UpstreamPool::note(upstream, attemptResult(failure), m_traffic.now());
     recordConnectFailure(upstream, failure);
     logAttemptFailure(upstream, failure);
 }
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -4,6 +4,7 @@
 #include <entry/entry_call.hpp>
 #include <entry/run_mover.hpp>
 
+#include <algorithm> // max
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -52,6 +53,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop, metrics)
+    , m_connections(clock)
     , m_placementDeadline(settings.m_bounds.m_leavingApply)
     , m_quota(quotaSettings(settings, clock.now()))
     , m_retryBudget(retrySettings(settings, clock.now()))
@@ -65,7 +67,12 @@
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
-{}
+{
+    m_pool.onRequestEnded([this](const ServiceId &service) {
+        if (m_pool.limitsConnections(service))
+            m_connections.recordEnd(service);
+    });
+}
 
 EntryTraffic::~EntryTraffic() = default;
 
@@ -105,6 +112,21 @@
     return m_activeCalls.size();
 }
 
+void EntryTraffic::setView(ServingViewPointer view)
+{
+    m_view = std::move(view);
+    m_startupKnowledge.recordConfiguration();
+    std::map<ServiceId, int> limits;
+    for (const auto &[id, service] : m_view->config().m_services) {
+        limits[id] = service.m_maxConnections;
+        if (service.m_maxConnections < 0)
+            m_log.warning("connection-limit-invalid",
+                          {id, {LogField::Limit, service.m_maxConnections}});
+    }
+    m_pool.setConnectionLimits(std::move(limits));
+    m_connections.recordChange();
+}
+
 void EntryTraffic::setUpstreams(const std::map<UpstreamId, UpstreamRecord> &upstreams,
                                 std::int64_t revision)
 {
@@ -113,6 +135,7 @@
     m_pool.update(upstreams, revision,
                   isConfirmed ? std::optional(m_listConfirmation.m_confirmedAt) : std::nullopt);
     m_rollouts.setUpstreams(upstreams);
+    m_connections.recordChange();
     logVersions(upstreams);
     m_mover->scheduleMoves();
 }
@@ -153,10 +176,24 @@
     if (m_retryBudget.setFleetSize(nodes))
         m_log.info("retry-budget-shared",
                    {{LogField::Count, nodes}, {LogField::Limit, m_retryBudget.slackShare()}});
+    // A VM that has just started may not know of most of the others yet.
+    if (m_pool.setFleetSize(std::max(nodes, expected))) {
+        logConnectionShares();
+        m_connections.recordChange();
+    }
     m_promptAnnouncer.setFleet(nodes, m_isSpreadOut);
     m_quota.setExpectedFleetSize(expected);
 }
 
+/// Logs among how many VMs the connections to an upstream are shared.
+void EntryTraffic::logConnectionShares() const
+{
+    for (const auto &[service, limit] : m_pool.connectionLimits()) {
+        m_log.info("connections-shared",
+                   {service, {LogField::Count, m_pool.fleetSize()}, {LogField::Limit, limit}});
+    }
+}
+
 void EntryTraffic::setPeer(const PeerReport &report)
 {
     m_quota.setPeerUsage(report.m_node, report.m_accounts, now());
@@ -256,11 +293,12 @@
     return m_promptAnnouncer.shouldAnnounce(static_cast<double>(ownTokens), speed, now());
 }
 
-void EntryTraffic::recordPlacement(const PooledUpstream &upstream, std::int64_t ownTokens,
+void EntryTraffic::recordPlacement(PooledUpstream &upstream, std::int64_t ownTokens,
                                    bool shouldAnnounce)
 {
     const UpstreamRecord &record = upstream.m_record;
     m_placementListAge.note(toWholeMillis(listAge()));
+    m_pool.recordPlacement(upstream, now());
     m_prefillRates.own(record.m_service).recordPlacement(ownTokens, now());
     if (shouldAnnounce && m_longPromptPlaced)
         m_longPromptPlaced(record.m_id, loadOf(upstream));
--- a/src/entry/in_flight_guard.cpp
+++ b/src/entry/in_flight_guard.cpp
@@ -1,5 +1,6 @@
 #include <entry/in_flight_guard.hpp>
 
+#include <algorithm> // min
 #include <utility> // exchange, move
 
 namespace gypsumdale {
@@ -45,6 +46,9 @@
     m_upstream->m_onReplaced.erase(this);
     m_upstream->m_onLeaving.erase(this);
     --m_upstream->m_own.m_running;
+    m_upstream->m_ownLowest = std::min(m_upstream->m_ownLowest, m_upstream->m_own.m_running);
+    if (m_upstream->m_onRequestEnded)
+        m_upstream->m_onRequestEnded();
 }
 
 void InFlightGuard::onReplaced(std::function<void(std::int64_t startedAt)> listener)
--- a/src/entry/upstream_client.cpp
+++ b/src/entry/upstream_client.cpp
@@ -27,6 +27,8 @@
         m_metrics.add(Counter::UpstreamConnectsTimedOut);
     if (failure->m_error.m_id == ErrorId::UpstreamUnreachable)
         m_metrics.add(Counter::UpstreamConnectsRefused);
+    if (failure->m_error.m_id == ErrorId::ConnectionClosed)
+        m_metrics.add(Counter::UpstreamConnectsReset);
 }
 
 } // namespace gypsumdale
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -180,6 +180,12 @@
         {Counter::CanaryPlacements, "gypsumdale_canary_placements_total",
          "Placements on a roll-out's target."},
         {Counter::CanaryErrors, "gypsumdale_canary_errors_total", "Errors of a roll-out's target."},
+        {Counter::UpstreamConnectsReset, "gypsumdale_upstream_connects_reset_total",
+         "Connections reset before anything was sent."},
+        {Counter::ConnectionsAwaited, "gypsumdale_connections_awaited_total",
+         "Requests that waited for a connection."},
+        {Counter::NoConnection, "gypsumdale_no_connection_total",
+         "Requests rejected for lack of a connection."},
 }};
 static_assert(isInOrder(counterTexts));
 
--- a/src/runtime/detail/call_failure.cpp
+++ b/src/runtime/detail/call_failure.cpp
@@ -23,10 +23,18 @@
         return failure(SendPhase::NothingSent, ErrorId::Timeout, endpoint, "connecting timed out");
     if (status == StreamStatus::Closed)
         return failure(SendPhase::NothingSent, ErrorId::Cancelled, endpoint, "cancelled");
+    if (status == StreamStatus::Ended)
+        return connectionReset(endpoint);
     return failure(SendPhase::NothingSent, ErrorId::UpstreamUnreachable, endpoint,
                    "cannot connect");
 }
 
+CallFailure connectionReset(const Endpoint &endpoint)
+{
+    return failure(SendPhase::NothingSent, ErrorId::ConnectionClosed, endpoint,
+                   "the connection was reset before anything was sent");
+}
+
 CallFailure deadlinePassed(const Endpoint &endpoint)
 {
     return failure(SendPhase::NothingSent, ErrorId::TermOver, endpoint,
--- a/src/runtime/detail/call_failure.hpp
+++ b/src/runtime/detail/call_failure.hpp
@@ -19,6 +19,10 @@
 /// Returns the failure of a connection that could not be opened.
 CallFailure connectFailure(const Endpoint &endpoint, StreamStatus status);
 
+/// Returns the failure of a call whose connection was opened, and ended before the first byte of
+/// the request was written. Nothing of the request can have been read.
+CallFailure connectionReset(const Endpoint &endpoint);
+
 /// Returns the failure of a call whose delivery deadline passed before it was sent.
 CallFailure deadlinePassed(const Endpoint &endpoint);
 
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -78,6 +78,9 @@
     error = wait.wait();
     stopDeadline();
     const StreamStatus status = statusOf(error);
+    // The other side has accepted the connection and reset it before it was used.
+    if (error == asio::error::connection_reset && !m_closed && !m_timedOut)
+        return StreamStatus::Ended;
     const bool isRefused = error == asio::error::connection_refused;
     return status == StreamStatus::Broken && !isRefused ? StreamStatus::TimedOut : status;
 }
@@ -195,6 +198,15 @@
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::hasEnded()
+{
+    if (m_closed)
+        return false;
+    char byte = 0;
+    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 std::optional<std::size_t> Stream::unacknowledged()
 {
     int bytes = 0;
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -82,6 +82,9 @@
     /// Returns whether the connection is open and holds no unread input: false once the other side
     /// has closed it or sent something unrequested. Costs one system call.
     bool isIdleAndOpen();
+    /// Returns whether the other side has closed or reset the connection, and no input is left.
+    /// Costs one system call.
+    bool hasEnded();
 
     /// Ends sending, then discards input until the other side closes, for a bounded time and number
     /// of bytes. Closing with unread input would reset the connection, which can destroy an answer
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 using detail::connectFailure;
+using detail::connectionReset;
 using detail::deadlinePassed;
 using detail::failure;
 using detail::nameOf;
@@ -108,6 +109,7 @@
     const std::string head = detail::requestHead(call.m_method, call.m_target, nameOf(m_endpoint),
                                                  call.m_headers, call.m_body.size());
     std::array<asio::const_buffer, 2> buffers = {asio::buffer(head), asio::buffer(call.m_body)};
+    const std::size_t size = asio::buffer_size(buffers);
     // A failed write proves nothing about what the other side has read.
     m_phase = SendPhase::MayHaveBeenRead;
     const detail::SteadyTime deadline = detail::deadlineAfter(call.m_headerTimeout);
@@ -122,6 +124,8 @@
         }
         if (status != StreamStatus::TimedOut || std::chrono::steady_clock::now() >= deadline) {
             m_unsent = asio::buffer_size(buffers);
+            if (m_unsent == size && status == StreamStatus::Broken)
+                m_phase = SendPhase::NothingSent;
             return fail(status);
         }
         // An upstream may answer before it has read a long body, and stop reading. Waiting for it
@@ -381,6 +385,10 @@
         stream->close();
         return deadlinePassed(call.m_endpoint);
     }
+    if (stream->hasEnded()) {
+        stream->close();
+        return connectionReset(call.m_endpoint);
+    }
     attach(call, stream);
     auto exchange = std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool);
     if (const std::optional<CallFailure> failed = exchange->send(call))
--- a/src/serving/upstream_pool_peers.cpp
+++ b/src/serving/upstream_pool_peers.cpp
@@ -36,6 +36,7 @@
     for (auto &[id, pooled] : m_upstreams) {
         pooled->m_peerTotal = InFlightLoad{};
         pooled->m_peerPrompts.clear();
+        pooled->m_peerRunning.clear();
     }
     for (const auto &[node, peer] : m_peerLoads) {
         for (const auto &[id, report] : peer.m_loads) {
@@ -58,6 +59,8 @@
 void UpstreamPool::addPeerLoad(PooledUpstream &upstream, const ReportedLoad &report)
 {
     upstream.m_peerTotal.m_running += report.m_load.m_running;
+    if (report.m_load.m_running > 0)
+        upstream.m_peerRunning.push_back(report.m_load.m_running);
     upstream.m_peerTotal.m_pendingTokens += report.m_load.m_pendingTokens;
     if (report.m_load.m_pendingTokens > 0)
         upstream.m_peerPrompts.push_back({report.m_at, report.m_load.m_pendingTokens});
