--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -161,7 +161,7 @@
     void onRetriesTaken(RetriesTaken taken) { m_retriesTaken = std::move(taken); }
     /// Records that a request was placed, and announces the load to the peers if the last argument
     /// is set.
-    void recordPlacement(PooledUpstream &upstream, std::int64_t ownTokens,
+    void recordPlacement(const PooledUpstream &upstream, std::int64_t ownTokens,
                          bool shouldAnnounce);
     /// Records a prompt that is about to be placed. Returns whether to announce it to the peers at
     /// once.
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -160,11 +160,10 @@
 
     /// Sends a request and returns once the header of the answer has arrived. Fails with Timeout or
     /// UpstreamUnreachable if no connection could be opened, UpstreamSilent if the header did not
-    /// arrive in time, ConnectionClosed if the connection ended before the answer (NothingSent if it
-    /// did before the first byte was written), AnswerTruncated
-    /// if it ended within the header, UpstreamFailed if the answer is not HTTP, and TermOver if the
-    /// delivery deadline passed before the first byte was written (NothingSent) or before all bytes
-    /// were acknowledged.
+    /// arrive in time, ConnectionClosed if the connection ended before the answer (NothingSent if
+    /// it did before the first byte was written), AnswerTruncated if it ended within the header,
+    /// UpstreamFailed if the answer is not HTTP, and TermOver if the delivery deadline passed
+    /// before the first byte was written (NothingSent) or before all bytes were acknowledged.
     CallResult<HttpExchange> open(const HttpCall &call);
 
     /// Sends a request and returns the complete answer.
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -52,8 +52,6 @@
     InFlightHistory m_ownHistory;
     /// Fewest own requests in flight since the last entry of the history.
     int m_ownLowest = 0;
-    /// This VM's recent placements of requests without a prompt.
-    RecentDispatches m_recentPlacements;
     /// Called when a request has ended that was in flight here.
     std::function<void()> m_onRequestEnded;
     /// Failure rate of the last requests, as a moving average from 0 to 1.
@@ -186,9 +184,6 @@
     std::optional<ConnectionDecision> connectionShortage(const PlacementRequest &request,
                                                          TimePoint now) const;
 
-    /// Records the placement of a request without a prompt. Complexity: amortised constant.
-    void recordPlacement(PooledUpstream &upstream, TimePoint now) const;
-
     /// Selects the upstream that would serve the request soonest, or nullptr if there is none.
     /// Complexity: linear in the service's upstreams.
     ///
@@ -198,9 +193,7 @@
     /// ones, or more of them for a prompt that is announced to peers at once. The pending tokens
     /// that others reported there are reduced by the age of their reports, since engines have
     /// continued reading; without this, an engine that was busy at a report was avoided long after
-    /// it was idle again. A plain service with fewer slots than there are VMs has its upstream drawn
-    /// by power of two choices: random draws alone would let queues build up at one while another
-    /// has free slots.
+    /// it was idle again.
     ///
     /// Upstreams without a free connection are skipped, and nullptr is returned if only they, or
     /// ones that failed recently, are left; see connectionShortage().
@@ -245,9 +238,6 @@
     void sumPeerLoads();
     static void addPeerLoad(PooledUpstream &upstream, const ReportedLoad &report);
     Candidates candidatesFor(const PlacementRequest &request) const;
-    /// Returns the age that the other VMs' reports normally don't exceed.
-    Duration reportAgeLimit() const;
-    bool isShortOfSlots(const Candidates &candidates) const;
     std::optional<ConnectionDecision> keepConnectable(Candidates &candidates, TimePoint now) const;
     ConnectionDecision decideAt(PooledUpstream &upstream, ConnectionView view, TimePoint now) const;
 
--- a/src/entry/connection_waiting.cpp
+++ b/src/entry/connection_waiting.cpp
@@ -74,9 +74,10 @@
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return decideConnectionWait(view);
-    const auto isAhead = [priority](const auto &place) { return std::get<0>(place.first) <= priority; };
-    view.m_ahead =
-            static_cast<std::size_t>(std::ranges::count_if(found->second.m_places, isAhead));
+    const auto isAhead = [priority](const auto &place) {
+        return std::get<0>(place.first) <= priority;
+    };
+    view.m_ahead = static_cast<std::size_t>(std::ranges::count_if(found->second.m_places, isAhead));
     view.m_endsPerSecond = found->second.m_ends.countAfter(m_clock.now() - endsWindow);
     return decideConnectionWait(view);
 }
--- a/src/entry/entry_call_connection.cpp
+++ b/src/entry/entry_call_connection.cpp
@@ -45,6 +45,8 @@
     if (!shortage && (m_connectionPlace || !waiting.isAwaited(m_service)))
         return std::nullopt;
     m_connectionPlace.reset();
+    if (const auto stop = attemptStopReason())
+        return stop;
     const Duration left = connectionWaitLeft();
     const ConnectionWaitDecision decision = waiting.decide(m_service, priority(), left);
     m_connectionPlace.emplace(waiting, m_service, priority(), m_arrivedAt, [this] {
@@ -63,9 +65,8 @@
     m_connectionPlace.reset();
     if (const auto stop = attemptStopReason())
         return stop;
-    return rejectForConnection(
-            shortage.value_or(ConnectionDecision{}),
-            waiting.decide(m_service, priority(), connectionWaitLeft()));
+    return rejectForConnection(shortage.value_or(ConnectionDecision{}),
+                               waiting.decide(m_service, priority(), connectionWaitLeft()));
 }
 
 /// Records that a request gets no connection in time.
@@ -73,23 +74,21 @@
                                            const ConnectionWaitDecision &wait)
 {
     m_connectionPlace.reset();
-    m_connectionRetryAfter =
-            std::clamp(wait.m_expected, Duration::zero(), maxConnectionRetryAfter);
+    m_connectionRetryAfter = std::clamp(wait.m_expected, Duration::zero(), maxConnectionRetryAfter);
     m_traffic.metrics().add(Counter::NoConnection);
-    m_traffic.log().info(
-            "no-connection",
-            {m_caller.m_id,
-             m_service,
-             {LogField::Route, m_route->m_name},
-             {LogField::Reason, enumName(connectionWaitVerdictNames, wait.m_verdict)},
-             {LogField::State, enumName(connectionVerdictNames, shortage.m_verdict)},
-             {LogField::Limit, shortage.m_limit},
-             {LogField::Used, shortage.m_share},
-             {LogField::Count, shortage.m_vms},
-             {LogField::Running, shortage.m_own},
-             {LogField::OthersRunning, shortage.m_reported},
-             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
-             {LogField::RetryAfterMillis, toMillis(m_connectionRetryAfter)}});
+    m_traffic.log().info("no-connection",
+                         {m_caller.m_id,
+                          m_service,
+                          {LogField::Route, m_route->m_name},
+                          {LogField::Reason, enumName(connectionWaitVerdictNames, wait.m_verdict)},
+                          {LogField::State, enumName(connectionVerdictNames, shortage.m_verdict)},
+                          {LogField::Limit, shortage.m_limit},
+                          {LogField::Share, shortage.m_share},
+                          {LogField::Count, shortage.m_vms},
+                          {LogField::Running, shortage.m_own},
+                          {LogField::OthersRunning, shortage.m_reported},
+                          {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
+                          {LogField::RetryAfterMillis, toMillis(m_connectionRetryAfter)}});
     return AttemptStop::NoConnection;
 }
 
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -27,6 +27,7 @@
 /// Ends a request that no upstream answered successfully.
 void EntryCall::finishUnserved(AttemptStop stop)
 {
+    m_connectionPlace.reset();
     if (stop == AttemptStop::CallerGone) {
         m_series->add(RequestCounter::Cancelled);
         logEnd("caller-gone", 0);
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -293,12 +293,11 @@
     return m_promptAnnouncer.shouldAnnounce(static_cast<double>(ownTokens), speed, now());
 }
 
-void EntryTraffic::recordPlacement(PooledUpstream &upstream, std::int64_t ownTokens,
+void EntryTraffic::recordPlacement(const PooledUpstream &upstream, std::int64_t ownTokens,
                                    bool shouldAnnounce)
 {
     const UpstreamRecord &record = upstream.m_record;
     m_placementListAge.note(toWholeMillis(listAge()));
-    m_pool.recordPlacement(upstream, now());
     m_prefillRates.own(record.m_service).recordPlacement(ownTokens, now());
     if (shouldAnnounce && m_longPromptPlaced)
         m_longPromptPlaced(record.m_id, loadOf(upstream));
--- a/src/serving/connection_share.cpp
+++ b/src/serving/connection_share.cpp
@@ -18,8 +18,8 @@
 /// Expected time to a free connection where no request ended within the last second.
 constexpr Duration unknownWait = std::chrono::seconds(1);
 
-/// Returns the connections that no VM's share includes and that VMs beyond their share may use while
-/// the upstream is idle.
+/// Returns the connections that no VM's share includes and that VMs beyond their share may use
+/// while the upstream is idle.
 int spareConnections(const ConnectionView &view, int share)
 {
     const std::int64_t idleRequests = std::int64_t{idleRequestsPerSlot} * std::max(view.m_slots, 0);
@@ -56,9 +56,8 @@
 bool isIdle(const ConnectionView &view, const ConnectionDecision &decision)
 {
     const int spare = spareConnections(view, decision.m_share);
-    const bool hasLightLoad =
-            std::int64_t{view.m_ownAtAll} * lightLoadDivisor
-            < std::int64_t{decision.m_share} * view.m_upstreams;
+    const bool hasLightLoad = std::int64_t{view.m_ownAtAll} * lightLoadDivisor
+                              < std::int64_t{decision.m_share} * view.m_upstreams;
     return hasLightLoad && decision.m_own + decision.m_reported < spare;
 }
 
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -1,9 +1,10 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 
-#include <serving/detail/upstream_draw.hpp>
+#include <xxhash.h>
 
 #include <algorithm> // clamp, max, min
+#include <cmath> // log
 #include <limits> // numeric_limits
 #include <map> // multimap
 #include <utility> // exchange, move
@@ -12,9 +13,6 @@
 
 namespace {
 
-using detail::avoidedCost;
-using detail::drawFor;
-
 /// Delay that a running request adds for the next one, as prompt tokens with the same prefill time.
 constexpr double runningCostTokens = 400;
 /// Cost of reading a shared token again, as tokens of queueing that are accepted to avoid it: it is
@@ -36,6 +34,11 @@
 /// delays them least, and no other VM sends its long prompt there too.
 constexpr std::size_t announcedLocalSampleSize = 8;
 constexpr std::size_t announcedSampleSize = 12;
+/// Factor by which a plain service's upstream in another data centre is less likely to be drawn,
+/// because of latency and paid traffic.
+constexpr double remoteDrawFactor = 1.5;
+/// Cost that rules out an upstream that failed while another is available.
+constexpr double avoidedCost = 1e9;
 
 /// Weight of one result in the moving average of failures: about the last ten count.
 constexpr double failureWeight = 0.1;
@@ -147,6 +150,38 @@
     return best;
 }
 
+/// Returns a number above 0 and up to 1 that is specific to the upstream and the request.
+double drawFor(const PooledUpstream &upstream, const PlacementRequest &request)
+{
+    const std::string &id = upstream.m_record.m_id.text();
+    const auto drawn = XXH3_64bits_withSeed(id.data(), id.size(), request.m_draw);
+    constexpr double range = 18446744073709551616.0;
+    return (static_cast<double>(drawn) + 1) / range;
+}
+
+/// Draws an upstream of a plain service with a probability inversely proportional to its load, so
+/// that reports count, but not all VMs select the same upstream at once.
+PooledUpstreamPointer drawByLoad(const std::vector<PooledUpstreamPointer> &candidates,
+                                 const PlacementRequest &request, TimePoint now)
+{
+    PooledUpstreamPointer best;
+    double least = std::numeric_limits<double>::max();
+    for (const PooledUpstreamPointer &candidate : candidates) {
+        const int running = candidate->running();
+        // The minimum of exponential draws falls on each upstream in proportion to its rate.
+        double drawn = -std::log(drawFor(*candidate, request)) * (1 + std::max(0, running));
+        if (candidate->m_record.m_dataCentre != request.m_dataCentre)
+            drawn *= remoteDrawFactor;
+        if (candidate->m_avoidUntil > now)
+            drawn += avoidedCost;
+        if (drawn < least) {
+            best = candidate;
+            least = drawn;
+        }
+    }
+    return best;
+}
+
 void takeFirst(const std::multimap<double, PooledUpstreamPointer> &drawn, std::size_t most,
                std::vector<PooledUpstreamPointer> &taken)
 {
@@ -304,7 +339,9 @@
         markReplaced(*known, record.m_startedAt);
     PooledUpstreamPointer added = std::make_shared<PooledUpstream>();
     if (m_onRequestEnded)
-        added->m_onRequestEnded = [this, service = record.m_service] { m_onRequestEnded(service); };
+        added->m_onRequestEnded = [this, service = record.m_service] {
+            m_onRequestEnded(service);
+        };
     return added;
 }
 
@@ -352,13 +389,10 @@
 PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     Candidates candidates = candidatesFor(request);
-    const bool hasFewSlots = isShortOfSlots(candidates);
     keepConnectable(candidates, now);
     const bool isPlain = request.m_promptTokens == 0;
-    if (m_areReportsOld && isPlain && hasFewSlots)
-        return detail::drawLessLoadedOfTwo(candidates, request, now - reportAgeLimit(), now);
     if (m_areReportsOld && isPlain)
-        return detail::drawByLoad(candidates, request, now);
+        return drawByLoad(candidates, request, now);
     const PooledUpstream *home = nullptr;
     if (!request.m_affinityKey.empty())
         home = findHome(request.m_affinityKey, candidates, now);
--- a/src/serving/upstream_pool_connections.cpp
+++ b/src/serving/upstream_pool_connections.cpp
@@ -26,11 +26,6 @@
 
 } // namespace
 
-Duration UpstreamPool::reportAgeLimit() const
-{
-    return reportInterval * m_exchangeStretch;
-}
-
 bool UpstreamPool::setFleetSize(std::size_t vms)
 {
     constexpr std::size_t most = std::numeric_limits<int>::max();
@@ -46,23 +41,17 @@
     std::erase_if(m_connectionLimits, [](const auto &limit) { return limit.second <= 0; });
 }
 
-bool UpstreamPool::isShortOfSlots(const Candidates &candidates) const
-{
-    std::int64_t slots = 0;
-    for (const PooledUpstreamPointer &candidate : candidates)
-        slots += candidate->m_record.m_slots;
-    return slots < m_vms;
-}
-
 ConnectionDecision UpstreamPool::decideAt(PooledUpstream &upstream, ConnectionView view,
                                           TimePoint now) const
 {
-    const Duration unreported = std::max(minUnreportedTime, 2 * reportAgeLimit());
+    const Duration unreported = std::max(minUnreportedTime, 2 * reportInterval * m_exchangeStretch);
     recordOwn(upstream, now, unreported);
     view.m_slots = upstream.m_record.m_slots;
     view.m_own = upstream.m_own.m_running;
     view.m_ownMinimum = static_cast<int>(upstream.m_ownHistory.minimumSince(now - unreported));
-    view.m_peers = upstream.m_peerRunning;
+    // Within the share the reports don't matter.
+    if (view.m_own >= connectionShare(view.m_limit, view.m_vms))
+        view.m_peers = upstream.m_peerRunning;
     return decideConnection(view);
 }
 
@@ -110,9 +99,4 @@
     return candidates.empty() ? shortage : std::nullopt;
 }
 
-void UpstreamPool::recordPlacement(PooledUpstream &upstream, TimePoint now) const
-{
-    upstream.m_recentPlacements.add(now, reportAgeLimit());
-}
-
 } // namespace gypsumdale
