Count rejections for lack of a connection on the page of metrics

The page of a busy entry process is bounded to 64 KB and had 29 bytes left, so three counters did not fit.

--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -99,11 +99,9 @@
     QuarantineRejections,
     CanaryPlacements,
     CanaryErrors,
-    UpstreamConnectsReset,
-    ConnectionsAwaited,
     NoConnection,
 };
-constexpr std::size_t counterCount = 65;
+constexpr std::size_t counterCount = 63;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/src/entry/entry_call_connection.cpp
+++ b/src/entry/entry_call_connection.cpp
@@ -56,12 +56,15 @@
         return std::nullopt;
     if (decision.m_verdict != ConnectionWaitVerdict::Wait)
         return rejectForConnection(shortage.value_or(ConnectionDecision{}), decision);
-    m_traffic.metrics().add(Counter::ConnectionsAwaited);
     const TimePoint beganAt = m_traffic.now();
     const bool hasTurn = m_connectionPlace->wait(left);
-    m_waitedForConnection += m_traffic.now() - beganAt;
-    if (hasTurn)
+    const Duration waited = m_traffic.now() - beganAt;
+    m_waitedForConnection += waited;
+    if (hasTurn) {
+        m_traffic.log().info("connection-awaited",
+                             {m_caller.m_id, m_service, {LogField::Millis, toMillis(waited)}});
         return std::nullopt;
+    }
     m_connectionPlace.reset();
     if (const auto stop = attemptStopReason())
         return stop;
--- a/src/entry/upstream_client.cpp
+++ b/src/entry/upstream_client.cpp
@@ -25,10 +25,9 @@
     }
     if (failure->m_error.m_id == ErrorId::Timeout)
         m_metrics.add(Counter::UpstreamConnectsTimedOut);
-    if (failure->m_error.m_id == ErrorId::UpstreamUnreachable)
+    const bool isReset = failure->m_error.m_id == ErrorId::ConnectionClosed;
+    if (failure->m_error.m_id == ErrorId::UpstreamUnreachable || isReset)
         m_metrics.add(Counter::UpstreamConnectsRefused);
-    if (failure->m_error.m_id == ErrorId::ConnectionClosed)
-        m_metrics.add(Counter::UpstreamConnectsReset);
 }
 
 } // namespace gypsumdale
