--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/entry/connection_waiting.hpp>
 #include <gypsumdale/entry/entry_crashes.hpp>
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
@@ -123,11 +124,7 @@
     /// calls.
     std::size_t cancelCalls();
 
-    void setView(ServingViewPointer view)
-    {
-        m_view = std::move(view);
-        m_startupKnowledge.recordConfiguration();
-    }
+    void setView(ServingViewPointer view);
     /// Returns whether a request should wait for the first configuration or upstream list of this
     /// process.
     bool shouldWaitForStartup() const { return m_startupKnowledge.shouldWaitForStartup(now()); }
@@ -206,6 +203,7 @@
     EntryOrigins &origins() { return m_origins; }
     EntryCrashes &crashes() { return m_crashes; }
     EntryRollouts &rollouts() { return m_rollouts; }
+    ConnectionWaiting &connections() { return m_connections; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
     /// its service. Complexity: n log n.
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
@@ -226,6 +224,7 @@
 private:
     void continueRetries(const std::string &peer, const EarlierRetries &earlier);
     void updateSpeeds();
+    void logConnectionShares() const;
     void logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams);
 
     const EntrySettings &m_settings;
@@ -235,6 +234,7 @@
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    ConnectionWaiting m_connections;
     std::map<ServiceId, SoftwareVersions> m_loggedVersions;
     HighestValue m_placementListAge;
     /// A list that was never confirmed counts as unconfirmable: waiting for a confirmation would
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -102,8 +102,9 @@
     AnswersTooLarge,
     ErrorsRetried,
     ErrorsNotRetried,
+    NoConnection,
 };
-constexpr std::size_t counterCount = 65;
+constexpr std::size_t counterCount = 66;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -27,6 +27,7 @@
 /// Ends a request that no upstream answered successfully.
 void EntryCall::finishUnserved(AttemptStop stop)
 {
+    m_connectionPlace.reset();
     if (stop == AttemptStop::CallerGone) {
         m_series->add(RequestCounter::Cancelled);
         logEnd("caller-gone", 0);
@@ -60,7 +61,9 @@
         return;
     if (stop == AttemptStop::Quarantined && rejectIfQuarantined())
         return;
-    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), retryAfter());
+    const Duration delay =
+            stop == AttemptStop::NoConnection ? m_connectionRetryAfter : Duration::zero();
+    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), delay + retryAfter());
 }
 
 Duration EntryCall::retryAfter()
@@ -77,6 +80,7 @@
 /// Sends an answer of this VM or of a peer that relayed the request.
 void EntryCall::sendReply(const HttpReply &reply, std::string_view reason)
 {
+    m_connectionPlace.reset();
     m_responder.send(reply);
     const bool isRefusal =
             reply.m_status == statusUnavailable || reply.m_status == statusTooManyRequests;
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -38,13 +38,11 @@
 }
 
 constexpr MetricTexts<Latency, latencyCount> latencyTexts = {{
-        {Latency::FirstToken, "gypsumdale_time_to_first_token_seconds",
-         "Time from arrival to the first token."},
+        {Latency::FirstToken, "gypsumdale_time_to_first_token_seconds", "Time to the first token."},
         {Latency::BetweenTokens, "gypsumdale_time_between_tokens_seconds",
-         "Time between two tokens of an answer."},
+         "Time between two tokens."},
         {Latency::Queueing, "gypsumdale_queueing_seconds", "Time until an upstream is chosen."},
-        {Latency::Total, "gypsumdale_request_seconds",
-         "Time from arrival to the end of the answer."},
+        {Latency::Total, "gypsumdale_request_seconds", "Time to the end of the answer."},
 }};
 static_assert(isInOrder(latencyTexts));
 
@@ -53,8 +51,7 @@
         {RequestCounter::Done, "gypsumdale_requests_done_total", "Requests answered whole."},
         {RequestCounter::Refused, "gypsumdale_requests_refused_total",
          "Requests refused at admission."},
-        {RequestCounter::Failed, "gypsumdale_requests_failed_total",
-         "Requests that failed after admission."},
+        {RequestCounter::Failed, "gypsumdale_requests_failed_total", "Requests that failed."},
         {RequestCounter::NotRun, "gypsumdale_requests_not_run_total",
          "Requests answered as not run."},
         {RequestCounter::OutcomeUnknown, "gypsumdale_requests_outcome_unknown_total",
@@ -77,10 +74,10 @@
 constexpr MetricTexts<Counter, counterCount> counterTexts = {{
         {Counter::Retries, "gypsumdale_retries_total", "Attempts after the first."},
         {Counter::RetriesDenied, "gypsumdale_retries_denied_total",
-         "Retries that the retry budget denied."},
+         "Retries denied by the budget."},
         {Counter::StrayEvents, "gypsumdale_stray_events_total", "Late or foreign events dropped."},
         {Counter::TruncatedAnswers, "gypsumdale_truncated_answers_total",
-         "Upstream answers without their end."},
+         "Answers without their end."},
         {Counter::ClaimsWritten, "gypsumdale_claims_written_total", "Claims written."},
         {Counter::ClaimConflicts, "gypsumdale_claim_conflicts_total",
          "Claims that met another's record."},
@@ -125,7 +122,7 @@
         {Counter::OperatorCalls, "gypsumdale_operator_calls_total",
          "Calls to the admin interface."},
         {Counter::OperatorCallsRefused, "gypsumdale_operator_calls_refused_total",
-         "Admin calls with a wrong credential."},
+         "Calls with a wrong credential."},
         {Counter::LogLinesSuppressed, "gypsumdale_log_lines_suppressed_total",
          "Log lines held back by rate."},
         {Counter::LogLinesLost, "gypsumdale_log_lines_lost_total", "Log lines that were lost."},
@@ -136,7 +133,7 @@
         {Counter::NoCapacityInTime, "gypsumdale_no_room_in_time_total",
          "Requests rejected as too late."},
         {Counter::CallerBytesReceived, "gypsumdale_caller_bytes_received_total",
-         "Bytes of requests that callers sent."},
+         "Bytes that callers sent."},
         {Counter::CallerBytesSent, "gypsumdale_caller_bytes_sent_total",
          "Bytes of answers sent to callers."},
         {Counter::UpstreamBytesSent, "gypsumdale_upstream_bytes_sent_total",
@@ -153,7 +150,7 @@
         {Counter::TermOverUnsent, "gypsumdale_term_over_unsent_total",
          "Attempts whose term ended unsent."},
         {Counter::RequestsTakenBack, "gypsumdale_requests_taken_back_total",
-         "Requests taken back at the end of their term."},
+         "Requests taken back at their term."},
         {Counter::ServicesCutOff, "gypsumdale_services_cut_off_total",
          "Times that a service was cut off."},
         {Counter::RequestsRelayed, "gypsumdale_requests_relayed_total",
@@ -175,7 +172,7 @@
         {Counter::UpstreamEndsUnjudged, "gypsumdale_ends_unjudged_total",
          "Broken runs that were not judged."},
         {Counter::QuarantineRejections, "gypsumdale_quarantined_total",
-         "Requests rejected as they crash upstreams."},
+         "Rejected as they crash upstreams."},
         {Counter::CanaryPlacements, "gypsumdale_canary_placements_total",
          "Placements on a roll-out's target."},
         {Counter::CanaryErrors, "gypsumdale_canary_errors_total", "Errors of a roll-out's target."},
@@ -185,12 +182,13 @@
          "Error answers that were tried again."},
         {Counter::ErrorsNotRetried, "gypsumdale_errors_not_retried_total",
          "Errors answered at once: retries rarely help."},
+        {Counter::NoConnection, "gypsumdale_no_connection_total", "No connection was free."},
 }};
 static_assert(isInOrder(counterTexts));
 
 constexpr MetricTexts<Gauge, gaugeCount> gaugeTexts = {{
         {Gauge::Ready, "gypsumdale_ready", "1 while the node takes requests."},
-        {Gauge::Draining, "gypsumdale_draining", "1 while it finishes its requests to stop."},
+        {Gauge::Draining, "gypsumdale_draining", "1 while it finishes its requests."},
         {Gauge::PlatformUp, "gypsumdale_platform_up", "1 while the platform answers."},
         {Gauge::ConfigVersion, "gypsumdale_config_version",
          "Highest version of settings in force."},
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 using detail::connectFailure;
+using detail::connectionReset;
 using detail::deadlinePassed;
 using detail::Stream;
 using detail::StreamStatus;
@@ -113,6 +114,10 @@
         stream->close();
         return deadlinePassed(call.m_endpoint);
     }
+    if (stream->hasEnded()) {
+        stream->close();
+        return connectionReset(call.m_endpoint);
+    }
     attach(call, stream);
     auto exchange =
             std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool, latest);
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -307,7 +307,12 @@
         return known;
     if (known)
         markReplaced(*known, record.m_startedAt);
-    return std::make_shared<PooledUpstream>();
+    PooledUpstreamPointer added = std::make_shared<PooledUpstream>();
+    if (m_onRequestEnded)
+        added->m_onRequestEnded = [this, service = record.m_service] {
+            m_onRequestEnded(service);
+        };
+    return added;
 }
 
 UpstreamPool::Candidates UpstreamPool::candidatesFor(const PlacementRequest &request) const
@@ -354,6 +359,7 @@
 PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     Candidates candidates = candidatesFor(request);
+    keepConnectable(candidates, now);
     const bool isPlain = request.m_promptTokens == 0;
     if (m_areReportsOld && isPlain)
         return drawByLoad(candidates, request, now);
