--- a/include/gypsumdale/serving/service_room.hpp
+++ b/include/gypsumdale/serving/service_room.hpp
@@ -21,6 +21,10 @@
     double m_fleetDemand = 0;
     /// Number of VMs in the fleet, this one included.
     std::size_t m_nodes = 1;
+    /// Number of them whose requests in flight are known, this one included.
+    std::size_t m_reporting = 1;
+    /// Whether a peer reports that the service is short of slots, or was lately.
+    bool m_isReportedShort = false;
     /// Age of the oldest report of the peers that is in use.
     Duration m_reportAge{};
 };
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -97,6 +97,8 @@
     /// Whether the whole system starts for the first time, so that no request was admitted before.
     bool m_isFirstStart = false;
     LogLevel m_logLevel = LogLevel::Info;
+    /// Whether callers' requests wait for their turn while a service is short of slots.
+    bool m_hasShortageQueue = true;
     EntryBounds m_bounds;
     ScaleSettings m_scaling;
 };
--- a/src/serving/service_gate.cpp
+++ b/src/serving/service_gate.cpp
@@ -26,12 +26,16 @@
 constexpr int leastUrgent = 9;
 /// Maximum age of the peers' reports that is bridged by extrapolation.
 constexpr Duration maxExtrapolation = std::chrono::seconds(4);
+/// Part of the fleet's unreported service that is assumed. With all of it, one request of an
+/// account would put it behind all others for as long as the reports are old, in a fleet where a VM
+/// serves an account once in that time.
+constexpr double extrapolatedPart = 0.5;
 /// Seconds of an even share of the service that an account may be behind the others after its
 /// requests were rare.
 constexpr double creditSeconds = 4.0;
 /// Lead of an account at which its urgent requests still go before others' less urgent ones, in
 /// requests of every VM.
-constexpr double leadRequests = 0.5;
+constexpr double leadRequests = 0.75;
 constexpr double creditRequests = 2.0;
 constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration maxRetryDelay = std::chrono::seconds(5);
@@ -97,6 +101,7 @@
 {
     inputs.m_ownDemand = ownDemand(now);
     inputs.m_fleetDemand = fleetDemand(inputs.m_ownDemand, inputs.m_nodes);
+    inputs.m_isReportedShort = !m_peers.empty();
     const std::optional<RoomChange> change = m_room.update(inputs, now);
     if (m_room.isShort())
         updateQueue(now);
@@ -130,9 +135,9 @@
     m_interval = turnInterval(now);
     m_queue.setTurnInterval(m_interval);
     const double mean = meanTokens(now);
-    const double factor = 1.0 / m_room.demandShare();
+    const double factor = std::max(1.0, extrapolatedPart / m_room.demandShare());
     const double seconds = toSeconds(m_interval);
-    m_fleetRate = seconds > 0 ? factor * mean / seconds : 0;
+    m_fleetRate = seconds > 0 ? mean / (seconds * m_room.demandShare()) : 0;
     const double accounts = static_cast<double>(std::max<std::size_t>(m_weights.size(), 1));
     const double quantum = factor * mean;
     const double credit = creditRequests * quantum + creditSeconds * m_fleetRate / accounts;
--- a/src/serving/service_room.cpp
+++ b/src/serving/service_room.cpp
@@ -25,6 +25,18 @@
     return std::clamp(share, minPartOfEvenShare * even, 1.0);
 }
 
+/// Returns the requests in flight. While the service is known to be short, the VMs that don't
+/// report are taken to have as many as the others: a VM that is cut off from them, or was just
+/// started, would otherwise see the slots that they use as free.
+double estimatedInFlight(const RoomInputs &inputs, bool isShort)
+{
+    const auto inFlight = static_cast<double>(inputs.m_inFlight);
+    const std::size_t reporting = std::max<std::size_t>(inputs.m_reporting, 1);
+    if (inputs.m_nodes <= reporting || (!isShort && !inputs.m_isReportedShort))
+        return inFlight;
+    return inFlight * static_cast<double>(inputs.m_nodes) / static_cast<double>(reporting);
+}
+
 } // namespace
 
 std::optional<RoomChange> ServiceRoom::update(const RoomInputs &inputs, TimePoint now)
@@ -33,14 +45,9 @@
     m_demandShare = demandShareOf(inputs);
     const auto slots = static_cast<double>(std::max<std::int64_t>(inputs.m_slots, 0));
     m_window = std::max<std::int64_t>(std::llround(slots * m_demandShare), 1);
-    const auto inFlight = static_cast<double>(inputs.m_inFlight);
     const bool wasShort = m_isShort;
-    if (slots <= 0)
-        m_isShort = false;
-    else if (m_isShort)
-        m_isShort = inFlight >= enoughFraction * slots;
-    else
-        m_isShort = inFlight >= shortFraction * slots;
+    const double fraction = wasShort ? enoughFraction : shortFraction;
+    m_isShort = slots > 0 && estimatedInFlight(inputs, wasShort) >= fraction * slots;
     if (m_isShort || wasShort)
         m_lastShortAt = now;
     if (m_isShort == wasShort)
