--- a/src/serving/service_gate.cpp
+++ b/src/serving/service_gate.cpp
@@ -35,8 +35,8 @@
 constexpr double creditSeconds = 4.0;
 /// Lead of an account at which its urgent requests still go before others' less urgent ones, in
 /// requests of every VM.
-constexpr double leadRequests = 0.75;
-constexpr double creditRequests = 2.0;
+constexpr double leadRequests = 3.0;
+constexpr double creditRequests = 4.0;
 constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration maxRetryDelay = std::chrono::seconds(5);
 /// Retry delays are spread over this fraction of the delay, in addition to it.
