--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -99,11 +99,9 @@
     QuarantineRejections,
     CanaryPlacements,
     CanaryErrors,
-    ServiceShortages,
-    TurnsWaited,
     TurnsRejected,
 };
-constexpr std::size_t counterCount = 65;
+constexpr std::size_t counterCount = 63;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -131,9 +129,8 @@
     PlacementListAgeMillis,
     QuarantinedRequests,
     RolloutsUnderWay,
-    ServicesShort,
 };
-constexpr std::size_t gaugeCount = 24;
+constexpr std::size_t gaugeCount = 23;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/src/entry/entry_call_turn.cpp
+++ b/src/entry/entry_call_turn.cpp
@@ -31,10 +31,7 @@
         }
         switch (end) {
         case TurnEnd::Placed:
-            if (!hasWaited)
-                return true;
-            m_series->record(Latency::Queueing, m_turn->waited());
-            return judgeAgain();
+            return !hasWaited || judgeAgain();
         case TurnEnd::Rejected: {
             const Duration retryAfter = m_turn->retryAfter();
             m_turn.reset();
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -62,7 +62,7 @@
     , m_origins(clock, metrics, settings.m_node.text())
     , m_crashes(clock)
     , m_rollouts(settings.m_cloud.has_value(), m_pool, clock, metrics)
-    , m_waiting(settings.m_hasShortageQueue, loop, m_pool, clock, log, metrics,
+    , m_waiting(settings.m_shortageQueue == ShortageQueue::On, loop, m_pool, clock, log, metrics,
                 std::hash<std::string>()(settings.m_node.text())
                         ^ static_cast<std::uint64_t>(clock.wallNow()))
     , m_startupKnowledge(clock.now())
--- a/src/entry/entry_waiting.cpp
+++ b/src/entry/entry_waiting.cpp
@@ -225,16 +225,12 @@
 std::map<ServiceId, ServiceTurnsReport> EntryWaiting::report()
 {
     std::map<ServiceId, ServiceTurnsReport> result;
-    std::int64_t shortServices = 0;
     for (auto &[service, gate] : m_gates) {
         updateRoom(service, gate);
         giveTurns(service, gate);
-        shortServices += gate.isShort() ? 1 : 0;
         if (auto report = gate.report(m_clock.now()))
             result.emplace(service, *std::move(report));
     }
-    if (m_isOn)
-        m_metrics.set(Gauge::ServicesShort, shortServices);
     return result;
 }
 
@@ -261,12 +257,10 @@
             {LogField::Count, room.m_nodes},
             {LogField::AgeMillis, toMillis(room.m_reportAge)},
             {LogField::Waiting, gate.waiting()}};
-    if (!gate.isShort()) {
+    if (gate.isShort())
+        m_log.info("service-short", fields);
+    else
         m_log.info("service-not-short", fields);
-        return;
-    }
-    m_metrics.add(Counter::ServiceShortages);
-    m_log.info("service-short", fields);
 }
 
 /// Logs a request that waited or was rejected. One that is placed at once has `request-placed`.
@@ -275,7 +269,8 @@
     const bool isPlaced = decision.m_verdict == TurnVerdict::Placed;
     if (isPlaced && decision.m_waited == Duration::zero())
         return;
-    m_metrics.add(isPlaced ? Counter::TurnsWaited : Counter::TurnsRejected);
+    if (!isPlaced)
+        m_metrics.add(Counter::TurnsRejected);
     const ServiceGate &gate = gateOf(request.m_service);
     const RoomInputs &room = gate.room().inputs();
     const std::initializer_list<LogFieldValue> fields = {
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -180,12 +180,7 @@
         {Counter::CanaryPlacements, "gypsumdale_canary_placements_total",
          "Placements on a roll-out's target."},
         {Counter::CanaryErrors, "gypsumdale_canary_errors_total", "Errors of a roll-out's target."},
-        {Counter::ServiceShortages, "gypsumdale_service_shortages_total",
-         "Times that a service became short of slots."},
-        {Counter::TurnsWaited, "gypsumdale_turns_waited_total",
-         "Requests placed after a wait for a slot."},
-        {Counter::TurnsRejected, "gypsumdale_no_turn_total",
-         "Requests rejected for lack of slots."},
+        {Counter::TurnsRejected, "gypsumdale_no_turn_total", "Rejected: no slot."},
 }};
 static_assert(isInOrder(counterTexts));
 
@@ -225,7 +220,6 @@
          "Causes of crashes, rejected now or before."},
         {Gauge::RolloutsUnderWay, "gypsumdale_rollouts_under_way",
          "Roll-outs under way, where decided."},
-        {Gauge::ServicesShort, "gypsumdale_services_short", "Services short of slots."},
 }};
 static_assert(isInOrder(gaugeTexts));
 
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -126,7 +126,8 @@
                      "the whole system starts for the first time")
                 .key("log-level", &EntrySettings::m_logLevel, EnumKind(logLevelNames),
                      "the least level that is logged")
-                .key("shortage-queue", &EntrySettings::m_hasShortageQueue, FlagKind(),
+                .key("shortage-queue", &EntrySettings::m_shortageQueue,
+                     EnumKind(shortageQueueNames),
                      "requests wait for their turn while a service is short of slots")
                 .key("bounds", &EntrySettings::m_bounds, MapKind(boundsSchema()),
                      "the users' bounds")
