--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -6,6 +6,7 @@
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/entry_rollouts.hpp>
+#include <gypsumdale/entry/entry_waiting.hpp>
 #include <gypsumdale/entry/startup_knowledge.hpp>
 #include <gypsumdale/entry/upstream_client.hpp>
 #include <gypsumdale/observe/highest_value.hpp>
@@ -56,6 +57,8 @@
     WallMillis m_wall = 0;
     RelayStatus m_relay;
     RetryHistory m_retries;
+    /// Services that are short of slots or were lately.
+    std::map<ServiceId, ServiceTurnsReport> m_turns;
 };
 
 /// A peer's report, for the traffic thread.
@@ -76,6 +79,7 @@
     RelayOffer m_relay;
     /// What the peer knows of earlier processes of this VM.
     std::optional<EarlierRetries> m_earlierRetries;
+    std::map<ServiceId, ServiceTurnsReport> m_turns;
 };
 
 class EntryCall;
@@ -154,6 +158,7 @@
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
         m_pool.setPeerLoadAt(node, upstream, load, now());
+        m_waiting.refresh();
     }
     void removePeer(const std::string &node);
     /// Called with the load of an upstream to which a prompt was just sent that is long enough to
@@ -204,6 +209,7 @@
     EntryCrashes &crashes() { return m_crashes; }
     EntryRollouts &rollouts() { return m_rollouts; }
     ConnectionWaiting &connections() { return m_connections; }
+    EntryWaiting &waiting() { return m_waiting; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
     /// its service. Complexity: n log n.
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
@@ -257,6 +263,7 @@
     EntryOrigins m_origins;
     EntryCrashes m_crashes;
     EntryRollouts m_rollouts;
+    EntryWaiting m_waiting;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
     StartupKnowledge m_startupKnowledge;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -96,6 +96,12 @@
     Samples,
     SecondRuns,
     SecondRunsHelped,
+    Slots,
+    InFlight,
+    Waiting,
+    Priority,
+    Demand,
+    FleetDemand,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -103,8 +103,9 @@
     ErrorsRetried,
     ErrorsNotRetried,
     NoConnection,
+    TurnsRejected,
 };
-constexpr std::size_t counterCount = 66;
+constexpr std::size_t counterCount = 67;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -68,6 +68,8 @@
     if (!hasUpstreamToGoOn() || !canMeetDeadline())
         return;
     const EntryTraffic::CallRegistration registration = m_traffic.registerCall(*this);
+    if (!awaitTurn())
+        return;
     m_responder.onCallerGone([this] {
         m_isCallerGone = true;
         cancelAttempt();
@@ -76,6 +78,8 @@
     if (hasConnection() && admitByQuota())
         serve();
     m_responder.onCallerGone(nullptr);
+    if (m_turn)
+        m_turn->setServedTokens(servedTokens());
 }
 
 void EntryCall::cancelForShutdown()
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -65,6 +65,9 @@
     , m_origins(clock, metrics, settings.m_node.text())
     , m_crashes(clock)
     , m_rollouts(settings.m_cloud.has_value(), m_pool, clock, metrics)
+    , m_waiting(settings.m_shortageQueue == ShortageQueue::On, loop, m_pool, clock, log, metrics,
+                std::hash<std::string>()(settings.m_node.text())
+                        ^ static_cast<std::uint64_t>(clock.wallNow()))
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
@@ -106,6 +109,7 @@
 std::size_t EntryTraffic::cancelCalls()
 {
     m_isCancellingCalls = true;
+    m_waiting.drain();
     // The set doesn't change during the loop: each call is removed by its own fiber, which runs
     // later.
     for (EntryCall *call : m_activeCalls)
@@ -117,6 +121,7 @@
 {
     m_view = std::move(view);
     m_startupKnowledge.recordConfiguration();
+    m_waiting.setView(*m_view);
     std::map<ServiceId, int> limits;
     for (const auto &[id, service] : m_view->config().m_services) {
         limits[id] = service.m_maxConnections;
@@ -138,6 +143,7 @@
     m_speeds.setUpstreams(upstreams);
     m_rollouts.setUpstreams(upstreams);
     m_connections.recordChange();
+    m_waiting.refresh();
     logVersions(upstreams);
     m_mover->scheduleMoves();
 }
@@ -185,6 +191,7 @@
     }
     m_promptAnnouncer.setFleet(nodes, m_isSpreadOut);
     m_quota.setExpectedFleetSize(expected);
+    m_waiting.setFleetSize(nodes);
 }
 
 /// Logs among how many VMs the connections to an upstream are shared.
@@ -212,6 +219,8 @@
     for (const EndedProcessUsage &ended : report.m_endedUsage)
         m_usage.mergeEnded(ended);
     m_peerOffsets[report.m_node] = report.m_wallOffset;
+    m_waiting.setPeer(report.m_node, report.m_incarnation, report.m_turns);
+    m_waiting.refresh();
 }
 
 /// Goes on with what earlier processes of this VM have spent of the retry budget.
@@ -242,6 +251,8 @@
     m_prefillRates.removePeer(node);
     m_speeds.removePeer(node);
     m_relay.peers().remove(node);
+    m_waiting.removePeer(node);
+    m_waiting.refresh();
     m_peerOffsets.erase(node);
 }
 
@@ -271,6 +282,7 @@
     result.m_relay = m_relay.status();
     result.m_retries = m_retryBudget.report(now());
     result.m_accounts = m_quota.localUsage(now());
+    result.m_turns = m_waiting.report();
     result.m_usage = m_usage.own();
     result.m_endedUsage = m_usage.ended(now());
     result.m_ownPrefill = m_prefillRates.ownRates(now());
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 84> logFieldNames = {{
+constexpr NameTable<LogField, 90> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -90,6 +90,12 @@
         {LogField::Samples, "samples"},
         {LogField::SecondRuns, "second_runs"},
         {LogField::SecondRunsHelped, "second_runs_helped"},
+        {LogField::Slots, "slots"},
+        {LogField::InFlight, "in_flight"},
+        {LogField::Waiting, "waiting"},
+        {LogField::Priority, "priority"},
+        {LogField::Demand, "demand"},
+        {LogField::FleetDemand, "fleet_demand"},
 }};
 
 } // namespace
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -183,6 +183,7 @@
         {Counter::ErrorsNotRetried, "gypsumdale_errors_not_retried_total",
          "Errors answered at once: retries rarely help."},
         {Counter::NoConnection, "gypsumdale_no_connection_total", "No connection was free."},
+        {Counter::TurnsRejected, "gypsumdale_no_turn_total", "Rejected: no slot."},
 }};
 static_assert(isInOrder(counterTexts));
 
