--- a/src/serving/retry_benefit.cpp
+++ b/src/serving/retry_benefit.cpp
@@ -1,8 +1,7 @@
 #include <gypsumdale/serving/retry_benefit.hpp>
 
-#include <algorithm> // count_if, nth_element
+#include <algorithm> // count_if, min, nth_element
 #include <cmath> // sqrt
-#include <ranges> // reverse
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -112,11 +111,12 @@
     if (found == upstreams.end())
         return false;
     const Results &results = found->second;
-    for (const Result &result : std::views::reverse(results)) {
-        if (decision.m_answers == static_cast<int>(latestAnswers) || now - result.m_at > latestAge)
-            break;
+    for (std::size_t at = results.size() - std::min(results.size(), latestAnswers);
+         at < results.size(); ++at) {
+        if (now - results[at].m_at > latestAge)
+            continue;
         ++decision.m_answers;
-        decision.m_errors += result.m_isBad ? 1 : 0;
+        decision.m_errors += results[at].m_isBad ? 1 : 0;
     }
     decision.m_medianShare = medianShare(upstreams, now);
     const double share = decision.m_medianShare;
