--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -92,6 +92,9 @@
     BadAnswers,
     ControlShare,
     Score,
+    Priority,
+    Demand,
+    Budget,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 80> logFieldNames = {{
+constexpr NameTable<LogField, 83> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -86,6 +86,9 @@
         {LogField::BadAnswers, "bad_answers"},
         {LogField::ControlShare, "control_share"},
         {LogField::Score, "score"},
+        {LogField::Priority, "priority"},
+        {LogField::Demand, "demand"},
+        {LogField::Budget, "budget"},
 }};
 
 } // namespace
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -180,6 +180,10 @@
         {Counter::CanaryPlacements, "gypsumdale_canary_placements_total",
          "Placements on a roll-out's target."},
         {Counter::CanaryErrors, "gypsumdale_canary_errors_total", "Errors of a roll-out's target."},
+        {Counter::QuotaRefused, "gypsumdale_quota_refused_total",
+         "Requests refused by an account's quota."},
+        {Counter::QuotaAdmittedByFraction, "gypsumdale_quota_admitted_by_fraction_total",
+         "Requests of accounts over their quota that were admitted."},
 }};
 static_assert(isInOrder(counterTexts));
 
