--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -102,6 +102,7 @@
     Priority,
     Demand,
     FleetDemand,
+    Budget,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
