--- a/include/gypsumdale/entry/rollout_controller.hpp
+++ b/include/gypsumdale/entry/rollout_controller.hpp
@@ -4,8 +4,8 @@
 #include <gypsumdale/entry/entry_upstream_feed.hpp>
 #include <gypsumdale/entry/rollout_orders.hpp>
 #include <gypsumdale/serving/canary_judge.hpp>
-#include <gypsumdale/serving/rollout.hpp>
 #include <gypsumdale/serving/reported_evidence.hpp>
+#include <gypsumdale/serving/rollout.hpp>
 #include <gypsumdale/serving/rollout_plan.hpp>
 
 #include <platform/rollout_codec.hpp>
