--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -102,7 +102,6 @@
     Priority,
     Demand,
     FleetDemand,
-    Budget,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -104,10 +104,8 @@
     ErrorsNotRetried,
     NoConnection,
     TurnsRejected,
-    QuotaRefused,
-    QuotaAdmittedByFraction,
 };
-constexpr std::size_t counterCount = 69;
+constexpr std::size_t counterCount = 67;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/include/gypsumdale/serving/fleet_quota.hpp
+++ b/include/gypsumdale/serving/fleet_quota.hpp
@@ -2,10 +2,8 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/names.hpp>
-#include <gypsumdale/serving/fleet_quota_demand.hpp>
-#include <gypsumdale/serving/fleet_quota_returns.hpp>
-#include <gypsumdale/serving/quota_allocation.hpp>
 #include <gypsumdale/serving/serving_config.hpp>
+#include <gypsumdale/serving/sliding_sum.hpp>
 
 #include <cstddef> // size_t
 #include <map> // map
@@ -39,17 +37,13 @@
     /// Everything admitted since the VM's start, in the quota's unit.
     double m_admittedTotal = 0;
     double m_demandPerSecond = 0;
-    /// The part of the demand of each priority class, the most urgent first; empty while the
-    /// account is within its quota.
-    std::vector<double> m_demandByPriority{};
 };
 
 enum class QuotaVerdict {
     Admitted,
-    /// The account's fleet-wide bucket is in debt by more than its capacity.
+    /// The account's fleet-wide bucket is empty.
     OverLimit,
-    /// The demand exceeds what the bucket covers, and the fraction of the request's priority class
-    /// that is admitted is used up.
+    /// The bucket is low, and this VM's share of the rate is used up.
     OverRateShare,
 };
 
@@ -67,12 +61,6 @@
     double m_level = 0;
     double m_capacity = 0;
     std::size_t m_silentPeers = 0;
-    /// Fraction of the request's priority class that is admitted, and the reason for it.
-    double m_fraction = 1;
-    AllocationReason m_allocation = AllocationReason::WithinQuota;
-    /// The fleet's estimated demand and the budget for it, in quota units per second.
-    double m_demand = 0;
-    double m_budget = 0;
     /// Retry delay of a refused request.
     Duration m_retryAfter{};
 };
@@ -98,15 +86,9 @@
         , m_reachableUntil(settings.m_restartedAt.value_or(TimePoint{}))
     {}
 
-    /// Decides one request of a priority and a cost, and counts it if it is admitted. Complexity:
-    /// linear in the peers.
-    QuotaDecision admit(const ClientAccount &account, int priority, double cost, TimePoint now);
-
-    /// Decides a request of the least urgent class.
-    QuotaDecision admit(const ClientAccount &account, double cost, TimePoint now)
-    {
-        return admit(account, static_cast<int>(quotaClasses) - 1, cost, now);
-    }
+    /// Decides one request of a cost, and counts it if it is admitted. Complexity: linear in the
+    /// peers.
+    QuotaDecision admit(const ClientAccount &account, double cost, TimePoint now);
 
     /// Replaces the usage that one other VM reported. Complexity: linear in its accounts.
     void setPeerUsage(const std::string &node, std::map<AccountId, ReportedUsage> uses,
@@ -124,55 +106,23 @@
     std::map<AccountId, ReportedUsage> localUsage(TimePoint now);
 
 private:
-    static ByQuotaClass noCredit()
-    {
-        ByQuotaClass credit;
-        credit.fill(-1);
-        return credit;
-    }
-
     struct Bucket
     {
         double m_level = 0;
-        /// The level with what the peers are estimated to have admitted since their reports.
-        double m_estimate = 0;
         double m_admittedTotal = 0;
-        AccountDemand m_demand;
-        ReturnSchedule m_returns;
-        /// What this VM admitted beyond its share of the rate.
-        double m_excess = 0;
-        /// Estimated amount that a peer has admitted since the start for each unit per second of
-        /// its reported demand.
-        double m_admittedSeconds = 0;
-        /// Fraction of the demand that is admitted, and the present demand of the peers in
-        /// proportion to what they reported.
-        double m_admittedFraction = 1;
-        double m_growth = 1;
-        double m_peersDemand = 0;
-        /// Accumulated fraction of each class; negative before its first restricted request.
-        ByQuotaClass m_credit = noCredit();
-        TimePoint m_overUntil{};
+        SlidingSum m_demand{demandSpan};
+        /// Remaining part of this VM's share of the rate, used while the bucket is low.
+        double m_shareLevel = 0;
         /// Rate that is reserved for each silent VM.
         double m_ratePerNode = 0;
         TimePoint m_filledAt{};
-        TimePoint m_estimatedAt{};
         /// Value of `m_reachableSeconds` up to which the bucket was filled.
         double m_filledToReachable = 0;
         bool m_isNew = true;
     };
-    /// What is kept of an account between two reports of a peer.
-    struct AccountTrack
-    {
-        /// Value of the account's `m_admittedSeconds` at the last report.
-        double m_admittedSeconds = 0;
-        /// The peer's usual part of the account's demand.
-        double m_part = 0;
-        bool m_isNew = true;
-    };
     struct Peer
     {
         std::map<AccountId, ReportedUsage> m_usage;
-        std::map<AccountId, AccountTrack> m_tracks;
         TimePoint m_lastReportAt{};
     };
     /// The fleet as this VM sees it.
@@ -187,35 +137,18 @@
         }
     };
 
-    /// What the reachable peers reported of one account, and what this VM concludes from it.
-    struct Outlook
-    {
-        ByQuotaClass m_peersByClass{};
-        DemandEstimate m_estimate;
-        /// This VM's share of the rate, of which silent VMs have a part.
-        double m_share = 1;
-    };
+    /// Averaging span of the demand: long enough to smooth clusters of requests, short enough to
+    /// follow a burst.
+    static constexpr Duration demandSpan = std::chrono::seconds(3);
 
     Fleet observeFleet(TimePoint now);
-    Outlook observeDemand(Bucket &bucket, const AccountId &account, const Fleet &fleet,
-                          TimePoint now) const;
-    QuotaAllocation allocate(Bucket &bucket, const ClientAccount &account, const Fleet &fleet,
-                             const Outlook &outlook, TimePoint now) const;
-    void setUsage(Peer &peer, const AccountId &account, const ReportedUsage &use,
-                  const ReportedUsage &before, double reservedSeconds, TimePoint now);
-    void addSample(Peer &peer, const AccountId &account, Bucket &bucket, TimePoint now);
+    double demandOfPeers(const AccountId &account, TimePoint now) const;
     Fleet advanceReachableTime(TimePoint now);
     Bucket &bucketOf(const AccountId &account, TimePoint now);
     double capacityOf(const ClientAccount &account) const;
     double rateOf(const ClientAccount &account) const;
-    void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet,
+    void fill(Bucket &bucket, const ClientAccount &account, const Fleet &fleet, double rateShare,
               TimePoint now) const;
-    Duration returnDelay(Bucket &bucket, const ClientAccount &account, std::size_t quotaClass,
-                         double cost, const Fleet &fleet, double share, TimePoint now) const;
-    static bool takeTurn(Bucket &bucket, std::size_t quotaClass, double fraction);
-    static void assumeExcess(Bucket &bucket, double level);
-    static void advanceEstimate(Bucket &bucket, TimePoint now);
-    Duration reportInterval() const { return m_settings.m_exchangeInterval * m_stretch; }
 
     /// Returns the age from which a peer counts as silent: its report is overdue by as much as in a
     /// small fleet. A timeout of three missed reports would be 5.6 s in a fleet of 80; VMs that
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -75,27 +75,16 @@
                        ? static_cast<double>(m_caller.m_promptTokens + m_caller.m_outputTokens)
                        : m_account->m_defaultTokenCost;
     }
-    const QuotaDecision decision =
-            m_traffic.quota().admit(*m_account, priority(), cost, m_traffic.now());
-    if (decision.m_verdict == QuotaVerdict::Admitted) {
-        if (decision.m_allocation != AllocationReason::WithinQuota)
-            m_traffic.metrics().add(Counter::QuotaAdmittedByFraction);
+    const QuotaDecision decision = m_traffic.quota().admit(*m_account, cost, m_traffic.now());
+    if (decision.m_verdict == QuotaVerdict::Admitted)
         return true;
-    }
-    m_traffic.metrics().add(Counter::QuotaRefused);
     m_traffic.log().info("request-over-quota",
                          {m_caller.m_id,
                           m_account->m_id,
                           {LogField::Reason, enumName(quotaVerdictNames, decision.m_verdict)},
                           {LogField::Used, decision.m_capacity - decision.m_level},
                           {LogField::Limit, decision.m_capacity},
-                          {LogField::SilentPeers, decision.m_silentPeers},
-                          {LogField::Stage, enumName(allocationReasonNames, decision.m_allocation)},
-                          {LogField::Priority, priority()},
-                          {LogField::Share, decision.m_fraction},
-                          {LogField::Demand, decision.m_demand},
-                          {LogField::Budget, decision.m_budget},
-                          {LogField::RetryAfterMillis, toMillis(decision.m_retryAfter)}});
+                          {LogField::SilentPeers, decision.m_silentPeers}});
     sendOwnAnswer(statusTooManyRequests, enumName(quotaVerdictNames, decision.m_verdict),
                   decision.m_retryAfter);
     return false;
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -33,12 +33,6 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, maxAge.count()));
 }
 
-/// Returns a demand per second that a peer sent. A negative one is not from a VM.
-double demandOf(std::int64_t per1000Seconds)
-{
-    return static_cast<double>(std::max<std::int64_t>(per1000Seconds, 0)) / demandUnit;
-}
-
 void fillUsage(const std::map<WindowNumber, WindowCounts> &usage, entrywire::EntryDigest &digest)
 {
     const auto first =
@@ -131,12 +125,6 @@
         entry.account = account.text();
         entry.admittedTotal = std::llround(use.m_admittedTotal);
         entry.demandPer1000Seconds = std::llround(use.m_demandPerSecond * demandUnit);
-        if (use.m_demandByPriority.empty())
-            continue;
-        std::vector<std::int64_t> byPriority;
-        for (const double demand : use.m_demandByPriority)
-            byPriority.push_back(std::llround(demand * demandUnit));
-        entry.__set_demandByPriority(byPriority);
     }
     for (const auto &[upstream, load] : report.m_loads)
         digest.loads.push_back(encodeLoad(upstream, load));
@@ -216,12 +204,9 @@
     report.m_wallOffset = digest.wallMillis - ownWall;
     report.m_relay = relayOfferOf(digest);
     for (const auto &use : digest.accounts) {
-        ReportedUsage &reported = report.m_accounts[AccountId(use.account)];
-        reported = {static_cast<double>(use.admittedTotal), demandOf(use.demandPer1000Seconds), {}};
-        if (!use.__isset.demandByPriority)
-            continue;
-        for (const std::int64_t demand : use.demandByPriority)
-            reported.m_demandByPriority.push_back(demandOf(demand));
+        report.m_accounts[AccountId(use.account)] = {static_cast<double>(use.admittedTotal),
+                                                     static_cast<double>(use.demandPer1000Seconds)
+                                                             / demandUnit};
     }
     for (const auto &load : digest.loads)
         report.m_loads[UpstreamId(load.upstream)] = loadOf(load);
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 91> logFieldNames = {{
+constexpr NameTable<LogField, 90> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -96,7 +96,6 @@
         {LogField::Priority, "priority"},
         {LogField::Demand, "demand"},
         {LogField::FleetDemand, "fleet_demand"},
-        {LogField::Budget, "budget"},
 }};
 
 } // namespace
--- a/src/observe/metric_names.cpp
+++ b/src/observe/metric_names.cpp
@@ -184,9 +184,6 @@
          "Errors answered at once: retries rarely help."},
         {Counter::NoConnection, "gypsumdale_no_connection_total", "No connection was free."},
         {Counter::TurnsRejected, "gypsumdale_no_turn_total", "Rejected: no slot."},
-        {Counter::QuotaRefused, "gypsumdale_quota_refused_total", "Over their quota."},
-        {Counter::QuotaAdmittedByFraction, "gypsumdale_quota_admitted_by_fraction_total",
-         "Admitted by a fraction."},
 }};
 static_assert(isInOrder(counterTexts));
 
