--- a/tests/src/process-entry-endless.cpp
+++ b/tests/src/process-entry-endless.cpp
@@ -122,6 +122,7 @@
     {
         std::vector<std::string> answers(callersAtOnce);
         std::vector<std::jthread> callers;
+        callers.reserve(answers.size());
         for (std::string &answer : answers)
             callers.emplace_back([this, &target, &answer] { answer = send(target); });
         callers.clear();
