Decide in a fair order who is served while a service is short of slots

Cause: when slots are lost, the remaining ones go to the first requests to arrive, and one account's surge pushes out all others.

--- a/include/gypsumdale/policy/fair_queue.hpp
+++ b/include/gypsumdale/policy/fair_queue.hpp
@@ -23,12 +23,17 @@
     Ageing,
     /// A higher class goes first, but a share of the tokens is reserved for the queued lower ones.
     ReservedShare,
+    /// The same, with a reserve for each lower class that follows its demand and is kept by the
+    /// process for all members, see setClassShares(). A process of a large fleet serves a member
+    /// too seldom for a reserve by member.
+    DemandShare,
 };
 
-inline constexpr NameTable<ClassOrder, 3> classOrderNames = {{
+inline constexpr NameTable<ClassOrder, 4> classOrderNames = {{
         {ClassOrder::Strict, "strict"},
         {ClassOrder::Ageing, "ageing"},
         {ClassOrder::ReservedShare, "reserved-share"},
+        {ClassOrder::DemandShare, "demand-share"},
 }};
 
 struct FairQueueSettings
@@ -45,6 +50,9 @@
     /// two seconds of the data centre's tokens. Each peer raises idle members by its own view, so
     /// this also bounds the difference between the views.
     double m_maxCredit = 50000.0;
+    /// Service, in tokens, that a returning member may be behind the least served queued one. Its
+    /// requests may have waited at the peers while none was queued here.
+    double m_returnCredit = 0.0;
 };
 
 /// A request that left the queue because it can no longer be served in time.
@@ -68,6 +76,26 @@
 
     void setWeight(const MemberId &member, double weight);
 
+    /// Replaces the limits of the settings that are in tokens of service, which follow the rate of
+    /// the service. Complexity: constant.
+    void setLimits(double priorityLead, double maxCredit, double returnCredit);
+
+    /// Replaces the shares of the served tokens that are reserved for the classes, for
+    /// ClassOrder::DemandShare. Complexity: linear in the classes.
+    void setClassShares(const std::map<int, double> &shares);
+
+    /// Gives a class a part of its reserve, as if other classes had been served before. Complexity:
+    /// logarithmic.
+    void addClassCredit(int priority, double tokens);
+
+    /// Sets the time between two requests that leave the queue; 0 if unknown, in which case no
+    /// request goes before another by its latency target. Complexity: constant.
+    void setTurnInterval(Duration interval) { m_turnInterval = interval; }
+
+    /// See TokenCounters.
+    void setExtrapolation(double factor, Duration span);
+    void addOffset(const MemberId &member, double service);
+
     /// Adds a request behind those of its member and class that arrived earlier. A member without
     /// queued requests is raised to the virtual time, which follows the least served queued member,
     /// and to within the maximum credit of the most served member. An id that is queued already is
@@ -95,6 +123,14 @@
     /// member itself. Complexity: linear in the members.
     std::optional<WaitingRequest> evictFor(const MemberId &member);
 
+    /// Removes and returns the request that would be served last, of the most served member.
+    /// Returns nothing if none is queued. Complexity: linear in the members.
+    std::optional<WaitingRequest> removeLast();
+
+    /// Returns the members with queued requests in the order of their service, the least served one
+    /// first. Complexity: n log n.
+    std::vector<MemberId> order() const;
+
     /// Removes a queued request; returns false if it isn't queued. Complexity: linear in the
     /// member's requests.
     bool cancel(const RequestId &request);
@@ -144,7 +180,29 @@
         const FirstTokenEstimate &m_firstToken;
     };
 
+    /// The front request of one member and class.
+    struct Front
+    {
+        MemberId m_member;
+        int m_priority = 0;
+    };
+
+    /// The reserve of one class, in tokens.
+    struct ClassReserve
+    {
+        double m_share = 0.0;
+        double m_credit = 0.0;
+        double m_limit = 0.0;
+    };
+
     std::optional<MemberId> chooseMember(const MemberFilter &canRun);
+    Front yieldToUrgent(Front chosen, TimePoint now, const MemberFilter &canRun) const;
+    bool canYield(const Front &chosen, int priority, TimePoint now) const;
+    const WaitingRequest &frontOf(const Front &front) const;
+    int chooseByReserve(const Member &member) const;
+    int lastLane(const Member &member) const;
+    bool hasReserveFor(int priority, const WaitingRequest &request) const;
+    void updateReserves(int chosen, std::uint64_t cost);
     int chooseLane(const Member &member) const;
     int chooseByCredit(const Member &member) const;
     int chooseByAge(const Member &member) const;
@@ -161,6 +219,8 @@
     std::unordered_map<RequestId, MemberId> m_index;
     std::uint64_t m_waitingTokens = 0;
     double m_virtualTime = 0.0;
+    std::map<int, ClassReserve> m_reserves;
+    Duration m_turnInterval{};
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/policy/token_counters.hpp
+++ b/include/gypsumdale/policy/token_counters.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 
 #include <cstdint> // uint64_t
+#include <deque> // deque
 #include <map> // map
 
 namespace gypsumdale {
@@ -43,7 +45,21 @@
     /// logarithmic.
     double service(const MemberId &member) const;
 
-    /// Returns the service of the most served member. Complexity: constant.
+    /// Counts tokens that this process serves `factor` times until they are older than `span`, the
+    /// age of the peers' reports: the peers are assumed to serve as this process does, which their
+    /// reports don't show yet. Off with a factor of 1. Complexity: constant.
+    void setExtrapolation(double factor, Duration span);
+
+    /// Sets the current time, which ends the extrapolation of older tokens. Complexity: amortised
+    /// constant.
+    void advance(TimePoint now);
+
+    /// Adds service that is no tokens and is reported to no peer, for as long as the process runs.
+    /// It starts the processes at different points of the order. Complexity: logarithmic.
+    void addOffset(const MemberId &member, double service);
+
+    /// Returns the service of the most served member, without what is extrapolated. Complexity:
+    /// constant.
     double highestService() const { return m_highest; }
 
     /// Returns the total counts of this process, for its heartbeats.
@@ -55,6 +71,15 @@
         double m_weight = 1.0;
         double m_service = 0.0;
         std::uint64_t m_overcharged = 0;
+        /// Own tokens that the peers' reports don't reflect yet.
+        std::uint64_t m_recent = 0;
+    };
+    /// Own tokens of one moment.
+    struct Charge
+    {
+        TimePoint m_at;
+        MemberId m_member;
+        std::uint64_t m_tokens = 0;
     };
     struct Peer
     {
@@ -68,6 +93,10 @@
     std::map<NodeId, Peer> m_peers;
     TokenCounts m_own;
     double m_highest = 0.0;
+    double m_factor = 1.0;
+    Duration m_span{};
+    TimePoint m_now{};
+    std::deque<Charge> m_recentCharges;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/policy/waiting_request.hpp
+++ b/include/gypsumdale/policy/waiting_request.hpp
@@ -19,6 +19,9 @@
     TimePoint m_arrivedAt{};
     /// Deadline of the first token. The request is dropped from the queue once it can't be met.
     TimePoint m_firstTokenDeadline = TimePoint::max();
+    /// Latest time to leave the queue at which its latency target is still met. A request lets
+    /// another one go first that would otherwise miss its own.
+    TimePoint m_startBy = TimePoint::max();
     std::uint32_t m_promptTokens = 0;
     /// Expected length of the answer in tokens; an estimate, corrected at the end.
     std::uint32_t m_expectedTokens = 0;
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,7 +1,7 @@
 #include <gypsumdale/policy/fair_queue.hpp>
 
-#include <algorithm> // clamp, find_if, max, min, upper_bound
-#include <iterator> // distance, make_move_iterator, prev
+#include <algorithm> // clamp, find_if, max, min, sort, stable_sort, upper_bound
+#include <iterator> // distance, make_move_iterator, next, prev
 #include <limits> // numeric_limits
 #include <utility> // move
 
@@ -30,15 +30,17 @@
     m_counters.setWeight(member, weight);
 }
 
-void FairQueue::enqueue(WaitingRequest request, TimePoint)
+void FairQueue::enqueue(WaitingRequest request, TimePoint now)
 {
+    m_counters.advance(now);
     const MemberId id = request.m_member;
     if (!m_index.try_emplace(request.m_id, id).second)
         return;
     Member &member = m_members[id];
     if (member.m_waiting == 0) {
         const double creditLimit = m_counters.highestService() - m_settings.m_maxCredit;
-        m_counters.raiseService(id, std::max(m_virtualTime, creditLimit));
+        const double returnLimit = m_virtualTime - m_settings.m_returnCredit;
+        m_counters.raiseService(id, std::max(returnLimit, creditLimit));
     }
     const std::uint64_t cost = expectedCost(request);
     Lane &lane = member.m_lanes[request.m_priority];
@@ -55,102 +57,24 @@
     return next(now, [](const MemberId &) { return true; });
 }
 
-std::optional<WaitingRequest> FairQueue::next(TimePoint, const MemberFilter &canRun)
+std::optional<WaitingRequest> FairQueue::next(TimePoint now, const MemberFilter &canRun)
 {
+    m_counters.advance(now);
     const std::optional<MemberId> id = chooseMember(canRun);
     if (!id)
         return std::nullopt;
-    Member &member = m_members[*id];
-    const int priority = chooseLane(member);
-    updateCredits(member, priority, expectedCost(member.m_lanes[priority].m_requests.front()));
-    WaitingRequest request = popFront(*id, priority);
-    m_counters.charge(*id, request.m_promptTokens);
+    const Front chosen = yieldToUrgent({*id, chooseLane(m_members[*id])}, now, canRun);
+    Member &member = m_members[chosen.m_member];
+    const std::uint64_t cost = expectedCost(frontOf(chosen));
+    if (m_settings.m_classOrder == ClassOrder::DemandShare)
+        updateReserves(chosen.m_priority, cost);
+    else
+        updateCredits(member, chosen.m_priority, cost);
+    WaitingRequest request = popFront(chosen.m_member, chosen.m_priority);
+    m_counters.charge(chosen.m_member, request.m_promptTokens);
     return request;
 }
 
-std::optional<MemberId> FairQueue::chooseMember(const MemberFilter &canRun)
-{
-    double least = std::numeric_limits<double>::max();
-    std::vector<const MemberId *> ready;
-    for (const auto &[id, member] : m_members) {
-        if (member.m_waiting == 0 || !canRun(id))
-            continue;
-        ready.push_back(&id);
-        least = std::min(least, m_counters.service(id));
-    }
-    if (ready.empty())
-        return std::nullopt;
-    m_virtualTime = std::max(m_virtualTime, least);
-    const MemberId *best = nullptr;
-    int bestPriority = 0;
-    for (const MemberId *id : ready) {
-        const double service = m_counters.service(*id);
-        if (service > least + m_settings.m_priorityLead)
-            continue;
-        const int priority = chooseLane(m_members.at(*id));
-        const bool isBetter = best == nullptr || priority < bestPriority
-                              || (priority == bestPriority && service < m_counters.service(*best));
-        if (!isBetter)
-            continue;
-        best = id;
-        bestPriority = priority;
-    }
-    return *best;
-}
-
-int FairQueue::chooseLane(const Member &member) const
-{
-    switch (m_settings.m_classOrder) {
-    case ClassOrder::Ageing:
-        return chooseByAge(member);
-    case ClassOrder::ReservedShare:
-        return chooseByCredit(member);
-    case ClassOrder::Strict:
-        break;
-    }
-    return member.m_lanes.begin()->first;
-}
-
-int FairQueue::chooseByCredit(const Member &member) const
-{
-    for (const auto &[priority, lane] : member.m_lanes) {
-        if (lane.m_credit >= static_cast<double>(expectedCost(lane.m_requests.front()))
-            && lane.m_credit > 0.0)
-            return priority;
-    }
-    return member.m_lanes.begin()->first;
-}
-
-int FairQueue::chooseByAge(const Member &member) const
-{
-    int best = member.m_lanes.begin()->first;
-    TimePoint bestKey = TimePoint::max();
-    for (const auto &[priority, lane] : member.m_lanes) {
-        const TimePoint key =
-                lane.m_requests.front().m_arrivedAt + m_settings.m_ageingStep * priority;
-        if (key >= bestKey)
-            continue;
-        best = priority;
-        bestKey = key;
-    }
-    return best;
-}
-
-void FairQueue::updateCredits(Member &member, int chosen, std::uint64_t cost) const
-{
-    const auto tokens = static_cast<double>(cost);
-    Lane &lane = member.m_lanes[chosen];
-    lane.m_credit = std::max(0.0, lane.m_credit - tokens);
-    const auto lower = member.m_lanes.upper_bound(chosen);
-    const auto count = static_cast<double>(std::distance(lower, member.m_lanes.end()));
-    if (count == 0.0)
-        return;
-    const double share = m_settings.m_reservedShare;
-    const double each = tokens * share / (1.0 - share) / count;
-    for (auto at = lower; at != member.m_lanes.end(); ++at)
-        at->second.m_credit += each;
-}
-
 WaitingRequest FairQueue::popFront(const MemberId &id, int priority)
 {
     Member &member = m_members[id];
--- a/src/policy/token_counters.cpp
+++ b/src/policy/token_counters.cpp
@@ -28,6 +28,10 @@
     entry.m_overcharged -= deducted;
     m_own[member] += tokens - deducted;
     add(member, tokens - deducted);
+    if (m_factor <= 1.0)
+        return;
+    entry.m_recent += tokens - deducted;
+    m_recentCharges.push_back({m_now, member, tokens - deducted});
 }
 
 void TokenCounters::correctCharge(const MemberId &member, std::uint64_t charged,
@@ -64,14 +68,40 @@
 
 void TokenCounters::raiseService(const MemberId &member, double service)
 {
-    Member &entry = m_members[member];
-    entry.m_service = std::max(entry.m_service, service);
+    const double missing = service - this->service(member);
+    if (missing > 0.0)
+        m_members[member].m_service += missing;
 }
 
 double TokenCounters::service(const MemberId &member) const
 {
     const auto found = m_members.find(member);
-    return found == m_members.end() ? 0.0 : found->second.m_service;
+    if (found == m_members.end())
+        return 0.0;
+    const Member &entry = found->second;
+    const double extrapolated = (m_factor - 1.0) * static_cast<double>(entry.m_recent);
+    return entry.m_service + extrapolated / entry.m_weight;
+}
+
+void TokenCounters::setExtrapolation(double factor, Duration span)
+{
+    m_factor = std::max(factor, 1.0);
+    m_span = span;
+}
+
+void TokenCounters::advance(TimePoint now)
+{
+    m_now = std::max(m_now, now);
+    while (!m_recentCharges.empty() && m_recentCharges.front().m_at + m_span <= m_now) {
+        const Charge &oldest = m_recentCharges.front();
+        m_members[oldest.m_member].m_recent -= oldest.m_tokens;
+        m_recentCharges.pop_front();
+    }
+}
+
+void TokenCounters::addOffset(const MemberId &member, double service)
+{
+    m_members[member].m_service += service;
 }
 
 void TokenCounters::add(const MemberId &member, std::uint64_t tokens)
