Let callers' requests wait for their turn, and show the queues

Cause: nothing in the entry process used the gate of a service.

Change: entry_waiting suspends the fiber of a request that waits and wakes it when a request ends, a peer reports, the list changes or the wait ends. Peers are told of a service only while it is short or was lately. Log lines, a counter, /-/queues, gypsumctl queues and the setting shortage-queue.

A test of a whole process under a shortage does not pass yet and is not part of this.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -5,6 +5,7 @@
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
 #include <gypsumdale/entry/entry_rollouts.hpp>
+#include <gypsumdale/entry/entry_waiting.hpp>
 #include <gypsumdale/entry/startup_knowledge.hpp>
 #include <gypsumdale/entry/upstream_client.hpp>
 #include <gypsumdale/observe/highest_value.hpp>
@@ -51,6 +52,8 @@
     WallMillis m_wall = 0;
     RelayStatus m_relay;
     RetryHistory m_retries;
+    /// Services that are short of slots or were lately.
+    std::map<ServiceId, ServiceTurnsReport> m_turns;
 };
 
 /// A peer's report, for the traffic thread.
@@ -69,6 +72,7 @@
     RelayOffer m_relay;
     /// What the peer knows of earlier processes of this VM.
     std::optional<EarlierRetries> m_earlierRetries;
+    std::map<ServiceId, ServiceTurnsReport> m_turns;
 };
 
 class EntryCall;
@@ -121,6 +125,7 @@
     {
         m_view = std::move(view);
         m_startupKnowledge.recordConfiguration();
+        m_waiting.setView(*m_view);
     }
     /// Returns whether a request should wait for the first configuration or upstream list of this
     /// process.
@@ -151,6 +156,7 @@
     void setPeerLoadAt(const std::string &node, const UpstreamId &upstream, InFlightLoad load)
     {
         m_pool.setPeerLoadAt(node, upstream, load, now());
+        m_waiting.refresh();
     }
     void removePeer(const std::string &node);
     /// Called with the load of an upstream to which a prompt was just sent that is long enough to
@@ -198,6 +204,7 @@
     EntryOrigins &origins() { return m_origins; }
     EntryCrashes &crashes() { return m_crashes; }
     EntryRollouts &rollouts() { return m_rollouts; }
+    EntryWaiting &waiting() { return m_waiting; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
     /// its service. Complexity: n log n.
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
@@ -246,6 +253,7 @@
     EntryOrigins m_origins;
     EntryCrashes m_crashes;
     EntryRollouts m_rollouts;
+    EntryWaiting m_waiting;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
     StartupKnowledge m_startupKnowledge;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -92,6 +92,12 @@
     BadAnswers,
     ControlShare,
     Score,
+    Slots,
+    InFlight,
+    Waiting,
+    Priority,
+    Demand,
+    FleetDemand,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -99,8 +99,9 @@
     QuarantineRejections,
     CanaryPlacements,
     CanaryErrors,
+    TurnsRejected,
 };
-constexpr std::size_t counterCount = 62;
+constexpr std::size_t counterCount = 63;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -181,6 +181,8 @@
     std::int64_t revision() const { return m_revision; }
     /// Returns the age of the oldest peer report that is in use. Complexity: linear in the peers.
     Duration reportAge(TimePoint now) const;
+    /// Returns the number of other VMs whose load is known.
+    std::size_t reportingPeers() const { return m_peerLoads.size(); }
 
 private:
     using Candidates = std::vector<PooledUpstreamPointer>;
--- a/include/gypsumdale/settings/entry_settings.hpp
+++ b/include/gypsumdale/settings/entry_settings.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/core/log_level.hpp>
+#include <gypsumdale/core/names.hpp>
 #include <gypsumdale/settings/checker.hpp>
 #include <gypsumdale/settings/node_settings.hpp>
 
@@ -73,6 +74,17 @@
     Duration m_scaleDownDelay = std::chrono::seconds(10);
 };
 
+/// Whether callers' requests wait for their turn while a service is short of slots.
+enum class ShortageQueue {
+    On,
+    Off,
+};
+
+inline constexpr NameTable<ShortageQueue, 2> shortageQueueNames = {{
+        {ShortageQueue::On, "on"},
+        {ShortageQueue::Off, "off"},
+}};
+
 /// Settings of one entry process on the users' platform.
 struct EntrySettings
 {
@@ -97,6 +109,7 @@
     /// Whether the whole system starts for the first time, so that no request was admitted before.
     bool m_isFirstStart = false;
     LogLevel m_logLevel = LogLevel::Info;
+    ShortageQueue m_shortageQueue = ShortageQueue::On;
     EntryBounds m_bounds;
     ScaleSettings m_scaling;
 };
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -99,6 +99,7 @@
 ExitCode runDrain(Session &session);
 ExitCode runQuarantine(Session &session);
 ExitCode runRollouts(Session &session);
+ExitCode runQueues(Session &session);
 ExitCode runKeys(Session &session);
 
 } // namespace gypsumdale::ctl
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -152,6 +152,11 @@
                                  printable(words[1])));
 }
 
+ExitCode runQueues(Session &session)
+{
+    return showList(session, "/-/queues", queuesView());
+}
+
 ExitCode runDrain(Session &session)
 {
     const auto &words = session.m_invocation.m_positionals;
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -179,6 +179,17 @@
              0,
              2,
              runRollouts},
+            {"queues",
+             "queues",
+             "Show which services are short of slots, and what waits for them.",
+             "Asks an entry process of the platform (--entry is its address for metrics). The\n"
+             "window, the waiting requests and the rejections are those of this VM alone.\n\n"
+             "Example:\n"
+             "  gypsumctl queues --entry 10.0.1.4:9464\n",
+             {Entry},
+             0,
+             0,
+             runQueues},
             {"keys",
              "keys new|hash",
              "Create a key, or the hash of a key for a member's document.",
--- a/src/ctl/view.cpp
+++ b/src/ctl/view.cpp
@@ -111,6 +111,22 @@
     return view;
 }
 
+const ListView &queuesView()
+{
+    static const ListView view = {"queues",
+                                  {{"service", "SERVICE", Show::Text},
+                                   {"state", "SLOTS ARE", Show::Text},
+                                   {"slots", "SLOTS", Show::Number},
+                                   {"inFlight", "IN FLIGHT", Show::Number},
+                                   {"window", "WINDOW", Show::Number},
+                                   {"ownInFlight", "OWN", Show::Number},
+                                   {"waiting", "WAITING", Show::Number},
+                                   {"peersWaiting", "AT PEERS", Show::Number},
+                                   {"order", "SERVED NEXT", Show::Text},
+                                   {"rejections", "REJECTED", Show::Text}}};
+    return view;
+}
+
 const ListView &objectsView()
 {
     static const ListView view = {"objects",
--- a/src/ctl/view.hpp
+++ b/src/ctl/view.hpp
@@ -37,6 +37,7 @@
 /// Layout of what an entry process rejects as crashing its upstreams.
 const ListView &quarantineView();
 const ListView &rolloutsView();
+const ListView &queuesView();
 
 /// Formats one member for display: milliseconds as seconds, times as UTC. Complexity: constant.
 std::string cellText(const Json &object, const ViewColumn &column);
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -64,7 +64,7 @@
     if (rejectIfQuarantined())
         return;
     // A request rejected for lack of capacity doesn't use the account's quota.
-    if (!hasUpstreamToGoOn() || !canMeetDeadline() || !admitByQuota())
+    if (!hasUpstreamToGoOn() || !canMeetDeadline() || !awaitTurn() || !admitByQuota())
         return;
     const EntryTraffic::CallRegistration registration = m_traffic.registerCall(*this);
     m_responder.onCallerGone([this] {
@@ -73,6 +73,8 @@
     });
     serve();
     m_responder.onCallerGone(nullptr);
+    if (m_turn)
+        m_turn->setServedTokens(servedTokens());
 }
 
 void EntryCall::cancelForShutdown()
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -119,6 +119,11 @@
     void awaitStartupData();
     bool resolve();
     bool admitByQuota();
+    bool findRouteAndAccount();
+    bool awaitTurn();
+    bool judgeAgain();
+    TurnRequest turnRequest();
+    std::int64_t servedTokens() const;
     bool bindStream();
     void selectService();
     bool hasUpstreamToGoOn();
@@ -217,6 +222,8 @@
     const ClientAccount *m_account = nullptr;
     RequestSeries *m_series = nullptr;
     ServiceId m_service;
+    /// Set while the request has its turn at the service or waits for it.
+    std::optional<EntryWaiting::Turn> m_turn;
     CallBinding m_binding;
     std::optional<RequestDigest> m_digest;
     std::optional<CrashElements> m_crashElements;
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -24,6 +24,23 @@
     m_view = m_traffic.view();
 }
 
+/// Finds route and account in the view. Sends an error answer and returns false if the request is
+/// not allowed.
+bool EntryCall::findRouteAndAccount()
+{
+    m_route = m_view->findRoute(m_caller.m_host, m_request.path());
+    if (!m_route) {
+        sendOwnAnswer(statusNotFound, "no-route");
+        return false;
+    }
+    m_account = m_caller.m_key.empty() ? nullptr : m_view->findAccount(m_caller.m_key);
+    if (!m_account && m_view->requiresKeys() && !m_route->m_isPublic) {
+        sendOwnAnswer(statusUnauthorized, "unknown-key");
+        return false;
+    }
+    return true;
+}
+
 /// Finds route and account. Sends an error answer and returns false if there is none.
 bool EntryCall::resolve()
 {
@@ -36,16 +53,8 @@
         sendOwnAnswer(statusUnavailable, "no-configuration", retryAfter());
         return false;
     }
-    m_route = m_view->findRoute(m_caller.m_host, m_request.path());
-    if (!m_route) {
-        sendOwnAnswer(statusNotFound, "no-route");
+    if (!findRouteAndAccount())
         return false;
-    }
-    m_account = m_caller.m_key.empty() ? nullptr : m_view->findAccount(m_caller.m_key);
-    if (!m_account && m_view->requiresKeys() && !m_route->m_isPublic) {
-        sendOwnAnswer(statusUnauthorized, "unknown-key");
-        return false;
-    }
     const Duration timeout =
             std::min(m_caller.m_timeLeft.value_or(m_route->m_timeout), m_route->m_timeout);
     m_deadline = m_arrivedAt + timeout;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -12,6 +12,7 @@
 #include <gypsumdale/runtime/http_server.hpp>
 
 #include <entry/quarantine_page.hpp>
+#include <entry/queue_page.hpp>
 #include <entry/request_limits.hpp>
 #include <entry/request_servers.hpp>
 #include <entry/rollout_page.hpp>
@@ -260,6 +261,8 @@
             return quarantinePage(request);
         if (isRolloutPage(request))
             return rolloutPage(request);
+        if (isQueuePage(request))
+            return queuePage(request);
         return exposeMetrics();
     }
 
@@ -277,6 +280,12 @@
         return answerRolloutPage(request, isLocal(request), {m_peers.rollouts().views(), order});
     }
 
+    HttpReply queuePage(const HttpRequest &request)
+    {
+        const auto views = m_trafficLoop.call([this] { return m_traffic.waiting().views(); });
+        return answerQueuePage(request, views);
+    }
+
     HttpReply quarantinePage(const HttpRequest &request)
     {
         const auto lift = [this](std::string_view id) {
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -62,6 +62,9 @@
     , m_origins(clock, metrics, settings.m_node.text())
     , m_crashes(clock)
     , m_rollouts(settings.m_cloud.has_value(), m_pool, clock, metrics)
+    , m_waiting(settings.m_shortageQueue == ShortageQueue::On, loop, m_pool, clock, log, metrics,
+                std::hash<std::string>()(settings.m_node.text())
+                        ^ static_cast<std::uint64_t>(clock.wallNow()))
     , m_startupKnowledge(clock.now())
     , m_randomState(std::hash<std::string>()(settings.m_node.text())
                     ^ static_cast<std::uint64_t>(clock.wallNow()))
@@ -98,6 +101,7 @@
 std::size_t EntryTraffic::cancelCalls()
 {
     m_isCancellingCalls = true;
+    m_waiting.drain();
     // The set doesn't change during the loop: each call is removed by its own fiber, which runs
     // later.
     for (EntryCall *call : m_activeCalls)
@@ -113,6 +117,7 @@
     m_pool.update(upstreams, revision,
                   isConfirmed ? std::optional(m_listConfirmation.m_confirmedAt) : std::nullopt);
     m_rollouts.setUpstreams(upstreams);
+    m_waiting.refresh();
     logVersions(upstreams);
     m_mover->scheduleMoves();
 }
@@ -155,6 +160,7 @@
                    {{LogField::Count, nodes}, {LogField::Limit, m_retryBudget.slackShare()}});
     m_promptAnnouncer.setFleet(nodes, m_isSpreadOut);
     m_quota.setExpectedFleetSize(expected);
+    m_waiting.setFleetSize(nodes);
 }
 
 void EntryTraffic::setPeer(const PeerReport &report)
@@ -170,6 +176,8 @@
     for (const EndedProcessUsage &ended : report.m_endedUsage)
         m_usage.mergeEnded(ended);
     m_peerOffsets[report.m_node] = report.m_wallOffset;
+    m_waiting.setPeer(report.m_node, report.m_incarnation, report.m_turns);
+    m_waiting.refresh();
 }
 
 /// Goes on with what earlier processes of this VM have spent of the retry budget.
@@ -199,6 +207,8 @@
     m_pool.removePeer(node);
     m_prefillRates.removePeer(node);
     m_relay.peers().remove(node);
+    m_waiting.removePeer(node);
+    m_waiting.refresh();
     m_peerOffsets.erase(node);
 }
 
@@ -228,6 +238,7 @@
     result.m_relay = m_relay.status();
     result.m_retries = m_retryBudget.report(now());
     result.m_accounts = m_quota.localUsage(now());
+    result.m_turns = m_waiting.report();
     result.m_usage = m_usage.own();
     result.m_endedUsage = m_usage.ended(now());
     result.m_ownPrefill = m_prefillRates.ownRates(now());
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -44,6 +44,40 @@
     }
 }
 
+void fillTurns(const std::map<ServiceId, ServiceTurnsReport> &turns, entrywire::EntryDigest &digest)
+{
+    if (turns.empty())
+        return;
+    std::vector<entrywire::ServiceTurns> encoded;
+    for (const auto &[service, report] : turns) {
+        auto &entry = encoded.emplace_back();
+        entry.serviceName = service.text();
+        for (const auto &[account, tokens] : report.m_served)
+            entry.served.emplace(account.text(), static_cast<std::int64_t>(tokens));
+        entry.waiting = static_cast<std::int32_t>(report.m_waiting);
+        entry.demandPer1000Seconds = std::llround(report.m_demandPerSecond * demandUnit);
+    }
+    digest.__set_turns(encoded);
+}
+
+/// Returns what a peer tells of services that are short of slots. Counts that can't be meant are
+/// taken as 0.
+std::map<ServiceId, ServiceTurnsReport> turnsOf(const entrywire::EntryDigest &digest)
+{
+    std::map<ServiceId, ServiceTurnsReport> turns;
+    for (const auto &entry : digest.turns) {
+        ServiceTurnsReport &report = turns[ServiceId(entry.serviceName)];
+        for (const auto &[account, tokens] : entry.served)
+            report.m_served[MemberId(account)] =
+                    static_cast<std::uint64_t>(std::max<std::int64_t>(tokens, 0));
+        report.m_waiting = std::max(entry.waiting, 0);
+        report.m_demandPerSecond =
+                static_cast<double>(std::max<std::int64_t>(entry.demandPer1000Seconds, 0))
+                / demandUnit;
+    }
+    return turns;
+}
+
 } // namespace
 
 Endpoint endpointOf(const Address &address)
@@ -103,6 +137,7 @@
         entry.speed = rate.m_speed;
     }
     fillUsage(report.m_usage, digest);
+    fillTurns(report.m_turns, digest);
     digest.relayFree = report.m_relay.m_free;
     for (const ServiceId &service : report.m_relay.m_cutOffServices)
         digest.cutOffServices.push_back(service.text());
@@ -161,6 +196,7 @@
         for (const auto &[account, count] : usage.counts)
             report.m_usage[usage.window][AccountId(account)] = count;
     }
+    report.m_turns = turnsOf(digest);
     for (const auto &ended : digest.ended)
         report.m_endedUsage.push_back(
                 {ended.process, ended.window, {{AccountId(ended.account), ended.count}}});
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 80> logFieldNames = {{
+constexpr NameTable<LogField, 86> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -86,6 +86,12 @@
         {LogField::BadAnswers, "bad_answers"},
         {LogField::ControlShare, "control_share"},
         {LogField::Score, "score"},
+        {LogField::Slots, "slots"},
+        {LogField::InFlight, "in_flight"},
+        {LogField::Waiting, "waiting"},
+        {LogField::Priority, "priority"},
+        {LogField::Demand, "demand"},
+        {LogField::FleetDemand, "fleet_demand"},
 }};
 
 } // namespace
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -126,6 +126,9 @@
                      "the whole system starts for the first time")
                 .key("log-level", &EntrySettings::m_logLevel, EnumKind(logLevelNames),
                      "the least level that is logged")
+                .key("shortage-queue", &EntrySettings::m_shortageQueue,
+                     EnumKind(shortageQueueNames),
+                     "requests wait for their turn while a service is short of slots")
                 .key("bounds", &EntrySettings::m_bounds, MapKind(boundsSchema()),
                      "the users' bounds")
                 .key("scaling", &EntrySettings::m_scaling, MapKind(scaleSchema()),
