Share a short service's slots among the VMs that there are

What callers saw, in process-entry-shortage: one VM with 16 slots rejected the sixteenth request with `waited-too-long` while a slot was free.

Cause: the window was computed with the size of the fleet that budgets assume while a process learns, at least 8 VMs. Change: it uses the number that is expected until the VMs have reported, and the known one after that.

--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -191,7 +191,8 @@
     }
     m_promptAnnouncer.setFleet(nodes, m_isSpreadOut);
     m_quota.setExpectedFleetSize(expected);
-    m_waiting.setFleetSize(nodes);
+    // The cautious size for budgets, many times that of a small fleet, would leave slots unused.
+    m_waiting.setFleetSize(expected > 0 ? expected : nodes);
 }
 
 /// Logs among how many VMs the connections to an upstream are shared.
--- a/tests/src/process-entry-shortage.cpp
+++ b/tests/src/process-entry-shortage.cpp
@@ -34,6 +34,10 @@
                     ++m_whole;
             });
         }
+    }
+
+    void awaitFullSlots()
+    {
         m_world.waitUntil("the slots are in use", [this] { return runs() == slots; });
     }
 
@@ -73,6 +77,7 @@
 TEST_CASE("requests beyond the slots of a service")
 {
     ShortWorld world;
+    world.awaitFullSlots();
 
     SECTION("are rejected as not run after half of their latency target")
     {
