--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -12,8 +12,8 @@
 /// A new connection takes a round trip. After this time the upstream counts as stopped or
 /// unreachable.
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
-/// Limits of failed connections of one request: of all, so that a request passes over the dead
-/// where half of the upstreams are, and of those that were not answered.
+/// Limits of failed connections of one request: of all of them, so that a request still finds an
+/// upstream where half are down, and of those that timed out.
 constexpr int maxConnectFailures = 8;
 constexpr int maxUnansweredConnects = 4;
 /// The same for a peer's request, which the peer may send elsewhere.
@@ -211,6 +211,7 @@
         if (m_source == CallSource::Peer && m_traffic.relay().isCutOff(m_service))
             return AttemptStop::CutOff;
         if (m_traffic.relay().isUsedFor(m_service)) {
+            m_connectionPlace.reset();
             if (auto outcome = relayOnce())
                 return *std::move(outcome);
             continue;
--- a/src/entry/entry_call_connection.cpp
+++ b/src/entry/entry_call_connection.cpp
@@ -30,7 +30,8 @@
 {
     const Duration bound =
             std::min(m_route->m_latencyTarget / waitTargetDivisor, maxConnectionWait);
-    return std::min(bound - m_waitedForConnection, timeLeft() - minTimeLeft);
+    const Duration waitedForTurn = m_turn ? m_turn->waited() : Duration::zero();
+    return std::min(bound - waitedForTurn - m_waitedForConnection, timeLeft() - minTimeLeft);
 }
 
 /// Waits in order until an upstream has a free connection. Returns nothing if the request may be
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -60,6 +60,7 @@
     if (isCancelledByCaller(failure))
         return;
     countTooLarge(failure);
+    m_errorKind.reset();
     countFailedAttempt(failure);
     reportBroken(guard.upstream(), failure);
     recordUpstreamFailure(guard.upstream(), failure);
@@ -94,6 +95,7 @@
     if (isCancelledByCaller(failure))
         return;
     countTooLarge(failure);
+    m_errorKind.reset();
     recordTimeout(failure);
     if (!answer.m_isRelayed)
         reportBroken(answer.m_guard.upstream(), failure);
--- a/src/entry/entry_call_turn.cpp
+++ b/src/entry/entry_call_turn.cpp
@@ -16,22 +16,26 @@
     for (;;) {
         if (m_traffic.relay().isUsedFor(m_service))
             return true;
+        const ServiceId queuedFor = m_service;
         m_turn.emplace(m_traffic.waiting(), turnRequest());
         const bool hasWaited = m_turn->mustWait();
-        TurnEnd end = TurnEnd::Placed;
-        if (hasWaited) {
-            m_responder.onCallerGone([this] {
-                m_isCallerGone = true;
-                m_turn->cancel();
-            });
-            end = m_turn->await();
-            m_responder.onCallerGone(nullptr);
-        } else {
-            end = m_turn->await();
-        }
+        m_responder.onCallerGone([this] {
+            m_isCallerGone = true;
+            m_turn->cancel();
+        });
+        const TurnEnd end = m_turn->await();
+        m_responder.onCallerGone(nullptr);
         switch (end) {
         case TurnEnd::Placed:
-            return !hasWaited || judgeAgain();
+            if (!hasWaited)
+                return true;
+            if (!judgeAgain())
+                return false;
+            if (m_service == queuedFor)
+                return true;
+            // A new configuration routes it to another service, which has its own queue.
+            m_turn.reset();
+            break;
         case TurnEnd::Rejected: {
             const Duration retryAfter = m_turn->retryAfter();
             m_turn.reset();
--- a/src/entry/entry_relay.cpp
+++ b/src/entry/entry_relay.cpp
@@ -36,9 +36,8 @@
         check(service);
 }
 
-/// Tries connections to all upstreams of a service before it counts as cut off. Where many of them
-/// were down and the path was whole, VMs that took a few failures for a cut relayed or rejected
-/// requests that the remaining upstreams would have served.
+/// Tries connections to all upstreams of a service before it counts as cut off. A few failures
+/// don't prove a cut: many upstreams may be down while the path works.
 void EntryRelay::check(const ServiceId &service)
 {
     if (!m_checkedServices.insert(service).second)
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,7 +1,7 @@
 #include <gypsumdale/policy/fair_queue.hpp>
 
-#include <algorithm> // clamp, find_if, max, min, sort, stable_sort, upper_bound
-#include <iterator> // distance, make_move_iterator, next, prev
+#include <algorithm> // clamp, find_if, max, min, upper_bound
+#include <iterator> // distance, make_move_iterator, prev
 #include <limits> // numeric_limits
 #include <utility> // move
 
