--- a/tests/src/fuzz-entry-connection-share.cpp
+++ b/tests/src/fuzz-entry-connection-share.cpp
@@ -316,8 +316,8 @@
 
 } // namespace
 
-// Upstreams reset 7,213 connections beyond their limit, most of them after the request was written,
-// and the callers of requests that must not run twice got 502.
+// Guards against connections beyond an upstream's limit: it resets them after the request was
+// written, and callers of requests that must not run twice get 502.
 TEST_CASE("VMs stay within the connections of an upstream", "[connection-share]")
 {
     const bool holds =
--- a/tests/src/process-entry-connections.cpp
+++ b/tests/src/process-entry-connections.cpp
@@ -79,8 +79,8 @@
 
 } // namespace
 
-// Upstreams ended connections over their limit after the request was written, and callers of
-// requests that must not run twice got 502.
+// Guards against a 502 for a request that must not run twice, as its upstream ended a connection
+// over the limit.
 TEST_CASE("requests beyond an upstream's connections wait, or are rejected as not run")
 {
     LimitedWorld world;
--- a/tests/src/unit-http-reset.cpp
+++ b/tests/src/unit-http-reset.cpp
@@ -41,8 +41,8 @@
 
 } // namespace
 
-// 3,110 callers got 502 or 504 for requests that had reached no upstream: upstreams had reset
-// connections beyond their limit, and the requests counted as possibly run.
+// Guards against a 502 for a request that reached no upstream, as its connection was reset before a
+// byte was written.
 TEST_CASE("a connection that ends before a byte was written proves that nothing was run")
 {
     FiberLoop loop("http");
