Keep to the request rate that an upstream names

Cause: nothing read what an upstream says of itself in an answer; the class is a word of an upstream that no code listens to. Ruled out: other ways than a first placement (nearly all were first attempts), and VMs that keep a limit each for itself (one VM alone was over it).

Change: one home for what upstreams ask for. Each answer's header is read (platform/backpressure_codec), UpstreamBackpressure keeps the last word of each process, UpstreamPool asks it where upstreams are selected. The rate is divided among holders that all VMs compute alike, with a token bucket at each; VMs tell each other what they heard. Where all upstreams are limited callers are rejected at once, with a time to return that counts those before them.

Why it holds: the parts add up to the limit, and no more VMs hold one than requests are borne at once.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -46,6 +46,16 @@
   4: i32 samples
 }
 
+/// How many requests an upstream's process takes, as the sender heard from it last.
+struct UpstreamRateLimit {
+  1: string upstream
+  /// When the upstream's process started, in wall milliseconds; 0 where it doesn't say.
+  2: i64 startedAt
+  /// From all VMs together; absent once the upstream names no limit.
+  3: optional double requestsPerSecond
+  4: i64 ageMillis
+}
+
 /// Requests that began to run in a usage window, by account.
 struct UsageWindow {
   1: i64 window
@@ -215,6 +225,7 @@
   26: optional list<ServiceTurns> turns
   /// Of a few upstreams, others each time.
   27: optional list<UpstreamSpeed> speeds
+  28: optional list<UpstreamRateLimit> rateLimits
 }
 
 /// What a VM that reads the store tells one of its data centre that doesn't.
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/entry/connection_waiting.hpp>
+#include <gypsumdale/entry/entry_backpressure.hpp>
 #include <gypsumdale/entry/entry_crashes.hpp>
 #include <gypsumdale/entry/entry_origins.hpp>
 #include <gypsumdale/entry/entry_relay.hpp>
@@ -59,6 +60,8 @@
     RetryHistory m_retries;
     /// Services that are short of slots or were lately.
     std::map<ServiceId, ServiceTurnsReport> m_turns;
+    /// What this VM heard of upstreams' request rates.
+    std::vector<RateLimitReport> m_rateLimits;
 };
 
 /// A peer's report, for the traffic thread.
@@ -80,6 +83,7 @@
     /// What the peer knows of earlier processes of this VM.
     std::optional<EarlierRetries> m_earlierRetries;
     std::map<ServiceId, ServiceTurnsReport> m_turns;
+    std::vector<RateLimitReport> m_rateLimits;
 };
 
 class EntryCall;
@@ -208,6 +212,7 @@
     EntryOrigins &origins() { return m_origins; }
     EntryCrashes &crashes() { return m_crashes; }
     EntryRollouts &rollouts() { return m_rollouts; }
+    EntryBackpressure &backpressure() { return m_backpressure; }
     ConnectionWaiting &connections() { return m_connections; }
     EntryWaiting &waiting() { return m_waiting; }
     /// Returns what is known here of elements that may be the cause of an upstream's end, and of
@@ -240,6 +245,7 @@
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
+    EntryBackpressure m_backpressure;
     ConnectionWaiting m_connections;
     std::map<ServiceId, SoftwareVersions> m_loggedVersions;
     HighestValue m_placementListAge;
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -104,8 +104,9 @@
     ErrorsNotRetried,
     NoConnection,
     TurnsRejected,
+    BackpressureRejections,
 };
-constexpr std::size_t counterCount = 67;
+constexpr std::size_t counterCount = 68;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -134,8 +135,9 @@
     QuarantinedRequests,
     RolloutsUnderWay,
     UnevenUpstreams,
+    LimitedUpstreams,
 };
-constexpr std::size_t gaugeCount = 24;
+constexpr std::size_t gaugeCount = 25;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/include/gypsumdale/serving/crash_suspects.hpp
+++ b/include/gypsumdale/serving/crash_suspects.hpp
@@ -3,30 +3,15 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/ids.hpp>
 #include <gypsumdale/serving/crash_elements.hpp>
+#include <gypsumdale/serving/upstream_process.hpp>
 
 #include <cstddef> // size_t
-#include <cstdint> // int64_t
 #include <map> // map
 #include <optional> // optional
-#include <tuple> // tie
 #include <vector> // vector
 
 namespace gypsumdale {
 
-/// One process of an upstream.
-struct UpstreamProcess
-{
-    UpstreamId m_id;
-    /// Its start as a wall time in milliseconds; 0 where not reported.
-    std::int64_t m_startedAt = 0;
-
-    friend bool operator==(const UpstreamProcess &, const UpstreamProcess &) = default;
-    friend bool operator<(const UpstreamProcess &left, const UpstreamProcess &right)
-    {
-        return std::tie(left.m_id, left.m_startedAt) < std::tie(right.m_id, right.m_startedAt);
-    }
-};
-
 /// A run that its upstream had not begun to deliver when it ended.
 struct SuspectRun
 {
--- /dev/null
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/core/ids.hpp>
+#include <gypsumdale/serving/backpressure_signal.hpp>
+#include <gypsumdale/serving/rate_limit_share.hpp>
+#include <gypsumdale/serving/token_bucket.hpp>
+#include <gypsumdale/serving/upstream_process.hpp>
+
+#include <cstddef> // size_t
+#include <map> // map
+#include <optional> // optional
+#include <set> // set
+#include <vector> // vector
+
+namespace gypsumdale {
+
+/// An upstream's last word on its request rate, as the VM that heard it tells it to its peers.
+struct RateLimitReport
+{
+    UpstreamProcess m_process;
+    /// Requests per second that it takes from all VMs; unset once its answers name no limit.
+    std::optional<double> m_limit;
+    TimePoint m_heardAt{};
+};
+
+/// A change of what is known of an upstream's request rate, for the log.
+struct RateLimitChange
+{
+    UpstreamProcess m_process;
+    /// Unset for a limit that has ended.
+    std::optional<double> m_limit;
+    /// Requests per second that this VM may send there.
+    double m_share = 0;
+    /// VMs among which the rate is divided.
+    std::size_t m_vms = 1;
+};
+
+/// What the upstreams have said in their answers about the requests that they want, and what of it
+/// is left to this VM.
+///
+/// An upstream in need names a limit for all VMs together. Each VM tells its peers what it heard,
+/// and the last word of all counts. The rate is divided among a few VMs, selected for each upstream
+/// by a hash that is the same at all of them, so that no message is needed for a placement. What
+/// was said holds for the upstream's process, also while its entry is missing from the list.
+class UpstreamBackpressure
+{
+public:
+    /// Sets this VM's name, by which its peers know it.
+    void setNode(const NodeId &node) { m_node = node; }
+    /// Records a peer that reports to this VM, or that doesn't any more. Complexity: linear in the
+    /// limited upstreams times the VMs if the peer is new, otherwise logarithmic.
+    void addPeer(const NodeId &peer, TimePoint now);
+    void removePeer(const NodeId &peer, TimePoint now);
+    /// Sets the number of VMs in the fleet, counted as many as there may be.
+    void setFleetSize(std::size_t vms, TimePoint now);
+
+    /// Records what an answer says. Returns the limit if it has changed. Complexity: logarithmic.
+    std::optional<RateLimitChange> record(const UpstreamProcess &process,
+                                          const BackpressureSignal &signal, TimePoint now);
+    /// Records what a peer was told. Returns the limit if it has changed. Complexity: logarithmic.
+    std::optional<RateLimitChange> mergePeer(const RateLimitReport &report, TimePoint now);
+
+    /// Returns whether this VM may send a request to an upstream now. Complexity: logarithmic.
+    bool accepts(const UpstreamProcess &process, TimePoint now) const;
+    /// Returns the time until it may, at most `longest`. Complexity: logarithmic.
+    Duration timeUntilAccepted(const UpstreamProcess &process, TimePoint now,
+                               Duration longest) const;
+    /// Returns the requests per second that this VM may send there; nothing if that isn't limited.
+    /// Complexity: logarithmic.
+    std::optional<double> shareOf(const UpstreamProcess &process) const;
+    /// Records that a request is sent to an upstream. Complexity: logarithmic.
+    void recordPlacement(const UpstreamProcess &process, TimePoint now);
+
+    /// Returns what this VM was the last one to hear, as far as peers may lack it. Complexity:
+    /// linear in the entries.
+    std::vector<RateLimitReport> report(TimePoint now) const;
+    /// Removes what has been out of date for long. Complexity: linear in the entries.
+    void removeExpired(const std::set<UpstreamProcess> &present, TimePoint now);
+
+    bool isEmpty() const { return m_entries.empty(); }
+    /// Returns the number of upstreams with a limit. Complexity: linear in the entries.
+    std::size_t limitedCount() const;
+
+private:
+    struct Entry
+    {
+        std::optional<double> m_limit;
+        TimePoint m_heardAt{};
+        /// This VM heard the last word itself.
+        bool m_isOwn = false;
+        bool m_isHolder = false;
+        TokenBucket m_permits;
+    };
+
+    std::optional<RateLimitChange> apply(const RateLimitReport &report, bool isOwn, TimePoint now);
+    void updateShare(const UpstreamProcess &process, Entry &entry, TimePoint now) const;
+    void updateShares(TimePoint now);
+    RateShareView viewOf(const Entry &entry) const;
+    double firstPermits(const UpstreamProcess &process) const;
+    bool isHolder(const UpstreamProcess &process, const RateShareView &view) const;
+    void dropOldest();
+
+    NodeId m_node;
+    /// In order.
+    std::vector<NodeId> m_peers;
+    std::size_t m_vms = 1;
+    std::map<UpstreamProcess, Entry> m_entries;
+};
+
+} // namespace gypsumdale
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -3,6 +3,7 @@
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/policy/slot_share.hpp>
 #include <gypsumdale/serving/connection_share.hpp>
+#include <gypsumdale/serving/upstream_backpressure.hpp>
 #include <gypsumdale/serving/upstream_record.hpp>
 #include <gypsumdale/serving/upstream_speed.hpp>
 #include <gypsumdale/serving/version_gate.hpp>
@@ -72,6 +73,8 @@
     /// Listeners, by their owner, that are called when another process takes its id.
     std::map<const void *, std::function<void(std::int64_t startedAt)>> m_onReplaced;
 
+    UpstreamProcess process() const { return {m_record.m_id, m_record.m_startedAt}; }
+
     /// Returns the known requests of all VMs in flight there.
     int running() const { return m_own.m_running + m_peerTotal.m_running; }
     /// Returns the known prompt tokens of all VMs' requests that are still to be read.
@@ -125,6 +128,16 @@
     std::uint64_t m_draw = 0;
 };
 
+/// When upstreams that have asked for fewer requests take one of this VM again.
+struct BackpressureWait
+{
+    /// Time until the first of them does.
+    Duration m_first{};
+    /// Requests per second that this VM may send to all of them.
+    double m_perSecond = 0;
+    std::size_t m_upstreams = 0;
+};
+
 /// Result of an attempt at an upstream, for its health.
 enum class AttemptResult {
     Good,
@@ -194,6 +207,20 @@
     std::optional<ConnectionDecision> connectionShortage(const PlacementRequest &request,
                                                          TimePoint now) const;
 
+    /// Returns what the upstreams have asked for in their answers.
+    UpstreamBackpressure &backpressure() { return m_backpressure; }
+    const UpstreamBackpressure &backpressure() const { return m_backpressure; }
+
+    /// Returns when an upstream takes the request, if all that it may be placed on have asked for
+    /// fewer requests than that; nothing if one takes it now or there is none. Complexity: linear
+    /// in the service's upstreams.
+    std::optional<BackpressureWait> backpressureWait(const PlacementRequest &request,
+                                                     TimePoint now) const;
+
+    /// Records that a request is about to be sent to an upstream that choose() has selected.
+    /// Complexity: logarithmic.
+    void recordPlacement(const PooledUpstream &upstream, TimePoint now);
+
     /// Selects the upstream that would serve the request soonest, or nullptr if there is none.
     /// Complexity: linear in the service's upstreams.
     ///
@@ -207,7 +234,8 @@
     /// need for it, and a fast one is more likely to be compared.
     ///
     /// Upstreams without a free connection are skipped, and nullptr is returned if only they, or
-    /// ones that failed recently, are left; see connectionShortage().
+    /// ones that failed recently, are left; see connectionShortage(). So are upstreams that have
+    /// asked for fewer requests; see backpressureWait().
     PooledUpstreamPointer choose(const PlacementRequest &request, TimePoint now) const;
 
     /// Returns whether retained upstreams, whose entries vanished, are selected: as long as at
@@ -260,6 +288,7 @@
     static void addPeerLoad(PooledUpstream &upstream, const ReportedLoad &report);
     Candidates candidatesFor(const PlacementRequest &request) const;
     std::optional<ConnectionDecision> keepConnectable(Candidates &candidates, TimePoint now) const;
+    void keepAccepting(Candidates &candidates, TimePoint now) const;
     ConnectionDecision decideAt(PooledUpstream &upstream, ConnectionView view, TimePoint now) const;
 
     std::map<UpstreamId, PooledUpstreamPointer> m_upstreams;
@@ -281,6 +310,7 @@
     int m_exchangeStretch = 1;
     int m_vms = 1;
     std::map<ServiceId, int> m_connectionLimits;
+    UpstreamBackpressure m_backpressure;
     std::function<void(const ServiceId &)> m_onRequestEnded;
 };
 
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -228,10 +228,11 @@
         request.m_isAnnounced = m_traffic.shouldAnnounce(m_service, ownTokens());
         const PooledUpstreamPointer upstream = chooseUpstream(request);
         if (!upstream)
-            return m_binding.isBound() ? AttemptStop::NoSameVersion : AttemptStop::NoUpstream;
+            return stopWithoutUpstream();
         if (m_attempts.hasArrived() && !m_traffic.takeRetry(m_service))
             return AttemptStop::NotAllowed;
         m_triedUpstreams.insert(upstream->m_record.m_id);
+        m_traffic.pool().recordPlacement(*upstream, m_traffic.now());
         logPlaced(*upstream, *until);
         const bool isAlone = readsAlone(*upstream);
         const bool isSpeedSample = isAlone && upstream->running() < upstream->m_record.m_slots;
@@ -251,6 +252,7 @@
         m_attempts.recordAnswer();
         m_runStage = RunStage::Begun;
         auto &exchange = std::get<HttpExchange>(opened);
+        recordBackpressure(exchange, *upstream);
         if (!acceptsAnswer(exchange, *upstream))
             continue;
         return UpstreamAnswer{std::move(exchange),
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -44,9 +44,11 @@
     Quarantined,
     /// No upstream left to try has a free connection for this VM.
     NoConnection,
+    /// All upstreams left to try have asked for fewer requests.
+    Backpressure,
 };
 
-inline constexpr NameTable<AttemptStop, 11> attemptStopNames = {{
+inline constexpr NameTable<AttemptStop, 12> attemptStopNames = {{
         {AttemptStop::NoUpstream, "no-upstream"},
         {AttemptStop::NoSameVersion, "no-upstream-of-version"},
         {AttemptStop::NotAllowed, "not-allowed"},
@@ -58,6 +60,7 @@
         {AttemptStop::AnsweredByPeer, "answered-by-peer"},
         {AttemptStop::Quarantined, "quarantined"},
         {AttemptStop::NoConnection, "no-connection"},
+        {AttemptStop::Backpressure, "upstream-backpressure"},
 }};
 
 /// Who has sent a request to this VM.
@@ -174,6 +177,8 @@
     bool readsAlone(const PooledUpstream &upstream) const;
     /// Returns the number of prompt tokens that no other request shares.
     std::int64_t ownTokens() const { return m_caller.m_promptTokens - m_caller.m_sharedTokens; }
+    void recordBackpressure(const HttpExchange &exchange, const PooledUpstream &upstream);
+    AttemptStop stopWithoutUpstream();
     bool acceptsAnswer(const HttpExchange &exchange, PooledUpstream &upstream);
     StreamOrigin originAt(const PooledUpstream &upstream) const;
     bool mayFollow(UpstreamAnswer &answer);
@@ -270,7 +275,8 @@
     /// The request's place among those that wait for a connection, until it was placed.
     std::optional<ConnectionWaiting::Place> m_connectionPlace;
     Duration m_waitedForConnection{};
-    Duration m_connectionRetryAfter{};
+    /// Time after which the caller may return, for stops that know it.
+    Duration m_stopRetryAfter{};
     /// The current run, if it can be moved.
     std::shared_ptr<StreamRun> m_run;
     std::optional<std::string> m_memory;
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -113,7 +113,8 @@
         return true;
     const PlacementRequest request = placement();
     if (m_traffic.pool().choose(request, m_traffic.now())
-        || m_traffic.pool().connectionShortage(request, m_traffic.now()))
+        || m_traffic.pool().connectionShortage(request, m_traffic.now())
+        || m_traffic.pool().backpressureWait(request, m_traffic.now()))
         return true;
     finishUnserved(AttemptStop::NoSameVersion);
     return false;
--- a/src/entry/entry_call_connection.cpp
+++ b/src/entry/entry_call_connection.cpp
@@ -78,7 +78,7 @@
                                            const ConnectionWaitDecision &wait)
 {
     m_connectionPlace.reset();
-    m_connectionRetryAfter = std::clamp(wait.m_expected, Duration::zero(), maxConnectionRetryAfter);
+    m_stopRetryAfter = std::clamp(wait.m_expected, Duration::zero(), maxConnectionRetryAfter);
     m_traffic.metrics().add(Counter::NoConnection);
     m_traffic.log().info("no-connection",
                          {m_caller.m_id,
@@ -92,7 +92,7 @@
                           {LogField::Running, shortage.m_own},
                           {LogField::OthersRunning, shortage.m_reported},
                           {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
-                          {LogField::RetryAfterMillis, toMillis(m_connectionRetryAfter)}});
+                          {LogField::RetryAfterMillis, toMillis(m_stopRetryAfter)}});
     return AttemptStop::NoConnection;
 }
 
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -61,9 +61,8 @@
         return;
     if (stop == AttemptStop::Quarantined && rejectIfQuarantined())
         return;
-    const Duration delay =
-            stop == AttemptStop::NoConnection ? m_connectionRetryAfter : Duration::zero();
-    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), delay + retryAfter());
+    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop),
+                  m_stopRetryAfter + retryAfter());
 }
 
 Duration EntryCall::retryAfter()
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -154,7 +154,8 @@
     if (m_source != CallSource::Peer)
         return false;
     const bool isOwnState = stop == AttemptStop::CutOff || stop == AttemptStop::Stopping
-                            || stop == AttemptStop::ListTooOld || stop == AttemptStop::NoConnection;
+                            || stop == AttemptStop::ListTooOld || stop == AttemptStop::NoConnection
+                            || stop == AttemptStop::Backpressure;
     if (isOwnState)
         refuseRelay(enumName(attemptStopNames, stop));
     else if (m_attempts.connectFailures() > 0)
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -150,6 +150,7 @@
     m_attempts.recordAnswer();
     m_runStage = RunStage::Begun;
     auto &exchange = std::get<HttpExchange>(opened);
+    recordBackpressure(exchange, *moved.m_upstream);
     if (!acceptsAnswer(exchange, *moved.m_upstream))
         return std::nullopt;
     if (exchange.status() / 100 != 2) {
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -423,11 +423,12 @@
     // The traffic thread may be busy. Without the correction for the time spent waiting for it, the
     // peer's clock would appear slow.
     const std::optional<EarlierRetries> earlier = decodeEarlierRetries(digest, now);
-    m_context.m_trafficLoop.spawn([this, digest, earlier, receivedAt = bootNow()] {
+    m_context.m_trafficLoop.spawn([this, digest, earlier, now, receivedAt = bootNow()] {
         const WallMillis wallAtReceipt =
                 m_context.m_traffic.wallNow() - toWholeMillis(bootNow() - receivedAt);
         PeerReport report = decodeReport(digest, wallAtReceipt);
         report.m_earlierRetries = earlier;
+        report.m_rateLimits = decodeRateLimits(digest, now);
         m_context.m_traffic.setPeer(report);
     });
 }
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -53,6 +53,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(loop, metrics)
+    , m_backpressure(settings.m_node, m_pool, clock, log, metrics)
     , m_connections(clock)
     , m_placementDeadline(settings.m_bounds.m_leavingApply)
     , m_speeds(settings.m_dataCentre)
@@ -189,6 +190,7 @@
         logConnectionShares();
         m_connections.recordChange();
     }
+    m_backpressure.setFleetSize(std::max(nodes, expected));
     m_promptAnnouncer.setFleet(nodes, m_isSpreadOut);
     m_quota.setExpectedFleetSize(expected);
     // The cautious size for budgets, many times that of a small fleet, would leave slots unused.
@@ -208,6 +210,7 @@
 {
     m_quota.setPeerUsage(report.m_node, report.m_accounts, now());
     m_pool.setPeerLoad(report.m_node, report.m_loads, now());
+    m_backpressure.setPeer(report.m_node, report.m_rateLimits);
     m_prefillRates.setPeer(report.m_node, report.m_reading);
     if (const std::size_t invalid = m_speeds.mergePeer(report.m_node, report.m_speeds, now()))
         m_log.warning("peer-speeds-invalid",
@@ -249,6 +252,7 @@
 void EntryTraffic::removePeer(const std::string &node)
 {
     m_pool.removePeer(node);
+    m_backpressure.removePeer(node);
     m_prefillRates.removePeer(node);
     m_speeds.removePeer(node);
     m_relay.peers().remove(node);
@@ -284,6 +288,7 @@
     result.m_retries = m_retryBudget.report(now());
     result.m_accounts = m_quota.localUsage(now());
     result.m_turns = m_waiting.report();
+    result.m_rateLimits = m_backpressure.report();
     result.m_usage = m_usage.own();
     result.m_endedUsage = m_usage.ended(now());
     result.m_ownPrefill = m_prefillRates.ownRates(now());
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -4,9 +4,9 @@
 
 #include <fmt/format.h>
 
-#include <algorithm> // clamp, max, min
+#include <algorithm> // clamp, max, min, sort
 #include <charconv> // from_chars
-#include <cmath> // llround
+#include <cmath> // isfinite, llround
 #include <cstddef> // ptrdiff_t, size_t
 #include <iterator> // next, prev, ssize
 
@@ -19,6 +19,8 @@
 constexpr std::ptrdiff_t windowsPerMessage = 4;
 /// Number of upstream speeds in a message: a VM reports those of its data centre within seconds.
 constexpr std::size_t speedsPerMessage = 4;
+/// Number of upstreams' rate limits in a message: more than a VM hears of between two.
+constexpr std::size_t rateLimitsPerMessage = 256;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
 /// Longer than any client waits, and than any count is kept. A longer time is not from a VM, and
@@ -163,6 +165,46 @@
     }
 }
 
+void fillRateLimits(std::vector<RateLimitReport> reports, TimePoint now,
+                    entrywire::EntryDigest &digest)
+{
+    if (reports.empty())
+        return;
+    const auto isLater = [](const RateLimitReport &left, const RateLimitReport &right) {
+        return left.m_heardAt > right.m_heardAt;
+    };
+    std::ranges::sort(reports, isLater);
+    reports.resize(std::min(reports.size(), rateLimitsPerMessage));
+    digest.__isset.rateLimits = true;
+    for (const RateLimitReport &report : reports) {
+        auto &encoded = digest.rateLimits.emplace_back();
+        encoded.upstream = report.m_process.m_id.text();
+        encoded.startedAt = report.m_process.m_startedAt;
+        if (report.m_limit)
+            encoded.__set_requestsPerSecond(*report.m_limit);
+        encoded.ageMillis = toWholeMillis(now - report.m_heardAt);
+    }
+}
+
+std::vector<RateLimitReport> decodeRateLimits(const entrywire::EntryDigest &digest, TimePoint now)
+{
+    std::vector<RateLimitReport> decoded;
+    for (const auto &encoded : digest.rateLimits) {
+        if (decoded.size() == rateLimitsPerMessage)
+            break;
+        RateLimitReport report;
+        report.m_process = {UpstreamId(encoded.upstream), encoded.startedAt};
+        report.m_heardAt = now - withinLimit(encoded.ageMillis);
+        if (encoded.__isset.requestsPerSecond)
+            report.m_limit = encoded.requestsPerSecond;
+        const bool isMeant =
+                !report.m_limit || (std::isfinite(*report.m_limit) && *report.m_limit >= 0);
+        if (isMeant)
+            decoded.push_back(report);
+    }
+    return decoded;
+}
+
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest)
 {
--- /dev/null
+++ b/src/serving/upstream_backpressure.cpp
@@ -0,0 +1,200 @@
+#include <gypsumdale/fleet/rendezvous.hpp>
+#include <gypsumdale/serving/upstream_backpressure.hpp>
+
+#include <algorithm> // count_if, lower_bound, min_element
+
+namespace gypsumdale {
+
+namespace {
+
+/// Time after which an upstream of which nothing was heard may have no holder that uses it.
+constexpr Duration unheardTime = std::chrono::seconds(15);
+/// Time for which the end of a limit is told to peers and remembered: longer than two VMs of a
+/// large fleet take to exchange reports.
+constexpr Duration endedTime = std::chrono::seconds(30);
+/// Time for which a limit is told and, once its upstream has left the list, remembered. An entry
+/// may vanish for an outage of the store.
+constexpr Duration limitedTime = std::chrono::seconds(60);
+/// More upstreams than a fleet has.
+constexpr std::size_t maxEntries = 16384;
+
+} // namespace
+
+void UpstreamBackpressure::addPeer(const NodeId &peer, TimePoint now)
+{
+    const auto place = std::ranges::lower_bound(m_peers, peer);
+    if (place != m_peers.end() && *place == peer)
+        return;
+    m_peers.insert(place, peer);
+    updateShares(now);
+}
+
+void UpstreamBackpressure::removePeer(const NodeId &peer, TimePoint now)
+{
+    if (std::erase(m_peers, peer) > 0)
+        updateShares(now);
+}
+
+void UpstreamBackpressure::setFleetSize(std::size_t vms, TimePoint now)
+{
+    if (vms == m_vms)
+        return;
+    m_vms = vms;
+    updateShares(now);
+}
+
+std::optional<RateLimitChange> UpstreamBackpressure::record(const UpstreamProcess &process,
+                                                            const BackpressureSignal &signal,
+                                                            TimePoint now)
+{
+    const bool isUnlimited = !signal.m_rateLimit && !m_entries.contains(process);
+    if (isUnlimited || signal.m_invalidValues > 0)
+        return std::nullopt;
+    return apply({process, signal.m_rateLimit, now}, true, now);
+}
+
+std::optional<RateLimitChange> UpstreamBackpressure::mergePeer(const RateLimitReport &report,
+                                                               TimePoint now)
+{
+    const auto known = m_entries.find(report.m_process);
+    const bool isUnlimited = !report.m_limit && known == m_entries.end();
+    const bool isKnown = known != m_entries.end() && report.m_heardAt <= known->second.m_heardAt;
+    if (isUnlimited || isKnown)
+        return std::nullopt;
+    return apply(report, false, now);
+}
+
+std::optional<RateLimitChange> UpstreamBackpressure::apply(const RateLimitReport &report,
+                                                           bool isOwn, TimePoint now)
+{
+    if (!m_entries.contains(report.m_process) && m_entries.size() >= maxEntries)
+        dropOldest();
+    const auto [place, isNew] = m_entries.try_emplace(report.m_process);
+    Entry &entry = place->second;
+    const bool hasChanged = entry.m_limit != report.m_limit;
+    if (isNew)
+        entry.m_permits = TokenBucket(firstPermits(report.m_process), now);
+    entry.m_limit = report.m_limit;
+    entry.m_heardAt = report.m_heardAt;
+    entry.m_isOwn = isOwn;
+    if (hasChanged || !entry.m_isHolder)
+        updateShare(report.m_process, entry, now);
+    if (!hasChanged)
+        return std::nullopt;
+    const double share = entry.m_isHolder ? entry.m_permits.perSecond() : 0;
+    return RateLimitChange{report.m_process, report.m_limit, share, m_vms};
+}
+
+void UpstreamBackpressure::updateShares(TimePoint now)
+{
+    for (auto &[process, entry] : m_entries)
+        updateShare(process, entry, now);
+}
+
+/// Computes this VM's part of an upstream's rate. One that is no holder gathers permits only while
+/// nothing is heard of the upstream, or all such VMs would use theirs at once.
+void UpstreamBackpressure::updateShare(const UpstreamProcess &process, Entry &entry,
+                                       TimePoint now) const
+{
+    if (!entry.m_limit)
+        return;
+    const RateShareView view = viewOf(entry);
+    const bool wasHolder = entry.m_isHolder;
+    entry.m_isHolder = isHolder(process, view);
+    if (entry.m_isHolder && !wasHolder)
+        entry.m_permits = TokenBucket(firstPermits(process), now);
+    if (!entry.m_isHolder)
+        entry.m_permits = TokenBucket(firstPermits(process), entry.m_heardAt + unheardTime);
+    const RateShare share = entry.m_isHolder ? holderShare(view) : unheardShare(view);
+    const TimePoint since = entry.m_isHolder ? now : entry.m_heardAt + unheardTime;
+    entry.m_permits.setRate(share.m_perSecond, share.m_burst, since);
+}
+
+RateShareView UpstreamBackpressure::viewOf(const Entry &entry) const
+{
+    return {entry.m_limit.value_or(0), m_vms, m_peers.size() + 1};
+}
+
+/// Returns a part of a permit that is this VM's own, so that the VMs don't send their first
+/// requests at the same time.
+double UpstreamBackpressure::firstPermits(const UpstreamProcess &process) const
+{
+    constexpr double range = 18446744073709551616.0;
+    return static_cast<double>(rendezvousWeight(process.m_id.text(), m_node)) / range;
+}
+
+bool UpstreamBackpressure::isHolder(const UpstreamProcess &process, const RateShareView &view) const
+{
+    std::vector<NodeId> nodes = m_peers;
+    nodes.push_back(m_node);
+    return isRendezvousChoice(process.m_id.text(), nodes, rateLimitHolders(view), m_node);
+}
+
+bool UpstreamBackpressure::accepts(const UpstreamProcess &process, TimePoint now) const
+{
+    const auto found = m_entries.find(process);
+    return found == m_entries.end() || !found->second.m_limit
+           || found->second.m_permits.hasPermit(now);
+}
+
+Duration UpstreamBackpressure::timeUntilAccepted(const UpstreamProcess &process, TimePoint now,
+                                                 Duration longest) const
+{
+    const auto found = m_entries.find(process);
+    if (found == m_entries.end() || !found->second.m_limit)
+        return Duration::zero();
+    return found->second.m_permits.timeUntilPermit(now, longest);
+}
+
+std::optional<double> UpstreamBackpressure::shareOf(const UpstreamProcess &process) const
+{
+    const auto found = m_entries.find(process);
+    if (found == m_entries.end() || !found->second.m_limit)
+        return std::nullopt;
+    return found->second.m_isHolder ? found->second.m_permits.perSecond() : 0;
+}
+
+void UpstreamBackpressure::recordPlacement(const UpstreamProcess &process, TimePoint now)
+{
+    const auto found = m_entries.find(process);
+    if (found != m_entries.end() && found->second.m_limit)
+        found->second.m_permits.take(now);
+}
+
+std::vector<RateLimitReport> UpstreamBackpressure::report(TimePoint now) const
+{
+    std::vector<RateLimitReport> reports;
+    for (const auto &[process, entry] : m_entries) {
+        const Duration told = entry.m_limit ? limitedTime : endedTime;
+        if (entry.m_isOwn && now - entry.m_heardAt <= told)
+            reports.push_back({process, entry.m_limit, entry.m_heardAt});
+    }
+    return reports;
+}
+
+void UpstreamBackpressure::removeExpired(const std::set<UpstreamProcess> &present, TimePoint now)
+{
+    std::erase_if(m_entries, [&](const auto &item) {
+        const auto &[process, entry] = item;
+        if (!entry.m_limit)
+            return now - entry.m_heardAt > endedTime;
+        return !present.contains(process) && now - entry.m_heardAt > limitedTime;
+    });
+}
+
+std::size_t UpstreamBackpressure::limitedCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(),
+                          [](const auto &item) { return item.second.m_limit.has_value(); }));
+}
+
+void UpstreamBackpressure::dropOldest()
+{
+    const auto isEarlier = [](const auto &left, const auto &right) {
+        return left.second.m_heardAt < right.second.m_heardAt;
+    };
+    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(), isEarlier));
+}
+
+} // namespace gypsumdale
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -359,6 +359,7 @@
 PooledUpstreamPointer UpstreamPool::choose(const PlacementRequest &request, TimePoint now) const
 {
     Candidates candidates = candidatesFor(request);
+    keepAccepting(candidates, now);
     keepConnectable(candidates, now);
     const bool isPlain = request.m_promptTokens == 0;
     if (m_areReportsOld && isPlain)
@@ -374,8 +375,10 @@
 std::vector<EngineBacklog> UpstreamPool::backlogs(const PlacementRequest &request,
                                                   TimePoint now) const
 {
+    Candidates candidates = candidatesFor(request);
+    keepAccepting(candidates, now);
     std::vector<EngineBacklog> backlogs;
-    for (const PooledUpstreamPointer &candidate : candidatesFor(request)) {
+    for (const PooledUpstreamPointer &candidate : candidates) {
         if (candidate->m_avoidUntil <= now)
             backlogs.push_back({candidate->pendingTokens(), candidate->m_speed});
     }
--- /dev/null
+++ b/src/serving/upstream_pool_backpressure.cpp
@@ -0,0 +1,46 @@
+#include <gypsumdale/serving/upstream_pool.hpp>
+
+#include <algorithm> // min
+
+/// The upstreams that have asked for fewer requests in their answers.
+namespace gypsumdale {
+
+namespace {
+
+/// Longest time that is looked ahead.
+constexpr Duration maxWait = std::chrono::seconds(60);
+
+} // namespace
+
+/// Removes the upstreams that take no request of this VM now.
+void UpstreamPool::keepAccepting(Candidates &candidates, TimePoint now) const
+{
+    std::erase_if(candidates, [this, now](const PooledUpstreamPointer &candidate) {
+        return !m_backpressure.accepts(candidate->process(), now);
+    });
+}
+
+std::optional<BackpressureWait> UpstreamPool::backpressureWait(const PlacementRequest &request,
+                                                               TimePoint now) const
+{
+    const Candidates candidates = candidatesFor(request);
+    if (candidates.empty())
+        return std::nullopt;
+    BackpressureWait wait{maxWait, 0, candidates.size()};
+    for (const PooledUpstreamPointer &candidate : candidates) {
+        const UpstreamProcess process = candidate->process();
+        if (m_backpressure.accepts(process, now))
+            return std::nullopt;
+        wait.m_first =
+                std::min(wait.m_first, m_backpressure.timeUntilAccepted(process, now, maxWait));
+        wait.m_perSecond += m_backpressure.shareOf(process).value_or(0);
+    }
+    return wait;
+}
+
+void UpstreamPool::recordPlacement(const PooledUpstream &upstream, TimePoint now)
+{
+    m_backpressure.recordPlacement(upstream.process(), now);
+}
+
+} // namespace gypsumdale
--- a/src/serving/upstream_pool_connections.cpp
+++ b/src/serving/upstream_pool_connections.cpp
@@ -95,6 +95,7 @@
     if (!limitsConnections(request.m_service))
         return std::nullopt;
     Candidates candidates = candidatesFor(request);
+    keepAccepting(candidates, now);
     const std::optional<ConnectionDecision> shortage = keepConnectable(candidates, now);
     return candidates.empty() ? shortage : std::nullopt;
 }
--- a/tests/src/process-entry-rate-limit.cpp
+++ b/tests/src/process-entry-rate-limit.cpp
@@ -90,3 +90,35 @@
     for (const EntryAnswer &answer : answers)
         CHECK(answer.m_status == 200);
 }
+
+// Guards against callers that are held or told nothing while all upstreams are limited, and against
+// upstreams that stay out of use after their limits have ended.
+TEST_CASE("callers are rejected at once while all upstreams are limited, and served again after")
+{
+    LimitedWorld world(2);
+    for (std::size_t index = 0; index < world.upstreamCount(); ++index)
+        world.setLimit(index, fmt::format("{}", limitPerSecond));
+    const Arrival begin = ArrivalClock::now();
+    const std::vector<EntryAnswer> answers = world.callFor(learningTime + window);
+    std::size_t served = 0;
+    for (const EntryAnswer &answer : answers) {
+        served += answer.m_status == 200 ? 1 : 0;
+        if (answer.m_status == 200)
+            continue;
+        CHECK(answer.m_status == 503);
+        CHECK_FALSE(answer.m_headers.value("Retry-After").empty());
+    }
+    CHECK(served >= 4);
+    CHECK(served < answers.size());
+    for (const ArrivalTimes &arrivals : world.m_arrivals)
+        CHECK(mostWithin(arrivals.since(begin + learningTime), window) <= mostInWindow);
+
+    for (std::size_t index = 0; index < world.upstreamCount(); ++index)
+        world.setLimit(index, "");
+    world.waitUntil("all callers are served", [&] {
+        bool isServed = true;
+        for (const EntryAnswer &answer : world.callFor(200ms))
+            isServed = isServed && answer.m_status == 200;
+        return isServed;
+    });
+}
