Stop using an upstream once its answer says that it leaves

The store was away from 7.5 to 20.1 s, so its entry said ready all the while.

Cause: VMs learned of a leaving from the store's list only. Ruled out: requests that were chosen before the word and sent after it (placed within 10 ms of their arrival).

Change: the word is kept for the upstream's process and counts like its entry's; peers tell each other of those in their lists, so that a restarted process hears of them. Runs under way stay until the entry says it too. An unreadable value of one field no longer hides a readable one of another.

Why it holds: placements ask what the upstream itself said, whatever the age of the list.

--- a/idl/entry.thrift
+++ b/idl/entry.thrift
@@ -56,6 +56,13 @@
   4: i64 ageMillis
 }
 
+/// An upstream's process that has said in an answer that it leaves.
+struct LeavingUpstream {
+  1: string upstream
+  /// When the upstream's process started, in wall milliseconds; 0 where it doesn't say.
+  2: i64 startedAt
+}
+
 /// Requests that began to run in a usage window, by account.
 struct UsageWindow {
   1: i64 window
@@ -226,6 +233,7 @@
   /// Of a few upstreams, others each time.
   27: optional list<UpstreamSpeed> speeds
   28: optional list<UpstreamRateLimit> rateLimits
+  29: optional list<LeavingUpstream> leavingUpstreams
 }
 
 /// What a VM that reads the store tells one of its data centre that doesn't.
--- a/include/gypsumdale/entry/entry_backpressure.hpp
+++ b/include/gypsumdale/entry/entry_backpressure.hpp
@@ -9,8 +9,9 @@
 #include <gypsumdale/serving/upstream_pool.hpp>
 
 #include <cstddef> // size_t
+#include <set> // set
 #include <string> // string
-#include <vector> // vector
+#include <string_view> // string_view
 
 namespace gypsumdale {
 
@@ -27,18 +28,20 @@
     void recordAnswer(const PooledUpstream &upstream, const HttpHeaders &headers);
 
     /// Records a peer that reports to this VM, with what it heard from upstreams.
-    void setPeer(const std::string &node, const std::vector<RateLimitReport> &reports);
+    void setPeer(const std::string &node, const BackpressureReport &report);
     void removePeer(const std::string &node);
     void setFleetSize(std::size_t vms);
 
     /// Returns what this VM heard, for its peers. Removes what is out of date. Complexity: linear
     /// in the upstreams.
-    std::vector<RateLimitReport> report();
+    BackpressureReport report();
 
     /// Returns the time after which the caller of a rejected request may return.
     Duration returnDelay(const ServiceId &service, const BackpressureWait &wait);
 
 private:
+    void recordLeaving(const UpstreamProcess &process, std::string_view source);
+    std::set<UpstreamProcess> present() const;
     void logChange(const RateLimitChange &change, std::string_view source, Duration age);
 
     UpstreamPool &m_pool;
--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -60,8 +60,8 @@
     RetryHistory m_retries;
     /// Services that are short of slots or were lately.
     std::map<ServiceId, ServiceTurnsReport> m_turns;
-    /// What this VM heard of upstreams' request rates.
-    std::vector<RateLimitReport> m_rateLimits;
+    /// What this VM heard of upstreams that want fewer requests.
+    BackpressureReport m_backpressure;
 };
 
 /// A peer's report, for the traffic thread.
@@ -83,7 +83,7 @@
     /// What the peer knows of earlier processes of this VM.
     std::optional<EarlierRetries> m_earlierRetries;
     std::map<ServiceId, ServiceTurnsReport> m_turns;
-    std::vector<RateLimitReport> m_rateLimits;
+    BackpressureReport m_backpressure;
 };
 
 class EntryCall;
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -47,12 +47,12 @@
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest);
 
-/// Encodes what this VM heard of upstreams' request rates into a digest, the last heard first if
-/// there is too much. Without any the field stays unset.
-void fillRateLimits(std::vector<RateLimitReport> reports, TimePoint now,
-                    entrywire::EntryDigest &digest);
+/// Encodes what this VM heard of upstreams that want fewer requests into a digest; of their rates
+/// those heard last if there are too many. Without any the fields stay unset.
+void fillBackpressure(const BackpressureReport &report, TimePoint now,
+                      entrywire::EntryDigest &digest);
 /// Decodes the same. Values that can't be meant are left out.
-std::vector<RateLimitReport> decodeRateLimits(const entrywire::EntryDigest &digest, TimePoint now);
+BackpressureReport decodeBackpressure(const entrywire::EntryDigest &digest, TimePoint now);
 
 /// Decodes a peer's report. Its wall time is compared with this VM's.
 PeerReport decodeReport(const entrywire::EntryDigest &digest, WallMillis ownWall);
--- a/include/gypsumdale/serving/backpressure_signal.hpp
+++ b/include/gypsumdale/serving/backpressure_signal.hpp
@@ -10,6 +10,8 @@
 {
     /// Requests per second that it takes from all VMs together; unset if it names no limit.
     std::optional<double> m_rateLimit;
+    /// It leaves, whatever its entry says.
+    bool m_isLeaving = false;
     /// Values that can't be meant. They say nothing, neither that there is a limit nor that there
     /// is none.
     std::size_t m_invalidValues = 0;
--- a/include/gypsumdale/serving/upstream_backpressure.hpp
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -36,13 +36,22 @@
     std::size_t m_vms = 1;
 };
 
+/// What of it a VM tells its peers.
+struct BackpressureReport
+{
+    std::vector<RateLimitReport> m_rateLimits;
+    /// Upstreams that said in an answer that they leave.
+    std::vector<UpstreamProcess> m_leaving;
+};
+
 /// What the upstreams have said in their answers about the requests that they want, and what of it
 /// is left to this VM.
 ///
 /// An upstream in need names a limit for all VMs together. Each VM tells its peers what it heard,
 /// and the last word of all counts. The rate is divided among a few VMs, selected for each upstream
-/// by a hash that is the same at all of them, so that no message is needed for a placement. What
-/// was said holds for the upstream's process, also while its entry is missing from the list.
+/// by a hash that is the same at all of them, so that no message is needed for a placement. An
+/// upstream that has said that it leaves is not used again. What was said holds for the upstream's
+/// process, also while its entry is missing from the list.
 class UpstreamBackpressure
 {
 public:
@@ -61,6 +70,12 @@
     /// Records what a peer was told. Returns the limit if it has changed. Complexity: logarithmic.
     std::optional<RateLimitChange> mergePeer(const RateLimitReport &report, TimePoint now);
 
+    /// Records that an upstream said in an answer, to this VM or to a peer, that it leaves. Returns
+    /// whether that is news. Complexity: logarithmic.
+    bool recordLeaving(const UpstreamProcess &process, TimePoint now);
+    /// Returns whether an upstream has said that it leaves. Complexity: logarithmic.
+    bool isLeaving(const UpstreamProcess &process) const;
+
     /// Returns whether this VM may send a request to an upstream now. Complexity: logarithmic.
     bool accepts(const UpstreamProcess &process, TimePoint now) const;
     /// Returns the time until it may, at most `longest`. Complexity: logarithmic.
@@ -72,13 +87,13 @@
     /// Records that a request is sent to an upstream. Complexity: logarithmic.
     void recordPlacement(const UpstreamProcess &process, TimePoint now);
 
-    /// Returns what this VM was the last one to hear, as far as peers may lack it. Complexity:
-    /// linear in the entries.
-    std::vector<RateLimitReport> report(TimePoint now) const;
+    /// Returns what peers may lack: the rates that this VM was the last one to hear, and which of
+    /// the upstreams that are present leave. Complexity: linear in the entries.
+    BackpressureReport report(const std::set<UpstreamProcess> &present, TimePoint now) const;
     /// Removes what has been out of date for long. Complexity: linear in the entries.
     void removeExpired(const std::set<UpstreamProcess> &present, TimePoint now);
 
-    bool isEmpty() const { return m_entries.empty(); }
+    bool isEmpty() const { return m_entries.empty() && m_leaving.empty(); }
     /// Returns the number of upstreams with a limit. Complexity: linear in the entries.
     std::size_t limitedCount() const;
 
@@ -106,6 +121,8 @@
     std::vector<NodeId> m_peers;
     std::size_t m_vms = 1;
     std::map<UpstreamProcess, Entry> m_entries;
+    /// Upstreams that said that they leave, and when they were last in the list.
+    std::map<UpstreamProcess, TimePoint> m_leaving;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_backpressure.cpp
+++ b/src/entry/entry_backpressure.cpp
@@ -2,8 +2,6 @@
 
 #include <platform/backpressure_codec.hpp>
 
-#include <set> // set
-
 namespace gypsumdale {
 
 namespace {
@@ -34,16 +32,32 @@
     const auto change = m_pool.backpressure().record(upstream.process(), signal, m_clock.now());
     if (change)
         logChange(*change, ownAnswer, Duration::zero());
+    if (signal.m_isLeaving)
+        recordLeaving(upstream.process(), ownAnswer);
 }
 
-void EntryBackpressure::setPeer(const std::string &node,
-                                const std::vector<RateLimitReport> &reports)
+/// Records that an upstream leaves, and logs it the first time.
+void EntryBackpressure::recordLeaving(const UpstreamProcess &process, std::string_view source)
+{
+    if (m_pool.backpressure().recordLeaving(process, m_clock.now()))
+        m_log.info("upstream-says-leaving", {process.m_id, {LogField::Source, source}});
+}
+
+void EntryBackpressure::setPeer(const std::string &node, const BackpressureReport &report)
 {
     const TimePoint now = m_clock.now();
     m_pool.backpressure().addPeer(NodeId(node), now);
-    for (const RateLimitReport &report : reports) {
-        if (const auto change = m_pool.backpressure().mergePeer(report, now))
-            logChange(*change, node, now - report.m_heardAt);
+    for (const RateLimitReport &limit : report.m_rateLimits) {
+        if (const auto change = m_pool.backpressure().mergePeer(limit, now))
+            logChange(*change, node, now - limit.m_heardAt);
+    }
+    if (report.m_leaving.empty())
+        return;
+    // What has left is not remembered for peers that still do, or it would be told in a circle.
+    const std::set<UpstreamProcess> known = present();
+    for (const UpstreamProcess &process : report.m_leaving) {
+        if (known.contains(process))
+            recordLeaving(process, node);
     }
 }
 
@@ -57,18 +71,24 @@
     m_pool.backpressure().setFleetSize(vms, m_clock.now());
 }
 
-std::vector<RateLimitReport> EntryBackpressure::report()
+std::set<UpstreamProcess> EntryBackpressure::present() const
+{
+    std::set<UpstreamProcess> processes;
+    for (const auto &[id, upstream] : m_pool.upstreams())
+        processes.insert(upstream->process());
+    return processes;
+}
+
+BackpressureReport EntryBackpressure::report()
 {
     const TimePoint now = m_clock.now();
     UpstreamBackpressure &backpressure = m_pool.backpressure();
     if (backpressure.isEmpty())
         return {};
-    std::set<UpstreamProcess> present;
-    for (const auto &[id, upstream] : m_pool.upstreams())
-        present.insert(upstream->process());
-    backpressure.removeExpired(present, now);
+    const std::set<UpstreamProcess> known = present();
+    backpressure.removeExpired(known, now);
     m_metrics.set(Gauge::LimitedUpstreams, static_cast<std::int64_t>(backpressure.limitedCount()));
-    return backpressure.report(now);
+    return backpressure.report(known, now);
 }
 
 Duration EntryBackpressure::returnDelay(const ServiceId &service, const BackpressureWait &wait)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -210,7 +210,7 @@
 {
     m_quota.setPeerUsage(report.m_node, report.m_accounts, now());
     m_pool.setPeerLoad(report.m_node, report.m_loads, now());
-    m_backpressure.setPeer(report.m_node, report.m_rateLimits);
+    m_backpressure.setPeer(report.m_node, report.m_backpressure);
     m_prefillRates.setPeer(report.m_node, report.m_reading);
     if (const std::size_t invalid = m_speeds.mergePeer(report.m_node, report.m_speeds, now()))
         m_log.warning("peer-speeds-invalid",
@@ -288,7 +288,7 @@
     result.m_retries = m_retryBudget.report(now());
     result.m_accounts = m_quota.localUsage(now());
     result.m_turns = m_waiting.report();
-    result.m_rateLimits = m_backpressure.report();
+    result.m_backpressure = m_backpressure.report();
     result.m_usage = m_usage.own();
     result.m_endedUsage = m_usage.ended(now());
     result.m_ownPrefill = m_prefillRates.ownRates(now());
--- a/src/entry/exchange_writer.cpp
+++ b/src/entry/exchange_writer.cpp
@@ -38,7 +38,7 @@
     fillOwnState(digest);
     fillReport(m_report, digest);
     fillSpeeds(m_report.m_speeds, nextSpeedStart(), digest);
-    fillRateLimits(m_report.m_rateLimits, m_context.now(), digest);
+    fillBackpressure(m_report.m_backpressure, m_context.now(), digest);
     digest.quarantine = encodeQuarantine(m_quarantine, m_context.now());
     if (sendsRetries())
         digest.__set_retries(encodeRetries(m_report.m_retries, m_context.now()));
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t speedsPerMessage = 4;
 /// Number of upstreams' rate limits in a message: more than a VM hears of between two.
 constexpr std::size_t rateLimitsPerMessage = 256;
+/// Number of leaving upstreams in a message.
+constexpr std::size_t leavingPerMessage = 1024;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
 /// Longer than any client waits, and than any count is kept. A longer time is not from a VM, and
@@ -165,6 +167,8 @@
     }
 }
 
+namespace {
+
 void fillRateLimits(std::vector<RateLimitReport> reports, TimePoint now,
                     entrywire::EntryDigest &digest)
 {
@@ -186,7 +190,7 @@
     }
 }
 
-std::vector<RateLimitReport> decodeRateLimits(const entrywire::EntryDigest &digest, TimePoint now)
+std::vector<RateLimitReport> rateLimitsOf(const entrywire::EntryDigest &digest, TimePoint now)
 {
     std::vector<RateLimitReport> decoded;
     for (const auto &encoded : digest.rateLimits) {
@@ -205,6 +209,33 @@
     return decoded;
 }
 
+} // namespace
+
+void fillBackpressure(const BackpressureReport &report, TimePoint now,
+                      entrywire::EntryDigest &digest)
+{
+    fillRateLimits(report.m_rateLimits, now, digest);
+    if (report.m_leaving.empty())
+        return;
+    digest.__isset.leavingUpstreams = true;
+    for (const UpstreamProcess &process : report.m_leaving) {
+        if (digest.leavingUpstreams.size() == leavingPerMessage)
+            break;
+        auto &encoded = digest.leavingUpstreams.emplace_back();
+        encoded.upstream = process.m_id.text();
+        encoded.startedAt = process.m_startedAt;
+    }
+}
+
+BackpressureReport decodeBackpressure(const entrywire::EntryDigest &digest, TimePoint now)
+{
+    BackpressureReport report;
+    report.m_rateLimits = rateLimitsOf(digest, now);
+    for (const auto &encoded : digest.leavingUpstreams)
+        report.m_leaving.push_back({UpstreamId(encoded.upstream), encoded.startedAt});
+    return report;
+}
+
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest)
 {
--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -15,6 +15,9 @@
 /// Time for which a limit is told and, once its upstream has left the list, remembered. An entry
 /// may vanish for an outage of the store.
 constexpr Duration limitedTime = std::chrono::seconds(60);
+/// Time for which it is remembered that an upstream leaves that isn't in the list: longer than
+/// entries are missing in an outage of the store.
+constexpr Duration leavingTime = std::chrono::minutes(10);
 /// More upstreams than a fleet has.
 constexpr std::size_t maxEntries = 16384;
 
@@ -47,8 +50,8 @@
                                                             const BackpressureSignal &signal,
                                                             TimePoint now)
 {
-    const bool isUnlimited = !signal.m_rateLimit && !m_entries.contains(process);
-    if (isUnlimited || signal.m_invalidValues > 0)
+    const bool saysNothing = signal.m_invalidValues > 0 || !m_entries.contains(process);
+    if (!signal.m_rateLimit && saysNothing)
         return std::nullopt;
     return apply({process, signal.m_rateLimit, now}, true, now);
 }
@@ -130,6 +133,18 @@
     return isRendezvousChoice(process.m_id.text(), nodes, rateLimitHolders(view), m_node);
 }
 
+bool UpstreamBackpressure::recordLeaving(const UpstreamProcess &process, TimePoint now)
+{
+    if (m_leaving.size() >= maxEntries && !m_leaving.contains(process))
+        return false;
+    return m_leaving.try_emplace(process, now).second;
+}
+
+bool UpstreamBackpressure::isLeaving(const UpstreamProcess &process) const
+{
+    return m_leaving.contains(process);
+}
+
 bool UpstreamBackpressure::accepts(const UpstreamProcess &process, TimePoint now) const
 {
     const auto found = m_entries.find(process);
@@ -161,15 +176,20 @@
         found->second.m_permits.take(now);
 }
 
-std::vector<RateLimitReport> UpstreamBackpressure::report(TimePoint now) const
+BackpressureReport UpstreamBackpressure::report(const std::set<UpstreamProcess> &present,
+                                                TimePoint now) const
 {
-    std::vector<RateLimitReport> reports;
+    BackpressureReport report;
     for (const auto &[process, entry] : m_entries) {
         const Duration told = entry.m_limit ? limitedTime : endedTime;
         if (entry.m_isOwn && now - entry.m_heardAt <= told)
-            reports.push_back({process, entry.m_limit, entry.m_heardAt});
+            report.m_rateLimits.push_back({process, entry.m_limit, entry.m_heardAt});
     }
-    return reports;
+    for (const auto &[process, lastPresentAt] : m_leaving) {
+        if (present.contains(process))
+            report.m_leaving.push_back(process);
+    }
+    return report;
 }
 
 void UpstreamBackpressure::removeExpired(const std::set<UpstreamProcess> &present, TimePoint now)
@@ -180,6 +200,11 @@
             return now - entry.m_heardAt > endedTime;
         return !present.contains(process) && now - entry.m_heardAt > limitedTime;
     });
+    for (auto &[process, lastPresentAt] : m_leaving) {
+        if (present.contains(process))
+            lastPresentAt = now;
+    }
+    std::erase_if(m_leaving, [now](const auto &item) { return now - item.second > leavingTime; });
 }
 
 std::size_t UpstreamBackpressure::limitedCount() const
--- a/tests/src/process-entry-answer-leaving.cpp
+++ b/tests/src/process-entry-answer-leaving.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds leavingApply = 500ms;
 constexpr int requestsToReachAll = 30;
+const std::string event = "id: 1\ndata: a\n\n";
 
 /// VMs before two upstreams, of which the first says in its answers that it leaves, while its entry
 /// in the store still says that it is ready.
@@ -27,9 +28,12 @@
         : EntryWorld(2, false, leavingApply)
         , m_target(target)
     {
+        behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+            responder.send({200, headers, event});
+        });
         upstream(0).behave([](const HttpRequest &, HttpResponder &responder, HttpHeaders headers) {
             headers.add("Server-Leaving", "1");
-            responder.send({200, headers, "id: 1\ndata: a\n\n"});
+            responder.send({200, headers, event});
         });
         for (std::size_t index = 0; index < nodeCount(); ++index)
             callNode(index, "first");
--- a/tests/src/unit-platform-backpressure.cpp
+++ b/tests/src/unit-platform-backpressure.cpp
@@ -59,3 +59,15 @@
     CHECK(signal.m_rateLimit == 2.0);
     CHECK(signal.m_invalidValues == 1);
 }
+
+TEST_CASE("an answer says whether its upstream leaves")
+{
+    const auto isLeaving = [](const std::string &value) {
+        return decodeBackpressure(headersOf({{"Server-Leaving", value}})).m_isLeaving;
+    };
+    CHECK(isLeaving("1"));
+    CHECK_FALSE(isLeaving("0"));
+    CHECK_FALSE(isLeaving("soon"));
+    CHECK_FALSE(decodeBackpressure({}).m_isLeaving);
+    CHECK(decodeBackpressure(headersOf({{"Server-Leaving", "soon"}})).m_invalidValues == 1);
+}
--- a/tests/src/unit-upstream-backpressure.cpp
+++ b/tests/src/unit-upstream-backpressure.cpp
@@ -142,6 +142,9 @@
     unreadable.m_invalidValues = 1;
     CHECK_FALSE(backpressure.record(engine, unreadable, start + 1s));
     CHECK(backpressure.limitedCount() == 1);
+    BackpressureSignal partlyReadable = limitedTo(2);
+    partlyReadable.m_invalidValues = 1;
+    CHECK(backpressure.record(engine, partlyReadable, start + 2s));
 }
 
 TEST_CASE("of what several VMs heard the last counts")
@@ -159,11 +162,11 @@
 {
     UpstreamBackpressure backpressure;
     backpressure.mergePeer({engine, 2.0, start}, start + 1s);
-    CHECK(backpressure.report(start + 1s).empty());
+    CHECK(backpressure.report({engine}, start + 1s).m_rateLimits.empty());
     backpressure.record(engine, limitedTo(2), start + 2s);
-    REQUIRE(backpressure.report(start + 3s).size() == 1);
-    CHECK(backpressure.report(start + 3s).front().m_heardAt == start + 2s);
-    CHECK(backpressure.report(start + 1h).empty());
+    REQUIRE(backpressure.report({engine}, start + 3s).m_rateLimits.size() == 1);
+    CHECK(backpressure.report({engine}, start + 3s).m_rateLimits.front().m_heardAt == start + 2s);
+    CHECK(backpressure.report({engine}, start + 1h).m_rateLimits.empty());
 }
 
 TEST_CASE("the end of a limit is told for a time")
@@ -171,8 +174,8 @@
     UpstreamBackpressure backpressure;
     backpressure.record(engine, limitedTo(1), start);
     backpressure.record(engine, {}, start + 1s);
-    REQUIRE(backpressure.report(start + 10s).size() == 1);
-    CHECK_FALSE(backpressure.report(start + 10s).front().m_limit);
+    REQUIRE(backpressure.report({engine}, start + 10s).m_rateLimits.size() == 1);
+    CHECK_FALSE(backpressure.report({engine}, start + 10s).m_rateLimits.front().m_limit);
     backpressure.removeExpired({engine}, start + 2min);
     CHECK(backpressure.isEmpty());
 }
@@ -220,6 +223,24 @@
     CHECK(sent <= vms);
 }
 
+// Guards against an upstream that is used again as its entry still says that it is ready.
+TEST_CASE("an upstream that said that it leaves is not used again")
+{
+    UpstreamBackpressure backpressure;
+    CHECK(backpressure.recordLeaving(engine, start));
+    CHECK_FALSE(backpressure.recordLeaving(engine, start + 1s));
+    CHECK(backpressure.isLeaving(engine));
+    CHECK_FALSE(backpressure.isLeaving({engine.m_id, engine.m_startedAt + 1}));
+    CHECK(backpressure.report({engine}, start).m_leaving == std::vector{engine});
+    CHECK(backpressure.report({}, start).m_leaving.empty());
+    backpressure.removeExpired({engine}, start + 1h);
+    CHECK(backpressure.isLeaving(engine));
+    backpressure.removeExpired({}, start + 1h + 1min);
+    CHECK(backpressure.isLeaving(engine));
+    backpressure.removeExpired({}, start + 2h);
+    CHECK(backpressure.isEmpty());
+}
+
 TEST_CASE("a limit of zero leaves a rare trial")
 {
     UpstreamBackpressure backpressure;
@@ -283,6 +304,21 @@
     CHECK_FALSE(pool.backpressureWait(requestToApp(), start));
 }
 
+TEST_CASE("a pool doesn't place on upstreams that said that they leave")
+{
+    UpstreamPool pool = poolOf(2);
+    const PooledUpstreamPointer first = pool.choose(requestToApp(), start);
+    REQUIRE(first);
+    pool.backpressure().recordLeaving(first->process(), start);
+    const PooledUpstreamPointer second = pool.choose(requestToApp(), start);
+    REQUIRE(second);
+    CHECK(second != first);
+    CHECK(pool.placeable(ServiceId("app")).size() == 1);
+    pool.backpressure().recordLeaving(second->process(), start);
+    CHECK_FALSE(pool.choose(requestToApp(), start));
+    CHECK_FALSE(pool.backpressureWait(requestToApp(), start));
+}
+
 // Guards against rejected callers that return together and are rejected again.
 TEST_CASE("callers are asked to return one after the other")
 {
--- a/tests/support/rate_limit_simulation.hpp
+++ b/tests/support/rate_limit_simulation.hpp
@@ -274,7 +274,7 @@
         for (int from = 0; from < m_plan.m_vms; ++from) {
             if (!isRunning(*m_vms[from]))
                 continue;
-            const auto reports = m_vms[from]->m_pool.backpressure().report(now());
+            const auto reports = m_vms[from]->m_pool.backpressure().report({}, now()).m_rateLimits;
             for (int to = 0; to < m_plan.m_vms; ++to) {
                 if (from != to && (from + to) % stretch() == step % stretch())
                     send(from, to, reports);
