Leave an upstream alone that turns requests away and asks for rest

Cause: a rejection kept an upstream out of the choice for 0.1 s, whatever it asked for. An upstream that turns all away has nothing running, so it looks idle and attracts requests. Ruled out: ways other than the choice by load.

Change: a rest is kept for the upstream's process, the latest end counts, and nothing is sent until then, moved runs included. Its slots aren't counted as room. Where all upstreams rest, callers are rejected at once and told when the first rest ends.

Why it holds: the choice asks for the rest before it compares loads, and no request is sent without that choice.

--- a/include/gypsumdale/entry/entry_backpressure.hpp
+++ b/include/gypsumdale/entry/entry_backpressure.hpp
@@ -25,7 +25,7 @@
 
     /// Records what an upstream's answer says. Must be called for each answer whose header was
     /// received and that comes from this upstream's process, whatever becomes of the answer.
-    void recordAnswer(const PooledUpstream &upstream, const HttpHeaders &headers);
+    void recordAnswer(const PooledUpstream &upstream, int status, const HttpHeaders &headers);
 
     /// Records a peer that reports to this VM, with what it heard from upstreams.
     void setPeer(const std::string &node, const BackpressureReport &report);
@@ -40,6 +40,7 @@
     Duration returnDelay(const ServiceId &service, const BackpressureWait &wait);
 
 private:
+    void recordRest(const PooledUpstream &upstream, Duration rest);
     void recordLeaving(const UpstreamProcess &process, std::string_view source);
     std::set<UpstreamProcess> present() const;
     void logChange(const RateLimitChange &change, std::string_view source, Duration age);
--- a/include/gypsumdale/serving/backpressure_signal.hpp
+++ b/include/gypsumdale/serving/backpressure_signal.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <gypsumdale/core/clock.hpp>
+
 #include <cstddef> // size_t
 #include <optional> // optional
 
@@ -12,6 +14,8 @@
     std::optional<double> m_rateLimit;
     /// It leaves, whatever its entry says.
     bool m_isLeaving = false;
+    /// It wants nothing from this VM for so long.
+    std::optional<Duration> m_rest;
     /// Values that can't be meant. They say nothing, neither that there is a limit nor that there
     /// is none.
     std::size_t m_invalidValues = 0;
--- a/include/gypsumdale/serving/return_pacing.hpp
+++ b/include/gypsumdale/serving/return_pacing.hpp
@@ -4,6 +4,7 @@
 #include <gypsumdale/core/ids.hpp>
 
 #include <map> // map
+#include <optional> // optional
 
 namespace gypsumdale {
 
@@ -13,9 +14,10 @@
 {
 public:
     /// Returns the time after which one more caller of a service may return, if the first one may
-    /// after `first`, and so many are served per second; at most maxDelay. Zero if none is served
-    /// here: other VMs may serve them. Complexity: logarithmic.
-    Duration next(const ServiceId &service, Duration first, double perSecond, TimePoint now);
+    /// after `first`, and so many are served per second, or all if that isn't limited; at most
+    /// maxDelay. Zero if none is served here: other VMs may serve them. Complexity: logarithmic.
+    Duration next(const ServiceId &service, Duration first, std::optional<double> perSecond,
+                  TimePoint now);
 
     /// Callers are not sent away for longer: by then the service may have more room.
     static constexpr Duration maxDelay = std::chrono::seconds(5);
--- a/include/gypsumdale/serving/upstream_backpressure.hpp
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -51,7 +51,8 @@
 /// and the last word of all counts. The rate is divided among a few VMs, selected for each upstream
 /// by a hash that is the same at all of them, so that no message is needed for a placement. An
 /// upstream that has said that it leaves is not used again. What was said holds for the upstream's
-/// process, also while its entry is missing from the list.
+/// process, also while its entry is missing from the list. A rest is asked of one VM only, and
+/// isn't told to others.
 class UpstreamBackpressure
 {
 public:
@@ -76,6 +77,12 @@
     /// Returns whether an upstream has said that it leaves. Complexity: logarithmic.
     bool isLeaving(const UpstreamProcess &process) const;
 
+    /// Records that an upstream wants nothing from this VM until a time. Of several times the
+    /// latest counts. Complexity: linear in the upstreams that rest.
+    void recordRest(const UpstreamProcess &process, TimePoint until, TimePoint now);
+    /// Returns whether an upstream wants nothing from this VM now. Complexity: logarithmic.
+    bool isResting(const UpstreamProcess &process, TimePoint now) const;
+
     /// Returns whether this VM may send a request to an upstream now. Complexity: logarithmic.
     bool accepts(const UpstreamProcess &process, TimePoint now) const;
     /// Returns the time until it may, at most `longest`. Complexity: logarithmic.
@@ -93,7 +100,7 @@
     /// Removes what has been out of date for long. Complexity: linear in the entries.
     void removeExpired(const std::set<UpstreamProcess> &present, TimePoint now);
 
-    bool isEmpty() const { return m_entries.empty() && m_leaving.empty(); }
+    bool isEmpty() const { return m_entries.empty() && m_leaving.empty() && m_restsUntil.empty(); }
     /// Returns the number of upstreams with a limit. Complexity: linear in the entries.
     std::size_t limitedCount() const;
 
@@ -123,6 +130,7 @@
     std::map<UpstreamProcess, Entry> m_entries;
     /// Upstreams that said that they leave, and when they were last in the list.
     std::map<UpstreamProcess, TimePoint> m_leaving;
+    std::map<UpstreamProcess, TimePoint> m_restsUntil;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -133,8 +133,9 @@
 {
     /// Time until the first of them does.
     Duration m_first{};
-    /// Requests per second that this VM may send to all of them.
-    double m_perSecond = 0;
+    /// Requests per second that this VM may send to all of them; unset where one of them only
+    /// rests, and names no limit.
+    std::optional<double> m_perSecond;
     std::size_t m_upstreams = 0;
 };
 
--- a/src/entry/entry_backpressure.cpp
+++ b/src/entry/entry_backpressure.cpp
@@ -21,9 +21,10 @@
     m_pool.backpressure().setNode(node);
 }
 
-void EntryBackpressure::recordAnswer(const PooledUpstream &upstream, const HttpHeaders &headers)
+void EntryBackpressure::recordAnswer(const PooledUpstream &upstream, int status,
+                                     const HttpHeaders &headers)
 {
-    const BackpressureSignal signal = platform::decodeBackpressure(headers);
+    const BackpressureSignal signal = platform::decodeBackpressure(status, headers);
     if (signal.m_invalidValues > 0) {
         m_log.warning("upstream-signal-invalid", {upstream.m_record.m_id,
                                                   upstream.m_record.m_service,
@@ -34,6 +35,22 @@
         logChange(*change, ownAnswer, Duration::zero());
     if (signal.m_isLeaving)
         recordLeaving(upstream.process(), ownAnswer);
+    if (signal.m_rest)
+        recordRest(upstream, *signal.m_rest);
+}
+
+/// Records that an upstream asks this VM for rest, and logs it unless it rests already.
+void EntryBackpressure::recordRest(const PooledUpstream &upstream, Duration rest)
+{
+    UpstreamBackpressure &backpressure = m_pool.backpressure();
+    const TimePoint now = m_clock.now();
+    const bool wasResting = backpressure.isResting(upstream.process(), now);
+    backpressure.recordRest(upstream.process(), now + rest, now);
+    if (wasResting)
+        return;
+    m_log.info("upstream-rests", {upstream.m_record.m_id,
+                                  upstream.m_record.m_service,
+                                  {LogField::RetryAfterMillis, toMillis(rest)}});
 }
 
 /// Records that an upstream leaves, and logs it the first time.
--- a/src/entry/entry_call_backpressure.cpp
+++ b/src/entry/entry_call_backpressure.cpp
@@ -12,7 +12,7 @@
             platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
     if (traits.m_isOtherUpstream || !traits.m_answersThisRequest)
         return;
-    m_traffic.backpressure().recordAnswer(upstream, exchange.headers());
+    m_traffic.backpressure().recordAnswer(upstream, exchange.status(), exchange.headers());
 }
 
 /// Returns why no upstream was found for the request.
@@ -27,7 +27,7 @@
                           m_service,
                           {LogField::Route, m_route->m_name},
                           {LogField::Count, wait->m_upstreams},
-                          {LogField::Share, wait->m_perSecond},
+                          {LogField::Share, wait->m_perSecond.value_or(-1)},
                           {LogField::ForecastMillis, toMillis(wait->m_first)},
                           {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
                           {LogField::RetryAfterMillis, toMillis(m_stopRetryAfter)}});
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -138,6 +138,11 @@
                                  {LogField::ListAgeMillis, toMillis(m_traffic.listAge())}});
         return std::nullopt;
     }
+    if (m_traffic.pool().backpressure().isResting(moved.m_upstream->process(), m_traffic.now())) {
+        m_traffic.log().warning("moved-run-not-wanted",
+                                {m_caller.m_id, moved.m_upstream->m_record.m_id});
+        return std::nullopt;
+    }
     m_memory = moved.m_memory;
     logPlaced(*moved.m_upstream, deadline->until());
     InFlightGuard guard(moved.m_upstream, 0);
--- a/src/entry/entry_waiting.cpp
+++ b/src/entry/entry_waiting.cpp
@@ -97,6 +97,8 @@
     const TimePoint now = m_clock.now();
     RoomInputs room;
     for (const PooledUpstreamPointer &upstream : m_pool.placeable(service)) {
+        if (m_pool.backpressure().isResting(upstream->process(), now))
+            continue;
         room.m_slots += std::max(upstream->m_record.m_slots, 0);
         room.m_inFlight += std::max(upstream->running(), 0);
     }
--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -1,7 +1,7 @@
 #include <gypsumdale/fleet/rendezvous.hpp>
 #include <gypsumdale/serving/upstream_backpressure.hpp>
 
-#include <algorithm> // count_if, lower_bound, min_element
+#include <algorithm> // count_if, lower_bound, max, min, min_element
 
 namespace gypsumdale {
 
@@ -145,8 +145,24 @@
     return m_leaving.contains(process);
 }
 
+void UpstreamBackpressure::recordRest(const UpstreamProcess &process, TimePoint until,
+                                      TimePoint now)
+{
+    std::erase_if(m_restsUntil, [now](const auto &rest) { return rest.second <= now; });
+    TimePoint &end = m_restsUntil[process];
+    end = std::max(end, until);
+}
+
+bool UpstreamBackpressure::isResting(const UpstreamProcess &process, TimePoint now) const
+{
+    const auto found = m_restsUntil.find(process);
+    return found != m_restsUntil.end() && now < found->second;
+}
+
 bool UpstreamBackpressure::accepts(const UpstreamProcess &process, TimePoint now) const
 {
+    if (isResting(process, now))
+        return false;
     const auto found = m_entries.find(process);
     return found == m_entries.end() || !found->second.m_limit
            || found->second.m_permits.hasPermit(now);
@@ -155,10 +171,13 @@
 Duration UpstreamBackpressure::timeUntilAccepted(const UpstreamProcess &process, TimePoint now,
                                                  Duration longest) const
 {
+    Duration wait{};
+    if (isResting(process, now))
+        wait = m_restsUntil.at(process) - now;
     const auto found = m_entries.find(process);
-    if (found == m_entries.end() || !found->second.m_limit)
-        return Duration::zero();
-    return found->second.m_permits.timeUntilPermit(now, longest);
+    if (found != m_entries.end() && found->second.m_limit)
+        wait = std::max(wait, found->second.m_permits.timeUntilPermit(now, longest));
+    return std::min(wait, longest);
 }
 
 std::optional<double> UpstreamBackpressure::shareOf(const UpstreamProcess &process) const
@@ -204,6 +223,7 @@
         if (present.contains(process))
             lastPresentAt = now;
     }
+    std::erase_if(m_restsUntil, [now](const auto &rest) { return rest.second <= now; });
     std::erase_if(m_leaving, [now](const auto &item) { return now - item.second > leavingTime; });
 }
 
--- a/src/serving/upstream_pool_backpressure.cpp
+++ b/src/serving/upstream_pool_backpressure.cpp
@@ -27,14 +27,19 @@
     if (candidates.empty())
         return std::nullopt;
     BackpressureWait wait{maxWait, 0, candidates.size()};
+    bool hasUnlimited = false;
     for (const PooledUpstreamPointer &candidate : candidates) {
         const UpstreamProcess process = candidate->process();
         if (m_backpressure.accepts(process, now))
             return std::nullopt;
         wait.m_first =
                 std::min(wait.m_first, m_backpressure.timeUntilAccepted(process, now, maxWait));
-        wait.m_perSecond += m_backpressure.shareOf(process).value_or(0);
+        const std::optional<double> share = m_backpressure.shareOf(process);
+        hasUnlimited = hasUnlimited || !share;
+        *wait.m_perSecond += share.value_or(0);
     }
+    if (hasUnlimited)
+        wait.m_perSecond.reset();
     return wait;
 }
 
--- a/tests/src/unit-upstream-backpressure.cpp
+++ b/tests/src/unit-upstream-backpressure.cpp
@@ -293,7 +293,8 @@
     CHECK_FALSE(pool.choose(requestToApp(), start));
     const auto wait = pool.backpressureWait(requestToApp(), start);
     REQUIRE(wait);
-    CHECK(isNear(wait->m_perSecond, 1));
+    REQUIRE(wait->m_perSecond);
+    CHECK(isNear(*wait->m_perSecond, 1));
     CHECK(wait->m_upstreams == 2);
     CHECK(pool.choose(requestToApp(), start + wait->m_first));
 }
@@ -304,6 +305,50 @@
     CHECK_FALSE(pool.backpressureWait(requestToApp(), start));
 }
 
+// Guards against requests that a resting upstream turns away one after the other.
+TEST_CASE("an upstream that asked for rest gets nothing until its end")
+{
+    UpstreamBackpressure backpressure;
+    backpressure.recordRest(engine, start + 3s, start);
+    backpressure.recordRest(engine, start + 2s, start);
+    CHECK(backpressure.isResting(engine, start + 2500ms));
+    CHECK_FALSE(backpressure.accepts(engine, start + 2500ms));
+    CHECK(backpressure.timeUntilAccepted(engine, start + 2500ms, 1min) == 500ms);
+    CHECK(backpressure.accepts(engine, start + 3s));
+    CHECK(backpressure.accepts({engine.m_id, engine.m_startedAt + 1}, start));
+    CHECK(backpressure.report({engine}, start).m_rateLimits.empty());
+    backpressure.removeExpired({engine}, start + 3s);
+    CHECK(backpressure.isEmpty());
+}
+
+TEST_CASE("a rest and a limit hold both")
+{
+    UpstreamBackpressure backpressure;
+    backpressure.record(engine, limitedTo(10), start);
+    backpressure.recordRest(engine, start + 3s, start);
+    CHECK_FALSE(backpressure.accepts(engine, start + 2s));
+    CHECK(backpressure.accepts(engine, start + 3s));
+    backpressure.recordPlacement(engine, start + 3s);
+    backpressure.recordPlacement(engine, start + 3s);
+    CHECK(sendable(backpressure, start + 3s, 1s) < 20);
+}
+
+TEST_CASE("callers are told when the first upstream that rests takes requests again")
+{
+    UpstreamPool pool = poolOf(2);
+    for (const auto &[id, upstream] : pool.upstreams()) {
+        const Duration rest = id == UpstreamId("u-0") ? 2s : 4s;
+        pool.backpressure().recordRest(upstream->process(), start + rest, start);
+    }
+    const auto wait = pool.backpressureWait(requestToApp(), start);
+    REQUIRE(wait);
+    CHECK(wait->m_first == 2s);
+    CHECK_FALSE(wait->m_perSecond);
+    ReturnPacing returns;
+    CHECK(returns.next(ServiceId("app"), wait->m_first, wait->m_perSecond, start) == 2s);
+    CHECK(returns.next(ServiceId("app"), wait->m_first, wait->m_perSecond, start) == 2s);
+}
+
 TEST_CASE("a pool doesn't place on upstreams that said that they leave")
 {
     UpstreamPool pool = poolOf(2);
