--- a/include/gypsumdale/serving/upstream_backpressure.hpp
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -91,8 +91,9 @@
     /// Returns the requests per second that this VM may send there; nothing if that isn't limited.
     /// Complexity: logarithmic.
     std::optional<double> shareOf(const UpstreamProcess &process) const;
-    /// Records that a request is sent to an upstream. Complexity: logarithmic.
-    void recordPlacement(const UpstreamProcess &process, TimePoint now);
+    /// Takes one of this VM's permits for an upstream, if its rate is limited. Complexity:
+    /// logarithmic.
+    void takePermit(const UpstreamProcess &process, TimePoint now);
 
     /// Returns what peers may lack: the rates that this VM was the last one to hear, and which of
     /// the upstreams that are present leave. Complexity: linear in the entries.
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -218,9 +218,9 @@
     std::optional<BackpressureWait> backpressureWait(const PlacementRequest &request,
                                                      TimePoint now) const;
 
-    /// Records that a request is about to be sent to an upstream that choose() has selected.
-    /// Complexity: logarithmic.
-    void recordPlacement(const PooledUpstream &upstream, TimePoint now);
+    /// Takes a permit of an upstream that choose() has selected, if its rate is limited: a request
+    /// is about to be sent there. Complexity: logarithmic.
+    void takePermit(const PooledUpstream &upstream, TimePoint now);
 
     /// Selects the upstream that would serve the request soonest, or nullptr if there is none.
     /// Complexity: linear in the service's upstreams.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -232,7 +232,7 @@
         if (m_attempts.hasArrived() && !m_traffic.takeRetry(m_service))
             return AttemptStop::NotAllowed;
         m_triedUpstreams.insert(upstream->m_record.m_id);
-        m_traffic.pool().recordPlacement(*upstream, m_traffic.now());
+        m_traffic.pool().takePermit(*upstream, m_traffic.now());
         logPlaced(*upstream, *until);
         const bool isAlone = readsAlone(*upstream);
         const bool isSpeedSample = isAlone && upstream->running() < upstream->m_record.m_slots;
--- a/src/entry/run_mover.cpp
+++ b/src/entry/run_mover.cpp
@@ -86,7 +86,7 @@
     const PooledUpstreamPointer target = m_pool.choose(placement, m_clock.now());
     if (run->m_isOver || !target || !m_allowance.tryTake(source.m_service, m_clock.now()))
         return;
-    m_pool.recordPlacement(*target, m_clock.now());
+    m_pool.takePermit(*target, m_clock.now());
     run->m_isMoving = true;
     const auto result = m_client.call(platform::moveCall(source, target->m_record, run->m_request));
     run->m_isMoving = false;
--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -188,7 +188,7 @@
     return found->second.m_isHolder ? found->second.m_permits.perSecond() : 0;
 }
 
-void UpstreamBackpressure::recordPlacement(const UpstreamProcess &process, TimePoint now)
+void UpstreamBackpressure::takePermit(const UpstreamProcess &process, TimePoint now)
 {
     const auto found = m_entries.find(process);
     if (found != m_entries.end() && found->second.m_limit)
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -320,7 +320,9 @@
     Candidates candidates;
     std::size_t retained = 0;
     for (const auto &[id, pooled] : m_upstreams) {
-        if (!isCandidate(*pooled, request) || m_backpressure.isLeaving(pooled->process()))
+        const bool saysLeaving =
+                !m_backpressure.isEmpty() && m_backpressure.isLeaving(pooled->process());
+        if (saysLeaving || !isCandidate(*pooled, request))
             continue;
         candidates.push_back(pooled);
         retained += pooled->m_record.m_isRetained ? 1 : 0;
--- a/src/serving/upstream_pool_backpressure.cpp
+++ b/src/serving/upstream_pool_backpressure.cpp
@@ -15,6 +15,8 @@
 /// Removes the upstreams that take no request of this VM now.
 void UpstreamPool::keepAccepting(Candidates &candidates, TimePoint now) const
 {
+    if (m_backpressure.isEmpty())
+        return;
     std::erase_if(candidates, [this, now](const PooledUpstreamPointer &candidate) {
         return !m_backpressure.accepts(candidate->process(), now);
     });
@@ -43,9 +45,9 @@
     return wait;
 }
 
-void UpstreamPool::recordPlacement(const PooledUpstream &upstream, TimePoint now)
+void UpstreamPool::takePermit(const PooledUpstream &upstream, TimePoint now)
 {
-    m_backpressure.recordPlacement(upstream.process(), now);
+    m_backpressure.takePermit(upstream.process(), now);
 }
 
 } // namespace gypsumdale
--- a/tests/src/unit-upstream-backpressure.cpp
+++ b/tests/src/unit-upstream-backpressure.cpp
@@ -38,7 +38,7 @@
     for (TimePoint now = begin; now < begin + time; now += 10ms) {
         if (!backpressure.accepts(engine, now))
             continue;
-        backpressure.recordPlacement(engine, now);
+        backpressure.takePermit(engine, now);
         ++sent;
     }
     return sent;
@@ -124,7 +124,7 @@
 {
     UpstreamBackpressure backpressure;
     backpressure.record(engine, limitedTo(1), start);
-    backpressure.recordPlacement(engine, start);
+    backpressure.takePermit(engine, start);
     CHECK_FALSE(backpressure.accepts(engine, start));
     const auto change = backpressure.record(engine, {}, start + 1s);
     REQUIRE(change);
@@ -184,7 +184,7 @@
 {
     UpstreamBackpressure backpressure;
     backpressure.record(engine, limitedTo(1), start);
-    backpressure.recordPlacement(engine, start);
+    backpressure.takePermit(engine, start);
     CHECK_FALSE(backpressure.accepts(engine, start));
     CHECK(backpressure.accepts({engine.m_id, engine.m_startedAt + 1}, start));
 }
@@ -282,14 +282,14 @@
     const PooledUpstreamPointer first = pool.choose(requestToApp(), start);
     REQUIRE(first);
     pool.backpressure().record(first->process(), limitedTo(0.5), start);
-    pool.recordPlacement(*first, start);
+    pool.takePermit(*first, start);
     const PooledUpstreamPointer second = pool.choose(requestToApp(), start);
     REQUIRE(second);
     CHECK(second != first);
     CHECK_FALSE(pool.backpressureWait(requestToApp(), start));
 
     pool.backpressure().record(second->process(), limitedTo(0.5), start);
-    pool.recordPlacement(*second, start);
+    pool.takePermit(*second, start);
     CHECK_FALSE(pool.choose(requestToApp(), start));
     const auto wait = pool.backpressureWait(requestToApp(), start);
     REQUIRE(wait);
@@ -328,8 +328,8 @@
     backpressure.recordRest(engine, start + 3s, start);
     CHECK_FALSE(backpressure.accepts(engine, start + 2s));
     CHECK(backpressure.accepts(engine, start + 3s));
-    backpressure.recordPlacement(engine, start + 3s);
-    backpressure.recordPlacement(engine, start + 3s);
+    backpressure.takePermit(engine, start + 3s);
+    backpressure.takePermit(engine, start + 3s);
     CHECK(sendable(backpressure, start + 3s, 1s) < 20);
 }
 
--- a/tests/support/rate_limit_simulation.hpp
+++ b/tests/support/backpressure_simulation.hpp
@@ -12,20 +12,29 @@
 #include <functional> // function
 #include <map> // map
 #include <memory> // unique_ptr
+#include <optional> // optional
 #include <random> // distributions
+#include <set> // set
 #include <string> // stoi
 #include <utility> // move
 #include <vector> // vector
 
 namespace gypsumdale::testing {
 
-/// A play of VMs before upstreams that name limits of their request rate.
-struct RateLimitPlan
+/// A play of VMs before upstreams that ask for fewer requests in their answers.
+struct BackpressurePlan
 {
     int m_vms = 6;
     int m_upstreams = 9;
     /// The first ones name a limit.
     int m_limited = 1;
+    /// The last one says that it leaves, though its entry says ready, and is started again; the one
+    /// before turns requests away and asks for rest.
+    bool m_hasOthers = false;
+    /// Part of the answers that are lost.
+    double m_lostAnswers = 0;
+    /// Entries are missing from the lists of some VMs for a time.
+    bool m_losesEntries = false;
     /// Requests per second from all VMs.
     double m_limit = 1;
     /// Requests per second of all callers.
@@ -36,13 +45,15 @@
     bool m_hasFaults = true;
     /// Part of the messages between VMs that are lost.
     double m_lostMessages = 0;
+    /// VMs do what the answers say.
+    bool m_listens = true;
     /// VMs know of each other. Otherwise each takes the whole rate.
     bool m_knowsPeers = true;
     /// The limits are named from the fourth second on, for this time.
     Duration m_limitedTime = std::chrono::seconds(25);
 };
 
-struct RateLimitResult
+struct BackpressureResult
 {
     /// The most requests beyond those allowed that a limited upstream got within a window.
     int m_mostBeyond = 0;
@@ -53,13 +64,21 @@
     int m_rejected = 0;
     /// Limited upstreams that got a request in the last seconds, after their limits had ended.
     int m_usedAgain = 0;
+    /// Requests that reached the leaving process from VMs that it had told, later than allowed.
+    int m_afterLeaving = 0;
+    /// Requests that the process after it got.
+    int m_afterStart = 0;
+    /// The most requests of one VM during a rest that it was asked for.
+    int m_mostInRest = 0;
+    /// Requests that the resting one got after it took them again.
+    int m_afterRests = 0;
 };
 
 /// Plays the real decisions of all VMs, with late and lost reports between them.
-class RateLimitSimulation
+class BackpressureSimulation
 {
 public:
-    RateLimitSimulation(std::uint32_t seed, const RateLimitPlan &plan)
+    BackpressureSimulation(std::uint32_t seed, const BackpressurePlan &plan)
         : m_random(seed)
         , m_plan(plan)
         , m_arrivals(static_cast<std::size_t>(plan.m_limited))
@@ -72,9 +91,12 @@
         }
     }
 
-    RateLimitResult run()
+    BackpressureResult run()
     {
         introduceVms();
+        planStartAgain();
+        if (m_plan.m_losesEntries)
+            planMissingEntries();
         planFaults();
         const TimePoint end = m_begin + length();
         while (now() < end) {
@@ -102,6 +124,13 @@
     static constexpr double borneRequests = 5;
     /// Time for which a fault excuses its VM.
     static constexpr Duration excuseTime = std::chrono::seconds(4);
+    /// The same for a leaving, and for a rest.
+    static constexpr Duration leavingBound = std::chrono::seconds(2);
+    static constexpr Duration rest = std::chrono::seconds(3);
+    static constexpr Duration restUnderWay = std::chrono::milliseconds(500);
+    static constexpr Duration leavingBegin = std::chrono::seconds(5);
+    static constexpr Duration leavingEnd = std::chrono::seconds(20);
+    static constexpr std::int64_t secondStart = 1000;
     /// Time after which VMs count a killed one no more, and by which they differ in it.
     static constexpr Duration removalTime = std::chrono::seconds(6);
     static constexpr Duration removalSkew = std::chrono::seconds(1);
@@ -117,6 +146,10 @@
         TimePoint m_excusedUntil{};
         /// When it was first told of each upstream's limit.
         std::map<int, TimePoint> m_toldAt;
+        std::optional<TimePoint> m_leavingToldAt;
+        std::optional<TimePoint> m_restToldAt;
+        int m_inRest = 0;
+        std::set<int> m_missing;
     };
 
     struct Arrival
@@ -140,21 +173,68 @@
     {
         Vm &started = *m_vms[vm];
         started.m_pool = UpstreamPool();
+        updateList(started);
+        started.m_pool.setExchangeStretch(stretch());
+        started.m_pool.backpressure().setNode(nodeId(vm));
+        started.m_pool.backpressure().setFleetSize(m_plan.m_knowsPeers ? m_vms.size() : 1, now());
+        started.m_toldAt.clear();
+        started.m_leavingToldAt.reset();
+        started.m_restToldAt.reset();
+        ++started.m_epoch;
+    }
+
+    void updateList(Vm &vm)
+    {
         std::map<UpstreamId, UpstreamRecord> records;
         for (int number = 0; number < m_plan.m_upstreams; ++number) {
+            if (vm.m_missing.contains(number))
+                continue;
             UpstreamRecord record;
             record.m_id = upstreamId(number);
             record.m_service = ServiceId("app");
             record.m_dataCentre = DataCentreId(fmt::format("{}", number % 3));
             record.m_slots = 16;
+            record.m_startedAt = isLeavingOne(number) && hasStartedAgain() ? secondStart : 1;
             records.emplace(record.m_id, record);
         }
-        started.m_pool.update(records);
-        started.m_pool.setExchangeStretch(stretch());
-        started.m_pool.backpressure().setNode(nodeId(vm));
-        started.m_pool.backpressure().setFleetSize(m_plan.m_knowsPeers ? m_vms.size() : 1, now());
-        started.m_toldAt.clear();
-        ++started.m_epoch;
+        vm.m_pool.update(records);
+    }
+
+    bool isLeavingOne(int number) const
+    {
+        return m_plan.m_hasOthers && number == m_plan.m_upstreams - 1;
+    }
+    bool isRestingOne(int number) const
+    {
+        return m_plan.m_hasOthers && number == m_plan.m_upstreams - 2;
+    }
+    bool hasStartedAgain() const { return now() >= m_begin + leavingEnd; }
+    bool isLeaving() const { return now() >= m_begin + leavingBegin && !hasStartedAgain(); }
+    bool isTurningAway() const { return isLeaving(); }
+
+    /// The old process ends some time before the list has the new one.
+    void planStartAgain()
+    {
+        at(m_begin + leavingEnd, [this] {
+            for (auto &vm : m_vms)
+                updateList(*vm);
+        });
+    }
+
+    void planMissingEntries()
+    {
+        for (auto &vm : m_vms) {
+            const TimePoint begin = m_begin + upTo(leavingEnd);
+            const int number = m_plan.m_upstreams - 1 - static_cast<int>(m_random() % 3);
+            at(begin, [this, &vm = *vm, number] {
+                vm.m_missing.insert(number);
+                updateList(vm);
+            });
+            at(begin + upTo(std::chrono::seconds(8)), [this, &vm = *vm, number] {
+                vm.m_missing.erase(number);
+                updateList(vm);
+            });
+        }
     }
 
     /// Factor by which exchanges are spread out in a large fleet.
@@ -274,15 +354,25 @@
         for (int from = 0; from < m_plan.m_vms; ++from) {
             if (!isRunning(*m_vms[from]))
                 continue;
-            const auto reports = m_vms[from]->m_pool.backpressure().report({}, now()).m_rateLimits;
+            UpstreamPool &pool = m_vms[from]->m_pool;
+            pool.backpressure().removeExpired(presentIn(pool), now());
+            const BackpressureReport report = pool.backpressure().report(presentIn(pool), now());
             for (int to = 0; to < m_plan.m_vms; ++to) {
                 if (from != to && (from + to) % stretch() == step % stretch())
-                    send(from, to, reports);
+                    send(from, to, report);
             }
         }
     }
 
-    void send(int from, int to, const std::vector<RateLimitReport> &reports)
+    static std::set<UpstreamProcess> presentIn(const UpstreamPool &pool)
+    {
+        std::set<UpstreamProcess> processes;
+        for (const auto &[id, upstream] : pool.upstreams())
+            processes.insert(upstream->process());
+        return processes;
+    }
+
+    void send(int from, int to, const BackpressureReport &report)
     {
         if (!m_plan.m_knowsPeers)
             return;
@@ -291,15 +381,20 @@
             return;
         const Duration delay = upTo(std::chrono::milliseconds(200));
         const TimePoint sentAt = now();
-        at(now() + delay, [this, from, to, sentAt, reports] {
+        at(now() + delay, [this, from, to, sentAt, report] {
             Vm &receiver = *m_vms[to];
             if (!isRunning(receiver))
                 return;
             receiver.m_pool.backpressure().addPeer(nodeId(from), now());
             // Ages travel, not moments.
-            for (RateLimitReport report : reports) {
-                report.m_heardAt += now() - sentAt;
-                receiver.m_pool.backpressure().mergePeer(report, now());
+            for (RateLimitReport limit : report.m_rateLimits) {
+                limit.m_heardAt += now() - sentAt;
+                receiver.m_pool.backpressure().mergePeer(limit, now());
+            }
+            const std::set<UpstreamProcess> present = presentIn(receiver.m_pool);
+            for (const UpstreamProcess &process : report.m_leaving) {
+                if (present.contains(process))
+                    receiver.m_pool.backpressure().recordLeaving(process, now());
             }
         });
     }
@@ -330,10 +425,11 @@
         ++(upstream ? m_result.m_placed : m_result.m_rejected);
         if (!upstream)
             return;
-        vm.m_pool.recordPlacement(*upstream, now());
+        vm.m_pool.takePermit(*upstream, now());
         ++upstream->m_own.m_running;
         const int number = std::stoi(upstream->m_record.m_id.text().substr(2));
         recordArrival(vm, number);
+        recordOtherArrival(vm, *upstream, number);
         const Duration time = std::chrono::milliseconds(20) + upTo(std::chrono::milliseconds(200));
         at(now() + time, [this, placing, epoch = vm.m_epoch, number, upstream] {
             --upstream->m_own.m_running;
@@ -360,14 +456,54 @@
         m_result.m_usedAgain += now() > m_begin + length() - usedAgainTime ? 1 : 0;
     }
 
+    /// Judges a request at the upstream that leaves, or at the one that rests.
+    void recordOtherArrival(Vm &vm, const PooledUpstream &upstream, int number)
+    {
+        const bool isExcused = vm.m_excusedUntil > now();
+        if (isLeavingOne(number)) {
+            const bool isOld = upstream.m_record.m_startedAt != secondStart;
+            const bool isLate = vm.m_leavingToldAt && now() > *vm.m_leavingToldAt + leavingBound;
+            m_result.m_afterLeaving += isOld && isLate && !isExcused ? 1 : 0;
+            m_result.m_afterStart += isOld ? 0 : 1;
+        }
+        if (!isRestingOne(number))
+            return;
+        m_result.m_afterRests += isTurningAway() || now() < m_begin + leavingEnd ? 0 : 1;
+        const bool isInRest = vm.m_restToldAt && now() >= *vm.m_restToldAt + restUnderWay
+                              && now() < *vm.m_restToldAt + rest;
+        vm.m_inRest = isInRest ? vm.m_inRest + 1 : 0;
+        if (!isExcused)
+            m_result.m_mostInRest = std::max(m_result.m_mostInRest, vm.m_inRest);
+    }
+
+    /// What the answers of these two say.
+    void answerOther(Vm &vm, int number, const PooledUpstream &upstream)
+    {
+        UpstreamBackpressure &backpressure = vm.m_pool.backpressure();
+        if (isLeavingOne(number) && isLeaving()) {
+            vm.m_leavingToldAt = vm.m_leavingToldAt.value_or(now());
+            if (m_plan.m_listens)
+                backpressure.recordLeaving(upstream.process(), now());
+        }
+        if (isRestingOne(number) && isTurningAway()) {
+            vm.m_restToldAt = now();
+            if (m_plan.m_listens)
+                backpressure.recordRest(upstream.process(), now() + rest, now());
+        }
+    }
+
     void answer(int vm, int number, const PooledUpstream &upstream)
     {
+        if (m_random() < m_plan.m_lostAnswers * 4294967295.0)
+            return;
+        answerOther(*m_vms[vm], number, upstream);
         BackpressureSignal signal;
         if (number < m_plan.m_limited && isLimitedAt(now())) {
             signal.m_rateLimit = m_plan.m_limit;
             m_vms[vm]->m_toldAt.try_emplace(number, now());
         }
-        m_vms[vm]->m_pool.backpressure().record(upstream.process(), signal, now());
+        if (m_plan.m_listens)
+            m_vms[vm]->m_pool.backpressure().record(upstream.process(), signal, now());
     }
 
     void judge()
@@ -393,12 +529,12 @@
     }
 
     pcg32 m_random;
-    RateLimitPlan m_plan;
+    BackpressurePlan m_plan;
     TimePoint m_begin{std::chrono::hours(1)};
     EventQueue m_events;
     std::vector<std::unique_ptr<Vm>> m_vms;
     std::vector<std::vector<Arrival>> m_arrivals;
-    RateLimitResult m_result;
+    BackpressureResult m_result;
 };
 
 } // namespace gypsumdale::testing
