Keep to what an upstream says in an answer that a peer relayed

What callers would see: requests that end with a leaving upstream, and an upstream in need that gets more than it named, sent by a VM that has just reached its upstreams again. It had passed the word on in a relayed answer, but did not know whose word it was, and heard of it from the relay only with an exchange: after up to 10 s in a fleet of 480 VMs, never while the two are parted.

Cause: a relayed answer named no upstream. Found by asking of each way to a caller who has passed an answer on and who must know. Evidence: the new case of process-entry-answer-leaving, with the exchanges between the two VMs silenced; without the change a later request reaches the upstream.

Change: a relay adds the upstream's process to the answers that it passes on (Relay-Upstream, hop-by-hop), and its peer records what they say. A rest concerns the relay alone.

--- a/include/gypsumdale/entry/entry_backpressure.hpp
+++ b/include/gypsumdale/entry/entry_backpressure.hpp
@@ -25,7 +25,10 @@
 
     /// Records what an upstream's answer says. Must be called for each answer whose header was
     /// received and that comes from this upstream's process, whatever becomes of the answer.
-    void recordAnswer(const PooledUpstream &upstream, int status, const HttpHeaders &headers);
+    void recordAnswer(const UpstreamProcess &process, int status, const HttpHeaders &headers);
+    /// Records what an answer says that a peer has relayed. The rest that it may ask for concerns
+    /// the peer.
+    void recordRelayedAnswer(const UpstreamProcess &process, const HttpHeaders &headers);
 
     /// Records a peer that reports to this VM, with what it heard from upstreams.
     void setPeer(const std::string &node, const BackpressureReport &report);
@@ -40,7 +43,8 @@
     Duration returnDelay(const ServiceId &service, const BackpressureWait &wait);
 
 private:
-    void recordRest(const PooledUpstream &upstream, Duration rest);
+    void recordSignal(const UpstreamProcess &process, const BackpressureSignal &signal);
+    void recordRest(const UpstreamProcess &process, Duration rest);
     void recordLeaving(const UpstreamProcess &process, std::string_view source);
     std::set<UpstreamProcess> present() const;
     void logChange(const RateLimitChange &change, std::string_view source, Duration age);
--- a/include/gypsumdale/serving/relay_headers.hpp
+++ b/include/gypsumdale/serving/relay_headers.hpp
@@ -19,4 +19,9 @@
 inline constexpr std::string_view originService = "Relay-Origin-Service";
 inline constexpr std::string_view originVersion = "Relay-Origin-Version";
 
+/// The upstream's process that gave an answer: its id, and its start as a wall time in
+/// milliseconds.
+inline constexpr std::string_view upstream = "Relay-Upstream";
+inline constexpr std::string_view upstreamStart = "Relay-Upstream-Start";
+
 } // namespace gypsumdale::relay_headers
--- a/src/entry/entry_backpressure.cpp
+++ b/src/entry/entry_backpressure.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/entry/entry_backpressure.hpp>
+#include <gypsumdale/runtime/http_status.hpp>
 
 #include <platform/backpressure_codec.hpp>
 
@@ -21,36 +22,43 @@
     m_pool.backpressure().setNode(node);
 }
 
-void EntryBackpressure::recordAnswer(const PooledUpstream &upstream, int status,
+void EntryBackpressure::recordAnswer(const UpstreamProcess &process, int status,
                                      const HttpHeaders &headers)
 {
-    const BackpressureSignal signal = platform::decodeBackpressure(status, headers);
-    if (signal.m_invalidValues > 0) {
-        m_log.warning("upstream-signal-invalid", {upstream.m_record.m_id,
-                                                  upstream.m_record.m_service,
-                                                  {LogField::Count, signal.m_invalidValues}});
-    }
-    const auto change = m_pool.backpressure().record(upstream.process(), signal, m_clock.now());
-    if (change)
+    recordSignal(process, platform::decodeBackpressure(status, headers));
+}
+
+void EntryBackpressure::recordRelayedAnswer(const UpstreamProcess &process,
+                                            const HttpHeaders &headers)
+{
+    BackpressureSignal signal = platform::decodeBackpressure(statusOk, headers);
+    signal.m_rest.reset();
+    recordSignal(process, signal);
+}
+
+void EntryBackpressure::recordSignal(const UpstreamProcess &process,
+                                     const BackpressureSignal &signal)
+{
+    if (signal.m_invalidValues > 0)
+        m_log.warning("upstream-signal-invalid",
+                      {process.m_id, {LogField::Count, signal.m_invalidValues}});
+    if (const auto change = m_pool.backpressure().record(process, signal, m_clock.now()))
         logChange(*change, ownAnswer, Duration::zero());
     if (signal.m_isLeaving)
-        recordLeaving(upstream.process(), ownAnswer);
+        recordLeaving(process, ownAnswer);
     if (signal.m_rest)
-        recordRest(upstream, *signal.m_rest);
+        recordRest(process, *signal.m_rest);
 }
 
 /// Records that an upstream asks this VM for rest, and logs it unless it rests already.
-void EntryBackpressure::recordRest(const PooledUpstream &upstream, Duration rest)
+void EntryBackpressure::recordRest(const UpstreamProcess &process, Duration rest)
 {
     UpstreamBackpressure &backpressure = m_pool.backpressure();
     const TimePoint now = m_clock.now();
-    const bool wasResting = backpressure.isResting(upstream.process(), now);
-    backpressure.recordRest(upstream.process(), now + rest, now);
-    if (wasResting)
-        return;
-    m_log.info("upstream-rests", {upstream.m_record.m_id,
-                                  upstream.m_record.m_service,
-                                  {LogField::RetryAfterMillis, toMillis(rest)}});
+    const bool wasResting = backpressure.isResting(process, now);
+    backpressure.recordRest(process, now + rest, now);
+    if (!wasResting)
+        m_log.info("upstream-rests", {process.m_id, {LogField::RetryAfterMillis, toMillis(rest)}});
 }
 
 /// Records that an upstream leaves, and logs it the first time.
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -372,7 +372,7 @@
 {
     HttpReply reply;
     reply.m_status = answer.m_exchange.status();
-    reply.m_headers = platform::callerHeaders(answer.m_exchange.headers());
+    reply.m_headers = forwardedHeaders(answer);
     auto body = answer.m_exchange.readBody();
     if (auto *failure = std::get_if<CallFailure>(&body))
         return std::move(*failure);
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -178,6 +178,8 @@
     /// Returns the number of prompt tokens that no other request shares.
     std::int64_t ownTokens() const { return m_caller.m_promptTokens - m_caller.m_sharedTokens; }
     void recordBackpressure(const HttpExchange &exchange, const PooledUpstream &upstream);
+    void recordRelayedBackpressure(const HttpExchange &exchange);
+    HttpHeaders forwardedHeaders(const UpstreamAnswer &answer) const;
     AttemptStop stopWithoutUpstream();
     bool acceptsAnswer(const HttpExchange &exchange, PooledUpstream &upstream);
     StreamOrigin originAt(const PooledUpstream &upstream) const;
--- a/src/entry/entry_call_backpressure.cpp
+++ b/src/entry/entry_call_backpressure.cpp
@@ -12,7 +12,24 @@
             platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
     if (traits.m_isOtherUpstream || !traits.m_answersThisRequest)
         return;
-    m_traffic.backpressure().recordAnswer(upstream, exchange.status(), exchange.headers());
+    m_traffic.backpressure().recordAnswer(upstream.process(), exchange.status(),
+                                          exchange.headers());
+}
+
+/// Records the same of an answer that a peer has relayed.
+void EntryCall::recordRelayedBackpressure(const HttpExchange &exchange)
+{
+    if (const auto process = platform::relayedUpstream(exchange.headers()))
+        m_traffic.backpressure().recordRelayedAnswer(*process, exchange.headers());
+}
+
+/// Returns the header fields of an answer to be forwarded, to a peer with the upstream's process.
+HttpHeaders EntryCall::forwardedHeaders(const UpstreamAnswer &answer) const
+{
+    HttpHeaders headers = platform::callerHeaders(answer.m_exchange.headers());
+    if (m_source == CallSource::Peer)
+        platform::addRelayedUpstream(headers, answer.m_guard.upstream().process());
+    return headers;
 }
 
 /// Returns why no upstream was found for the request.
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -53,6 +53,7 @@
         return std::nullopt;
     }
     m_attempts.recordAnswer();
+    recordRelayedBackpressure(exchange);
     const platform::AnswerTraits traits =
             platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
     const bool isOwnAnswer = exchange.status() / 100 != 2 && !traits.m_isSigned;
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -318,7 +318,7 @@
     m_streamStartedAt = m_traffic.now();
     m_lastEventAt = m_streamStartedAt;
     m_series->record(Latency::FirstToken, m_streamStartedAt - m_arrivedAt);
-    HttpHeaders headers = platform::callerHeaders(answer.m_exchange.headers());
+    HttpHeaders headers = forwardedHeaders(answer);
     if (m_source == CallSource::Peer)
         platform::addRelayedOrigin(headers, answer.m_origin);
     const bool isGood = m_responder.begin(answer.m_exchange.status(), headers);
--- a/src/entry/in_flight_guard.hpp
+++ b/src/entry/in_flight_guard.hpp
@@ -19,6 +19,7 @@
     InFlightGuard &operator=(const InFlightGuard &) = delete;
 
     PooledUpstream &upstream() { return *m_upstream; }
+    const PooledUpstream &upstream() const { return *m_upstream; }
     const PooledUpstreamPointer &pointer() const { return m_upstream; }
     /// Records that the prompt was read: the first event was received.
     void onPromptRead();
--- a/tests/src/process-entry-answer-leaving.cpp
+++ b/tests/src/process-entry-answer-leaving.cpp
@@ -20,6 +20,16 @@
 constexpr int requestsToReachAll = 30;
 const std::string event = "id: 1\ndata: a\n\n";
 
+/// When the first upstream says that it leaves.
+enum class LeavingFrom {
+    Later,
+};
+
+void answerWithEvent(const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers)
+{
+    responder.send({200, headers, event});
+}
+
 /// VMs before two upstreams, of which the first says in its answers that it leaves, while its entry
 /// in the store still says that it is ready.
 struct AnswerLeavingWorld : EntryWorld
@@ -28,15 +38,26 @@
         : EntryWorld(2, false, leavingApply)
         , m_target(target)
     {
-        behave([](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
-            responder.send({200, headers, event});
-        });
+        letLeave();
+        for (std::size_t index = 0; index < nodeCount(); ++index)
+            callNode(index, "first");
+    }
+
+    /// The same with paths that can be disturbed, where the first upstream doesn't leave yet.
+    explicit AnswerLeavingWorld(LeavingFrom)
+        : EntryWorld(2, true)
+        , m_target("/once/x")
+    {
+        behave(answerWithEvent);
+    }
+
+    void letLeave()
+    {
+        behave(answerWithEvent);
         upstream(0).behave([](const HttpRequest &, HttpResponder &responder, HttpHeaders headers) {
             headers.add("Server-Leaving", "1");
             responder.send({200, headers, event});
         });
-        for (std::size_t index = 0; index < nodeCount(); ++index)
-            callNode(index, "first");
     }
 
     /// Calls a VM several times. Returns whether all calls succeeded.
@@ -106,3 +127,26 @@
         return world.arrived("again") > 0;
     });
 }
+
+// Guards against a VM that passed the word on in a relayed answer and then does not keep to it.
+TEST_CASE("a VM keeps to what an upstream said in an answer that a peer relayed")
+{
+    AnswerLeavingWorld world(LeavingFrom::Later);
+    world.separatePaths(0);
+    world.setNewConnections(0, NewConnections::Refused);
+    world.waitUntil("a peer relays", [&] {
+        world.callNode(0, "cut-off");
+        return world.fullLog(world.node(0)).find("request-relayed") != std::string::npos;
+    });
+    for (std::size_t index = 0; index < world.nodeCount(); ++index)
+        world.node(index).m_peerLink->set(LinkFault::Silence);
+    world.letLeave();
+    CHECK(world.callNode(0, "relayed"));
+    CHECK(world.arrived("relayed") == 1);
+    world.setNewConnections(0, NewConnections::Accepted);
+    world.waitUntil("it reaches the upstreams itself", [&] {
+        return world.fullLog(world.node(0)).find("service-reached") != std::string::npos;
+    });
+    CHECK(world.callNode(0, "later"));
+    CHECK(world.arrived("later") == 0);
+}
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -232,6 +232,23 @@
     CHECK(relayedOrigin(answer) == StreamOrigin{ServiceId("s"), SoftwareVersion()});
 }
 
+TEST_CASE("which upstream gave a relayed answer travels between VMs only")
+{
+    const UpstreamProcess process{UpstreamId("u-1"), 1000};
+    const HttpHeaders forged =
+            headersOf({{"Relay-Upstream", "u-1"}, {"Relay-Upstream-Start", "1"}});
+    CHECK_FALSE(relayedUpstream(callerHeaders(forged)));
+    CHECK_FALSE(relayedUpstream(upstreamHeaders(forged, Forwarding())));
+    CHECK_FALSE(relayedUpstream(relayHeaders(forged, 1500ms, std::nullopt, 12)));
+
+    HttpHeaders answer;
+    addRelayedUpstream(answer, process);
+    CHECK(relayedUpstream(answer) == process);
+    CHECK_FALSE(relayedUpstream(headersOf({{"Relay-Upstream", "u-1"}})));
+    CHECK_FALSE(relayedUpstream(
+            headersOf({{"Relay-Upstream", "u-1"}, {"Relay-Upstream-Start", "soon"}})));
+}
+
 TEST_CASE("the header of a request that a peer relays")
 {
     const HttpHeaders caller = headersOf({{"Authorization", "Bearer key"},
