Let the holders of an upstream's rate send at different moments

What an upstream would see: a few requests at once, then none for seconds, in place of its even rate: up to 4 at once at a limit of 1 a second.

Cause: a VM's first permit came from the same hash by which holders are selected, and holders are those with the highest ones.

--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -2,6 +2,7 @@
 #include <gypsumdale/serving/upstream_backpressure.hpp>
 
 #include <algorithm> // count_if, lower_bound, max, min, min_element
+#include <string> // string
 
 namespace gypsumdale {
 
@@ -119,11 +120,12 @@
 }
 
 /// Returns a part of a permit that is this VM's own, so that the VMs don't send their first
-/// requests at the same time.
+/// requests at the same time. Not by the hash that selects holders: all of them have a high one.
 double UpstreamBackpressure::firstPermits(const UpstreamProcess &process) const
 {
     constexpr double range = 18446744073709551616.0;
-    return static_cast<double>(rendezvousWeight(process.m_id.text(), m_node)) / range;
+    const std::string key = process.m_id.text() + "/first-permits";
+    return static_cast<double>(rendezvousWeight(key, m_node)) / range;
 }
 
 bool UpstreamBackpressure::isHolder(const UpstreamProcess &process, const RateShareView &view) const
--- a/tests/src/unit-upstream-backpressure.cpp
+++ b/tests/src/unit-upstream-backpressure.cpp
@@ -107,6 +107,23 @@
     CHECK(sent >= 1);
 }
 
+// Guards against holders whose permits all come at the same moments.
+TEST_CASE("the holders of a limit send at different moments")
+{
+    int together = 0;
+    for (int number = 0; number < 100; ++number) {
+        const UpstreamProcess process{UpstreamId(fmt::format("u-{}", number)), 1};
+        int atOnce = 0;
+        for (const auto &vm : fleetOf(20)) {
+            vm->record(process, limitedTo(1), start);
+            const bool isHolder = vm->shareOf(process) > 0.0;
+            atOnce += isHolder && vm->accepts(process, start + 500ms) ? 1 : 0;
+        }
+        together += atOnce > 2 ? 1 : 0;
+    }
+    CHECK(together < 10);
+}
+
 // Guards against a VM that takes the rate of others that it doesn't know yet.
 TEST_CASE("a VM that has just started takes the part of the VMs that it knows")
 {
