Tell of leaving upstreams only while their entries say that they are ready

Once an entry says that its upstream leaves, each VM knows that from its list. So it is told only while the entry lags, as when the store is away. The tests of the leaving pass unchanged.

--- a/include/gypsumdale/entry/entry_backpressure.hpp
+++ b/include/gypsumdale/entry/entry_backpressure.hpp
@@ -47,6 +47,7 @@
     void recordRest(const UpstreamProcess &process, Duration rest);
     void recordLeaving(const UpstreamProcess &process, std::string_view source);
     std::set<UpstreamProcess> present() const;
+    std::set<UpstreamProcess> listedAsReady() const;
     void logChange(const RateLimitChange &change, std::string_view source, Duration age);
 
     UpstreamPool &m_pool;
--- a/include/gypsumdale/serving/upstream_backpressure.hpp
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -96,8 +96,8 @@
     void takePermit(const UpstreamProcess &process, TimePoint now);
 
     /// Returns what peers may lack: the rates that this VM was the last one to hear, and which of
-    /// the upstreams that are present leave. Complexity: linear in the entries.
-    BackpressureReport report(const std::set<UpstreamProcess> &present, TimePoint now) const;
+    /// the upstreams that are listed as ready leave. Complexity: linear in the entries.
+    BackpressureReport report(const std::set<UpstreamProcess> &ready, TimePoint now) const;
     /// Removes what has been out of date for long. Complexity: linear in the entries.
     void removeExpired(const std::set<UpstreamProcess> &present, TimePoint now);
 
--- a/src/entry/entry_backpressure.cpp
+++ b/src/entry/entry_backpressure.cpp
@@ -104,6 +104,18 @@
     return processes;
 }
 
+/// Returns the upstreams whose entries don't say that they leave. Of the others every VM knows it
+/// from its list.
+std::set<UpstreamProcess> EntryBackpressure::listedAsReady() const
+{
+    std::set<UpstreamProcess> processes;
+    for (const auto &[id, upstream] : m_pool.upstreams()) {
+        if (!upstream->m_record.m_isDraining)
+            processes.insert(upstream->process());
+    }
+    return processes;
+}
+
 BackpressureReport EntryBackpressure::report()
 {
     const TimePoint now = m_clock.now();
@@ -113,7 +125,7 @@
     const std::set<UpstreamProcess> known = present();
     backpressure.removeExpired(known, now);
     m_metrics.set(Gauge::LimitedUpstreams, static_cast<std::int64_t>(backpressure.limitedCount()));
-    return backpressure.report(known, now);
+    return backpressure.report(listedAsReady(), now);
 }
 
 Duration EntryBackpressure::returnDelay(const ServiceId &service, const BackpressureWait &wait)
--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -197,7 +197,7 @@
         found->second.m_permits.take(now);
 }
 
-BackpressureReport UpstreamBackpressure::report(const std::set<UpstreamProcess> &present,
+BackpressureReport UpstreamBackpressure::report(const std::set<UpstreamProcess> &ready,
                                                 TimePoint now) const
 {
     BackpressureReport report;
@@ -207,7 +207,7 @@
             report.m_rateLimits.push_back({process, entry.m_limit, entry.m_heardAt});
     }
     for (const auto &[process, lastPresentAt] : m_leaving) {
-        if (present.contains(process))
+        if (ready.contains(process))
             report.m_leaving.push_back(process);
     }
     return report;
