Name what is kept of upstreams' rates as what it is

A reader of the change met an Entry that was a rate limit, two functions of one name that decode different things, and a first number of permits that was set twice. No logic changes; unit-upstream-backpressure passes.

--- a/include/gypsumdale/entry/entry_backpressure.hpp
+++ b/include/gypsumdale/entry/entry_backpressure.hpp
@@ -48,7 +48,7 @@
     void recordLeaving(const UpstreamProcess &process, std::string_view source);
     std::set<UpstreamProcess> present() const;
     std::set<UpstreamProcess> listedAsReady() const;
-    void logChange(const RateLimitChange &change, std::string_view source, Duration age);
+    void logRateLimit(const RateLimitChange &change, std::string_view source, Duration age);
 
     UpstreamPool &m_pool;
     const Clock &m_clock;
--- a/include/gypsumdale/entry/peer_wire.hpp
+++ b/include/gypsumdale/entry/peer_wire.hpp
@@ -52,7 +52,7 @@
 void fillBackpressure(const BackpressureReport &report, TimePoint now,
                       entrywire::EntryDigest &digest);
 /// Decodes the same. Values that can't be meant are left out.
-BackpressureReport decodeBackpressure(const entrywire::EntryDigest &digest, TimePoint now);
+BackpressureReport decodeBackpressureReport(const entrywire::EntryDigest &digest, TimePoint now);
 
 /// Decodes a peer's report. Its wall time is compared with this VM's.
 PeerReport decodeReport(const entrywire::EntryDigest &digest, WallMillis ownWall);
--- a/include/gypsumdale/serving/upstream_backpressure.hpp
+++ b/include/gypsumdale/serving/upstream_backpressure.hpp
@@ -36,7 +36,7 @@
     std::size_t m_vms = 1;
 };
 
-/// What of it a VM tells its peers.
+/// What a VM tells its peers of what upstreams have asked for.
 struct BackpressureReport
 {
     std::vector<RateLimitReport> m_rateLimits;
@@ -96,17 +96,23 @@
     void takePermit(const UpstreamProcess &process, TimePoint now);
 
     /// Returns what peers may lack: the rates that this VM was the last one to hear, and which of
-    /// the upstreams that are listed as ready leave. Complexity: linear in the entries.
+    /// the upstreams that are listed as ready leave. Complexity: linear in the upstreams that
+    /// asked.
     BackpressureReport report(const std::set<UpstreamProcess> &ready, TimePoint now) const;
-    /// Removes what has been out of date for long. Complexity: linear in the entries.
+    /// Removes what has been out of date for long. Complexity: linear in the upstreams that asked.
     void removeExpired(const std::set<UpstreamProcess> &present, TimePoint now);
 
-    bool isEmpty() const { return m_entries.empty() && m_leaving.empty() && m_restsUntil.empty(); }
-    /// Returns the number of upstreams with a limit. Complexity: linear in the entries.
+    bool isEmpty() const
+    {
+        return m_rateLimits.empty() && m_leaving.empty() && m_restsUntil.empty();
+    }
+    /// Returns the number of upstreams with a limit. Complexity: linear in the upstreams that
+    /// asked.
     std::size_t limitedCount() const;
 
 private:
-    struct Entry
+    /// An upstream's limit, or that it had one until lately, and this VM's part of it.
+    struct RateLimit
     {
         std::optional<double> m_limit;
         TimePoint m_heardAt{};
@@ -117,9 +123,9 @@
     };
 
     std::optional<RateLimitChange> apply(const RateLimitReport &report, bool isOwn, TimePoint now);
-    void updateShare(const UpstreamProcess &process, Entry &entry, TimePoint now) const;
+    void updateShare(const UpstreamProcess &process, RateLimit &limit, TimePoint now) const;
     void updateShares(TimePoint now);
-    RateShareView viewOf(const Entry &entry) const;
+    RateShareView viewOf(const RateLimit &limit) const;
     double firstPermits(const UpstreamProcess &process) const;
     bool isHolder(const UpstreamProcess &process, const RateShareView &view) const;
     void dropOldest();
@@ -128,7 +134,7 @@
     /// In order.
     std::vector<NodeId> m_peers;
     std::size_t m_vms = 1;
-    std::map<UpstreamProcess, Entry> m_entries;
+    std::map<UpstreamProcess, RateLimit> m_rateLimits;
     /// Upstreams that said that they leave, and when they were last in the list.
     std::map<UpstreamProcess, TimePoint> m_leaving;
     std::map<UpstreamProcess, TimePoint> m_restsUntil;
--- a/src/entry/entry_backpressure.cpp
+++ b/src/entry/entry_backpressure.cpp
@@ -43,7 +43,7 @@
         m_log.warning("upstream-signal-invalid",
                       {process.m_id, {LogField::Count, signal.m_invalidValues}});
     if (const auto change = m_pool.backpressure().record(process, signal, m_clock.now()))
-        logChange(*change, ownAnswer, Duration::zero());
+        logRateLimit(*change, ownAnswer, Duration::zero());
     if (signal.m_isLeaving)
         recordLeaving(process, ownAnswer);
     if (signal.m_rest)
@@ -74,7 +74,7 @@
     m_pool.backpressure().addPeer(NodeId(node), now);
     for (const RateLimitReport &limit : report.m_rateLimits) {
         if (const auto change = m_pool.backpressure().mergePeer(limit, now))
-            logChange(*change, node, now - limit.m_heardAt);
+            logRateLimit(*change, node, now - limit.m_heardAt);
     }
     if (report.m_leaving.empty())
         return;
@@ -135,8 +135,8 @@
 }
 
 /// Logs that the request rate of an upstream is limited, limited otherwise, or no longer.
-void EntryBackpressure::logChange(const RateLimitChange &change, std::string_view source,
-                                  Duration age)
+void EntryBackpressure::logRateLimit(const RateLimitChange &change, std::string_view source,
+                                     Duration age)
 {
     m_log.info("upstream-rate-limit", {change.m_process.m_id,
                                        {LogField::State, change.m_limit ? "limited" : "unlimited"},
--- a/src/entry/entry_peers.cpp
+++ b/src/entry/entry_peers.cpp
@@ -428,7 +428,7 @@
                 m_context.m_traffic.wallNow() - toWholeMillis(bootNow() - receivedAt);
         PeerReport report = decodeReport(digest, wallAtReceipt);
         report.m_earlierRetries = earlier;
-        report.m_backpressure = decodeBackpressure(digest, now);
+        report.m_backpressure = decodeBackpressureReport(digest, now);
         m_context.m_traffic.setPeer(report);
     });
 }
--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -227,7 +227,7 @@
     }
 }
 
-BackpressureReport decodeBackpressure(const entrywire::EntryDigest &digest, TimePoint now)
+BackpressureReport decodeBackpressureReport(const entrywire::EntryDigest &digest, TimePoint now)
 {
     BackpressureReport report;
     report.m_rateLimits = rateLimitsOf(digest, now);
--- a/src/serving/upstream_backpressure.cpp
+++ b/src/serving/upstream_backpressure.cpp
@@ -51,7 +51,7 @@
                                                             const BackpressureSignal &signal,
                                                             TimePoint now)
 {
-    const bool saysNothing = signal.m_invalidValues > 0 || !m_entries.contains(process);
+    const bool saysNothing = signal.m_invalidValues > 0 || !m_rateLimits.contains(process);
     if (!signal.m_rateLimit && saysNothing)
         return std::nullopt;
     return apply({process, signal.m_rateLimit, now}, true, now);
@@ -60,9 +60,9 @@
 std::optional<RateLimitChange> UpstreamBackpressure::mergePeer(const RateLimitReport &report,
                                                                TimePoint now)
 {
-    const auto known = m_entries.find(report.m_process);
-    const bool isUnlimited = !report.m_limit && known == m_entries.end();
-    const bool isKnown = known != m_entries.end() && report.m_heardAt <= known->second.m_heardAt;
+    const auto known = m_rateLimits.find(report.m_process);
+    const bool isUnlimited = !report.m_limit && known == m_rateLimits.end();
+    const bool isKnown = known != m_rateLimits.end() && report.m_heardAt <= known->second.m_heardAt;
     if (isUnlimited || isKnown)
         return std::nullopt;
     return apply(report, false, now);
@@ -71,52 +71,47 @@
 std::optional<RateLimitChange> UpstreamBackpressure::apply(const RateLimitReport &report,
                                                            bool isOwn, TimePoint now)
 {
-    if (!m_entries.contains(report.m_process) && m_entries.size() >= maxEntries)
+    if (!m_rateLimits.contains(report.m_process) && m_rateLimits.size() >= maxEntries)
         dropOldest();
-    const auto [place, isNew] = m_entries.try_emplace(report.m_process);
-    Entry &entry = place->second;
-    const bool hasChanged = entry.m_limit != report.m_limit;
-    if (isNew)
-        entry.m_permits = TokenBucket(firstPermits(report.m_process), now);
-    entry.m_limit = report.m_limit;
-    entry.m_heardAt = report.m_heardAt;
-    entry.m_isOwn = isOwn;
-    if (hasChanged || !entry.m_isHolder)
-        updateShare(report.m_process, entry, now);
+    RateLimit &limit = m_rateLimits[report.m_process];
+    const bool hasChanged = limit.m_limit != report.m_limit;
+    limit.m_limit = report.m_limit;
+    limit.m_heardAt = report.m_heardAt;
+    limit.m_isOwn = isOwn;
+    if (hasChanged || !limit.m_isHolder)
+        updateShare(report.m_process, limit, now);
     if (!hasChanged)
         return std::nullopt;
-    const double share = entry.m_isHolder ? entry.m_permits.perSecond() : 0;
+    const double share = limit.m_isHolder ? limit.m_permits.perSecond() : 0;
     return RateLimitChange{report.m_process, report.m_limit, share, m_vms};
 }
 
 void UpstreamBackpressure::updateShares(TimePoint now)
 {
-    for (auto &[process, entry] : m_entries)
-        updateShare(process, entry, now);
+    for (auto &[process, limit] : m_rateLimits)
+        updateShare(process, limit, now);
 }
 
 /// Computes this VM's part of an upstream's rate. One that is no holder gathers permits only while
 /// nothing is heard of the upstream, or all such VMs would use theirs at once.
-void UpstreamBackpressure::updateShare(const UpstreamProcess &process, Entry &entry,
+void UpstreamBackpressure::updateShare(const UpstreamProcess &process, RateLimit &limit,
                                        TimePoint now) const
 {
-    if (!entry.m_limit)
+    if (!limit.m_limit)
         return;
-    const RateShareView view = viewOf(entry);
-    const bool wasHolder = entry.m_isHolder;
-    entry.m_isHolder = isHolder(process, view);
-    if (entry.m_isHolder && !wasHolder)
-        entry.m_permits = TokenBucket(firstPermits(process), now);
-    if (!entry.m_isHolder)
-        entry.m_permits = TokenBucket(firstPermits(process), entry.m_heardAt + unheardTime);
-    const RateShare share = entry.m_isHolder ? holderShare(view) : unheardShare(view);
-    const TimePoint since = entry.m_isHolder ? now : entry.m_heardAt + unheardTime;
-    entry.m_permits.setRate(share.m_perSecond, share.m_burst, since);
+    const RateShareView view = viewOf(limit);
+    const bool wasHolder = limit.m_isHolder;
+    limit.m_isHolder = isHolder(process, view);
+    const TimePoint since = limit.m_isHolder ? now : limit.m_heardAt + unheardTime;
+    if (!limit.m_isHolder || !wasHolder)
+        limit.m_permits = TokenBucket(firstPermits(process), since);
+    const RateShare share = limit.m_isHolder ? holderShare(view) : unheardShare(view);
+    limit.m_permits.setRate(share.m_perSecond, share.m_burst, since);
 }
 
-RateShareView UpstreamBackpressure::viewOf(const Entry &entry) const
+RateShareView UpstreamBackpressure::viewOf(const RateLimit &limit) const
 {
-    return {entry.m_limit.value_or(0), m_vms, m_peers.size() + 1};
+    return {limit.m_limit.value_or(0), m_vms, m_peers.size() + 1};
 }
 
 /// Returns a part of a permit that is this VM's own, so that the VMs don't send their first
@@ -165,8 +160,8 @@
 {
     if (isResting(process, now))
         return false;
-    const auto found = m_entries.find(process);
-    return found == m_entries.end() || !found->second.m_limit
+    const auto found = m_rateLimits.find(process);
+    return found == m_rateLimits.end() || !found->second.m_limit
            || found->second.m_permits.hasPermit(now);
 }
 
@@ -176,24 +171,24 @@
     Duration wait{};
     if (isResting(process, now))
         wait = m_restsUntil.at(process) - now;
-    const auto found = m_entries.find(process);
-    if (found != m_entries.end() && found->second.m_limit)
+    const auto found = m_rateLimits.find(process);
+    if (found != m_rateLimits.end() && found->second.m_limit)
         wait = std::max(wait, found->second.m_permits.timeUntilPermit(now, longest));
     return std::min(wait, longest);
 }
 
 std::optional<double> UpstreamBackpressure::shareOf(const UpstreamProcess &process) const
 {
-    const auto found = m_entries.find(process);
-    if (found == m_entries.end() || !found->second.m_limit)
+    const auto found = m_rateLimits.find(process);
+    if (found == m_rateLimits.end() || !found->second.m_limit)
         return std::nullopt;
     return found->second.m_isHolder ? found->second.m_permits.perSecond() : 0;
 }
 
 void UpstreamBackpressure::takePermit(const UpstreamProcess &process, TimePoint now)
 {
-    const auto found = m_entries.find(process);
-    if (found != m_entries.end() && found->second.m_limit)
+    const auto found = m_rateLimits.find(process);
+    if (found != m_rateLimits.end() && found->second.m_limit)
         found->second.m_permits.take(now);
 }
 
@@ -201,10 +196,10 @@
                                                 TimePoint now) const
 {
     BackpressureReport report;
-    for (const auto &[process, entry] : m_entries) {
-        const Duration told = entry.m_limit ? limitedTime : endedTime;
-        if (entry.m_isOwn && now - entry.m_heardAt <= told)
-            report.m_rateLimits.push_back({process, entry.m_limit, entry.m_heardAt});
+    for (const auto &[process, limit] : m_rateLimits) {
+        const Duration told = limit.m_limit ? limitedTime : endedTime;
+        if (limit.m_isOwn && now - limit.m_heardAt <= told)
+            report.m_rateLimits.push_back({process, limit.m_limit, limit.m_heardAt});
     }
     for (const auto &[process, lastPresentAt] : m_leaving) {
         if (ready.contains(process))
@@ -215,11 +210,11 @@
 
 void UpstreamBackpressure::removeExpired(const std::set<UpstreamProcess> &present, TimePoint now)
 {
-    std::erase_if(m_entries, [&](const auto &item) {
-        const auto &[process, entry] = item;
-        if (!entry.m_limit)
-            return now - entry.m_heardAt > endedTime;
-        return !present.contains(process) && now - entry.m_heardAt > limitedTime;
+    std::erase_if(m_rateLimits, [&](const auto &item) {
+        const auto &[process, limit] = item;
+        if (!limit.m_limit)
+            return now - limit.m_heardAt > endedTime;
+        return !present.contains(process) && now - limit.m_heardAt > limitedTime;
     });
     for (auto &[process, lastPresentAt] : m_leaving) {
         if (present.contains(process))
@@ -232,7 +227,7 @@
 std::size_t UpstreamBackpressure::limitedCount() const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_entries.begin(), m_entries.end(),
+            std::count_if(m_rateLimits.begin(), m_rateLimits.end(),
                           [](const auto &item) { return item.second.m_limit.has_value(); }));
 }
 
@@ -241,7 +236,7 @@
     const auto isEarlier = [](const auto &left, const auto &right) {
         return left.second.m_heardAt < right.second.m_heardAt;
     };
-    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(), isEarlier));
+    m_rateLimits.erase(std::min_element(m_rateLimits.begin(), m_rateLimits.end(), isEarlier));
 }
 
 } // namespace gypsumdale
