Move what VMs tell each other of upstreams into a source of its own

The code moved is unchanged. Its fields had no test of their own: unit-entry-peers has two now, of the ages and of values that a faulty peer makes up; they pass.

--- a/src/entry/peer_wire.cpp
+++ b/src/entry/peer_wire.cpp
@@ -1,12 +1,13 @@
 #include <gypsumdale/entry/peer_wire.hpp>
 
+#include <entry/wire_limits.hpp>
 #include <entry_types.h>
 
 #include <fmt/format.h>
 
-#include <algorithm> // clamp, max, min, sort
+#include <algorithm> // clamp, max, min
 #include <charconv> // from_chars
-#include <cmath> // isfinite, llround
+#include <cmath> // llround
 #include <cstddef> // ptrdiff_t, size_t
 #include <iterator> // next, prev, ssize
 
@@ -19,24 +20,11 @@
 constexpr std::ptrdiff_t windowsPerMessage = 4;
 /// Number of upstream speeds in a message: a VM reports those of its data centre within seconds.
 constexpr std::size_t speedsPerMessage = 4;
-/// Number of upstreams' rate limits in a message: more than a VM hears of between two.
-constexpr std::size_t rateLimitsPerMessage = 256;
-/// Number of leaving upstreams in a message.
-constexpr std::size_t leavingPerMessage = 1024;
 /// Demand is sent as an integer in units of 1/demandUnit requests per second.
 constexpr double demandUnit = 1000;
-/// Longer than any client waits, and than any count is kept. A longer time is not from a VM, and
-/// would overflow.
-constexpr std::chrono::milliseconds maxAge = std::chrono::hours(1);
 /// More seconds than the window of a retry budget has.
 constexpr std::int64_t maxRetrySeconds = 120;
 
-/// Returns a time that a peer sent, within what a VM may mean.
-std::chrono::milliseconds withinLimit(std::int64_t millis)
-{
-    return std::chrono::milliseconds(std::clamp<std::int64_t>(millis, 0, maxAge.count()));
-}
-
 void fillUsage(const std::map<WindowNumber, WindowCounts> &usage, entrywire::EntryDigest &digest)
 {
     const auto first =
@@ -167,75 +155,6 @@
     }
 }
 
-namespace {
-
-void fillRateLimits(std::vector<RateLimitReport> reports, TimePoint now,
-                    entrywire::EntryDigest &digest)
-{
-    if (reports.empty())
-        return;
-    const auto isLater = [](const RateLimitReport &left, const RateLimitReport &right) {
-        return left.m_heardAt > right.m_heardAt;
-    };
-    std::ranges::sort(reports, isLater);
-    reports.resize(std::min(reports.size(), rateLimitsPerMessage));
-    digest.__isset.rateLimits = true;
-    for (const RateLimitReport &report : reports) {
-        auto &encoded = digest.rateLimits.emplace_back();
-        encoded.upstream = report.m_process.m_id.text();
-        encoded.startedAt = report.m_process.m_startedAt;
-        if (report.m_limit)
-            encoded.__set_requestsPerSecond(*report.m_limit);
-        encoded.ageMillis = toWholeMillis(now - report.m_heardAt);
-    }
-}
-
-std::vector<RateLimitReport> rateLimitsOf(const entrywire::EntryDigest &digest, TimePoint now)
-{
-    std::vector<RateLimitReport> decoded;
-    for (const auto &encoded : digest.rateLimits) {
-        if (decoded.size() == rateLimitsPerMessage)
-            break;
-        RateLimitReport report;
-        report.m_process = {UpstreamId(encoded.upstream), encoded.startedAt};
-        report.m_heardAt = now - withinLimit(encoded.ageMillis);
-        if (encoded.__isset.requestsPerSecond)
-            report.m_limit = encoded.requestsPerSecond;
-        const bool isMeant =
-                !report.m_limit || (std::isfinite(*report.m_limit) && *report.m_limit >= 0);
-        if (isMeant)
-            decoded.push_back(report);
-    }
-    return decoded;
-}
-
-} // namespace
-
-void fillBackpressure(const BackpressureReport &report, TimePoint now,
-                      entrywire::EntryDigest &digest)
-{
-    fillRateLimits(report.m_rateLimits, now, digest);
-    if (report.m_leaving.empty())
-        return;
-    digest.__isset.leavingUpstreams = true;
-    for (const UpstreamProcess &process : report.m_leaving) {
-        if (digest.leavingUpstreams.size() == leavingPerMessage)
-            break;
-        auto &encoded = digest.leavingUpstreams.emplace_back();
-        encoded.upstream = process.m_id.text();
-        encoded.startedAt = process.m_startedAt;
-    }
-}
-
-BackpressureReport decodeBackpressureReport(const entrywire::EntryDigest &digest, TimePoint now)
-{
-    BackpressureReport report;
-    report.m_rateLimits = rateLimitsOf(digest, now);
-    for (const auto &encoded : digest.leavingUpstreams)
-        report.m_leaving.push_back({UpstreamId(encoded.upstream), encoded.startedAt});
-    return report;
-}
-
 void fillEnded(const std::vector<EndedProcessUsage> &ended, const std::string &receiver,
                entrywire::EntryDigest &digest)
 {
--- a/tests/src/unit-entry-peers.cpp
+++ b/tests/src/unit-entry-peers.cpp
@@ -699,3 +699,49 @@
         CHECK(received.m_recordedAt == now);
     }
 }
+
+namespace {
+
+/// Returns what a peer reads of a report that was written at a time and read later.
+BackpressureReport sentBackpressure(const BackpressureReport &report, TimePoint sentAt,
+                                    TimePoint readAt)
+{
+    entrywire::EntryDigest digest;
+    fillBackpressure(report, sentAt, digest);
+    return decodeBackpressureReport(digest, readAt);
+}
+
+} // namespace
+
+TEST_CASE("what upstreams ask for travels with its age")
+{
+    const TimePoint start{std::chrono::hours(1)};
+    const UpstreamProcess engine{UpstreamId("u-1"), 1000};
+    const UpstreamProcess other{UpstreamId("u-2"), 0};
+    BackpressureReport report;
+    report.m_rateLimits = {{engine, 1.4, start}, {other, std::nullopt, start}};
+    report.m_leaving = {engine};
+    const auto later = start + std::chrono::seconds(2);
+    const auto readAt = start + std::chrono::seconds(3);
+    const BackpressureReport read = sentBackpressure(report, later, readAt);
+    REQUIRE(read.m_rateLimits.size() == 2);
+    for (const RateLimitReport &limit : read.m_rateLimits) {
+        CHECK(limit.m_heardAt == readAt - std::chrono::seconds(2));
+        CHECK(limit.m_limit == (limit.m_process == engine ? std::optional(1.4) : std::nullopt));
+    }
+    CHECK(read.m_leaving == report.m_leaving);
+    CHECK(sentBackpressure({}, start, start).m_rateLimits.empty());
+}
+
+// Guards against a limit that a faulty peer makes up and that nobody can keep to.
+TEST_CASE("limits that can't be meant are left out")
+{
+    const TimePoint start{std::chrono::hours(1)};
+    const UpstreamProcess engine{UpstreamId("u-1"), 1000};
+    BackpressureReport report;
+    const double infinite = std::numeric_limits<double>::infinity();
+    report.m_rateLimits = {{engine, -1.0, start}, {engine, infinite, start}};
+    CHECK(sentBackpressure(report, start, start).m_rateLimits.empty());
+    report.m_rateLimits.assign(5000, {engine, 1.0, start});
+    CHECK(sentBackpressure(report, start, start).m_rateLimits.size() < 1000);
+}
