Let a request's route and account own the configuration that they are of

What callers saw: a configuration removed a route while its service was short of slots. All VMs where requests of that route waited for their turn ended with a segmentation fault, and with them went all requests that they had in flight, requests that run at most once among them (LOST).

Cause: when its turn comes, a request is judged by the configuration in force. EntryCall replaced m_view first; if no other request held the old configuration, that freed it. findRouteAndAccount() then found no route and sent 404 before it had set m_account, which pointed into the freed configuration, and logEnd() read the account's name through it.

Evidence: the core of a VM in the new test, on the code before: redactSecrets, writeLogItem, Logger::State::write, logEnd, sendOwnAnswer, findRouteAndAccount, judgeAgain, awaitTurn. Ruled out: the wait as such (a 404 at whose moment others hold the old configuration is proper), and removed accounts, whose pointer is set anew before it is read.

Change: the lookups of ServingView return pointers that share the ownership of the configuration, so a part of it can't be held without it, in whatever order a request replaces what it holds.

--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -97,7 +97,7 @@
 
 int EntryCall::priority() const
 {
-    return priorityOf(*m_route, m_account);
+    return priorityOf(*m_route, m_account.get());
 }
 
 const RequestDigest &EntryCall::digest()
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -241,8 +241,8 @@
     CallSource m_source;
     platform::CallerRequest m_caller;
     ServingViewPointer m_view;
-    const ServingRoute *m_route = nullptr;
-    const ClientAccount *m_account = nullptr;
+    ServingRoutePointer m_route;
+    ClientAccountPointer m_account;
     RequestSeries *m_series = nullptr;
     ServiceId m_service;
     /// Set while the request has its turn at the service or waits for it.
--- a/src/entry/entry_call_admission.cpp
+++ b/src/entry/entry_call_admission.cpp
@@ -160,7 +160,7 @@
         return true;
     CapacityTimeInputs terms;
     terms.m_latencyTarget = m_route->m_latencyTarget;
-    const ServingService *service = m_view->findService(m_service);
+    const ServingServicePointer service = m_view->findService(m_service);
     if (service && service->m_scaling)
         terms.m_bootTime = service->m_scaling->m_bootTime;
     const Duration retryDelay =
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -75,7 +75,7 @@
 {
     if (m_route->isRetryable())
         return true;
-    const ServingService *service = m_view->findService(m_service);
+    const ServingServicePointer service = m_view->findService(m_service);
     return service && service->m_engine && service->m_engine->m_canMoveRuns;
 }
 
--- a/src/serving/serving_view.cpp
+++ b/src/serving/serving_view.cpp
@@ -55,28 +55,28 @@
     return found == m_shortestPauses.end() ? Duration::zero() : found->second;
 }
 
-const ServingRoute *ServingView::findRoute(std::string_view host, std::string_view path) const
+ServingRoutePointer ServingView::findRoute(std::string_view host, std::string_view path) const
 {
     const auto found = m_routesByHost.find(hostKey(host));
     if (found == m_routesByHost.end())
         return nullptr;
     for (const ServingRoute *route : found->second) {
         if (path.starts_with(route->m_pathPrefix))
-            return route;
+            return share(route);
     }
     return nullptr;
 }
 
-const ClientAccount *ServingView::findAccount(std::string_view key) const
+ClientAccountPointer ServingView::findAccount(std::string_view key) const
 {
     const auto found = m_accountsByKey.find(key);
-    return found == m_accountsByKey.end() ? nullptr : found->second;
+    return found == m_accountsByKey.end() ? nullptr : share(found->second);
 }
 
-const ServingService *ServingView::findService(const ServiceId &service) const
+ServingServicePointer ServingView::findService(const ServiceId &service) const
 {
     const auto found = m_config.m_services.find(service);
-    return found == m_config.m_services.end() ? nullptr : &found->second;
+    return found == m_config.m_services.end() ? nullptr : share(&found->second);
 }
 
 } // namespace gypsumdale
--- a/tests/src/process-entry-shortage.cpp
+++ b/tests/src/process-entry-shortage.cpp
@@ -1,9 +1,11 @@
 #include "support/entry_world.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <atomic> // atomic
 #include <cstddef> // size_t
+#include <sstream> // istringstream
 #include <string> // string
 #include <thread> // thread
 #include <vector> // vector
@@ -59,6 +61,29 @@
         return count;
     }
 
+    /// Puts a configuration in force.
+    void apply(const Json &config)
+    {
+        m_world.store().put("config", "main", config);
+        const std::string text = fmt::format("\"config_version\":{}", config["version"].get<int>());
+        m_world.waitUntil("it is in force", [&] {
+            return m_world.fullLog(m_world.node()).find(text) != std::string::npos;
+        });
+    }
+
+    /// Returns what is logged about the end of a request; null if nothing.
+    Json endOf(const std::string &request)
+    {
+        std::istringstream log(m_world.fullLog(m_world.node()));
+        for (std::string line; std::getline(log, line);) {
+            const Json entry = Json::parse(line, nullptr, false);
+            if (entry.is_object() && entry.value("request", "") == request
+                && entry.contains("outcome"))
+                return entry;
+        }
+        return nullptr;
+    }
+
     Json queue()
     {
         const auto answer = m_world.get(m_world.node().m_metricsPort, "/-/queues");
@@ -72,6 +97,14 @@
     std::vector<std::thread> m_callers;
 };
 
+/// Lets requests wait for the longest time that there is.
+Json withPatience(Json config)
+{
+    for (Json &route : config["routes"])
+        route["target-latency-ms"] = route["timeout-ms"];
+    return config;
+}
+
 } // namespace
 
 TEST_CASE("requests beyond the slots of a service")
@@ -122,4 +155,25 @@
         CHECK((answer.m_status == 401 || answer.m_status == 503));
         CHECK(world.runs() == slots);
     }
+    SECTION("are rejected by a new configuration without their route")
+    {
+        // Guards against a process that ends, with all its requests, as it rejects one whose
+        // configuration nobody else uses any more.
+        world.apply(withPatience(EntryWorld::configuration(2, {"key"})));
+        EntryAnswer answer;
+        std::thread late(
+                [&] { answer = world.m_world.call(world.m_world.node(), "/once/x", "late"); });
+        world.m_world.waitUntil("it waits", [&] { return world.queue()["waiting"] == 1; });
+        Json config = EntryWorld::configuration(3, {"key"});
+        config["routes"].erase(1);
+        world.apply(config);
+        world.release();
+        late.join();
+        // On a busy machine its wait may have been over before.
+        CHECK((answer.m_status == 404 || answer.m_status == 503));
+        CHECK(world.m_whole == slots);
+        CHECK(world.runs() == slots);
+        CHECK(world.m_world.call(world.m_world.node(), "/again/x", "next").m_status == 200);
+        CHECK(world.endOf("late")["account"] == "huber");
+    }
 }
--- a/tests/src/unit-serving-view.cpp
+++ b/tests/src/unit-serving-view.cpp
@@ -2,6 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory> // make_shared, weak_ptr
+#include <string> // string
+#include <string_view> // string_view
+#include <utility> // move
+
 using namespace gypsumdale;
 
 namespace {
@@ -15,9 +20,14 @@
     return route;
 }
 
-std::string routeName(const ServingView &view, std::string_view host, std::string_view path)
+ServingViewPointer viewOf(const ServingConfig &config)
+{
+    return std::make_shared<const ServingView>(config);
+}
+
+std::string routeName(const ServingViewPointer &view, std::string_view host, std::string_view path)
 {
-    const ServingRoute *route = view.findRoute(host, path);
+    const ServingRoutePointer route = view->findRoute(host, path);
     return route ? route->m_name : std::string();
 }
 
@@ -28,7 +38,7 @@
     ServingConfig config;
     config.m_routes = {routeAt("short", "a.example", "/x/"), routeAt("long", "a.example", "/x/y/"),
                        routeAt("other", "b.example", "/x/")};
-    const ServingView view(config);
+    const ServingViewPointer view = viewOf(config);
 
     SECTION("is the one with the longest prefix of its host")
     {
@@ -55,15 +65,42 @@
     account.m_id = AccountId("huber");
     account.m_keys = {"k1", "k2"};
     config.m_accounts = {account};
-    const ServingView view(config);
-    CHECK(view.requiresKeys());
-    REQUIRE(view.findAccount("k2"));
-    CHECK(view.findAccount("k2")->m_id == AccountId("huber"));
-    CHECK_FALSE(view.findAccount("k3"));
-    CHECK_FALSE(view.findAccount(""));
+    const ServingViewPointer view = viewOf(config);
+    CHECK(view->requiresKeys());
+    REQUIRE(view->findAccount("k2"));
+    CHECK(view->findAccount("k2")->m_id == AccountId("huber"));
+    CHECK_FALSE(view->findAccount("k3"));
+    CHECK_FALSE(view->findAccount(""));
     CHECK_FALSE(ServingView(ServingConfig()).requiresKeys());
 }
 
+// Guards against a request that reads freed memory: it keeps what it was judged by when a newer
+// configuration replaces the one that nobody else uses.
+TEST_CASE("a part of a configuration outlives the configuration's last other use")
+{
+    ServingConfig config;
+    config.m_routes = {routeAt("route", "a.example", "/x/")};
+    ClientAccount account;
+    account.m_id = AccountId("huber");
+    account.m_keys = {"k1"};
+    config.m_accounts = {account};
+    config.m_services[ServiceId("llm")].m_maxConnections = 7;
+    ServingViewPointer view = viewOf(config);
+    const std::weak_ptr<const ServingView> used = view;
+    ServingRoutePointer route = view->findRoute("a.example", "/x/1");
+    ClientAccountPointer owner = view->findAccount("k1");
+    ServingServicePointer service = view->findService(ServiceId("llm"));
+    view.reset();
+    CHECK(route->m_name == "route");
+    CHECK(owner->m_id == AccountId("huber"));
+    CHECK(service->m_maxConnections == 7);
+    route.reset();
+    owner.reset();
+    CHECK_FALSE(used.expired());
+    service.reset();
+    CHECK(used.expired());
+}
+
 TEST_CASE("the shortest pause of a service's streams")
 {
     const auto streamWith = [](Duration pause, const char *service) {
@@ -78,7 +115,7 @@
                        streamWith(std::chrono::milliseconds(400), "llm"),
                        streamWith(Duration::zero(), "llm"),
                        streamWith(std::chrono::milliseconds(200), "other")};
-    const ServingView view(config);
-    CHECK(view.shortestPause(ServiceId("llm")) == std::chrono::milliseconds(400));
-    CHECK(view.shortestPause(ServiceId("plain")) == Duration::zero());
+    const ServingViewPointer view = viewOf(config);
+    CHECK(view->shortestPause(ServiceId("llm")) == std::chrono::milliseconds(400));
+    CHECK(view->shortestPause(ServiceId("plain")) == Duration::zero());
 }
