Reject waiting requests of a removed route at once

What callers saw: a request that waited for its turn when a configuration removed its route was held for up to a second more, for a turn that could only end in 404, or got 503 with a time to come back though it could not be served then either.

Cause: EntryWaiting::setView() ended the waits of accounts that were removed, and did not ask for the routes.

Change: a waiting request knows its host and path. If the configuration in force has no route for them, the wait ends and the request is judged again, as for accounts; the log says turn-route-removed.

--- a/include/gypsumdale/entry/entry_waiting.hpp
+++ b/include/gypsumdale/entry/entry_waiting.hpp
@@ -26,6 +26,9 @@
     ServiceId m_service;
     /// Empty for a request without an account.
     AccountId m_account;
+    /// By which the request finds its route.
+    std::string m_host;
+    std::string m_path;
     GateRequest m_gate;
 };
 
@@ -34,8 +37,8 @@
     Placed,
     Rejected,
     CallerGone,
-    /// The account was removed from the configuration: the request is judged again.
-    AccountRemoved,
+    /// The configuration no longer has the request's account or route: it is judged again.
+    NotAllowed,
 };
 
 /// The queues of all services at one VM, for the fibers of the traffic thread: a request waits
@@ -89,7 +92,8 @@
     void setPeer(const std::string &node, std::int64_t incarnation,
                  const std::map<ServiceId, ServiceTurnsReport> &turns);
     void removePeer(const std::string &node);
-    /// Ends the waits of accounts that the configuration no longer has.
+    /// Ends the waits of requests whose account or route the configuration no longer has.
+    /// Complexity: linear in the requests that wait, times the accounts.
     void setView(const ServingView &view);
     /// Gives out turns after the upstreams or the peers' loads have changed. Does nothing if no
     /// request waits.
--- a/src/entry/entry_call_turn.cpp
+++ b/src/entry/entry_call_turn.cpp
@@ -46,7 +46,7 @@
             m_turn.reset();
             finishUnserved(AttemptStop::CallerGone);
             return false;
-        case TurnEnd::AccountRemoved:
+        case TurnEnd::NotAllowed:
             m_turn.reset();
             break;
         }
@@ -79,6 +79,8 @@
     request.m_service = m_service;
     if (m_account)
         request.m_account = m_account->m_id;
+    request.m_host = m_caller.m_host;
+    request.m_path = m_request.path();
     GateRequest &gate = request.m_gate;
     gate.m_account = MemberId(m_account ? m_account->m_id.text() : std::string("public"));
     gate.m_priority = priority();
--- a/src/entry/entry_waiting.cpp
+++ b/src/entry/entry_waiting.cpp
@@ -1,7 +1,8 @@
 #include <gypsumdale/entry/entry_waiting.hpp>
 
-#include <algorithm> // max, none_of
+#include <algorithm> // any_of, max
 #include <initializer_list> // initializer_list
+#include <optional> // optional
 #include <utility> // exchange, move
 #include <vector> // vector
 
@@ -14,6 +15,26 @@
 /// Interval at which waits are checked for their end. No wait is shorter than a few of them.
 constexpr Duration checkInterval = std::chrono::milliseconds(10);
 
+constexpr LogEvent accountRemoved("turn-account-removed");
+constexpr LogEvent routeRemoved("turn-route-removed");
+
+bool hasAccount(const ServingView &view, const AccountId &id)
+{
+    const std::vector<ClientAccount> &accounts = view.config().m_accounts;
+    return std::any_of(accounts.begin(), accounts.end(),
+                       [&id](const ClientAccount &account) { return account.m_id == id; });
+}
+
+/// Returns the event that tells what a request needs and a configuration no longer has, or nothing.
+std::optional<LogEvent> removalOf(const TurnRequest &request, const ServingView &view)
+{
+    if (!request.m_account.isEmpty() && !hasAccount(view, request.m_account))
+        return accountRemoved;
+    if (!view.findRoute(request.m_host, request.m_path))
+        return routeRemoved;
+    return std::nullopt;
+}
+
 } // namespace
 
 /// Wakes the fiber of a request that waits.
@@ -193,24 +214,19 @@
 
 void EntryWaiting::setView(const ServingView &view)
 {
-    const std::vector<ClientAccount> &accounts = view.config().m_accounts;
-    const auto isRemoved = [&accounts](const AccountId &id) {
-        return !id.isEmpty()
-               && std::none_of(accounts.begin(), accounts.end(),
-                               [&id](const ClientAccount &account) { return account.m_id == id; });
-    };
     for (auto &[service, turns] : m_turns) {
         for (auto entry = turns.begin(); entry != turns.end();) {
             Turn &turn = *entry->second;
-            if (!isRemoved(turn.m_request.m_account)) {
+            const TurnRequest &request = turn.m_request;
+            const auto removal = removalOf(request, view);
+            if (!removal) {
                 ++entry;
                 continue;
             }
             gateOf(service).remove(turn.m_decision.m_turn);
             entry = turns.erase(entry);
-            m_log.info("turn-account-removed",
-                       {turn.m_request.m_request, service, turn.m_request.m_account});
-            turn.end(TurnEnd::AccountRemoved, turn.m_decision);
+            m_log.info(*removal, {request.m_request, service, request.m_account});
+            turn.end(TurnEnd::NotAllowed, turn.m_decision);
         }
     }
 }
--- a/tests/src/process-entry-shortage.cpp
+++ b/tests/src/process-entry-shortage.cpp
@@ -18,6 +18,14 @@
 /// Slots of the two upstreams together.
 constexpr std::size_t slots = 16;
 
+/// Lets requests wait for the longest time that there is.
+Json withPatience(Json config)
+{
+    for (Json &route : config["routes"])
+        route["target-latency-ms"] = route["timeout-ms"];
+    return config;
+}
+
 /// One entry process whose upstreams answer when they are told to.
 struct ShortWorld
 {
@@ -71,6 +79,19 @@
         });
     }
 
+    /// Lets a request wait that alone uses its configuration, and puts one without its route in
+    /// force.
+    std::thread waitWithoutRoute(EntryAnswer &answer)
+    {
+        apply(withPatience(EntryWorld::configuration(2, {"key"})));
+        std::thread late([&] { answer = m_world.call(m_world.node(), "/once/x", "late"); });
+        m_world.waitUntil("it waits", [this] { return queue()["waiting"] == 1; });
+        Json config = EntryWorld::configuration(3, {"key"});
+        config["routes"].erase(1);
+        apply(config);
+        return late;
+    }
+
     /// Returns what is logged about the end of a request; null if nothing.
     Json endOf(const std::string &request)
     {
@@ -97,14 +118,6 @@
     std::vector<std::thread> m_callers;
 };
 
-/// Lets requests wait for the longest time that there is.
-Json withPatience(Json config)
-{
-    for (Json &route : config["routes"])
-        route["target-latency-ms"] = route["timeout-ms"];
-    return config;
-}
-
 } // namespace
 
 TEST_CASE("requests beyond the slots of a service")
@@ -159,14 +172,8 @@
     {
         // Guards against a process that ends, with all its requests, as it rejects one whose
         // configuration nobody else uses any more.
-        world.apply(withPatience(EntryWorld::configuration(2, {"key"})));
         EntryAnswer answer;
-        std::thread late(
-                [&] { answer = world.m_world.call(world.m_world.node(), "/once/x", "late"); });
-        world.m_world.waitUntil("it waits", [&] { return world.queue()["waiting"] == 1; });
-        Json config = EntryWorld::configuration(3, {"key"});
-        config["routes"].erase(1);
-        world.apply(config);
+        std::thread late = world.waitWithoutRoute(answer);
         world.release();
         late.join();
         // On a busy machine its wait may have been over before.
@@ -176,4 +183,18 @@
         CHECK(world.m_world.call(world.m_world.node(), "/again/x", "next").m_status == 200);
         CHECK(world.endOf("late")["account"] == "huber");
     }
+    SECTION("are rejected as soon as a new configuration lacks their route")
+    {
+        // Guards against requests that are held although it is known that they can't be served.
+        EntryAnswer answer;
+        std::thread late = world.waitWithoutRoute(answer);
+        late.join();
+        const std::string log = world.m_world.fullLog(world.m_world.node());
+        // On a busy machine its wait may have been over before.
+        const bool hasWaitedOut = log.find("\"turn-refused\"") < log.find("\"config_version\":3");
+        CHECK(answer.m_status == (hasWaitedOut ? 503 : 404));
+        CHECK(world.runs() == slots);
+        world.release();
+        CHECK(world.m_whole == slots);
+    }
 }
