Test that no answer that is cut in its head passes for a whole one

Reported from a system like ours: a runner stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. It does not happen here; no product code is changed.

Why it holds: an answer exists for the rest of the program only when its head has ended (HttpExchange::readHeader), the end of the connection counts as the end of the body only behind that, and a stream that was begun ends properly only by its upstream's proper end.

The world of close-delimited answers is shared by both tests now; its checks are unchanged.

--- a/tests/support/raw_upstream.hpp
+++ b/tests/support/raw_upstream.hpp
@@ -3,10 +3,12 @@
 #include "support/raw_caller.hpp"
 
 #include <cstdint> // uint16_t
+#include <functional> // function
 #include <mutex> // lock_guard, mutex
 #include <string> // string
 #include <string_view> // string_view
 #include <thread> // jthread
+#include <utility> // move
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,11 +19,20 @@
 
 namespace gypsumdale::testing {
 
-/// Upstream on loopback whose answers have neither a length nor chunks and end with their
-/// connection. It serves one request at a time.
+/// How an upstream ends its connections.
+enum class ConnectionEnd {
+    Close,
+    Reset,
+};
+
+/// Upstream on loopback that ends each connection after its answer. Unless a test gives its answers
+/// byte by byte, they have neither a length nor chunks. It serves one request at a time.
 class RawUpstream
 {
 public:
+    /// Returns the bytes of the answer to a request, whose head is given.
+    using Answer = std::function<std::string(const std::string &request)>;
+
     RawUpstream()
         : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
         , m_server([this](const std::stop_token &stop) { serve(stop); })
@@ -41,6 +52,23 @@
         m_body = body;
     }
 
+    /// Lets the test give the bytes of the next answers, and how their connections end.
+    void answerWith(Answer answer, ConnectionEnd end)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answer = std::move(answer);
+        m_end = end;
+    }
+
+    static std::string fieldOf(const std::string &request, std::string_view name)
+    {
+        const std::size_t at = request.find(name);
+        if (at == std::string::npos)
+            return {};
+        const std::size_t begin = at + name.size();
+        return request.substr(begin, request.find("\r\n", begin) - begin);
+    }
+
 private:
     void serve(const std::stop_token &stop)
     {
@@ -59,28 +87,29 @@
         std::string request;
         boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), headEnd, error);
         const std::lock_guard lock(m_mutex);
-        const std::string text =
-                fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                            "Gypsumdale-Request-Id: {}\r\n"
-                            "Gypsumdale-Response-Signature: s\r\nConnection: close\r\n\r\n{}",
-                            fieldOf(request, "Gypsumdale-Request-Id: "), m_body);
+        const std::string text = m_answer ? m_answer(request) : closeDelimited(request);
         boost::asio::write(socket, boost::asio::buffer(text), error);
-        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, error);
+        if (m_end == ConnectionEnd::Reset)
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        else
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, error);
+        socket.close(error);
     }
 
-    static std::string fieldOf(const std::string &request, std::string_view name)
+    std::string closeDelimited(const std::string &request) const
     {
-        const std::size_t at = request.find(name);
-        if (at == std::string::npos)
-            return {};
-        const std::size_t begin = at + name.size();
-        return request.substr(begin, request.find("\r\n", begin) - begin);
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                           "Gypsumdale-Request-Id: {}\r\n"
+                           "Gypsumdale-Response-Signature: s\r\nConnection: close\r\n\r\n{}",
+                           fieldOf(request, "Gypsumdale-Request-Id: "), m_body);
     }
 
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::mutex m_mutex;
     std::string m_body;
+    Answer m_answer;
+    ConnectionEnd m_end = ConnectionEnd::Close;
     std::jthread m_server;
 };
 
