Test that streams are not joined of two versions after the death of all VMs

Reported from a system like ours: two software versions were in service, or the upstreams of the old one had just left, when all VMs were killed at once and came back; clients took their streams up, got 200, and a text joined of two versions. It does not happen here; no product code is changed.

A stream that is taken up goes on only by the record of its first event. The records die with the VMs, and what has no record is rejected as not run, with a time to come back.

--- a/tests/src/fuzz-entry-stream-versions.cpp
+++ b/tests/src/fuzz-entry-stream-versions.cpp
@@ -78,3 +78,21 @@
         CHECK(verdict.m_mixed == 0);
     }
 }
+
+// Guards against streams that go on at another software version after all VMs were killed at once,
+// and with them all records of where streams began.
+TEST_CASE("streams go on at their software version where the whole fleet dies")
+{
+    StreamFaults faults;
+    faults.m_hasFleetKills = true;
+    int takenUp = 0;
+    for (const StreamFleet &fleet : {StreamFleet(), grownFleet, largeFleet}) {
+        for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+            CAPTURE(fleet.m_vms, seed);
+            const StreamVerdict verdict = StreamSimulation(fleet, faults, seed).play();
+            CHECK(verdict.m_mixed == 0);
+            takenUp += verdict.m_takenUp;
+        }
+    }
+    CHECK(takenUp > 0);
+}
--- a/tests/src/process-entry-version-soak.cpp
+++ b/tests/src/process-entry-version-soak.cpp
@@ -78,12 +78,33 @@
     }
 }
 
-/// Kills or pauses one VM after the other.
+void killAndStart(EntryWorld &world, EntryWorld::EntryNode &node)
+{
+    node.m_process->send(SIGKILL);
+    while (!node.m_process->exited())
+        pause(5);
+    world.start(node);
+}
+
+/// Kills all VMs at once, and starts them again in any order.
+void killFleet(EntryWorld &world)
+{
+    for (std::size_t index = 0; index < world.nodeCount(); ++index)
+        world.node(index).m_process->send(SIGKILL);
+    for (std::size_t index = 0; index < world.nodeCount(); ++index)
+        killAndStart(world, world.node(index));
+}
+
+/// Kills or pauses one VM after the other, and now and then all of them.
 void disturbVms(Soak &soak)
 {
     pcg32 random(soak.m_seed, 2);
     while (!soak.m_isOver) {
         pause(random(1200));
+        if (random(8) == 0) {
+            killFleet(soak.m_world);
+            continue;
+        }
         EntryWorld::EntryNode &node =
                 soak.m_world.node(random(static_cast<unsigned>(soak.m_world.nodeCount())));
         if (random(2) == 0) {
@@ -92,10 +113,7 @@
             node.m_process->send(SIGCONT);
             continue;
         }
-        node.m_process->send(SIGKILL);
-        while (!node.m_process->exited())
-            pause(5);
-        soak.m_world.start(node);
+        killAndStart(soak.m_world, node);
     }
 }
 
--- a/tests/support/stream_simulation.hpp
+++ b/tests/support/stream_simulation.hpp
@@ -38,6 +38,8 @@
     bool m_hasPartedVms = false;
     /// VMs that hold an old list of upstreams for seconds.
     bool m_hasOldLists = false;
+    /// All VMs are killed at once.
+    bool m_hasFleetKills = false;
 };
 
 /// What clients got of their streams.
@@ -88,11 +90,13 @@
         scheduleStreams();
         repeat(std::chrono::milliseconds(1500), [this] { changeUpstreams(); });
         if (m_faults.m_hasKilledVms)
-            repeat(std::chrono::seconds(4), [this] { killVm(); });
+            repeat(std::chrono::seconds(4), [this] { kill(*m_vms[draw(m_vms.size())]); });
         if (m_faults.m_hasPartedVms)
             repeat(std::chrono::seconds(5), [this] { disturb(&Vm::m_isParted); });
         if (m_faults.m_hasOldLists)
             repeat(std::chrono::seconds(5), [this] { disturb(&Vm::m_hasOldList); });
+        if (m_faults.m_hasFleetKills)
+            repeat(std::chrono::seconds(8), [this] { killFleet(); });
         m_queue.runUntil(m_queue.now() + m_fleet.m_length);
         for (const auto &stream : m_streams)
             m_verdict.m_mixed += stream->m_versions.size() > 1 ? 1 : 0;
@@ -231,9 +235,14 @@
 
     // VMs.
 
-    void killVm()
+    void killFleet()
+    {
+        for (const auto &vm : m_vms)
+            kill(*vm);
+    }
+
+    void kill(Vm &vm)
     {
-        Vm &vm = *m_vms[draw(m_vms.size())];
         vm.m_isUp = false;
         ++vm.m_life;
         vm.m_diedAt = m_queue.now();
--- a/tests/support/version_world.hpp
+++ b/tests/support/version_world.hpp
@@ -46,21 +46,14 @@
     /// Replaces an upstream by another one of a software version at the same address.
     void replaceUpstream(std::size_t index, const std::string &version)
     {
-        const Standing before = standing(index);
-        const std::string id = fmt::format("{}-{}", upstream(index).id(), ++m_replaced);
-        store().remove("servers", before.m_id);
-        {
-            const std::lock_guard lock(m_mutex);
-            m_standing.at(index) = {id, version};
-        }
-        const std::string address = fmt::format("127.0.0.1:{}", upstreamLink(index).port());
-        store().put("servers", id,
-                    {{"service", "app"},
-                     {"address", address},
-                     {"zone", "here"},
-                     {"version", version},
-                     {"slots", 8},
-                     {"state", "ready"}});
+        store().remove("servers", standing(index).m_id);
+        list(index, {fmt::format("{}-{}", upstream(index).id(), ++m_replaced), version});
+    }
+
+    /// Starts an upstream again as another software version, under the same id.
+    void restartUpstream(std::size_t index, const std::string &version)
+    {
+        list(index, {standing(index).m_id, version});
     }
 
     std::atomic<int> m_eventsPerRun = 2;
@@ -79,6 +72,22 @@
         return m_standing.at(index);
     }
 
+    void list(std::size_t index, const Standing &now)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_standing.at(index) = now;
+        }
+        const std::string address = fmt::format("127.0.0.1:{}", upstreamLink(index).port());
+        store().put("servers", now.m_id,
+                    {{"service", "app"},
+                     {"address", address},
+                     {"zone", "here"},
+                     {"version", now.m_version},
+                     {"slots", 8},
+                     {"state", "ready"}});
+    }
+
     void serve(std::size_t index, const HttpRequest &request, HttpResponder &responder,
                const HttpHeaders &headers)
     {
