--- a/tests/src/process-entry-shortage.cpp
+++ b/tests/src/process-entry-shortage.cpp
@@ -97,7 +97,7 @@
     {
         std::istringstream log(m_world.fullLog(m_world.node()));
         for (std::string line; std::getline(log, line);) {
-            const Json entry = Json::parse(line, nullptr, false);
+            Json entry = Json::parse(line, nullptr, false);
             if (entry.is_object() && entry.value("request", "") == request
                 && entry.contains("outcome"))
                 return entry;
