Let an exchange be awaited without giving its answer up

Change: HttpClient::send() returns before the header; awaitHeader() and awaitBody() return false at a limit and leave the connection open; interrupt() ends such a wait from another fiber; giveUp() is what the limit did before. open() is made of these and behaves as before.

--- a/include/gypsumdale/entry/upstream_client.hpp
+++ b/include/gypsumdale/entry/upstream_client.hpp
@@ -18,6 +18,9 @@
     /// Same as HttpClient::open().
     CallResult<HttpExchange> open(const HttpCall &call);
 
+    /// Same as HttpClient::send().
+    CallResult<HttpExchange> send(const HttpCall &call);
+
     /// Same as HttpClient::call().
     CallResult<HttpReply> call(const HttpCall &call);
 
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -113,8 +113,8 @@
 };
 
 /// An answer that is read piece by piece. Destroying it before the end resets the connection, which
-/// makes the other side cancel. All calls are made from fibers of the client's loop; cancel() may
-/// be called from another fiber of the same loop while one waits in read().
+/// makes the other side cancel. All calls are made from fibers of the client's loop; cancel() and
+/// interrupt() may be called from another fiber of the same loop while one waits.
 class HttpExchange
 {
 public:
@@ -122,6 +122,25 @@
     HttpExchange(HttpExchange &&) noexcept;
     HttpExchange &operator=(HttpExchange &&) noexcept;
 
+    /// Waits until the header has arrived or the exchange has failed. Returns false if neither
+    /// happened within the limit or before interrupt(): the connection stays open, and the answer
+    /// can still arrive.
+    bool awaitHeader(Duration limit);
+
+    /// Waits until the header has arrived and read() has something to return: a piece of the body,
+    /// its end, or a failure. Returns false as awaitHeader() does.
+    bool awaitBody(Duration limit);
+
+    /// Ends another fiber's wait in awaitHeader() or awaitBody(), if there is one.
+    void interrupt();
+
+    bool hasHeader() const;
+
+    /// Returns the reason for which the exchange has failed, or nothing if it has not.
+    std::optional<CallFailure> failure() const;
+
+    /// Status and headers of the answer; only once awaitHeader() has returned true without a
+    /// failure.
     int status() const;
     const HttpHeaders &headers() const;
 
@@ -139,6 +158,10 @@
     /// the call allows; the connection is then closed.
     CallResult<std::string> readBody();
 
+    /// Gives up an answer that has not come in time: closes the connection and returns
+    /// UpstreamSilent, or the failure that came before.
+    CallFailure giveUp();
+
     /// Resets the connection; a fiber that waits in read() returns at once with Cancelled.
     void cancel();
 
@@ -176,6 +199,11 @@
     /// before the first byte was written (NothingSent) or before all bytes were acknowledged.
     CallResult<HttpExchange> open(const HttpCall &call);
 
+    /// Sends a request and returns before the header of the answer has arrived, which the caller
+    /// awaits. The header timeout limits only the time in which the request is written. Fails as
+    /// open() does.
+    CallResult<HttpExchange> send(const HttpCall &call);
+
     /// Sends a request and returns the complete answer.
     CallResult<HttpReply> call(const HttpCall &call);
 
--- a/include/gypsumdale/runtime/http_status.hpp
+++ b/include/gypsumdale/runtime/http_status.hpp
@@ -13,6 +13,7 @@
 inline constexpr int statusGone = 410;
 inline constexpr int statusPreconditionFailed = 412;
 inline constexpr int statusTooManyRequests = 429;
+inline constexpr int statusInternalError = 500;
 inline constexpr int statusBadGateway = 502;
 inline constexpr int statusUnavailable = 503;
 inline constexpr int statusGatewayTimeout = 504;
--- a/src/entry/upstream_client.cpp
+++ b/src/entry/upstream_client.cpp
@@ -9,6 +9,13 @@
     return result;
 }
 
+CallResult<HttpExchange> UpstreamClient::send(const HttpCall &call)
+{
+    CallResult<HttpExchange> result = m_client.send(call);
+    count(call, std::get_if<CallFailure>(&result));
+    return result;
+}
+
 CallResult<HttpReply> UpstreamClient::call(const HttpCall &call)
 {
     CallResult<HttpReply> result = m_client.call(call);
--- a/src/runtime/detail/http_exchange_state.hpp
+++ b/src/runtime/detail/http_exchange_state.hpp
@@ -30,10 +30,18 @@
 
     std::optional<CallFailure> send(const HttpCall &call);
     std::optional<CallFailure> readHeader(Duration timeout);
+    /// Returns false if neither the header nor a failure has come by the deadline. Leaves the
+    /// connection open then.
+    bool awaitHeader(detail::SteadyTime deadline);
+    bool awaitBody(detail::SteadyTime deadline);
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
     CallResult<std::string> readBody();
     void cancel();
 
+    bool hasHeader() const;
+    /// Returns whether read() needs no further input.
+    bool hasNext() const;
+    void startParser();
     /// Parses the input received so far. Returns a failure if it is not HTTP.
     std::optional<CallFailure> parse();
     CallFailure fail(ErrorId id, std::string_view what);
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -94,9 +94,11 @@
     if (std::chrono::steady_clock::now() >= deadline)
         return StreamStatus::TimedOut;
     startDeadline(deadline);
+    m_isFilling = true;
     AsyncWait wait;
     m_socket.async_read_some(m_input.prepare(m_readSize), wait.handler());
     const error_code error = wait.wait();
+    m_isFilling = false;
     stopDeadline();
     m_input.commit(wait.bytes());
     if (wait.bytes() == m_readSize)
@@ -281,6 +283,12 @@
         startDeadline(deadline);
 }
 
+void Stream::interrupt()
+{
+    if (m_isFilling && !m_closed)
+        expire();
+}
+
 void Stream::stopDeadline()
 {
     m_deadline = SteadyTime::max();
@@ -307,6 +315,12 @@
         armTimer(m_deadline);
         return;
     }
+    expire();
+}
+
+/// Ends the operation that waits as timed out.
+void Stream::expire()
+{
     m_timedOut = true;
     m_deadline = SteadyTime::max();
     error_code error;
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -81,6 +81,9 @@
     /// Moves the deadline of a waiting fill(), if any, to an earlier time.
     void shortenDeadline(SteadyTime deadline);
 
+    /// Lets a waiting fill(), if any, return TimedOut.
+    void interrupt();
+
     /// Returns whether the connection is open and holds no unread input: false once the other side
     /// has closed it or sent something unrequested. Costs one system call.
     bool isIdleAndOpen();
@@ -126,6 +129,7 @@
     void stopDeadline();
     void armTimer(SteadyTime at);
     void onTimer();
+    void expire();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
@@ -137,6 +141,7 @@
     /// Wakes the fiber that waits in fill() for the read started by watch().
     AsyncWait *m_readAheadWaiter = nullptr;
     std::function<void()> m_onEnd;
+    bool m_isFilling = false;
     bool m_timedOut = false;
     bool m_closed = false;
     bool m_resetsOnClose = false;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -90,7 +90,7 @@
     return connectFailure(call.m_endpoint, status);
 }
 
-CallResult<HttpExchange> HttpClient::open(const HttpCall &call)
+CallResult<HttpExchange> HttpClient::send(const HttpCall &call)
 {
     detail::LoopCore &core = *detail::LoopCore::current();
     const detail::SteadyTime latest = detail::deadlineAfter(call.m_totalTimeout);
@@ -123,11 +123,21 @@
             std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool, latest);
     if (const std::optional<CallFailure> failed = exchange->send(call))
         return *failed;
-    if (const std::optional<CallFailure> failed = exchange->readHeader(call.m_headerTimeout))
-        return *failed;
     return HttpExchange(std::move(exchange));
 }
 
+CallResult<HttpExchange> HttpClient::open(const HttpCall &call)
+{
+    CallResult<HttpExchange> sent = send(call);
+    auto *exchange = std::get_if<HttpExchange>(&sent);
+    if (!exchange)
+        return sent;
+    if (const std::optional<CallFailure> failed =
+                exchange->m_state->readHeader(call.m_headerTimeout))
+        return *failed;
+    return sent;
+}
+
 ConnectOutcome HttpClient::tryConnect(const Endpoint &endpoint, Duration timeout)
 {
     HttpCall call;
--- a/src/runtime/http_exchange.cpp
+++ b/src/runtime/http_exchange.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-using detail::failure;
 using detail::nameOf;
 using detail::Stream;
 using detail::StreamStatus;
@@ -91,26 +90,69 @@
 
 std::optional<CallFailure> HttpExchange::State::readHeader(Duration timeout)
 {
-    const detail::SteadyTime deadline = limited(timeout);
-    do {
-        const std::size_t earlierBytes = m_parser ? m_parser->framingBytes() : 0;
-        m_parser = std::make_unique<Parser>(maxAnswerHeaderBytes, earlierBytes);
-        m_parser->body_limit(boost::none);
-        m_parser->skip(m_isHead);
-        while (!m_parser->is_header_done()) {
-            if (m_stream->input().size() == 0 || m_parser->got_some()) {
-                const StreamStatus status = m_stream->fill(deadline);
-                if (status != StreamStatus::Good)
-                    return fail(status);
-                m_phase = SendPhase::AnswerStarted;
-                if (m_watch)
-                    m_watch->end();
+    if (!awaitHeader(limited(timeout)))
+        return fail(StreamStatus::TimedOut);
+    return m_failure;
+}
+
+bool HttpExchange::State::awaitHeader(detail::SteadyTime deadline)
+{
+    while (!m_failure && !hasHeader()) {
+        if (!m_parser || m_parser->is_header_done())
+            startParser();
+        if (m_stream->input().size() == 0 || m_parser->got_some()) {
+            const StreamStatus status = m_stream->fill(deadline);
+            if (status == StreamStatus::TimedOut)
+                return false;
+            if (status != StreamStatus::Good) {
+                fail(status);
+                return true;
             }
-            if (std::optional<CallFailure> malformed = parse())
-                return malformed;
+            m_phase = SendPhase::AnswerStarted;
+            if (m_watch)
+                m_watch->end();
         }
-    } while (m_parser->status() / 100 == interimStatusClass);
-    return std::nullopt;
+        parse();
+    }
+    return true;
+}
+
+/// Returns whether the header of the final answer has arrived.
+bool HttpExchange::State::hasHeader() const
+{
+    return m_parser && m_parser->is_header_done() && m_parser->status() / 100 != interimStatusClass;
+}
+
+/// Begins the final answer, or the one after an interim answer.
+void HttpExchange::State::startParser()
+{
+    const std::size_t earlierBytes = m_parser ? m_parser->framingBytes() : 0;
+    m_parser = std::make_unique<Parser>(maxAnswerHeaderBytes, earlierBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
+}
+
+bool HttpExchange::State::hasNext() const
+{
+    return m_failure || m_cancelled || m_finished || m_parser->hasBody();
+}
+
+bool HttpExchange::State::awaitBody(detail::SteadyTime deadline)
+{
+    if (!awaitHeader(deadline))
+        return false;
+    while (!hasNext()) {
+        const StreamStatus status = m_stream->fill(deadline);
+        if (status == StreamStatus::TimedOut)
+            return false;
+        if (endsByClose(status))
+            break;
+        if (status != StreamStatus::Good)
+            fail(status);
+        else
+            parse();
+    }
+    return true;
 }
 
 std::optional<CallFailure> HttpExchange::State::parse()
@@ -226,7 +268,7 @@
 {
     m_stream->close();
     if (!m_failure)
-        m_failure = failure(m_phase, id, m_endpoint, what);
+        m_failure = detail::failure(m_phase, id, m_endpoint, what);
     return *m_failure;
 }
 
@@ -279,6 +321,36 @@
     return m_state->readBody();
 }
 
+bool HttpExchange::awaitHeader(Duration limit)
+{
+    return m_state->awaitHeader(m_state->limited(limit));
+}
+
+bool HttpExchange::awaitBody(Duration limit)
+{
+    return m_state->awaitBody(m_state->limited(limit));
+}
+
+bool HttpExchange::hasHeader() const
+{
+    return !m_state->m_failure && m_state->hasHeader();
+}
+
+void HttpExchange::interrupt()
+{
+    m_state->m_stream->interrupt();
+}
+
+std::optional<CallFailure> HttpExchange::failure() const
+{
+    return m_state->m_failure;
+}
+
+CallFailure HttpExchange::giveUp()
+{
+    return m_state->fail(StreamStatus::TimedOut);
+}
+
 void HttpExchange::cancel()
 {
     m_state->cancel();
