--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -37,6 +37,7 @@
 #include <optional> // optional
 #include <set> // set
 #include <string> // string
+#include <utility> // move
 #include <vector> // vector
 
 namespace gypsumdale {
@@ -220,6 +221,8 @@
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
     RunMover &mover() { return *m_mover; }
     UpstreamClient &client() { return m_client; }
+    /// Runs work in a fiber of the traffic thread.
+    void spawn(std::function<void()> work) { m_loop.spawn(std::move(work)); }
     Logger &log() { return m_log; }
     Metrics &metrics() { return m_metrics; }
     const DataCentreId &dataCentre() const { return m_settings.m_dataCentre; }
@@ -239,6 +242,7 @@
     void logVersions(const std::map<UpstreamId, UpstreamRecord> &upstreams);
 
     const EntrySettings &m_settings;
+    FiberLoop &m_loop;
     const Clock &m_clock;
     Logger &m_log;
     Metrics &m_metrics;
--- a/include/gypsumdale/serving/upstream_pool.hpp
+++ b/include/gypsumdale/serving/upstream_pool.hpp
@@ -60,6 +60,8 @@
     std::function<void()> m_onRequestEnded;
     /// Failure rate of the last requests, as a moving average from 0 to 1.
     double m_failureShare = 0;
+    /// When a part of an answer came last, or a request was sent while none was in flight.
+    TimePoint m_lastHeardAt{};
     int m_failuresInRow = 0;
     TimePoint m_avoidUntil{};
     bool m_isGone = false;
@@ -75,6 +77,17 @@
 
     UpstreamProcess process() const { return {m_record.m_id, m_record.m_startedAt}; }
 
+    /// Records that a request is about to be sent.
+    void awaitAnswerFrom(TimePoint now)
+    {
+        if (m_own.m_running == 0)
+            m_lastHeardAt = now;
+    }
+    /// Returns for how long this VM has waited for any part of an answer.
+    Duration silence(TimePoint now) const
+    {
+        return m_own.m_running > 0 ? now - m_lastHeardAt : Duration::zero();
+    }
     /// Returns the known requests of all VMs in flight there.
     int running() const { return m_own.m_running + m_peerTotal.m_running; }
     /// Returns the known prompt tokens of all VMs' requests that are still to be read.
@@ -251,6 +264,11 @@
     /// upstreams.
     std::vector<PooledUpstreamPointer> placeable(const ServiceId &service) const;
 
+    /// Returns the service's upstreams that have sent nothing for a time to this VM, which awaits
+    /// answers of them. Complexity: linear in the upstreams.
+    std::set<UpstreamId> silentUpstreams(const ServiceId &service, Duration atLeast,
+                                         TimePoint now) const;
+
     /// Clears what failed attempts have left at a service's upstreams, where the cause was this
     /// VM's own connection. Complexity: linear in the upstreams.
     void clearFailures(const ServiceId &service);
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -18,9 +18,9 @@
 constexpr int maxUnansweredConnects = 4;
 /// The same for a peer's request, which the peer may send elsewhere.
 constexpr int maxRelayedConnectFailures = 2;
-/// A repeatable request is given up at an upstream that has not started to answer after this many
+/// A repeatable request is given up at an upstream that has not taken all of it after this many
 /// times the latency target.
-constexpr int firstAnswerTargets = 3;
+constexpr int writeTimeoutTargets = 3;
 /// Larger than the difference between two machines' clocks when neither has jumped; a crashed
 /// upstream is down for longer than this.
 constexpr Duration restartMargin = std::chrono::milliseconds(1000);
@@ -93,6 +93,7 @@
     if (m_connectionPlace)
         m_connectionPlace->cancel();
     m_cancellation->cancel();
+    m_hedges.cancel();
 }
 
 int EntryCall::priority() const
@@ -118,6 +119,7 @@
         serveStream();
     else
         serveBuffered();
+    m_hedges.drop();
 }
 
 /// Returns why the request may not be sent (again), or nothing if it may.
@@ -154,7 +156,8 @@
 }
 
 /// Returns the call to an upstream or to a peer that relays, without its headers.
-HttpCall EntryCall::callTo(const PooledUpstream &target) const
+HttpCall EntryCall::callTo(const PooledUpstream &target,
+                           const std::shared_ptr<CallCancellation> &cancellation) const
 {
     HttpCall call;
     call.m_endpoint = {target.m_record.m_ip, target.m_record.m_port};
@@ -162,7 +165,7 @@
     call.m_target = m_request.m_target;
     call.m_body = m_request.m_body;
     call.m_connectTimeout = std::min(connectTimeout, timeLeft());
-    call.m_headerTimeout = firstAnswerTimeout();
+    call.m_headerTimeout = writeTimeout();
     call.m_silenceTimeout = timeLeft();
     call.m_totalTimeout = timeLeft();
     // A kept-alive connection may be dead without notice, may deliver a late answer to another
@@ -170,11 +173,12 @@
     // has none of these faults.
     call.m_requiresNewConnection = true;
     call.m_closeAfterAnswer = true;
-    call.m_cancellation = m_cancellation;
+    call.m_cancellation = cancellation;
     return call;
 }
 
-HttpCall EntryCall::buildCall(const PooledUpstream &upstream) const
+HttpCall EntryCall::buildCall(const PooledUpstream &upstream,
+                              const std::shared_ptr<CallCancellation> &cancellation) const
 {
     platform::Forwarding forwarding;
     forwarding.m_timeLeft = timeLeft();
@@ -185,26 +189,29 @@
         forwarding.m_priority = priority();
     forwarding.m_resumeAfter = m_lastEventId;
     forwarding.m_memory = m_memory;
-    HttpCall call = callTo(upstream);
+    HttpCall call = callTo(upstream, cancellation);
     call.m_headers = platform::upstreamHeaders(m_request.m_headers, forwarding);
     call.m_acceptsCloseDelimited = true;
     return call;
 }
 
-/// Returns the deadline for the start of an upstream's answer.
-Duration EntryCall::firstAnswerTimeout() const
+/// Returns the time limit for writing the request. An upstream that has not taken all of it can't
+/// answer.
+Duration EntryCall::writeTimeout() const
 {
     const Duration left = timeLeft();
     const bool canRepeat = m_route->isRetryable() && m_attempts.possibleRuns() + 1 < maxAttempts();
     if (!canRepeat)
         return left;
-    return std::min(left, firstAnswerTargets * m_route->m_latencyTarget);
+    return std::min(left, writeTimeoutTargets * m_route->m_latencyTarget);
 }
 
 /// Sends the request to one upstream after the other until one starts to answer it.
 EntryCall::AttemptOutcome EntryCall::awaitAnswer()
 {
     for (;;) {
+        if (auto answer = awaitHedged())
+            return *std::move(answer);
         awaitJudgement();
         if (const auto stop = attemptStopReason())
             return *stop;
@@ -231,40 +238,65 @@
             return stopWithoutUpstream();
         if (m_attempts.hasArrived() && !m_traffic.takeRetry(m_service))
             return AttemptStop::NotAllowed;
-        m_triedUpstreams.insert(upstream->m_record.m_id);
-        m_traffic.pool().takePermit(*upstream, m_traffic.now());
-        logPlaced(*upstream, *until);
-        const bool isAlone = readsAlone(*upstream);
-        const bool isSpeedSample = isAlone && upstream->running() < upstream->m_record.m_slots;
-        InFlightGuard guard(upstream, m_caller.m_promptTokens);
+        PlacedRun run = place(upstream, request, *until);
         m_connectionPlace.reset();
-        const TimePoint sentAt = m_traffic.now();
-        m_traffic.recordPlacement(*upstream, ownTokens(), request.m_isAnnounced);
-        m_traffic.forecaster().recordPlacement(m_service, priority(), m_caller.m_promptTokens,
-                                               ownTokens(), sentAt);
-        CallResult<HttpExchange> opened =
-                send(guard, std::make_shared<PlacementCallDeadline>(
-                                    m_traffic, *until, DeadlineRenewal::OnConfirmation));
-        if (const auto *failure = std::get_if<CallFailure>(&opened)) {
-            recordAttemptFailure(guard, *failure);
+        CallResult<UpstreamAnswer> sent = send(run, beginAttempt());
+        if (const auto *failure = std::get_if<CallFailure>(&sent)) {
+            recordAttemptFailure(run.m_guard, *failure);
             continue;
         }
-        m_attempts.recordAnswer();
-        m_runStage = RunStage::Begun;
-        auto &exchange = std::get<HttpExchange>(opened);
-        recordBackpressure(exchange, *upstream);
-        if (!acceptsAnswer(exchange, *upstream))
-            continue;
-        return UpstreamAnswer{std::move(exchange),
-                              std::move(guard),
-                              isAlone ? std::optional(sentAt) : std::nullopt,
-                              originAt(*upstream),
-                              false,
-                              sentAt,
-                              isSpeedSample ? std::optional(sentAt) : std::nullopt};
+        auto &answer = std::get<UpstreamAnswer>(sent);
+        if (awaitHeader(answer))
+            return std::move(answer);
     }
 }
 
+/// Records that the request is about to be sent to an upstream.
+PlacedRun EntryCall::place(const PooledUpstreamPointer &upstream, const PlacementRequest &request,
+                           TimePoint until)
+{
+    const TimePoint now = m_traffic.now();
+    m_triedUpstreams.insert(upstream->m_record.m_id);
+    m_traffic.pool().takePermit(*upstream, now);
+    logPlaced(*upstream, until);
+    const bool isAlone = readsAlone(*upstream);
+    const bool isSpeedSample = isAlone && upstream->running() < upstream->m_record.m_slots;
+    upstream->awaitAnswerFrom(now);
+    InFlightGuard guard(upstream, m_caller.m_promptTokens);
+    m_traffic.recordPlacement(*upstream, ownTokens(), request.m_isAnnounced);
+    m_traffic.forecaster().recordPlacement(m_service, priority(), m_caller.m_promptTokens,
+                                           ownTokens(), now);
+    return {std::move(guard),
+            std::make_shared<PlacementCallDeadline>(m_traffic, until,
+                                                    DeadlineRenewal::OnConfirmation),
+            now, isAlone, isSpeedSample};
+}
+
+/// Waits for the header of an answer. Returns whether the answer may be forwarded; why it may not
+/// is recorded.
+bool EntryCall::awaitHeader(UpstreamAnswer &answer)
+{
+    awaitPart(answer, AnswerPart::Header);
+    // The answer of a run that took its place was checked.
+    if (answer.m_stage != RunStage::Waiting)
+        return true;
+    if (answer.m_exchange.hasHeader())
+        return takeHeader(answer);
+    recordAttemptFailure(answer.m_guard, answer.m_exchange.giveUp());
+    return false;
+}
+
+/// Handles the header of an upstream's answer. Returns whether the answer may be forwarded.
+bool EntryCall::takeHeader(UpstreamAnswer &answer)
+{
+    m_attempts.recordAnswer();
+    answer.m_stage = RunStage::Begun;
+    PooledUpstream &upstream = answer.m_guard.upstream();
+    upstream.m_lastHeardAt = m_traffic.now();
+    recordBackpressure(answer.m_exchange, upstream);
+    return acceptsAnswer(answer.m_exchange, upstream);
+}
+
 /// Selects an upstream, of a version that the request may be placed on. A part of the requests goes
 /// to the target of a roll-out.
 PooledUpstreamPointer EntryCall::chooseUpstream(PlacementRequest &request)
@@ -291,36 +323,55 @@
            && upstream.pendingTokens() * aloneDivisor < m_caller.m_promptTokens;
 }
 
-/// Sends the request to an upstream. The attempt fails as soon as the upstream is known to have
-/// restarted since: a connection to the previous process may stay silent permanently if the
-/// upstream was partitioned when it crashed, and the caller would wait until the deadline. The
-/// attempt also fails if the request has not arrived by its placement deadline.
-CallResult<HttpExchange> EntryCall::send(InFlightGuard &guard,
-                                         const std::shared_ptr<PlacementCallDeadline> &deadline)
+/// Returns the call to an upstream. It fails as soon as the upstream is known to have restarted
+/// since: a connection to the previous process may stay silent permanently if the upstream was
+/// partitioned when it crashed, and the caller would wait until the deadline. It also fails if the
+/// request has not arrived by its placement deadline.
+HttpCall EntryCall::watchedCall(InFlightGuard &guard,
+                                const std::shared_ptr<PlacementCallDeadline> &deadline,
+                                const std::shared_ptr<CallCancellation> &cancellation)
 {
-    beginAttempt();
     const WallMillis sentAt = m_traffic.wallNow();
-    guard.onReplaced([cancellation = m_cancellation, sentAt](std::int64_t startedAt) {
+    guard.onReplaced([cancellation, sentAt](std::int64_t startedAt) {
         // A request sent around the time of the start may run in the new process.
         if (sentAt + toWholeMillis(restartMargin) < startedAt)
             cancellation->cancel();
     });
     guard.onLeaving([deadline] { deadline->noteLeaving(); });
-    HttpCall call = buildCall(guard.upstream());
+    HttpCall call = buildCall(guard.upstream(), cancellation);
     call.m_term = deadline;
     call.m_onConnected = [this, upstream = guard.pointer()] {
         m_traffic.relay().recordConnected(*upstream);
     };
     m_hasFullConnectTime = call.m_connectTimeout == connectTimeout;
-    return m_traffic.client().open(call);
+    return call;
+}
+
+/// Sends the request to the upstream that was selected. Returns once it was sent.
+CallResult<UpstreamAnswer> EntryCall::send(PlacedRun &run,
+                                           const std::shared_ptr<CallCancellation> &cancellation)
+{
+    const HttpCall call = watchedCall(run.m_guard, run.m_deadline, cancellation);
+    CallResult<HttpExchange> sent = m_traffic.client().send(call);
+    if (auto *failure = std::get_if<CallFailure>(&sent))
+        return std::move(*failure);
+    const StreamOrigin origin = originAt(run.m_guard.upstream());
+    return UpstreamAnswer{std::get<HttpExchange>(std::move(sent)),
+                          std::move(run.m_guard),
+                          run.m_isAlone ? std::optional(run.m_placedAt) : std::nullopt,
+                          origin,
+                          false,
+                          run.m_placedAt,
+                          run.m_isSpeedSample ? std::optional(run.m_placedAt) : std::nullopt};
 }
 
-void EntryCall::beginAttempt()
+/// Begins an attempt and returns what cancels it.
+const std::shared_ptr<CallCancellation> &EntryCall::beginAttempt()
 {
     m_cancellation = std::make_shared<CallCancellation>();
-    m_runStage = RunStage::Waiting;
     if (m_isCallerGone || m_isShuttingDown)
         m_cancellation->cancel();
+    return m_cancellation;
 }
 
 PlacementRequest EntryCall::placement() const
@@ -391,6 +442,7 @@
             return;
         }
         auto &answer = std::get<UpstreamAnswer>(attempt);
+        awaitPart(answer, AnswerPart::Body);
         AnswerReadResult reading = readFullAnswer(answer);
         if (const auto *failure = std::get_if<CallFailure>(&reading)) {
             recordBrokenAnswer(answer, *failure);
@@ -399,7 +451,7 @@
         recordUsage();
         auto &reply = std::get<HttpReply>(reading);
         if (reply.m_status / 100 == 2)
-            recordDelivery();
+            recordDelivery(answer);
         const bool isServerError = reply.m_status >= 500;
         recordVersionAnswer(answer, isServerError);
         UpstreamPool::note(answer.m_guard.upstream(),
@@ -408,6 +460,7 @@
         recordRunResult(answer, reply.m_status);
         if (!isServerError || !m_route->isRetryable()
             || !isWorthSecondRun(answer, reply.m_status)) {
+            m_hedges.drop();
             forwardAnswer(reply);
             return;
         }
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -3,12 +3,13 @@
 #include <gypsumdale/entry/connection_waiting.hpp>
 #include <gypsumdale/entry/entry_traffic.hpp>
 #include <gypsumdale/serving/event_splitter.hpp>
+#include <gypsumdale/serving/hedging.hpp>
 
 #include <entry/call_attempts.hpp>
 #include <entry/call_binding.hpp>
-#include <entry/in_flight_guard.hpp>
-#include <entry/placement_call_deadline.hpp>
+#include <entry/hedged_runs.hpp>
 #include <entry/stream_run.hpp>
+#include <entry/upstream_answer.hpp>
 #include <platform/request_codec.hpp>
 
 #include <memory> // shared_ptr
@@ -76,30 +77,11 @@
         {CallSource::Peer, "peer"},
 }};
 
-/// How far the current run of a request has come.
-enum class RunStage {
-    Waiting,
-    /// The header of its answer was received.
-    Begun,
-    /// A part of the answer was received that is whole by itself.
-    Delivering,
-};
-
-/// An upstream's answer whose header was received.
-struct UpstreamAnswer
-{
-    HttpExchange m_exchange;
-    InFlightGuard m_guard;
-    /// When the request was sent, if its prompt was the only one for the upstream to read.
-    std::optional<TimePoint> m_readAloneSince;
-    /// Where its events come from.
-    StreamOrigin m_origin;
-    /// A peer relays it.
-    bool m_isRelayed = false;
-    /// When the request was sent, if the answer says how well its upstream's version serves.
-    std::optional<TimePoint> m_sentAt{};
-    /// When the request was sent, if its prompt was the only one to read and a slot was free.
-    std::optional<TimePoint> m_speedSampleSince{};
+/// A part of an answer that is awaited.
+enum class AnswerPart {
+    Header,
+    /// The next piece of the body, or its end.
+    Body,
 };
 
 /// One request of a caller, from its arrival to the last byte of its answer.
@@ -140,8 +122,8 @@
     bool isQuarantined();
     bool rejectIfQuarantined();
     void awaitJudgement();
-    void reportBroken(const PooledUpstream &upstream, const CallFailure &failure);
-    void recordDelivery();
+    void reportBroken(const PooledUpstream &upstream, const CallFailure &failure, RunStage stage);
+    void recordDelivery(UpstreamAnswer &answer);
     int priority() const;
     /// Returns the request's digest, which is computed when it is needed for the first time.
     const RequestDigest &digest();
@@ -158,19 +140,53 @@
     AttemptStop rejectForConnection(const ConnectionDecision &shortage,
                                     const ConnectionWaitDecision &wait);
     std::optional<AttemptOutcome> relayOnce();
+    std::optional<AttemptOutcome> takeRelayedHeader(UpstreamAnswer &answer);
     std::optional<AttemptOutcome> takePeerAnswer(UpstreamAnswer &answer);
-    void beginAttempt();
+    const std::shared_ptr<CallCancellation> &beginAttempt();
     void cancelAttempt();
-    HttpCall callTo(const PooledUpstream &target) const;
-    HttpCall buildRelayCall(const PooledUpstream &peer) const;
+    HttpCall callTo(const PooledUpstream &target,
+                    const std::shared_ptr<CallCancellation> &cancellation) const;
+    HttpCall buildRelayCall(const PooledUpstream &peer,
+                            const std::shared_ptr<CallCancellation> &cancellation) const;
     bool isFromLaterConfiguration() const;
     bool refuseRelay(AttemptStop stop);
     void refuseRelay(std::string_view reason);
     /// A peer that relays a request makes one attempt, as the VM of its caller counts the attempts.
     int maxAttempts() const { return m_source == CallSource::Peer ? 1 : m_route->m_maxAttempts; }
-    CallResult<HttpExchange> send(InFlightGuard &guard,
-                                  const std::shared_ptr<PlacementCallDeadline> &deadline);
+    PlacedRun place(const PooledUpstreamPointer &upstream, const PlacementRequest &request,
+                    TimePoint until);
+    HttpCall watchedCall(InFlightGuard &guard,
+                         const std::shared_ptr<PlacementCallDeadline> &deadline,
+                         const std::shared_ptr<CallCancellation> &cancellation);
+    CallResult<UpstreamAnswer> send(PlacedRun &run,
+                                    const std::shared_ptr<CallCancellation> &cancellation);
+    PlacedRun placeAtPeer(const PooledUpstreamPointer &peer);
+    CallResult<UpstreamAnswer> sendToPeer(PlacedRun &run,
+                                          const std::shared_ptr<CallCancellation> &cancellation);
+    PooledUpstreamPointer choosePeer();
+    bool awaitHeader(UpstreamAnswer &answer);
+    bool takeHeader(UpstreamAnswer &answer);
     std::optional<AttemptStop> attemptStopReason();
+
+    /// Waits until a part of a run's answer has arrived, the run has failed, or no time is left.
+    /// While the run is silent, others are sent beside it where that is allowed, and the first one
+    /// that delivers takes its place. A silent run is never given up before.
+    void awaitPart(UpstreamAnswer &run, AnswerPart part);
+    bool arrives(UpstreamAnswer &run, AnswerPart part, Duration limit);
+    std::optional<UpstreamAnswer> awaitHedged();
+    SilentRun silentRun(AnswerPart part) const;
+    HedgeVerdict hedge(const UpstreamAnswer *silent, Duration delay);
+    HedgeVerdict hedgeAtUpstream(Duration delay);
+    HedgeVerdict hedgeAtPeer();
+    void startHedge(PlacedRun placed, bool isRelayed);
+    void runHedge(HedgedRun &hedged);
+    bool delivers(HedgedRun &hedged);
+    bool beginsWell(HedgedRun &hedged);
+    void recordFailedHedge(HedgedRun &hedged, InFlightGuard &guard, const CallFailure &failure);
+    bool takeOver(UpstreamAnswer &run);
+    void recordGivenUp(UpstreamAnswer &run);
+    void logSilence(const UpstreamAnswer &run, HedgeVerdict verdict);
+    void logSilenceEnd(const UpstreamAnswer &run, Duration silence);
     bool hasFailedToConnect() const;
     PlacementRequest placement() const;
     PooledUpstreamPointer chooseUpstream(PlacementRequest &request);
@@ -185,8 +201,9 @@
     StreamOrigin originAt(const PooledUpstream &upstream) const;
     bool mayFollow(UpstreamAnswer &answer);
     void recordOrigin(const UpstreamAnswer &answer);
-    HttpCall buildCall(const PooledUpstream &upstream) const;
-    Duration firstAnswerTimeout() const;
+    HttpCall buildCall(const PooledUpstream &upstream,
+                       const std::shared_ptr<CallCancellation> &cancellation) const;
+    Duration writeTimeout() const;
     AnswerReadResult readFullAnswer(UpstreamAnswer &answer);
 
     /// Forwards a stream until it ends or breaks off. Returns whether it is complete.
@@ -211,6 +228,7 @@
     void logAttemptFailure(const PooledUpstream &upstream, const CallFailure &failure);
     void recordConnectFailure(const PooledUpstream &upstream, const CallFailure &failure);
     void recordRelayFailure(PooledUpstream &peer, const CallFailure &failure);
+    void recordBrokenRelay(PooledUpstream &peer, const CallFailure &failure);
     void recordRelayRefusal(PooledUpstream &peer, std::string_view reason, int arrived);
     void countFailedAttempt(const CallFailure &failure);
     void countTooLarge(const CallFailure &failure);
@@ -250,7 +268,6 @@
     CallBinding m_binding;
     std::optional<RequestDigest> m_digest;
     std::optional<CrashElements> m_crashElements;
-    RunStage m_runStage = RunStage::Waiting;
     /// Cancels the current attempt.
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     TimePoint m_arrivedAt;
@@ -281,6 +298,10 @@
     Duration m_stopRetryAfter{};
     /// The current run, if it can be moved.
     std::shared_ptr<StreamRun> m_run;
+    /// Runs beside the current one, while that is silent.
+    HedgedRuns m_hedges;
+    /// The run that is awaited.
+    UpstreamAnswer *m_awaited = nullptr;
     std::optional<std::string> m_memory;
     EventSplitter m_splitter;
     /// Of a stream that isn't split.
--- a/src/entry/entry_call_crash.cpp
+++ b/src/entry/entry_call_crash.cpp
@@ -68,7 +68,8 @@
 
 /// Reports a run that broke off without this VM's doing, or a connection that was refused.
 /// Upstreams that leave end as planned.
-void EntryCall::reportBroken(const PooledUpstream &upstream, const CallFailure &failure)
+void EntryCall::reportBroken(const PooledUpstream &upstream, const CallFailure &failure,
+                             RunStage stage)
 {
     const ErrorId error = failure.m_error.m_id;
     const bool isOwnDoing = error == ErrorId::Cancelled || error == ErrorId::TermOver
@@ -86,18 +87,18 @@
     run.m_account = m_account ? m_account->m_id : AccountId();
     run.m_route = m_route->m_name;
     run.m_brokenAt = m_traffic.now();
-    if (!isUnsent && m_runStage != RunStage::Delivering)
-        run.m_suspect = {crashElements(), m_runStage == RunStage::Begun};
+    if (!isUnsent && stage != RunStage::Delivering)
+        run.m_suspect = {crashElements(), stage == RunStage::Begun};
     m_traffic.crashes().recordBroken(run);
 }
 
 /// Records that an upstream has delivered something of the answer. None of what the request holds
 /// crashes its upstreams, which it would before.
-void EntryCall::recordDelivery()
+void EntryCall::recordDelivery(UpstreamAnswer &answer)
 {
-    if (m_runStage == RunStage::Delivering)
+    if (answer.m_stage == RunStage::Delivering)
         return;
-    m_runStage = RunStage::Delivering;
+    answer.m_stage = RunStage::Delivering;
     m_traffic.crashes().recordProof(m_service, crashElements());
 }
 
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -28,6 +28,7 @@
 void EntryCall::finishUnserved(AttemptStop stop)
 {
     m_connectionPlace.reset();
+    m_hedges.drop();
     if (stop == AttemptStop::CallerGone) {
         m_series->add(RequestCounter::Cancelled);
         logEnd("caller-gone", 0);
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -62,7 +62,7 @@
     countTooLarge(failure);
     m_errorKind.reset();
     countFailedAttempt(failure);
-    reportBroken(guard.upstream(), failure);
+    reportBroken(guard.upstream(), failure, RunStage::Waiting);
     recordUpstreamFailure(guard.upstream(), failure);
 }
 
@@ -98,7 +98,7 @@
     m_errorKind.reset();
     recordTimeout(failure);
     if (!answer.m_isRelayed)
-        reportBroken(answer.m_guard.upstream(), failure);
+        reportBroken(answer.m_guard.upstream(), failure, answer.m_stage);
     const bool isRelayedStream = answer.m_isRelayed && m_route->m_kind == RouteRepeatSafety::Stream;
     if (isRelayedStream && failure.m_error.m_id != ErrorId::Cancelled)
         logAttemptFailure(answer.m_guard.upstream(), failure);
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -22,33 +22,71 @@
 
 } // namespace
 
+PooledUpstreamPointer EntryCall::choosePeer()
+{
+    const RelayRequest request{m_service, m_traffic.dataCentre(), m_triedPeers, m_traffic.draw()};
+    return m_traffic.relay().peers().choose(request, m_traffic.now());
+}
+
+/// Records that the request is about to be sent to a peer.
+PlacedRun EntryCall::placeAtPeer(const PooledUpstreamPointer &peer)
+{
+    m_triedPeers.insert(peer->m_record.m_id);
+    logRelayed(*peer);
+    return {InFlightGuard(peer, 0), nullptr, m_traffic.now()};
+}
+
+/// Sends the request to the peer that was selected. Returns once it was sent.
+CallResult<UpstreamAnswer>
+EntryCall::sendToPeer(PlacedRun &run, const std::shared_ptr<CallCancellation> &cancellation)
+{
+    CallResult<HttpExchange> sent =
+            m_traffic.client().send(buildRelayCall(run.m_guard.upstream(), cancellation));
+    if (auto *failure = std::get_if<CallFailure>(&sent))
+        return std::move(*failure);
+    return UpstreamAnswer{std::get<HttpExchange>(std::move(sent)),
+                          std::move(run.m_guard),
+                          std::nullopt,
+                          {m_service, SoftwareVersion()},
+                          true};
+}
+
 /// Sends the request to one peer. Returns the answer, or why there is no further attempt, or
 /// nothing where another one may be made.
 std::optional<EntryCall::AttemptOutcome> EntryCall::relayOnce()
 {
-    const RelayRequest request{m_service, m_traffic.dataCentre(), m_triedPeers, m_traffic.draw()};
-    const PooledUpstreamPointer peer = m_traffic.relay().peers().choose(request, m_traffic.now());
+    const PooledUpstreamPointer peer = choosePeer();
     if (!peer)
         return AttemptStop::CutOff;
     if (m_attempts.hasArrived() && !m_traffic.takeRetry(m_service))
         return AttemptStop::NotAllowed;
-    m_triedPeers.insert(peer->m_record.m_id);
-    logRelayed(*peer);
-    InFlightGuard guard(peer, 0);
-    beginAttempt();
-    CallResult<HttpExchange> opened = m_traffic.client().open(buildRelayCall(*peer));
-    if (const auto *failure = std::get_if<CallFailure>(&opened)) {
-        if (!isCancelledByCaller(*failure)) {
-            countFailedAttempt(*failure);
-            recordRelayFailure(*peer, *failure);
-        }
+    PlacedRun run = placeAtPeer(peer);
+    CallResult<UpstreamAnswer> sent = sendToPeer(run, beginAttempt());
+    if (const auto *failure = std::get_if<CallFailure>(&sent)) {
+        recordRelayFailure(run.m_guard.upstream(), *failure);
         return std::nullopt;
     }
-    auto &exchange = std::get<HttpExchange>(opened);
+    auto &answer = std::get<UpstreamAnswer>(sent);
+    awaitPart(answer, AnswerPart::Header);
+    // The answer of a run that took its place was checked.
+    if (answer.m_stage != RunStage::Waiting)
+        return std::move(answer);
+    if (answer.m_exchange.hasHeader())
+        return takeRelayedHeader(answer);
+    recordRelayFailure(answer.m_guard.upstream(), answer.m_exchange.giveUp());
+    return std::nullopt;
+}
+
+/// Handles the header of an answer that came from a peer. Returns the same as relayOnce().
+std::optional<EntryCall::AttemptOutcome> EntryCall::takeRelayedHeader(UpstreamAnswer &answer)
+{
+    answer.m_stage = RunStage::Begun;
+    const HttpExchange &exchange = answer.m_exchange;
+    PooledUpstream &peer = answer.m_guard.upstream();
     if (const auto reason = exchange.headers().find(relay_headers::refused)) {
         // A peer of an earlier release doesn't say how many attempts of its own arrived.
         const int unknown = *reason == notPlaced ? 1 : 0;
-        recordRelayRefusal(*peer, *reason,
+        recordRelayRefusal(peer, *reason,
                            platform::relayedArrivals(exchange.headers()).value_or(unknown));
         return std::nullopt;
     }
@@ -56,19 +94,17 @@
     recordRelayedBackpressure(exchange);
     const platform::AnswerTraits traits =
             platform::decodeAnswer(exchange.status(), exchange.headers(), m_caller.m_id);
-    const bool isOwnAnswer = exchange.status() / 100 != 2 && !traits.m_isSigned;
-    // A peer of an earlier release doesn't say where the events come from.
-    const StreamOrigin origin = platform::relayedOrigin(exchange.headers())
-                                        .value_or(StreamOrigin{m_service, SoftwareVersion()});
-    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt, origin, true};
-    if (isOwnAnswer)
+    if (exchange.status() / 100 != 2 && !traits.m_isSigned)
         return takePeerAnswer(answer);
-    if (!acceptsAnswer(answer.m_exchange, *peer))
+    // A peer of an earlier release doesn't say where the events come from.
+    if (const auto origin = platform::relayedOrigin(exchange.headers()))
+        answer.m_origin = *origin;
+    if (!acceptsAnswer(exchange, peer))
         return std::nullopt;
     // The peer counts the request, as it knows better when it began to run.
     m_isUsageCounted = true;
     m_traffic.metrics().add(Counter::RequestsRelayed);
-    return answer;
+    return std::move(answer);
 }
 
 /// Handles an answer that the peer itself has given.
@@ -83,24 +119,36 @@
     if (const auto *failure = std::get_if<CallFailure>(&reading)) {
         m_attempts.recordPossibleRun();
         recordTimeout(*failure);
-        if (!isCancelledByCaller(*failure))
-            recordRelayFailure(answer.m_guard.upstream(), *failure);
+        recordBrokenRelay(answer.m_guard.upstream(), *failure);
         return std::nullopt;
     }
     m_peerReply = std::move(std::get<HttpReply>(reading));
     return AttemptStop::AnsweredByPeer;
 }
 
-HttpCall EntryCall::buildRelayCall(const PooledUpstream &peer) const
+HttpCall EntryCall::buildRelayCall(const PooledUpstream &peer,
+                                   const std::shared_ptr<CallCancellation> &cancellation) const
 {
-    HttpCall call = callTo(peer);
+    HttpCall call = callTo(peer, cancellation);
     call.m_headers = platform::relayHeaders(m_request.m_headers, timeLeft(), m_lastEventId,
                                             m_view->config().m_version, m_binding.origin());
     return call;
 }
 
+/// Records an attempt at a peer that failed before its answer began.
 void EntryCall::recordRelayFailure(PooledUpstream &peer, const CallFailure &failure)
 {
+    if (isCancelledByCaller(failure))
+        return;
+    countFailedAttempt(failure);
+    recordBrokenRelay(peer, failure);
+}
+
+/// Records what the failure of an attempt says of the peer that relays.
+void EntryCall::recordBrokenRelay(PooledUpstream &peer, const CallFailure &failure)
+{
+    if (isCancelledByCaller(failure))
+        return;
     countTooLarge(failure);
     if (!isCancelledByShutdown(failure))
         RelayPeers::avoid(peer, m_traffic.now());
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -1,7 +1,7 @@
 #include <entry/entry_call.hpp>
 #include <entry/run_mover.hpp>
 
-#include <algorithm> // clamp, max
+#include <algorithm> // max
 #include <charconv> // from_chars
 #include <utility> // exchange, move
 
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Longest silence within a stream that can continue elsewhere. Callers abandon a stream after two
-/// seconds or more without an event.
-constexpr Duration streamSilenceTimeout = std::chrono::milliseconds(1200);
 /// Interval at which a request checks whether the copy of its moving run is complete.
 constexpr Duration moveCheckInterval = std::chrono::milliseconds(5);
 
@@ -146,14 +143,14 @@
     m_memory = moved.m_memory;
     logPlaced(*moved.m_upstream, deadline->until());
     InFlightGuard guard(moved.m_upstream, 0);
-    CallResult<HttpExchange> opened = send(guard, deadline);
+    CallResult<HttpExchange> opened =
+            m_traffic.client().open(watchedCall(guard, deadline, beginAttempt()));
     m_memory.reset();
     if (const auto *failure = std::get_if<CallFailure>(&opened)) {
         recordAttemptFailure(guard, *failure);
         return std::nullopt;
     }
     m_attempts.recordAnswer();
-    m_runStage = RunStage::Begun;
     auto &exchange = std::get<HttpExchange>(opened);
     recordBackpressure(exchange, *moved.m_upstream);
     if (!acceptsAnswer(exchange, *moved.m_upstream))
@@ -166,6 +163,7 @@
     }
     UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt,
                           originAt(*moved.m_upstream)};
+    answer.m_stage = RunStage::Begun;
     if (!mayFollow(answer))
         return std::nullopt;
     return answer;
@@ -206,17 +204,14 @@
 bool EntryCall::forwardRun(UpstreamAnswer &answer)
 {
     for (;;) {
-        const Duration silence =
-                m_route->isRetryable()
-                        ? std::max(streamSilenceTimeout,
-                                   m_events == 0 ? firstAnswerTimeout() : Duration::zero())
-                        : Duration::max();
-        const Duration limit = std::clamp(timeLeft(), Duration::zero(), silence);
-        auto piece = answer.m_exchange.read(limit);
+        awaitPart(answer, AnswerPart::Body);
+        auto piece = answer.m_exchange.read(std::max(timeLeft(), Duration::zero()));
         if (auto *failure = std::get_if<CallFailure>(&piece)) {
             recordBrokenAnswer(answer, *failure);
             return false;
         }
+        m_hedges.drop();
+        answer.m_guard.upstream().m_lastHeardAt = m_traffic.now();
         const auto &text = std::get<std::optional<std::string>>(piece);
         if (!text)
             break;
@@ -256,7 +251,7 @@
     const bool isCloseDelimited =
             headers.value("Content-Length").empty() && headers.value("Transfer-Encoding").empty();
     const bool isMoved = m_run && (m_run->m_isMoving || m_run->m_moved);
-    if (isCloseDelimited && (isMoved || m_runStage != RunStage::Delivering))
+    if (isCloseDelimited && (isMoved || answer.m_stage != RunStage::Delivering))
         return true;
     return m_splitter.hasPartial() || m_eventBoundary.isWithinEvent();
 }
@@ -281,7 +276,7 @@
         return forwardEvents(piece, answer);
     m_eventBoundary.push(piece);
     if (!m_eventBoundary.isWithinEvent())
-        recordDelivery();
+        recordDelivery(answer);
     if (!m_hasStreamStarted && !beginStream(answer))
         return false;
     ++m_events;
@@ -294,7 +289,7 @@
 {
     std::string bytes;
     for (const StreamEvent &event : m_splitter.push(piece)) {
-        recordDelivery();
+        recordDelivery(answer);
         const auto number = eventNumber(event.m_id);
         const auto last = eventNumber(m_lastEventId);
         if (number && last && *number <= *last)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -49,6 +49,7 @@
 EntryTraffic::EntryTraffic(const EntrySettings &settings, FiberLoop &loop, const Clock &clock,
                            Logger &log, Metrics &metrics)
     : m_settings(settings)
+    , m_loop(loop)
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
--- a/src/entry/in_flight_guard.cpp
+++ b/src/entry/in_flight_guard.cpp
@@ -29,16 +29,36 @@
 }
 
 InFlightGuard::InFlightGuard(InFlightGuard &&other) noexcept
-    : m_upstream(std::exchange(other.m_upstream, nullptr))
-    , m_pendingTokens(std::exchange(other.m_pendingTokens, 0))
+    : m_pendingTokens(0)
 {
+    takeFrom(other);
+}
+
+InFlightGuard &InFlightGuard::operator=(InFlightGuard &&other) noexcept
+{
+    if (this == &other)
+        return *this;
+    release();
+    takeFrom(other);
+    return *this;
+}
+
+InFlightGuard::~InFlightGuard()
+{
+    release();
+}
+
+void InFlightGuard::takeFrom(InFlightGuard &other)
+{
+    m_upstream = std::exchange(other.m_upstream, nullptr);
+    m_pendingTokens = std::exchange(other.m_pendingTokens, 0);
     if (!m_upstream)
         return;
     moveListener(m_upstream->m_onReplaced, &other, this);
     moveListener(m_upstream->m_onLeaving, &other, this);
 }
 
-InFlightGuard::~InFlightGuard()
+void InFlightGuard::release()
 {
     if (!m_upstream)
         return;
@@ -49,6 +69,7 @@
     m_upstream->m_ownLowest = std::min(m_upstream->m_ownLowest, m_upstream->m_own.m_running);
     if (m_upstream->m_onRequestEnded)
         m_upstream->m_onRequestEnded();
+    m_upstream = nullptr;
 }
 
 void InFlightGuard::onReplaced(std::function<void(std::int64_t startedAt)> listener)
--- a/src/entry/in_flight_guard.hpp
+++ b/src/entry/in_flight_guard.hpp
@@ -14,7 +14,7 @@
     InFlightGuard(PooledUpstreamPointer upstream, std::int64_t pendingTokens);
     ~InFlightGuard();
     InFlightGuard(InFlightGuard &&other) noexcept;
-    InFlightGuard &operator=(InFlightGuard &&) = delete;
+    InFlightGuard &operator=(InFlightGuard &&other) noexcept;
     InFlightGuard(const InFlightGuard &) = delete;
     InFlightGuard &operator=(const InFlightGuard &) = delete;
 
@@ -29,6 +29,9 @@
     void onLeaving(std::function<void()> listener);
 
 private:
+    void takeFrom(InFlightGuard &other);
+    void release();
+
     PooledUpstreamPointer m_upstream;
     std::int64_t m_pendingTokens;
 };
--- a/src/serving/upstream_pool.cpp
+++ b/src/serving/upstream_pool.cpp
@@ -347,6 +347,17 @@
     return candidatesFor(request);
 }
 
+std::set<UpstreamId> UpstreamPool::silentUpstreams(const ServiceId &service, Duration atLeast,
+                                                   TimePoint now) const
+{
+    std::set<UpstreamId> silent;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream->m_record.m_service == service && upstream->silence(now) >= atLeast)
+            silent.insert(id);
+    }
+    return silent;
+}
+
 void UpstreamPool::clearFailures(const ServiceId &service)
 {
     for (auto &[id, upstream] : m_upstreams) {
