--- a/tests/src/unit-platform-entries.cpp
+++ b/tests/src/unit-platform-entries.cpp
@@ -119,6 +119,36 @@
     CHECK(parseTolerant("[1").is_discarded());
 }
 
+// Guards against a list that is refused as a whole because of a number in one entry.
+TEST_CASE("a number that is too large costs only its own value")
+{
+    for (const char *number : {"1e400", "-1E+400", "1.5e99999", "123456789e1234567"}) {
+        const std::string text =
+                fmt::format(R"([{{"a":{},"b":[{}, 2]}},{{"c":"1e400","d":1e30}}])", number, number);
+        const Json json = parseTolerant(text);
+        REQUIRE(json.is_array());
+        CHECK_FALSE(json[0]["a"].is_number());
+        CHECK_FALSE(json[0]["a"].is_null());
+        CHECK(json[0]["b"][1] == 2);
+        CHECK(json[1]["c"] == "1e400");
+        CHECK(json[1]["d"] == 1e30);
+    }
+    // A number of many digits, and one that is too small, can be read.
+    CHECK(parseTolerant("[" + std::string(300, '9') + ",1e-400]").is_array());
+    CHECK(parseTolerant("[" + std::string(400, '9') + "]").is_array());
+    CHECK(parseTolerant("[1e400").is_discarded());
+    CHECK(parseTolerant("[1e400x]").is_discarded());
+}
+
+TEST_CASE("a whole number out of range counts as missing")
+{
+    const Json json = Json::parse(R"({"a":1e300,"b":-1e300,"c":18446744073709551615,"d":12.9})");
+    CHECK(integerOf(json, "a", 7) == 7);
+    CHECK(integerOf(json, "b", 7) == 7);
+    CHECK(integerOf(json, "c", 7) == 7);
+    CHECK(integerOf(json, "d", 7) == 12);
+}
+
 // One entry contains a megabyte of brackets. Serializing it for the feed overflowed the fiber's
 // stack, and every VM of the fleet crashed whenever it read the list.
 TEST_CASE("what is nested too deep is dropped")
--- a/tests/support/entry_stand_ins.hpp
+++ b/tests/support/entry_stand_ins.hpp
@@ -9,6 +9,7 @@
 
 #include <algorithm> // max
 #include <atomic> // atomic
+#include <cstddef> // size_t
 #include <cstdint> // int64_t, uint16_t
 #include <functional> // function
 #include <map> // map
@@ -94,6 +95,13 @@
         m_loop.call([&] { m_replacedAddresses[node][address] = replacement; });
     }
 
+    /// Sends another text in place of a string, wherever that stands in an object: what a writer
+    /// may have sent that no JSON library writes.
+    void sendRaw(const std::string &string, const std::string &text)
+    {
+        m_loop.call([&] { m_rawTexts[Json(string).dump()] = text; });
+    }
+
     /// Sets whether callers are refused from now on.
     void refuse(bool refuses) { m_refuses = refuses; }
 
@@ -160,9 +168,15 @@
         return object(kind, name);
     }
 
-    static void send(HttpResponder &responder, int status, const Json &body = Json::object())
+    void send(HttpResponder &responder, int status, const Json &body = Json::object()) const
     {
-        responder.send({status, {}, body.dump()});
+        std::string text = body.dump();
+        for (const auto &[written, sent] : m_rawTexts) {
+            for (std::size_t at = text.find(written); at != std::string::npos;
+                 at = text.find(written, at + sent.size()))
+                text.replace(at, written.size(), sent);
+        }
+        responder.send({status, {}, text});
     }
 
     void answer(const std::string &node, const HttpRequest &request, HttpResponder &responder)
@@ -275,6 +289,8 @@
     std::vector<Event> m_events;
     /// By VM and address.
     std::map<std::string, std::map<std::string, std::string>> m_replacedAddresses;
+    /// What is sent in place of a text, by that text.
+    std::map<std::string, std::string> m_rawTexts;
     std::mutex m_mutex;
     std::map<std::string, std::int64_t> m_takenIn;
     std::vector<HttpServer> m_servers;
