--- a/tests/src/process-entry-version-soak.cpp
+++ b/tests/src/process-entry-version-soak.cpp
@@ -133,6 +133,25 @@
     }
 }
 
+/// Holds back what one upstream, or all of them, send. What was held back arrives later.
+void silenceUpstreams(Soak &soak)
+{
+    pcg32 random(soak.m_seed, 4);
+    const auto count = static_cast<unsigned>(soak.m_world.upstreamCount());
+    while (!soak.m_isOver) {
+        const unsigned first = random(count);
+        const unsigned silent = random(3) == 0 ? count : 1;
+        const auto set = [&](LinkFault fault) {
+            for (unsigned index = 0; index < silent; ++index)
+                soak.m_world.upstreamLink((first + index) % count).set(fault);
+        };
+        set(LinkFault::CutFromTarget);
+        pause(500 + random(2500));
+        set(LinkFault::None);
+        pause(500 + random(1000));
+    }
+}
+
 } // namespace
 
 // Guards against streams with events of two software versions under combined faults.
@@ -145,6 +164,7 @@
     threads.emplace_back([&] { replaceUpstreams(soak); });
     threads.emplace_back([&] { disturbVms(soak); });
     threads.emplace_back([&] { disturbLinks(soak); });
+    threads.emplace_back([&] { silenceUpstreams(soak); });
     std::this_thread::sleep_for(std::chrono::seconds(soakSeconds()));
     soak.m_isOver = true;
     for (std::thread &thread : threads)
