--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -200,7 +200,8 @@
     CallResult<HttpExchange> open(const HttpCall &call);
 
     /// Sends a request and returns before the header of the answer has arrived, which the caller
-    /// awaits. The header timeout limits only the time in which the request is written. Fails as
+    /// awaits. The header timeout limits only the time in which the request is written here; the
+    /// rest of one that is taken more slowly is written while its answer is awaited. Fails as
     /// open() does.
     CallResult<HttpExchange> send(const HttpCall &call);
 
--- a/src/entry/entry_call_hedge.cpp
+++ b/src/entry/entry_call_hedge.cpp
@@ -25,7 +25,7 @@
 void EntryCall::awaitPart(UpstreamAnswer &run, AnswerPart part)
 {
     const Duration delay = hedgeDelay(silentRun(part));
-    const TimePoint silentSince = m_traffic.now();
+    const TimePoint silentSince = part == AnswerPart::Header ? run.m_placedAt : m_traffic.now();
     TimePoint nextHedgeAt = m_route->isRetryable() ? silentSince + delay : TimePoint::max();
     bool isLogged = false;
     m_awaited = &run;
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -46,6 +46,7 @@
         return std::move(*failure);
     return UpstreamAnswer{std::get<HttpExchange>(std::move(sent)),
                           std::move(run.m_guard),
+                          run.m_placedAt,
                           std::nullopt,
                           {m_service, SoftwareVersion()},
                           true};
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -161,7 +161,7 @@
                                                       {LogField::Status, exchange.status()}});
         return std::nullopt;
     }
-    UpstreamAnswer answer{std::move(exchange), std::move(guard), std::nullopt,
+    UpstreamAnswer answer{std::move(exchange), std::move(guard), m_traffic.now(), std::nullopt,
                           originAt(*moved.m_upstream)};
     answer.m_stage = RunStage::Begun;
     if (!mayFollow(answer))
--- a/src/entry/upstream_answer.hpp
+++ b/src/entry/upstream_answer.hpp
@@ -24,15 +24,17 @@
 {
     HttpExchange m_exchange;
     InFlightGuard m_guard;
-    /// When the request was sent, if its prompt was the only one for the upstream to read.
+    /// When the request was about to be sent.
+    TimePoint m_placedAt{};
+    /// The same, if its prompt was the only one for the upstream to read.
     std::optional<TimePoint> m_readAloneSince;
     /// Where its events come from.
     StreamOrigin m_origin;
     /// A peer relays it.
     bool m_isRelayed = false;
-    /// When the request was sent, if the answer says how well its upstream's version serves.
+    /// The same, if the answer says how well its upstream's version serves.
     std::optional<TimePoint> m_sentAt{};
-    /// When the request was sent, if its prompt was the only one to read and a slot was free.
+    /// The same, if its prompt was the only one to read and a slot was free.
     std::optional<TimePoint> m_speedSampleSince{};
     RunStage m_stage = RunStage::Waiting;
 };
--- a/src/runtime/detail/http_exchange_state.hpp
+++ b/src/runtime/detail/http_exchange_state.hpp
@@ -11,6 +11,7 @@
 #include <cstddef> // size_t
 #include <memory> // shared_ptr, unique_ptr, weak_ptr
 #include <optional> // optional
+#include <span> // span
 #include <string> // string
 #include <string_view> // string_view
 
@@ -34,6 +35,10 @@
     /// connection open then.
     bool awaitHeader(detail::SteadyTime deadline);
     bool awaitBody(detail::SteadyTime deadline);
+    void keepRest(std::span<const boost::asio::const_buffer> buffers);
+    /// Writes what send() has left. Returns false if that takes longer than until the deadline.
+    bool sendRest(detail::SteadyTime deadline);
+    void interrupt();
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
     CallResult<std::string> readBody();
     void cancel();
@@ -68,6 +73,9 @@
     SendPhase m_phase = SendPhase::NothingSent;
     /// Number of bytes of the request that were not written to the kernel.
     std::size_t m_unsent = 0;
+    /// The end of the request, where it could not be written in time.
+    std::string m_rest;
+    bool m_isInterrupted = false;
     bool m_isHead;
     bool m_closeAfterAnswer;
     bool m_acceptsCloseDelimited;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -132,6 +132,9 @@
     auto *exchange = std::get_if<HttpExchange>(&sent);
     if (!exchange)
         return sent;
+    // The time for the header was needed for the request.
+    if (!exchange->m_state->m_rest.empty())
+        return exchange->giveUp();
     if (const std::optional<CallFailure> failed =
                 exchange->m_state->readHeader(call.m_headerTimeout))
         return *failed;
--- a/src/runtime/http_exchange.cpp
+++ b/src/runtime/http_exchange.cpp
@@ -3,6 +3,7 @@
 #include <runtime/detail/message_writer.hpp>
 
 #include <array> // array
+#include <span> // span
 #include <utility> // move
 
 #include <boost/beast/http/error.hpp>
@@ -73,7 +74,12 @@
                 m_watch->markWritten();
             return std::nullopt;
         }
-        if (status != StreamStatus::TimedOut || std::chrono::steady_clock::now() >= deadline) {
+        const bool isOver = std::chrono::steady_clock::now() >= deadline;
+        if (status == StreamStatus::TimedOut && isOver) {
+            keepRest(buffers);
+            return std::nullopt;
+        }
+        if (status != StreamStatus::TimedOut) {
             m_unsent = asio::buffer_size(buffers);
             if (m_unsent == size && status == StreamStatus::Broken)
                 m_phase = SendPhase::NothingSent;
@@ -88,6 +94,48 @@
     }
 }
 
+/// Keeps what was not written, to be written while the answer is awaited.
+void HttpExchange::State::keepRest(std::span<const asio::const_buffer> buffers)
+{
+    m_unsent = asio::buffer_size(buffers);
+    for (const asio::const_buffer &buffer : buffers)
+        m_rest.append(static_cast<const char *>(buffer.data()), buffer.size());
+}
+
+bool HttpExchange::State::sendRest(detail::SteadyTime deadline)
+{
+    std::array<asio::const_buffer, 1> buffers = {asio::buffer(m_rest)};
+    for (;;) {
+        const StreamStatus status = m_stream->write(buffers, earlyAnswerCheckInterval, deadline);
+        m_unsent = asio::buffer_size(buffers);
+        if (status == StreamStatus::Good) {
+            m_rest.clear();
+            if (m_watch)
+                m_watch->markWritten();
+            return true;
+        }
+        if (status != StreamStatus::TimedOut) {
+            fail(status);
+            return true;
+        }
+        if (!m_stream->isIdleAndOpen()) {
+            m_closeAfterAnswer = true;
+            m_rest.clear();
+            return true;
+        }
+        if (m_isInterrupted || std::chrono::steady_clock::now() >= deadline) {
+            m_rest.erase(0, m_rest.size() - m_unsent);
+            return false;
+        }
+    }
+}
+
+void HttpExchange::State::interrupt()
+{
+    m_isInterrupted = true;
+    m_stream->interrupt();
+}
+
 std::optional<CallFailure> HttpExchange::State::readHeader(Duration timeout)
 {
     if (!awaitHeader(limited(timeout)))
@@ -97,6 +145,9 @@
 
 bool HttpExchange::State::awaitHeader(detail::SteadyTime deadline)
 {
+    m_isInterrupted = false;
+    if (!m_rest.empty() && !m_failure && !sendRest(deadline))
+        return false;
     while (!m_failure && !hasHeader()) {
         if (!m_parser || m_parser->is_header_done())
             startParser();
@@ -338,7 +389,7 @@
 
 void HttpExchange::interrupt()
 {
-    m_state->m_stream->interrupt();
+    m_state->interrupt();
 }
 
 std::optional<CallFailure> HttpExchange::failure() const
--- a/tests/src/unit-http-await.cpp
+++ b/tests/src/unit-http-await.cpp
@@ -4,15 +4,25 @@
 #include <gypsumdale/runtime/http_client.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <chrono> // milliseconds
+#include <cstddef> // size_t
 #include <functional> // function
+#include <future> // promise
 #include <optional> // optional
 #include <string> // string
+#include <thread> // jthread
 #include <utility> // move
 
 using namespace gypsumdale;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -163,6 +173,50 @@
     }
 }
 
+// Guards against a request that is given up because its server takes it slowly.
+TEST_CASE("a request that is not taken in time is written while its answer is awaited")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    // More than the kernel holds for both sides.
+    const std::string body(std::size_t{32} * 1024 * 1024, 'x');
+    std::promise<void> goOn;
+    std::jthread server([&] {
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket);
+        goOn.get_future().wait();
+        std::string request;
+        const std::size_t head =
+                asio::read_until(socket, asio::dynamic_buffer(request), testing::headEnd);
+        asio::read(socket, asio::dynamic_buffer(request),
+                   asio::transfer_exactly(head + body.size() - request.size()));
+        const bool isWhole = request.substr(head) == body;
+        asio::write(socket, asio::buffer(fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n",
+                                                     isWhole ? 200 : 400)));
+    });
+    FiberLoop loop("test");
+    loop.start();
+    loop.call([&] {
+        HttpClient client(loop);
+        HttpCall call;
+        call.m_endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+        call.m_method = "POST";
+        call.m_body = body;
+        call.m_headerTimeout = shortLimit;
+        CallResult<HttpExchange> sent = client.send(call);
+        auto &exchange = std::get<HttpExchange>(sent);
+        CHECK_FALSE(exchange.awaitHeader(shortLimit));
+        loop.spawn([&exchange] { exchange.interrupt(); });
+        CHECK_FALSE(exchange.awaitHeader(hangGuard));
+        goOn.set_value();
+        CHECK(exchange.awaitHeader(hangGuard));
+        REQUIRE(exchange.hasHeader());
+        CHECK(exchange.status() == 200);
+    });
+    loop.stop();
+}
+
 // Guards against an answer that broke off and is awaited until its deadline.
 TEST_CASE("a wait ends where the connection does")
 {
