--- a/src/runtime/detail/http_exchange_state.hpp
+++ b/src/runtime/detail/http_exchange_state.hpp
@@ -39,6 +39,9 @@
     /// Writes what send() has left. Returns false if that takes longer than until the deadline.
     bool sendRest(detail::SteadyTime deadline);
     void interrupt();
+    /// Waits for input until the deadline. Takes what has arrived by then, also if this thread was
+    /// held up beyond it.
+    detail::StreamStatus fillBy(detail::SteadyTime deadline);
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
     CallResult<std::string> readBody();
     void cancel();
--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -202,6 +202,15 @@
     return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::hasUnread()
+{
+    if (m_closed)
+        return false;
+    char byte = 0;
+    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool Stream::hasEnded()
 {
     if (m_closed)
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -87,6 +87,8 @@
     /// Returns whether the connection is open and holds no unread input: false once the other side
     /// has closed it or sent something unrequested. Costs one system call.
     bool isIdleAndOpen();
+    /// Returns whether the kernel holds input or the end of the connection. Costs one system call.
+    bool hasUnread();
     /// Returns whether the other side has closed or reset the connection, and no input is left.
     /// Costs one system call.
     bool hasEnded();
--- a/src/runtime/http_exchange.cpp
+++ b/src/runtime/http_exchange.cpp
@@ -26,6 +26,8 @@
 constexpr int interimStatusClass = 1;
 /// Interval at which a request that the other side doesn't read is checked for an early answer.
 constexpr Duration earlyAnswerCheckInterval = std::chrono::milliseconds(50);
+/// Time limit for taking input that the kernel holds already.
+constexpr Duration lateReadTimeout = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -143,6 +145,14 @@
     return m_failure;
 }
 
+StreamStatus HttpExchange::State::fillBy(detail::SteadyTime deadline)
+{
+    const StreamStatus status = m_stream->fill(deadline);
+    if (status != StreamStatus::TimedOut || !m_stream->hasUnread())
+        return status;
+    return m_stream->fill(detail::deadlineAfter(lateReadTimeout));
+}
+
 bool HttpExchange::State::awaitHeader(detail::SteadyTime deadline)
 {
     m_isInterrupted = false;
@@ -152,7 +162,7 @@
         if (!m_parser || m_parser->is_header_done())
             startParser();
         if (m_stream->input().size() == 0 || m_parser->got_some()) {
-            const StreamStatus status = m_stream->fill(deadline);
+            const StreamStatus status = fillBy(deadline);
             if (status == StreamStatus::TimedOut)
                 return false;
             if (status != StreamStatus::Good) {
@@ -193,7 +203,7 @@
     if (!awaitHeader(deadline))
         return false;
     while (!hasNext()) {
-        const StreamStatus status = m_stream->fill(deadline);
+        const StreamStatus status = fillBy(deadline);
         if (status == StreamStatus::TimedOut)
             return false;
         if (endsByClose(status))
--- a/tests/src/process-entry-silent-upstreams.cpp
+++ b/tests/src/process-entry-silent-upstreams.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm> // count_if, max
 #include <chrono> // milliseconds
-#include <csignal> // SIGTERM
+#include <csignal> // SIGCONT, SIGSTOP, SIGTERM
 #include <string> // string
 #include <thread> // thread
 #include <vector> // vector
@@ -62,6 +62,21 @@
     CHECK(streams.finish() == streamCount);
 }
 
+// Guards against a VM that takes its own standstill for the silence of its upstreams.
+TEST_CASE("streams are whole after their VM stood still")
+{
+    SilentWorld world(1, retrySlack);
+    BegunStreams streams(world, relayedCount);
+    // They have much left to send when the VM is stopped.
+    world.setAllSilent(true);
+    world.node().m_process->send(SIGSTOP);
+    world.setAllSilent(false);
+    std::this_thread::sleep_for(silence);
+    world.node().m_process->send(SIGCONT);
+    CHECK(streams.finish() == relayedCount);
+    CHECK(mostRuns(world) == 1);
+}
+
 // Guards against requests that are given up because all upstreams were silent when they came.
 TEST_CASE("requests are answered after all upstreams were silent before their answers")
 {
--- a/tests/src/unit-http-await.cpp
+++ b/tests/src/unit-http-await.cpp
@@ -12,13 +12,14 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic> // atomic
 #include <chrono> // milliseconds
 #include <cstddef> // size_t
 #include <functional> // function
 #include <future> // promise
 #include <optional> // optional
 #include <string> // string
-#include <thread> // jthread
+#include <thread> // jthread, sleep_for, yield
 #include <utility> // move
 
 using namespace gypsumdale;
@@ -29,6 +30,7 @@
 constexpr Duration shortLimit = std::chrono::milliseconds(20);
 constexpr Duration hangGuard = std::chrono::seconds(20);
 constexpr Duration checkInterval = std::chrono::milliseconds(1);
+constexpr int maxWaits = 10'000;
 
 /// A server whose answer a test lets go on step by step.
 class SteppedServer
@@ -217,6 +219,39 @@
     loop.stop();
 }
 
+// Guards against a thread that was held up and takes an answer that has arrived for silence.
+TEST_CASE("a wait whose time is over takes what has arrived")
+{
+    testing::RawUpstream raw;
+    std::atomic<bool> isAnswered = false;
+    raw.answerWith(
+            [&isAnswered](const std::string &) {
+                isAnswered = true;
+                return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+            },
+            testing::ConnectionEnd::Close);
+    FiberLoop loop("test");
+    loop.start();
+    loop.call([&] {
+        HttpClient client(loop);
+        HttpCall call;
+        call.m_endpoint = {"127.0.0.1", raw.port()};
+        CallResult<HttpExchange> sent = client.send(call);
+        auto &exchange = std::get<HttpExchange>(sent);
+        // Blocks the loop until the answer is on its way.
+        while (!isAnswered)
+            std::this_thread::yield();
+        bool hasArrived = false;
+        for (int wait = 0; wait < maxWaits && !hasArrived; ++wait) {
+            std::this_thread::sleep_for(checkInterval);
+            hasArrived = exchange.awaitHeader(Duration::zero());
+        }
+        CHECK(hasArrived);
+        CHECK(exchange.hasHeader());
+    });
+    loop.stop();
+}
+
 // Guards against an answer that broke off and is awaited until its deadline.
 TEST_CASE("a wait ends where the connection does")
 {
