Number a second run's placement as the attempt that it is

Cause: request-placed of a run beside a silent one bore the silent one's attempt number, as that run was not counted before its answer began. And the time for writing a request stood twice, as three targets here and in serving/hedging.

Change: runs that have not begun count in the number; the write timeout is the delay of a second run. run-silent loses its attempt number.

--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -175,7 +175,10 @@
     bool arrives(UpstreamAnswer &run, AnswerPart part, Duration limit);
     std::optional<UpstreamAnswer> awaitHedged();
     SilentRun silentRun(AnswerPart part) const;
-    HedgeVerdict hedge(const UpstreamAnswer *silent, Duration delay);
+    int outstandingRuns() const;
+    /// Returns the number of the next attempt, from 1 on.
+    int nextAttempt() const { return m_attempts.next() + outstandingRuns(); }
+    HedgeVerdict hedge(Duration delay);
     HedgeVerdict hedgeAtUpstream(Duration delay);
     HedgeVerdict hedgeAtPeer();
     void startHedge(PlacedRun placed, bool isRelayed);
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -122,7 +122,7 @@
              {LogField::Running, upstream.m_own.m_running},
              {LogField::OthersRunning, upstream.m_peerTotal.m_running},
              {LogField::AgeMillis, toMillis(m_traffic.pool().reportAge(m_traffic.now()))},
-             {LogField::Attempt, m_attempts.next()},
+             {LogField::Attempt, nextAttempt()},
              {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
              {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
 }
--- a/src/entry/entry_call_hedge.cpp
+++ b/src/entry/entry_call_hedge.cpp
@@ -42,7 +42,7 @@
             m_hedges.drop();
         else if (m_traffic.now() < nextHedgeAt)
             continue;
-        const HedgeVerdict verdict = hedge(&run, delay);
+        const HedgeVerdict verdict = hedge(delay);
         if (!std::exchange(isLogged, true))
             logSilence(run, verdict);
         nextHedgeAt = isFinal(verdict) ? m_deadline : m_traffic.now() + hedgeRetryInterval;
@@ -67,7 +67,7 @@
         if (hasEnded || timeLeft() <= Duration::zero())
             m_hedges.drop();
         else
-            hedge(nullptr, delay);
+            hedge(delay);
     }
     return std::nullopt;
 }
@@ -77,14 +77,21 @@
     return {part == AnswerPart::Body, m_events > 0, m_route->m_latencyTarget};
 }
 
+/// Returns the number of runs that were sent and of which it isn't known yet whether they have
+/// begun.
+int EntryCall::outstandingRuns() const
+{
+    const bool isWaiting = m_awaited && m_awaited->m_stage == RunStage::Waiting;
+    return m_hedges.waiting() + (isWaiting ? 1 : 0);
+}
+
 /// Sends another run beside those that are silent, if that is allowed and there is a place for it.
-HedgeVerdict EntryCall::hedge(const UpstreamAnswer *silent, Duration delay)
+HedgeVerdict EntryCall::hedge(Duration delay)
 {
     HedgeView view;
     view.m_isRepeatable = m_route->isRetryable() && !m_isCrashTrial;
     view.m_possibleRuns = m_attempts.possibleRuns();
-    const bool isWaiting = silent && silent->m_stage == RunStage::Waiting;
-    view.m_outstandingRuns = m_hedges.waiting() + (isWaiting ? 1 : 0);
+    view.m_outstandingRuns = outstandingRuns();
     view.m_maxAttempts = maxAttempts();
     const bool isRelayed = m_traffic.relay().isUsedFor(m_service);
     view.m_hasFailedToConnect = hasFailedToConnect() && !isRelayed;
@@ -248,7 +255,6 @@
                           run.m_guard.upstream().m_record.m_id,
                           {LogField::Reason, m_events > 0 ? "pause" : "first-answer"},
                           {LogField::Outcome, enumName(hedgeVerdictNames, verdict)},
-                          {LogField::Attempt, m_attempts.next()},
                           {LogField::Events, m_events},
                           {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)}});
 }
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -183,7 +183,7 @@
                           {LogField::Peer, peer.m_record.m_id.text()},
                           peer.m_record.m_dataCentre,
                           {LogField::Running, peer.m_own.m_running},
-                          {LogField::Attempt, m_attempts.next()},
+                          {LogField::Attempt, nextAttempt()},
                           {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)}});
 }
 
--- a/src/entry/entry_call_send.cpp
+++ b/src/entry/entry_call_send.cpp
@@ -11,9 +11,6 @@
 /// A new connection takes a round trip. After this time the upstream counts as stopped or
 /// unreachable.
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
-/// A repeatable request may be sent elsewhere too if its upstream has not taken all of it after
-/// this many times the latency target.
-constexpr int writeTimeoutTargets = 3;
 /// Larger than the difference between two machines' clocks when neither has jumped; a crashed
 /// upstream is down for longer than this.
 constexpr Duration restartMargin = std::chrono::milliseconds(1000);
@@ -70,7 +67,7 @@
     const bool canRepeat = m_route->isRetryable() && m_attempts.possibleRuns() + 1 < maxAttempts();
     if (!canRepeat)
         return left;
-    return std::min(left, writeTimeoutTargets * m_route->m_latencyTarget);
+    return std::min(left, hedgeDelay(silentRun(AnswerPart::Header)));
 }
 
 /// Records that the request is about to be sent to an upstream.
--- a/tests/src/process-entry-silent-upstreams.cpp
+++ b/tests/src/process-entry-silent-upstreams.cpp
@@ -143,6 +143,10 @@
     for (std::size_t index = 0; index < SilentWorld::upstreams; ++index)
         world.waitUntil("no run is left", [&] { return world.running(index) == 0; });
     CHECK(world.runs()["r-x"] == 2);
+    const std::string log = world.fullLog(world.node());
+    CHECK(log.find("\"attempt\":2") != std::string::npos);
+    CHECK(log.find("\"event\":\"run-silent\"") != std::string::npos);
+    CHECK(log.find("\"event\":\"silence-ended\"") != std::string::npos);
 }
 
 // Guards against streams of a VM that is cut off, which are cut because its relay's upstream was
