--- a/src/entry/hedged_runs.cpp
+++ b/src/entry/hedged_runs.cpp
@@ -8,9 +8,8 @@
 
 HedgedRun &HedgedRuns::add(PlacedRun placed, bool isRelayed)
 {
-    HedgedRun &run = m_runs.emplace_back(std::move(placed));
-    run.m_isRelayed = isRelayed;
-    return run;
+    m_runs.push_back(HedgedRun{std::move(placed), isRelayed});
+    return m_runs.back();
 }
 
 bool HedgedRuns::isAnyUnderWay() const
--- a/src/entry/hedged_runs.hpp
+++ b/src/entry/hedged_runs.hpp
@@ -45,7 +45,7 @@
     bool m_isDropped = false;
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     /// Set once the request was sent.
-    std::optional<UpstreamAnswer> m_answer;
+    std::optional<UpstreamAnswer> m_answer{};
 };
 
 /// The runs of one request that were sent beside a silent one. All calls are made from fibers of
