Keep the ports of tests that run at once apart

Seen: process-entry-silent-upstreams, three at once, waited in vain until a VM was ready, in 1 of 9 runs.

Cause, from the logs that were left: address-in-use. Each test begins to look for free ports at its process id times 53; a test with many cases uses more than 53, and the next id's test takes the same ones between the look and the use.

Change: 1009 ports apart. The check is as it was.

The other process tests were not run with it.

--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <chrono> // milliseconds
-#include <cstdint> // uint16_t
+#include <cstdint> // int64_t, uint16_t
 #include <fstream> // ifstream
 #include <iterator> // istreambuf_iterator
 #include <optional> // optional
@@ -34,7 +34,9 @@
 {
     constexpr int first = 20000;
     constexpr int count = 12000;
-    static int next = (getpid() * 53) % count;
+    // More than a test uses: tests that run at once have process ids that follow each other.
+    constexpr int perProcess = 1009;
+    static int next = static_cast<int>(std::int64_t{getpid()} * perProcess % count);
     for (;;) {
         const auto port = static_cast<std::uint16_t>(first + next++ % count);
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
