Log each request that a stop cuts, with when it was read

Our log names the end of each request that the grace time ends, but not when it was read and placed, measured from the signal. So a request that was begun too late can't be told from one that a count missed, nor what the rule excuses from what it doesn't.

Change: `request-cut-by-stop` for each request that is given up when the grace time is over: when it was read and placed since the signal, and how far it had come. The times of a stop (end of accepting, end of the grace time) stand in one place, StopSchedule, which the traffic thread knows from the signal on. No decision changes.

Measured: process-entry-stop, "requests under way at the end of the grace time get an answer", checks the line; it passes.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -24,6 +24,7 @@
 #include <gypsumdale/serving/service_versions.hpp>
 #include <gypsumdale/serving/serving_view.hpp>
 #include <gypsumdale/serving/steady_wall_clock.hpp>
+#include <gypsumdale/serving/stop_schedule.hpp>
 #include <gypsumdale/serving/upstream_pool.hpp>
 #include <gypsumdale/serving/upstream_speed.hpp>
 #include <gypsumdale/serving/usage_counts.hpp>
@@ -128,6 +129,11 @@
     };
     CallRegistration registerCall(EntryCall &call);
 
+    /// Begins a planned stop of the process: peers are offered no relaying any more.
+    void beginStop(const StopSchedule &schedule);
+    /// Returns the schedule of the stop, or nothing if the process isn't stopping.
+    const std::optional<StopSchedule> &stopSchedule() const { return m_stopSchedule; }
+
     /// Cancels the active calls, and from now on each call that starts. Without that, the callers'
     /// connections would end without an answer when the process ends. Returns the number of active
     /// calls.
@@ -276,6 +282,7 @@
     EntryWaiting m_waiting;
     std::set<EntryCall *> m_activeCalls;
     bool m_isCancellingCalls = false;
+    std::optional<StopSchedule> m_stopSchedule;
     StartupKnowledge m_startupKnowledge;
     LongPromptPlaced m_longPromptPlaced;
     RetriesTaken m_retriesTaken;
--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -102,6 +102,8 @@
     Priority,
     Demand,
     FleetDemand,
+    ReadSinceSignalMillis,
+    PlacedSinceSignalMillis,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -100,6 +100,9 @@
     /// not run, as one that may have run, or ends as a stream that is visibly cut off.
     void cancelForShutdown();
 
+    /// Logs that the process stops before the request has ended, and when it was read and placed.
+    void logCutByStop(const StopSchedule &stop) const;
+
 private:
     /// Least time before the deadline in which an upstream can start an answer.
     static constexpr Duration minTimeLeft = std::chrono::milliseconds(10);
@@ -275,6 +278,8 @@
     std::shared_ptr<CallCancellation> m_cancellation = std::make_shared<CallCancellation>();
     TimePoint m_arrivedAt;
     TimePoint m_deadline{};
+    /// When the last attempt was placed, if there was one.
+    std::optional<TimePoint> m_lastPlacedAt;
     TimePoint m_streamStartedAt{};
     TimePoint m_lastEventAt{};
     Duration m_longestPause{};
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -127,6 +127,22 @@
              {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
 }
 
+void EntryCall::logCutByStop(const StopSchedule &stop) const
+{
+    const TimePoint placedAt = m_lastPlacedAt.value_or(stop.m_cancelAt);
+    m_traffic.log().warning(
+            "request-cut-by-stop",
+            {m_caller.m_id,
+             m_service,
+             {LogField::Route, m_route->m_name},
+             {LogField::State, m_lastPlacedAt ? "placed" : "waiting"},
+             {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
+             {LogField::PlacedSinceSignalMillis, toMillis(placedAt - stop.m_signalAt)},
+             {LogField::Events, m_events},
+             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
+             {LogField::Source, enumName(callSourceNames, m_source)}});
+}
+
 void EntryCall::logEnd(std::string_view outcome, int status)
 {
     const bool isGood = outcome == "done";
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -31,9 +31,10 @@
 /// Records that the request is about to be sent to a peer.
 PlacedRun EntryCall::placeAtPeer(const PooledUpstreamPointer &peer)
 {
+    m_lastPlacedAt = m_traffic.now();
     m_triedPeers.insert(peer->m_record.m_id);
     logRelayed(*peer);
-    return {InFlightGuard(peer, 0), nullptr, m_traffic.now()};
+    return {InFlightGuard(peer, 0), nullptr, *m_lastPlacedAt};
 }
 
 /// Sends the request to the peer that was selected. Returns once it was sent.
--- a/src/entry/entry_call_send.cpp
+++ b/src/entry/entry_call_send.cpp
@@ -75,6 +75,7 @@
                            TimePoint until)
 {
     const TimePoint now = m_traffic.now();
+    m_lastPlacedAt = now;
     m_triedUpstreams.insert(upstream->m_record.m_id);
     m_traffic.pool().takePermit(*upstream, now);
     logPlaced(*upstream, until);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -10,6 +10,7 @@
 #include <gypsumdale/entry/peer_wire.hpp>
 #include <gypsumdale/entry/rollout_controller.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
+#include <gypsumdale/serving/stop_schedule.hpp>
 
 #include <entry/quarantine_page.hpp>
 #include <entry/queue_page.hpp>
@@ -18,7 +19,6 @@
 #include <entry/rollout_page.hpp>
 #include <entry/thread_connections.hpp>
 
-#include <algorithm> // min
 #include <atomic> // atomic
 #include <csignal> // kill, sigaddset, sigset_t, sigwait
 #include <optional> // optional
@@ -35,20 +35,11 @@
 constexpr int endSignal = SIGUSR1;
 /// Rate limit for the lines of one kind of event: a busy VM serves about 60 requests per second.
 constexpr LogRate logRate{400, 80};
-/// New connections are still accepted for this time after the stop signal: the load balancer checks
-/// readiness once per second and sends connections until two checks have failed.
-constexpr Duration acceptAfterSignal = std::chrono::milliseconds(2600);
-/// Part of the grace time reserved for answers to cancelled requests, for leaving the registry and
-/// for the end of the process.
-constexpr Duration graceMargin = std::chrono::milliseconds(700);
 /// Part of graceMargin for the answers: a VM with a tenth of a core writes about a hundred of them.
 constexpr Duration lastAnswersTimeout = std::chrono::milliseconds(250);
 /// Part of graceMargin for the log lines about answers that callers did not receive: two drain
 /// checks.
 constexpr Duration lastLinesTimeout = std::chrono::milliseconds(100);
-/// Divisor of the grace time without its margin that gives the longest time for accepting
-/// connections, so that a short grace time leaves time to answer them.
-constexpr int acceptGraceDivisor = 2;
 /// Part of graceMargin for the peers' receipt of the final report, while the registry is left: a
 /// round trip between data centres and a slow VM.
 constexpr Duration finalReportTime = std::chrono::milliseconds(150);
@@ -409,22 +400,22 @@
 
     void drain()
     {
-        const TimePoint begun = m_clock.now();
-        const Duration grace = m_settings.m_bounds.m_shutdownGrace - graceMargin;
+        const StopSchedule schedule =
+                scheduleStop(m_clock.now(), m_settings.m_bounds.m_shutdownGrace);
         m_log->info("draining", {{LogField::Count, m_requestServers.requestsInFlight()},
                                  {LogField::Connections, m_requestServers.connections()}});
         m_duties.resign();
-        m_trafficLoop.spawn([this] { m_traffic.relay().close(); });
+        m_trafficLoop.spawn([this, schedule] { m_traffic.beginStop(schedule); });
         m_requestServers.announceClose();
-        sleepFiber(std::min(acceptAfterSignal, grace / acceptGraceDivisor));
+        sleepFiber(schedule.m_acceptUntil - m_clock.now());
         m_requestServers.stopAccepting();
-        const bool isAnswered = awaitNoCallers(begun + grace);
+        const bool isAnswered = awaitNoCallers(schedule.m_cancelAt);
         if (!isAnswered)
             cancelLastCalls();
         m_log->info("drained", {{LogField::Reason, isAnswered ? "no-callers" : "grace-over"},
                                 {LogField::Count, m_cancelledRequests.load()},
                                 {LogField::Connections, m_requestServers.connections()},
-                                {LogField::Millis, toMillis(m_clock.now() - begun)}});
+                                {LogField::Millis, toMillis(m_clock.now() - schedule.m_signalAt)}});
         // While the store is silent, leaving the registry takes longer than the grace time, so the
         // process may be killed before the next flush.
         m_log->flush();
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -108,14 +108,23 @@
     return {m_activeCalls, call};
 }
 
+void EntryTraffic::beginStop(const StopSchedule &schedule)
+{
+    m_stopSchedule = schedule;
+    m_relay.close();
+}
+
 std::size_t EntryTraffic::cancelCalls()
 {
     m_isCancellingCalls = true;
     m_waiting.drain();
     // The set doesn't change during the loop: each call is removed by its own fiber, which runs
     // later.
-    for (EntryCall *call : m_activeCalls)
+    for (EntryCall *call : m_activeCalls) {
+        if (m_stopSchedule)
+            call->logCutByStop(*m_stopSchedule);
         call->cancelForShutdown();
+    }
     return m_activeCalls.size();
 }
 
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 90> logFieldNames = {{
+constexpr NameTable<LogField, 92> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -96,6 +96,8 @@
         {LogField::Priority, "priority"},
         {LogField::Demand, "demand"},
         {LogField::FleetDemand, "fleet_demand"},
+        {LogField::ReadSinceSignalMillis, "read_since_signal_millis"},
+        {LogField::PlacedSinceSignalMillis, "placed_since_signal_millis"},
 }};
 
 } // namespace
--- a/tests/src/process-entry-stop.cpp
+++ b/tests/src/process-entry-stop.cpp
@@ -10,6 +10,7 @@
 #include <csignal> // SIGHUP, SIGINT, SIGKILL, SIGTERM
 #include <mutex> // lock_guard, mutex
 #include <optional> // nullopt, optional
+#include <regex> // regex, regex_search
 #include <set> // set
 #include <string> // string
 #include <string_view> // string_view
@@ -250,6 +251,10 @@
     const std::string log = world.fullLog(world.node());
     CHECK(log.find("\"event\":\"request-failed\"") != std::string::npos);
     CHECK(log.find("\"request\":\"r-1\"") != std::string::npos);
+    // It says when the request was read, which tells apart what had begun before the signal.
+    const std::regex cutLine("\"event\":\"request-cut-by-stop\",[^\n]*\"request\":\"r-1\"[^\n]*"
+                             "\"state\":\"placed\"[^\n]*\"read_since_signal_millis\":[1-9]");
+    CHECK(std::regex_search(log, cutLine));
 }
 
 // Guards against lost requests during planned work alone: VMs are stopped and started in turn, some
