Test that a process that stops begins no stream that outlasts it

The story, in four cases on real processes, with a grace time of 6 s (requests are cancelled 5.3 s after the signal) and streams of 4 s: - eight callers hold open connections; 2.6 s after the signal the process stops to accept, and they send then: each stream is begun, and cut; - a body in chunks is whole only then: the same; - a stream waits behind another one on its connection, which ends 3.5 s after it began: the same; - a route's streams have taken 4 s so far, and one comes on a new connection a second after the signal. A short one of another route, which comes at the same time, has to be served.

--- /dev/null
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -0,0 +1,186 @@
+#include "support/entry_world.hpp"
+#include "support/raw_caller.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono> // milliseconds
+#include <csignal> // SIGTERM
+#include <string> // stoi, string
+#include <string_view> // string_view
+#include <thread> // sleep_for
+#include <vector> // vector
+
+using namespace gypsumdale;
+using namespace gypsumdale::testing;
+
+namespace {
+
+constexpr Duration eventInterval = std::chrono::milliseconds(100);
+constexpr std::string_view lastChunk = "\r\n0\r\n\r\n";
+/// Events of a stream that lasts 4 s. Begun when connections are no longer accepted, 2.6 s after
+/// the signal, it outlasts the stop, which ends after 5.3 s.
+constexpr int longStream = 40;
+
+/// Serves streams of as many events as their target says: `/draft/40`.
+void serveStreams(EntryWorld &world)
+{
+    world.behave([](const HttpRequest &request, HttpResponder &responder,
+                    const HttpHeaders &headers) {
+        const int events = std::stoi(request.m_target.substr(request.m_target.rfind('/') + 1));
+        bool isConnected = responder.begin(200, headers);
+        for (int number = 1; isConnected && number <= events; ++number) {
+            isConnected = responder.write(fmt::format("id: {}\ndata: x\n\n", number));
+            sleepFiber(eventInterval);
+        }
+        responder.finish();
+    });
+}
+
+std::string headOf(std::string_view target, std::string_view id, std::string_view framing)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nGypsumdale-Request-Id: {}\r\n"
+                       "Authorization: Bearer key\r\n{}\r\n\r\n",
+                       target, id, framing);
+}
+
+std::string requestOf(std::string_view target, std::string_view id)
+{
+    return headOf(target, id, "Content-Length: 4") + "body";
+}
+
+std::string draft(int events)
+{
+    return fmt::format("/draft/{}", events);
+}
+
+bool isSeen(EntryWorld &world, std::string_view id)
+{
+    for (std::size_t index = 0; index < world.upstreamCount(); ++index) {
+        for (const HttpRequest &request : world.upstream(index).seen()) {
+            if (request.m_headers.value("Gypsumdale-Request-Id") == id)
+                return true;
+        }
+    }
+    return false;
+}
+
+void stop(EntryWorld &world)
+{
+    world.node().m_process->send(SIGTERM);
+    world.waitUntil("it says that it isn't ready", [&] { return !world.isReady(world.node()); });
+}
+
+void waitUntilClosed(EntryWorld &world)
+{
+    world.waitUntil("it accepts no connections", [&] {
+        RawCaller probe;
+        return !probe.connect(world.node().m_callerPort);
+    });
+}
+
+void waitUntilEnded(EntryWorld &world)
+{
+    world.waitUntil("it has ended", [&] { return world.node().m_process->exited(); });
+    CHECK(world.node().m_process->exitStatus() == 0);
+    CHECK(world.fullLog(world.node()).find("request-cut-by-stop") == std::string::npos);
+}
+
+void checkNotBegun(EntryWorld &world, std::string_view id, const std::string &answer)
+{
+    INFO(id << " was answered with: " << answer);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK_FALSE(isSeen(world, id));
+}
+
+/// Lets the process learn how long a route's streams take.
+void serveSome(EntryWorld &world, const std::string &target)
+{
+    std::vector<RawCaller> callers(4);
+    int number = 0;
+    for (RawCaller &caller : callers) {
+        REQUIRE(caller.connect(world.node().m_callerPort));
+        caller.write(requestOf(target, fmt::format("earlier-{}", number++)));
+    }
+    for (RawCaller &caller : callers) {
+        const std::string answer = caller.readUntil(lastChunk);
+        CHECK(answer.ends_with(lastChunk));
+    }
+}
+
+} // namespace
+
+// Guards against streams that are begun on open connections and cut at the end of the grace time.
+TEST_CASE("a process that stops begins no stream on an open connection that outlasts it")
+{
+    EntryWorld world;
+    serveStreams(world);
+    std::vector<RawCaller> callers(8);
+    stop(world);
+    for (RawCaller &caller : callers)
+        REQUIRE(caller.connect(world.node().m_callerPort));
+    waitUntilClosed(world);
+    for (std::size_t number = 0; number < callers.size(); ++number)
+        callers[number].write(requestOf(draft(longStream), fmt::format("r-{}", number)));
+    for (std::size_t number = 0; number < callers.size(); ++number)
+        checkNotBegun(world, fmt::format("r-{}", number), callers[number].readToEnd());
+    waitUntilEnded(world);
+}
+
+// Guards against streams that are begun when a slow body is whole and cut at the end of the grace
+// time.
+TEST_CASE("a process that stops begins no stream that outlasts it when its body is whole")
+{
+    EntryWorld world;
+    serveStreams(world);
+    RawCaller caller;
+    REQUIRE(caller.connect(world.node().m_callerPort));
+    caller.write(headOf(draft(longStream), "r-1", "Transfer-Encoding: chunked") + "2\r\nbo\r\n");
+    stop(world);
+    waitUntilClosed(world);
+    caller.write("2\r\ndy\r\n0\r\n\r\n");
+    checkNotBegun(world, "r-1", caller.readToEnd());
+    waitUntilEnded(world);
+}
+
+// Guards against a stream that waits behind another one on its connection, is begun when that one
+// has ended, and is cut at the end of the grace time.
+TEST_CASE("a process that stops begins no stream behind another one that outlasts it")
+{
+    constexpr int firstStream = 35;
+    EntryWorld world;
+    serveStreams(world);
+    RawCaller caller;
+    REQUIRE(caller.connect(world.node().m_callerPort));
+    caller.write(requestOf(draft(firstStream), "r-1"));
+    const std::string head = caller.readUntil(headEnd);
+    CHECK(head.starts_with("HTTP/1.1 200"));
+    caller.write(requestOf(draft(longStream), "r-2"));
+    stop(world);
+    CHECK(caller.readUntil(lastChunk).ends_with(lastChunk));
+    checkNotBegun(world, "r-2", caller.readToEnd());
+    waitUntilEnded(world);
+}
+
+// Guards against long streams that are begun shortly after the signal and cut at the end of the
+// grace time, and against rejecting those that end before it.
+TEST_CASE("a process that stops begins the streams that end before it")
+{
+    constexpr int shortStream = 8;
+    const std::string shortTarget = fmt::format("/stream/{}", shortStream);
+    EntryWorld world;
+    serveStreams(world);
+    serveSome(world, draft(longStream));
+    serveSome(world, shortTarget);
+    stop(world);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    RawCaller longCaller;
+    RawCaller shortCaller;
+    REQUIRE(longCaller.connect(world.node().m_callerPort));
+    REQUIRE(shortCaller.connect(world.node().m_callerPort));
+    longCaller.write(requestOf(draft(longStream), "r-long"));
+    shortCaller.write(requestOf(shortTarget, "r-short"));
+    checkNotBegun(world, "r-long", longCaller.readToEnd());
+    CHECK(shortCaller.readToEnd().ends_with(lastChunk));
+    waitUntilEnded(world);
+}
