--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -14,6 +14,7 @@
 #include <gypsumdale/observe/log.hpp>
 #include <gypsumdale/observe/metrics.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
+#include <gypsumdale/serving/completion_forecast.hpp>
 #include <gypsumdale/serving/first_event_forecast.hpp>
 #include <gypsumdale/serving/fleet_quota.hpp>
 #include <gypsumdale/serving/placement_deadline.hpp>
@@ -209,6 +210,7 @@
     FleetPrefillRates &reading() { return m_prefillRates; }
     UpstreamSpeeds &speeds() { return m_speeds; }
     FirstEventForecaster &forecaster() { return m_forecaster; }
+    CompletionForecaster &completions() { return m_completions; }
     /// Returns how many prompt tokens an engine of a service reads in the given time; 0 if its
     /// speed isn't known.
     double tokensWithin(const ServiceId &service, Duration time) const;
@@ -268,6 +270,7 @@
     PromptAnnouncer m_promptAnnouncer;
     bool m_isSpreadOut = false;
     FirstEventForecaster m_forecaster;
+    CompletionForecaster m_completions;
     /// As of the last report.
     std::map<ServiceId, PrefillRate> m_fleetPrefill;
     FleetQuota m_quota;
--- a/include/gypsumdale/serving/stop_schedule.hpp
+++ b/include/gypsumdale/serving/stop_schedule.hpp
@@ -2,6 +2,8 @@
 
 #include <gypsumdale/core/clock.hpp>
 
+#include <optional> // optional
+
 namespace gypsumdale {
 
 /// When a process that was asked to stop does what.
@@ -23,4 +25,19 @@
 /// counted from the signal. Complexity: constant.
 StopSchedule scheduleStop(TimePoint signalAt, Duration grace);
 
+/// How long a request takes from now on, as far as that is known.
+struct ExpectedDuration
+{
+    /// The request has ended by then in any case.
+    TimePoint m_deadline{};
+    /// Time that hardly any such request exceeds, or nothing if nothing is known of them.
+    std::optional<Duration> m_forecast;
+};
+
+/// Returns whether a process that stops may still begin a request. One that can't end in time is
+/// cut, and may not be repeated then; a caller that is refused goes to another VM. While the load
+/// balancer still sends requests, those of unknown duration are begun. Later only few arrive, and
+/// a cut outweighs a refusal that turns out to be needless. Complexity: constant.
+bool mayBegin(const StopSchedule &stop, const ExpectedDuration &duration, TimePoint now);
+
 } // namespace gypsumdale
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -51,7 +51,7 @@
     if (!resolve() || !bindStream())
         return;
     selectService();
-    if (rejectIfQuarantined())
+    if (rejectIfQuarantined() || rejectIfStopping())
         return;
     if (!hasUpstreamToGoOn() || !canMeetDeadline())
         return;
@@ -70,12 +70,6 @@
         m_turn->setServedTokens(servedTokens());
 }
 
-void EntryCall::cancelForShutdown()
-{
-    m_isShuttingDown = true;
-    cancelAttempt();
-}
-
 void EntryCall::cancelAttempt()
 {
     if (m_connectionPlace)
@@ -115,7 +109,7 @@
 {
     if (m_isCallerGone)
         return AttemptStop::CallerGone;
-    if (m_isShuttingDown)
+    if (m_isShuttingDown || isRefusedByStop())
         return AttemptStop::Stopping;
     if (isQuarantined())
         return AttemptStop::Quarantined;
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -170,6 +170,11 @@
     bool awaitHeader(UpstreamAnswer &answer);
     bool takeHeader(UpstreamAnswer &answer);
     std::optional<AttemptStop> attemptStopReason();
+    std::optional<Duration> forecastDuration() const;
+    bool mayBegin() const;
+    bool isRefusedByStop() const;
+    bool rejectIfStopping();
+    void recordCompletion() const;
 
     /// Waits until a part of a run's answer has arrived, the run has failed, or no time is left.
     /// While the run is silent, others are sent beside it where that is allowed, and the first one
--- a/src/entry/entry_call_connection.cpp
+++ b/src/entry/entry_call_connection.cpp
@@ -64,7 +64,7 @@
     if (hasTurn) {
         m_traffic.log().info("connection-awaited",
                              {m_caller.m_id, m_service, {LogField::Millis, toMillis(waited)}});
-        return std::nullopt;
+        return attemptStopReason();
     }
     m_connectionPlace.reset();
     if (const auto stop = attemptStopReason())
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -12,6 +12,8 @@
 /// Callers are asked to retry within this range, spread so that they don't return at the same time.
 constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration retryDelaySpread = std::chrono::milliseconds(350);
+/// The same for a request that another VM can take at once.
+constexpr Duration retryElsewhereDelay = std::chrono::milliseconds(20);
 
 std::string_view stateOf(const PooledUpstream &upstream)
 {
@@ -62,8 +64,9 @@
         return;
     if (stop == AttemptStop::Quarantined && rejectIfQuarantined())
         return;
-    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop),
-                  m_stopRetryAfter + retryAfter());
+    const Duration delay =
+            stop == AttemptStop::Stopping ? retryElsewhereDelay : m_stopRetryAfter + retryAfter();
+    sendOwnAnswer(statusUnavailable, enumName(attemptStopNames, stop), delay);
 }
 
 Duration EntryCall::retryAfter()
@@ -98,6 +101,8 @@
     const bool isDone = reply.m_status < 500;
     m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
     m_series->add(isDone ? RequestCounter::Done : RequestCounter::Failed);
+    if (isDone)
+        recordCompletion();
     logEnd(isDone ? "done" : "upstream-error", reply.m_status);
 }
 
@@ -127,22 +132,6 @@
              {LogField::BudgetLeft, m_traffic.allowance().left(m_service, m_traffic.now())}});
 }
 
-void EntryCall::logCutByStop(const StopSchedule &stop) const
-{
-    const TimePoint placedAt = m_lastPlacedAt.value_or(stop.m_cancelAt);
-    m_traffic.log().warning(
-            "request-cut-by-stop",
-            {m_caller.m_id,
-             m_service,
-             {LogField::Route, m_route->m_name},
-             {LogField::State, m_lastPlacedAt ? "placed" : "waiting"},
-             {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
-             {LogField::PlacedSinceSignalMillis, toMillis(placedAt - stop.m_signalAt)},
-             {LogField::Events, m_events},
-             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
-             {LogField::Source, enumName(callSourceNames, m_source)}});
-}
-
 void EntryCall::logEnd(std::string_view outcome, int status)
 {
     const bool isGood = outcome == "done";
--- a/src/entry/entry_call_hedge.cpp
+++ b/src/entry/entry_call_hedge.cpp
@@ -96,7 +96,8 @@
     const bool isRelayed = m_traffic.relay().isUsedFor(m_service);
     view.m_hasFailedToConnect = hasFailedToConnect() && !isRelayed;
     view.m_isSuspected = isQuarantined() || m_traffic.crashes().mustWait(m_caller.m_id);
-    view.m_timeLeft = m_isCallerGone || m_isShuttingDown ? Duration::zero() : timeLeft();
+    const bool mayRun = !m_isCallerGone && !m_isShuttingDown && mayBegin();
+    view.m_timeLeft = mayRun ? timeLeft() : Duration::zero();
     view.m_minTimeLeft = minTimeLeft;
     const HedgeVerdict verdict = decideHedge(view);
     if (verdict != HedgeVerdict::Sent)
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -239,6 +239,7 @@
     }
     m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
     m_series->add(RequestCounter::Done);
+    recordCompletion();
     logEnd("done", answer.m_exchange.status());
     return true;
 }
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -133,6 +133,7 @@
     m_view = std::move(view);
     m_startupKnowledge.recordConfiguration();
     m_waiting.setView(*m_view);
+    m_completions.retainRoutes(m_view->config());
     std::map<ServiceId, int> limits;
     for (const auto &[id, service] : m_view->config().m_services) {
         limits[id] = service.m_maxConnections;
--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -166,19 +166,21 @@
 // grace time, and against rejecting those that end before it.
 TEST_CASE("a process that stops begins the streams that end before it")
 {
+    // Begun 1.2 s after the signal, it would end 0.3 s late.
+    const std::string longTarget = draft(44);
     constexpr int shortStream = 8;
     const std::string shortTarget = fmt::format("/stream/{}", shortStream);
     EntryWorld world;
     serveStreams(world);
-    serveSome(world, draft(longStream));
+    serveSome(world, longTarget);
     serveSome(world, shortTarget);
     stop(world);
-    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
     RawCaller longCaller;
     RawCaller shortCaller;
     REQUIRE(longCaller.connect(world.node().m_callerPort));
     REQUIRE(shortCaller.connect(world.node().m_callerPort));
-    longCaller.write(requestOf(draft(longStream), "r-long"));
+    longCaller.write(requestOf(longTarget, "r-long"));
     shortCaller.write(requestOf(shortTarget, "r-short"));
     checkNotBegun(world, "r-long", longCaller.readToEnd());
     CHECK(shortCaller.readToEnd().ends_with(lastChunk));
--- /dev/null
+++ b/tests/src/unit-stop-schedule.cpp
@@ -0,0 +1,71 @@
+#include <gypsumdale/serving/stop_schedule.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <chrono> // milliseconds, seconds
+#include <optional> // nullopt
+
+using namespace gypsumdale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint signalAt{seconds(100)};
+/// Requests are cancelled 7.3 s after the signal.
+constexpr Duration grace = seconds(8);
+
+TimePoint after(milliseconds time)
+{
+    return signalAt + time;
+}
+
+ExpectedDuration unbounded(std::optional<Duration> forecast)
+{
+    return {signalAt + seconds(60), forecast};
+}
+
+} // namespace
+
+TEST_CASE("a stop leaves time to answer and to end within the grace time")
+{
+    const StopSchedule stop = scheduleStop(signalAt, grace);
+    CHECK(stop.m_acceptUntil == after(milliseconds(2600)));
+    CHECK(stop.m_cancelAt == after(milliseconds(7300)));
+    const StopSchedule brief = scheduleStop(signalAt, seconds(2));
+    CHECK(brief.m_acceptUntil == after(milliseconds(650)));
+    CHECK(brief.m_cancelAt == after(milliseconds(1300)));
+}
+
+// Guards against requests that are begun by a process that stops and cut at its end.
+TEST_CASE("a process that stops begins what is expected to end before it")
+{
+    const StopSchedule stop = scheduleStop(signalAt, grace);
+    const ExpectedDuration fourSeconds = unbounded(seconds(4));
+    SECTION("by the forecast while connections are accepted")
+    {
+        CHECK(mayBegin(stop, fourSeconds, after(milliseconds(0))));
+        CHECK(mayBegin(stop, fourSeconds, after(milliseconds(2500))));
+        CHECK_FALSE(mayBegin(stop, unbounded(seconds(5)), after(milliseconds(2500))));
+    }
+    SECTION("with time to spare once they aren't")
+    {
+        CHECK_FALSE(mayBegin(stop, fourSeconds, after(milliseconds(2600))));
+        CHECK(mayBegin(stop, unbounded(seconds(3)), after(milliseconds(2700))));
+        CHECK_FALSE(mayBegin(stop, unbounded(seconds(3)), after(milliseconds(2900))));
+    }
+    SECTION("of unknown duration only while connections are accepted")
+    {
+        CHECK(mayBegin(stop, unbounded(std::nullopt), after(milliseconds(2500))));
+        CHECK_FALSE(mayBegin(stop, unbounded(std::nullopt), after(milliseconds(2600))));
+    }
+    SECTION("always if the deadline is sooner")
+    {
+        const ExpectedDuration bounded{after(milliseconds(7300)), seconds(9)};
+        CHECK(mayBegin(stop, bounded, after(milliseconds(6000))));
+    }
+    SECTION("and nothing once requests are cancelled")
+    {
+        CHECK_FALSE(mayBegin(stop, unbounded(Duration::zero()), after(milliseconds(7400))));
+    }
+}
