Let a slow reader have the end of the last answer on a connection

From a stop on, an answer says that its connection closes. A caller that reads slowly and has sent its next request all the same gets what its own side had taken, then a reset: 4 KB of 200 in the test.

Cause: the server closed the connection as soon as the kernel had taken the answer. What the caller had sent, or sends afterwards, makes the kernel reset a closed connection and drop what it still holds of the answer. The refusals of malformed requests ended their connections gracefully already.

Change: a connection that its caller meant to keep and that the answer ended is closed the same way: sending ends, input is discarded until the caller closes, for a second at most. The stop counts it until then. Where the caller asked for the end nothing changes.

That the users' record has this cause is unlikely: its requests are the long streams only.

Measured: unit-http-answer-tail fails before (4096 of 204800 bytes, then a reset) and passes now; unit-http-stop and unit-http pass.

--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -59,6 +59,15 @@
 {
     while (serveRequest())
         ++m_served;
+    if (closesBeforeCaller())
+        m_stream->closeGracefully();
+}
+
+/// Returns whether the last answer ends a connection that its caller meant to keep. What the caller
+/// has sent since would reset it, with the end of an answer that is still under way.
+bool HttpConnection::closesBeforeCaller() const
+{
+    return m_answer == AnswerState::Complete && m_callerKeepsAlive && m_sentClose && !m_callerGone;
 }
 
 void HttpConnection::closeIfIdle()
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -83,6 +83,7 @@
     };
 
     bool serveRequest();
+    bool closesBeforeCaller() const;
     bool awaitFirstByte();
     bool readRequest(Parser &parser);
     bool sendContinueIfAsked(Parser &parser);
