Count the grace time of a stop from its signal

Cause, by reading: the stop took its beginning from the control thread's first turn after the signal. If that thread is busy or its VM short of processor time, the stop ends later than the platform's grace time allows, by as much, and is killed with answers under way.

Change: the thread that takes the signals reads the clock.

The cases of process-entry-stop on the end of the grace time pass.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -139,7 +139,7 @@
     {
         if (m_isShuttingDown.exchange(true))
             return;
-        m_controlLoop.spawn([this] { drain(); });
+        m_controlLoop.spawn([this, signalAt = m_clock.now()] { drain(signalAt); });
     }
 
     bool hasEnded() const { return m_hasEnded; }
@@ -398,10 +398,9 @@
         awaitNoCallers(m_clock.now() + lastLinesTimeout);
     }
 
-    void drain()
+    void drain(TimePoint signalAt)
     {
-        const StopSchedule schedule =
-                scheduleStop(m_clock.now(), m_settings.m_bounds.m_shutdownGrace);
+        const StopSchedule schedule = scheduleStop(signalAt, m_settings.m_bounds.m_shutdownGrace);
         m_log->info("draining", {{LogField::Count, m_requestServers.requestsInFlight()},
                                  {LogField::Connections, m_requestServers.connections()}});
         m_duties.resign();
