Test that a stop begins no relayed stream and no further attempt in vain

- A VM that is cut off relays a stream to a peer that stops; it took it and cut it.
It passes it back now (`Relay-Refused: stopping`), so that the other VM asks another peer.
- The upstream of a request that may be repeated breaks off 3 s after the signal, such requests take 3 s, and requests are cancelled after 5.3 s: a second run was begun and cancelled.
The caller now hears at once, by 502, that its request may have run, and can repeat it elsewhere.

--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <atomic> // atomic
 #include <chrono> // milliseconds
 #include <csignal> // SIGTERM
 #include <string> // stoi, string
@@ -186,3 +187,57 @@
     CHECK(shortCaller.readToEnd().ends_with(lastChunk));
     waitUntilEnded(world);
 }
+
+// Guards against a peer's stream that is taken and cut, though other peers could take it.
+TEST_CASE("a process that stops passes a relayed stream back that outlasts it")
+{
+    const std::string target = draft(44);
+    constexpr int nodeCount = 2;
+    EntryWorld world(nodeCount);
+    serveStreams(world);
+    serveSome(world, target);
+    stop(world);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    RawCaller peer;
+    REQUIRE(peer.connect(world.node().m_relayPort));
+    peer.write(requestOf(target, "r-1"));
+    const std::string answer = peer.readToEnd();
+    checkNotBegun(world, "r-1", answer);
+    CHECK(answer.find("Relay-Refused: stopping") != std::string::npos);
+    waitUntilEnded(world);
+}
+
+// Guards against a second run that is begun after a failed one and cut at the end of the grace
+// time.
+TEST_CASE("a process that stops begins no further attempt that outlasts it")
+{
+    const auto runTime = std::chrono::milliseconds(3000);
+    EntryWorld world;
+    world.behave(
+            [runTime](const HttpRequest &, HttpResponder &responder, const HttpHeaders &headers) {
+                sleepFiber(runTime);
+                responder.send({200, headers, "whole"});
+            });
+    std::vector<RawCaller> callers(4);
+    int number = 0;
+    for (RawCaller &caller : callers) {
+        REQUIRE(caller.connect(world.node().m_callerPort));
+        caller.write(requestOf("/again/x", fmt::format("earlier-{}", number++)));
+    }
+    for (RawCaller &caller : callers)
+        CHECK(caller.readAnswer().starts_with("HTTP/1.1 200"));
+    std::atomic<int> runs = 0;
+    world.behave([&runs](const HttpRequest &, HttpResponder &responder, const HttpHeaders &) {
+        ++runs;
+        sleepFiber(std::chrono::milliseconds(1800));
+        responder.abandon();
+    });
+    stop(world);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    RawCaller caller;
+    REQUIRE(caller.connect(world.node().m_callerPort));
+    caller.write(requestOf("/again/x", "r-1"));
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 502"));
+    CHECK(runs == 1);
+    waitUntilEnded(world);
+}
