Judge requests of a process that stops by what nine in ten of them take

Change: the forecast is by duration alone. While connections are accepted a request is begun if nine in ten of its route's last ones would end in time: a refusal costs the caller one of its retries, a cut the whole answer. Later the longest counts, and half of it more, as before.

--- a/include/gypsumdale/serving/stop_schedule.hpp
+++ b/include/gypsumdale/serving/stop_schedule.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/core/clock.hpp>
+#include <gypsumdale/serving/completion_forecast.hpp>
 
 #include <optional> // optional
 
@@ -30,14 +31,15 @@
 {
     /// The request has ended by then in any case.
     TimePoint m_deadline{};
-    /// Time that hardly any such request exceeds, or nothing if nothing is known of them.
-    std::optional<Duration> m_forecast;
+    /// Nothing if nothing is known of such requests.
+    std::optional<DurationForecast> m_forecast;
 };
 
 /// Returns whether a process that stops may still begin a request. One that can't end in time is
 /// cut, and may not be repeated then; a caller that is refused goes to another VM. While the load
-/// balancer still sends requests, those of unknown duration are begun. Later only few arrive, and
-/// a cut outweighs a refusal that turns out to be needless. Complexity: constant.
+/// balancer still sends requests, those that will probably end in time, or of which nothing is
+/// known, are begun. Later only few arrive, and a cut outweighs a refusal that turns out to be
+/// needless. Complexity: constant.
 bool mayBegin(const StopSchedule &stop, const ExpectedDuration &duration, TimePoint now);
 
 } // namespace gypsumdale
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -170,7 +170,7 @@
     bool awaitHeader(UpstreamAnswer &answer);
     bool takeHeader(UpstreamAnswer &answer);
     std::optional<AttemptStop> attemptStopReason();
-    std::optional<Duration> forecastDuration() const;
+    std::optional<DurationForecast> forecastDuration() const;
     bool mayBegin() const;
     bool isRefusedByStop() const;
     bool rejectIfStopping();
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -2,18 +2,13 @@
 
 #include <entry/entry_call.hpp>
 
-#include <algorithm> // max
-
 /// Which requests are begun while the process stops, and what is logged of those that are cut.
 namespace gypsumdale {
 
-/// Returns how long the request is expected to take from now on, or nothing if that isn't known.
-std::optional<Duration> EntryCall::forecastDuration() const
+/// Returns how long the request is expected to take, or nothing if that isn't known.
+std::optional<DurationForecast> EntryCall::forecastDuration() const
 {
-    const auto delivered = static_cast<std::int64_t>(m_events);
-    // An event is a token or more.
-    const std::int64_t tokens = std::max<std::int64_t>(m_caller.m_outputTokens - delivered, 0);
-    const auto forecast = m_traffic.completions().forecast(m_route->m_name, tokens);
+    const auto forecast = m_traffic.completions().forecast(m_route->m_name);
     return forecast ? forecast : assumedDuration(*m_route);
 }
 
@@ -38,8 +33,7 @@
              m_service,
              {LogField::Route, m_route->m_name},
              {LogField::State, forecast ? "forecast" : "unknown"},
-             {LogField::ForecastMillis, toMillis(forecast.value_or(Duration::zero()))},
-             {LogField::OutputTokens, m_caller.m_outputTokens},
+             {LogField::ForecastMillis, toMillis(forecast.value_or(DurationForecast{}).m_likely)},
              {LogField::TermMillis, toMillis(stop.m_cancelAt - m_traffic.now())},
              {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
              {LogField::Attempt, m_attempts.arrived()},
@@ -60,9 +54,7 @@
 /// Records how long the request took, which was answered whole.
 void EntryCall::recordCompletion() const
 {
-    const Duration total = m_traffic.now() - m_arrivedAt;
-    const Duration firstEvent = m_hasStreamStarted ? m_streamStartedAt - m_arrivedAt : total;
-    m_traffic.completions().record(m_route->m_name, {m_caller.m_outputTokens, firstEvent, total});
+    m_traffic.completions().record(m_route->m_name, m_traffic.now() - m_arrivedAt);
 }
 
 void EntryCall::cancelForShutdown()
--- a/src/serving/stop_schedule.cpp
+++ b/src/serving/stop_schedule.cpp
@@ -12,8 +12,8 @@
 /// Divisor of the grace time without its margin that gives the longest time for accepting
 /// connections, so that a short grace time leaves time to answer them.
 constexpr int acceptGraceDivisor = 2;
-/// Multiple of the forecast for which there must be time once no connections are accepted.
-constexpr double lateForecastFactor = 1.5;
+/// Multiple of the longest duration for which there must be time once no connections are accepted.
+constexpr double lateFactor = 1.5;
 
 } // namespace
 
@@ -31,8 +31,10 @@
     const bool isAccepting = now < stop.m_acceptUntil;
     if (!duration.m_forecast)
         return isAccepting;
-    const double seconds = toSeconds(*duration.m_forecast) * (isAccepting ? 1 : lateForecastFactor);
-    return now + fromSeconds(seconds) <= stop.m_cancelAt;
+    const Duration needed =
+            isAccepting ? duration.m_forecast->m_likely
+                        : fromSeconds(lateFactor * toSeconds(duration.m_forecast->m_longest));
+    return now + needed <= stop.m_cancelAt;
 }
 
 } // namespace gypsumdale
