Guard the line of a cut request against a route that is gone

If the grace time of a stop ends while its 404 is being written to a slow reader, the new line `request-cut-by-stop` reads the route through a null pointer, which ends the process. `logEnd` guards the same pointer.

Change: the route is logged as "none" then.

--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -66,11 +66,13 @@
 void EntryCall::logCutByStop(const StopSchedule &stop) const
 {
     const TimePoint placedAt = m_lastPlacedAt.value_or(stop.m_cancelAt);
+    // A configuration that came during a wait may have no route for the request.
+    const std::string_view route = m_route ? std::string_view(m_route->m_name) : "none";
     m_traffic.log().warning(
             "request-cut-by-stop",
             {m_caller.m_id,
              m_service,
-             {LogField::Route, m_route->m_name},
+             {LogField::Route, route},
              {LogField::State, m_lastPlacedAt ? "placed" : "waiting"},
              {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
              {LogField::PlacedSinceSignalMillis, toMillis(placedAt - stop.m_signalAt)},
