Forecast only from whole successes, over a time in which long ones end

Change: 2xx answers count, streams that were taken up don't, and nothing is forecast before the route's timeout has passed since the first recorded request arrived. Of a young process's streams nothing is known then: begun while connections are accepted, refused later.

Tests: unit-completion-forecast has a case for the young process; the case of a further attempt in process-entry-begin-while-stopping lets its route serve for longer than its timeout before.

--- a/include/gypsumdale/serving/completion_forecast.hpp
+++ b/include/gypsumdale/serving/completion_forecast.hpp
@@ -15,29 +15,38 @@
 struct DurationForecast
 {
     /// One in ten takes longer.
-    Duration m_likely{};
+    Duration m_percentile90{};
     /// No recent one took longer.
     Duration m_longest{};
 };
 
-/// Forecasts how long requests take, from the last ones of the same route that were answered whole.
-/// What callers announce is no help: the most tokens that an answer may have, not those that it
-/// has.
+/// Forecasts how long requests take, from the last ones of the same route that were answered whole
+/// and with success. What callers announce is no help: the most tokens that an answer may have, not
+/// those that it has.
 class CompletionForecaster
 {
 public:
-    /// Records how long a request took from its arrival. Complexity: logarithmic in the routes.
-    void record(const std::string &route, Duration duration);
+    /// Records a request that ended now and how long it took from its arrival. Complexity:
+    /// logarithmic in the routes.
+    void record(const std::string &route, Duration duration, TimePoint now);
 
-    /// Returns nothing if too few requests of the route are known. Complexity: linear in the
-    /// recorded requests of one route, of which there is a fixed number.
-    std::optional<DurationForecast> forecast(const std::string &route) const;
+    /// Returns nothing if too few requests of the route are known, or only those of a shorter time
+    /// than its timeout: the long ones have not ended by then. Complexity: linear in the recorded
+    /// requests of one route, of which there is a fixed number.
+    std::optional<DurationForecast> forecast(const ServingRoute &route, TimePoint now) const;
 
     /// Forgets the routes that a configuration doesn't have. Complexity: n log n in the routes.
     void retainRoutes(const ServingConfig &config);
 
 private:
-    std::map<std::string, boost::circular_buffer<Duration>> m_durations;
+    struct Completions
+    {
+        /// Arrival of the first recorded request.
+        TimePoint m_since{};
+        boost::circular_buffer<Duration> m_durations;
+    };
+
+    std::map<std::string, Completions> m_routes;
 };
 
 /// Returns how long a request of a route takes if nothing is known of such requests, or nothing for
--- a/src/entry/entry_call_end.cpp
+++ b/src/entry/entry_call_end.cpp
@@ -101,7 +101,7 @@
     const bool isDone = reply.m_status < 500;
     m_series->record(Latency::Total, m_traffic.now() - m_arrivedAt);
     m_series->add(isDone ? RequestCounter::Done : RequestCounter::Failed);
-    if (isDone)
+    if (reply.m_status / 100 == 2)
         recordCompletion();
     logEnd(isDone ? "done" : "upstream-error", reply.m_status);
 }
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -8,7 +8,7 @@
 /// Returns how long the request is expected to take, or nothing if that isn't known.
 std::optional<DurationForecast> EntryCall::forecastDuration() const
 {
-    const auto forecast = m_traffic.completions().forecast(m_route->m_name);
+    const auto forecast = m_traffic.completions().forecast(*m_route, m_traffic.now());
     return forecast ? forecast : assumedDuration(*m_route);
 }
 
@@ -33,7 +33,8 @@
              m_service,
              {LogField::Route, m_route->m_name},
              {LogField::State, forecast ? "forecast" : "unknown"},
-             {LogField::ForecastMillis, toMillis(forecast.value_or(DurationForecast{}).m_likely)},
+             {LogField::ForecastMillis,
+              toMillis(forecast.value_or(DurationForecast{}).m_percentile90)},
              {LogField::TermMillis, toMillis(stop.m_cancelAt - m_traffic.now())},
              {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
              {LogField::Attempt, m_attempts.arrived()},
@@ -51,10 +52,13 @@
     return true;
 }
 
-/// Records how long the request took, which was answered whole.
+/// Records how long the request took, which was answered whole and with success. A stream that was
+/// taken up has only its rest in this answer.
 void EntryCall::recordCompletion() const
 {
-    m_traffic.completions().record(m_route->m_name, m_traffic.now() - m_arrivedAt);
+    if (m_caller.m_isTakeUp)
+        return;
+    m_traffic.completions().record(m_route->m_name, m_traffic.now() - m_arrivedAt, m_traffic.now());
 }
 
 void EntryCall::cancelForShutdown()
--- a/src/serving/stop_schedule.cpp
+++ b/src/serving/stop_schedule.cpp
@@ -32,7 +32,7 @@
     if (!duration.m_forecast)
         return isAccepting;
     const Duration needed =
-            isAccepting ? duration.m_forecast->m_likely
+            isAccepting ? duration.m_forecast->m_percentile90
                         : fromSeconds(lateFactor * toSeconds(duration.m_forecast->m_longest));
     return now + needed <= stop.m_cancelAt;
 }
--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -218,14 +218,16 @@
                 sleepFiber(runTime);
                 responder.send({200, headers, "whole"});
             });
-    std::vector<RawCaller> callers(4);
-    int number = 0;
-    for (RawCaller &caller : callers) {
-        REQUIRE(caller.connect(world.node().m_callerPort));
-        caller.write(requestOf("/again/x", fmt::format("earlier-{}", number++)));
+    // For longer than the route's timeout, which a forecast needs.
+    for (const char *id : {"earlier-1", "earlier-2", "earlier-3"}) {
+        std::vector<RawCaller> callers(2);
+        for (RawCaller &caller : callers) {
+            REQUIRE(caller.connect(world.node().m_callerPort));
+            caller.write(requestOf("/again/x", id));
+        }
+        for (RawCaller &caller : callers)
+            CHECK(caller.readAnswer().starts_with("HTTP/1.1 200"));
     }
-    for (RawCaller &caller : callers)
-        CHECK(caller.readAnswer().starts_with("HTTP/1.1 200"));
     std::atomic<int> runs = 0;
     world.behave([&runs](const HttpRequest &, HttpResponder &responder, const HttpHeaders &) {
         ++runs;
--- a/tests/src/unit-completion-forecast.cpp
+++ b/tests/src/unit-completion-forecast.cpp
@@ -8,32 +8,61 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+constexpr TimePoint start{seconds(100)};
+constexpr TimePoint later = start + seconds(60);
+
+ServingRoute routeNamed(const char *name)
+{
+    ServingRoute route;
+    route.m_name = name;
+    route.m_timeout = seconds(15);
+    return route;
+}
+
+} // namespace
+
 TEST_CASE("nothing is forecast from too few requests")
 {
+    const ServingRoute draft = routeNamed("draft");
     CompletionForecaster forecaster;
     for (int number = 0; number < 3; ++number)
-        forecaster.record("draft", seconds(4));
-    CHECK_FALSE(forecaster.forecast("draft"));
-    CHECK_FALSE(forecaster.forecast("other"));
-    forecaster.record("draft", seconds(2));
-    REQUIRE(forecaster.forecast("draft"));
-    CHECK(forecaster.forecast("draft")->m_likely == seconds(4));
-    CHECK(forecaster.forecast("draft")->m_longest == seconds(4));
+        forecaster.record("draft", seconds(4), start);
+    CHECK_FALSE(forecaster.forecast(draft, later));
+    CHECK_FALSE(forecaster.forecast(routeNamed("other"), later));
+    forecaster.record("draft", seconds(2), start);
+    REQUIRE(forecaster.forecast(draft, later));
+    CHECK(forecaster.forecast(draft, later)->m_percentile90 == seconds(4));
+    CHECK(forecaster.forecast(draft, later)->m_longest == seconds(4));
+}
+
+// Guards against a young process that has seen the end of short requests only, and begins long ones
+// that it cuts.
+TEST_CASE("nothing is forecast before the longest requests can have ended")
+{
+    const ServingRoute draft = routeNamed("draft");
+    CompletionForecaster forecaster;
+    for (int number = 0; number < 8; ++number)
+        forecaster.record("draft", seconds(1), start + seconds(1));
+    CHECK_FALSE(forecaster.forecast(draft, start + milliseconds(14900)));
+    CHECK(forecaster.forecast(draft, start + seconds(15)));
 }
 
 // Guards against a forecast by the mean, which half of the requests would exceed and be cut.
-TEST_CASE("nine in ten of the last requests end within the likely duration")
+TEST_CASE("nine in ten of the last requests end within the 90th percentile")
 {
+    const ServingRoute draft = routeNamed("draft");
     CompletionForecaster forecaster;
     for (int number = 1; number <= 30; ++number)
-        forecaster.record("draft", milliseconds(100 * number));
-    CHECK(forecaster.forecast("draft")->m_likely == milliseconds(2700));
-    CHECK(forecaster.forecast("draft")->m_longest == milliseconds(3000));
+        forecaster.record("draft", milliseconds(100 * number), start);
+    CHECK(forecaster.forecast(draft, later)->m_percentile90 == milliseconds(2700));
+    CHECK(forecaster.forecast(draft, later)->m_longest == milliseconds(3000));
     SECTION("until newer ones have taken their place")
     {
         for (int number = 0; number < 32; ++number)
-            forecaster.record("draft", seconds(1));
-        CHECK(forecaster.forecast("draft")->m_longest == seconds(1));
+            forecaster.record("draft", seconds(1), start);
+        CHECK(forecaster.forecast(draft, later)->m_longest == seconds(1));
     }
 }
 
@@ -41,14 +70,14 @@
 {
     CompletionForecaster forecaster;
     for (int number = 0; number < 4; ++number) {
-        forecaster.record("kept", seconds(1));
-        forecaster.record("removed", seconds(1));
+        forecaster.record("kept", seconds(1), start);
+        forecaster.record("removed", seconds(1), start);
     }
     ServingConfig config;
     config.m_routes.emplace_back().m_name = "kept";
     forecaster.retainRoutes(config);
-    CHECK(forecaster.forecast("kept"));
-    CHECK_FALSE(forecaster.forecast("removed"));
+    CHECK(forecaster.forecast(routeNamed("kept"), later));
+    CHECK_FALSE(forecaster.forecast(routeNamed("removed"), later));
 }
 
 TEST_CASE("a request of unknown duration is judged by its latency target, a stream not at all")
