--- a/include/gypsumdale/serving/completion_forecast.hpp
+++ b/include/gypsumdale/serving/completion_forecast.hpp
@@ -18,6 +18,9 @@
     Duration m_percentile90{};
     /// No recent one took longer.
     Duration m_longest{};
+
+    /// Returns the forecast of what is left after a time. Complexity: constant.
+    DurationForecast without(Duration served) const;
 };
 
 /// Forecasts how long requests take, from the last ones of the same route that were answered whole
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -5,11 +5,16 @@
 /// Which requests are begun while the process stops, and what is logged of those that are cut.
 namespace gypsumdale {
 
-/// Returns how long the request is expected to take, or nothing if that isn't known.
+/// Returns how long a run that is begun now is expected to take, or nothing if that isn't known.
 std::optional<DurationForecast> EntryCall::forecastDuration() const
 {
-    const auto forecast = m_traffic.completions().forecast(*m_route, m_traffic.now());
-    return forecast ? forecast : assumedDuration(*m_route);
+    const TimePoint now = m_traffic.now();
+    const auto forecast = m_traffic.completions().forecast(*m_route, now);
+    if (!forecast)
+        return assumedDuration(*m_route);
+    // A stream goes on behind what its caller has.
+    const Duration served = m_hasStreamStarted ? now - m_arrivedAt : Duration::zero();
+    return forecast->without(served);
 }
 
 /// Returns whether a run that is begun now will have ended, as far as is known, before the process
--- a/src/serving/completion_forecast.cpp
+++ b/src/serving/completion_forecast.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/serving/completion_forecast.hpp>
 
-#include <algorithm> // max_element, nth_element
+#include <algorithm> // max, max_element, nth_element
 #include <cstddef> // ptrdiff_t, size_t
 #include <set> // set
 #include <vector> // vector
@@ -19,6 +19,12 @@
 
 } // namespace
 
+DurationForecast DurationForecast::without(Duration served) const
+{
+    return {std::max(m_percentile90 - served, Duration::zero()),
+            std::max(m_longest - served, Duration::zero())};
+}
+
 void CompletionForecaster::record(const std::string &route, Duration duration, TimePoint now)
 {
     const auto [entry, isFirst] = m_routes.try_emplace(route);
--- a/tests/src/unit-completion-forecast.cpp
+++ b/tests/src/unit-completion-forecast.cpp
@@ -66,6 +66,15 @@
     }
 }
 
+// Guards against cutting a stream that breaks near its end and would go on elsewhere in time.
+TEST_CASE("of a stream that has begun only the rest is awaited")
+{
+    const DurationForecast whole{seconds(4), seconds(9)};
+    CHECK(whole.without(seconds(3)).m_percentile90 == seconds(1));
+    CHECK(whole.without(seconds(3)).m_longest == seconds(6));
+    CHECK(whole.without(seconds(5)).m_percentile90 == Duration::zero());
+}
+
 TEST_CASE("a route that the configuration no longer has is forgotten")
 {
     CompletionForecaster forecaster;
