--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -1,5 +1,6 @@
 #include "support/entry_world.hpp"
 #include "support/raw_caller.hpp"
+#include "support/timed_streams.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -7,7 +8,7 @@
 #include <atomic> // atomic
 #include <chrono> // milliseconds
 #include <csignal> // SIGTERM
-#include <string> // stoi, string
+#include <string> // string
 #include <string_view> // string_view
 #include <thread> // sleep_for
 #include <vector> // vector
@@ -17,27 +18,11 @@
 
 namespace {
 
-constexpr Duration eventInterval = std::chrono::milliseconds(100);
 constexpr std::string_view lastChunk = "\r\n0\r\n\r\n";
 /// Events of a stream that lasts 4 s. Begun when connections are no longer accepted, 2.6 s after
 /// the signal, it outlasts the stop, which ends after 5.3 s.
 constexpr int longStream = 40;
 
-/// Serves streams of as many events as their target says: `/draft/40`.
-void serveStreams(EntryWorld &world)
-{
-    world.behave([](const HttpRequest &request, HttpResponder &responder,
-                    const HttpHeaders &headers) {
-        const int events = std::stoi(request.m_target.substr(request.m_target.rfind('/') + 1));
-        bool isConnected = responder.begin(200, headers);
-        for (int number = 1; isConnected && number <= events; ++number) {
-            isConnected = responder.write(fmt::format("id: {}\ndata: x\n\n", number));
-            sleepFiber(eventInterval);
-        }
-        responder.finish();
-    });
-}
-
 std::string headOf(std::string_view target, std::string_view id, std::string_view framing)
 {
     return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nGypsumdale-Request-Id: {}\r\n"
@@ -55,17 +40,6 @@
     return fmt::format("/draft/{}", events);
 }
 
-bool isSeen(EntryWorld &world, std::string_view id)
-{
-    for (std::size_t index = 0; index < world.upstreamCount(); ++index) {
-        for (const HttpRequest &request : world.upstream(index).seen()) {
-            if (request.m_headers.value("Gypsumdale-Request-Id") == id)
-                return true;
-        }
-    }
-    return false;
-}
-
 void stop(EntryWorld &world)
 {
     world.node().m_process->send(SIGTERM);
@@ -91,7 +65,7 @@
 {
     INFO(id << " was answered with: " << answer);
     CHECK(answer.starts_with("HTTP/1.1 503"));
-    CHECK_FALSE(isSeen(world, id));
+    CHECK_FALSE(idsSeen(world).contains(std::string(id)));
 }
 
 /// Lets the process learn how long a route's streams take.
@@ -115,7 +89,7 @@
 TEST_CASE("a process that stops begins no stream on an open connection that outlasts it")
 {
     EntryWorld world;
-    serveStreams(world);
+    serveTimedStreams(world);
     std::vector<RawCaller> callers(8);
     stop(world);
     for (RawCaller &caller : callers)
@@ -133,7 +107,7 @@
 TEST_CASE("a process that stops begins no stream that outlasts it when its body is whole")
 {
     EntryWorld world;
-    serveStreams(world);
+    serveTimedStreams(world);
     RawCaller caller;
     REQUIRE(caller.connect(world.node().m_callerPort));
     caller.write(headOf(draft(longStream), "r-1", "Transfer-Encoding: chunked") + "2\r\nbo\r\n");
@@ -150,7 +124,7 @@
 {
     constexpr int firstStream = 35;
     EntryWorld world;
-    serveStreams(world);
+    serveTimedStreams(world);
     RawCaller caller;
     REQUIRE(caller.connect(world.node().m_callerPort));
     caller.write(requestOf(draft(firstStream), "r-1"));
@@ -172,7 +146,7 @@
     constexpr int shortStream = 8;
     const std::string shortTarget = fmt::format("/stream/{}", shortStream);
     EntryWorld world;
-    serveStreams(world);
+    serveTimedStreams(world);
     serveSome(world, longTarget);
     serveSome(world, shortTarget);
     stop(world);
@@ -194,7 +168,7 @@
     const std::string target = draft(44);
     constexpr int nodeCount = 2;
     EntryWorld world(nodeCount);
-    serveStreams(world);
+    serveTimedStreams(world);
     serveSome(world, target);
     stop(world);
     std::this_thread::sleep_for(std::chrono::milliseconds(1200));
--- a/tests/src/process-entry-stop-soak.cpp
+++ b/tests/src/process-entry-stop-soak.cpp
@@ -1,6 +1,7 @@
 #include "support/entry_world.hpp"
 #include "support/raw_caller.hpp"
 #include "support/soak_settings.hpp"
+#include "support/timed_streams.hpp"
 
 #include <gypsumdale/core/names.hpp>
 
@@ -19,7 +20,7 @@
 #include <mutex> // lock_guard, mutex
 #include <set> // set
 #include <sstream> // istringstream
-#include <string> // getline, stoi, string
+#include <string> // getline, string
 #include <string_view> // string_view
 #include <thread> // sleep_for, thread
 #include <vector> // vector
@@ -32,7 +33,6 @@
 namespace {
 
 constexpr std::size_t callerCount = 40;
-constexpr milliseconds eventInterval(100);
 /// The longest stream takes nearly as long as its route's timeout.
 constexpr unsigned minEvents = 2;
 constexpr unsigned maxEvents = 46;
@@ -85,16 +85,7 @@
         : m_seed(seed)
         , m_world(static_cast<int>(nodes), false, std::nullopt, {"v1", "v1", "v1"})
     {
-        m_world.behave([](const HttpRequest &request, HttpResponder &responder,
-                          const HttpHeaders &headers) {
-            const int events = std::stoi(request.m_target.substr(request.m_target.rfind('/') + 1));
-            bool isConnected = responder.begin(200, headers);
-            for (int number = 1; isConnected && number <= events; ++number) {
-                isConnected = responder.write(fmt::format("id: {}\ndata: x\n\n", number));
-                sleepFiber(eventInterval);
-            }
-            responder.finish();
-        });
+        serveTimedStreams(m_world);
     }
 
     void note(SentStream stream)
@@ -213,16 +204,6 @@
     }
 }
 
-std::set<std::string> seenIds(StopSoak &soak)
-{
-    std::set<std::string> seen;
-    for (std::size_t index = 0; index < soak.m_world.upstreamCount(); ++index) {
-        for (const HttpRequest &request : soak.m_world.upstream(index).seen())
-            seen.insert(std::string(request.m_headers.value("Gypsumdale-Request-Id")));
-    }
-    return seen;
-}
-
 struct SoakVerdict
 {
     int m_whole = 0;
@@ -280,9 +261,10 @@
                        stream.m_answer.substr(0, stream.m_answer.find('\r')));
 }
 
+/// One that ended without a byte and was never run has crossed a close, and may be sent again.
 SoakVerdict judge(StopSoak &soak)
 {
-    const std::set<std::string> seen = seenIds(soak);
+    const std::set<std::string> seen = idsSeen(soak.m_world);
     SoakVerdict verdict;
     for (const SentStream &stream : soak.m_streams) {
         const bool isRefusal = stream.m_answer.starts_with("HTTP/1.1 503");
