--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -172,6 +172,7 @@
     std::optional<AttemptStop> attemptStopReason();
     bool allowsFurtherAttempt() const;
     std::optional<DurationForecast> forecastDuration() const;
+    CutLoss cutLoss() const;
     ExpectedEnd expectedEnd() const;
     bool endsBeforeStop() const;
     bool refusesForStop();
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -17,9 +17,19 @@
     return forecast->without(served);
 }
 
+/// Returns what a cut costs the caller of a run that is begun now. A stream that has begun breaks
+/// off in any case unless it goes on, so that a chance of its end is a gain.
+CutLoss EntryCall::cutLoss() const
+{
+    if (m_hasStreamStarted)
+        return CutLoss::Time;
+    const bool isStream = m_route->m_kind == RouteRepeatSafety::Stream;
+    return isStream || !m_route->isRetryable() ? CutLoss::Answer : CutLoss::Time;
+}
+
 ExpectedEnd EntryCall::expectedEnd() const
 {
-    return {m_deadline, forecastDuration()};
+    return {m_deadline, forecastDuration(), cutLoss()};
 }
 
 /// Returns whether a run that is begun now will have ended, as far as is known, before the process
@@ -33,23 +43,24 @@
 /// Returns whether the stop leaves too little time for a run, and logs that.
 bool EntryCall::refusesForStop()
 {
-    if (endsBeforeStop())
+    const auto &stop = m_traffic.stopSchedule();
+    if (!stop)
         return false;
-    const StopSchedule &stop = *m_traffic.stopSchedule();
     const TimePoint now = m_traffic.now();
-    const auto forecast = forecastDuration();
-    const Duration needed = forecast ? timeNeeded(stop, *forecast, now) : Duration::zero();
+    const BeginDecision decision = decideBegin(*stop, expectedEnd(), now);
+    if (decision.m_mayBegin)
+        return false;
     m_traffic.log().info(
             "not-begun-while-stopping",
             {m_caller.m_id,
              m_service,
              {LogField::Route, m_route->m_name},
-             {LogField::State, forecast ? "forecast" : "unknown"},
-             {LogField::ForecastMillis, toMillis(needed)},
-             {LogField::TermMillis, toMillis(stop.m_cancelAt - now)},
-             {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop.m_signalAt)},
+             {LogField::State, enumName(beginBasisNames, decision.m_basis)},
+             {LogField::ForecastMillis, toMillis(decision.m_needed)},
+             {LogField::TermMillis, toMillis(stop->m_cancelAt - now)},
+             {LogField::ReadSinceSignalMillis, toMillis(m_arrivedAt - stop->m_signalAt)},
              {LogField::Attempt, m_attempts.arrived()},
-             {LogField::HeldMillis, toMillis(m_traffic.now() - m_arrivedAt)},
+             {LogField::HeldMillis, toMillis(now - m_arrivedAt)},
              {LogField::Source, enumName(callSourceNames, m_source)}});
     return true;
 }
--- a/src/serving/stop_schedule.cpp
+++ b/src/serving/stop_schedule.cpp
@@ -15,6 +15,14 @@
 /// Multiple of the longest duration for which there must be time once no connections are accepted.
 constexpr double lateFactor = 1.5;
 
+/// Returns the time that has to be left for a request with a forecast.
+Duration timeNeeded(const DurationForecast &forecast, bool isLate)
+{
+    if (!isLate)
+        return forecast.m_percentile90;
+    return fromSeconds(lateFactor * toSeconds(forecast.m_longest));
+}
+
 } // namespace
 
 StopSchedule scheduleStop(TimePoint signalAt, Duration grace)
@@ -24,20 +32,17 @@
             signalAt + usable};
 }
 
-bool mayBegin(const StopSchedule &stop, const ExpectedEnd &end, TimePoint now)
+BeginDecision decideBegin(const StopSchedule &stop, const ExpectedEnd &end, TimePoint now)
 {
-    if (end.m_deadline <= stop.m_cancelAt)
-        return true;
+    const Duration left = stop.m_cancelAt - now;
+    const bool isLate = now >= stop.m_acceptUntil;
+    const Duration untilDeadline = end.m_deadline - now;
+    if (untilDeadline <= left || (isLate && end.m_cutLoss == CutLoss::Answer))
+        return {untilDeadline <= left, BeginBasis::Deadline, untilDeadline};
     if (!end.m_forecast)
-        return now < stop.m_acceptUntil;
-    return now + timeNeeded(stop, *end.m_forecast, now) <= stop.m_cancelAt;
-}
-
-Duration timeNeeded(const StopSchedule &stop, const DurationForecast &forecast, TimePoint now)
-{
-    if (now < stop.m_acceptUntil)
-        return forecast.m_percentile90;
-    return fromSeconds(lateFactor * toSeconds(forecast.m_longest));
+        return {!isLate, BeginBasis::Unknown, Duration::zero()};
+    const Duration needed = timeNeeded(*end.m_forecast, isLate);
+    return {needed <= left, BeginBasis::Forecast, needed};
 }
 
 } // namespace gypsumdale
--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -68,6 +68,9 @@
     CHECK_FALSE(idsSeen(world).contains(std::string(id)));
 }
 
+/// A stream of half a second.
+constexpr int briefStream = 5;
+
 /// Lets the process learn how long a route's streams take.
 void serveSome(EntryWorld &world, const std::string &target)
 {
@@ -83,6 +86,16 @@
     }
 }
 
+/// Serves a route's streams, all of the same length, for longer than the route's timeout, which a
+/// forecast needs.
+void learnLengths(EntryWorld &world, const std::string &target)
+{
+    const auto routeTimeout = std::chrono::milliseconds(5000);
+    serveSome(world, target);
+    std::this_thread::sleep_for(routeTimeout);
+    serveSome(world, target);
+}
+
 } // namespace
 
 // Guards against streams that are begun on open connections and cut at the end of the grace time.
@@ -217,3 +230,40 @@
     CHECK(runs == 1);
     waitUntilEnded(world);
 }
+
+// Guards against streams that are begun late because the last ones of their route were shorter, and
+// cut at the end of the grace time.
+TEST_CASE("a process that no longer accepts connections begins no stream by the length of others")
+{
+    const std::string route = GENERATE("/draft/", "/stream/");
+    INFO("route " << route);
+    const std::string longTarget = route + std::to_string(longStream);
+    EntryWorld world;
+    serveTimedStreams(world);
+    learnLengths(world, route + std::to_string(briefStream));
+    RawCaller open;
+    RawCaller slow;
+    stop(world);
+    REQUIRE(open.connect(world.node().m_callerPort));
+    REQUIRE(slow.connect(world.node().m_callerPort));
+    slow.write(headOf(longTarget, "r-slow", "Transfer-Encoding: chunked") + "2\r\nbo\r\n");
+    waitUntilClosed(world);
+    open.write(requestOf(longTarget, "r-open"));
+    slow.write("2\r\ndy\r\n0\r\n\r\n");
+    checkNotBegun(world, "r-open", open.readToEnd());
+    checkNotBegun(world, "r-slow", slow.readToEnd());
+    waitUntilEnded(world);
+}
+
+// Guards against rejecting, late in a stop, what may be repeated if a forecast turns out wrong.
+TEST_CASE("a process that no longer accepts connections begins repeatable requests that are brief")
+{
+    EntryWorld world;
+    RawCaller caller;
+    stop(world);
+    REQUIRE(caller.connect(world.node().m_callerPort));
+    waitUntilClosed(world);
+    caller.write(requestOf("/again/x", "r-1"));
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 200"));
+    waitUntilEnded(world);
+}
--- a/tests/src/unit-stop-schedule.cpp
+++ b/tests/src/unit-stop-schedule.cpp
@@ -74,3 +74,32 @@
         CHECK_FALSE(mayBegin(stop, unbounded({}, {}), after(milliseconds(7400))));
     }
 }
+
+// Guards against streams that are begun late as earlier ones were shorter, and are cut.
+TEST_CASE("late in a stop only its deadline bounds a request whose cut loses its answer")
+{
+    const StopSchedule stop = scheduleStop(signalAt, grace);
+    ExpectedEnd end = unbounded(milliseconds(100), milliseconds(200));
+    end.m_cutLoss = CutLoss::Answer;
+    SECTION("not the length of others")
+    {
+        const BeginDecision decision = decideBegin(stop, end, after(milliseconds(2600)));
+        CHECK_FALSE(decision.m_mayBegin);
+        CHECK(decision.m_basis == BeginBasis::Deadline);
+        CHECK(decision.m_needed == milliseconds(57400));
+    }
+    SECTION("which lets it begin if it is sooner than the end")
+    {
+        end.m_deadline = after(milliseconds(7300));
+        CHECK(mayBegin(stop, end, after(milliseconds(7000))));
+    }
+    SECTION("while connections are accepted it is begun by its forecast")
+    {
+        CHECK(mayBegin(stop, end, after(milliseconds(2500))));
+        end.m_forecast = DurationForecast{seconds(5), seconds(5)};
+        const BeginDecision decision = decideBegin(stop, end, after(milliseconds(2500)));
+        CHECK_FALSE(decision.m_mayBegin);
+        CHECK(decision.m_basis == BeginBasis::Forecast);
+        CHECK(decision.m_needed == seconds(5));
+    }
+}
