Count requests under way in the forecast of a stop

Callers saw: in the first seconds of a stop streams were begun that had no chance to end before it, though many of the same route were already older than what the forecast said.

Cause: the forecast was taken from the last 32 requests that have ended. Whenever more arrive than before, those are the short ones of those that have begun; the long ones are still under way and counted nowhere.

Change: the percentile is estimated from both, the ended ones and those under way with their age (Kaplan-Meier, with late entry for those that arrived before the oldest of the 32 ended). If more than one in ten may outlast all that have ended, it is the longest time seen, a lower bound.

unit-completion-forecast: a wave of which half have ended after 1 s and half are 3 s old is now forecast to take 3 s; by the ended ones alone it took 1 s. The older checks of the forecast pass as they were.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -211,6 +211,9 @@
     UpstreamSpeeds &speeds() { return m_speeds; }
     FirstEventForecaster &forecaster() { return m_forecaster; }
     CompletionForecaster &completions() { return m_completions; }
+    /// Returns how long a request of a route takes that is begun now, if that is known. Complexity:
+    /// linear in the active calls.
+    std::optional<DurationForecast> forecastCompletion(const ServingRoute &route) const;
     /// Returns how many prompt tokens an engine of a service reads in the given time; 0 if its
     /// speed isn't known.
     double tokensWithin(const ServiceId &service, Duration time) const;
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -100,6 +100,13 @@
     /// not run, as one that may have run, or ends as a stream that is visibly cut off.
     void cancelForShutdown();
 
+    /// Returns when the request had been read.
+    TimePoint arrivedAt() const { return m_arrivedAt; }
+
+    /// Returns whether the time that the request takes tells how long others of the route take. Of
+    /// a stream that was taken up, it is only a rest.
+    bool countsFor(const ServingRoute &route) const;
+
     /// Logs that the process stops before the request has ended, and when it was read and placed.
     void logCutByStop(const StopSchedule &stop) const;
 
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -9,7 +9,7 @@
 std::optional<DurationForecast> EntryCall::forecastDuration() const
 {
     const TimePoint now = m_traffic.now();
-    const auto forecast = m_traffic.completions().forecast(*m_route, now);
+    const auto forecast = m_traffic.forecastCompletion(*m_route);
     if (!forecast)
         return assumedDuration(*m_route);
     // A stream goes on behind what its caller has.
@@ -74,11 +74,15 @@
     return true;
 }
 
-/// Records how long the request took, which was answered whole and with success. A stream that was
-/// taken up has only its rest in this answer.
+bool EntryCall::countsFor(const ServingRoute &route) const
+{
+    return !m_caller.m_isTakeUp && m_route && m_route->m_name == route.m_name;
+}
+
+/// Records how long the request took, which was answered whole and with success.
 void EntryCall::recordCompletion() const
 {
-    if (m_caller.m_isTakeUp)
+    if (!countsFor(*m_route))
         return;
     m_traffic.completions().record(m_route->m_name, m_traffic.now() - m_arrivedAt, m_traffic.now());
 }
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -108,6 +108,16 @@
     return {m_activeCalls, call};
 }
 
+std::optional<DurationForecast> EntryTraffic::forecastCompletion(const ServingRoute &route) const
+{
+    std::vector<TimePoint> underWay;
+    for (const EntryCall *call : m_activeCalls) {
+        if (call->countsFor(route))
+            underWay.push_back(call->arrivedAt());
+    }
+    return m_completions.forecast(route, now(), underWay);
+}
+
 void EntryTraffic::beginStop(const StopSchedule &schedule)
 {
     m_stopSchedule = schedule;
--- a/src/serving/completion_forecast.cpp
+++ b/src/serving/completion_forecast.cpp
@@ -1,9 +1,8 @@
 #include <gypsumdale/serving/completion_forecast.hpp>
 
-#include <algorithm> // max, max_element, nth_element
-#include <cstddef> // ptrdiff_t, size_t
+#include <algorithm> // max
+#include <cstddef> // size_t
 #include <set> // set
-#include <vector> // vector
 
 namespace gypsumdale {
 
@@ -12,8 +11,8 @@
 /// Recorded requests of a route.
 constexpr std::size_t maxSamples = 32;
 constexpr std::size_t minSamples = 4;
-/// One request in this many takes longer than the 90th percentile.
-constexpr std::size_t longerDivisor = 10;
+/// Part of the requests that end in time where the process would rather serve than refuse.
+constexpr double likelyPart = 0.9;
 /// A request of unknown duration is assumed to take this multiple of its latency target.
 constexpr int assumedTargets = 2;
 
@@ -31,24 +30,41 @@
     Completions &completions = entry->second;
     if (isFirst) {
         completions.m_since = now - duration;
-        completions.m_durations.set_capacity(maxSamples);
+        completions.m_recent.set_capacity(maxSamples);
     }
-    completions.m_durations.push_back(duration);
+    completions.m_recent.push_back({now - duration, now});
 }
 
-std::optional<DurationForecast> CompletionForecaster::forecast(const ServingRoute &route,
-                                                               TimePoint now) const
+/// Returns what was observed since the oldest of the recorded requests ended; all of it while none
+/// was dropped yet.
+RequestLifetimes CompletionForecaster::lifetimesOf(const Completions &completions, TimePoint now,
+                                                   const std::vector<TimePoint> &underWay)
+{
+    const auto &recent = completions.m_recent;
+    const auto observedFrom = [&recent](TimePoint arrivedAt) {
+        if (!recent.full())
+            return Duration::zero();
+        return std::max(recent.front().m_endedAt - arrivedAt, Duration::zero());
+    };
+    RequestLifetimes lifetimes;
+    for (const Completion &request : recent)
+        lifetimes.addEnded(observedFrom(request.m_arrivedAt),
+                           request.m_endedAt - request.m_arrivedAt);
+    for (const TimePoint arrivedAt : underWay)
+        lifetimes.addUnderWay(observedFrom(arrivedAt), now - arrivedAt);
+    return lifetimes;
+}
+
+std::optional<DurationForecast>
+CompletionForecaster::forecast(const ServingRoute &route, TimePoint now,
+                               const std::vector<TimePoint> &underWay) const
 {
     const auto found = m_routes.find(route.m_name);
-    if (found == m_routes.end() || found->second.m_durations.size() < minSamples
+    if (found == m_routes.end() || found->second.m_recent.size() < minSamples
         || now - found->second.m_since < route.m_timeout)
         return std::nullopt;
-    const auto &recorded = found->second.m_durations;
-    std::vector<Duration> durations(recorded.begin(), recorded.end());
-    const std::size_t longer = durations.size() / longerDivisor;
-    const auto percentile90 = durations.end() - static_cast<std::ptrdiff_t>(longer + 1);
-    std::nth_element(durations.begin(), percentile90, durations.end());
-    return DurationForecast{*percentile90, *std::max_element(percentile90, durations.end())};
+    const RequestLifetimes lifetimes = lifetimesOf(found->second, now, underWay);
+    return DurationForecast{lifetimes.percentile(likelyPart), lifetimes.longest()};
 }
 
 void CompletionForecaster::retainRoutes(const ServingConfig &config)
--- a/tests/src/unit-completion-forecast.cpp
+++ b/tests/src/unit-completion-forecast.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono> // milliseconds, seconds
+#include <vector> // vector
 
 using namespace gypsumdale;
 using std::chrono::milliseconds;
@@ -66,6 +67,35 @@
     }
 }
 
+// Guards against a forecast by the short ones of a wave, whose long ones are still under way.
+TEST_CASE("requests that are still under way count with their age")
+{
+    const ServingRoute draft = routeNamed("draft");
+    CompletionForecaster forecaster;
+    for (int number = 0; number < 16; ++number)
+        forecaster.record("draft", seconds(1), later);
+    REQUIRE(forecaster.forecast(draft, later + seconds(20)));
+    CHECK(forecaster.forecast(draft, later + seconds(20))->m_percentile90 == seconds(1));
+    const TimePoint now = later + seconds(20);
+    SECTION("if they are older than those that have ended")
+    {
+        const std::vector<TimePoint> underWay(16, now - seconds(3));
+        CHECK(forecaster.forecast(draft, now, underWay)->m_percentile90 == seconds(3));
+        CHECK(forecaster.forecast(draft, now, underWay)->m_longest == seconds(3));
+    }
+    SECTION("not if they are younger")
+    {
+        const std::vector<TimePoint> underWay(16, now - milliseconds(900));
+        CHECK(forecaster.forecast(draft, now, underWay)->m_percentile90 == seconds(1));
+    }
+    SECTION("and a few long ones of many don't matter while connections are accepted")
+    {
+        const std::vector<TimePoint> underWay(1, now - seconds(3));
+        CHECK(forecaster.forecast(draft, now, underWay)->m_percentile90 == seconds(1));
+        CHECK(forecaster.forecast(draft, now, underWay)->m_longest == seconds(3));
+    }
+}
+
 // Guards against cutting a stream that breaks near its end and would go on elsewhere in time.
 TEST_CASE("of a stream that has begun only the rest is awaited")
 {
