Keep log lines while whoever reads them is slow

A process that stops writes several lines for each request that it cuts, within milliseconds, and ends shortly after. Its log lacked lines whenever its reader was late: a line was dropped as soon as the pipe and a batch of 4 KB were full, and the last lines were tried once. So the absence of request-cut-by-stop or drained in a log told nothing. A part of a batch that was accepted was written again with the rest. Between "drained" and the end nothing was flushed.

Lines are now held while the pipe is full, up to 512 KiB, and continued where a write stopped. Writing still never blocks. At its end the process waits up to 500 ms, inside the grace time, until its last lines are read. What is lost is counted in a log-lost line, at the very end on standard error.

--- a/include/gypsumdale/observe/log.hpp
+++ b/include/gypsumdale/observe/log.hpp
@@ -49,21 +49,27 @@
 /// accepted.
 using LogSink = std::function<bool(std::string_view line)>;
 
+/// Maximum size in bytes of the lines that a batched sink holds while the reader does not read. The
+/// requests that a stop cuts are logged within milliseconds, in up to 400 lines of each of three
+/// events of about 400 bytes, while a pipe holds 64 KiB.
+constexpr std::size_t maxLogBacklogBytes = std::size_t{512} * 1024;
+
 /// Returns a sink that writes each line to standard error with one write. It never blocks: while
 /// the reader of the pipe does not read, lines are refused.
 LogSink standardErrorSink();
 
-/// Buffering sink, with the function that flushes its buffer.
+/// Buffering sink, with the function that writes its buffer as far as the reader accepts it and
+/// returns the number of lines that are left.
 struct BatchedSink
 {
     LogSink m_sink;
-    std::function<void()> m_flush;
+    std::function<std::size_t()> m_flush;
 };
 
 /// Returns a sink that writes lines to standard output in batches of up to 4 KB, the most that a
 /// pipe accepts atomically. At 40 lines per second, one system call per line accounted for most of
-/// the cost of logging. Like standardErrorSink(), it never blocks: while the reader does not read,
-/// lines are refused.
+/// the cost of logging. It never blocks: while the reader does not read, lines are held, and
+/// refused once maxLogBacklogBytes are held.
 BatchedSink standardOutputSink();
 
 /// Limit on the lines of one event: a burst, then a rate. Lines beyond it are only counted.
@@ -100,21 +106,27 @@
                  std::initializer_list<LogFieldValue> fields = {});
 
     /// Writes one "log-suppressed" line for each event with suppressed lines that were not reported
-    /// yet. Must be called every few seconds and at shutdown, as no further line that could carry
-    /// the count may follow a burst. Complexity: linear in the number of events.
+    /// yet, and a "log-lost" line if the sink has refused lines since the last one. Must be called
+    /// every few seconds and at shutdown, as no further line that could carry the count may follow
+    /// a burst. Complexity: linear in the number of events.
     void reportSuppressed();
 
     /// Flushes a batched sink. Must be called several times per second, so that a killed process
     /// loses at most the lines of the last moment.
     void flush();
 
+    /// Flushes a batched sink until all its lines are written, for at most the given time. Blocks
+    /// the calling thread, but no other one that logs. Called last: lines that are still held then
+    /// are counted as lost. Returns the number of those.
+    std::size_t finish(Duration limit);
+
     /// Returns whether a line of the given level would be written. Complexity: constant.
     bool isEnabled(LogLevel level) const;
 
     /// Returns the number of lines suppressed by the rate limit so far.
     std::uint64_t suppressedLines() const;
 
-    /// Returns the number of lines that the sink refused so far.
+    /// Returns the number of lines that the sink refused so far, or still held at finish().
     std::uint64_t lostLines() const;
 
 private:
@@ -150,7 +162,7 @@
     LogRate m_rate;
     LogFormat m_format = LogFormat::Logfmt;
     LogSink m_sink;
-    std::function<void()> m_flush;
+    std::function<std::size_t()> m_flush;
 };
 
 /// Prefix of every key that `gypsumctl keys new` creates, so that a key can be recognised wherever
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -19,6 +19,7 @@
 #include <entry/rollout_page.hpp>
 #include <entry/thread_connections.hpp>
 
+#include <algorithm> // min
 #include <atomic> // atomic
 #include <csignal> // kill, sigaddset, sigset_t, sigwait
 #include <optional> // optional
@@ -43,6 +44,11 @@
 /// Part of graceMargin for the peers' receipt of the final report, while the registry is left: a
 /// round trip between data centres and a slow VM.
 constexpr Duration finalReportTime = std::chrono::milliseconds(150);
+/// Time for whoever reads the log to take the last lines. One that shares a busy processor may be
+/// late by some hundred milliseconds.
+constexpr Duration lastFlushTime = std::chrono::milliseconds(500);
+/// Part of graceMargin for the end of the process after its last line.
+constexpr Duration exitTime = std::chrono::milliseconds(100);
 constexpr Duration drainCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration logFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration settingsInterval = std::chrono::seconds(2);
@@ -149,12 +155,28 @@
     {
         m_log->info("stopped", {{LogField::Count, m_cancelledRequests.load()}});
         m_log->reportSuppressed();
-        m_log->flush();
+        finishLog();
         m_trafficLoop.stop();
         m_controlLoop.stop();
     }
 
 private:
+    /// Waits until the last lines are read, while the grace time lasts. Those that are not go
+    /// uncounted in this log, so standard error says how many they are.
+    void finishLog()
+    {
+        const std::size_t lost =
+                m_log->finish(std::min(lastFlushTime, m_lastFlushEnd - m_clock.now()));
+        if (lost == 0)
+            return;
+        LoggerBuilder(m_clock)
+                .node(m_settings.m_node)
+                .dataCentre(m_settings.m_dataCentre)
+                .format(LogFormat::Json)
+                .build()
+                ->warning("log-lost", {{LogField::Count, lost}});
+    }
+
     void spawnRollouts()
     {
         m_controlLoop.spawn([this] { m_rollouts.followOrders(); });
@@ -318,7 +340,7 @@
 
     void flushLog()
     {
-        while (!m_context.m_isStopping) {
+        while (!m_hasEnded) {
             m_log->flush();
             sleepFiber(logFlushInterval);
         }
@@ -400,7 +422,9 @@
 
     void drain(TimePoint signalAt)
     {
-        const StopSchedule schedule = scheduleStop(signalAt, m_settings.m_bounds.m_shutdownGrace);
+        const Duration grace = m_settings.m_bounds.m_shutdownGrace;
+        const StopSchedule schedule = scheduleStop(signalAt, grace);
+        m_lastFlushEnd = signalAt + grace - exitTime;
         m_log->info("draining", {{LogField::Count, m_requestServers.requestsInFlight()},
                                  {LogField::Connections, m_requestServers.connections()}});
         m_duties.resign();
@@ -454,6 +478,8 @@
     std::atomic<std::size_t> m_cancelledRequests = 0;
     std::atomic<bool> m_isShuttingDown = false;
     std::atomic<bool> m_hasEnded = false;
+    /// Set before m_hasEnded.
+    TimePoint m_lastFlushEnd{};
 };
 
 } // namespace
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -3,13 +3,22 @@
 #include <observe/detail/log_limiter.hpp>
 #include <observe/detail/log_line.hpp>
 
+#include <chrono> // steady_clock
 #include <mutex> // lock_guard, mutex
 #include <span> // span
-#include <utility> // move
+#include <thread> // sleep_for
+#include <utility> // exchange, move
 #include <vector> // vector
 
 namespace gypsumdale {
 
+namespace {
+
+/// Interval at which the last lines are tried again, a fraction of the time that a process has.
+constexpr Duration finishInterval = std::chrono::milliseconds(5);
+
+} // namespace
+
 struct Logger::State
 {
     State(const Clock &clock, LogLevel level, LogRate rate, LogFormat format, BatchedSink sink)
@@ -33,21 +42,39 @@
 
     void deliver(detail::LogLine line)
     {
-        if (!m_sink(line.finish()))
-            ++m_lost;
+        if (m_sink(line.finish()))
+            return;
+        ++m_lost;
+        ++m_unreportedLost;
     }
 
+    void reportLost();
+
     const Clock &m_clock;
     LogLevel m_level;
     LogFormat m_format;
     LogSink m_sink;
-    std::function<void()> m_flush;
+    std::function<std::size_t()> m_flush;
     std::string m_origin;
     mutable std::mutex m_mutex;
     detail::LogLimiter m_limiter;
     std::uint64_t m_lost = 0;
+    std::uint64_t m_unreportedLost = 0;
 };
 
+/// Writes how many lines the sink refused, or leaves that for the next call if it refuses that line
+/// as well.
+void Logger::State::reportLost()
+{
+    if (m_unreportedLost == 0)
+        return;
+    const std::uint64_t count = std::exchange(m_unreportedLost, 0);
+    detail::LogLine line = begin(LogLevel::Warning, "log-lost");
+    line.add({LogField::Count, count});
+    if (!m_sink(line.finish()))
+        m_unreportedLost += count;
+}
+
 void Logger::State::write(LogLevel level, LogEvent event, std::span<const LogFieldValue> fields)
 {
     if (level < m_level)
@@ -114,6 +141,7 @@
         line.add({LogField::Suppressed, count});
         m_state->deliver(std::move(line));
     }
+    m_state->reportLost();
 }
 
 void Logger::flush()
@@ -123,6 +151,22 @@
         m_state->m_flush();
 }
 
+std::size_t Logger::finish(Duration limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    for (;;) {
+        {
+            const std::lock_guard lock(m_state->m_mutex);
+            const std::size_t held = m_state->m_flush ? m_state->m_flush() : 0;
+            if (held == 0 || std::chrono::steady_clock::now() >= end) {
+                m_state->m_lost += held;
+                return held;
+            }
+        }
+        std::this_thread::sleep_for(finishInterval);
+    }
+}
+
 bool Logger::isEnabled(LogLevel level) const
 {
     return level >= m_state->m_level;
--- a/src/observe/standard_sinks.cpp
+++ b/src/observe/standard_sinks.cpp
@@ -1,11 +1,13 @@
 #include <gypsumdale/observe/log.hpp>
 
+#include <observe/detail/descriptor_write.hpp>
+#include <observe/detail/log_backlog.hpp>
+
 #include <cerrno> // EINTR, errno
 #include <memory> // make_shared
-#include <string> // string
 
 #include <poll.h> // poll, pollfd
-#include <unistd.h> // STDERR_FILENO, write
+#include <unistd.h> // STDERR_FILENO, STDOUT_FILENO, write
 
 namespace gypsumdale {
 
@@ -23,44 +25,35 @@
     return ::poll(&target, 1, noWait) == 1 && target.revents == POLLOUT;
 }
 
-bool writeLine(int file, std::string_view line)
+} // namespace
+
+std::size_t detail::writeWithoutBlocking(int file, std::string_view text)
 {
     if (!isWritable(file))
-        return false;
+        return 0;
     ssize_t written = -1;
     do {
-        written = ::write(file, line.data(), line.size());
+        written = ::write(file, text.data(), text.size());
     } while (written < 0 && errno == EINTR);
-    return written == static_cast<ssize_t>(line.size());
+    return written < 0 ? 0 : static_cast<std::size_t>(written);
 }
 
-} // namespace
-
 LogSink standardErrorSink()
 {
     return [](std::string_view line) {
-        return writeLine(STDERR_FILENO, line);
+        return detail::writeWithoutBlocking(STDERR_FILENO, line) == line.size();
     };
 }
 
 BatchedSink standardOutputSink()
 {
-    const auto batch = std::make_shared<std::string>();
-    const auto flush = [batch] {
-        if (batch->empty() || !writeLine(STDOUT_FILENO, *batch))
-            return false;
-        batch->clear();
-        return true;
-    };
+    const auto backlog = std::make_shared<detail::LogBacklog>(STDOUT_FILENO);
     BatchedSink result;
-    result.m_flush = [flush] {
-        flush();
+    result.m_flush = [backlog] {
+        return backlog->write();
     };
-    result.m_sink = [batch, flush](std::string_view line) {
-        if (batch->size() + line.size() > maxLogLineBytes && !flush())
-            return false;
-        *batch += line;
-        return true;
+    result.m_sink = [backlog](std::string_view line) {
+        return backlog->add(line);
     };
     return result;
 }
--- a/tests/support/entry_stand_ins.hpp
+++ b/tests/support/entry_stand_ins.hpp
@@ -80,6 +80,11 @@
         return m_loop.call([&] { return m_objects[kind][name].m_status; });
     }
 
+    bool has(const std::string &kind, const std::string &name)
+    {
+        return m_loop.call([&] { return m_objects[kind].contains(name); });
+    }
+
     void remove(const std::string &kind, const std::string &name)
     {
         m_loop.call([&] {
