Log a stream that breaks off at the VM that relays it as such

A stream that runs through another VM is cut when that one stops, also while the VM that took it has time left: its caller sees a stream without its end. The VM that took it logged an attempt-failed at an upstream that bears the name of a VM, which doesn't tell a stop from an upstream that broke.

It now logs relay-failed, with the events forwarded so far, and reason=takes-no-more if the peer's last report offered no place for relayed requests, which is so from its signal on.

--- a/include/gypsumdale/serving/relay_peers.hpp
+++ b/include/gypsumdale/serving/relay_peers.hpp
@@ -58,6 +58,10 @@
     /// Records that a peer could not be reached, broke off, or refused a request.
     static void avoid(PooledUpstream &peer, TimePoint now);
 
+    /// Returns whether a peer takes further requests by its last report. One that stops or is full
+    /// takes none. Complexity: logarithmic in the number of peers.
+    bool isTaking(const UpstreamId &peer) const;
+
     /// Returns whether a VM at an IP address has reported as a peer. Complexity: linear in the
     /// number of peers.
     bool isPeerAddress(std::string_view ip) const;
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -242,6 +242,7 @@
     void recordConnectFailure(const PooledUpstream &upstream, const CallFailure &failure);
     void recordRelayFailure(PooledUpstream &peer, const CallFailure &failure);
     void recordBrokenRelay(PooledUpstream &peer, const CallFailure &failure);
+    void logRelayFailure(const PooledUpstream &peer, const CallFailure &failure);
     void recordRelayRefusal(PooledUpstream &peer, std::string_view reason, int arrived);
     void countFailedAttempt(const CallFailure &failure);
     void countTooLarge(const CallFailure &failure);
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -101,7 +101,7 @@
         reportBroken(answer.m_guard.upstream(), failure, answer.m_stage);
     const bool isRelayedStream = answer.m_isRelayed && m_route->m_kind == RouteRepeatSafety::Stream;
     if (isRelayedStream && failure.m_error.m_id != ErrorId::Cancelled)
-        logAttemptFailure(answer.m_guard.upstream(), failure);
+        logRelayFailure(answer.m_guard.upstream(), failure);
     else
         recordUpstreamFailure(answer.m_guard.upstream(), failure);
 }
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -155,11 +155,22 @@
     if (!isCancelledByShutdown(failure))
         RelayPeers::avoid(peer, m_traffic.now());
     m_traffic.metrics().add(Counter::RelaysFailed);
-    m_traffic.log().warning("relay-failed", {m_caller.m_id,
-                                             {LogField::Peer, peer.m_record.m_id.text()},
-                                             {LogField::ErrorName, errorName(failure.m_error.m_id)},
-                                             {LogField::Text, failure.m_error.m_text},
-                                             {LogField::Outcome, outcomeName(failure)}});
+    logRelayFailure(peer, failure);
+}
+
+/// A stream is cut when the VM that relays it stops, though this VM may have longer. Its last
+/// report, with no place for further requests, tells that from a break.
+void EntryCall::logRelayFailure(const PooledUpstream &peer, const CallFailure &failure)
+{
+    const bool isTaking = m_traffic.relay().peers().isTaking(peer.m_record.m_id);
+    m_traffic.log().warning("relay-failed",
+                            {m_caller.m_id,
+                             {LogField::Peer, peer.m_record.m_id.text()},
+                             {LogField::ErrorName, errorName(failure.m_error.m_id)},
+                             {LogField::Text, failure.m_error.m_text},
+                             {LogField::Reason, isTaking ? "broken" : "takes-no-more"},
+                             {LogField::Events, m_events},
+                             {LogField::Outcome, outcomeName(failure)}});
 }
 
 /// Records that a peer passed the request back, after attempts of its own that arrived.
--- a/src/serving/relay_peers.cpp
+++ b/src/serving/relay_peers.cpp
@@ -57,6 +57,12 @@
     peer.m_avoidUntil = now + avoidTime;
 }
 
+bool RelayPeers::isTaking(const UpstreamId &peer) const
+{
+    const auto found = m_peers.find(peer.text());
+    return found != m_peers.end() && found->second.m_offer.m_free > 0;
+}
+
 bool RelayPeers::isPeerAddress(std::string_view ip) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(),
