Let waves make the forecasts of the stop soak wrong

A wave now goes to one route of the first VM that is stopped, 0.5 to 2 s after its signal, half of the times to a route that it knows long enough for a forecast; three quarters of the callers that send late take the wave's route; and more upstreams leave the VMs enough slots for a wave. When the late requests arrive, the short streams of the wave have ended and the long ones haven't.

--- a/tests/src/process-entry-stop-soak.cpp
+++ b/tests/src/process-entry-stop-soak.cpp
@@ -35,11 +35,11 @@
 }
 
 /// Stops a VM, sometimes with a SIGHUP before or behind the signal, and starts it again.
-void stopAndStart(StopSoak &soak, std::size_t index, std::uint64_t seed)
+void stopAndStart(StopSoak &soak, std::size_t index, std::uint64_t delayMillis, std::uint64_t seed)
 {
     pcg32 random(seed, 10 + index);
     EntryWorld::EntryNode &node = soak.m_world.node(index);
-    pauseMillis(random(1000));
+    pauseMillis(delayMillis);
     if (random(2) == 0)
         node.m_process->send(SIGHUP);
     soak.noteSignal(index);
@@ -68,8 +68,11 @@
         const std::size_t count = 1 + random(static_cast<unsigned>(nodes));
         std::vector<std::thread> stops;
         for (std::size_t number = 0; number < count; ++number)
-            stops.emplace_back(stopAndStart, std::ref(soak), (first + number) % nodes, random());
-        pauseMillis(random(2500));
+            stops.emplace_back(stopAndStart, std::ref(soak), (first + number) % nodes,
+                               number == 0 ? 0 : random(1000), random());
+        // A wave that begins later is refused; of one that begins now, short streams have ended
+        // when the last requests arrive, and long ones haven't.
+        pauseMillis(500 + random(1500));
         soak.raiseWave(first, random);
         for (std::thread &stop : stops)
             stop.join();
--- a/tests/support/stop_soak.hpp
+++ b/tests/support/stop_soak.hpp
@@ -35,10 +35,10 @@
 
 /// The first ones are there from the start; each of the others is added by a configuration.
 inline constexpr SoakRoute soakRoutes[] = {
-        {"/draft/", 23},   {"/note/", 9},     {"/added-1/", 23}, {"/added-2/", 7},
-        {"/added-3/", 15}, {"/added-4/", 23}, {"/added-5/", 9},  {"/added-6/", 30},
+        {"/draft/", 23},  {"/note/", 9},     {"/line/", 6},     {"/added-1/", 23},
+        {"/added-2/", 7}, {"/added-3/", 15}, {"/added-4/", 23}, {"/added-5/", 9},
 };
-inline constexpr std::size_t firstSoakRoutes = 2;
+inline constexpr std::size_t firstSoakRoutes = 3;
 
 /// How a request reaches its VM.
 enum class Way {
@@ -112,13 +112,15 @@
     /// Lets callers use all routes of the last configuration.
     void useAddedRoutes() { m_usedRoutes = m_configuredRoutes; }
 
-    /// Lets the callers of waves send to a VM for a while, on a route that is drawn.
+    /// Lets the callers of waves send to a VM for a while, on a route that is drawn,
+    /// half of the times one that has been there from the start.
     void raiseWave(std::size_t node, pcg32 &random)
     {
         constexpr unsigned minMillis = 500;
         constexpr unsigned spreadMillis = 1500;
         m_waveNode = node;
-        m_waveRoute = random(static_cast<unsigned>(m_usedRoutes));
+        const std::size_t routes = random(2) == 0 ? firstSoakRoutes : m_usedRoutes.load();
+        m_waveRoute = random(static_cast<unsigned>(routes));
         m_isWave = true;
         pauseMillis(minMillis + random(spreadMillis));
         m_isWave = false;
@@ -137,7 +139,7 @@
         ++m_stopCounts[node];
     }
 
-    static constexpr std::size_t upstreamCount = 10;
+    static constexpr std::size_t upstreamCount = 20;
 
     std::uint64_t m_seed;
     std::atomic<bool> m_isOver = false;
--- a/tests/support/stop_soak_load.hpp
+++ b/tests/support/stop_soak_load.hpp
@@ -157,6 +157,7 @@
         const unsigned connectMillis = random(2200);
         pauseMillis(connectMillis);
         SentStream stream;
+        stream.m_isOfWave = random(4) != 0;
         stream.m_id = fmt::format("l{}-{}-{}", node, number, count);
         stream.m_node = node;
         stream.m_way = random(4) != 0 ? Way::OpenConnection : Way::SlowBody;
