Slow upstreams down behind late requests of the stop soak

A forecast is also wrong where upstreams become slower after it was made. In half of the stops all upstreams now send their events three times as slowly once the wave of requests has been sent, until the VMs have ended.

--- a/tests/src/process-entry-stop-soak.cpp
+++ b/tests/src/process-entry-stop-soak.cpp
@@ -53,6 +53,12 @@
     soak.m_world.start(node);
 }
 
+void setAllSlow(StopSoak &soak, bool isSlow)
+{
+    for (std::size_t upstream = 0; upstream < StopSoak::upstreamCount; ++upstream)
+        soak.m_streams.setSlow(upstream, isSlow);
+}
+
 /// Stops one to all VMs at once or within a second, again and again: a third of the times after
 /// they have lived long, else soon after they began. A wave of requests may go to one of them.
 void stopVms(StopSoak &soak)
@@ -74,8 +80,10 @@
         // when the last requests arrive, and long ones haven't.
         pauseMillis(500 + random(1500));
         soak.raiseWave(first, random);
+        setAllSlow(soak, random(2) == 0);
         for (std::thread &stop : stops)
             stop.join();
+        setAllSlow(soak, false);
     }
 }
 
@@ -111,8 +119,7 @@
         for (std::size_t upstream = 0; upstream < StopSoak::upstreamCount; ++upstream)
             soak.m_streams.setSlow(upstream, random(2) == 0);
         pauseWhileOn(soak, 2000 + random(3000));
-        for (std::size_t upstream = 0; upstream < StopSoak::upstreamCount; ++upstream)
-            soak.m_streams.setSlow(upstream, false);
+        setAllSlow(soak, false);
     }
 }
 
