Limit all answers that a process holds completely

Each answer had a limit of 8 MiB, and all together had none. A stream that is buffered for an HTTP/1.0 caller had no limit at all until its deadline.

Buffered bodies, events that have not ended and streams buffered for HTTP/1.0 callers share 32 MiB (AnswerMemory) beyond the first 64 KiB of each. An answer may hold at most as much as it leaves to others. One without room fails after AnswerStarted (502, never 503), is counted in gypsumdale_answers_without_memory_total, and not held against its upstream. The gauge gypsumdale_placement_list_revision is set by the traffic thread; a test of endless answers is to wait for it.

--- a/include/gypsumdale/entry/entry_traffic.hpp
+++ b/include/gypsumdale/entry/entry_traffic.hpp
@@ -229,6 +229,8 @@
     CrashKnowledge crashKnowledge(const ServiceId &service, const CrashElements &elements) const;
     RunMover &mover() { return *m_mover; }
     UpstreamClient &client() { return m_client; }
+    /// Returns the memory for the answers that are held completely.
+    const std::shared_ptr<AnswerMemory> &answerMemory() const { return m_answerMemory; }
     /// Runs work in a fiber of the traffic thread.
     void spawn(std::function<void()> work) { m_loop.spawn(std::move(work)); }
     Logger &log() { return m_log; }
@@ -254,6 +256,7 @@
     const Clock &m_clock;
     Logger &m_log;
     Metrics &m_metrics;
+    std::shared_ptr<AnswerMemory> m_answerMemory = std::make_shared<AnswerMemory>();
     UpstreamClient m_client;
     ServingViewPointer m_view;
     UpstreamPool m_pool;
--- a/include/gypsumdale/entry/upstream_client.hpp
+++ b/include/gypsumdale/entry/upstream_client.hpp
@@ -3,6 +3,9 @@
 #include <gypsumdale/observe/metrics.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
 
+#include <memory> // shared_ptr
+#include <utility> // move
+
 namespace gypsumdale {
 
 /// Calls upstreams through HttpClient, and counts the bytes sent to them and failed connection
@@ -10,8 +13,10 @@
 class UpstreamClient
 {
 public:
-    UpstreamClient(FiberLoop &loop, Metrics &metrics)
-        : m_client(loop)
+    /// The memory limits all answers together that are read completely; null for no limit.
+    UpstreamClient(FiberLoop &loop, Metrics &metrics,
+                   std::shared_ptr<AnswerMemory> memory = nullptr)
+        : m_client(loop, std::move(memory))
         , m_metrics(metrics)
     {}
 
--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -100,13 +100,14 @@
     CanaryPlacements,
     CanaryErrors,
     AnswersTooLarge,
+    AnswersWithoutMemory,
     ErrorsRetried,
     ErrorsNotRetried,
     NoConnection,
     TurnsRejected,
     BackpressureRejections,
 };
-constexpr std::size_t counterCount = 68;
+constexpr std::size_t counterCount = 69;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -132,12 +133,13 @@
     ResidentBytes,
     UpstreamListAgeMillis,
     PlacementListAgeMillis,
+    PlacementListRevision,
     QuarantinedRequests,
     RolloutsUnderWay,
     UnevenUpstreams,
     LimitedUpstreams,
 };
-constexpr std::size_t gaugeCount = 25;
+constexpr std::size_t gaugeCount = 26;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/result.hpp>
+#include <gypsumdale/runtime/answer_memory.hpp>
 #include <gypsumdale/runtime/delivery_deadline.hpp>
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_message.hpp>
@@ -10,7 +11,7 @@
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t
 #include <functional> // function
-#include <memory> // unique_ptr
+#include <memory> // shared_ptr, unique_ptr
 #include <optional> // optional
 #include <string> // string
 #include <tuple> // tie
@@ -53,6 +54,8 @@
     std::size_t m_unacknowledgedBytes = 0;
     /// The answer was given up because it exceeded a limit of its size.
     bool m_isAnswerTooLarge = false;
+    /// The answer was given up because there was no room for it beside other answers.
+    bool m_isMemoryUsedUp = false;
 };
 
 template <typename T>
@@ -155,9 +158,14 @@
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
 
     /// Reads the body to its end. Fails like read(), and with UpstreamFailed if it is larger than
-    /// the call allows; the connection is then closed.
+    /// the call allows or there is no room for it beside other answers; the connection is then
+    /// closed.
     CallResult<std::string> readBody();
 
+    /// Returns what the body that readBody() has read holds of the client's memory for answers.
+    /// Whoever keeps the body keeps this too.
+    std::shared_ptr<AnswerShare> share() const;
+
     /// Gives up an answer that has not come in time: closes the connection and returns
     /// UpstreamSilent, or the failure that came before.
     CallFailure giveUp();
@@ -185,7 +193,8 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(FiberLoop &loop);
+    /// Without a memory, the answers that are read completely have no limit together.
+    explicit HttpClient(FiberLoop &loop, std::shared_ptr<AnswerMemory> memory = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/include/gypsumdale/runtime/http_message.hpp
+++ b/include/gypsumdale/runtime/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory> // shared_ptr
 #include <optional> // optional
 #include <string> // string
 #include <string_view> // string_view
@@ -8,6 +9,8 @@
 
 namespace gypsumdale {
 
+class AnswerShare;
+
 /// Header fields in order of arrival. Names are compared case-insensitively.
 class HttpHeaders
 {
@@ -45,6 +48,8 @@
     int m_status = 200;
     HttpHeaders m_headers;
     std::string m_body;
+    /// What the body of an answer that was received holds of the memory for answers; may be null.
+    std::shared_ptr<AnswerShare> m_share = nullptr;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -2,13 +2,14 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/result.hpp>
+#include <gypsumdale/runtime/answer_memory.hpp>
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_message.hpp>
 
 #include <cstddef> // size_t
 #include <cstdint> // uint16_t, uint64_t
 #include <functional> // function
-#include <memory> // unique_ptr
+#include <memory> // shared_ptr, unique_ptr
 #include <string> // string
 #include <string_view> // string_view
 #include <vector> // vector
@@ -28,7 +29,8 @@
     /// Begins a streamed (chunked) answer. Returns false if the caller is gone.
     virtual bool begin(int status, const HttpHeaders &headers) = 0;
 
-    /// Sends one chunk of a streamed answer at once. Returns false if the caller is gone.
+    /// Sends one chunk of a streamed answer at once. Returns false if the caller is gone, or if
+    /// isTooLargeToBuffer().
     virtual bool write(std::string_view chunk) = 0;
 
     /// Ends a streamed answer. The connection of a stream that is never finished is closed, so that
@@ -39,6 +41,10 @@
     /// that can't read chunks; another answer may be sent instead. Returns false if it is too late.
     virtual bool takeBack() { return false; }
 
+    /// Returns whether a streamed answer has failed because it grew too large to be buffered for a
+    /// caller that can't read chunks. takeBack() then still succeeds.
+    virtual bool isTooLargeToBuffer() const { return false; }
+
     /// Closes the connection without sending anything more, as the end of the process would. The
     /// stand-ins use it to cause failures. Does nothing if the answer has no connection of its own.
     virtual void abandon() {}
@@ -62,6 +68,8 @@
 {
     std::size_t m_headerBytes = std::size_t{16} * 1024;
     std::size_t m_bodyBytes = std::size_t{1024} * 1024;
+    /// Size of a streamed answer that is buffered for a caller that can't read chunks.
+    std::size_t m_bufferedAnswerBytes = std::size_t{8} * 1024 * 1024;
     std::size_t m_connections = 4096;
     /// Time limit for one request to arrive completely, from its first byte.
     Duration m_readTimeout = std::chrono::seconds(15);
@@ -143,6 +151,9 @@
     HttpServerBuilder &handleWith(HttpHandler handler);
     HttpServerBuilder &limitTo(HttpLimits limits);
 
+    /// Limits all answers together that are buffered for callers that can't read chunks.
+    HttpServerBuilder &bufferIn(std::shared_ptr<AnswerMemory> memory);
+
     /// Opens the socket and starts accepting. The loops may be started before or after. Fails with
     /// AddressInUse and then leaves nothing open.
     Result<HttpServer> build();
@@ -153,6 +164,7 @@
     std::vector<FiberLoop *> m_loops;
     HttpHandler m_handler;
     HttpLimits m_limits;
+    std::shared_ptr<AnswerMemory> m_memory;
 };
 
 } // namespace gypsumdale
--- a/include/gypsumdale/serving/event_splitter.hpp
+++ b/include/gypsumdale/serving/event_splitter.hpp
@@ -30,6 +30,9 @@
     /// Returns whether an event has begun and not ended.
     bool hasPartial() const { return !m_pending.empty(); }
 
+    /// Returns the size of the event that has begun, all of which is held.
+    std::size_t pendingBytes() const { return m_pending.size(); }
+
     /// Returns whether the event that has begun is longer than allowed; the stream must then be
     /// given up.
     bool isTooLong() const { return m_pending.size() > maxEventBytes; }
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -43,6 +43,7 @@
     , m_view(traffic.view())
     , m_binding(traffic, m_caller)
     , m_arrivedAt(traffic.now())
+    , m_eventShare(traffic.answerMemory())
 {}
 
 void EntryCall::run()
@@ -259,6 +260,7 @@
     if (auto *failure = std::get_if<CallFailure>(&body))
         return std::move(*failure);
     reply.m_body = std::get<std::string>(std::move(body));
+    reply.m_share = answer.m_exchange.share();
     return reply;
 }
 
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -227,12 +227,14 @@
     std::optional<UpstreamAnswer> resumeMovedRun();
     std::shared_ptr<PlacementCallDeadline> deadlineAt(const PooledUpstream &upstream) const;
     bool splitsEvents() const;
+    std::optional<CallFailure> exceededEventLimit();
     bool isTruncated(const UpstreamAnswer &answer) const;
     void recordFirstEvent(UpstreamAnswer &answer);
     bool processBytes(const std::string &piece, UpstreamAnswer &answer);
     bool forwardEvents(const std::string &piece, UpstreamAnswer &answer);
     bool beginStream(UpstreamAnswer &answer);
     bool forward(std::string_view bytes);
+    void recordTooLargeToBuffer();
 
     std::string_view exceededLimit(const CallFailure &failure) const;
     void recordAttemptFailure(InFlightGuard &guard, const CallFailure &failure);
@@ -319,6 +321,8 @@
     UpstreamAnswer *m_awaited = nullptr;
     std::optional<std::string> m_memory;
     EventSplitter m_splitter;
+    /// Of the event that has begun and is held until its end.
+    AnswerShare m_eventShare;
     /// Of a stream that isn't split.
     EventBoundary m_eventBoundary;
     std::optional<std::string> m_lastEventId;
--- a/src/entry/entry_call_crash.cpp
+++ b/src/entry/entry_call_crash.cpp
@@ -73,7 +73,7 @@
 {
     const ErrorId error = failure.m_error.m_id;
     const bool isOwnDoing = error == ErrorId::Cancelled || error == ErrorId::TermOver
-                            || error == ErrorId::UpstreamSilent;
+                            || error == ErrorId::UpstreamSilent || failure.m_isMemoryUsedUp;
     const UpstreamRecord &record = upstream.m_record;
     const bool isPlanned = record.m_isDraining || upstream.m_isGone;
     const bool isUnsent = failure.m_phase == SendPhase::NothingSent;
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -70,7 +70,7 @@
 void EntryCall::recordUpstreamFailure(PooledUpstream &upstream, const CallFailure &failure)
 {
     const bool isUnsent = recordDeadlinePassed(upstream, failure);
-    if (!isCancelledByShutdown(failure) && !isUnsent)
+    if (!isCancelledByShutdown(failure) && !isUnsent && !failure.m_isMemoryUsedUp)
         UpstreamPool::note(upstream, attemptResult(failure), m_traffic.now());
     recordConnectFailure(upstream, failure);
     logAttemptFailure(upstream, failure);
@@ -106,11 +106,13 @@
         recordUpstreamFailure(answer.m_guard.upstream(), failure);
 }
 
-/// Counts an answer that was given up because of its size.
+/// Counts an answer that was given up because of its size, or of that of all answers together.
 void EntryCall::countTooLarge(const CallFailure &failure)
 {
     if (failure.m_isAnswerTooLarge)
         m_traffic.metrics().add(Counter::AnswersTooLarge);
+    if (failure.m_isMemoryUsedUp)
+        m_traffic.metrics().add(Counter::AnswersWithoutMemory);
 }
 
 void EntryCall::countFailedAttempt(const CallFailure &failure)
--- a/src/entry/entry_call_relay.cpp
+++ b/src/entry/entry_call_relay.cpp
@@ -152,7 +152,7 @@
     if (isCancelledByCaller(failure))
         return;
     countTooLarge(failure);
-    if (!isCancelledByShutdown(failure))
+    if (!isCancelledByShutdown(failure) && !failure.m_isMemoryUsedUp)
         RelayPeers::avoid(peer, m_traffic.now());
     m_traffic.metrics().add(Counter::RelaysFailed);
     m_traffic.log().warning("relay-failed", {m_caller.m_id,
--- a/src/entry/entry_call_stream.cpp
+++ b/src/entry/entry_call_stream.cpp
@@ -37,17 +37,18 @@
         auto &answer = std::get<UpstreamAnswer>(attempt);
         if (answer.m_exchange.status() / 100 != 2) {
             AnswerReadResult reading = readFullAnswer(answer);
-            const auto *reply = std::get_if<HttpReply>(&reading);
+            auto *reply = std::get_if<HttpReply>(&reading);
+            const int status = answer.m_exchange.status();
             if (const auto *failure = std::get_if<CallFailure>(&reading))
                 recordBrokenAnswer(answer, *failure);
             else
                 UpstreamPool::note(answer.m_guard.upstream(), AttemptResult::ServerError,
                                    m_traffic.now());
             recordUsage();
-            recordVersionAnswer(answer, answer.m_exchange.status() >= 500);
+            recordVersionAnswer(answer, status >= 500);
             if (reply && !m_hasStreamStarted)
-                m_fallback = *reply;
-            if (!m_route->isRetryable() || (reply && reply->m_status < 500)) {
+                m_fallback = std::move(*reply);
+            if (!m_route->isRetryable() || (reply && status < 500)) {
                 finishUnserved(AttemptStop::NotAllowed);
                 return;
             }
@@ -59,7 +60,7 @@
             finishUnserved(AttemptStop::CallerGone);
             return;
         }
-        if (!m_route->isRetryable()) {
+        if (!m_route->isRetryable() || m_responder.isTooLargeToBuffer()) {
             finishUnserved(AttemptStop::NotAllowed);
             return;
         }
@@ -89,7 +90,7 @@
         m_traffic.mover().add(m_run);
         const bool isComplete = forwardRun(*current);
         m_traffic.mover().remove(m_run);
-        if (isComplete || m_isCallerGone)
+        if (isComplete || m_isCallerGone || m_responder.isTooLargeToBuffer())
             return isComplete;
         std::optional<UpstreamAnswer> next = resumeMovedRun();
         if (!next)
@@ -217,11 +218,8 @@
             break;
         if (!processBytes(*text, answer))
             return false;
-        if (m_splitter.isTooLong() || m_eventBoundary.isTooLong()) {
-            recordBrokenAnswer(answer, {{ErrorId::UpstreamFailed, "an event doesn't end"},
-                                        SendPhase::AnswerStarted,
-                                        0,
-                                        true});
+        if (const std::optional<CallFailure> exceeded = exceededEventLimit()) {
+            recordBrokenAnswer(answer, *exceeded);
             return false;
         }
     }
@@ -244,6 +242,23 @@
     return true;
 }
 
+/// Returns the failure of a stream whose event has grown too large, by itself or beside what other
+/// answers hold.
+std::optional<CallFailure> EntryCall::exceededEventLimit()
+{
+    CallFailure failure{{ErrorId::UpstreamFailed, "an event doesn't end"},
+                        SendPhase::AnswerStarted};
+    if (m_splitter.isTooLong() || m_eventBoundary.isTooLong()) {
+        failure.m_isAnswerTooLarge = true;
+        return failure;
+    }
+    if (m_eventShare.resize(m_splitter.pendingBytes()))
+        return std::nullopt;
+    failure.m_error.m_text = "the memory for answers is used up by an event that doesn't end";
+    failure.m_isMemoryUsedUp = true;
+    return failure;
+}
+
 /// Returns whether a stream that ended properly, as far as its connection tells, lacks its end. One
 /// without a length or chunks ends with its connection, whatever closed that.
 bool EntryCall::isTruncated(const UpstreamAnswer &answer) const
@@ -329,8 +344,21 @@
     m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     m_lastEventAt = now;
     const bool isGood = m_responder.write(bytes);
-    m_isCallerGone = m_isCallerGone || !isGood;
+    if (m_responder.isTooLargeToBuffer())
+        recordTooLargeToBuffer();
+    else
+        m_isCallerGone = m_isCallerGone || !isGood;
     return isGood;
 }
 
+/// Records a stream that was given up because its caller can't read chunks and it grew too large to
+/// be buffered.
+void EntryCall::recordTooLargeToBuffer()
+{
+    m_traffic.metrics().add(Counter::AnswersTooLarge);
+    m_traffic.log().warning(
+            "stream-too-large-to-buffer",
+            {m_caller.m_id, {LogField::Events, m_events}, {LogField::Outcome, "may-have-run"}});
+}
+
 } // namespace gypsumdale
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -208,13 +208,14 @@
         return std::nullopt;
     }
 
-    static Result<HttpServer> serve(const Address &address, FiberLoop &loop, HttpHandler handler)
+    Result<HttpServer> serve(const Address &address, FiberLoop &loop, HttpHandler handler) const
     {
         return HttpServerBuilder()
                 .listenOn(address.m_ip, address.m_port)
                 .runOn({&loop})
                 .handleWith(std::move(handler))
                 .limitTo(limitsOf({}))
+                .bufferIn(m_traffic.answerMemory())
                 .build();
     }
 
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -53,7 +53,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_metrics(metrics)
-    , m_client(loop, metrics)
+    , m_client(loop, metrics, m_answerMemory)
     , m_backpressure(settings.m_node, m_pool, clock, log, metrics)
     , m_connections(clock)
     , m_placementDeadline(settings.m_bounds.m_leavingApply)
@@ -158,6 +158,7 @@
     m_waiting.refresh();
     logVersions(upstreams);
     m_mover->scheduleMoves();
+    m_metrics.set(Gauge::PlacementListRevision, revision);
 }
 
 /// Logs once which software versions serve side by side, whenever that changes.
--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -179,6 +179,7 @@
 {
     m_answer = AnswerState::Owed;
     m_sentClose = false;
+    m_isTooLargeToBuffer = false;
     m_isAnswering = true;
     ++m_service.m_requestsInFlight;
     m_stream->watch([this] { markCallerGone(); });
@@ -231,7 +232,8 @@
     if (!m_callerReadsChunks) {
         // Without chunks, a truncated answer would look complete, so a caller that uses HTTP/1.0
         // gets the answer in one piece with its length.
-        m_collected = HttpReply{status, headers, std::string()};
+        m_collected = HttpReply{status, headers, std::string(),
+                                std::make_shared<AnswerShare>(m_service.m_memory)};
         m_answer = AnswerState::Collecting;
         return !m_callerGone;
     }
@@ -244,10 +246,8 @@
 
 bool HttpConnection::write(std::string_view chunk)
 {
-    if (m_answer == AnswerState::Collecting) {
-        m_collected.m_body += chunk;
-        return !m_callerGone;
-    }
+    if (m_answer == AnswerState::Collecting)
+        return collect(chunk);
     if (m_answer != AnswerState::Streaming)
         return false;
     // An empty chunk would mark the end of the body.
@@ -260,8 +260,25 @@
     return writeAll(buffers);
 }
 
+/// Buffers a part of an answer. Gives up all of it once it is too large.
+bool HttpConnection::collect(std::string_view chunk)
+{
+    const std::size_t size = m_collected.m_body.size() + chunk.size();
+    const bool hasRoom = size <= m_service.m_limits.m_bufferedAnswerBytes && m_collected.m_share
+                         && m_collected.m_share->resize(size);
+    if (!hasRoom) {
+        m_isTooLargeToBuffer = true;
+        m_collected = HttpReply();
+        return false;
+    }
+    m_collected.m_body += chunk;
+    return !m_callerGone;
+}
+
 bool HttpConnection::finish()
 {
+    if (m_isTooLargeToBuffer)
+        return false;
     if (m_answer == AnswerState::Collecting) {
         m_answer = AnswerState::Owed;
         return send(std::exchange(m_collected, HttpReply()));
@@ -280,6 +297,7 @@
     if (m_answer != AnswerState::Collecting)
         return false;
     m_collected = HttpReply();
+    m_isTooLargeToBuffer = false;
     m_answer = AnswerState::Owed;
     return true;
 }
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -23,6 +23,8 @@
 {
     HttpHandler m_handler;
     HttpLimits m_limits;
+    /// Of the answers that are buffered; null for no limit.
+    std::shared_ptr<AnswerMemory> m_memory;
     std::atomic<std::size_t> m_connections = 0;
     std::atomic<std::size_t> m_requestsInFlight = 0;
     std::atomic<std::uint64_t> m_bytesReceived = 0;
@@ -63,6 +65,7 @@
     bool write(std::string_view chunk) override;
     bool finish() override;
     bool takeBack() override;
+    bool isTooLargeToBuffer() const override { return m_isTooLargeToBuffer; }
     void abandon() override
     {
         m_callerGone = true;
@@ -91,6 +94,7 @@
     void refuse(const boost::beast::error_code &error);
     void handle(const HttpRequest &request);
     void markCallerGone();
+    bool collect(std::string_view chunk);
     bool writeAll(std::span<boost::asio::const_buffer> buffers);
     bool keepsAlive() const;
 
@@ -107,6 +111,7 @@
     bool m_callerReadsChunks = true;
     bool m_isHead = false;
     bool m_sentClose = false;
+    bool m_isTooLargeToBuffer = false;
 };
 
 } // namespace gypsumdale::detail
--- a/src/runtime/detail/http_exchange_state.hpp
+++ b/src/runtime/detail/http_exchange_state.hpp
@@ -22,9 +22,11 @@
 {
     using Parser = detail::MessageParser<false>;
 
-    /// Takes the time by which the answer must be complete.
+    /// Takes the memory that limits all answers together, or null, and the time by which the answer
+    /// must be complete.
     State(const HttpCall &call, std::shared_ptr<detail::Stream> stream,
-          const std::shared_ptr<detail::ConnectionPool> &pool, detail::SteadyTime latest);
+          const std::shared_ptr<detail::ConnectionPool> &pool,
+          const std::shared_ptr<AnswerMemory> &memory, detail::SteadyTime latest);
     ~State();
     State(const State &) = delete;
     State &operator=(const State &) = delete;
@@ -44,6 +46,7 @@
     detail::StreamStatus fillBy(detail::SteadyTime deadline);
     CallResult<std::optional<std::string>> read(Duration silenceTimeout);
     CallResult<std::string> readBody();
+    CallResult<std::string> collectBody();
     void cancel();
 
     bool hasHeader() const;
@@ -58,6 +61,7 @@
     void finish();
     bool endsByClose(detail::StreamStatus status);
     CallFailure failTooLarge(std::string_view what = "the answer is too large");
+    CallFailure failWithoutMemory();
     /// Returns the end of a period that begins now, at most that of the whole exchange.
     detail::SteadyTime limited(Duration period) const
     {
@@ -70,6 +74,7 @@
     std::unique_ptr<Parser> m_parser;
     /// Null if the call has no delivery deadline.
     std::shared_ptr<detail::DeadlineWatch> m_watch;
+    std::shared_ptr<AnswerShare> m_share;
     Duration m_silenceTimeout;
     detail::SteadyTime m_latest;
     std::size_t m_maxBodyBytes;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -34,11 +34,12 @@
 struct HttpClient::State
 {
     FiberLoop &m_loop;
+    std::shared_ptr<AnswerMemory> m_memory;
     std::shared_ptr<detail::ConnectionPool> m_pool;
 };
 
-HttpClient::HttpClient(FiberLoop &loop)
-    : m_state(std::make_shared<State>(State{loop, nullptr}))
+HttpClient::HttpClient(FiberLoop &loop, std::shared_ptr<AnswerMemory> memory)
+    : m_state(std::make_shared<State>(State{loop, std::move(memory), nullptr}))
 {}
 
 HttpClient::~HttpClient()
@@ -119,8 +120,8 @@
         return connectionReset(call.m_endpoint);
     }
     attach(call, stream);
-    auto exchange =
-            std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool, latest);
+    auto exchange = std::make_unique<HttpExchange::State>(call, std::move(stream), state->m_pool,
+                                                          state->m_memory, latest);
     if (const std::optional<CallFailure> failed = exchange->send(call))
         return *failed;
     return HttpExchange(std::move(exchange));
@@ -168,6 +169,7 @@
     if (auto *failed = std::get_if<CallFailure>(&body))
         return std::move(*failed);
     reply.m_body = std::get<std::string>(std::move(body));
+    reply.m_share = exchange.share();
     return reply;
 }
 
--- a/src/runtime/http_exchange.cpp
+++ b/src/runtime/http_exchange.cpp
@@ -33,10 +33,11 @@
 
 HttpExchange::State::State(const HttpCall &call, std::shared_ptr<Stream> stream,
                            const std::shared_ptr<detail::ConnectionPool> &pool,
-                           detail::SteadyTime latest)
+                           const std::shared_ptr<AnswerMemory> &memory, detail::SteadyTime latest)
     : m_endpoint(call.m_endpoint)
     , m_stream(std::move(stream))
     , m_pool(pool)
+    , m_share(std::make_shared<AnswerShare>(memory))
     , m_silenceTimeout(call.m_silenceTimeout)
     , m_latest(latest)
     , m_maxBodyBytes(call.m_maxBodyBytes)
@@ -252,6 +253,14 @@
 }
 
 CallResult<std::string> HttpExchange::State::readBody()
+{
+    auto body = collectBody();
+    if (std::holds_alternative<CallFailure>(body))
+        m_share->resize(0);
+    return body;
+}
+
+CallResult<std::string> HttpExchange::State::collectBody()
 {
     if (!m_finished && m_parser->content_length().value_or(0) > m_maxBodyBytes)
         return failTooLarge();
@@ -265,6 +274,8 @@
             return body;
         if (body.size() + text->size() > m_maxBodyBytes)
             return failTooLarge();
+        if (!m_share->resize(body.size() + text->size()))
+            return failWithoutMemory();
         if (body.empty())
             body = std::move(*text);
         else
@@ -279,6 +290,13 @@
     return *m_failure;
 }
 
+CallFailure HttpExchange::State::failWithoutMemory()
+{
+    fail(ErrorId::UpstreamFailed, "the memory for answers is used up");
+    m_failure->m_isMemoryUsedUp = true;
+    return *m_failure;
+}
+
 /// Returns whether the end of the connection is the proper end of the answer.
 bool HttpExchange::State::endsByClose(StreamStatus status)
 {
@@ -382,6 +400,11 @@
     return m_state->readBody();
 }
 
+std::shared_ptr<AnswerShare> HttpExchange::share() const
+{
+    return m_state->m_share;
+}
+
 bool HttpExchange::awaitHeader(Duration limit)
 {
     return m_state->awaitHeader(m_state->limited(limit));
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -174,6 +174,12 @@
     return *this;
 }
 
+HttpServerBuilder &HttpServerBuilder::bufferIn(std::shared_ptr<AnswerMemory> memory)
+{
+    m_memory = std::move(memory);
+    return *this;
+}
+
 Result<HttpServer> HttpServerBuilder::build()
 {
     if (m_loops.empty() || !m_handler)
@@ -184,6 +190,7 @@
     auto state = std::make_shared<HttpServer::State>();
     state->m_service.m_handler = std::move(m_handler);
     state->m_service.m_limits = m_limits;
+    state->m_service.m_memory = m_memory;
     state->m_loopConnections = std::vector<HttpServer::State::LoopConnections>(m_loops.size());
     for (std::size_t index = 0; index < m_loops.size(); ++index)
         state->m_loopConnections[index].m_loop = m_loops[index];
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+/// Memory that a stream keeps between its events. More, after a large one, is given back.
+constexpr std::size_t maxIdleBytes = std::size_t{64} * 1024;
 
 /// Returns where the last event in a text ends, or 0 if none does.
 std::size_t lastEventEnd(std::string_view text)
@@ -61,6 +63,8 @@
         eventBegin = m_lineBegin;
     }
     m_pending.erase(0, eventBegin);
+    if (m_pending.capacity() > maxIdleBytes && m_pending.size() < maxIdleBytes)
+        m_pending.shrink_to_fit();
     m_lineBegin -= eventBegin;
     m_searched = m_pending.size();
     return events;
