Log what is unfinished when a stop ends, and when its signal came

A connection whose request was still arriving when the process ended had no line, so that a request which was lost could not be matched against the connections; and neither draining nor stopped told when the signal came. draining, drained and stopped say millis since the signal, and how many requests had arrived in part. The warning unfinished-at-stop counts the connections that are left after the last requests were cancelled by what they hold.

--- a/include/gypsumdale/observe/log_field.hpp
+++ b/include/gypsumdale/observe/log_field.hpp
@@ -104,6 +104,9 @@
     FleetDemand,
     ReadSinceSignalMillis,
     PlacedSinceSignalMillis,
+    Arriving,
+    Unfinished,
+    BrokenOff,
 };
 
 /// Returns the key as written in a line, such as "data_centre". Complexity: linear in the number of
--- a/include/gypsumdale/runtime/http_server.hpp
+++ b/include/gypsumdale/runtime/http_server.hpp
@@ -116,6 +116,13 @@
     /// are handed over. Safe from any thread.
     bool hasCallers() const;
 
+    /// Returns the number of requests of which a part was received. Safe from any thread.
+    std::size_t requestsArriving() const;
+
+    /// Returns the number of requests so far whose connection ended before they were whole. Safe
+    /// from any thread.
+    std::size_t requestsBrokenOff() const;
+
     /// Returns the number of requests whose answer is not finished. Safe from any thread.
     std::size_t requestsInFlight() const;
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -139,7 +139,8 @@
     {
         if (m_isShuttingDown.exchange(true))
             return;
-        m_controlLoop.spawn([this, signalAt = m_clock.now()] { drain(signalAt); });
+        m_signalAt = m_clock.now();
+        m_controlLoop.spawn([this, signalAt = m_signalAt] { drain(signalAt); });
     }
 
     bool hasEnded() const { return m_hasEnded; }
@@ -147,7 +148,8 @@
 
     void stop()
     {
-        m_log->info("stopped", {{LogField::Count, m_cancelledRequests.load()}});
+        m_log->info("stopped", {{LogField::Count, m_cancelledRequests.load()},
+                                {LogField::Millis, toMillis(m_clock.now() - m_signalAt)}});
         m_log->reportSuppressed();
         m_log->flush();
         m_trafficLoop.stop();
@@ -387,22 +389,37 @@
     /// Cancels the requests that are still at their upstream when the grace time is over. Without
     /// that they ended with the process, and their callers received no byte of an answer; now each
     /// caller is told what is known of its request.
-    void cancelLastCalls()
+    void cancelLastCalls(const StopSchedule &schedule)
     {
         m_cancelledRequests = m_trafficLoop.call([this] { return m_traffic.cancelCalls(); });
         if (awaitNoCallers(m_clock.now() + lastAnswersTimeout))
             return;
+        logUnfinished(schedule);
         // Connections whose caller has not received its answer by now are closed, and the log says
         // whose answer that was. One whose request is still arriving may yet be refused.
         m_requestServers.abortAnswers();
         awaitNoCallers(m_clock.now() + lastLinesTimeout);
     }
 
+    /// Logs what the remaining connections hold, which requestsInFlight() alone doesn't tell: a
+    /// request that is still arriving has no line of its own.
+    void logUnfinished(const StopSchedule &schedule)
+    {
+        m_log->warning("unfinished-at-stop",
+                       {{LogField::Connections, m_requestServers.connections()},
+                        {LogField::Arriving, m_requestServers.requestsArriving()},
+                        {LogField::Unfinished, m_requestServers.requestsInFlight()},
+                        {LogField::Millis, toMillis(m_clock.now() - schedule.m_signalAt)}});
+    }
+
     void drain(TimePoint signalAt)
     {
         const StopSchedule schedule = scheduleStop(signalAt, m_settings.m_bounds.m_shutdownGrace);
+        const std::size_t brokenOffBefore = m_requestServers.requestsBrokenOff();
         m_log->info("draining", {{LogField::Count, m_requestServers.requestsInFlight()},
-                                 {LogField::Connections, m_requestServers.connections()}});
+                                 {LogField::Connections, m_requestServers.connections()},
+                                 {LogField::Arriving, m_requestServers.requestsArriving()},
+                                 {LogField::Millis, toMillis(m_clock.now() - signalAt)}});
         m_duties.resign();
         m_trafficLoop.spawn([this, schedule] { m_traffic.beginStop(schedule); });
         m_requestServers.announceClose();
@@ -410,11 +427,14 @@
         m_requestServers.stopAccepting();
         const bool isAnswered = awaitNoCallers(schedule.m_cancelAt);
         if (!isAnswered)
-            cancelLastCalls();
-        m_log->info("drained", {{LogField::Reason, isAnswered ? "no-callers" : "grace-over"},
-                                {LogField::Count, m_cancelledRequests.load()},
-                                {LogField::Connections, m_requestServers.connections()},
-                                {LogField::Millis, toMillis(m_clock.now() - schedule.m_signalAt)}});
+            cancelLastCalls(schedule);
+        m_log->info("drained",
+                    {{LogField::Reason, isAnswered ? "no-callers" : "grace-over"},
+                     {LogField::Count, m_cancelledRequests.load()},
+                     {LogField::Connections, m_requestServers.connections()},
+                     {LogField::Arriving, m_requestServers.requestsArriving()},
+                     {LogField::BrokenOff, m_requestServers.requestsBrokenOff() - brokenOffBefore},
+                     {LogField::Millis, toMillis(m_clock.now() - schedule.m_signalAt)}});
         // While the store is silent, leaving the registry takes longer than the grace time, so the
         // process may be killed before the next flush.
         m_log->flush();
@@ -452,6 +472,8 @@
     std::optional<HttpServer> m_readyServer;
     std::optional<HttpServer> m_metricsServer;
     std::atomic<std::size_t> m_cancelledRequests = 0;
+    /// When the signal to stop came. Used by the thread that waits for signals.
+    TimePoint m_signalAt{};
     std::atomic<bool> m_isShuttingDown = false;
     std::atomic<bool> m_hasEnded = false;
 };
--- a/src/entry/request_servers.hpp
+++ b/src/entry/request_servers.hpp
@@ -42,6 +42,8 @@
         return std::any_of(m_servers.begin(), m_servers.end(),
                            [](const HttpServer &server) { return server.hasCallers(); });
     }
+    std::size_t requestsArriving() const { return sum(&HttpServer::requestsArriving); }
+    std::size_t requestsBrokenOff() const { return sum(&HttpServer::requestsBrokenOff); }
     std::size_t requestsInFlight() const { return sum(&HttpServer::requestsInFlight); }
     std::size_t connections() const { return sum(&HttpServer::connections); }
     HttpTraffic traffic() const
--- a/src/observe/log_field.cpp
+++ b/src/observe/log_field.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr NameTable<LogField, 92> logFieldNames = {{
+constexpr NameTable<LogField, 95> logFieldNames = {{
         {LogField::Node, "node"},
         {LogField::DataCentre, "data_centre"},
         {LogField::Region, "region"},
@@ -98,6 +98,9 @@
         {LogField::FleetDemand, "fleet_demand"},
         {LogField::ReadSinceSignalMillis, "read_since_signal_millis"},
         {LogField::PlacedSinceSignalMillis, "placed_since_signal_millis"},
+        {LogField::Arriving, "arriving"},
+        {LogField::Unfinished, "unfinished"},
+        {LogField::BrokenOff, "broken_off"},
 }};
 
 } // namespace
--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -86,7 +86,7 @@
         return false;
     Parser parser(m_service.m_limits.m_headerBytes);
     parser.body_limit(m_service.m_limits.m_bodyBytes);
-    if (!readRequest(parser))
+    if (!receiveRequest(parser))
         return false;
     HttpRequest request;
     request.m_method = parser.method();
@@ -120,6 +120,15 @@
     return status == StreamStatus::Good;
 }
 
+/// Reads one complete request, which counts as arriving until then.
+bool HttpConnection::receiveRequest(Parser &parser)
+{
+    ++m_service.m_requestsArriving;
+    const bool isWhole = readRequest(parser);
+    --m_service.m_requestsArriving;
+    return isWhole;
+}
+
 /// Reads one complete request. On failure it has already sent an error answer if one is due.
 bool HttpConnection::readRequest(Parser &parser)
 {
@@ -143,6 +152,8 @@
         const StreamStatus status = m_stream->fill(deadline);
         if (status == StreamStatus::TimedOut)
             refuse(408, ErrorId::RequestTooSlow, "the request did not arrive in time");
+        else if (status != StreamStatus::Good)
+            ++m_service.m_requestsBrokenOff;
         if (status != StreamStatus::Good)
             return false;
     }
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -24,7 +24,9 @@
     HttpHandler m_handler;
     HttpLimits m_limits;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_requestsArriving = 0;
     std::atomic<std::size_t> m_requestsInFlight = 0;
+    std::atomic<std::size_t> m_requestsBrokenOff = 0;
     std::atomic<std::uint64_t> m_bytesReceived = 0;
     std::atomic<std::uint64_t> m_bytesSent = 0;
     std::atomic<bool> m_stopping = false;
@@ -85,6 +87,7 @@
     bool serveRequest();
     bool closesBeforeCaller() const;
     bool awaitFirstByte();
+    bool receiveRequest(Parser &parser);
     bool readRequest(Parser &parser);
     bool sendContinueIfAsked(Parser &parser);
     void refuse(int status, ErrorId id, std::string_view message);
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -127,6 +127,16 @@
     m_state->m_service.m_announcesClose = true;
 }
 
+std::size_t HttpServer::requestsArriving() const
+{
+    return m_state->m_service.m_requestsArriving;
+}
+
+std::size_t HttpServer::requestsBrokenOff() const
+{
+    return m_state->m_service.m_requestsBrokenOff;
+}
+
 std::size_t HttpServer::requestsInFlight() const
 {
     return m_state->m_service.m_requestsInFlight;
