--- a/tests/support/entry_world.hpp
+++ b/tests/support/entry_world.hpp
@@ -16,6 +16,7 @@
 #include <filesystem> // create_directories, remove_all
 #include <fstream> // ifstream, ofstream
 #include <functional> // function
+#include <ios> // ios
 #include <iterator> // istreambuf_iterator
 #include <map> // map
 #include <memory> // unique_ptr
@@ -331,6 +332,12 @@
         return tailOf((m_folder / (node.m_name + ".log")).string());
     }
 
+    /// Changes the text of a process's settings but not their meaning, so that a reload reads them.
+    void touchSettings(const EntryNode &node) const
+    {
+        std::ofstream((m_folder / (node.m_name + ".yaml")).string(), std::ios::app) << "# read\n";
+    }
+
     void start(EntryNode &node)
     {
         const char *programs = std::getenv("GYPSUMDALE_BIN");
