--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -26,7 +26,9 @@
     /// Of the answers that are buffered; null for no limit.
     std::shared_ptr<AnswerMemory> m_memory;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::size_t> m_requestsArriving = 0;
     std::atomic<std::size_t> m_requestsInFlight = 0;
+    std::atomic<std::size_t> m_requestsBrokenOff = 0;
     std::atomic<std::uint64_t> m_bytesReceived = 0;
     std::atomic<std::uint64_t> m_bytesSent = 0;
     std::atomic<bool> m_stopping = false;
@@ -88,6 +90,7 @@
     bool serveRequest();
     bool closesBeforeCaller() const;
     bool awaitFirstByte();
+    bool receiveRequest(Parser &parser);
     bool readRequest(Parser &parser);
     bool sendContinueIfAsked(Parser &parser);
     void refuse(int status, ErrorId id, std::string_view message);
