Name the requests that a planned stop cuts in the settings role

A caller whose answer broke off had an id that no line of the process held.

The traffic threads now keep a list of the requests whose answers are not finished, and the control thread logs each of them as `request-cut-by-stop` behind `requests-cut`, with its id, service, profile and when it had been read. Readers that reattached to a job have no request id and are only counted.

`process-shutdown-late`: a stream that outlasts a reclaim notice of 2 s is named by the id that its caller got (2 s of the notice, 5 s in total).

--- a/include/gypsumdale/fleet/drain.hpp
+++ b/include/gypsumdale/fleet/drain.hpp
@@ -134,6 +134,8 @@
     /// Returns the time at which the process must have ended; nothing while serving.
     std::optional<TimePoint> deadline() const { return m_deadline; }
     const std::string &reason() const { return m_reason; }
+    /// Returns when the first cause came; meaningless while serving.
+    TimePoint startedAt() const { return m_startedAt; }
 
 private:
     TimePoint closeAt() const;
--- a/include/gypsumdale/kernel/control.hpp
+++ b/include/gypsumdale/kernel/control.hpp
@@ -9,6 +9,7 @@
 #include <gypsumdale/kernel/fleet_driver.hpp>
 #include <gypsumdale/kernel/job_driver.hpp>
 #include <gypsumdale/kernel/request_context.hpp>
+#include <gypsumdale/kernel/requests_under_way.hpp>
 
 #include <cstddef> // size_t
 #include <functional> // function
@@ -32,6 +33,8 @@
         /// Returns whether a caller is connected, or may still connect.
         std::function<bool()> m_hasCallers;
         std::function<void(const UnfinishedWork &)> m_exit;
+        /// Returns the requests whose answers are not finished.
+        std::function<std::vector<RequestUnderWay>()> m_requestsUnderWay;
     };
 
     Control(ControlContext context, AttemptCallbacks runAttempt);
@@ -89,6 +92,7 @@
     void execute(const CloseConnections &command);
     void execute(const ExitProcess &command);
     void runDrain();
+    void logCutRequests();
     void refreshGauges();
     void countUpstreams();
     void excludeSilentPeers();
--- a/include/gypsumdale/kernel/traffic.hpp
+++ b/include/gypsumdale/kernel/traffic.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gypsumdale/kernel/control.hpp>
+#include <gypsumdale/kernel/requests_under_way.hpp>
 #include <gypsumdale/runtime/http_client.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
 
@@ -62,6 +63,8 @@
     /// Returns an id that is unique within this process.
     RequestId nextRequestId();
     Duration processorTime() const;
+    /// Returns the callers' requests whose answers are not finished.
+    RequestsUnderWay &requestsUnderWay() { return m_underWay; }
 
 private:
     const Clock &m_clock;
@@ -72,6 +75,7 @@
     std::atomic<std::uint64_t> m_requests = 0;
     std::atomic<std::size_t> m_next = 0;
     std::string m_idPrefix;
+    RequestsUnderWay m_underWay;
 };
 
 } // namespace gypsumdale
--- a/src/kernel/caller_api.cpp
+++ b/src/kernel/caller_api.cpp
@@ -80,6 +80,7 @@
         responder.send(errorReply(errorOf(context), Outcome::NotRun, notReadyRetryAfter));
         return;
     }
+    const RequestsUnderWay::Entry underWay(m_traffic.requestsUnderWay(), valueOf(context));
     const bool isDurable = valueOf(context).m_profile->m_durability == Durability::Job;
     if (isDurable)
         JobCall(m_traffic, responder).runNew(valueOf(context), valueOf(chat), request.m_body);
@@ -103,6 +104,7 @@
         responder.send(errorReply(errorOf(context), Outcome::NotRun, notReadyRetryAfter));
         return;
     }
+    const RequestsUnderWay::Entry underWay(m_traffic.requestsUnderWay(), valueOf(context));
     PlainCall(m_traffic, valueOf(std::move(context)), request, std::move(target), responder).run();
 }
 
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -431,6 +431,23 @@
 {
     m_context.m_log.error("requests-cut", {{LogField::Count, command.m_work.m_requests},
                                            {LogField::Reason, command.m_reason}});
+    logCutRequests();
+}
+
+void Control::logCutRequests()
+{
+    if (!m_hooks.m_requestsUnderWay)
+        return;
+    const TimePoint now = m_context.now();
+    for (const RequestUnderWay &request : m_hooks.m_requestsUnderWay()) {
+        const Duration readSince = request.m_arrivedAt - m_drain.startedAt();
+        m_context.m_log.warning("request-cut-by-stop",
+                                {request.m_id,
+                                 request.m_service,
+                                 request.m_profile,
+                                 {LogField::ReadSinceSignalMillis, toMillis(readSince)},
+                                 {LogField::HeldMillis, toMillis(now - request.m_arrivedAt)}});
+    }
 }
 
 void Control::execute(const CloseConnections &)
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -100,8 +100,9 @@
         m_control.setShutdownHooks({[this] { m_callerServer->stopAccepting(); },
                                     [this] { return m_callerServer->requestsInFlight(); },
                                     [this] { return m_callerServer->hasCallers(); },
-                                    [this](const UnfinishedWork &cut) {
-                                        end(cut);
+                                    [this](const UnfinishedWork &cut) { end(cut); },
+                                    [this] {
+                                        return m_traffic.requestsUnderWay().all();
                                     }});
         auto started = m_controlLoop.call([this] { return m_control.start(); });
         if (succeeded(started)) {
