Don't begin requests that a planned stop of the settings role would cut

Cause: the process knows from the notice on when it cuts what is left, and no decision asked for it.

A run is now begun while the process drains only if its deadline is before the closing, or if it will probably end before: as the last ones of its profile and service did, or, where nothing is known, as long as the request allows at the pace that the profile aims at. A request that may run once needs time for the longest one known, or its deadline. Others are refused at once as not run (503, X-Outcome, Retry-After), before their key is claimed. A model request that is refused before any attempt says X-Outcome as well. Durable jobs survive the VM and aren't asked.

--- a/include/gypsumdale/fleet/drain.hpp
+++ b/include/gypsumdale/fleet/drain.hpp
@@ -2,6 +2,7 @@
 
 #include <gypsumdale/core/clock.hpp>
 #include <gypsumdale/core/names.hpp>
+#include <gypsumdale/serving/stop_schedule.hpp>
 
 #include <chrono> // milliseconds, seconds
 #include <cstddef> // size_t
@@ -134,8 +135,9 @@
     /// Returns the time at which the process must have ended; nothing while serving.
     std::optional<TimePoint> deadline() const { return m_deadline; }
     const std::string &reason() const { return m_reason; }
-    /// Returns when the first cause came; meaningless while serving.
-    TimePoint startedAt() const { return m_startedAt; }
+    /// Returns when the process does what, as far as the causes known now say; nothing while
+    /// serving.
+    std::optional<StopSchedule> schedule() const;
 
 private:
     TimePoint closeAt() const;
--- a/include/gypsumdale/kernel/control.hpp
+++ b/include/gypsumdale/kernel/control.hpp
@@ -6,10 +6,12 @@
 #include <gypsumdale/kernel/claim_driver.hpp>
 #include <gypsumdale/kernel/config_driver.hpp>
 #include <gypsumdale/kernel/control_context.hpp>
+#include <gypsumdale/kernel/draining_run.hpp>
 #include <gypsumdale/kernel/fleet_driver.hpp>
 #include <gypsumdale/kernel/job_driver.hpp>
 #include <gypsumdale/kernel/request_context.hpp>
 #include <gypsumdale/kernel/requests_under_way.hpp>
+#include <gypsumdale/serving/completion_forecast.hpp>
 
 #include <cstddef> // size_t
 #include <functional> // function
@@ -51,6 +53,17 @@
     /// Returns the reason why requests are not accepted now, or nothing.
     std::optional<Error> unreadyReason() const;
 
+    /// Returns the refusal of a run that this process, which drains, would probably cut; nothing if
+    /// the run may be begun.
+    std::optional<NotPlaced> refusalWhileDraining(const RequestContext &context,
+                                                  const DrainingRun &run);
+    /// Waits until an upstream can take a request, and refuses it if it may not be begun, before or
+    /// after the wait. Suspends the calling fiber.
+    Placement place(const RequestContext &context, const DrainingRun &run,
+                    const WaitingRequest &waiting);
+    /// Records how long a request took that was answered whole.
+    void recordCompletion(const RequestContext &context);
+
     /// Starts the graceful shutdown.
     void shutDown(DrainCause cause, std::optional<TimePoint> deadline);
     void setShutdownHooks(ShutdownHooks hooks) { m_hooks = std::move(hooks); }
@@ -109,6 +122,7 @@
     std::map<NodeId, ConfigVersion> m_peerVersions;
     TimePoint m_startedAt{};
     Drain m_drain;
+    CompletionForecaster m_completions;
     ShutdownHooks m_hooks;
 };
 
--- a/include/gypsumdale/kernel/model_call.hpp
+++ b/include/gypsumdale/kernel/model_call.hpp
@@ -53,6 +53,7 @@
     /// Reports a failed attempt and returns whether there is another one.
     RetryDecision reportFailed(const AttemptResult &attemptResult);
     void onCallerGone();
+    DrainingRun drainingRun() const { return {m_request.expectedTokens()}; }
 
     Traffic &m_traffic;
     RequestContext m_context;
--- a/include/gypsumdale/kernel/plain_call.hpp
+++ b/include/gypsumdale/kernel/plain_call.hpp
@@ -32,13 +32,14 @@
 
     bool isAtMostOnce() const { return m_context.m_profile->m_repeatSafety == RepeatSafety::Once; }
     void runClaimed(const std::string &key);
+    void refuse(const NotPlaced &refusal);
     void runAttempts(const std::optional<AttemptId> &claimed);
     AttemptResult attempt(const Placed &placed);
     AttemptResult resultOf(const HttpReply &reply) const;
     bool isForOtherRequest(const HttpReply &reply) const;
     /// Reports an answer. Returns without waiting, so that the caller isn't delayed; the control
     /// loop keeps the order, so the caller's next request is decided after the report.
-    void reportAnswered();
+    void reportAnswered(const HttpReply &reply);
     /// Reports an attempt without an answer and returns whether there is another one.
     RetryDecision reportFailed(const AttemptResult &attemptResult);
     void finishCall(const std::optional<AttemptId> &claimed, const AttemptResult &attemptResult,
--- a/src/fleet/drain.cpp
+++ b/src/fleet/drain.cpp
@@ -51,6 +51,13 @@
     return m_startedAt + std::min(m_settings.m_balancerWait, budget / balancerWaitDivisor);
 }
 
+std::optional<StopSchedule> Drain::schedule() const
+{
+    if (m_phase == DrainPhase::Serving)
+        return std::nullopt;
+    return StopSchedule{m_startedAt, stopAcceptingAt(), closeAt()};
+}
+
 DrainCommands Drain::tick(TimePoint now)
 {
     DrainCommands commands;
--- a/src/kernel/control.cpp
+++ b/src/kernel/control.cpp
@@ -14,6 +14,8 @@
 constexpr int ticksPerLogReport = 100;
 /// Well below the 12 s within which a version must be in force everywhere.
 constexpr Duration maxPeerSilence = std::chrono::seconds(6);
+/// The caller goes to another VM, so it has nothing to wait for here.
+constexpr Duration drainingRetryAfter = std::chrono::milliseconds(200);
 
 Endpoint endpointOf(const Address &address)
 {
@@ -161,6 +163,52 @@
     return std::nullopt;
 }
 
+std::optional<NotPlaced> Control::refusalWhileDraining(const RequestContext &context,
+                                                       const DrainingRun &run)
+{
+    const auto stop = m_drain.schedule();
+    if (!stop)
+        return std::nullopt;
+    const TimePoint now = m_context.now();
+    const auto recent = m_completions.forecast(lengthsOf(context), now);
+    const ExpectedEnd end = expectedEndOf(context, run, recent);
+    if (mayBegin(*stop, end, now))
+        return std::nullopt;
+    m_context.m_log.info(
+            "not-begun-while-stopping",
+            {context.m_id,
+             context.m_service,
+             context.m_profile->m_id,
+             {LogField::State, recent ? "forecast" : "unknown"},
+             {LogField::ForecastMillis, toMillis(timeNeeded(*stop, *end.m_forecast, now))},
+             {LogField::TermMillis, toMillis(stop->m_cancelAt - now)},
+             {LogField::ReadSinceSignalMillis, toMillis(context.m_arrivedAt - stop->m_signalAt)},
+             {LogField::HeldMillis, toMillis(now - context.m_arrivedAt)}});
+    return NotPlaced{{ErrorId::Draining, "this process is shutting down and would cut the request"},
+                     drainingRetryAfter};
+}
+
+Placement Control::place(const RequestContext &context, const DrainingRun &run,
+                         const WaitingRequest &waiting)
+{
+    if (auto refusal = refusalWhileDraining(context, run))
+        return std::move(*refusal);
+    Placement placement = m_admission.place(context.m_service, waiting);
+    if (std::holds_alternative<NotPlaced>(placement))
+        return placement;
+    auto refusal = refusalWhileDraining(context, run);
+    if (!refusal)
+        return placement;
+    m_admission.finishAttempt(context.m_service, context.m_id, AttemptEnd::Abandoned);
+    return std::move(*refusal);
+}
+
+void Control::recordCompletion(const RequestContext &context)
+{
+    const TimePoint now = m_context.now();
+    m_completions.record(lengthsOf(context).m_name, now - context.m_arrivedAt, now);
+}
+
 wire::PeerReplyBody Control::answerPeer(const NodeId &sender, const wire::PeerRequest &request)
 {
     const wire::PeerRequestBody &body = request.body;
@@ -439,8 +487,9 @@
     if (!m_hooks.m_requestsUnderWay)
         return;
     const TimePoint now = m_context.now();
+    const TimePoint signalAt = m_drain.schedule()->m_signalAt;
     for (const RequestUnderWay &request : m_hooks.m_requestsUnderWay()) {
-        const Duration readSince = request.m_arrivedAt - m_drain.startedAt();
+        const Duration readSince = request.m_arrivedAt - signalAt;
         m_context.m_log.warning("request-cut-by-stop",
                                 {request.m_id,
                                  request.m_service,
--- a/src/kernel/model_call.cpp
+++ b/src/kernel/model_call.cpp
@@ -70,7 +70,7 @@
     for (;;) {
         const TimePoint askedAt = m_traffic.now();
         const Placement placement = m_traffic.callControl([this](Control &control) {
-            return control.admission().place(m_context.m_service, m_waiting);
+            return control.place(m_context, drainingRun(), m_waiting);
         });
         m_context.m_series->record(Latency::Queueing, m_traffic.now() - askedAt);
         if (const auto *notPlaced = std::get_if<NotPlaced>(&placement)) {
@@ -269,8 +269,10 @@
     m_context.m_series->add(RequestCounter::PromptTokens, m_request.promptTokens());
     m_context.m_series->add(RequestCounter::GeneratedTokens,
                             static_cast<std::uint64_t>(m_assembler.answer().tokens()));
-    m_traffic.postToControl([id = m_context.m_id](Control &control) {
-        control.context().m_journal.record(control.context().wallNow(), id, Decision::Done);
+    m_traffic.postToControl([context = m_context](Control &control) {
+        control.recordCompletion(context);
+        control.context().m_journal.record(control.context().wallNow(), context.m_id,
+                                           Decision::Done);
     });
     if (!m_request.isStreamed()) {
         HttpReply reply;
@@ -302,7 +304,8 @@
     if (m_isCallerGone)
         return;
     if (!m_hasStarted) {
-        HttpReply reply = errorReply(error, retryAfter);
+        HttpReply reply = isRefused ? errorReply(error, Outcome::NotRun, retryAfter)
+                                    : errorReply(error, retryAfter);
         reply.m_headers.add("X-Request-Id", m_context.m_id.text());
         m_responder.send(reply);
         return;
--- a/src/kernel/plain_call.cpp
+++ b/src/kernel/plain_call.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration keyRetryAfter = std::chrono::seconds(1);
+constexpr int firstErrorStatus = 400;
 /// Time after which a repeatable request to a silent upstream is retried elsewhere.
 constexpr Duration maxRepeatableSilence = std::chrono::seconds(5);
 
@@ -95,13 +96,29 @@
 void PlainCall::runClaimed(const std::string &key)
 {
     const Digest digest = requestDigest(m_request, m_target);
-    const ClaimResult result = m_traffic.callControl([&](Control &control) {
+    // Asked before the claim: the caller comes with its key to another VM, where the claim would
+    // count until its end is in the platform.
+    using Claimed = std::variant<ClaimResult, NotPlaced>;
+    const auto result = m_traffic.callControl([&](Control &control) -> Claimed {
+        if (auto refusal = control.refusalWhileDraining(m_context, DrainingRun()))
+            return std::move(*refusal);
         return control.claims().claim(m_context.m_member->m_id, key, digest, m_context.m_deadline);
     });
-    if (const auto *granted = std::get_if<Granted>(&result))
+    if (const auto *refusal = std::get_if<NotPlaced>(&result)) {
+        refuse(*refusal);
+        return;
+    }
+    const auto &claim = std::get<ClaimResult>(result);
+    if (const auto *granted = std::get_if<Granted>(&claim))
         runAttempts(granted->m_attempt);
     else
-        answerClaimed(result);
+        answerClaimed(claim);
+}
+
+void PlainCall::refuse(const NotPlaced &refusal)
+{
+    count(Outcome::NotRun, refusal.m_error);
+    m_responder.send(errorReply(refusal.m_error, Outcome::NotRun, refusal.m_retryAfter));
 }
 
 void PlainCall::answerClaimed(const ClaimResult &result)
@@ -146,7 +163,7 @@
     attemptResult.m_error = {ErrorId::Internal, "not started"};
     for (;;) {
         const Placement placement = m_traffic.callControl([this](Control &control) {
-            return control.admission().place(m_context.m_service, m_waiting);
+            return control.place(m_context, DrainingRun(), m_waiting);
         });
         if (const auto *notPlaced = std::get_if<NotPlaced>(&placement)) {
             attemptResult.m_error = notPlaced->m_error;
@@ -168,7 +185,7 @@
         }
         attemptResult = attempt(std::get<Placed>(placement));
         if (attemptResult.m_phase == CallPhase::Answered) {
-            reportAnswered();
+            reportAnswered(attemptResult.m_reply);
             finishCall(claimed, attemptResult, keyRetryAfter);
             return;
         }
@@ -247,14 +264,19 @@
     return attemptResult;
 }
 
-void PlainCall::reportAnswered()
+void PlainCall::reportAnswered(const HttpReply &reply)
 {
-    m_traffic.postToControl([id = m_context.m_id, service = m_context.m_service,
-                             isFirst = m_attempts == 1](Control &control) {
-        if (isFirst)
-            control.admission().onFirstAttempt(service);
-        control.admission().finishAttempt(service, id, AttemptEnd::Completed);
-    });
+    // A quick error says nothing about how long the others take.
+    const bool isSuccess = reply.m_status < firstErrorStatus;
+    m_traffic.postToControl(
+            [context = m_context, isFirst = m_attempts == 1, isSuccess](Control &control) {
+                const ServiceId &service = context.m_service;
+                if (isFirst)
+                    control.admission().onFirstAttempt(service);
+                control.admission().finishAttempt(service, context.m_id, AttemptEnd::Completed);
+                if (isSuccess)
+                    control.recordCompletion(context);
+            });
 }
 
 RetryDecision PlainCall::reportFailed(const AttemptResult &attemptResult)
