Begin no stream late in a stop of the settings role on a forecast

The role judged late requests by how long earlier ones took, as the entry role did before: a guess. Of what a cut would lose, a model's answer and a request that may run once, only the deadline decides now once connections are no longer accepted.

The new checks were not run on the code before.

--- a/src/kernel/draining_run.cpp
+++ b/src/kernel/draining_run.cpp
@@ -12,6 +12,13 @@
     return context.m_profile->m_repeatSafety == RepeatSafety::Once;
 }
 
+/// An answer of a model may be a stream, which breaks off.
+CutLoss cutLossOf(const RequestContext &context)
+{
+    const bool mayBreakOff = context.m_kind == ServiceKind::Model;
+    return mayBreakOff || isAtMostOnce(context) ? CutLoss::Answer : CutLoss::Time;
+}
+
 Duration assumedDuration(const RequestContext &context, const DrainingRun &run)
 {
     const LatencyTargets &latency = context.m_profile->m_latency;
@@ -39,7 +46,7 @@
     DurationForecast forecast = recent.value_or(DurationForecast{assumed, assumed});
     if (isAtMostOnce(context))
         forecast.m_percentile90 = forecast.m_longest;
-    return {context.m_deadline, forecast};
+    return {context.m_deadline, forecast, cutLossOf(context)};
 }
 
 } // namespace gypsumdale
--- a/tests/src/unit-draining-run.cpp
+++ b/tests/src/unit-draining-run.cpp
@@ -104,3 +104,14 @@
     CHECK(begins(context, {}, std::nullopt, milliseconds(1900)));
     CHECK_FALSE(begins(context, {}, std::nullopt, milliseconds(4600)));
 }
+
+// Guards against streams that are begun late in a stop as earlier ones were shorter, and are cut.
+TEST_CASE("A process that drains begins late only what its deadline or a repeat covers")
+{
+    const DurationForecast recent{milliseconds(100), milliseconds(200)};
+    CHECK_FALSE(begins(stream(), {}, recent, milliseconds(2100)));
+    const auto once = request(ServiceKind::Plain, RepeatSafety::Once, seconds(8));
+    CHECK_FALSE(begins(once, {}, recent, milliseconds(2100)));
+    const auto repeatable = request(ServiceKind::Plain, RepeatSafety::Repeatable, seconds(8));
+    CHECK(begins(repeatable, {}, recent, milliseconds(2100)));
+}
