Make the forecast of a stop only where it decides

Each decision of a stop made a forecast, which looks at all active calls, although late in a stop the deadline alone decides of streams. Found by the review, by reading; what it costs was not measured.

The decision is first asked without a forecast, and again with one only if that said that nothing is known.

--- a/include/gypsumdale/serving/completion_forecast.hpp
+++ b/include/gypsumdale/serving/completion_forecast.hpp
@@ -18,7 +18,7 @@
 {
     /// One in ten takes longer.
     Duration m_percentile90{};
-    /// No recent one took longer.
+    /// No recent one took longer, or has been under way for longer.
     Duration m_longest{};
 
     /// Returns the forecast of what is left after a time. Complexity: constant.
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -180,7 +180,7 @@
     bool allowsFurtherAttempt() const;
     std::optional<DurationForecast> forecastDuration() const;
     CutLoss cutLoss() const;
-    ExpectedEnd expectedEnd() const;
+    BeginDecision decideBeginDuring(const StopSchedule &stop) const;
     bool endsBeforeStop() const;
     bool refusesForStop();
     bool rejectIfStopping();
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -27,9 +27,14 @@
     return isStream || !m_route->isRetryable() ? CutLoss::Answer : CutLoss::Time;
 }
 
-ExpectedEnd EntryCall::expectedEnd() const
+BeginDecision EntryCall::decideBeginDuring(const StopSchedule &stop) const
 {
-    return {m_deadline, forecastDuration(), cutLoss()};
+    const TimePoint now = m_traffic.now();
+    const BeginDecision decision = decideBegin(stop, {m_deadline, std::nullopt, cutLoss()}, now);
+    if (decision.m_basis != BeginBasis::Unknown)
+        return decision;
+    // A forecast looks at all active calls, so it is made only where it decides.
+    return decideBegin(stop, {m_deadline, forecastDuration(), cutLoss()}, now);
 }
 
 /// Returns whether a run that is begun now will have ended, as far as is known, before the process
@@ -37,7 +42,7 @@
 bool EntryCall::endsBeforeStop() const
 {
     const auto &stop = m_traffic.stopSchedule();
-    return !stop || mayBegin(*stop, expectedEnd(), m_traffic.now());
+    return !stop || decideBeginDuring(*stop).m_mayBegin;
 }
 
 /// Returns whether the stop leaves too little time for a run, and logs that.
@@ -47,7 +52,7 @@
     if (!stop)
         return false;
     const TimePoint now = m_traffic.now();
-    const BeginDecision decision = decideBegin(*stop, expectedEnd(), now);
+    const BeginDecision decision = decideBeginDuring(*stop);
     if (decision.m_mayBegin)
         return false;
     m_traffic.log().info(
