Pass relayed streams back from the signal of a stop on

Callers could see: a stream that their VM relays, as it is cut off from the upstreams itself, was cut when its relay's grace time was over, in the middle of their VM's own stop or without any.

Cause: a relay that stops judged relayed streams as it does those of callers while connections are accepted: by a forecast, or begun where nothing is known. The reason for that, a load balancer that still sends here, doesn't hold for peers, which pass on elsewhere what is refused.

A relayed request is judged as a late one from the signal on. Streams relayed before the relay's signal are still cut with it (process-entry-relay-stop).

--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -180,6 +180,7 @@
     bool allowsFurtherAttempt() const;
     std::optional<DurationForecast> forecastDuration() const;
     CutLoss cutLoss() const;
+    std::optional<StopSchedule> stopSchedule() const;
     BeginDecision decideBeginDuring(const StopSchedule &stop) const;
     bool endsBeforeStop() const;
     bool refusesForStop();
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -27,6 +27,17 @@
     return isStream || !m_route->isRetryable() ? CutLoss::Answer : CutLoss::Time;
 }
 
+/// Returns the schedule of a stop as it applies to this request. No load balancer sends what a peer
+/// relays, and the peer passes on elsewhere what is refused: for it the stop is late from its
+/// signal on.
+std::optional<StopSchedule> EntryCall::stopSchedule() const
+{
+    std::optional<StopSchedule> stop = m_traffic.stopSchedule();
+    if (stop && m_source == CallSource::Peer)
+        stop->m_acceptUntil = stop->m_signalAt;
+    return stop;
+}
+
 BeginDecision EntryCall::decideBeginDuring(const StopSchedule &stop) const
 {
     const TimePoint now = m_traffic.now();
@@ -41,14 +52,14 @@
 /// stops.
 bool EntryCall::endsBeforeStop() const
 {
-    const auto &stop = m_traffic.stopSchedule();
+    const auto stop = stopSchedule();
     return !stop || decideBeginDuring(*stop).m_mayBegin;
 }
 
 /// Returns whether the stop leaves too little time for a run, and logs that.
 bool EntryCall::refusesForStop()
 {
-    const auto &stop = m_traffic.stopSchedule();
+    const auto stop = stopSchedule();
     if (!stop)
         return false;
     const TimePoint now = m_traffic.now();
--- a/tests/src/process-entry-begin-while-stopping.cpp
+++ b/tests/src/process-entry-begin-while-stopping.cpp
@@ -194,6 +194,25 @@
     waitUntilEnded(world);
 }
 
+// Guards against a stream that is cut at the end of its relay, before the stop of its own VM is
+// over or without any.
+TEST_CASE("a process that stops passes a relayed stream back at once if it may outlast it")
+{
+    constexpr int nodeCount = 2;
+    EntryWorld world(nodeCount);
+    serveTimedStreams(world);
+    stop(world);
+    // From then on the route's timeout of 5 s is behind the end of the process.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    RawCaller peer;
+    REQUIRE(peer.connect(world.node().m_relayPort));
+    peer.write(requestOf(draft(44), "r-1"));
+    const std::string answer = peer.readToEnd();
+    checkNotBegun(world, "r-1", answer);
+    CHECK(answer.find("Relay-Refused: stopping") != std::string::npos);
+    waitUntilEnded(world);
+}
+
 // Guards against a second run that is begun after a failed one and cut at the end of the grace
 // time.
 TEST_CASE("a process that stops begins no further attempt that outlasts it")
@@ -255,8 +274,8 @@
     waitUntilEnded(world);
 }
 
-// Guards against rejecting, late in a stop, what may be repeated if a forecast turns out wrong.
-TEST_CASE("a process that no longer accepts connections begins repeatable requests that are brief")
+// Guards against rejecting, late in a stop, what gets a whole answer if a forecast is wrong.
+TEST_CASE("a process that no longer accepts connections begins requests that are brief")
 {
     EntryWorld world;
     RawCaller caller;
