--- a/include/gypsumdale/serving/stop_schedule.hpp
+++ b/include/gypsumdale/serving/stop_schedule.hpp
@@ -29,9 +29,9 @@
 
 /// What the caller of a request loses if a stop cuts it.
 enum class CutLoss {
-    /// Time: it is told so, and may repeat the request.
+    /// Time: it gets an answer that says what became of the request.
     Time,
-    /// The answer: it breaks off, or the caller can't know whether the request has run.
+    /// The answer, which breaks off or doesn't come.
     Answer,
 };
 
--- a/src/entry/entry_call_stop.cpp
+++ b/src/entry/entry_call_stop.cpp
@@ -17,14 +17,14 @@
     return forecast->without(served);
 }
 
-/// Returns what a cut costs the caller of a run that is begun now. A stream that has begun breaks
-/// off in any case unless it goes on, so that a chance of its end is a gain.
+/// Returns what a cut costs the caller of a run that is begun now. A stream breaks off; any other
+/// request still gets a whole answer, which says whether it may have run. A stream that has begun
+/// breaks off in any case unless it goes on, so that a chance of its end is a gain.
 CutLoss EntryCall::cutLoss() const
 {
     if (m_hasStreamStarted)
         return CutLoss::Time;
-    const bool isStream = m_route->m_kind == RouteRepeatSafety::Stream;
-    return isStream || !m_route->isRetryable() ? CutLoss::Answer : CutLoss::Time;
+    return m_route->m_kind == RouteRepeatSafety::Stream ? CutLoss::Answer : CutLoss::Time;
 }
 
 /// Returns the schedule of a stop as it applies to this request. No load balancer sends what a peer
