Count answers without memory with those that are too large

The counter and the gauge that came with the limit of all answers made the page of metrics of a busy process larger than its bound: 65,855 of 65,536 bytes (unit-entry-metrics-page). An answer that is given up for lack of memory now counts in gypsumdale_answers_too_large_total; its line attempt-failed says which of both it was.

--- a/include/gypsumdale/observe/metric_names.hpp
+++ b/include/gypsumdale/observe/metric_names.hpp
@@ -100,14 +100,13 @@
     CanaryPlacements,
     CanaryErrors,
     AnswersTooLarge,
-    AnswersWithoutMemory,
     ErrorsRetried,
     ErrorsNotRetried,
     NoConnection,
     TurnsRejected,
     BackpressureRejections,
 };
-constexpr std::size_t counterCount = 69;
+constexpr std::size_t counterCount = 68;
 
 /// Current measurements of the process. A gauge that was never set is omitted, so that a missing
 /// measurement is not mistaken for zero.
@@ -133,13 +132,12 @@
     ResidentBytes,
     UpstreamListAgeMillis,
     PlacementListAgeMillis,
-    PlacementListRevision,
     QuarantinedRequests,
     RolloutsUnderWay,
     UnevenUpstreams,
     LimitedUpstreams,
 };
-constexpr std::size_t gaugeCount = 26;
+constexpr std::size_t gaugeCount = 25;
 
 /// Return the names used in the exposition, such as "gypsumdale_retries_total". Complexity: linear
 /// in the number of names of that kind.
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -109,10 +109,8 @@
 /// Counts an answer that was given up because of its size, or of that of all answers together.
 void EntryCall::countTooLarge(const CallFailure &failure)
 {
-    if (failure.m_isAnswerTooLarge)
+    if (failure.m_isAnswerTooLarge || failure.m_isMemoryUsedUp)
         m_traffic.metrics().add(Counter::AnswersTooLarge);
-    if (failure.m_isMemoryUsedUp)
-        m_traffic.metrics().add(Counter::AnswersWithoutMemory);
 }
 
 void EntryCall::countFailedAttempt(const CallFailure &failure)
--- a/src/entry/entry_traffic.cpp
+++ b/src/entry/entry_traffic.cpp
@@ -168,7 +168,6 @@
     m_waiting.refresh();
     logVersions(upstreams);
     m_mover->scheduleMoves();
-    m_metrics.set(Gauge::PlacementListRevision, revision);
 }
 
 /// Logs once which software versions serve side by side, whenever that changes.
--- a/tests/src/process-entry-endless.cpp
+++ b/tests/src/process-entry-endless.cpp
@@ -9,9 +9,7 @@
 #include <chrono> // milliseconds, seconds, steady_clock
 #include <csignal> // SIGKILL
 #include <cstddef> // size_t
-#include <cstdint> // int64_t
 #include <memory> // make_unique, unique_ptr
-#include <optional> // nullopt, optional
 #include <string> // string
 #include <thread> // jthread, sleep_for
 #include <vector> // vector
@@ -80,13 +78,15 @@
             removeEndless();
         m_server = std::make_unique<EndlessServer>(bytes);
         m_name = fmt::format("endless-{}", ++m_servers);
-        waitUntilPlacedBy(store().put("servers", m_name,
-                                      {{"service", "app"},
-                                       {"address", fmt::format("127.0.0.1:{}", m_server->port())},
-                                       {"zone", "here"},
-                                       {"version", "v1"},
-                                       {"slots", 8},
-                                       {"state", "ready"}}));
+        store().put("servers", m_name,
+                    {{"service", "app"},
+                     {"address", fmt::format("127.0.0.1:{}", m_server->port())},
+                     {"zone", "here"},
+                     {"version", "v1"},
+                     {"slots", 8},
+                     {"state", "ready"}});
+        const std::string line = fmt::format("\"upstream\":\"{}\"", m_name);
+        waitUntil("it is used", [&] { return fullLog(node()).find(line) != std::string::npos; });
         return *m_server;
     }
 
@@ -99,26 +99,9 @@
     /// Lets the good upstream leave, so that requests go to the endless one, or return.
     void setGood(bool isReady)
     {
-        waitUntilPlacedBy(announce(upstream(0), isReady ? "ready" : "draining"));
-    }
-
-    /// Waits until the first VM places requests by a list with this revision. What the log says of
-    /// the list is written before, by another thread.
-    void waitUntilPlacedBy(std::int64_t revision)
-    {
-        waitUntil("placements use the change",
-                  [&] { return placementRevision().value_or(0) >= revision; });
-    }
-
-    /// Returns the revision of the list that the first VM's placements use, if its page says so.
-    std::optional<std::int64_t> placementRevision()
-    {
-        const std::string page = get(node().m_metricsPort, "/metrics").m_body;
-        const std::string name = "\ngypsumdale_placement_list_revision ";
-        const std::size_t at = page.find(name);
-        if (at == std::string::npos)
-            return std::nullopt;
-        return std::stoll(page.substr(at + name.size()));
+        const std::int64_t revision = announce(upstream(0), isReady ? "ready" : "draining");
+        waitUntil("the change is known",
+                  [&] { return store().receivedUpstreamRevision("") >= revision; });
     }
 
     /// Returns all that a caller receives on its connection.
