--- a/tests/support/stop_soak_load.hpp
+++ b/tests/support/stop_soak_load.hpp
@@ -97,6 +97,8 @@
     sendWhole(caller, second, random);
     finish(soak, caller, std::move(stream));
     second.m_isDueFrom = std::max(second.m_sentAt, std::chrono::steady_clock::now());
+    // Its timeout counts from when the VM reads it.
+    second.m_startedAt = std::max(second.m_startedAt, second.m_isDueFrom);
     second.m_answer = caller.readUntil(headEnd);
     finish(soak, caller, std::move(second));
 }
