Refuse answers whose status is none

What callers saw: an upstream in trouble answered with status 000. The caller got it as an answer, HTTP/1.1 0 <unknown-status>, with the upstream's fields and body; 001 to 099 came as 1 to 99, and 600 to 999 as they were.

Cause: the parser takes any three digits for a status, and nothing behind it asked. Of 000, no class that is asked for (1xx, 2xx, 5xx) is true, so that it passed as an answer that is neither a success nor an error, was never repeated, and counted as good for its upstream and its version.

Evidence: process-entry-broken-answers, a real process and two upstreams that send 000, 001, 042, 099, 600, 799 and 999, with a length, in chunks, ended by the connection and behind a 103, on four kinds of routes.

Ruled out: that single readers mishandle it; they see only what the parser hands on.

Change: the parser refuses a status outside 100 to 599 (RFC 9110, section 15), so that all readers of answers have it. The failure is the one of an answer that is not HTTP: a request that may run again is repeated, any other gets 502, as it may have run.

--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -203,8 +203,8 @@
     /// UpstreamUnreachable if no connection could be opened, UpstreamSilent if the header did not
     /// arrive in time, ConnectionClosed if the connection ended before the answer (NothingSent if
     /// it did before the first byte was written), AnswerTruncated if it ended within the header,
-    /// UpstreamFailed if the answer is not HTTP or has more than 64 KiB of headers, interim ones
-    /// included, and TermOver if the delivery deadline passed
+    /// UpstreamFailed if the answer is not HTTP, has a status outside 100 to 599 or has more than
+    /// 64 KiB of headers, interim ones included, and TermOver if the delivery deadline passed
     /// before the first byte was written (NothingSent) or before all bytes were acknowledged.
     CallResult<HttpExchange> open(const HttpCall &call);
 
--- a/src/runtime/detail/message_parser.hpp
+++ b/src/runtime/detail/message_parser.hpp
@@ -68,6 +68,10 @@
     /// Allowed bytes around each byte of the body, which covers chunks of one byte with short
     /// extensions.
     static constexpr std::uint64_t framingPerBodyByte = 16;
+    /// Range of the valid status codes (RFC 9110, section 15). Three other digits, such as 000, are
+    /// sent by servers in trouble and say nothing of what became of the request.
+    static constexpr int minStatus = 100;
+    static constexpr int maxStatus = 599;
 
     using Verb = boost::beast::http::verb;
     using Field = boost::beast::http::field;
@@ -80,7 +84,12 @@
         m_method.assign(method.data(), method.size());
         m_target.assign(target.data(), target.size());
     }
-    void on_response_impl(int status, Text, int, ErrorCode &) override { m_status = status; }
+    void on_response_impl(int status, Text, int, ErrorCode &error) override
+    {
+        m_status = status;
+        if (status < minStatus || status > maxStatus)
+            error = boost::beast::http::error::bad_status;
+    }
     void on_field_impl(Field, Text name, Text value, ErrorCode &) override
     {
         // Fields after the body (trailers) are not part of the header.
--- /dev/null
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -0,0 +1,146 @@
+#include "support/cut_answer.hpp"
+#include "support/raw_upstream_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef> // size_t
+#include <string> // string
+#include <string_view> // string_view
+#include <utility> // move
+#include <vector> // vector
+
+using namespace gypsumdale;
+using namespace gypsumdale::testing;
+
+namespace {
+
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+const std::string body = firstEvent + "id: 2\ndata: b\n\n";
+const std::vector<std::string> targets = {"/again/x", "/once/x", "/draft/x", "/stream/x"};
+/// Enough for each request to be repeated.
+constexpr int retrySlack = 400;
+/// Of the answers that answersTo() returns.
+constexpr std::size_t framingCount = 4;
+constexpr std::size_t lengthFraming = 0;
+constexpr std::string_view goodStatus = "200";
+
+/// Returns a text with its first occurrence of a part replaced.
+std::string replaced(std::string text, std::string_view part, std::string_view by)
+{
+    return text.replace(text.find(part), part.size(), by);
+}
+
+/// VMs before two upstreams of a service that give the same answers.
+struct BrokenAnswerWorld : RawUpstreamWorld
+{
+    explicit BrokenAnswerWorld(int nodes = 1, bool hasProxies = false)
+        : RawUpstreamWorld(nodes, hasProxies, retrySlack)
+    {
+        answerWholly();
+        list("u-1");
+        list("u-2");
+    }
+
+    static std::string idOf(const std::string &request)
+    {
+        return RawUpstream::fieldOf(request, "Gypsumdale-Request-Id: ");
+    }
+
+    static std::string wholeAnswer(const std::string &request)
+    {
+        const CutAnswer answer = answersTo(idOf(request), body).front();
+        return answer.m_head + answer.m_body;
+    }
+
+    static bool isWhole(const std::string &answer)
+    {
+        return isSuccess(answer) && answer.find("data: b") != std::string::npos && ends(answer);
+    }
+
+    void answerWholly() { m_raw.answerWith(wholeAnswer, ConnectionEnd::Close); }
+
+    /// Sends whole answers in whose heads a part is replaced.
+    void answerWith(std::size_t framing, std::string_view part, std::string by)
+    {
+        m_raw.answerWith(
+                [framing, part, by = std::move(by)](const std::string &request) {
+                    const CutAnswer answer = answersTo(idOf(request), body)[framing];
+                    return replaced(answer.m_head, part, by) + answer.m_body;
+                },
+                ConnectionEnd::Close);
+    }
+
+    /// Sends a request that all upstreams answer in the same broken way, and checks that its caller
+    /// gets nothing of that, and the next one its own answer.
+    void checkRefused(const std::string &target, std::size_t index = 0)
+    {
+        const std::string answer = send(target, index);
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(answer.find("data: a") == std::string::npos);
+        answerWholly();
+        awaitUse(index);
+    }
+
+    void awaitUse(std::size_t index = 0)
+    {
+        waitUntil("the upstreams are used", [&] { return isWhole(send("/again/x", index)); });
+    }
+};
+
+const std::vector<std::string> noStatuses = {"000", "001", "042", "099", "600", "799", "999"};
+
+} // namespace
+
+// Guards against an answer whose status is no status, such as 000, that its caller gets as one.
+TEST_CASE("an answer whose status is none is refused")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    for (const std::string &status : noStatuses) {
+        for (std::size_t framing = 0; framing < framingCount; ++framing) {
+            for (const std::string &target : targets) {
+                CAPTURE(status, framing, target);
+                world.answerWith(framing, goodStatus, status);
+                world.checkRefused(target);
+            }
+        }
+    }
+}
+
+// Guards against a relay that passes an answer on whose status is none.
+TEST_CASE("a relayed answer whose status is none is refused")
+{
+    BrokenAnswerWorld world(2, true);
+    // Nothing listens there: the first VM is cut off from its upstreams.
+    world.store().replaceAddressFor(world.node(0).m_name, world.rawAddress(), "127.0.0.1:1");
+    world.list("u-1");
+    world.list("u-2");
+    world.awaitUse(1);
+    world.awaitUse(0);
+    for (const std::string &target : targets) {
+        CAPTURE(target);
+        world.answerWith(lengthFraming, goodStatus, "000");
+        world.checkRefused(target);
+    }
+}
+
+// Guards against a stream with a part of its events, framed as whole, whose next upstream answers
+// with a status that is none.
+TEST_CASE("a stream that goes on with a status that is none is broken off")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    world.m_raw.answerWith(
+            [](const std::string &request) {
+                const std::string id = BrokenAnswerWorld::idOf(request);
+                const CutAnswer answer = answersTo(id, body).front();
+                if (RawUpstream::fieldOf(request, "Last-Event-Id: ").empty())
+                    return answer.m_head + firstEvent + "id: 2";
+                return replaced(answer.m_head, goodStatus, "000") + answer.m_body;
+            },
+            ConnectionEnd::Close);
+    const std::string answer = world.send("/stream/x");
+    CHECK(BrokenAnswerWorld::isSuccess(answer));
+    CHECK(answer.find("data: b") == std::string::npos);
+    CHECK_FALSE(BrokenAnswerWorld::ends(answer));
+}
