Refuse answers with a transfer coding that is not undone

What callers saw: an upstream answered with Transfer-Encoding: gzip, or gzip, chunked. The caller got 200 with the body still coded, without the field that says so: bytes that are not the upstream's answer, framed as whole.

Cause: the parser undoes chunks only and takes any other coding for none; the field concerns one connection, so that it is rightly not passed on. Where chunked was not the last coding, the marks of the chunks stood in the body too.

Evidence: process-entry-broken-answers sends eight such fields on four kinds of routes, to a real process with two upstreams.

Change: the parser refuses an answer whose transfer coding is not one alone that it undoes: chunked, or identity, which changes nothing. Undoing gzip was weighed: callers and upstreams here never ask for it (there is no TE field), so that an upstream that sends it is in trouble.

Left: a request with such a coding is still read as before; it is no answer, and other work.

--- a/src/runtime/detail/message_parser.hpp
+++ b/src/runtime/detail/message_parser.hpp
@@ -4,12 +4,15 @@
 
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
+#include <iterator> // distance
 #include <string> // string
 #include <utility> // exchange
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace gypsumdale::detail {
 
@@ -90,11 +93,14 @@
         if (status < minStatus || status > maxStatus)
             error = boost::beast::http::error::bad_status;
     }
-    void on_field_impl(Field, Text name, Text value, ErrorCode &) override
+    void on_field_impl(Field field, Text name, Text value, ErrorCode &error) override
     {
         // Fields after the body (trailers) are not part of the header.
-        if (!this->is_header_done())
-            m_headers.add(std::string(name), std::string(value));
+        if (this->is_header_done())
+            return;
+        if (!isRequest && field == Field::transfer_encoding && !isUndone(value))
+            error = boost::beast::http::error::bad_transfer_encoding;
+        m_headers.add(std::string(name), std::string(value));
     }
     void on_header_impl(ErrorCode &) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override {}
@@ -106,6 +112,19 @@
     }
     void on_finish_impl(ErrorCode &) override {}
 
+    /// Returns whether the parser undoes a body's transfer coding. The field concerns one
+    /// connection and isn't passed on, so that nobody behind the parser could undo another one.
+    static bool isUndone(Text transferCodings)
+    {
+        const boost::beast::http::opt_token_list codings(transferCodings);
+        if (!boost::beast::http::validate_list(codings)
+            || std::distance(codings.begin(), codings.end()) != 1)
+            return false;
+        const Text coding = *codings.begin();
+        return boost::beast::iequals(coding, "chunked")
+               || boost::beast::iequals(coding, "identity");
+    }
+
     std::size_t append(Text body)
     {
         m_body.append(body.data(), body.size());
--- a/tests/src/process-entry-broken-answers.cpp
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -22,7 +22,10 @@
 /// Of the answers that answersTo() returns.
 constexpr std::size_t framingCount = 4;
 constexpr std::size_t lengthFraming = 0;
+constexpr std::size_t chunksFraming = 1;
+constexpr std::size_t openFraming = 2;
 constexpr std::string_view goodStatus = "200";
+const std::string headField = "Content-Type";
 
 /// Returns a text with its first occurrence of a part replaced.
 std::string replaced(std::string text, std::string_view part, std::string_view by)
@@ -144,3 +147,35 @@
     CHECK(answer.find("data: b") == std::string::npos);
     CHECK_FALSE(BrokenAnswerWorld::ends(answer));
 }
+
+// Guards against a coded body in an answer that no longer says so, as the field is one of a single
+// connection.
+TEST_CASE("an answer with a transfer coding that isn't undone is refused")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked, gzip",
+          "chunked, identity", "chunked, chunked", "chunked;a=b", "deflate"}) {
+        for (const std::string &target : targets) {
+            CAPTURE(coding, target);
+            world.answerWith(chunksFraming, "chunked", coding);
+            world.checkRefused(target);
+        }
+    }
+}
+
+TEST_CASE("an answer without a transfer coding but chunks is forwarded")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    for (const std::string &target : targets) {
+        CAPTURE(target);
+        for (const std::string coding : {"Chunked", " chunked ,"}) {
+            world.answerWith(chunksFraming, "chunked", coding);
+            CHECK(BrokenAnswerWorld::isWhole(world.send(target)));
+        }
+        world.answerWith(openFraming, headField, "Transfer-Encoding: identity\r\n" + headField);
+        CHECK(BrokenAnswerWorld::isWhole(world.send(target)));
+    }
+}
