--- a/tests/src/process-entry-broken-answers.cpp
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -148,6 +148,29 @@
     CHECK_FALSE(BrokenAnswerWorld::ends(answer));
 }
 
+// Guards against a line that is no field, which a caller gets passed on, or that moves the start of
+// the body.
+TEST_CASE("an answer whose head holds a line that is no field is refused")
+{
+    const std::vector<std::string> lines = {
+            "X a: b\r\n",   "X\ta: b\r\n", "X\x01: b\r\n",
+            "X\x7f: b\r\n", "X\ra: b\r\n", std::string("X\0a: b\r\n", 8),
+            "X\xe4: b\r\n", ": b\r\n",     "Xa : b\r\n",
+            "Xa\r\n",
+    };
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    for (const std::string &line : lines) {
+        for (std::size_t framing = 0; framing < framingCount; ++framing) {
+            for (const std::string &target : targets) {
+                CAPTURE(line, framing, target);
+                world.answerWith(framing, headField, line + headField);
+                world.checkRefused(target);
+            }
+        }
+    }
+}
+
 // Guards against a coded body in an answer that no longer says so, as the field is one of a single
 // connection.
 TEST_CASE("an answer with a transfer coding that isn't undone is refused")
