Send nothing behind a streamed answer without a body

What callers saw: an upstream answered a request of a streaming route with 204 and Content-Length: 0. The caller got 204 with Transfer-Encoding: chunked, and the mark of the last chunk behind the head: five bytes that a caller who keeps its connection takes for the beginning of the next answer, which is broken by them.

Cause: an answer that is begun as a stream always got chunks; only one that is sent as a whole was asked whether its status has a body.

Change: the head of an answer that never has a body gets no length and no chunks, whoever writes it, and a stream with such a status writes neither pieces nor an end, as one to HEAD already did. One function asks it for both kinds of answers.

--- a/src/runtime/detail/http_connection.cpp
+++ b/src/runtime/detail/http_connection.cpp
@@ -270,9 +270,9 @@
     m_sentClose = !keepsAlive();
     const std::string head = answerHead(reply.m_status, reply.m_headers,
                                         BodyLength{reply.m_body.size()}, !m_sentClose);
-    const bool hasBody = !m_isHead && !isBodyless(reply.m_status);
-    std::array<asio::const_buffer, 2> buffers = {
-            bufferOf(head), bufferOf(hasBody ? std::string_view(reply.m_body) : "")};
+    const std::string_view body =
+            isWithoutBody(reply.m_status) ? std::string_view() : std::string_view(reply.m_body);
+    std::array<asio::const_buffer, 2> buffers = {bufferOf(head), bufferOf(body)};
     return writeAll(buffers);
 }
 
@@ -289,6 +289,7 @@
         return !m_callerGone;
     }
     m_answer = AnswerState::Streaming;
+    m_isStreamWithoutBody = isWithoutBody(status);
     m_sentClose = !keepsAlive();
     const std::string head = answerHead(status, headers, BodyLength{}, !m_sentClose);
     std::array<asio::const_buffer, 1> buffers = {bufferOf(head)};
@@ -302,7 +303,7 @@
     if (m_answer != AnswerState::Streaming)
         return false;
     // An empty chunk would mark the end of the body.
-    if (chunk.empty() || m_isHead)
+    if (chunk.empty() || m_isStreamWithoutBody)
         return !m_callerGone;
     std::array<char, 20> head;
     const auto headEnd = fmt::format_to_n(head.data(), head.size(), "{:x}\r\n", chunk.size());
@@ -311,6 +312,13 @@
     return writeAll(buffers);
 }
 
+/// Returns whether an answer ends with its head. Its caller takes anything that follows for the
+/// beginning of the next answer.
+bool HttpConnection::isWithoutBody(int status) const
+{
+    return m_isHead || isBodyless(status);
+}
+
 /// Buffers a part of an answer. Gives up all of it once it is too large.
 bool HttpConnection::collect(std::string_view chunk)
 {
@@ -337,7 +345,7 @@
     if (m_answer != AnswerState::Streaming)
         return false;
     m_answer = AnswerState::Complete;
-    if (m_isHead)
+    if (m_isStreamWithoutBody)
         return !m_callerGone;
     std::array<asio::const_buffer, 1> buffers = {bufferOf(lastChunk)};
     return writeAll(buffers);
--- a/src/runtime/detail/http_connection.hpp
+++ b/src/runtime/detail/http_connection.hpp
@@ -104,6 +104,7 @@
     void refuse(const boost::beast::error_code &error);
     void handle(const HttpRequest &request);
     void markCallerGone();
+    bool isWithoutBody(int status) const;
     bool collect(std::string_view chunk);
     bool writeAll(std::span<boost::asio::const_buffer> buffers);
     bool keepsAlive() const;
@@ -120,6 +121,7 @@
     bool m_callerKeepsAlive = false;
     bool m_callerReadsChunks = true;
     bool m_isHead = false;
+    bool m_isStreamWithoutBody = false;
     bool m_sentClose = false;
     bool m_isTooLargeToBuffer = false;
 };
--- a/src/runtime/detail/message_writer.cpp
+++ b/src/runtime/detail/message_writer.cpp
@@ -47,6 +47,14 @@
     }
 }
 
+void appendLength(std::string &out, BodyLength length)
+{
+    if (length.m_bytes)
+        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", *length.m_bytes);
+    else
+        out += "Transfer-Encoding: chunked\r\n";
+}
+
 } // namespace
 
 std::string answerHead(int status, const HttpHeaders &headers, BodyLength length, bool keepAlive)
@@ -57,10 +65,8 @@
     fmt::format_to(std::back_inserter(head), "HTTP/1.1 {} {}\r\n", status,
                    std::string_view(reason.data(), reason.size()));
     appendFields(head, headers);
-    if (!length.m_bytes)
-        head += "Transfer-Encoding: chunked\r\n";
-    else if (!isBodyless(status))
-        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", *length.m_bytes);
+    if (!isBodyless(status))
+        appendLength(head, length);
     if (!keepAlive)
         head += "Connection: close\r\n";
     head += "\r\n";
--- a/tests/src/process-entry-broken-answers.cpp
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -2,6 +2,7 @@
 #include "support/raw_upstream_world.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <cstddef> // size_t
 #include <string> // string
@@ -202,3 +203,31 @@
         CHECK(BrokenAnswerWorld::isWhole(world.send(target)));
     }
 }
+
+// Guards against bytes behind an answer without a body, which a kept connection takes for the
+// beginning of the next answer.
+TEST_CASE("an answer without a body is followed by nothing")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    const std::string length = "Content-Length: 0\r\n";
+    for (const std::string &target : targets) {
+        CAPTURE(length, target);
+        world.m_raw.answerWith(
+                [length](const std::string &request) {
+                    return fmt::format("HTTP/1.1 204 No Content\r\nGypsumdale-Request-Id: {}\r\n"
+                                       "Gypsumdale-Response-Signature: s\r\n{}\r\n",
+                                       BrokenAnswerWorld::idOf(request), length);
+                },
+                ConnectionEnd::Close);
+        RawCaller caller;
+        caller.connect(world.node().m_callerPort);
+        caller.write(world.textOf({.m_target = target, .m_fields = ""}));
+        const std::string empty = caller.readUntil(headEnd);
+        CHECK(empty.starts_with("HTTP/1.1 204"));
+        CHECK(empty.find("Transfer-Encoding") == std::string::npos);
+        world.answerWholly();
+        caller.write(world.textOf({.m_target = target}));
+        CHECK(BrokenAnswerWorld::isWhole(caller.readToEnd()));
+    }
+}
--- a/tests/support/raw_upstream_world.hpp
+++ b/tests/support/raw_upstream_world.hpp
@@ -12,6 +12,16 @@
 
 namespace gypsumdale::testing {
 
+/// A caller's request.
+struct RawRequest
+{
+    std::string m_target;
+    std::string m_version = "HTTP/1.1";
+    /// Further lines of the head.
+    std::string m_fields = "Connection: close\r\n";
+    std::string m_body{};
+};
+
 /// VMs before one upstream whose bytes a test gives.
 struct RawUpstreamWorld : EntryWorld
 {
@@ -37,17 +47,31 @@
     /// Returns all that a caller receives on its connection.
     std::string send(const std::string &target, std::size_t index = 0,
                      const std::string &version = "HTTP/1.1")
+    {
+        RawRequest request;
+        request.m_target = target;
+        request.m_version = version;
+        return send(request, index);
+    }
+
+    std::string send(const RawRequest &request, std::size_t index = 0)
     {
         RawCaller caller;
         caller.connect(node(index).m_callerPort);
-        caller.write(fmt::format("POST {} {}\r\nHost: h.example\r\n"
-                                 "Gypsumdale-Request-Id: r-{}\r\nGypsumdale-Deadline-Ms: 3000\r\n"
-                                 "Authorization: Bearer key\r\nConnection: close\r\n"
-                                 "Content-Length: 0\r\n\r\n",
-                                 target, version, ++m_sent));
+        caller.write(textOf(request));
         return caller.readToEnd();
     }
 
+    /// Returns the bytes of a request, with an id of its own.
+    std::string textOf(const RawRequest &request)
+    {
+        return fmt::format("POST {} {}\r\nHost: h.example\r\n"
+                           "Gypsumdale-Request-Id: r-{}\r\nGypsumdale-Deadline-Ms: 3000\r\n"
+                           "Authorization: Bearer key\r\n{}Content-Length: {}\r\n\r\n{}",
+                           request.m_target, request.m_version, ++m_sent, request.m_fields,
+                           request.m_body.size(), request.m_body);
+    }
+
     /// Returns the id of the request that was sent last.
     std::string lastId() const { return fmt::format("r-{}", m_sent); }
 
