Refuse a content coding that the caller did not ask for

What callers saw: an upstream answered with Content-Encoding: gzip to a request without Accept-Encoding. The caller got 200 with that field and a body that it had not asked for.

Passing it on would be a success with a body that is not the upstream's.

Change: such an answer is one that is not the upstream's, as one to another request is (answer-not-ours in the log): repeated if the request may run again, 502 otherwise, as it may have run. What the head of a refusal promises, that the request has not run, holds all the same.

--- a/include/gypsumdale/runtime/http_message.hpp
+++ b/include/gypsumdale/runtime/http_message.hpp
@@ -26,6 +26,10 @@
     std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+/// Returns whether a field that lists content codings, Content-Encoding or Accept-Encoding, names
+/// one that changes the body. Complexity: linear in the number of fields.
+bool namesContentCoding(const HttpHeaders &headers, std::string_view field);
+
 /// A request as the server received it, with its complete body. The target includes the query, as
 /// in "/v1/jobs/7?offset=3".
 struct HttpRequest
--- a/src/entry/entry_call.cpp
+++ b/src/entry/entry_call.cpp
@@ -242,7 +242,8 @@
     }
     m_attempts.recordPossibleRun();
     const bool isUnsignedSuccess = exchange.status() / 100 == 2 && !traits.m_isSigned;
-    if (traits.m_answersThisRequest && !isUnsignedSuccess)
+    const bool isReadable = !traits.m_isCoded || m_caller.m_acceptsCodings;
+    if (traits.m_answersThisRequest && !isUnsignedSuccess && isReadable)
         return true;
     UpstreamPool::note(upstream, AttemptResult::Broken, m_traffic.now());
     m_traffic.log().warning(
--- a/src/runtime/http_message.cpp
+++ b/src/runtime/http_message.cpp
@@ -1,6 +1,6 @@
 #include <gypsumdale/runtime/http_message.hpp>
 
-#include <algorithm> // min
+#include <algorithm> // min, ranges::any_of
 #include <utility> // move
 
 #include <boost/beast/core/string.hpp>
@@ -45,6 +45,15 @@
     return find(name).value_or(std::string_view());
 }
 
+bool namesContentCoding(const HttpHeaders &headers, std::string_view field)
+{
+    return std::ranges::any_of(headers.fields(), [field](const auto &entry) {
+        const auto &[name, value] = entry;
+        return boost::beast::iequals(name, field) && !value.empty()
+               && !boost::beast::iequals(value, "identity");
+    });
+}
+
 std::string_view HttpRequest::path() const
 {
     return std::string_view(m_target).substr(0, m_target.find('?'));
--- a/tests/src/process-entry-broken-answers.cpp
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -231,3 +231,33 @@
         CHECK(BrokenAnswerWorld::isWhole(caller.readToEnd()));
     }
 }
+
+// Guards against a body in a coding that its caller didn't ask for and can't read.
+TEST_CASE("an answer with a content coding that nobody asked for is refused")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    for (const std::string &target : targets) {
+        CAPTURE(target);
+        world.answerWith(lengthFraming, headField, "Content-Encoding: gzip\r\n" + headField);
+        world.checkRefused(target);
+        world.answerWith(lengthFraming, headField, "Content-Encoding: identity\r\n" + headField);
+        CHECK(BrokenAnswerWorld::isWhole(world.send(target)));
+    }
+}
+
+// Guards against the refusal of answers that are coded as their callers asked.
+TEST_CASE("an answer with a content coding that its caller asked for is forwarded")
+{
+    BrokenAnswerWorld world;
+    world.awaitUse();
+    world.answerWith(lengthFraming, headField, "Content-Encoding: gzip\r\n" + headField);
+    for (const std::string &target : targets) {
+        CAPTURE(target);
+        const std::string answer =
+                world.send({.m_target = target,
+                            .m_fields = "Accept-Encoding: gzip, deflate\r\nConnection: close\r\n"});
+        CHECK(BrokenAnswerWorld::isWhole(answer));
+        CHECK(answer.find("Content-Encoding: gzip") != std::string::npos);
+    }
+}
