Refuse coded answers of services in the settings role

The caller got the coded body as done, without the field that says so, and so did whoever asked with the same key later.

Cause: of an answer's fields only a few are passed on and kept, and this one is not among them.

Evidence: process-once, with two new faults of the service stand-in, coded-answer and bad-status.

Change: a coded answer is of unknown outcome, as the request has run and its answer can't be read; what says that it was not run holds as before. Requests to services now say Accept-Encoding: identity, as without the field any coding is acceptable (RFC 9110, section 12.5.3).

--- a/src/kernel/plain_call.cpp
+++ b/src/kernel/plain_call.cpp
@@ -214,6 +214,7 @@
         if (isForwarded(name))
             call.m_headers.add(name, value);
     }
+    call.m_headers.add("Accept-Encoding", "identity");
     call.m_headers.add("X-Attempt-Id", m_attemptName);
     call.m_headers.add("X-Member", m_context.m_member->m_id.text());
     call.m_body = m_request.m_body;
@@ -247,20 +248,27 @@
 {
     AttemptResult attemptResult;
     attemptResult.m_reply = reply;
+    const bool isRefused =
+            reply.m_status == statusUnavailable && reply.m_headers.value("X-Not-Run") == "1";
     if (isForOtherRequest(reply)) {
         // A late or misdirected answer to another request must not reach this caller, and doesn't
         // show whether this request ran.
         attemptResult.m_phase = CallPhase::MayHaveBeenRead;
         attemptResult.m_error = {ErrorId::UpstreamFailed,
                                  "the upstream's answer belongs to another request"};
-        return attemptResult;
-    }
-    const bool isRefused =
-            reply.m_status == statusUnavailable && reply.m_headers.value("X-Not-Run") == "1";
-    attemptResult.m_phase = isRefused ? CallPhase::RefusedBeforeStart : CallPhase::Answered;
-    if (isRefused)
+    } else if (isRefused) {
+        attemptResult.m_phase = CallPhase::RefusedBeforeStart;
         attemptResult.m_error = {ErrorId::UpstreamRefused,
                                  "the service refused the request before starting it"};
+    } else if (namesContentCoding(reply.m_headers, "Content-Encoding")) {
+        // The coding would be lost: neither the caller is told of it, nor whoever gets the kept
+        // answer of this key.
+        attemptResult.m_phase = CallPhase::MayHaveBeenRead;
+        attemptResult.m_error = {ErrorId::UpstreamFailed,
+                                 "the upstream's answer has a content coding"};
+    } else {
+        attemptResult.m_phase = CallPhase::Answered;
+    }
     return attemptResult;
 }
 
--- a/standins/fault_plan.hpp
+++ b/standins/fault_plan.hpp
@@ -26,6 +26,8 @@
     SilentStream,
     DuplicateEvent,
     CrossedAnswer,
+    CodedAnswer,
+    BadStatus,
     Slow,
     WrongIncarnation,
     Outage,
@@ -35,7 +37,7 @@
     RefuseRental,
 };
 
-inline constexpr NameTable<FaultKind, 18> faultNames = {{
+inline constexpr NameTable<FaultKind, 20> faultNames = {{
         {FaultKind::RefuseConnections, "refuse-connections"},
         {FaultKind::NotRun, "not-run"},
         {FaultKind::HangBefore, "hang-before"},
@@ -47,6 +49,8 @@
         {FaultKind::SilentStream, "silent-stream"},
         {FaultKind::DuplicateEvent, "duplicate-event"},
         {FaultKind::CrossedAnswer, "crossed-answer"},
+        {FaultKind::CodedAnswer, "coded-answer"},
+        {FaultKind::BadStatus, "bad-status"},
         {FaultKind::Slow, "slow"},
         {FaultKind::WrongIncarnation, "wrong-incarnation"},
         {FaultKind::Outage, "outage"},
--- a/standins/service_server.cpp
+++ b/standins/service_server.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view foreignAttempt = "attempt-of-another-caller";
+/// Not a valid status code.
+constexpr int noStatus = 999;
 
 std::string businessKey(const HttpRequest &request)
 {
@@ -76,6 +78,10 @@
                                       {"key_runs", count.m_ofKey},
                                       {"attempt", attempt}});
     reply.m_headers.add("X-Attempt-Id", attempt);
+    if (m_faults.take(FaultKind::CodedAnswer, line))
+        reply.m_headers.add("Content-Encoding", "gzip");
+    if (m_faults.take(FaultKind::BadStatus, line))
+        reply.m_status = noStatus;
     responder.send(reply);
 }
 
--- a/tests/src/process-once.cpp
+++ b/tests/src/process-once.cpp
@@ -93,6 +93,31 @@
     REQUIRE(fleet.runs("unkeyed") == ranUnkeyed);
 }
 
+// Guards against a broken answer that its caller gets as one, and that is kept for the key's
+// further requests.
+TEST_CASE("an answer that can't be read is of unknown outcome")
+{
+    ProcessFleet fleet;
+    const auto kind = GENERATE(as<std::string>(), "coded-answer", "bad-status");
+    INFO(kind);
+
+    faultAll(fleet, {{"fault", kind}});
+    const Answer keyed = fleet.lookUp(fleet.node(0), "keyed", "keyed");
+    const Answer unkeyed = fleet.lookUp(fleet.node(1), "unkeyed");
+    clearAll(fleet);
+
+    for (const Answer &answer : {keyed, unkeyed}) {
+        INFO(answer.m_status << " " << answer.m_body);
+        CHECK(answer.outcome() == "unknown");
+    }
+    for (const Answer &answer : resubmit(fleet, "keyed")) {
+        INFO(answer.m_status << " " << answer.m_body);
+        CHECK(answer.outcome() == "unknown");
+    }
+    CHECK(fleet.runs("keyed") == 1);
+    CHECK(fleet.runs("unkeyed") == 1);
+}
+
 // Guards against a second run when the entry VM dies between its claim and the service's answer.
 // The caller asks again everywhere. Nobody can know the outcome, so all nodes answer "unknown", and
 // the request does not run again.
