Tell a stream's reset from its end, whichever call learns of it

Cause: the kernel reports a reset once, to whichever call comes first; the next read returns 0, an orderly end, and for an answer without a length the end is its completeness. isIdleAndOpen, hasUnread and hasEnded peek, and a write takes the error too. Two ways from there to a false whole were found, both without chance: - a wait for more of the body is interrupted (by a second run that ends), the reset comes before the fiber goes on, hasUnread takes it, and the read after it returns the end; - the rest of a long upload is written in steps. A step has timed out, and the next one fails at once with the reset. It passes for a further time-out, as the stream's note of the earlier one is only cleared when a step has to wait; the peek then finds the part, which is read, and behind it the end.

Evidence: unit-http-reset-told-once, on a real socket pair and on the product's HttpClient, all steps on the loop's thread, so that none depends on time.

Ruled out: that the client of a connection whose read learns of the reset takes it for an end; that was told as truncated before, too.

Change: the stream remembers that its connection has failed, whichever call saw that, and reports Broken in place of an end from then on. Input that came before is still read first. A broken pipe is not remembered: it may come of writing after an orderly end, which stays one. The three peeks are one function, so that no further one can forget it. Replacing the peeks was weighed; the write would have stayed.

--- a/src/runtime/detail/stream.cpp
+++ b/src/runtime/detail/stream.cpp
@@ -1,6 +1,7 @@
 #include <runtime/detail/stream.hpp>
 
 #include <algorithm> // min
+#include <cerrno> // errno
 #include <utility> // move
 
 #include <linux/sockios.h>
@@ -193,31 +194,37 @@
         beginReadAhead();
 }
 
-bool Stream::isIdleAndOpen()
+Stream::Pending Stream::peek()
 {
-    if (m_closed || m_input.size() > 0)
-        return false;
     char byte = 0;
     const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (peeked > 0)
+        return Pending::Input;
+    if (peeked == 0)
+        return m_hasFailed ? Pending::Failure : Pending::End;
+    const error_code error(errno, boost::system::system_category());
+    if (error == asio::error::would_block)
+        return Pending::Nothing;
+    rememberFailure(error);
+    return Pending::Failure;
+}
+
+bool Stream::isIdleAndOpen()
+{
+    return !m_closed && m_input.size() == 0 && peek() == Pending::Nothing;
 }
 
 bool Stream::hasUnread()
 {
-    if (m_closed)
-        return false;
-    char byte = 0;
-    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return !m_closed && peek() != Pending::Nothing;
 }
 
 bool Stream::hasEnded()
 {
     if (m_closed)
         return false;
-    char byte = 0;
-    const ssize_t peeked = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    const Pending pending = peek();
+    return pending == Pending::End || pending == Pending::Failure;
 }
 
 std::optional<std::size_t> Stream::unacknowledged()
@@ -263,15 +270,25 @@
     return error ? std::string() : endpoint.address().to_string();
 }
 
-StreamStatus Stream::statusOf(const error_code &error) const
+/// Remembers that the connection has failed, if an error says so. A broken pipe doesn't: it may
+/// come of writing after the other side's orderly end, which stays one for what is read.
+void Stream::rememberFailure(const error_code &error)
+{
+    const bool isOfConnection = error != asio::error::eof && error != asio::error::operation_aborted
+                                && error != asio::error::broken_pipe;
+    m_hasFailed = m_hasFailed || isOfConnection;
+}
+
+StreamStatus Stream::statusOf(const error_code &error)
 {
     if (!error)
         return StreamStatus::Good;
+    rememberFailure(error);
     if (m_closed)
         return StreamStatus::Closed;
     if (m_timedOut)
         return StreamStatus::TimedOut;
-    if (error == asio::error::eof)
+    if (error == asio::error::eof && !m_hasFailed)
         return StreamStatus::Ended;
     return StreamStatus::Broken;
 }
--- a/src/runtime/detail/stream.hpp
+++ b/src/runtime/detail/stream.hpp
@@ -34,7 +34,8 @@
 /// Outcome of a stream's operation.
 enum class StreamStatus {
     Good,
-    /// The other side has ended sending; reported only if no byte was received.
+    /// The other side has ended sending; reported only if no byte was received, and never after the
+    /// connection has failed.
     Ended,
     /// The connection failed or could not be opened.
     Broken,
@@ -113,6 +114,14 @@
     std::string remoteAddress() const;
 
 private:
+    /// What the kernel holds of the other side's data.
+    enum class Pending {
+        Nothing,
+        Input,
+        End,
+        Failure,
+    };
+
     /// A read started by watch(). It has its own buffer, because the parser may consume input while
     /// the read is pending. Its handler keeps the stream alive.
     struct ReadAhead
@@ -126,7 +135,9 @@
     void beginReadAhead();
     void finishReadAhead(const boost::system::error_code &error, std::size_t bytes);
     StreamStatus awaitReadAhead(SteadyTime deadline);
-    StreamStatus statusOf(const boost::system::error_code &error) const;
+    Pending peek();
+    void rememberFailure(const boost::system::error_code &error);
+    StreamStatus statusOf(const boost::system::error_code &error);
     void startDeadline(SteadyTime deadline);
     void stopDeadline();
     void armTimer(SteadyTime at);
@@ -145,6 +156,9 @@
     std::function<void()> m_onEnd;
     bool m_isFilling = false;
     bool m_timedOut = false;
+    /// The kernel reports the failure of a connection once, to whichever call comes first, and an
+    /// orderly end after that.
+    bool m_hasFailed = false;
     bool m_closed = false;
     bool m_resetsOnClose = false;
 };
