Show that part of an early answer is no answer for callers

What made such a part whole needs a thread that is held up at one moment; unit-http-reset-told-once shows that without chance.

A first form of the test sent 8 MB and passed without reaching the upstreams, as the VM refuses so much at once; it now asks for the 502 or the cut of an answer that was begun.

--- a/tests/src/process-entry-broken-answers.cpp
+++ b/tests/src/process-entry-broken-answers.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <chrono> // milliseconds
 #include <cstddef> // size_t
+#include <set> // set
 #include <string> // string
 #include <string_view> // string_view
 #include <utility> // move
@@ -18,8 +20,11 @@
 const std::string firstEvent = "id: 1\ndata: a\n\n";
 const std::string body = firstEvent + "id: 2\ndata: b\n\n";
 const std::vector<std::string> targets = {"/again/x", "/once/x", "/draft/x", "/stream/x"};
+const std::set<std::string> streams = {"/draft/x", "/stream/x"};
 /// Enough for each request to be repeated.
 constexpr int retrySlack = 400;
+/// Too long to be written while its reader stands still.
+constexpr std::size_t uploadBytes = std::size_t{4} * 1024 * 1024;
 /// Of the answers that answersTo() returns.
 constexpr std::size_t framingCount = 4;
 constexpr std::size_t lengthFraming = 0;
@@ -85,6 +90,14 @@
         awaitUse(index);
     }
 
+    void allowUploads()
+    {
+        Json config = configuration(2, {"key"});
+        config["limits"] = {{"max-body-bytes", uploadBytes}};
+        store().put("config", "main", config);
+        waitUntilLogged("\"config_version\":2");
+    }
+
     void awaitUse(std::size_t index = 0)
     {
         waitUntil("the upstreams are used", [&] { return isWhole(send("/again/x", index)); });
@@ -261,3 +274,30 @@
         CHECK(answer.find("Content-Encoding: gzip") != std::string::npos);
     }
 }
+
+// Guards against a part of an early answer that its caller gets as the whole, as its connection was
+// reset while the upload was still written.
+TEST_CASE("a part of an early answer to an upload is no answer if its connection is reset")
+{
+    BrokenAnswerWorld world;
+    world.allowUploads();
+    world.awaitUse();
+    const std::string upload(uploadBytes, 'x');
+    for (const int millis : {0, 1, 5, 20, 45, 60, 120, 300}) {
+        for (const std::string &target : targets) {
+            CAPTURE(millis, target);
+            world.m_raw.answerWith(
+                    [](const std::string &text) {
+                        const std::string id = BrokenAnswerWorld::idOf(text);
+                        return answersTo(id, body)[openFraming].m_head + firstEvent;
+                    },
+                    ConnectionEnd::Reset, std::chrono::milliseconds(millis));
+            const std::string answer = world.send({.m_target = target, .m_body = upload});
+            const bool isCut = BrokenAnswerWorld::isSuccess(answer)
+                               && !BrokenAnswerWorld::ends(answer) && streams.contains(target);
+            CHECK((isCut || answer.starts_with("HTTP/1.1 502")));
+            world.answerWholly();
+            world.awaitUse();
+        }
+    }
+}
--- a/tests/support/raw_upstream.hpp
+++ b/tests/support/raw_upstream.hpp
@@ -2,12 +2,13 @@
 
 #include "support/raw_caller.hpp"
 
+#include <chrono> // milliseconds
 #include <cstdint> // uint16_t
 #include <functional> // function
 #include <mutex> // lock_guard, mutex
 #include <string> // string
 #include <string_view> // string_view
-#include <thread> // jthread
+#include <thread> // jthread, this_thread::sleep_for
 #include <utility> // move
 
 #include <boost/asio/io_context.hpp>
@@ -52,12 +53,14 @@
         m_body = body;
     }
 
-    /// Lets the test give the bytes of the next answers, and how their connections end.
-    void answerWith(Answer answer, ConnectionEnd end)
+    /// Lets the test give the bytes of the next answers, and how their connections end, and after
+    /// which pause.
+    void answerWith(Answer answer, ConnectionEnd end, std::chrono::milliseconds pause = {})
     {
         const std::lock_guard lock(m_mutex);
         m_answer = std::move(answer);
         m_end = end;
+        m_pause = pause;
     }
 
     static std::string fieldOf(const std::string &request, std::string_view name)
@@ -89,6 +92,7 @@
         const std::lock_guard lock(m_mutex);
         const std::string text = m_answer ? m_answer(request) : closeDelimited(request);
         boost::asio::write(socket, boost::asio::buffer(text), error);
+        std::this_thread::sleep_for(m_pause);
         if (m_end == ConnectionEnd::Reset)
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
         else
@@ -110,6 +114,7 @@
     std::string m_body;
     Answer m_answer;
     ConnectionEnd m_end = ConnectionEnd::Close;
+    std::chrono::milliseconds m_pause{};
     std::jthread m_server;
 };
 
