Count an answer that is none in HTTP as an error of its version

What callers would see: a new version that answers most requests with a status that is none, and is accepted, so that all upstreams of the old one are stopped.

Cause: only whole answers count for a version, so that crashes and cut paths don't count against it. Since an invalid status is refused by the parser, such an answer counted no longer at all; what was left looked sound.

Change: the failure of a call says whether what arrived is no answer in HTTP, and such a failure counts for the version as an answer with an error does, before and within the answer, and for second runs. A request that may run again counts it only if no other upstream repeats it, as for other errors. Breaks, resets and time-outs count as before, not at all.

--- a/include/gypsumdale/runtime/http_client.hpp
+++ b/include/gypsumdale/runtime/http_client.hpp
@@ -52,6 +52,8 @@
     /// Bytes of the request that the other side had not acknowledged when its delivery deadline
     /// passed.
     std::size_t m_unacknowledgedBytes = 0;
+    /// What arrived is no answer in HTTP/1.1.
+    bool m_isMalformed = false;
     /// The answer was given up because it exceeded a limit of its size.
     bool m_isAnswerTooLarge = false;
     /// The answer was given up because there was no room for it beside other answers.
--- a/src/entry/entry_call.hpp
+++ b/src/entry/entry_call.hpp
@@ -271,6 +271,7 @@
     void recordRunResult(UpstreamAnswer &answer, int status);
     bool isWorthSecondRun(UpstreamAnswer &answer, int status);
     void recordVersionAnswer(UpstreamAnswer &answer, bool isError);
+    void recordVersionFailure(UpstreamAnswer &answer, const CallFailure &failure);
     void recordVersionError(UpstreamAnswer &answer);
     void countVersionError();
     void finishUnserved(AttemptStop stop);
--- a/src/entry/entry_call_failure.cpp
+++ b/src/entry/entry_call_failure.cpp
@@ -95,6 +95,7 @@
     if (isCancelledByCaller(failure))
         return;
     countTooLarge(failure);
+    recordVersionFailure(answer, failure);
     m_errorKind.reset();
     recordTimeout(failure);
     if (!answer.m_isRelayed)
--- a/src/entry/entry_call_hedge.cpp
+++ b/src/entry/entry_call_hedge.cpp
@@ -175,7 +175,9 @@
     UpstreamAnswer &answer = *hedged.m_answer;
     answer.m_exchange.awaitHeader(timeLeft());
     if (!answer.m_exchange.hasHeader()) {
-        recordFailedHedge(hedged, answer.m_guard, answer.m_exchange.giveUp());
+        const CallFailure failure = answer.m_exchange.giveUp();
+        recordVersionFailure(answer, failure);
+        recordFailedHedge(hedged, answer.m_guard, failure);
         return false;
     }
     if (!beginsWell(hedged) || !mayFollow(answer))
--- a/src/entry/entry_call_send.cpp
+++ b/src/entry/entry_call_send.cpp
@@ -102,7 +102,9 @@
         return true;
     if (answer.m_exchange.hasHeader())
         return takeHeader(answer);
-    recordAttemptFailure(answer.m_guard, answer.m_exchange.giveUp());
+    const CallFailure failure = answer.m_exchange.giveUp();
+    recordVersionFailure(answer, failure);
+    recordAttemptFailure(answer.m_guard, failure);
     return false;
 }
 
--- a/src/entry/entry_call_version.cpp
+++ b/src/entry/entry_call_version.cpp
@@ -20,6 +20,14 @@
     countVersionError();
 }
 
+/// Counts what arrived in place of an answer as an error, like one of the upstream's own. Other
+/// failures may have their cause in the path or in the process.
+void EntryCall::recordVersionFailure(UpstreamAnswer &answer, const CallFailure &failure)
+{
+    if (failure.m_isMalformed)
+        recordVersionAnswer(answer, true);
+}
+
 /// Keeps an error until another upstream has answered the request. An error of two of them is the
 /// request's own and says nothing of a version.
 void EntryCall::recordVersionError(UpstreamAnswer &answer)
--- a/src/runtime/detail/http_exchange_state.hpp
+++ b/src/runtime/detail/http_exchange_state.hpp
@@ -61,6 +61,7 @@
     void finish();
     bool endsByClose(detail::StreamStatus status);
     CallFailure failTooLarge(std::string_view what = "the answer is too large");
+    CallFailure failMalformed(const std::string &what);
     CallFailure failWithoutMemory();
     /// Returns the end of a period that begins now, at most that of the whole exchange.
     detail::SteadyTime limited(Duration period) const
--- a/src/runtime/http_exchange.cpp
+++ b/src/runtime/http_exchange.cpp
@@ -225,7 +225,7 @@
     if (error == http::error::header_limit)
         return failTooLarge("the header, or the framing of the body, is too large");
     if (error && error != http::error::need_more)
-        return fail(ErrorId::UpstreamFailed, "the answer is malformed: " + error.message());
+        return failMalformed(error.message());
     if (m_parser->is_done() && m_parser->status() / 100 != interimStatusClass)
         finish();
     return std::nullopt;
@@ -290,6 +290,13 @@
     return *m_failure;
 }
 
+CallFailure HttpExchange::State::failMalformed(const std::string &what)
+{
+    fail(ErrorId::UpstreamFailed, "the answer is malformed: " + what);
+    m_failure->m_isMalformed = true;
+    return *m_failure;
+}
+
 CallFailure HttpExchange::State::failWithoutMemory()
 {
     fail(ErrorId::UpstreamFailed, "the memory for answers is used up");
--- a/tests/src/process-entry-rollout.cpp
+++ b/tests/src/process-entry-rollout.cpp
@@ -88,14 +88,14 @@
         m_callers.clear();
     }
 
-    /// Makes the new version fail two of three requests.
-    void spoilNew()
+    /// Makes the new version answer two of three requests with a status.
+    void spoilNew(int status = 500)
     {
         for (std::size_t index = firstNew; index < upstreamCount(); ++index) {
-            upstream(index).behave([this](const HttpRequest &, HttpResponder &responder,
-                                          const HttpHeaders &headers) {
+            upstream(index).behave([this, status](const HttpRequest &, HttpResponder &responder,
+                                                  const HttpHeaders &headers) {
                 const bool isBad = ++m_atNew % 3 != 0;
-                responder.send({isBad ? 500 : 200, headers, "new"});
+                responder.send({isBad ? status : 200, headers, "new"});
             });
         }
     }
@@ -135,6 +135,20 @@
     CHECK(world.seenByNew() == seen);
 }
 
+// Guards against a version that is accepted though most of its answers are none.
+TEST_CASE("a version whose answers have a status that is none is rolled back")
+{
+    RolloutWorld world(3);
+    world.spoilNew(999);
+    world.startCallers("/once/a");
+    world.order();
+    world.startNew();
+    world.waitUntil("it is decided on",
+                    [&] { return !world.recorded().empty() && world.recorded() != "running"; });
+    CHECK(world.recorded() == "rolled_back");
+    CHECK(world.seenByNew() <= static_cast<std::size_t>(world.m_requests / 10 + 50));
+}
+
 // Guards against a good version that isn't accepted in time, or isn't used then.
 TEST_CASE("a good version is accepted, and gets all requests")
 {
