Give back the memory of heads that a crowd leaves unfinished

What callers saw: nothing yet.

Cause: 2,500 buffers of some 31 KiB are freed into the heap, which gives back only its end; one small block in use there keeps some 65 MiB. Only blocks of 256 KiB and more went back at once. Samples of a run: 111 MiB at the peak, 94 when all but 140 connections were closed (their stacks), 75 at the end.

Blocks of 16 KiB and more, that is buffers of heads as well, go back at once now. That takes the cause away and not only its chance: their pages no longer depend on what lies behind them.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -27,9 +27,9 @@
     Cut = 4,
 };
 
-/// Size from which freed memory goes back to the system at once. By default the library raises it
-/// with use, and keeps what a crowd of large requests took.
-constexpr int returnedBlockBytes = 256 * 1024;
+/// Size from which freed memory goes back to the system at once: that of the longest head of a
+/// request. By default the library raises it with use, and keeps what a crowd of requests took.
+constexpr int returnedBlockBytes = 16 * 1024;
 
 constexpr const char *description =
         "Runs one process of gypsumdale, which routes callers' requests to upstreams.\n"
