Let the tests' store answer lists in pages, and decode targets

The stand-in sent all entries in one page, whatever its list was asked for, and took names in paths as they came. No test ever continued a list, so that no test could show what a name does in a target.

Its lists now have pages of four entries in the order of names, the query and the path are decoded, and a target with a blank, a control byte or half an escape gets 400, as the pages of the store say. It serves all tests. An item of a list can be any text.

--- a/tests/support/entry_stand_ins.hpp
+++ b/tests/support/entry_stand_ins.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/child_process.hpp"
+#include "support/store_target.hpp"
 
 #include <gypsumdale/runtime/fiber_loop.hpp>
 #include <gypsumdale/runtime/http_server.hpp>
@@ -14,6 +15,7 @@
 #include <functional> // function
 #include <map> // map
 #include <mutex> // lock_guard, mutex
+#include <optional> // optional
 #include <string> // string
 #include <string_view> // string_view
 #include <utility> // move
@@ -23,11 +25,15 @@
 
 using Json = nlohmann::json;
 
-/// Small stand-in for the user platform's store: objects by kind with conditional updates and
-/// watches. It can be set to refuse all callers. All calls are made on the loop's thread.
+/// Small stand-in for the user platform's store: objects by kind with conditional updates, lists of
+/// several pages in the order of names, and watches. It refuses malformed targets, and can be set
+/// to refuse all callers. All calls are made on the loop's thread.
 class StoreStandIn
 {
 public:
+    /// Few, so that the lists of most tests have several pages.
+    static constexpr std::size_t defaultPageItems = 4;
+
     explicit StoreStandIn(FiberLoop &loop)
         : m_loop(loop)
         , m_port(openPortFor({}))
@@ -85,14 +91,21 @@
         return m_loop.call([&] { return m_objects[kind].contains(name); });
     }
 
-    void remove(const std::string &kind, const std::string &name)
+    /// Sends a text in place of an object from now on, which keeps its place among the names of its
+    /// kind: an item that is no object at all.
+    void putRawItem(const std::string &kind, const std::string &name, const std::string &text)
     {
         m_loop.call([&] {
-            m_events.push_back({++m_revision, kind, object(kind, name), true});
-            m_objects[kind].erase(name);
+            store(kind, name, nullptr);
+            m_objects[kind][name].m_rawItem = text;
         });
     }
 
+    void remove(const std::string &kind, const std::string &name)
+    {
+        m_loop.call([&] { removeFromLoop(kind, name); });
+    }
+
     /// Tells a VM another address for an upstream from now on, so that it has a path of its own.
     void replaceAddressFor(const std::string &node, const std::string &address,
                            const std::string &replacement)
@@ -107,6 +120,24 @@
         m_loop.call([&] { m_rawTexts[Json(string).dump()] = text; });
     }
 
+    /// Sets the largest number of items in a page of a list.
+    void setPageItems(std::size_t items) { m_pageItems = items; }
+
+    /// Calls a function before each page of a list is made, on the loop's thread.
+    void beforePages(std::function<void()> called) { m_beforePages = std::move(called); }
+
+    /// Writes an object from the loop's thread.
+    void putFromLoop(const std::string &kind, const std::string &name, const Json &spec)
+    {
+        store(kind, name, spec);
+    }
+    /// Removes an object from the loop's thread.
+    void removeFromLoop(const std::string &kind, const std::string &name)
+    {
+        m_events.push_back({++m_revision, kind, object(kind, name), true});
+        m_objects[kind].erase(name);
+    }
+
     /// Sets whether callers are refused from now on.
     void refuse(bool refuses) { m_refuses = refuses; }
 
@@ -130,11 +161,18 @@
         Json m_spec;
         Json m_status = nullptr;
         std::int64_t m_createdRevision = 0;
+        /// What is sent in place of the object; empty if that is sent itself.
+        std::string m_rawItem;
     };
 
     Json object(const std::string &kind, const std::string &name)
     {
         const Stored &stored = m_objects[kind][name];
+        if (!stored.m_rawItem.empty()) {
+            const std::string mark = "@item " + kind + " " + name;
+            m_rawTexts[Json(mark).dump()] = stored.m_rawItem;
+            return mark;
+        }
         return {{"metadata",
                  {{"name", name},
                   {"revision", stored.m_revision},
@@ -147,8 +185,10 @@
     Json seenBy(const std::string &node, Json object) const
     {
         const auto replaced = m_replacedAddresses.find(node);
+        if (replaced == m_replacedAddresses.end() || !object.is_object())
+            return object;
         Json &spec = object["spec"];
-        if (replaced == m_replacedAddresses.end() || !spec.contains("address"))
+        if (!spec.contains("address"))
             return object;
         const auto address = replaced->second.find(spec["address"].get<std::string>());
         if (address != replaced->second.end())
@@ -186,24 +226,25 @@
 
     void answer(const std::string &node, const HttpRequest &request, HttpResponder &responder)
     {
-        constexpr std::string_view prefix = "/-/objects/";
-        const std::string path(request.path());
-        if (m_refuses || !path.starts_with(prefix)) {
+        if (m_refuses) {
             send(responder, 503);
             return;
         }
-        const std::string rest = path.substr(prefix.size());
-        const std::string kind = rest.substr(0, rest.find('/'));
-        const bool hasName = rest.find('/') != std::string::npos;
-        const std::string name = hasName ? rest.substr(rest.find('/') + 1) : std::string();
-        if (request.m_method == "GET" && hasName)
-            answerOne(kind, name, responder);
+        if (!isWellFormedTarget(request.m_target)) {
+            send(responder, 400);
+            return;
+        }
+        const auto target = decodeStoreTarget(request.m_target);
+        if (!target)
+            send(responder, 404);
+        else if (request.m_method == "GET" && !target->m_name.empty())
+            answerOne(target->m_kind, target->m_name, responder);
         else if (request.m_method == "GET" && request.parameter("watch"))
-            answerWatch(node, kind, request, responder);
+            answerWatch(node, target->m_kind, request, responder);
         else if (request.m_method == "GET")
-            answerList(node, kind, responder);
+            answerList(node, target->m_kind, request, responder);
         else
-            answerWrite(kind, name, request, responder);
+            answerWrite(*target, request, responder);
     }
 
     void answerOne(const std::string &kind, const std::string &name, HttpResponder &responder)
@@ -214,13 +255,21 @@
             send(responder, 404);
     }
 
-    void answerList(const std::string &node, const std::string &kind, HttpResponder &responder)
+    void answerList(const std::string &node, const std::string &kind, const HttpRequest &request,
+                    HttpResponder &responder)
     {
         sleepFiber(m_listingDelay);
+        if (m_beforePages)
+            m_beforePages();
+        const std::optional<std::string> after = request.parameter("after-rev");
+        const auto &objects = m_objects[kind];
         Json items = Json::array();
-        for (const auto &[name, stored] : m_objects[kind])
-            items.push_back(seenBy(node, object(kind, name)));
-        send(responder, 200, {{"items", items}, {"has-more", false}, {"current-rev", m_revision}});
+        auto entry = after ? objects.upper_bound(*after) : objects.begin();
+        for (; entry != objects.end() && items.size() < m_pageItems; ++entry)
+            items.push_back(seenBy(node, object(kind, entry->first)));
+        const bool hasMore = entry != objects.end();
+        send(responder, 200,
+             {{"items", items}, {"has-more", hasMore}, {"current-rev", m_revision}});
     }
 
     void recordReceivedRevision(const std::string &node, std::int64_t revision)
@@ -249,16 +298,18 @@
         send(responder, m_refuses ? 503 : 200, {{"events", events}, {"current-rev", m_revision}});
     }
 
-    void answerWrite(const std::string &kind, const std::string &named, const HttpRequest &request,
+    void answerWrite(const StoreTarget &target, const HttpRequest &request,
                      HttpResponder &responder)
     {
         const Json body = Json::parse(request.m_body, nullptr, false);
-        constexpr std::string_view statusSuffix = "/status";
-        const bool isStatus = named.ends_with(statusSuffix);
-        const std::string path =
-                named.empty() ? body["metadata"].value("name", std::string()) : named;
+        const std::string &kind = target.m_kind;
+        const bool isCreation = request.m_method == "POST";
         const std::string name =
-                isStatus ? path.substr(0, path.size() - statusSuffix.size()) : path;
+                isCreation ? body["metadata"].value("name", std::string()) : target.m_name;
+        if (name.empty() || isCreation != target.m_name.empty()) {
+            send(responder, 400);
+            return;
+        }
         auto &objects = m_objects[kind];
         if (request.m_method == "DELETE") {
             sleepFiber(m_removalDelay);
@@ -268,12 +319,11 @@
         }
         const bool exists = objects.contains(name);
         const std::int64_t expected = body["metadata"].value("revision", std::int64_t(0));
-        const bool isCreation = request.m_method == "POST";
         if (isCreation ? exists : expected != 0 && objects[name].m_revision != expected) {
             send(responder, 409, object(kind, name));
             return;
         }
-        if (!isStatus) {
+        if (!target.m_isStatus) {
             send(responder, 200, store(kind, name, body["spec"]));
             return;
         }
@@ -289,6 +339,8 @@
     std::atomic<bool> m_refuses = false;
     std::atomic<Duration> m_removalDelay = Duration::zero();
     std::atomic<Duration> m_listingDelay = Duration::zero();
+    std::atomic<std::size_t> m_pageItems = defaultPageItems;
+    std::function<void()> m_beforePages;
     std::int64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Stored>> m_objects;
     std::vector<Event> m_events;
