--- /dev/null
+++ b/tests/src/process-entry-odd-names.cpp
@@ -0,0 +1,102 @@
+#include "support/entry_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal> // SIGKILL
+#include <cstddef> // size_t
+#include <cstdint> // int64_t
+#include <string> // string
+
+using namespace gypsumdale;
+using namespace gypsumdale::testing;
+
+namespace {
+
+constexpr std::size_t vms = 2;
+
+/// Writes sound entries of another service that fill a page of the list but for its last place.
+/// Their names lie between "b" and most names that begin with it, so that a list that goes on
+/// behind a part of such a name comes to the same page again.
+void fillPage(StoreStandIn &store, const std::string &kind)
+{
+    const Json entry = {{"service", "other"}, {"address", "127.0.0.1:9"},
+                        {"zone", "here"},     {"version", "v1"},
+                        {"slots", 8},         {"state", "ready"}};
+    for (std::size_t number = 1; number < StoreStandIn::defaultPageItems; ++number)
+        store.put(kind, "b!" + std::to_string(number), entry);
+}
+
+/// Kills all VMs at once and starts them again.
+void restartAll(EntryWorld &world)
+{
+    for (std::size_t index = 0; index < vms; ++index)
+        world.node(index).m_process->send(SIGKILL);
+    for (std::size_t index = 0; index < vms; ++index)
+        world.waitUntil("it has ended", [&] { return world.node(index).m_process->exited(); });
+    for (std::size_t index = 0; index < vms; ++index)
+        world.start(world.node(index));
+    for (std::size_t index = 0; index < vms; ++index)
+        world.waitUntil("it is ready", [&] { return world.isReady(world.node(index)); });
+}
+
+/// Checks that each VM serves requests, by whichever upstreams.
+void checkServed(EntryWorld &world)
+{
+    for (std::size_t index = 0; index < vms; ++index) {
+        for (int number = 0; number < 10; ++number) {
+            const std::string id = "r-" + std::to_string(index) + "-" + std::to_string(number);
+            CHECK(world.call(world.node(index), "/again/x", id).m_status == 200);
+        }
+    }
+}
+
+const Json foreignEntry = {{"written-by", "another"}};
+
+} // namespace
+
+// Guards against a list of upstreams that can't be read on from an odd name, so that no VM starts.
+TEST_CASE("an odd name at the end of a page leaves the upstreams behind it in use")
+{
+    const std::string name =
+            GENERATE(as<std::string>{}, "b&c", "b&watch=1", "b+c", "b#c", "b%c", "b%", "b%41",
+                     "b!4 c", "b!4\tc", "b!4\rc", "b!4\nc", "b!4\x7f", std::string("b!4\0c", 5),
+                     "b" + std::string(3000, '&'), "b/c", "b?c", "b=c", "b;c", "b\xc3\xa9");
+    INFO(Json(name.substr(0, 20)));
+    EntryWorld world(vms);
+    fillPage(world.store(), "servers");
+    world.store().put("servers", name, foreignEntry);
+    restartAll(world);
+    checkServed(world);
+}
+
+// Guards against VMs that never learn their configuration because of another writer's object.
+TEST_CASE("an odd name before the configuration leaves that in force")
+{
+    const std::string name =
+            GENERATE(as<std::string>{}, "b&c", "b+c", "b#c", "b%c", "b!4 c", "b!4\r\nc", "b/c");
+    INFO(name);
+    EntryWorld world(vms);
+    fillPage(world.store(), "config");
+    world.store().put("config", name, foreignEntry);
+    restartAll(world);
+    checkServed(world);
+}
+
+// Guards against VMs that stop following their upstreams when such an entry comes and goes.
+TEST_CASE("entries with odd names that come and go are followed past")
+{
+    EntryWorld world(vms, true);
+    for (const char *name : {"b&c", "b+c", "b#c", "b%c", "b c", "b\r\nc", "", "b/c"}) {
+        INFO(name);
+        world.store().put("servers", name, foreignEntry);
+        world.store().remove("servers", name);
+        const std::int64_t revision = world.announce(world.upstream(1), "draining");
+        world.announce(world.upstream(1), "ready");
+        for (std::size_t index = 0; index < vms; ++index) {
+            world.waitUntil("the list is followed", [&] {
+                return world.store().receivedUpstreamRevision(world.node(index).m_name) > revision;
+            });
+        }
+    }
+    checkServed(world);
+}
--- /dev/null
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -0,0 +1,130 @@
+#include "support/entry_stand_ins.hpp"
+
+#include <gypsumdale/runtime/fiber_loop.hpp>
+#include <gypsumdale/runtime/http_client.hpp>
+
+#include <platform/store_client.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm> // min
+#include <atomic> // atomic
+#include <cstddef> // size_t
+#include <cstdint> // int64_t, uint16_t
+#include <set> // set
+#include <string> // string
+#include <utility> // move
+#include <vector> // vector
+
+using namespace gypsumdale;
+using namespace gypsumdale::platform;
+using gypsumdale::testing::freePort;
+using gypsumdale::testing::Json;
+using gypsumdale::testing::StoreStandIn;
+
+namespace {
+
+const std::string kind = "servers";
+
+/// Client of a store at a port, on a loop of its own.
+class Reader
+{
+public:
+    Reader(FiberLoop &loop, std::uint16_t port)
+        : m_loop(loop)
+        , m_client(loop)
+        , m_store(m_client, m_clock, {"127.0.0.1", port})
+    {}
+
+    Result<StoreListing> list()
+    {
+        return m_loop.call([this] { return m_store.list(kind, ReadFreshness::Linearizable); });
+    }
+    Result<StoreChanges> watch(std::int64_t revision)
+    {
+        return m_loop.call(
+                [&] { return m_store.watch(kind, revision, std::chrono::milliseconds(1)); });
+    }
+    /// Makes a call on the client's loop.
+    template <typename Call>
+    auto call(Call call)
+    {
+        return m_loop.call([&] { return call(m_store); });
+    }
+
+private:
+    FiberLoop &m_loop;
+    Clock m_clock;
+    HttpClient m_client;
+    StoreClient m_store;
+};
+
+/// Store whose answers a test gives one after the other; the last one is repeated.
+class ScriptedStore
+{
+public:
+    ScriptedStore(FiberLoop &loop, std::vector<std::string> answers)
+        : m_answers(std::move(answers))
+        , m_port(freePort())
+        , m_server(valueOf(
+                  HttpServerBuilder()
+                          .listenOn("127.0.0.1", m_port)
+                          .runOn({&loop})
+                          .handleWith([this](const HttpRequest &, HttpResponder &responder) {
+                              const std::size_t last = m_answers.size() - 1;
+                              responder.send({200, {}, m_answers[std::min(m_calls++, last)]});
+                          })
+                          .build()))
+    {}
+
+    std::uint16_t port() const { return m_port; }
+    std::size_t calls() const { return m_calls; }
+
+private:
+    std::vector<std::string> m_answers;
+    std::atomic<std::size_t> m_calls = 0;
+    std::uint16_t m_port;
+    HttpServer m_server;
+};
+
+std::string item(const std::string &name)
+{
+    return R"({"metadata":{"name":")" + name + R"("}})";
+}
+
+std::string page(const std::string &items, bool hasMore)
+{
+    return R"({"items":[)" + items + R"(],"has-more":)" + (hasMore ? "true" : "false")
+           + R"(,"current-rev":9})";
+}
+
+std::multiset<std::string> namesOf(const StoreListing &listing)
+{
+    std::multiset<std::string> names;
+    for (const StoreObject &object : listing.m_objects)
+        names.insert(object.m_name);
+    return names;
+}
+
+} // namespace
+
+// Guards against a list that ends, or never does, behind a name that a query can't hold as it is.
+TEST_CASE("a list goes on behind any name")
+{
+    FiberLoop loop("test");
+    loop.start();
+    StoreStandIn store(loop);
+    store.setPageItems(1);
+    const std::multiset<std::string> names = {
+            "a&b", "a&watch=1", "a+b",   "a#b", "a%b", "a%41", "a%",  "a b", "a\tb",     "a\r\nb",
+            "a=b", "a;b",       "a\x7f", "a/b", "a?b", "..",   "a\"", "a\\", "\xc3\xa9", "a"};
+    for (const std::string &name : names)
+        store.put(kind, name, Json::object());
+    store.put(kind, std::string("a\0b", 3), Json::object());
+    Reader reader(loop, store.port());
+    const auto listing = reader.list();
+    REQUIRE(succeeded(listing));
+    std::multiset<std::string> expected = names;
+    expected.insert(std::string("a\0b", 3));
+    CHECK(namesOf(valueOf(listing)) == expected);
+}
