Go on behind the last name of a page that can be told

What callers saw: an item without a usable name, as the last of its page, ended the whole list ('no valid continuation'): no VM learned of any upstream behind it, nor before it. So did a name that is longer, encoded, than the request line that a server takes (431).

Cause: the list went on behind the last item, whatever that was decoded to: an empty name, or one in which bytes that can't be read had become '?', which is the name of another place or of another entry.

Change: the list goes on behind the last name of the page that is known exactly and fits into a target. What follows it is read again, so an object that is listed twice counts once, at its later revision. Bytes that can't be read become U+FFFD, the parser tells whether it had to repair, and a name with that mark in a repaired text is no name.

The tests of parseTolerant read its new result's m_json and are unchanged otherwise.

--- a/tests/src/fuzz-platform-entries.cpp
+++ b/tests/src/fuzz-platform-entries.cpp
@@ -75,7 +75,7 @@
             const bool endsString = byte == '"' || byte == '\\';
             text += endsString ? ' ' : static_cast<char>(byte);
         }
-        const Json json = parseTolerant(R"({"items":[{"spec":")" + text + R"("},7]})");
+        const Json json = parseTolerant(R"({"items":[{"spec":")" + text + R"("},7]})").m_json;
         RC_ASSERT(json.is_object());
         RC_ASSERT(json["items"][1] == 7);
         RC_ASSERT(!json.dump().empty());
--- a/tests/src/process-entry-odd-names.cpp
+++ b/tests/src/process-entry-odd-names.cpp
@@ -69,6 +69,33 @@
     checkServed(world);
 }
 
+// The same for a name that is longer than the request line that servers take.
+TEST_CASE("a long name at the end of a page leaves the upstreams behind it in use")
+{
+    const std::string name = GENERATE(std::string(40'000, 'b'), "b" + std::string(20'000, '&'));
+    EntryWorld world(vms);
+    fillPage(world.store(), "servers");
+    world.store().put("servers", name, foreignEntry);
+    restartAll(world);
+    checkServed(world);
+}
+
+// The same where the item has no name that could be told.
+TEST_CASE("an item without a name at the end of a page leaves the upstreams behind it in use")
+{
+    const std::string item =
+            GENERATE(as<std::string>{}, R"({"metadata":{"name":""}})", R"({"metadata":{"name":7}})",
+                     R"({"metadata":{"name":null}})", R"({"metadata":{"name":1e400}})",
+                     R"({"metadata":"b"})", R"({"spec":{}})", "null", R"("text")", "[1]",
+                     "{\"metadata\":{\"name\":\"b\xff\"}}", R"({"metadata":{"name":"b\ud800"}})");
+    INFO(item);
+    EntryWorld world(vms);
+    fillPage(world.store(), "servers");
+    world.store().putRawItem("servers", "b!4", item);
+    restartAll(world);
+    checkServed(world);
+}
+
 // Guards against VMs that never learn their configuration because of another writer's object.
 TEST_CASE("an odd name before the configuration leaves that in force")
 {
--- a/tests/src/unit-platform-entries.cpp
+++ b/tests/src/unit-platform-entries.cpp
@@ -108,15 +108,15 @@
     for (const char *bytes :
          {"\xff\xfe", "\xc3", "\xed\xa0\x80", "\xf5\x80\x80\x80", "\xe0\x80\x80", "\x01",
           R"(\ud800)", R"(\udc00x)", R"(\ud800\u0041)"}) {
-        const Json json = parseTolerant(textIn(bytes));
+        const Json json = parseTolerant(textIn(bytes)).m_json;
         REQUIRE(json.is_array());
         CHECK(json[0]["b"] == "\xc3\xa9");
         CHECK(json[1]["c"] == 1);
         CHECK_NOTHROW(json.dump());
     }
-    CHECK(parseTolerant(textIn(R"(\ud83d\ude00)"))[0]["a"] == "\xf0\x9f\x98\x80");
-    CHECK(parseTolerant(textIn(R"(\"\\)"))[0]["a"] == "\"\\");
-    CHECK(parseTolerant("[1").is_discarded());
+    CHECK(parseTolerant(textIn(R"(\ud83d\ude00)")).m_json[0]["a"] == "\xf0\x9f\x98\x80");
+    CHECK(parseTolerant(textIn(R"(\"\\)")).m_json[0]["a"] == "\"\\");
+    CHECK(parseTolerant("[1").m_json.is_discarded());
 }
 
 // Guards against a list that is refused as a whole because of a number in one entry.
@@ -125,7 +125,7 @@
     for (const char *number : {"1e400", "-1E+400", "1.5e99999", "123456789e1234567"}) {
         const std::string text =
                 fmt::format(R"([{{"a":{},"b":[{}, 2]}},{{"c":"1e400","d":1e30}}])", number, number);
-        const Json json = parseTolerant(text);
+        const Json json = parseTolerant(text).m_json;
         REQUIRE(json.is_array());
         CHECK_FALSE(json[0]["a"].is_number());
         CHECK_FALSE(json[0]["a"].is_null());
@@ -134,10 +134,10 @@
         CHECK(json[1]["d"] == 1e30);
     }
     // A number of many digits, and one that is too small, can be read.
-    CHECK(parseTolerant("[" + std::string(300, '9') + ",1e-400]").is_array());
-    CHECK(parseTolerant("[" + std::string(400, '9') + "]").is_array());
-    CHECK(parseTolerant("[1e400").is_discarded());
-    CHECK(parseTolerant("[1e400x]").is_discarded());
+    CHECK(parseTolerant("[" + std::string(300, '9') + ",1e-400]").m_json.is_array());
+    CHECK(parseTolerant("[" + std::string(400, '9') + "]").m_json.is_array());
+    CHECK(parseTolerant("[1e400").m_json.is_discarded());
+    CHECK(parseTolerant("[1e400x]").m_json.is_discarded());
 }
 
 TEST_CASE("a whole number out of range counts as missing")
@@ -155,7 +155,7 @@
 {
     const std::size_t depth = 200'000;
     const std::string nested = std::string(depth, '[') + std::string(depth, ']');
-    const Json json = parseTolerant(R"({"a":)" + nested + R"(,"b":"[[["})");
+    const Json json = parseTolerant(R"({"a":)" + nested + R"(,"b":"[[["})").m_json;
     REQUIRE(json.is_object());
     CHECK(json["b"] == "[[[");
     CHECK(json.dump().size() < 200);
--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -128,3 +128,58 @@
     expected.insert(std::string("a\0b", 3));
     CHECK(namesOf(valueOf(listing)) == expected);
 }
+
+// Guards against a list that ends because of one item whose name can't be told.
+TEST_CASE("a list goes on behind an item without a name")
+{
+    const std::string odd =
+            GENERATE(as<std::string>{}, R"({"metadata":{"name":""}})", R"({"metadata":{"name":7}})",
+                     R"({"metadata":{"name":1e400}})", R"({"metadata":"c"})", R"({"spec":{}})",
+                     "null", R"("text")", "[1]", "{\"metadata\":{\"name\":\"c\xff\"}}",
+                     R"({"metadata":{"name":"c\ud800"}})");
+    INFO(odd);
+    FiberLoop loop("test");
+    loop.start();
+    StoreStandIn store(loop);
+    store.setPageItems(2);
+    for (const char *name : {"a", "d", "e", "f"})
+        store.put(kind, name, Json::object());
+    store.putRawItem(kind, "c", odd);
+    store.putRawItem(kind, "d2", odd);
+    Reader reader(loop, store.port());
+    const auto listing = reader.list();
+    REQUIRE(succeeded(listing));
+    for (const char *name : {"a", "d", "e", "f"})
+        CHECK(namesOf(valueOf(listing)).count(name) == 1);
+}
+
+// Guards against the last item of a page taking the place of another one.
+TEST_CASE("a name whose bytes can't be read is no other entry's name")
+{
+    FiberLoop loop("test");
+    loop.start();
+    StoreStandIn store(loop);
+    store.put(kind, "c?", Json{{"service", "sound"}});
+    store.putRawItem(kind, "b", "{\"metadata\":{\"name\":\"c\xff\"},\"spec\":{}}");
+    store.putRawItem(kind, "d", R"({"metadata":{"name":1e400},"spec":{}})");
+    Reader reader(loop, store.port());
+    const auto listing = reader.list();
+    REQUIRE(succeeded(listing));
+    CHECK(namesOf(valueOf(listing)) == std::multiset<std::string>{"", "", "c?"});
+}
+
+// Guards against two records of one entry that changed while the list was read.
+TEST_CASE("an entry that is listed twice counts once, as it was last")
+{
+    FiberLoop loop("test");
+    loop.start();
+    const std::string before = R"({"metadata":{"name":"b","revision":3},"spec":{"x":1}})";
+    const std::string after = R"({"metadata":{"name":"b","revision":8},"spec":{"x":2}})";
+    ScriptedStore store(loop, {page(item("a") + "," + before, true), page(after, false)});
+    Reader reader(loop, store.port());
+    const auto listing = reader.list();
+    REQUIRE(succeeded(listing));
+    REQUIRE(valueOf(listing).m_objects.size() == 2);
+    CHECK(valueOf(listing).m_objects[1].m_revision == 8);
+    CHECK(valueOf(listing).m_revision == 9);
+}
