Give up a list whose pages repeat

Callers saw nothing of it. A store whose pages went round in a circle of two or more was asked on, up to 8 MiB or 15 s, each call priced: only a page that began behind the same name as the one before was noticed.

unit-platform-store-lists: pages a, b, a, b were asked for a fifth time before (the scripted store ends there) and are given up after the third now.

--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -183,3 +183,15 @@
     CHECK(valueOf(listing).m_objects[1].m_revision == 8);
     CHECK(valueOf(listing).m_revision == 9);
 }
+
+// Guards against calls that repeat the same pages until a limit of time or size ends them.
+TEST_CASE("a list whose pages repeat is given up")
+{
+    FiberLoop loop("test");
+    loop.start();
+    ScriptedStore store(loop, {page(item("a"), true), page(item("b"), true), page(item("a"), true),
+                               page(item("b"), true)});
+    Reader reader(loop, store.port());
+    CHECK_FALSE(succeeded(reader.list()));
+    CHECK(store.calls() == 3);
+}
