--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -195,3 +195,24 @@
     CHECK_FALSE(succeeded(reader.list()));
     CHECK(store.calls() == 3);
 }
+
+// Guards against upstreams that count as gone as they are missing from a list that isn't whole.
+TEST_CASE("an answer that isn't a whole list is an error")
+{
+    const std::string answer = GENERATE(as<std::string>{}, R"({"events":[],"current-rev":9})",
+                                        R"({"items":null,"has-more":false,"current-rev":9})",
+                                        R"({"items":{},"has-more":false,"current-rev":9})",
+                                        R"({"items":[],"has-more":"true","current-rev":9})",
+                                        R"({"items":[],"has-more":true,"current-rev":9})",
+                                        R"({"items":[null],"has-more":true,"current-rev":9})",
+                                        R"({"items":[],"has-more":false})", "{}", "[]", "null", "");
+    INFO(answer);
+    FiberLoop loop("test");
+    loop.start();
+    const bool isFirst = GENERATE(true, false);
+    ScriptedStore store(loop,
+                        isFirst ? std::vector{answer} : std::vector{page(item("a"), true), answer});
+    Reader reader(loop, store.port());
+    CHECK_FALSE(succeeded(reader.list()));
+    CHECK(store.calls() == (isFirst ? 1 : 2));
+}
