--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -216,3 +216,17 @@
     CHECK_FALSE(succeeded(reader.list()));
     CHECK(store.calls() == (isFirst ? 1 : 2));
 }
+
+// Guards against a list that counts as confirmed by an answer that tells nothing of changes.
+TEST_CASE("an answer without events doesn't say that nothing changed")
+{
+    const std::string answer =
+            GENERATE(as<std::string>{}, R"({"items":[],"has-more":false,"current-rev":9})",
+                     R"({"events":null,"current-rev":9})", R"({"events":[]})", "{}");
+    INFO(answer);
+    FiberLoop loop("test");
+    loop.start();
+    ScriptedStore store(loop, {answer});
+    Reader reader(loop, store.port());
+    CHECK_FALSE(succeeded(reader.watch(4)));
+}
