--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -230,3 +230,32 @@
     Reader reader(loop, store.port());
     CHECK_FALSE(succeeded(reader.watch(4)));
 }
+
+// Guards against a call that reaches another object than the one that it names.
+TEST_CASE("calls on an object with an odd name reach that object alone")
+{
+    FiberLoop loop("test");
+    loop.start();
+    StoreStandIn store(loop);
+    Reader reader(loop, store.port());
+    store.put(kind, "a", Json{{"sound", true}});
+    for (const std::string name : {"a?b", "a/b", "a#b", "a/status", "a b", "a\r\nb", "a%62", "%"}) {
+        INFO(name);
+        const StoreObject object{name, 0, R"({"odd":true})", R"({"state":"x"})"};
+        CHECK(succeeded(reader.call([&](auto &client) { return client.create(kind, object); })));
+        CHECK(store.has(kind, name));
+        const auto read = reader.call([&](auto &client) { return client.get(kind, name); });
+        REQUIRE(succeeded(read));
+        CHECK(valueOf(read).m_name == name);
+        CHECK(succeeded(reader.call([&](auto &client) { return client.replace(kind, object); })));
+        CHECK(succeeded(
+                reader.call([&](auto &client) { return client.replaceStatus(kind, object); })));
+        CHECK(store.status(kind, name) == Json{{"state", "x"}});
+        CHECK(succeeded(reader.call([&](auto &client) { return client.remove(kind, name); })));
+        CHECK_FALSE(store.has(kind, name));
+        const auto sound = reader.call([&](auto &client) { return client.get(kind, "a"); });
+        REQUIRE(succeeded(sound));
+        CHECK(valueOf(sound).m_specText == R"({"sound":true})");
+        CHECK(valueOf(sound).m_statusText.empty());
+    }
+}
