Send no call on an object that has no name

Callers saw nothing of it yet. An item without a name, of the registry or of roll-outs, was read with an empty name; calls on that object then went to the path of the whole kind (a DELETE of the registry, two minutes later), and what a server makes of '.' and '..' in a path is its own affair.

--- a/tests/src/unit-platform-store-lists.cpp
+++ b/tests/src/unit-platform-store-lists.cpp
@@ -259,3 +259,24 @@
         CHECK(valueOf(sound).m_statusText.empty());
     }
 }
+
+// Guards against a call on a whole kind, or on what a server makes of "..", in place of an object.
+TEST_CASE("a call on an object without a usable name isn't sent")
+{
+    FiberLoop loop("test");
+    loop.start();
+    ScriptedStore store(loop, {R"({"metadata":{"name":"a"}})"});
+    Reader reader(loop, store.port());
+    for (const std::string name : {"", ".", ".."}) {
+        INFO(name);
+        const StoreObject object{name, 0, "{}", "{}"};
+        CHECK_FALSE(succeeded(reader.call([&](auto &client) { return client.get(kind, name); })));
+        CHECK_FALSE(
+                succeeded(reader.call([&](auto &client) { return client.replace(kind, object); })));
+        CHECK_FALSE(succeeded(
+                reader.call([&](auto &client) { return client.replaceStatus(kind, object); })));
+        CHECK_FALSE(
+                succeeded(reader.call([&](auto &client) { return client.remove(kind, name); })));
+    }
+    CHECK(store.calls() == 0);
+}
