Count only entries with an address as VMs of the registry

Callers saw nothing of it yet. Every object in the registry of VMs counted as a VM, whoever wrote it: with twelve entries of another writer beside two VMs each took a fourteenth of the retry budget, and called the address, also where it was empty or none.

An entry without a name or an address to connect to names no VM. It is logged once (registry-entry-unusable) and left to its writer: it isn't counted, called or removed.

--- a/include/gypsumdale/entry/entry_registry.hpp
+++ b/include/gypsumdale/entry/entry_registry.hpp
@@ -6,6 +6,9 @@
 
 #include <platform/duty_codec.hpp>
 
+#include <set> // set
+#include <string> // string
+
 namespace gypsumdale {
 
 /// Keeps this VM's entry in the store's registry of VMs, and passes the other entries to
@@ -28,10 +31,13 @@
     bool registerSelf();
     bool addPeers(const platform::StoreListing &listing);
     void removeIfExpired(const platform::NodeRecord &node);
+    void logUnusable(std::set<std::string> unusable);
 
     EntryContext &m_context;
     EntryPeers &m_peers;
     RegistryExpiry m_expiry;
+    /// Names of the entries that named no VM when the registry was last read.
+    std::set<std::string> m_unusable;
 };
 
 } // namespace gypsumdale
--- a/src/entry/entry_registry.cpp
+++ b/src/entry/entry_registry.cpp
@@ -1,6 +1,8 @@
 #include <gypsumdale/entry/entry_registry.hpp>
 
 #include <set> // set
+#include <string> // string
+#include <utility> // move
 
 namespace gypsumdale {
 
@@ -43,8 +45,14 @@
 {
     bool hasOwn = false;
     std::set<NodeId> listed;
+    std::set<std::string> unusable;
     for (const platform::StoreObject &object : listing.m_objects) {
-        const platform::NodeRecord node = platform::decodeNode(object);
+        const auto decoded = platform::decodeNode(object);
+        if (!succeeded(decoded)) {
+            unusable.insert(object.m_name);
+            continue;
+        }
+        const platform::NodeRecord &node = valueOf(decoded);
         listed.insert(node.m_node);
         if (node.m_node == m_context.m_settings.m_node) {
             hasOwn = true;
@@ -55,9 +63,21 @@
     }
     m_peers.setRegistered(listed.size());
     m_expiry.retainListed(listed);
+    logUnusable(std::move(unusable));
     return hasOwn;
 }
 
+/// Logs once for each entry that names no VM, and leaves it to its writer.
+void EntryRegistry::logUnusable(std::set<std::string> unusable)
+{
+    for (const std::string &name : unusable) {
+        if (!m_unusable.contains(name))
+            m_context.m_log.warning("registry-entry-unusable",
+                                    {{LogField::Name, name}, {LogField::Count, unusable.size()}});
+    }
+    m_unusable = std::move(unusable);
+}
+
 /// Entries of VMs that ended without leaving stay in the registry, and every VM would call their
 /// addresses forever. The holder of the duties removes them; a VM that was only partitioned finds
 /// its entry missing and writes it again.
--- a/tests/src/process-entry-odd-names.cpp
+++ b/tests/src/process-entry-odd-names.cpp
@@ -127,3 +127,28 @@
     }
     checkServed(world);
 }
+
+// Guards against another writer's entries that count as VMs, which each get a share of what the
+// fleet may use.
+TEST_CASE("odd entries in the registry of VMs count as no VM")
+{
+    EntryWorld world(vms);
+    StoreStandIn &store = world.store();
+    for (const char *name : {"b&c", "b#c", "b%c", "b!4 c", "entry-0?x", "entry-0/x"})
+        store.put("entry-nodes", name, foreignEntry);
+    for (const char *address : {"", "10.0.0.1", "10.0.0.1:0", "host:80", "10.0.0.300:80"})
+        store.put("entry-nodes", std::string("b") + address, {{"address", address}});
+    store.putRawItem("entry-nodes", "c", "null");
+    const std::size_t before = world.fullLog(world.node()).size();
+    restartAll(world);
+    const auto hasLogged = [&](const std::string &text) {
+        return world.fullLog(world.node()).find(text, before) != std::string::npos;
+    };
+    world.waitUntil("it shares what the fleet may use with one VM", [&] {
+        return hasLogged(R"("event":"retry-budget-shared","node":"entry-0","data_centre":"here",)"
+                         R"("count":2,)");
+    });
+    CHECK(hasLogged("registry-entry-unusable"));
+    CHECK(world.fullLog(world.node()).find(R"("peer":"b)") == std::string::npos);
+    checkServed(world);
+}
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -366,7 +366,7 @@
     }
     SECTION("where a VM is")
     {
-        const NodeRecord node = decodeNode(encodeNode({NodeId("a-1"), "10.0.0.1:8367"}));
+        const NodeRecord node = valueOf(decodeNode(encodeNode({NodeId("a-1"), "10.0.0.1:8367"})));
         CHECK(node.m_node == NodeId("a-1"));
         CHECK(node.m_address == "10.0.0.1:8367");
     }
