--- a/tests/src/unit-platform-rollouts.cpp
+++ b/tests/src/unit-platform-rollouts.cpp
@@ -61,6 +61,15 @@
     CHECK(list.m_unusableTargets.at(ServiceId("d")).contains(SoftwareVersion("v4")));
 }
 
+// Guards against an order that begins though no state of it can be recorded.
+TEST_CASE("an order without a name is unusable, and its target stays closed")
+{
+    const RolloutList list = platform::decodeRollouts({9, {order("", usual)}});
+    CHECK(list.m_rollouts.empty());
+    CHECK(list.m_unusable.size() == 1);
+    CHECK(list.m_unusableTargets.at(ServiceId("llm")).contains(SoftwareVersion("v2")));
+}
+
 TEST_CASE("of two orders for one service none is carried out")
 {
     const RolloutList list = platform::decodeRollouts(
