--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -420,3 +420,18 @@
         CHECK(headers.value("Last-Event-Id") == "12");
     }
 }
+
+// Guards against a handle that ends the target, or the call, and reaches something else.
+TEST_CASE("a handle of any bytes stays one segment of the path")
+{
+    UpstreamRecord source;
+    source.m_ip = "10.0.0.1";
+    source.m_port = 80;
+    const auto targetFor = [&source](const std::string &handle) {
+        return releaseCall(source, "10.0.0.1:80/" + handle).m_target;
+    };
+    CHECK(targetFor("h/../x") == "/-/kv-handle/h%2F..%2Fx");
+    CHECK(targetFor("h?x#y&z") == "/-/kv-handle/h%3Fx%23y%26z");
+    CHECK(targetFor("h HTTP/1.1\r\nHost: x") == "/-/kv-handle/h%20HTTP%2F1.1%0D%0AHost%3A%20x");
+    CHECK(targetFor("h%41") == "/-/kv-handle/h%2541");
+}
