Encode prefixes of lists in the settings role like all other values

A prefix with '&' or '+' was put into the query as it was, so that another part of the store was listed. The characters that are kept were those of a path.

PlatformClient builds its targets with HttpTargetBuilder, as the entry role does; names keep the slashes between their parts. unit-settings-platform-client fails in 6 of 33 checks on the code before and passes now.

--- a/src/kernel/platform_client.cpp
+++ b/src/kernel/platform_client.cpp
@@ -1,8 +1,7 @@
 #include <gypsumdale/kernel/platform_client.hpp>
 #include <gypsumdale/runtime/http_status.hpp>
+#include <gypsumdale/runtime/http_target.hpp>
 
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/pchars.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -15,10 +14,10 @@
 /// Additional time that a watch may take beyond its timeout.
 constexpr Duration watchMargin = std::chrono::seconds(2);
 
-std::string encoded(std::string_view text)
+/// Returns the target of one object. Slashes separate the parts of a name.
+std::string objectTarget(std::string_view kind, std::string_view name)
 {
-    // Keeps '/', which separates the parts of a name.
-    return boost::urls::encode(text, boost::urls::pchars + '/');
+    return HttpTargetBuilder("/v1/objects").segment(kind).segments(name).build();
 }
 
 std::string quoted(ObjectVersion version)
@@ -121,8 +120,7 @@
 PlatformResult<PlatformObject> PlatformClient::read(std::string_view kind, std::string_view name)
 {
     ++m_calls.m_reads;
-    const auto result =
-            send(makeCall("GET", fmt::format("/v1/objects/{}/{}", kind, encoded(name))));
+    const auto result = send(makeCall("GET", objectTarget(kind, name)));
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     const HttpReply &reply = std::get<HttpReply>(result);
@@ -137,9 +135,11 @@
                                                      bool withBodies)
 {
     ++m_calls.m_reads;
-    const auto result =
-            send(makeCall("GET", fmt::format("/v1/objects/{}?prefix={}{}", kind, encoded(prefix),
-                                             withBodies ? "&bodies=1" : "")));
+    HttpTargetBuilder target("/v1/objects");
+    target.segment(kind).parameter("prefix", prefix);
+    if (withBodies)
+        target.parameter("bodies", "1");
+    const auto result = send(makeCall("GET", target.build()));
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
         return *failure;
     return objectsFrom(std::get<HttpReply>(result).m_body, "objects");
@@ -161,7 +161,7 @@
                                             std::optional<ObjectVersion> version)
 {
     ++m_calls.m_writes;
-    HttpCall call = makeCall("DELETE", fmt::format("/v1/objects/{}/{}", kind, encoded(name)));
+    HttpCall call = makeCall("DELETE", objectTarget(kind, name));
     if (version)
         call.m_headers.add("If-Match", quoted(*version));
     const auto result = send(call);
@@ -189,7 +189,7 @@
                                                   std::string conditionValue)
 {
     ++m_calls.m_writes;
-    HttpCall call = makeCall("PUT", fmt::format("/v1/objects/{}/{}", kind, encoded(name)));
+    HttpCall call = makeCall("PUT", objectTarget(kind, name));
     call.m_headers.add("Content-Type", "application/octet-stream");
     call.m_headers.add(std::move(condition), std::move(conditionValue));
     call.m_body = std::move(body);
