Decode the name of a roll-out that an operator stops

What operators saw: 'gypsumctl rollouts pause' for a roll-out whose name holds a blank, a slash or any other character that a path encodes was answered with 404: no roll-out of this name.

Cause: gypsumctl encodes the name, the page compared it undecoded. It is decoded now, and a malformed escape is refused. Encoding and decoding of a path's part have one home (http_target) in place of three.

The ids of the quarantine's page are hexadecimal and need nothing.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -41,7 +41,7 @@
 gypsumdale_module(entry gypsumdale_platform Boost::fiber Boost::context PkgConfig::THRIFT)
 
 # What the command-line tool does, apart from its main(), so that a test can link it.
-gypsumdale_module(ctl Boost::url PkgConfig::YAMLCPP)
+gypsumdale_module(ctl PkgConfig::YAMLCPP)
 
 function(gypsumdale_link_modules target)
   foreach(name IN LISTS ARGN)
--- a/include/gypsumdale/runtime/http_target.hpp
+++ b/include/gypsumdale/runtime/http_target.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional> // optional
 #include <string> // string
 #include <string_view> // string_view
 
@@ -36,4 +37,7 @@
 /// Returns a text with everything but unreserved characters percent-encoded.
 std::string percentEncoded(std::string_view text);
 
+/// Decodes a part of a path; nothing if an escape is malformed. A plus sign stands for itself.
+std::optional<std::string> percentDecoded(std::string_view text);
+
 } // namespace gypsumdale
--- a/src/ctl/admin_client.cpp
+++ b/src/ctl/admin_client.cpp
@@ -2,8 +2,6 @@
 #include <ctl/admin_reply.hpp>
 
 #include <boost/asio/ip/address.hpp>
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/unreserved_chars.hpp>
 #include <fmt/format.h>
 
 #include <charconv> // from_chars
@@ -134,9 +132,4 @@
     return fmt::format("{}:{}", host, entry.m_port);
 }
 
-std::string encodeSegment(std::string_view text)
-{
-    return boost::urls::encode(text, boost::urls::unreserved_chars);
-}
-
 } // namespace gypsumdale::ctl
--- a/src/ctl/admin_client.hpp
+++ b/src/ctl/admin_client.hpp
@@ -73,7 +73,4 @@
 /// Formats an entry in the format that parseEntry() reads.
 std::string entryText(const Endpoint &entry);
 
-/// Percent-encodes a text for use as one path segment of a target. Complexity: linear.
-std::string encodeSegment(std::string_view text);
-
 } // namespace gypsumdale::ctl
--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/observe/decision.hpp>
+#include <gypsumdale/runtime/http_target.hpp>
 
 #include <ctl/admin_reply.hpp>
 #include <ctl/command.hpp>
@@ -81,8 +82,8 @@
     const auto &words = session.m_invocation.m_positionals;
     if (words.size() < 2)
         return showObjects(session, words.empty() ? std::string() : words[0]);
-    const std::string target =
-            fmt::format("/admin/v1/config/{}/{}", encodeSegment(words[0]), encodeSegment(words[1]));
+    const std::string target = fmt::format("/admin/v1/config/{}/{}", percentEncoded(words[0]),
+                                           percentEncoded(words[1]));
     return show(session, target, [&words](const Json &answer) {
         const std::string body = memberAt(answer, "body").is_string()
                                          ? memberAt(answer, "body").get<std::string>()
@@ -102,7 +103,7 @@
         return ExitCode::Usage;
     }
     return showList(session,
-                    fmt::format("/admin/v1/explain/{}/{}", words[0], encodeSegment(words[1])),
+                    fmt::format("/admin/v1/explain/{}/{}", words[0], percentEncoded(words[1])),
                     eventsView());
 }
 
@@ -132,7 +133,7 @@
         session.m_surroundings.m_printError("gypsumctl: usage: gypsumctl quarantine [lift ID]\n");
         return ExitCode::Usage;
     }
-    return giveOrder(session, "/-/quarantine/lift/" + encodeSegment(words[1]),
+    return giveOrder(session, "/-/quarantine/lift/" + percentEncoded(words[1]),
                      fmt::format("lifted {}\n", words[1]));
 }
 
@@ -147,7 +148,7 @@
                 "gypsumctl: usage: gypsumctl rollouts [pause|resume|rollback NAME]\n");
         return ExitCode::Usage;
     }
-    return giveOrder(session, fmt::format("/-/rollouts/{}/{}", words[0], encodeSegment(words[1])),
+    return giveOrder(session, fmt::format("/-/rollouts/{}/{}", words[0], percentEncoded(words[1])),
                      fmt::format("{} of {} is passed on to the VM that decides\n", words[0],
                                  printable(words[1])));
 }
--- a/src/ctl/rollout.cpp
+++ b/src/ctl/rollout.cpp
@@ -1,3 +1,5 @@
+#include <gypsumdale/runtime/http_target.hpp>
+
 #include <ctl/rollout.hpp>
 #include <ctl/table.hpp>
 
@@ -29,7 +31,7 @@
 
 std::string objectTarget(std::string_view resource, std::string_view kind, std::string_view name)
 {
-    return fmt::format("/admin/v1/{}/{}/{}", resource, encodeSegment(kind), encodeSegment(name));
+    return fmt::format("/admin/v1/{}/{}/{}", resource, percentEncoded(kind), percentEncoded(name));
 }
 
 std::string formatRollout(const Rollout &rollout, std::int64_t version)
--- a/src/entry/rollout_page.cpp
+++ b/src/entry/rollout_page.cpp
@@ -1,4 +1,5 @@
 #include <gypsumdale/runtime/http_status.hpp>
+#include <gypsumdale/runtime/http_target.hpp>
 
 #include <entry/operator_reply.hpp>
 #include <entry/rollout_page.hpp>
@@ -44,9 +45,10 @@
     if (slash == std::string_view::npos)
         return std::nullopt;
     const auto action = enumFromName(rolloutActionNames, rest.substr(0, slash));
-    if (!action)
+    const auto name = percentDecoded(rest.substr(slash + 1));
+    if (!action || !name)
         return std::nullopt;
-    return RolloutOrder{std::string(rest.substr(slash + 1)), *action};
+    return RolloutOrder{*name, *action};
 }
 
 } // namespace
--- a/src/kernel/admin_api.cpp
+++ b/src/kernel/admin_api.cpp
@@ -2,8 +2,8 @@
 #include <gypsumdale/kernel/caller_api.hpp>
 #include <gypsumdale/kernel/error_reply.hpp>
 #include <gypsumdale/kernel/health_reply.hpp>
+#include <gypsumdale/runtime/http_target.hpp>
 
-#include <boost/url/pct_string_view.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -34,15 +34,6 @@
     return errorReply({ErrorId::NotFound, "no such path"});
 }
 
-/// Percent-decodes a path segment. Returns nothing if it is malformed.
-std::optional<std::string> percentDecoded(std::string_view text)
-{
-    const auto view = boost::urls::make_pct_string_view(text);
-    if (view.has_error())
-        return std::nullopt;
-    return view->decode();
-}
-
 /// Parses "KIND/NAME".
 std::optional<ConfigKey> parseConfigKey(std::string_view text)
 {
--- a/src/runtime/http_target.cpp
+++ b/src/runtime/http_target.cpp
@@ -1,6 +1,7 @@
 #include <gypsumdale/runtime/http_target.hpp>
 
 #include <boost/url/encode.hpp>
+#include <boost/url/pct_string_view.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include <utility> // exchange
@@ -12,6 +13,14 @@
     return boost::urls::encode(text, boost::urls::unreserved_chars);
 }
 
+std::optional<std::string> percentDecoded(std::string_view text)
+{
+    const auto encoded = boost::urls::make_pct_string_view(text);
+    if (!encoded)
+        return std::nullopt;
+    return encoded->decode();
+}
+
 HttpTargetBuilder &HttpTargetBuilder::segment(std::string_view text)
 {
     m_target += '/';
