Take a peer's text that is no list for none, not for an empty one

Callers saw nothing of it: peers write such texts themselves, and no way to a malformed one is known. But it would have counted as a list without upstreams at the peer's revision, and all upstreams as gone.

A text that is no JSON list names nothing: the fetch of it fails and another peer is asked, and a reader's update is logged (peer-malformed) and asked for again as a whole list. unit-platform-codec asked for an empty list before ('no json'); it now asks, more strictly, for no list, for six texts, and for an empty one only for '[]'.

--- a/src/entry/entry_store_relay.cpp
+++ b/src/entry/entry_store_relay.cpp
@@ -61,7 +61,8 @@
     }
 }
 
-UpstreamListUpdate decodeUpdate(const entrywire::StoreNews &news)
+/// Returns the update of a reader; nothing if its text is malformed.
+std::optional<UpstreamListUpdate> decodeUpdate(const entrywire::StoreNews &news)
 {
     UpstreamListUpdate upstreams;
     upstreams.m_newestChange = news.newestChange;
@@ -71,7 +72,10 @@
     if (news.storeReturnedAgoMillis != neverUnavailable)
         upstreams.m_storeReturnedAgo = std::chrono::milliseconds(news.storeReturnedAgoMillis);
     if (!news.upstreamText.empty()) {
-        for (const auto &[id, record] : platform::decodeUpstreamText(news.upstreamText))
+        const auto present = platform::decodeUpstreamText(news.upstreamText);
+        if (!present)
+            return std::nullopt;
+        for (const auto &[id, record] : *present)
             upstreams.m_changes.push_back({record, UpstreamChangeKind::Present});
     }
     addAbsent(news.goneUpstreams, UpstreamChangeKind::Removed, upstreams);
@@ -203,8 +207,12 @@
     const bool isRequested =
             m_config.receiveUpdate(news.configVersion, {configAge, sentAfter}, news.configIsSent);
     taken.needsConfig = isRequested && !m_config.isFetching();
+    const auto update = decodeUpdate(news);
+    if (!update)
+        m_context.m_log.error("peer-malformed", {{LogField::Peer, news.node},
+                                                 {LogField::Text, "the upstreams are no list"}});
     taken.needsWholeList =
-            !m_upstreams.receiveUpdate(decodeUpdate(news), {upstreamAge, sentAfter}, news.node);
+            !update || !m_upstreams.receiveUpdate(*update, {upstreamAge, sentAfter}, news.node);
     return taken;
 }
 
--- a/src/entry/entry_upstream_feed.cpp
+++ b/src/entry/entry_upstream_feed.cpp
@@ -101,9 +101,12 @@
 bool EntryUpstreamFeed::applyFromPeer(const std::string &text, std::int64_t revision,
                                       ReportedAge age, const std::string &peer)
 {
+    auto upstreams = platform::decodeUpstreamText(text);
+    if (!upstreams)
+        return false;
     UpstreamList list;
     list.m_revision = revision;
-    list.m_upstreams = platform::decodeUpstreamText(text);
+    list.m_upstreams = std::move(*upstreams);
     if (!m_listSync.applyFromPeer(std::move(list), age, m_context.now()))
         return false;
     m_context.m_log.info("upstreams-from-peer",
--- a/tests/src/fuzz-platform-entries.cpp
+++ b/tests/src/fuzz-platform-entries.cpp
@@ -61,7 +61,7 @@
             RC_ASSERT(!record.m_service.isEmpty());
         }
         const auto passedOn = decodeUpstreamText(encodeUpstreams(list.m_upstreams));
-        RC_ASSERT(passedOn.size() == list.m_upstreams.size());
+        RC_ASSERT(passedOn->size() == list.m_upstreams.size());
     });
     CHECK(holds);
 }
--- a/tests/src/unit-platform-codec.cpp
+++ b/tests/src/unit-platform-codec.cpp
@@ -88,15 +88,18 @@
     {
         const auto list =
                 decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), valueOf(record)}}));
-        REQUIRE(list.contains(UpstreamId("i-1")));
-        CHECK(list.at(UpstreamId("i-1")).m_isDraining);
-        CHECK(list.at(UpstreamId("i-1")).m_ip == "10.0.0.9");
+        REQUIRE(list);
+        REQUIRE(list->contains(UpstreamId("i-1")));
+        CHECK(list->at(UpstreamId("i-1")).m_isDraining);
+        CHECK(list->at(UpstreamId("i-1")).m_ip == "10.0.0.9");
     }
     SECTION("without an address is refused")
     {
         CHECK_FALSE(succeeded(decodeUpstream({"i-1", 1, R"({"service":"s"})"})));
         CHECK_FALSE(succeeded(decodeUpstream({"i-1", 1, "no json"})));
-        CHECK(decodeUpstreamText("no json").empty());
+        for (const char *text : {"no json", "", "{}", "null", "[", "7"})
+            CHECK_FALSE(decodeUpstreamText(text));
+        CHECK(decodeUpstreamText("[]")->empty());
     }
     SECTION("names the software's version, or leaves it unknown")
     {
@@ -111,14 +114,14 @@
         const UpstreamRecord known = versionIn(R"("version":"v1.2",)");
         CHECK(known.m_softwareVersion == SoftwareVersion("v1.2"));
         const auto copy = decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), known}}));
-        CHECK(copy.at(UpstreamId("i-1")).m_softwareVersion == SoftwareVersion("v1.2"));
+        CHECK(copy->at(UpstreamId("i-1")).m_softwareVersion == SoftwareVersion("v1.2"));
 
         CHECK(versionIn("").m_softwareVersion.isEmpty());
         CHECK(versionIn(R"("version":12,)").m_softwareVersion.isEmpty());
         CHECK(versionIn(R"("version":null,)").m_softwareVersion.isEmpty());
         const auto unknown =
                 decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), versionIn("")}}));
-        CHECK(unknown.at(UpstreamId("i-1")).m_softwareVersion.isEmpty());
+        CHECK(unknown->at(UpstreamId("i-1")).m_softwareVersion.isEmpty());
     }
     SECTION("that was removed needs only its name")
     {
--- a/tests/src/unit-platform-entries.cpp
+++ b/tests/src/unit-platform-entries.cpp
@@ -81,7 +81,7 @@
     REQUIRE(succeeded(record));
     CHECK(valueOf(record).m_startedAt == 1'790'000'000'000);
     const auto list = decodeUpstreamText(encodeUpstreams({{UpstreamId("i-1"), valueOf(record)}}));
-    CHECK(list.at(UpstreamId("i-1")).m_startedAt == 1'790'000'000'000);
+    CHECK(list->at(UpstreamId("i-1")).m_startedAt == 1'790'000'000'000);
 }
 
 TEST_CASE("one bad entry of a list harms none of the others")
