--- a/tests/src/process-entry-odd-names.cpp
+++ b/tests/src/process-entry-odd-names.cpp
@@ -52,6 +52,16 @@
 
 const Json foreignEntry = {{"written-by", "another"}};
 
+/// Checks that VMs that start beside an entry serve requests. The entry is the last of its page.
+void checkServedBeside(const std::string &kind, const std::string &name)
+{
+    EntryWorld world(vms);
+    fillPage(world.store(), kind);
+    world.store().put(kind, name, foreignEntry);
+    restartAll(world);
+    checkServed(world);
+}
+
 } // namespace
 
 // Guards against a list of upstreams that can't be read on from an odd name, so that no VM starts.
@@ -62,22 +72,14 @@
                      "b!4 c", "b!4\tc", "b!4\rc", "b!4\nc", "b!4\x7f", std::string("b!4\0c", 5),
                      "b" + std::string(3000, '&'), "b/c", "b?c", "b=c", "b;c", "b\xc3\xa9");
     INFO(Json(name.substr(0, 20)));
-    EntryWorld world(vms);
-    fillPage(world.store(), "servers");
-    world.store().put("servers", name, foreignEntry);
-    restartAll(world);
-    checkServed(world);
+    checkServedBeside("servers", name);
 }
 
 // The same for a name that is longer than the request line that servers take.
 TEST_CASE("a long name at the end of a page leaves the upstreams behind it in use")
 {
     const std::string name = GENERATE(std::string(40'000, 'b'), "b" + std::string(20'000, '&'));
-    EntryWorld world(vms);
-    fillPage(world.store(), "servers");
-    world.store().put("servers", name, foreignEntry);
-    restartAll(world);
-    checkServed(world);
+    checkServedBeside("servers", name);
 }
 
 // The same where the item has no name that could be told.
@@ -102,11 +104,7 @@
     const std::string name =
             GENERATE(as<std::string>{}, "b&c", "b+c", "b#c", "b%c", "b!4 c", "b!4\r\nc", "b/c");
     INFO(name);
-    EntryWorld world(vms);
-    fillPage(world.store(), "config");
-    world.store().put("config", name, foreignEntry);
-    restartAll(world);
-    checkServed(world);
+    checkServedBeside("config", name);
 }
 
 // Guards against VMs that stop following their upstreams when such an entry comes and goes.
