Build the last targets that were joined by hand with the builder

gypsumctl joined encoded parts with a format string in four places, two of which repeated objectTarget(), and the settings role's watch put its kind in as it was.

--- a/src/ctl/command_show.cpp
+++ b/src/ctl/command_show.cpp
@@ -3,6 +3,7 @@
 
 #include <ctl/admin_reply.hpp>
 #include <ctl/command.hpp>
+#include <ctl/rollout.hpp>
 #include <ctl/view.hpp>
 
 #include <fmt/format.h>
@@ -82,8 +83,7 @@
     const auto &words = session.m_invocation.m_positionals;
     if (words.size() < 2)
         return showObjects(session, words.empty() ? std::string() : words[0]);
-    const std::string target = fmt::format("/admin/v1/config/{}/{}", percentEncoded(words[0]),
-                                           percentEncoded(words[1]));
+    const std::string target = objectTarget("config", words[0], words[1]);
     return show(session, target, [&words](const Json &answer) {
         const std::string body = memberAt(answer, "body").is_string()
                                          ? memberAt(answer, "body").get<std::string>()
@@ -102,9 +102,7 @@
                 "gypsumctl: usage: gypsumctl explain request|upstream ID\n");
         return ExitCode::Usage;
     }
-    return showList(session,
-                    fmt::format("/admin/v1/explain/{}/{}", words[0], percentEncoded(words[1])),
-                    eventsView());
+    return showList(session, objectTarget("explain", words[0], words[1]), eventsView());
 }
 
 namespace {
@@ -133,7 +131,7 @@
         session.m_surroundings.m_printError("gypsumctl: usage: gypsumctl quarantine [lift ID]\n");
         return ExitCode::Usage;
     }
-    return giveOrder(session, "/-/quarantine/lift/" + percentEncoded(words[1]),
+    return giveOrder(session, HttpTargetBuilder("/-/quarantine/lift").segment(words[1]).build(),
                      fmt::format("lifted {}\n", words[1]));
 }
 
@@ -148,7 +146,9 @@
                 "gypsumctl: usage: gypsumctl rollouts [pause|resume|rollback NAME]\n");
         return ExitCode::Usage;
     }
-    return giveOrder(session, fmt::format("/-/rollouts/{}/{}", words[0], percentEncoded(words[1])),
+    const std::string target =
+            HttpTargetBuilder("/-/rollouts").segment(words[0]).segment(words[1]).build();
+    return giveOrder(session, target,
                      fmt::format("{} of {} is passed on to the VM that decides\n", words[0],
                                  printable(words[1])));
 }
--- a/src/ctl/rollout.cpp
+++ b/src/ctl/rollout.cpp
@@ -31,7 +31,7 @@
 
 std::string objectTarget(std::string_view resource, std::string_view kind, std::string_view name)
 {
-    return fmt::format("/admin/v1/{}/{}/{}", resource, percentEncoded(kind), percentEncoded(name));
+    return HttpTargetBuilder("/admin/v1").segment(resource).segment(kind).segment(name).build();
 }
 
 std::string formatRollout(const Rollout &rollout, std::int64_t version)
--- a/src/kernel/platform_client.cpp
+++ b/src/kernel/platform_client.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv> // from_chars
+#include <string> // to_string
 
 namespace gypsumdale {
 
@@ -174,9 +175,11 @@
                                                       Duration patience)
 {
     ++m_calls.m_watches;
-    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
-    HttpCall call =
-            makeCall("GET", fmt::format("/v1/watch/{}?after={}&timeoutMs={}", kind, after, millis));
+    HttpTargetBuilder target("/v1/watch");
+    target.segment(kind)
+            .parameter("after", std::to_string(after))
+            .parameter("timeoutMs", std::to_string(toWholeMillis(patience)));
+    HttpCall call = makeCall("GET", target.build());
     call.m_headerTimeout = patience + watchMargin;
     const auto result = send(call);
     if (const auto *failure = std::get_if<PlatformFailure>(&result))
