--- a/review/common-2/stand_ins.hpp
+++ b/review/common-2/stand_ins.hpp
@@ -58,8 +58,8 @@
     {
         const std::lock_guard lock(m_mutex);
         const auto since = Clock::now() - m_startedAt;
-        m_file << std::chrono::duration_cast<std::chrono::milliseconds>(since).count() << " ms: "
-               << line << '\n';
+        m_file << std::chrono::duration_cast<std::chrono::milliseconds>(since).count()
+               << " ms: " << line << '\n';
         m_file.flush();
     }
 
@@ -94,11 +94,24 @@
     return file;
 }
 
+/// Returns a port that is free and that no outgoing connection takes meanwhile.
 inline std::uint16_t freePort()
 {
-    std::uint16_t port = 0;
-    ::close(listenOnFreePort(port));
-    return port;
+    constexpr int first = 10000;
+    constexpr int count = 20000;
+    static int next = static_cast<int>(::getpid()) * 97 % count;
+    for (int tries = 0; tries < count; ++tries) {
+        const auto port = static_cast<std::uint16_t>(first + next);
+        next = (next + 1) % count;
+        const int file = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address = loopback(port);
+        const bool isFree =
+                ::bind(file, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(file);
+        if (isFree)
+            return port;
+    }
+    std::exit(2);
 }
 
 /// A connection, read through a buffer.
@@ -268,8 +281,8 @@
 
 inline std::string answerText(int status, const std::string &fields, const std::string &body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: "
-           + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// A server with one thread for each connection.
@@ -336,9 +349,9 @@
     Json store(const std::string &kind, const std::string &name, const Json &spec)
     {
         Json &object = m_objects[kind][name];
-        const std::int64_t created =
-                object.is_null() ? m_revision + 1
-                                 : object["metadata"]["create-rev"].get<std::int64_t>();
+        const std::int64_t created = object.is_null()
+                                             ? m_revision + 1
+                                             : object["metadata"]["create-rev"].get<std::int64_t>();
         ++m_revision;
         object = {{"metadata", {{"name", name}, {"revision", m_revision}, {"create-rev", created}}},
                   {"spec", spec},
@@ -660,10 +673,14 @@
 {
     const auto route = [](const char *name, const char *prefix, const char *service,
                           const char *kind, int timeout, int target, int attempts, int priority) {
-        return Json{{"name", name},         {"hostname", "fasteners.example"},
-                    {"path-prefix", prefix}, {"service", service},
-                    {"kind", kind},         {"timeout-ms", timeout},
-                    {"target-latency-ms", target}, {"max-attempts", attempts},
+        return Json{{"name", name},
+                    {"hostname", "fasteners.example"},
+                    {"path-prefix", prefix},
+                    {"service", service},
+                    {"kind", kind},
+                    {"timeout-ms", timeout},
+                    {"target-latency-ms", target},
+                    {"max-attempts", attempts},
                     {"priority", priority}};
     };
     Json draft = route("quote-draft", "/draft/", "gypsum-llm", "streaming", 15000, 600, 1, 1);
